Add the core types, the scheduler interface and the JSON codec

Cause: the parts need shared types before they can be written apart from each other. Change: value types for topology, jobs and documents; messages to callers, operators, upstreams and between own processes; events and actions of a replica; the abstract Scheduler; a strict cattrs codec that names the offending field. Ruled out: cattrs' default coercion, which turned "2" into 2 and let enums of text pass unchecked (test_text shows both refused now).

--- /dev/null
+++ b/tanagerpath/codecs/tests/test_text.py
@@ -0,0 +1,48 @@
+"""Guards against fields dropped or bent in silence on the wire."""
+
+import testtools
+from returns.pipeline import is_successful
+
+from tanagerpath.codecs import decode_json, encode_json
+from tanagerpath.core.model import AttemptId, JobClass, JobRequest
+from tanagerpath.core.protocol.internal import (
+    AcceptRequest,
+    InternalRequest,
+    JobQuery,
+)
+from tanagerpath.core.protocol.upstreams import TaskPhase, TaskReport, TaskStatus
+
+
+class TestRoundTrip(testtools.TestCase):
+    def test_nested_messages_survive(self):
+        status = TaskStatus("j", AttemptId(3, 4), 0, TaskPhase.FINISHED, 0.5)
+        report = TaskReport("u1", status, answer="é", answer_length=2)
+        text = encode_json(report)
+        self.assertEqual(report, decode_json(text, TaskReport).unwrap())
+
+    def test_union_keeps_the_type(self):
+        for message in (JobQuery("j"), AcceptRequest(JobRequest("o", "s", "k"))):
+            text = encode_json(message, InternalRequest)
+            self.assertEqual(message, decode_json(text, InternalRequest).unwrap())
+
+
+class TestRefusals(testtools.TestCase):
+    CASES = [
+        ('{"organisation":"o","service":"s","key":"k","acelerators":2}', "acelerators"),
+        ('{"organisation":"o","service":"s"}', "key"),
+        ('{"organisation":"o","service":"s","key":"k","accelerators":"2"}', "int"),
+        ('{"organisation":"o","service":"s","key":"k","job_class":"now"}', "now"),
+        ("{", "JSON"),
+        ("[]", ""),
+    ]
+
+    def test_bad_texts_are_refused_and_named(self):
+        for text, named in self.CASES:
+            result = decode_json(text, JobRequest)
+            self.assertFalse(is_successful(result), text)
+            self.assertIn(named, result.failure().message)
+
+    def test_defaults_apply(self):
+        text = '{"organisation":"o","service":"s","key":"k"}'
+        job = decode_json(text, JobRequest).unwrap()
+        self.assertEqual(JobClass.STANDARD, job.job_class)
--- /dev/null
+++ b/tanagerpath/codecs/text.py
@@ -0,0 +1,195 @@
+"""JSON text of `attrs` messages.
+
+Unknown fields and wrong types are refused, so that a misspelt field is never dropped in
+silence.
+"""
+
+import enum
+import functools
+import json
+import re
+from typing import Any, TypeVar
+
+import attrs
+import cattrs
+from cattrs.preconf.json import make_converter
+from cattrs.strategies import configure_tagged_union
+from returns.result import Failure as ResultFailure
+from returns.result import Result, Success
+
+from tanagerpath.errors import Failure
+
+__all__ = [
+    "MalformedMessage",
+    "decode_json",
+    "decode_value",
+    "encode_json",
+    "encode_value",
+]
+
+T = TypeVar("T")
+
+
+@attrs.frozen(kw_only=True)
+class MalformedMessage(Failure):
+    """A text is not a message of the expected type.
+
+    Attributes
+    ----------
+    field : str
+        Path of the offending field, empty for the whole text.
+    value : str
+        The offending value, shortened.
+    expected : str
+        What was expected.
+    """
+
+    not_run: bool = True
+    field: str = ""
+    value: str = ""
+    expected: str = ""
+
+    @property
+    def message(self) -> str:
+        """One line for people."""
+        place = f"field {self.field!r}" if self.field else "message"
+        return f"{place}: got {self.value}, expected {self.expected}"
+
+
+def _make_converter() -> cattrs.Converter:
+    converter = make_converter(forbid_extra_keys=True, prefer_attrib_converters=True)
+    for kind in (int, float, str, bool):
+        converter.register_structure_hook(kind, _make_strict_hook(kind))
+    return converter
+
+
+def _structure_enum(value: Any, kind: type[enum.Enum]) -> enum.Enum:
+    try:
+        return kind(value)
+    except ValueError:
+        known = ", ".join(str(member.value) for member in kind)
+        raise ValueError(f"one of {known}") from None
+
+
+def _make_strict_hook(kind: type) -> Any:
+    def structure(value: Any, target: type) -> Any:
+        if issubclass(target, enum.Enum):  # the hook for str also gets enums of text
+            return _structure_enum(value, target)
+        if kind is float and type(value) is int:
+            return float(value)
+        if type(value) is not kind:
+            raise TypeError(f"a value of type {kind.__name__}")
+        return value
+
+    return structure
+
+
+def _shorten(value: Any) -> str:
+    text = repr(value)
+    return text if len(text) <= 80 else text[:77] + "..."
+
+
+_CONVERTER = _make_converter()
+
+
+@functools.cache
+def _tagged_converter(union: Any) -> cattrs.Converter:
+    converter = _make_converter()
+    configure_tagged_union(union, converter, tag_name="type")
+    return converter
+
+
+def _converter_for(kind: Any) -> cattrs.Converter:
+    return _CONVERTER if isinstance(kind, type) else _tagged_converter(kind)
+
+
+def encode_value(value: Any, kind: Any = None) -> Any:
+    """Return plain JSON values for a message.
+
+    Parameters
+    ----------
+    value : object
+        An `attrs` message.
+    kind : type or union, optional
+        A union of message types adds the field `type` with the name of the class.
+
+    Returns
+    -------
+    dict or list
+        Plain values that `json` can write.
+    """
+    if kind is None:
+        return _CONVERTER.unstructure(value)
+    return _converter_for(kind).unstructure(value, unstructure_as=kind)
+
+
+def encode_json(value: Any, kind: Any = None) -> str:
+    """Return the JSON text of a message; see `encode_value`."""
+    return json.dumps(encode_value(value, kind), separators=(",", ":"))
+
+
+def decode_value(plain: Any, kind: type[T] | Any) -> Result[T, MalformedMessage]:
+    """Build a message from plain JSON values.
+
+    Parameters
+    ----------
+    plain : object
+        Plain values.
+    kind : type or union
+        Expected message type.
+
+    Returns
+    -------
+    Result
+        The message, or `MalformedMessage` naming the field, the value and what was
+        expected.
+    """
+    try:
+        return Success(_converter_for(kind).structure(plain, kind))
+    except Exception as error:  # cattrs raises groups of any kind of error
+        return ResultFailure(_describe_error(error, plain))
+
+
+def decode_json(text: str | bytes, kind: type[T] | Any) -> Result[T, MalformedMessage]:
+    """Build a message from JSON text; see `decode_value`."""
+    try:
+        plain = json.loads(text)
+    except ValueError as error:
+        return ResultFailure(
+            MalformedMessage(value=_shorten(text), expected=f"JSON text ({error})")
+        )
+    return decode_value(plain, kind)
+
+
+def _describe_error(error: Exception, plain: Any) -> MalformedMessage:
+    first = cattrs.transform_error(error, format_exception=_say_expected)[0]
+    expected, _, place = first.partition(" @ $")
+    field = place.lstrip(".")
+    extra = _EXTRA_FIELD.search(expected)
+    if extra:
+        field = ".".join(filter(None, [field, extra.group(1)]))
+        expected = "no such field"
+    return MalformedMessage(
+        field=field, value=_shorten(_look_up(plain, field)), expected=expected
+    )
+
+
+_EXTRA_FIELD = re.compile(r"extra fields found \((\w+)")
+
+
+def _say_expected(error: BaseException, kind: type | None) -> str:
+    if isinstance(error, KeyError):
+        return "a value (the field is missing)"
+    if isinstance(error, (TypeError, ValueError)) and str(error):
+        return str(error)
+    return cattrs.v.format_exception(error, kind)
+
+
+def _look_up(plain: Any, field: str) -> Any:
+    value = plain
+    for step in re.findall(r"\w+", field):
+        if isinstance(value, dict):
+            value = value.get(step)
+        elif isinstance(value, list) and step.isdigit() and int(step) < len(value):
+            value = value[int(step)]
+    return value
--- /dev/null
+++ b/tanagerpath/core/consensus/__init__.py
@@ -0,0 +1,1 @@
+"""Replicated log with elections, leases, snapshots and membership changes."""
--- /dev/null
+++ b/tanagerpath/core/consensus/events.py
@@ -0,0 +1,236 @@
+"""Events that a replica takes and actions that it returns.
+
+The owner of a replica calls `step` with one event at a time and carries out the
+returned actions in their order. Payloads are opaque text to the replica.
+"""
+
+import enum
+
+import attrs
+
+from tanagerpath.errors import Failure
+
+__all__ = [
+    "Action",
+    "CommandProposed",
+    "CommittedEntry",
+    "DeliverCommitted",
+    "EntryKind",
+    "Event",
+    "LogEntry",
+    "MessageReceived",
+    "NotLeader",
+    "PersistState",
+    "ProposalRejected",
+    "ProposalUncertain",
+    "ReportRole",
+    "RestoreSnapshot",
+    "Role",
+    "SendMessage",
+    "Snapshot",
+    "SnapshotProvided",
+    "StorageSynced",
+    "Tick",
+    "TransferRequested",
+]
+
+
+class Role(enum.StrEnum):
+    """Part that a replica plays in its group."""
+
+    LEARNER = "learner"
+    FOLLOWER = "follower"
+    PRE_CANDIDATE = "pre_candidate"
+    CANDIDATE = "candidate"
+    LEADER = "leader"
+
+
+class EntryKind(enum.StrEnum):
+    """What the payload of a log entry is."""
+
+    COMMAND = "command"
+    NO_OPERATION = "no_operation"
+    MEMBERSHIP = "membership"
+
+
+@attrs.frozen
+class LogEntry:
+    """One record of the replicated log."""
+
+    index: int
+    term: int
+    kind: EntryKind
+    payload: str
+
+
+@attrs.frozen
+class Snapshot:
+    """State after all entries up to and with `last_index`.
+
+    `membership` is the encoded membership in force at `last_index`; `payload` is the
+    encoded state of the state machine.
+    """
+
+    last_index: int
+    last_term: int
+    membership: str
+    payload: str
+
+
+@attrs.frozen(kw_only=True)
+class NotLeader(Failure):
+    """The replica cannot decide; `leader_id` is the leader that it knows, if any."""
+
+    not_run: bool = True
+    leader_id: str | None = None
+
+    @property
+    def message(self) -> str:
+        """One line for people."""
+        return f"not the leader; the known leader is {self.leader_id!r}"
+
+
+@attrs.frozen(kw_only=True)
+class ProposalUncertain(Failure):
+    """Leadership was lost before the entry committed; it may commit later or never."""
+
+    @property
+    def message(self) -> str:
+        """One line for people."""
+        return "leadership was lost before the entry committed"
+
+
+@attrs.frozen
+class Tick:
+    """Time has passed; sent at least every `tick_interval_s`."""
+
+
+@attrs.frozen
+class MessageReceived:
+    """A message from another replica arrived."""
+
+    sender: str
+    message: object
+
+
+@attrs.frozen
+class CommandProposed:
+    """Append a command; `proposal_id` returns with the outcome."""
+
+    proposal_id: int
+    payload: str
+
+
+@attrs.frozen
+class StorageSynced:
+    """All writes of `PersistState` up to this sequence number are on disk."""
+
+    sequence: int
+
+
+@attrs.frozen
+class SnapshotProvided:
+    """The state machine encoded its state after `last_index`."""
+
+    last_index: int
+    payload: str
+
+
+@attrs.frozen
+class TransferRequested:
+    """Hand leadership to the most advanced voter; no effect on a follower."""
+
+
+Event = (
+    Tick
+    | MessageReceived
+    | CommandProposed
+    | StorageSynced
+    | SnapshotProvided
+    | TransferRequested
+)
+
+
+@attrs.frozen
+class SendMessage:
+    """Send a message to another replica; may be lost, repeated or reordered."""
+
+    receiver: str
+    message: object
+
+
+@attrs.frozen
+class PersistState:
+    """Write and sync; answer with `StorageSynced(sequence)`.
+
+    Attributes
+    ----------
+    sequence : int
+        Grows by one with each write.
+    term : int
+        Current term.
+    voted_for : str or None
+        Replica that has this one's vote in the term.
+    truncate_from : int or None
+        Remove all entries from this index on before the append.
+    entries : tuple of LogEntry
+        Entries to append.
+    snapshot : Snapshot or None
+        Snapshot to store; entries up to its index may be removed.
+    """
+
+    sequence: int
+    term: int
+    voted_for: str | None
+    truncate_from: int | None = None
+    entries: tuple[LogEntry, ...] = ()
+    snapshot: Snapshot | None = None
+
+
+@attrs.frozen
+class CommittedEntry:
+    """A committed entry; `proposal_id` is set on the replica that proposed it."""
+
+    entry: LogEntry
+    proposal_id: int | None = None
+
+
+@attrs.frozen
+class DeliverCommitted:
+    """Apply these entries, each exactly once and in order."""
+
+    entries: tuple[CommittedEntry, ...]
+
+
+@attrs.frozen
+class RestoreSnapshot:
+    """Replace the state machine's state."""
+
+    snapshot: Snapshot
+
+
+@attrs.frozen
+class ReportRole:
+    """Role, term or known leader changed."""
+
+    role: Role
+    term: int
+    leader_id: str | None
+
+
+@attrs.frozen
+class ProposalRejected:
+    """A proposal failed with `NotLeader` or `ProposalUncertain`."""
+
+    proposal_id: int
+    failure: Failure
+
+
+Action = (
+    SendMessage
+    | PersistState
+    | DeliverCommitted
+    | RestoreSnapshot
+    | ReportRole
+    | ProposalRejected
+)
--- /dev/null
+++ b/tanagerpath/core/model/__init__.py
@@ -0,0 +1,30 @@
+"""Value types shared by the whole core: topology, jobs and documents."""
+
+from tanagerpath.core.model.documents import (
+    GuaranteedShape,
+    OrganisationTerms,
+    ServiceDocument,
+)
+from tanagerpath.core.model.jobs import AttemptId, JobClass, JobRequest, JobState
+from tanagerpath.core.model.topology import (
+    WORKERS_PER_RACK,
+    AcceleratorRun,
+    Assignment,
+    UpstreamCapacity,
+    UpstreamLocation,
+)
+
+__all__ = [
+    "WORKERS_PER_RACK",
+    "AcceleratorRun",
+    "Assignment",
+    "AttemptId",
+    "GuaranteedShape",
+    "JobClass",
+    "JobRequest",
+    "JobState",
+    "OrganisationTerms",
+    "ServiceDocument",
+    "UpstreamCapacity",
+    "UpstreamLocation",
+]
--- /dev/null
+++ b/tanagerpath/core/protocol/__init__.py
@@ -0,0 +1,1 @@
+"""Typed messages between all parts; their encoding is `tanagerpath.codecs`."""
--- /dev/null
+++ b/tanagerpath/core/state/__init__.py
@@ -0,0 +1,1 @@
+"""Part of the core: state."""
--- /dev/null
+++ b/tanagerpath/errors.py
@@ -0,0 +1,50 @@
+"""Base classes of all failures.
+
+A failure is a value: an immutable `attrs` class that names the offending value and what
+was expected. The core returns failures inside `returns.result.Failure`; the edges raise
+them wrapped in `FailureError`.
+"""
+
+import attrs
+
+__all__ = ["Failure", "FailureError"]
+
+
+@attrs.frozen(kw_only=True)
+class Failure:
+    """A typed failure.
+
+    Attributes
+    ----------
+    not_run : bool
+        True only if the work that the request asked for is known not to have run.
+    retry_at_unix_s : float or None
+        Instant in UTC seconds at which a retry is useful, or None.
+    """
+
+    not_run: bool = False
+    retry_at_unix_s: float | None = None
+
+    @property
+    def type_name(self) -> str:
+        """Name of the failure as it is written on the wire and in metrics."""
+        return type(self).__name__
+
+    @property
+    def message(self) -> str:
+        """One line for people that names the offending value."""
+        return self.type_name
+
+
+class FailureError(Exception):
+    """Carries a `Failure` through code that raises.
+
+    Parameters
+    ----------
+    failure : Failure
+        The failure carried.
+    """
+
+    def __init__(self, failure: Failure) -> None:
+        super().__init__(failure.message)
+        self.failure = failure
