--- /dev/null
+++ b/tanagerpath/runtime/application.py
@@ -0,0 +1,58 @@
+"""Life cycle of a process."""
+
+import abc
+import signal
+
+import anyio
+from anyio.abc import TaskGroup
+
+__all__ = ["Application"]
+
+
+class Application(abc.ABC):
+    """Owns all tasks of a process and ends them in order.
+
+    `run` calls the hooks `start`, then waits for SIGTERM, SIGINT or `request_stop`, then
+    calls `drain` and `close`, and cancels what is left.
+    """
+
+    def __init__(self) -> None:
+        self._stop_requested = anyio.Event()
+
+    @abc.abstractmethod
+    async def start(self, tasks: TaskGroup) -> None:
+        """Open files and sockets and start the tasks in `tasks`."""
+
+    @abc.abstractmethod
+    async def drain(self) -> None:
+        """Finish what is in flight; called once a stop was requested."""
+
+    async def close(self) -> None:
+        """Release what `start` opened; called after `drain`."""
+        return None
+
+    def request_stop(self) -> None:
+        """Ask for a graceful stop."""
+        self._stop_requested.set()
+
+    async def run(self, handle_signals: bool = True) -> None:
+        """Run until a stop was requested and carried out.
+
+        Parameters
+        ----------
+        handle_signals : bool
+            Whether SIGTERM and SIGINT request a stop; only possible in the main thread.
+        """
+        async with anyio.create_task_group() as tasks:
+            if handle_signals:
+                tasks.start_soon(self._watch_signals)
+            await self.start(tasks)
+            await self._stop_requested.wait()
+            await self.drain()
+            await self.close()
+            tasks.cancel_scope.cancel()
+
+    async def _watch_signals(self) -> None:
+        with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
+            async for _ in signals:
+                self.request_stop()
