--- a/tanagerpath/runtime/application.py
+++ b/tanagerpath/runtime/application.py
@@ -12,8 +12,8 @@
 class Application(abc.ABC):
     """Owns all tasks of a process and ends them in order.
 
-    `run` calls the hooks `start`, then waits for SIGTERM, SIGINT or `request_stop`, then
-    calls `drain` and `close`, and cancels what is left.
+    `run` calls the hook `start`, then waits for SIGTERM, SIGINT or `request_stop`,
+    then calls `drain` and `close`, and cancels what is left.
     """
 
     def __init__(self) -> None:
--- a/tanagerpath/runtime/mailbox.py
+++ b/tanagerpath/runtime/mailbox.py
@@ -50,7 +50,7 @@
         return None
 
     async def receive(self, until_s: float = math.inf) -> T | None:
-        """Return the next message, or None once `anyio.current_time()` passes `until_s`.
+        """Return the next message, or None at the instant `until_s`.
 
         Parameters
         ----------
--- /dev/null
+++ b/tanagerpath/runtime/tests/test_client.py
@@ -0,0 +1,73 @@
+"""Guards against exchanges that hang on silent or cut connections."""
+
+import anyio
+import testtools
+from starlette.requests import Request
+from starlette.responses import PlainTextResponse
+from starlette.routing import Route
+
+from tanagerpath.runtime.client import (
+    ConnectFailed,
+    ExchangeCut,
+    ExchangeTimedOut,
+    HttpClient,
+)
+from tanagerpath.runtime.server import HttpServer, bind_listener
+
+
+async def _answer(request: Request) -> PlainTextResponse:
+    await anyio.sleep(float(request.query_params.get("delay", 0)))
+    return PlainTextResponse("whole")
+
+
+class TestHttpClient(testtools.TestCase):
+    def test_reply_arrives_whole_and_stop_waits_for_it(self):
+        async def main():
+            server = HttpServer(
+                bind_listener("127.0.0.1:0"), [Route("/", _answer, methods=["POST"])]
+            )
+            client = HttpClient(server.address)
+            replies = []
+
+            async def ask():
+                replies.append(await client.exchange("POST", "/?delay=0.3"))
+
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(server.run)
+                await anyio.sleep(0.2)
+                tasks.start_soon(ask)
+                await anyio.sleep(0.1)
+                await server.stop()
+            await client.close()
+            return replies[0].unwrap()
+
+        reply = anyio.run(main)
+        self.assertEqual((200, b"whole"), (reply.status, reply.body))
+
+    def test_failures_are_typed(self):
+        async def main(behaviour):
+            async def handle(stream):
+                if behaviour == "cut":
+                    await stream.receive()
+                    await stream.aclose()
+                else:
+                    await anyio.sleep(5)
+
+            async with anyio.create_task_group() as tasks:
+                listener = await anyio.create_tcp_listener(local_host="127.0.0.1")
+                port = listener.extra(anyio.abc.SocketAttribute.local_port)
+                if behaviour == "refuse":
+                    await listener.aclose()
+                else:
+                    tasks.start_soon(listener.serve, handle)
+                client = HttpClient(f"127.0.0.1:{port}")
+                result = await client.exchange("POST", "/", timeout_s=0.3)
+                tasks.cancel_scope.cancel()
+            return result.failure()
+
+        for behaviour, kind in [
+            ("refuse", ConnectFailed),
+            ("cut", ExchangeCut),
+            ("silent", ExchangeTimedOut),
+        ]:
+            self.assertIsInstance(anyio.run(main, behaviour), kind, behaviour)
