--- a/tanagerpath/core/model/jobs.py
+++ b/tanagerpath/core/model/jobs.py
@@ -100,5 +100,9 @@
 
     @property
     def preemptible(self) -> bool:
-        """Whether the job may be stopped to give its accelerators back."""
-        return not self.guaranteed and (self.idempotent or self.checkpointable)
+        """Whether the job may be stopped to give its accelerators back.
+
+        A non-idempotent job is never stopped for this, not even with a checkpoint: a
+        checkpoint that fails half-way would leave its outcome unknown.
+        """
+        return self.idempotent and not self.guaranteed
--- /dev/null
+++ b/tanagerpath/core/state/records.py
@@ -0,0 +1,128 @@
+"""Records that the replicated state is made of."""
+
+import hashlib
+
+import attrs
+
+from tanagerpath.core.model import (
+    Assignment,
+    AttemptId,
+    JobRequest,
+    JobState,
+    ServiceDocument,
+)
+from tanagerpath.core.protocol.callers import ErrorBody, JobReply
+from tanagerpath.core.protocol.internal import JobChange
+from tanagerpath.core.protocol.upstreams import Announcement
+
+__all__ = [
+    "DocumentRecord",
+    "FinishedChange",
+    "JobRecord",
+    "StateSnapshot",
+    "make_job_id",
+]
+
+
+def make_job_id(organisation: str, service: str, key: str) -> str:
+    """Return the id of the job that a caller's key names.
+
+    The same key gives the same id through any entry, so a retry finds its job.
+    """
+    text = "\0".join((organisation, service, key))
+    return hashlib.sha256(text.encode()).hexdigest()[:32]
+
+
+@attrs.frozen
+class DocumentRecord:
+    """A document in force and the log index that made it so."""
+
+    document: ServiceDocument
+    log_index: int
+
+
+@attrs.frozen
+class JobRecord:
+    """Durable state of a job.
+
+    Attributes
+    ----------
+    job_id : str
+        The job.
+    request : JobRequest
+        The caller's description.
+    accepted_at_unix_s : float
+        Instant of acceptance.
+    state : JobState
+        Current state.
+    attempt : AttemptId or None
+        Newest recorded attempt; kept after its end to fence later ones.
+    assignment : Assignment or None
+        Accelerators of the recorded attempt while it lasts.
+    counted_attempts : int
+        Ended attempts that count against the retry budget.
+    ran_before : bool
+        Whether an earlier attempt may have run.
+    cancel_requested : bool
+        Whether a caller wants the job ended.
+    checkpoints : tuple of str
+        Names of saved states by rank.
+    answer, answer_sha256 : str
+        Whole answer and its digest.
+    error : ErrorBody or None
+        Why there is no answer.
+    expires_at_unix_s : float or None
+        Instant at which an ended job may be forgotten.
+    """
+
+    job_id: str
+    request: JobRequest
+    accepted_at_unix_s: float
+    state: JobState = JobState.ACCEPTED
+    attempt: AttemptId | None = None
+    assignment: Assignment | None = None
+    counted_attempts: int = 0
+    ran_before: bool = False
+    cancel_requested: bool = False
+    checkpoints: tuple[str, ...] = ()
+    answer: str | None = None
+    answer_sha256: str = ""
+    error: ErrorBody | None = None
+    expires_at_unix_s: float | None = None
+
+    @property
+    def may_have_run(self) -> bool:
+        """Whether some start may have taken effect."""
+        return self.ran_before or self.assignment is not None
+
+    def make_reply(self) -> JobReply:
+        """Describe the job for its caller."""
+        length = len(self.answer.encode()) if self.answer is not None else 0
+        return JobReply(
+            job_id=self.job_id,
+            key=self.request.key,
+            state=self.state,
+            answer=self.answer,
+            answer_length=length,
+            answer_sha256=self.answer_sha256,
+            error=self.error,
+            attempts=self.counted_attempts + (self.assignment is not None),
+        )
+
+
+@attrs.frozen
+class FinishedChange:
+    """A job that ended, and the log index at which it did."""
+
+    log_index: int
+    change: JobChange
+
+
+@attrs.frozen
+class StateSnapshot:
+    """Whole replicated state after `applied_index`."""
+
+    applied_index: int
+    documents: tuple[DocumentRecord, ...]
+    upstreams: tuple[Announcement, ...]
+    jobs: tuple[JobRecord, ...]
