Add the coordinator: two-phase gang start, leases, answers and retries

Cause: every accepted job has to end once, whole, with a true word on whether it ran. Ruled out: dropping a stopped attempt while its start record is still in flight; the record may commit later and would leave a job without an owner.

--- /dev/null
+++ b/tanagerpath/core/coordination/attempts.py
@@ -0,0 +1,218 @@
+"""One attempt to run a gang, member by member."""
+
+import enum
+import hashlib
+
+import attrs
+
+from tanagerpath.core.model import AcceleratorRun, Assignment, AttemptId, JobRequest
+from tanagerpath.core.protocol import upstreams as protocol
+from tanagerpath.core.protocol.upstreams import TaskPhase
+from tanagerpath.errors import Failure
+
+__all__ = ["Attempt", "AttemptPhase", "Member", "is_answer_whole"]
+
+
+class AttemptPhase(enum.StrEnum):
+    """Progress of an attempt."""
+
+    RESERVING = "reserving"
+    RECORDING = "recording"
+    STARTING = "starting"
+    RUNNING = "running"
+    CHECKPOINTING = "checkpointing"
+    STOPPING = "stopping"
+    CONCLUDING = "concluding"
+
+
+@attrs.define
+class Member:
+    """What the leader knows about one rank of a gang.
+
+    Attributes
+    ----------
+    rank : int
+        Index in the gang.
+    run : AcceleratorRun
+        Accelerators of this member.
+    reserved : bool
+        Whether the upstream holds the accelerators.
+    phase : TaskPhase
+        Last known phase.
+    started_at_s : float or None
+        Instant at which the start was confirmed.
+    gone : bool
+        Whether the member certainly holds no accelerators any more.
+    refuted : bool
+        Whether the upstream confirmed that this attempt never started there.
+    checkpoint : str
+        Name of the saved state, empty if there is none.
+    bad_reports : int
+        Reports whose answer was not whole.
+    next_call_at_s : float
+        Instant at which an unanswered request is sent again.
+    """
+
+    rank: int
+    run: AcceleratorRun
+    reserved: bool = False
+    phase: TaskPhase = TaskPhase.ABSENT
+    started_at_s: float | None = None
+    gone: bool = False
+    refuted: bool = False
+    checkpoint: str = ""
+    bad_reports: int = 0
+    next_call_at_s: float = 0.0
+
+
+@attrs.define
+class Attempt:
+    """State of one attempt on the leader.
+
+    Attributes
+    ----------
+    job_id : str
+        The job.
+    request : JobRequest
+        The caller's description.
+    attempt_id : AttemptId
+        Fencing number.
+    assignment : Assignment
+        Accelerators by rank.
+    phase : AttemptPhase
+        Progress.
+    deadline_s : float
+        Instant at which the current phase is given up.
+    record_proposed : bool
+        Whether a `RecordStart` was proposed whose outcome is open or good.
+    recorded : bool
+        Whether the start is in the log.
+    starts_sent : bool
+        Whether this or an earlier leader may have sent a start.
+    reason : Failure or None
+        Why the attempt is being stopped.
+    answer : str or None
+        Whole answer of rank 0.
+    report_tokens : list of int
+        Exchanges of reports that are answered when the job has ended.
+    """
+
+    job_id: str
+    request: JobRequest
+    attempt_id: AttemptId
+    assignment: Assignment
+    phase: AttemptPhase
+    deadline_s: float
+    members: list[Member]
+    checkpoints: tuple[str, ...] = ()
+    record_proposed: bool = False
+    recorded: bool = False
+    starts_sent: bool = False
+    reason: Failure | None = None
+    answer: str | None = None
+    answer_sha256: str = ""
+    report_tokens: list[int] = attrs.field(factory=list)
+
+    @classmethod
+    def from_assignment(
+        cls,
+        job_id: str,
+        request: JobRequest,
+        attempt_id: AttemptId,
+        assignment: Assignment,
+        deadline_s: float,
+    ) -> "Attempt":
+        """Begin an attempt that has reserved nothing yet."""
+        members = [Member(rank, run) for rank, run in enumerate(assignment.runs)]
+        return cls(
+            job_id,
+            request,
+            attempt_id,
+            assignment,
+            AttemptPhase.RESERVING,
+            deadline_s,
+            members,
+        )
+
+    @property
+    def all_reserved(self) -> bool:
+        """Whether every member holds its accelerators."""
+        return all(member.reserved for member in self.members)
+
+    @property
+    def all_started(self) -> bool:
+        """Whether every member has confirmed its start."""
+        return all(member.started_at_s is not None for member in self.members)
+
+    @property
+    def all_gone(self) -> bool:
+        """Whether no member holds accelerators any more."""
+        return all(member.gone for member in self.members)
+
+    @property
+    def all_refuted(self) -> bool:
+        """Whether the attempt certainly never started anywhere."""
+        return not self.starts_sent or all(m.refuted for m in self.members)
+
+    @property
+    def all_checkpointed(self) -> bool:
+        """Whether every member has saved its state."""
+        return all(member.checkpoint for member in self.members)
+
+    @property
+    def is_answered(self) -> bool:
+        """Whether all members finished and the whole answer is here."""
+        finished = all(m.phase is TaskPhase.FINISHED for m in self.members)
+        return finished and self.answer is not None
+
+    def make_reserve(
+        self, member: Member, term: int, lapse_s: float
+    ) -> protocol.ReserveRequest:
+        """Ask a member's upstream to hold its accelerators."""
+        return protocol.ReserveRequest(
+            term=term,
+            job_id=self.job_id,
+            attempt=self.attempt_id,
+            rank=member.rank,
+            first=member.run.first,
+            count=member.run.count,
+            cores=self.request.cores,
+            memory_bytes=self.request.memory_bytes,
+            lapse_after_ms=round(lapse_s * 1000),
+        )
+
+    def make_start(self, member: Member, term: int) -> protocol.StartRequest:
+        """Start a reserved member."""
+        saved = self.checkpoints
+        return protocol.StartRequest(
+            term=term,
+            job_id=self.job_id,
+            attempt=self.attempt_id,
+            rank=member.rank,
+            gang_size=len(self.members),
+            service=self.request.service,
+            payload=self.request.payload,
+            checkpoint=saved[member.rank] if len(saved) == len(self.members) else "",
+        )
+
+    def make_stop(self, member: Member, term: int) -> protocol.StopRequest:
+        """End a member."""
+        return protocol.StopRequest(term, self.job_id, self.attempt_id, member.rank)
+
+    def make_checkpoint(
+        self, member: Member, term: int, within_s: float
+    ) -> protocol.CheckpointRequest:
+        """Ask a member to save its state."""
+        return protocol.CheckpointRequest(
+            term, self.job_id, self.attempt_id, member.rank, round(within_s * 1000)
+        )
+
+
+def is_answer_whole(report: protocol.TaskReport) -> bool:
+    """Check the answer of a report against its length and digest."""
+    if report.answer is None:
+        return False
+    encoded = report.answer.encode()
+    if len(encoded) != report.answer_length:
+        return False
+    return hashlib.sha256(encoded).hexdigest() == report.answer_sha256
--- /dev/null
+++ b/tanagerpath/core/coordination/coordinator.py
@@ -0,0 +1,622 @@
+"""The leader's decisions on jobs."""
+
+import itertools
+
+import attrs
+from returns.pipeline import is_successful
+from returns.result import Result, Success
+
+from tanagerpath.core.coordination import failures
+from tanagerpath.core.coordination.attempts import Attempt, AttemptPhase
+from tanagerpath.core.coordination.conclusions import ConclusionTerms, conclude
+from tanagerpath.core.coordination.driver import AttemptDriver, AttemptTerms
+from tanagerpath.core.coordination.fleet import Fleet
+from tanagerpath.core.coordination.messages import (
+    CommandApplied,
+    CountEvent,
+    Effect,
+    Event,
+    Instant,
+    LeaveArrived,
+    Milestone,
+    Propose,
+    RecordMilestone,
+    ReportArrived,
+    Respond,
+    Ticked,
+    UpstreamCallFailed,
+    UpstreamReplied,
+)
+from tanagerpath.core.coordination.sessions import LeaseTerms
+from tanagerpath.core.model import AttemptId, JobState, ServiceDocument
+from tanagerpath.core.placement import PendingJob, PlaceJob, PreemptJob, Scheduler
+from tanagerpath.core.protocol import upstreams as protocol
+from tanagerpath.core.protocol.upstreams import TaskPhase
+from tanagerpath.core.state import (
+    AcceptJob,
+    ApplyDocument,
+    ExpireJobs,
+    JobRecord,
+    RecordStart,
+    RegisterUpstream,
+    RemoveUpstream,
+    RequestCancel,
+    SystemState,
+)
+from tanagerpath.errors import Failure
+
+__all__ = ["Coordinator", "CoordinatorConfig"]
+
+RESUBMIT_BACKOFF_BASE_S = 0.1
+RESUBMIT_BACKOFF_MAX_S = 5.0
+EXPIRE_INTERVAL_S = 60.0
+DEADLINE_CHECK_INTERVAL_S = 1.0
+
+
+@attrs.frozen
+class CoordinatorConfig:
+    """Durations and limits of the coordinator."""
+
+    leases: LeaseTerms = attrs.field(factory=LeaseTerms)
+    attempts: AttemptTerms = attrs.field(factory=AttemptTerms)
+    conclusions: ConclusionTerms = attrs.field(factory=ConclusionTerms)
+
+
+@attrs.define
+class _Resubmission:
+    due_at_s: float
+    job_id: str
+
+
+class Coordinator:
+    """Takes accepted jobs to their end; one instance for each term of a leader.
+
+    It reads the replicated state and changes it only by proposing commands. All
+    volatile knowledge is rebuilt from the state and from the upstreams when a leader
+    takes over.
+
+    Parameters
+    ----------
+    config : CoordinatorConfig
+        Durations and limits.
+    state : SystemState
+        Replicated state, changed by its owner between calls.
+    scheduler : Scheduler
+        Fresh scheduling policy.
+    term : int
+        Term of the leader.
+    now : Instant
+        Instant of taking over.
+    """
+
+    def __init__(
+        self,
+        config: CoordinatorConfig,
+        state: SystemState,
+        scheduler: Scheduler,
+        term: int,
+        now: Instant,
+    ) -> None:
+        self._config = config
+        self._state = state
+        self._scheduler = scheduler
+        self._term = term
+        self._counter = itertools.count(1)
+        self._fleet = Fleet(
+            state.upstreams.values(), scheduler, config.leases, term, now
+        )
+        self._driver = AttemptDriver(term, self._fleet, scheduler, config.attempts)
+        self._attempts: dict[str, Attempt] = {}
+        self._attempts_by_upstream: dict[str, set[str]] = {}
+        self._taken_job_ids: set[str] = set()
+        self._unstarted: dict[str, int] = {}
+        self._resubmissions: list[_Resubmission] = []
+        self._expire_at_s = now.now_s
+        self._check_deadlines_at_s = now.now_s
+        self._effects: list[Effect] = []
+        self._update_guarantees()
+        self._take_over_jobs(now)
+
+    @classmethod
+    def from_state(
+        cls,
+        config: CoordinatorConfig,
+        state: SystemState,
+        scheduler: Scheduler,
+        term: int,
+        now: Instant,
+    ) -> "Coordinator":
+        """Take over with the state of the replicated log."""
+        return cls(config, state, scheduler, term, now)
+
+    def handle(self, events: list[Event], now: Instant) -> list[Effect]:
+        """Take events in their order and return what is to be done.
+
+        Parameters
+        ----------
+        events : list of Event
+            What happened since the last call.
+        now : Instant
+            One reading of the clocks for all events.
+
+        Returns
+        -------
+        list of Effect
+            To be carried out in order.
+        """
+        for event in events:
+            self._handle_event(event, now)
+        if now.has_lease:
+            self._decide(now)
+        effects = self._effects
+        self._effects = []
+        return effects
+
+    def check_document(self, document: ServiceDocument) -> Result[None, Failure]:
+        """Tell whether all guarantees could be held with this document in force."""
+        merged = self._state.merge_guarantees()
+        current = self._state.documents.get(document.service)
+        old_terms = current.document.organisations if current else ()
+        for terms in old_terms:
+            kept = list(merged[terms.name])
+            for shape in terms.guarantees:
+                kept.remove(shape)
+            merged[terms.name] = tuple(kept)
+        for terms in document.organisations:
+            merged[terms.name] = merged.get(terms.name, ()) + terms.guarantees
+        if not any(merged.values()):
+            return Success(None)
+        return self._scheduler.check_guarantees(merged)
+
+    def explain(self, job_id: str, now: Instant) -> str:
+        """Say in one or two sentences why a job waits or where it runs."""
+        attempt = self._attempts.get(job_id)
+        if attempt is not None:
+            places = ", ".join(
+                f"{run.upstream_id}[{run.first}:{run.first + run.count}]"
+                for run in attempt.assignment.runs
+            )
+            reason = f" because {attempt.reason.message}" if attempt.reason else ""
+            return f"The job is {attempt.phase} on {places}{reason}."
+        if any(entry.job_id == job_id for entry in self._resubmissions):
+            return "The job waits for a short time after a failed attempt."
+        return self._scheduler.explain(job_id, now.now_s)
+
+    @property
+    def fleet(self) -> Fleet:
+        """Sessions of all upstreams; for status only."""
+        return self._fleet
+
+    @property
+    def attempts(self) -> dict[str, Attempt]:
+        """Attempts in progress by job; for status only."""
+        return self._attempts
+
+    def _handle_event(self, event: Event, now: Instant) -> None:
+        match event:
+            case Ticked():
+                self._tick(now)
+            case CommandApplied(command, result):
+                self._take_command(command, result, now)
+            case UpstreamReplied():
+                self._take_reply(event, now)
+            case UpstreamCallFailed():
+                self._take_call_failure(event)
+            case ReportArrived(token, report):
+                self._take_report(token, report, now)
+            case LeaveArrived(token, notice):
+                self._take_leave(token, notice, now)
+
+    # Taking over
+
+    def _take_over_jobs(self, now: Instant) -> None:
+        for record in self._state.list_open_jobs():
+            if record.assignment is None:
+                self._submit(record, now)
+            else:
+                self._resume(record, now)
+
+    def _resume(self, record: JobRecord, now: Instant) -> None:
+        """Send the starts again: they are idempotent and tell what runs."""
+        pending = self._make_pending(record, now)
+        self._scheduler.restore(pending, record.assignment, now.now_s)
+        attempt = Attempt.from_assignment(
+            record.job_id, record.request, record.attempt, record.assignment, 0.0
+        )
+        attempt.checkpoints = record.checkpoints
+        self._taken_job_ids.add(record.job_id)
+        self._keep(attempt)
+        self._effects += self._driver.start(attempt, now)
+        leases = self._config.leases
+        # Upstreams may need a lease duration until they answer this leader.
+        attempt.deadline_s = now.now_s + leases.lease_s + leases.clock_margin_s
+        if record.cancel_requested:
+            self._stop(attempt, failures.JobCancelled(), now)
+
+    def _keep(self, attempt: Attempt) -> None:
+        self._attempts[attempt.job_id] = attempt
+        for upstream_id in attempt.assignment.upstream_ids:
+            on_upstream = self._attempts_by_upstream.setdefault(upstream_id, set())
+            on_upstream.add(attempt.job_id)
+
+    def _list_attempts_on(self, upstream_id: str) -> list[Attempt]:
+        job_ids = self._attempts_by_upstream.get(upstream_id, ())
+        return [self._attempts[job_id] for job_id in job_ids]
+
+    def _update_guarantees(self) -> None:
+        self._scheduler.update_guarantees(
+            self._state.merge_guarantees(), self._state.merge_quotas()
+        )
+
+    # Queueing
+
+    def _make_pending(self, record: JobRecord, now: Instant) -> PendingJob:
+        offset_s = now.now_s - now.unix_s
+        deadline = record.request.deadline_unix_s
+        return PendingJob(
+            job_id=record.job_id,
+            request=record.request,
+            accepted_at_s=record.accepted_at_unix_s + offset_s,
+            deadline_s=None if deadline is None else deadline + offset_s,
+        )
+
+    def _submit(self, record: JobRecord, now: Instant) -> None:
+        self._taken_job_ids.add(record.job_id)
+        result = self._scheduler.submit(self._make_pending(record, now), now.now_s)
+        if is_successful(result):
+            return
+        finish = self._config.conclusions.refuse(record, result.failure(), now)
+        self._effects.append(Propose(finish))
+        self._effects.append(CountEvent(result.failure().type_name))
+
+    def _resubmit_later(self, job_id: str, now: Instant) -> None:
+        count = self._unstarted.get(job_id, 0)
+        backoff_s = RESUBMIT_BACKOFF_BASE_S * 2 ** min(count, 10)
+        due_at_s = now.now_s + min(backoff_s, RESUBMIT_BACKOFF_MAX_S)
+        self._resubmissions.append(_Resubmission(due_at_s, job_id))
+
+    def _resubmit_due(self, now: Instant) -> None:
+        due = [e for e in self._resubmissions if e.due_at_s <= now.now_s]
+        if not due:
+            return
+        self._resubmissions = [e for e in self._resubmissions if e.due_at_s > now.now_s]
+        for entry in due:
+            record = self._state.jobs.get(entry.job_id)
+            if record is not None and record.state is JobState.ACCEPTED:
+                self._submit(record, now)
+
+    # Time
+
+    def _tick(self, now: Instant) -> None:
+        self._effects += self._fleet.renew_due(now)
+        for attempt in list(self._attempts.values()):
+            self._effects += self._driver.tick(attempt, now)
+            self._advance(attempt, now)
+        self._resubmit_due(now)
+        self._refuse_late_jobs(now)
+        self._probe(now)
+        if now.now_s >= self._expire_at_s:
+            self._expire_at_s = now.now_s + EXPIRE_INTERVAL_S
+            if self._state.has_expired_jobs(now.unix_s):
+                self._effects.append(Propose(ExpireJobs(now.unix_s)))
+
+    def _refuse_late_jobs(self, now: Instant) -> None:
+        if now.now_s < self._check_deadlines_at_s:
+            return
+        self._check_deadlines_at_s = now.now_s + DEADLINE_CHECK_INTERVAL_S
+        for record in self._state.list_open_jobs():
+            deadline = record.request.deadline_unix_s
+            if deadline is None or now.unix_s < deadline:
+                continue
+            if record.job_id in self._attempts or record.assignment is not None:
+                continue
+            self._scheduler.withdraw(record.job_id)
+            refusal = failures.DeadlinePassed(not_run=not record.may_have_run)
+            finish = self._config.conclusions.refuse(record, refusal, now)
+            self._effects.append(Propose(finish))
+
+    def _probe(self, now: Instant) -> None:
+        for upstream_id in self._scheduler.list_probe_candidates(now.now_s):
+            session = self._fleet.find(upstream_id)
+            if session is not None:
+                request = protocol.ProbeRequest(self._term)
+                self._effects.append(session.call(request))
+
+    def _decide(self, now: Instant) -> None:
+        for decision in self._scheduler.decide(now.now_s):
+            match decision:
+                case PlaceJob():
+                    self._place(decision, now)
+                case PreemptJob(job_id, deadline_s):
+                    self._preempt(job_id, deadline_s, now)
+
+    def _place(self, decision: PlaceJob, now: Instant) -> None:
+        record = self._state.jobs[decision.job_id]
+        attempt = Attempt.from_assignment(
+            record.job_id,
+            record.request,
+            AttemptId(self._term, next(self._counter)),
+            decision.assignment,
+            now.now_s,
+        )
+        attempt.checkpoints = record.checkpoints
+        self._keep(attempt)
+        self._effects += self._driver.reserve(attempt, now)
+        self._note_milestone(Milestone.PLACED, record, now)
+
+    def _preempt(self, job_id: str, deadline_s: float, now: Instant) -> None:
+        attempt = self._attempts.get(job_id)
+        if attempt is None:
+            return
+        if attempt.phase is AttemptPhase.RUNNING:
+            self._effects += self._driver.checkpoint(attempt, deadline_s, now)
+        else:
+            self._stop(attempt, failures.JobPreempted(), now)
+
+    def _note_milestone(
+        self, milestone: Milestone, record: JobRecord, now: Instant
+    ) -> None:
+        elapsed_s = max(0.0, now.unix_s - record.accepted_at_unix_s)
+        request = record.request
+        self._effects.append(
+            RecordMilestone(
+                milestone, request.organisation, request.job_class, elapsed_s
+            )
+        )
+
+    # Commands
+
+    def _take_command(
+        self, command: object, result: Result[object, Failure], now: Instant
+    ) -> None:
+        match command:
+            case AcceptJob(job_id):
+                self._take_acceptance(job_id, result, now)
+            case ApplyDocument() if is_successful(result):
+                self._update_guarantees()
+            case RegisterUpstream(announcement):
+                self._register(announcement, now)
+            case RemoveUpstream(upstream_id):
+                self._fleet.remove(upstream_id)
+            case RecordStart(job_id, attempt_id):
+                self._take_start_record(job_id, attempt_id, result, now)
+            case RequestCancel(job_ids):
+                for job_id in job_ids:
+                    self._take_cancel(job_id, now)
+            case ExpireJobs():
+                pass
+            case _ if hasattr(command, "job_id"):
+                self._take_conclusion(command.job_id, now)
+
+    def _take_acceptance(
+        self, job_id: str, result: Result[object, Failure], now: Instant
+    ) -> None:
+        record = self._state.jobs.get(job_id)
+        if not is_successful(result) or record is None:
+            return
+        # Two entries may have had the same job accepted at the same time.
+        if record.state is JobState.ACCEPTED and job_id not in self._taken_job_ids:
+            self._submit(record, now)
+
+    def _register(self, announcement: protocol.Announcement, now: Instant) -> None:
+        replaced = self._fleet.register(announcement, now)
+        if not replaced:
+            return
+        upstream_id = announcement.capacity.upstream_id
+        for attempt in self._list_attempts_on(upstream_id):
+            for member in attempt.members:
+                if member.run.upstream_id == upstream_id and attempt.starts_sent:
+                    self._effects += self._driver.lose_member(attempt, member, now)
+            self._advance(attempt, now)
+
+    def _take_start_record(
+        self,
+        job_id: str,
+        attempt_id: AttemptId,
+        result: Result[object, Failure],
+        now: Instant,
+    ) -> None:
+        attempt = self._attempts.get(job_id)
+        if attempt is None or attempt.attempt_id != attempt_id:
+            return
+        if is_successful(result):
+            self._effects += self._driver.start(attempt, now)
+            self._advance(attempt, now)
+        else:
+            attempt.record_proposed = False
+            self._stop(attempt, result.failure(), now)
+
+    def _take_cancel(self, job_id: str, now: Instant) -> None:
+        self._scheduler.withdraw(job_id)
+        attempt = self._attempts.get(job_id)
+        if attempt is not None:
+            self._stop(attempt, failures.JobCancelled(), now)
+
+    def _stop(self, attempt: Attempt, reason: Failure, now: Instant) -> None:
+        self._effects += self._driver.stop(attempt, reason, now)
+        self._advance(attempt, now)
+
+    def _take_conclusion(self, job_id: str, now: Instant) -> None:
+        record = self._state.jobs.get(job_id)
+        attempt = self._attempts.get(job_id)
+        if record is None:
+            return
+        if attempt is not None and attempt.phase is AttemptPhase.CONCLUDING:
+            self._release(attempt, now)
+        if record.state is JobState.ACCEPTED and job_id not in self._attempts:
+            self._resubmit_later(job_id, now)
+        if record.state.is_final:
+            self._scheduler.withdraw(job_id)
+            self._unstarted.pop(job_id, None)
+            self._taken_job_ids.discard(job_id)
+            if record.state is JobState.ANSWERED:
+                self._note_milestone(Milestone.ANSWERED, record, now)
+
+    def _release(self, attempt: Attempt, now: Instant) -> None:
+        del self._attempts[attempt.job_id]
+        for upstream_id in attempt.assignment.upstream_ids:
+            self._attempts_by_upstream[upstream_id].discard(attempt.job_id)
+        self._scheduler.record_finished(attempt.job_id, now.now_s)
+        for token in attempt.report_tokens:
+            self._effects.append(Respond(token, protocol.ReportReply(True)))
+
+    # Upstreams
+
+    def _take_reply(self, event: UpstreamReplied, now: Instant) -> None:
+        session = self._fleet.find(event.upstream_id, event.incarnation)
+        if session is None:
+            return
+        match event.reply:
+            case protocol.RenewReply():
+                asked_at_s = session.renewal_sent_at_s
+                self._effects += self._fleet.take_reply(session, event.reply, now)
+                self._compare_tasks(event.upstream_id, event.reply, asked_at_s, now)
+            case protocol.ProbeReply(healthy):
+                self._scheduler.record_probe(event.upstream_id, healthy, now.now_s)
+            case _:
+                self._take_member_reply(event, now)
+
+    def _take_member_reply(self, event: UpstreamReplied, now: Instant) -> None:
+        request = event.request
+        attempt = self._attempts.get(request.job_id)
+        if attempt is None or attempt.attempt_id != request.attempt:
+            return
+        member = attempt.members[request.rank]
+        was_running = attempt.phase is AttemptPhase.RUNNING
+        self._effects += self._driver.take_reply(attempt, member, event.reply, now)
+        if attempt.phase is AttemptPhase.RUNNING and not was_running:
+            self._scheduler.record_started(attempt.job_id, now.now_s)
+            record = self._state.jobs[attempt.job_id]
+            self._note_milestone(Milestone.STARTED, record, now)
+        self._advance(attempt, now)
+
+    def _compare_tasks(
+        self,
+        upstream_id: str,
+        reply: protocol.RenewReply,
+        asked_at_s: float,
+        now: Instant,
+    ) -> None:
+        phases = {(t.job_id, t.attempt, t.rank): t.phase for t in reply.tasks}
+        for attempt in self._list_attempts_on(upstream_id):
+            for member in attempt.members:
+                if member.run.upstream_id != upstream_id:
+                    continue
+                key = (attempt.job_id, attempt.attempt_id, member.rank)
+                phase = phases.get(key, TaskPhase.ABSENT)
+                self._effects += self._driver.compare_tasks(
+                    attempt, member, phase, asked_at_s, now
+                )
+            self._advance(attempt, now)
+        self._stop_strays(upstream_id, reply)
+
+    def _stop_strays(self, upstream_id: str, reply: protocol.RenewReply) -> None:
+        """Stop tasks of attempts that the log does not show as current."""
+        session = self._fleet.find(upstream_id)
+        for task in reply.tasks:
+            attempt = self._attempts.get(task.job_id)
+            current = attempt is not None and attempt.attempt_id == task.attempt
+            if current or task.phase is not TaskPhase.RUNNING or session is None:
+                continue
+            stop = protocol.StopRequest(
+                self._term, task.job_id, task.attempt, task.rank
+            )
+            self._effects.append(session.call(stop))
+
+    def _take_call_failure(self, event: UpstreamCallFailed) -> None:
+        session = self._fleet.find(event.upstream_id, event.incarnation)
+        if session is not None and isinstance(event.request, protocol.RenewRequest):
+            self._fleet.note_silence(session)
+        self._effects.append(CountEvent(event.failure.type_name))
+
+    def _take_leave(
+        self, token: int, notice: protocol.LeaveNotice, now: Instant
+    ) -> None:
+        session = self._fleet.find(notice.upstream_id, notice.incarnation)
+        if session is None:
+            self._effects.append(Respond(token, protocol.LeaveReply(drained=True)))
+            return
+        self._fleet.mark_leaving(notice.upstream_id, now)
+        drained = not self._list_attempts_on(notice.upstream_id)
+        if drained:
+            removal = RemoveUpstream(notice.upstream_id, notice.incarnation)
+            self._effects.append(Propose(removal))
+        self._effects.append(Respond(token, protocol.LeaveReply(drained)))
+
+    # Reports
+
+    def _take_report(
+        self, token: int, report: protocol.TaskReport, now: Instant
+    ) -> None:
+        status = report.status
+        attempt = self._attempts.get(status.job_id)
+        if attempt is None or attempt.attempt_id != status.attempt:
+            self._answer_stray_report(token, report)
+            return
+        known_rank = 0 <= status.rank < len(attempt.members)
+        member = attempt.members[status.rank] if known_rank else None
+        if member is None or member.run.upstream_id != report.upstream_id:
+            self._effects.append(CountEvent("crossed_report"))
+            self._effects.append(Respond(token, protocol.ReportReply(False)))
+            return
+        self._effects += self._driver.take_report(attempt, member, report, now)
+        self._advance(attempt, now)
+        if attempt.phase is AttemptPhase.CONCLUDING:
+            attempt.report_tokens.append(token)
+        else:
+            self._effects.append(Respond(token, protocol.ReportReply(False)))
+
+    def _answer_stray_report(self, token: int, report: protocol.TaskReport) -> None:
+        """Acknowledge a report only if nobody can want it any more."""
+        record = self._state.jobs.get(report.status.job_id)
+        obsolete = (
+            record is None
+            or record.state.is_final
+            or (record.attempt is not None and report.status.attempt < record.attempt)
+            or (record.assignment is None and record.attempt == report.status.attempt)
+        )
+        self._effects.append(
+            CountEvent("late_report" if obsolete else "crossed_report")
+        )
+        self._effects.append(Respond(token, protocol.ReportReply(obsolete)))
+
+    # Ends of attempts
+
+    def _advance(self, attempt: Attempt, now: Instant) -> None:
+        """Conclude an attempt that is answered or stopped everywhere."""
+        if attempt.phase is AttemptPhase.CONCLUDING:
+            return
+        if attempt.is_answered and attempt.recorded:
+            self._conclude(attempt, now)
+        elif attempt.phase is AttemptPhase.STOPPING and attempt.all_gone:
+            if attempt.recorded:
+                self._conclude(attempt, now)
+            elif not attempt.record_proposed:
+                self._drop_unrecorded(attempt, now)
+
+    def _drop_unrecorded(self, attempt: Attempt, now: Instant) -> None:
+        """Forget an attempt of which no start was ever sent."""
+        self._release(attempt, now)
+        job_id = attempt.job_id
+        self._unstarted[job_id] = self._unstarted.get(job_id, 0) + 1
+        record = self._state.jobs.get(job_id)
+        if record is not None and record.state is JobState.ACCEPTED:
+            self._resubmit_later(job_id, now)
+
+    def _conclude(self, attempt: Attempt, now: Instant) -> None:
+        record = self._state.jobs[attempt.job_id]
+        preempted = isinstance(attempt.reason, failures.JobPreempted)
+        if attempt.all_refuted and not attempt.is_answered and not preempted:
+            count = self._unstarted.get(attempt.job_id, 0) + 1
+            self._unstarted[attempt.job_id] = count
+        attempt.phase = AttemptPhase.CONCLUDING
+        document = self._state.documents.get(record.request.service)
+        command = conclude(
+            attempt,
+            record,
+            document.document if document else None,
+            self._unstarted.get(attempt.job_id, 0),
+            self._config.conclusions,
+            now,
+        )
+        self._effects.append(Propose(command))
--- /dev/null
+++ b/tanagerpath/core/coordination/messages.py
@@ -0,0 +1,168 @@
+"""Events that the coordinator takes and effects that it returns."""
+
+import enum
+
+import attrs
+from returns.result import Result
+
+from tanagerpath.core.model import JobClass
+from tanagerpath.core.protocol import upstreams as protocol
+from tanagerpath.core.state import Command
+from tanagerpath.errors import Failure
+
+__all__ = [
+    "CallUpstream",
+    "CommandApplied",
+    "CountEvent",
+    "Effect",
+    "Event",
+    "Instant",
+    "LeaveArrived",
+    "Milestone",
+    "Propose",
+    "RecordMilestone",
+    "ReportArrived",
+    "Respond",
+    "Ticked",
+    "UpstreamCallFailed",
+    "UpstreamReplied",
+]
+
+
+@attrs.frozen
+class Instant:
+    """One reading of the clocks.
+
+    Attributes
+    ----------
+    now_s : float
+        Seconds on the monotonic clock.
+    unix_s : float
+        UTC seconds.
+    has_lease : bool
+        Whether this process held the leader's lease at the reading.
+    """
+
+    now_s: float
+    unix_s: float
+    has_lease: bool = True
+
+
+@attrs.frozen
+class Ticked:
+    """Time has passed."""
+
+
+@attrs.frozen
+class CommandApplied:
+    """A committed command was applied to the state."""
+
+    command: Command
+    result: Result[object, Failure]
+
+
+@attrs.frozen
+class UpstreamReplied:
+    """An exchange with an upstream ended with a reply."""
+
+    upstream_id: str
+    incarnation: str
+    request: object
+    reply: object
+
+
+@attrs.frozen
+class UpstreamCallFailed:
+    """An exchange with an upstream ended without a reply."""
+
+    upstream_id: str
+    incarnation: str
+    request: object
+    failure: Failure
+
+
+@attrs.frozen
+class ReportArrived:
+    """A report from an upstream; `token` names the exchange that waits."""
+
+    token: int
+    report: protocol.TaskReport
+
+
+@attrs.frozen
+class LeaveArrived:
+    """An upstream leaves; `token` names the exchange that waits."""
+
+    token: int
+    notice: protocol.LeaveNotice
+
+
+Event = (
+    Ticked
+    | CommandApplied
+    | UpstreamReplied
+    | UpstreamCallFailed
+    | ReportArrived
+    | LeaveArrived
+)
+
+
+@attrs.frozen
+class Propose:
+    """Append a command to the replicated log."""
+
+    command: Command
+
+
+@attrs.frozen
+class CallUpstream:
+    """Send a request to an upstream and report how it ended.
+
+    Attributes
+    ----------
+    upstream_id, incarnation, address : str
+        Whom to call; the incarnation returns with the event.
+    request : object
+        A request message of `tanagerpath.core.protocol.upstreams`.
+    """
+
+    upstream_id: str
+    incarnation: str
+    address: str
+    request: object
+
+
+@attrs.frozen
+class Respond:
+    """Answer the exchange that a token names."""
+
+    token: int
+    reply: object
+
+
+class Milestone(enum.StrEnum):
+    """Instants in the life of a job that are measured from its acceptance."""
+
+    PLACED = "placed"
+    STARTED = "started"
+    ANSWERED = "answered"
+
+
+@attrs.frozen
+class RecordMilestone:
+    """A job reached a milestone `elapsed_s` seconds after it was accepted."""
+
+    milestone: Milestone
+    organisation: str
+    job_class: JobClass
+    elapsed_s: float
+
+
+@attrs.frozen
+class CountEvent:
+    """Something worth counting happened."""
+
+    name: str
+
+
+Effect = Propose | CallUpstream | Respond | RecordMilestone | CountEvent
--- a/tanagerpath/core/state/system.py
+++ b/tanagerpath/core/state/system.py
@@ -296,6 +296,14 @@
             del self._jobs[job_id]
         return Success(len(expired))
 
+    def has_expired_jobs(self, until_unix_s: float) -> bool:
+        """Tell whether `ExpireJobs` with this instant would forget anything."""
+        return any(
+            record.expires_at_unix_s is not None
+            and record.expires_at_unix_s <= until_unix_s
+            for record in self._jobs.values()
+        )
+
     def _end(self, index: int, record: JobRecord) -> None:
         self._put(record)
         if len(self._finished) == FINISHED_CHANGES_KEPT:
