Add declared settings of entry and control processes

Cause: the services need their settings from flags and environment variables, with one clear line for a wrong one.

Change: each setting is declared once with name, type, unit, default, check and description; `EntrySettings` and `ControlSettings` are built from the declarations.

--- /dev/null
+++ b/tanagerpath/settings/__init__.py
@@ -0,0 +1,19 @@
+"""Declared settings, read from flags and environment variables."""
+
+from tanagerpath.settings.control import ControlSettings
+from tanagerpath.settings.declaration import Setting, list_settings
+from tanagerpath.settings.entry import EntrySettings
+from tanagerpath.settings.failures import InvalidSetting, MissingSetting
+from tanagerpath.settings.sources import add_flags
+from tanagerpath.settings.values import ControlAddress
+
+__all__ = [
+    "ControlAddress",
+    "ControlSettings",
+    "EntrySettings",
+    "InvalidSetting",
+    "MissingSetting",
+    "Setting",
+    "add_flags",
+    "list_settings",
+]
--- /dev/null
+++ b/tanagerpath/settings/sources.py
@@ -0,0 +1,103 @@
+"""Reading of settings from flags and environment variables."""
+
+import argparse
+from collections.abc import Mapping, Sequence
+from typing import Any
+
+from returns.result import Failure as ResultFailure
+from returns.result import Result, Success
+
+from tanagerpath.settings.declaration import Setting, list_settings
+from tanagerpath.settings.failures import InvalidSetting, MissingSetting
+
+__all__ = ["add_flags", "read_values"]
+
+
+def add_flags(parser: argparse.ArgumentParser, kind: type) -> None:
+    """Add a flag for each setting of a class to a parser.
+
+    Parameters
+    ----------
+    parser : argparse.ArgumentParser
+        Gets one flag for each setting; values stay text.
+    kind : type
+        Class made of `declare` fields.
+    """
+    for setting in list_settings(kind):
+        parser.add_argument(
+            setting.flag,
+            dest=setting.name,
+            metavar="VALUE",
+            help=_describe(setting),
+        )
+
+
+def _describe(setting: Setting) -> str:
+    if setting.required:
+        origin = f"required, or {setting.variable}"
+    else:
+        origin = f"default {setting.type.render(setting.default)}"
+    unit = f" in {setting.unit}" if setting.unit else ""
+    text = f"{setting.description} ({setting.type.expected}{unit}; {origin})"
+    return text.replace("%", "%%")
+
+
+def read_values(
+    kind: type, argv: Sequence[str], environment: Mapping[str, str]
+) -> Result[dict[str, Any], InvalidSetting | MissingSetting]:
+    """Read the values that are given for the settings of a class.
+
+    Parameters
+    ----------
+    kind : type
+        Class made of `declare` fields.
+    argv : sequence of str
+        Flags; a flag goes before the variable of the same setting.
+    environment : mapping of str to str
+        Environment variables; an empty one counts as not given.
+
+    Returns
+    -------
+    Result
+        Parsed values by name, without those left to their defaults.
+    """
+    given = _read_flags(kind, argv)
+    if isinstance(given, InvalidSetting):
+        return ResultFailure(given)
+    values = {}
+    for setting in list_settings(kind):
+        text = given.get(setting.name)
+        if text is None:
+            text = environment.get(setting.variable) or None
+        if text is None:
+            if setting.required:
+                return ResultFailure(setting.make_missing())
+            continue
+        try:
+            values[setting.name] = setting.type.parse(text)
+        except ValueError:
+            return ResultFailure(setting.make_invalid(text))
+    return Success(values)
+
+
+def _read_flags(
+    kind: type, argv: Sequence[str]
+) -> dict[str, str | None] | InvalidSetting:
+    parser = argparse.ArgumentParser(
+        add_help=False, allow_abbrev=False, exit_on_error=False
+    )
+    add_flags(parser, kind)
+    try:
+        given, unknown = parser.parse_known_args(list(argv))
+    except argparse.ArgumentError as error:
+        flag = str(error.argument_name)
+        return InvalidSetting(
+            setting=flag[2:].replace("-", "_"),
+            value="",
+            expected=f"a value after {flag}",
+        )
+    if unknown:
+        return InvalidSetting(
+            setting=unknown[0], value=" ".join(unknown), expected="a known flag"
+        )
+    return vars(given)
--- /dev/null
+++ b/tanagerpath/settings/values.py
@@ -0,0 +1,230 @@
+"""Types of settings: how a text becomes a value, and which values are allowed."""
+
+import abc
+import ipaddress
+import math
+import pathlib
+import re
+from typing import Any
+
+import attrs
+
+__all__ = [
+    "AddressType",
+    "ChoiceType",
+    "ControlAddress",
+    "ControlAddressesType",
+    "DirectoryType",
+    "NameType",
+    "NumberType",
+    "SettingType",
+    "WholeNumberType",
+]
+
+_NAME = re.compile(r"[a-z0-9][a-z0-9.-]{0,62}")
+
+
+class SettingType(abc.ABC):
+    """Type of a setting together with the check of a single value."""
+
+    @property
+    @abc.abstractmethod
+    def expected(self) -> str:
+        """What a value must be, for messages and for the reference page."""
+
+    @abc.abstractmethod
+    def parse(self, text: str) -> Any:
+        """Return the value that a text stands for.
+
+        Raises
+        ------
+        ValueError
+            If the text stands for no value of this type.
+        """
+
+    @abc.abstractmethod
+    def allows(self, value: Any) -> bool:
+        """Return whether a parsed value is allowed."""
+
+    def render(self, value: Any) -> str:
+        """Return the text that stands for a value."""
+        return str(value)
+
+
+@attrs.frozen
+class NumberType(SettingType):
+    """A finite number from `minimum` to `maximum`."""
+
+    minimum: float
+    maximum: float
+
+    @property
+    def expected(self) -> str:
+        """What a value must be."""
+        return f"a number from {self.minimum:g} to {self.maximum:g}"
+
+    def parse(self, text: str) -> float:
+        """Return the number; see `SettingType.parse`."""
+        return float(text)
+
+    def allows(self, value: Any) -> bool:
+        """Return whether the number is finite and inside the bounds."""
+        return math.isfinite(value) and self.minimum <= value <= self.maximum
+
+
+@attrs.frozen
+class WholeNumberType(SettingType):
+    """A whole number from `minimum` to `maximum`."""
+
+    minimum: int
+    maximum: int
+
+    @property
+    def expected(self) -> str:
+        """What a value must be."""
+        return f"a whole number from {self.minimum} to {self.maximum}"
+
+    def parse(self, text: str) -> int:
+        """Return the number; see `SettingType.parse`."""
+        return int(text)
+
+    def allows(self, value: Any) -> bool:
+        """Return whether the number is inside the bounds."""
+        return isinstance(value, int) and self.minimum <= value <= self.maximum
+
+
+@attrs.frozen
+class NameType(SettingType):
+    """A name of a VM or of an availability zone."""
+
+    @property
+    def expected(self) -> str:
+        """What a value must be."""
+        return "1 to 63 characters of a-z, 0-9, '-' and '.'"
+
+    def parse(self, text: str) -> str:
+        """Return the name; see `SettingType.parse`."""
+        return text
+
+    def allows(self, value: Any) -> bool:
+        """Return whether the name has only the allowed characters."""
+        return _NAME.fullmatch(value) is not None
+
+
+@attrs.frozen
+class ChoiceType(SettingType):
+    """One of a few words."""
+
+    choices: tuple[str, ...]
+
+    @property
+    def expected(self) -> str:
+        """What a value must be."""
+        return f"one of {', '.join(self.choices)}"
+
+    def parse(self, text: str) -> str:
+        """Return the word; see `SettingType.parse`."""
+        return text
+
+    def allows(self, value: Any) -> bool:
+        """Return whether the word is one of the choices."""
+        return value in self.choices
+
+
+@attrs.frozen
+class DirectoryType(SettingType):
+    """Path of a directory; it is created on the first start."""
+
+    @property
+    def expected(self) -> str:
+        """What a value must be."""
+        return "the path of a directory"
+
+    def parse(self, text: str) -> pathlib.Path:
+        """Return the path; see `SettingType.parse`."""
+        if not text:
+            raise ValueError("empty path")
+        return pathlib.Path(text)
+
+    def allows(self, value: Any) -> bool:
+        """Return whether the path is a directory or does not exist yet."""
+        return not value.exists() or value.is_dir()
+
+
+@attrs.frozen
+class AddressType(SettingType):
+    """An IPv4 address with a port.
+
+    Attributes
+    ----------
+    minimum_port : int
+        0 if the system may choose a free port, else 1.
+    """
+
+    minimum_port: int = 1
+
+    @property
+    def expected(self) -> str:
+        """What a value must be."""
+        return f"ip:port with an IPv4 address and a port from {self.minimum_port}"
+
+    def parse(self, text: str) -> str:
+        """Return the address; see `SettingType.parse`."""
+        return text
+
+    def allows(self, value: Any) -> bool:
+        """Return whether the address can be bound or connected to."""
+        host, _, port = value.rpartition(":")
+        if not (port.isascii() and port.isdigit() and len(port) <= 5):
+            return False
+        try:
+            ipaddress.IPv4Address(host)
+        except ValueError:
+            return False
+        return self.minimum_port <= int(port) <= 65535
+
+
+@attrs.frozen
+class ControlAddress:
+    """Where a control VM listens.
+
+    Attributes
+    ----------
+    vm_id : str
+        Name of the control VM.
+    address : str
+        "ip:port" of its control process.
+    """
+
+    vm_id: str
+    address: str
+
+
+@attrs.frozen
+class ControlAddressesType(SettingType):
+    """All control VMs, written "c1=127.0.0.1:7101,c2=127.0.0.1:7102"."""
+
+    @property
+    def expected(self) -> str:
+        """What a value must be."""
+        return "vm_id=ip:port,... with each VM and each address once, 9 at most"
+
+    def parse(self, text: str) -> tuple[ControlAddress, ...]:
+        """Return the addresses; see `SettingType.parse`."""
+        pairs = [part.strip().partition("=") for part in text.split(",")]
+        return tuple(ControlAddress(vm_id, address) for vm_id, _, address in pairs)
+
+    def allows(self, value: Any) -> bool:
+        """Return whether all names and addresses are allowed and distinct."""
+        names = {item.vm_id for item in value}
+        addresses = {item.address for item in value}
+        return (
+            1 <= len(value) <= 9
+            and len(names) == len(addresses) == len(value)
+            and all(NameType().allows(name) for name in names)
+            and all(AddressType().allows(address) for address in addresses)
+        )
+
+    def render(self, value: Any) -> str:
+        """Return the text that stands for the addresses."""
+        return ",".join(f"{item.vm_id}={item.address}" for item in value)
