Check documents and jobs as a whole

Cause: a document or a job with one wrong field must be refused as a whole, by the entry, the leader and the command line alike, with the field, the value and what was expected.

--- a/tanagerpath/core/model/__init__.py
+++ b/tanagerpath/core/model/__init__.py
@@ -1,5 +1,11 @@
 """Value types shared by the whole core: topology, jobs and documents."""
 
+from tanagerpath.core.model.checks import (
+    InvalidDocument,
+    InvalidJob,
+    check_document,
+    check_job,
+)
 from tanagerpath.core.model.documents import (
     GuaranteedShape,
     OrganisationTerms,
@@ -20,6 +26,8 @@
     "Assignment",
     "AttemptId",
     "GuaranteedShape",
+    "InvalidDocument",
+    "InvalidJob",
     "JobClass",
     "JobRequest",
     "JobState",
@@ -27,4 +35,6 @@
     "ServiceDocument",
     "UpstreamCapacity",
     "UpstreamLocation",
+    "check_document",
+    "check_job",
 ]
