Add the entry process and the links to upstreams and the leader

Cause: callers need one front that holds no lasting state and refuses truthfully when it cannot show itself fresh.

--- a/tanagerpath/core/admission/__init__.py
+++ b/tanagerpath/core/admission/__init__.py
@@ -1,1 +1,24 @@
-"""Part of the core: admission."""
+"""Decisions of an entry: freshness, bounds, retry budgets and routing."""
+
+from tanagerpath.core.admission.failures import (
+    EntryDraining,
+    EntryStale,
+    NoLeader,
+    OutcomeUncertain,
+    Overloaded,
+)
+from tanagerpath.core.admission.freshness import DocumentView
+from tanagerpath.core.admission.limits import RequestLimits, RetryBudget
+from tanagerpath.core.admission.routing import LeaderRoute
+
+__all__ = [
+    "DocumentView",
+    "EntryDraining",
+    "EntryStale",
+    "LeaderRoute",
+    "NoLeader",
+    "OutcomeUncertain",
+    "Overloaded",
+    "RequestLimits",
+    "RetryBudget",
+]
--- a/tanagerpath/core/protocol/internal.py
+++ b/tanagerpath/core/protocol/internal.py
@@ -3,7 +3,7 @@
 import attrs
 
 from tanagerpath.core.model import JobRequest, JobState, ServiceDocument
-from tanagerpath.core.protocol.callers import ErrorBody, JobReply
+from tanagerpath.core.protocol.callers import DocumentReply, ErrorBody, JobReply
 from tanagerpath.core.protocol.upstreams import (
     Announcement,
     AnnouncementReply,
@@ -17,12 +17,16 @@
     "AcceptRequest",
     "ApplyRequest",
     "CancelRequest",
+    "DocumentQuery",
     "ExplainReply",
     "ExplainRequest",
     "FeedReply",
     "FeedRequest",
+    "InternalReply",
+    "InternalRequest",
     "JobChange",
     "JobQuery",
+    "NotLeaderReply",
     "OrganisationStatus",
     "StatusReply",
     "StatusRequest",
@@ -58,6 +62,13 @@
     document: ServiceDocument
 
 
+@attrs.frozen
+class DocumentQuery:
+    """Asks for the document in force of a service."""
+
+    service: str
+
+
 @attrs.frozen
 class ExplainRequest:
     """Asks why a job waits or where it runs."""
@@ -163,11 +174,28 @@
     refusals: tuple[tuple[str, int], ...] = ()
 
 
+@attrs.frozen
+class NotLeaderReply:
+    """The asked process cannot decide now.
+
+    Attributes
+    ----------
+    leader_vm_id : str
+        VM of the leader that it knows, empty if none.
+    leader_address : str
+        "ip:port" of that leader, empty if none.
+    """
+
+    leader_vm_id: str = ""
+    leader_address: str = ""
+
+
 InternalRequest = (
     AcceptRequest
     | JobQuery
     | CancelRequest
     | ApplyRequest
+    | DocumentQuery
     | ExplainRequest
     | FeedRequest
     | StatusRequest
@@ -178,6 +206,8 @@
 
 InternalReply = (
     JobReply
+    | DocumentReply
+    | NotLeaderReply
     | ExplainReply
     | FeedReply
     | StatusReply
--- /dev/null
+++ b/tanagerpath/services/__init__.py
@@ -0,0 +1,1 @@
+"""The processes: entry and control."""
--- /dev/null
+++ b/tanagerpath/services/leader_link.py
@@ -0,0 +1,185 @@
+"""Task of an entry that owns the connections to the control processes."""
+
+import anyio
+import attrs
+from returns.pipeline import is_successful
+from returns.result import Failure as ResultFailure
+from returns.result import Result, Success
+
+from tanagerpath.codecs import decode_json, encode_json
+from tanagerpath.core.admission import (
+    LeaderRoute,
+    NoLeader,
+    OutcomeUncertain,
+    RetryBudget,
+)
+from tanagerpath.core.protocol.internal import (
+    InternalReply,
+    InternalRequest,
+    NotLeaderReply,
+)
+from tanagerpath.errors import Failure
+from tanagerpath.runtime import Mailbox, MailboxFull, Reply, Task
+from tanagerpath.runtime.client import ConnectFailed, HttpClient
+
+__all__ = ["INTERNAL_REQUEST_PATH", "LeaderCall", "LeaderFound", "LeaderLink"]
+
+INTERNAL_REQUEST_PATH = "/internal/v1/request"
+MAX_WAITING_CALLS = 4096
+CONNECTIONS_PER_CONTROL = 32
+RETRY_PAUSE_S = 0.02
+
+
+@attrs.frozen
+class LeaderCall:
+    """Ask the leader; the reply is sent once, at the deadline at the latest.
+
+    Attributes
+    ----------
+    request : InternalRequest
+        What to ask.
+    reply : Reply
+        Receives a `Result` of `InternalReply`, or `NoLeader`, `OutcomeUncertain` or
+        `MailboxFull`.
+    deadline_s : float
+        Instant on the clock of the event loop.
+    """
+
+    request: InternalRequest
+    reply: Reply
+    deadline_s: float
+
+
+@attrs.frozen
+class LeaderFound:
+    """The feed found the leader at this address."""
+
+    address: str
+
+
+class LeaderLink(Task):
+    """Sends requests to the leader and repeats them where that is safe.
+
+    All internal requests are idempotent: jobs by their key, documents by their
+    revision, the others by their content.
+
+    Parameters
+    ----------
+    addresses : tuple of str
+        "ip:port" of all control processes.
+    exchange_timeout_s : float
+        Time for one exchange.
+    budget : RetryBudget
+        Bounds the repeats of exchanges that ended without a reply.
+    """
+
+    def __init__(
+        self,
+        addresses: tuple[str, ...],
+        exchange_timeout_s: float,
+        budget: RetryBudget,
+    ) -> None:
+        self._route = LeaderRoute(addresses)
+        self._exchange_timeout_s = exchange_timeout_s
+        self._budget = budget
+        self._clients: dict[str, HttpClient] = {}
+        self._leader_known = anyio.Event()
+        self.mailbox: Mailbox[LeaderCall | LeaderFound] = Mailbox(
+            "leader link", MAX_WAITING_CALLS
+        )
+
+    async def call(
+        self, request: InternalRequest, deadline_s: float
+    ) -> Result[InternalReply, Failure]:
+        """Ask the leader from another task.
+
+        Parameters
+        ----------
+        request : InternalRequest
+            What to ask.
+        deadline_s : float
+            Instant on the clock of the event loop.
+
+        Returns
+        -------
+        Result
+            The leader's reply, or `NoLeader`, `OutcomeUncertain` or `MailboxFull`.
+        """
+        reply: Reply[Result[InternalReply, Failure]] = Reply()
+        full = self.mailbox.post(LeaderCall(request, reply, deadline_s))
+        if full is not None:
+            return ResultFailure(full)
+        result = await reply.receive()
+        return ResultFailure(NoLeader()) if result is None else result
+
+    async def run(self) -> None:
+        """Carry out calls until cancelled."""
+        try:
+            async with anyio.create_task_group() as calls:
+                while True:
+                    match await self.mailbox.receive():
+                        case LeaderFound(address):
+                            self._route.note_leader(address)
+                            self._leader_known.set()
+                        case LeaderCall() as call:
+                            self._budget.note_request()
+                            calls.start_soon(self._carry_out, call)
+        finally:
+            with anyio.CancelScope(shield=True):
+                for client in self._clients.values():
+                    await client.close()
+
+    async def _carry_out(self, call: LeaderCall) -> None:
+        body = encode_json(call.request, InternalRequest).encode()
+        uncertain: Failure | None = None
+        while anyio.current_time() < call.deadline_s:
+            address = self._route.leader_address
+            if address is None:
+                await self._wait_for_leader(call.deadline_s)
+                continue
+            result = await self._exchange(address, body, call.deadline_s)
+            if is_successful(result):
+                reply = result.unwrap()
+                if not isinstance(reply, NotLeaderReply):
+                    call.reply.send(Success(reply))
+                    return
+                self._route.note_hint(address, reply.leader_address)
+            else:
+                self._route.note_silence(address)
+                if not isinstance(result.failure(), ConnectFailed):
+                    uncertain = result.failure()
+                    if not self._budget.take_retry():
+                        break
+            await anyio.sleep(RETRY_PAUSE_S)
+        if uncertain is None:
+            call.reply.send(ResultFailure(NoLeader()))
+        else:
+            failure = OutcomeUncertain(detail=uncertain.message)
+            call.reply.send(ResultFailure(failure))
+
+    async def _wait_for_leader(self, deadline_s: float) -> None:
+        if self._leader_known.is_set():
+            self._leader_known = anyio.Event()
+        with anyio.CancelScope(deadline=deadline_s):
+            await self._leader_known.wait()
+
+    async def _exchange(
+        self, address: str, body: bytes, deadline_s: float
+    ) -> Result[InternalReply, Failure]:
+        client = self._clients.get(address)
+        if client is None:
+            client = HttpClient(address, CONNECTIONS_PER_CONTROL)
+            self._clients[address] = client
+        left_s = deadline_s - anyio.current_time()
+        result = await client.exchange(
+            "POST",
+            INTERNAL_REQUEST_PATH,
+            body,
+            timeout_s=min(self._exchange_timeout_s, left_s),
+        )
+        if not is_successful(result):
+            return result
+        reply = result.unwrap()
+        if reply.status != 200:
+            return ResultFailure(MailboxFull(task=address))
+        return decode_json(reply.body, InternalReply)
--- /dev/null
+++ b/tanagerpath/services/links.py
@@ -0,0 +1,179 @@
+"""Tasks that own the connections to upstreams."""
+
+import anyio
+import attrs
+from anyio.abc import TaskGroup
+from returns.pipeline import is_successful
+
+from tanagerpath.codecs import decode_json, encode_json
+from tanagerpath.core.coordination import (
+    CallUpstream,
+    UpstreamCallFailed,
+    UpstreamReplied,
+)
+from tanagerpath.core.protocol import upstreams as protocol
+from tanagerpath.errors import Failure
+from tanagerpath.runtime import Mailbox, Task
+from tanagerpath.runtime.client import HttpClient
+
+__all__ = ["LinkSet", "UnexpectedStatus", "UpstreamLink"]
+
+MAX_WAITING_CALLS = 256
+IDLE_LINK_LIFETIME_S = 60.0
+
+_ROUTES: dict[type, tuple[str, type]] = {
+    protocol.RenewRequest: ("/v1/renew", protocol.RenewReply),
+    protocol.ReserveRequest: ("/v1/reserve", protocol.ReserveReply),
+    protocol.StartRequest: ("/v1/start", protocol.StartReply),
+    protocol.StopRequest: ("/v1/stop", protocol.StopReply),
+    protocol.CheckpointRequest: ("/v1/checkpoint", protocol.CheckpointReply),
+    protocol.ThrottleRequest: ("/v1/throttle", protocol.ThrottleReply),
+    protocol.ProbeRequest: ("/v1/probe", protocol.ProbeReply),
+}
+
+
+@attrs.frozen(kw_only=True)
+class UnexpectedStatus(Failure):
+    """An upstream answered with a status other than 200."""
+
+    address: str
+    status: int
+
+    @property
+    def message(self) -> str:
+        """One line for people."""
+        return f"{self.address} answered with status {self.status}, expected 200"
+
+
+class UpstreamLink(Task):
+    """Owns the connections to one address of an upstream.
+
+    Parameters
+    ----------
+    address : str
+        "ip:port" of the upstream.
+    results : Mailbox
+        Receives `UpstreamReplied` and `UpstreamCallFailed`.
+    max_connections : int
+        Connections to this upstream.
+    timeout_s : float
+        Time for one exchange.
+    """
+
+    def __init__(
+        self,
+        address: str,
+        results: Mailbox,
+        max_connections: int,
+        timeout_s: float,
+    ) -> None:
+        self._client = HttpClient(address, max_connections)
+        self._results = results
+        self._timeout_s = timeout_s
+        self.mailbox: Mailbox[CallUpstream] = Mailbox(
+            f"upstream link {address}", MAX_WAITING_CALLS
+        )
+        self._limiter = anyio.Semaphore(max_connections)
+
+    async def run(self) -> None:
+        """Carry out calls, several at a time, until no call came for a while."""
+        try:
+            async with anyio.create_task_group() as calls:
+                while True:
+                    until_s = anyio.current_time() + IDLE_LINK_LIFETIME_S
+                    call = await self.mailbox.receive(until_s)
+                    if call is None:
+                        return
+                    await self._limiter.acquire()
+                    calls.start_soon(self._carry_out, call)
+        finally:
+            await self._client.close()
+
+    async def _carry_out(self, call: CallUpstream) -> None:
+        try:
+            self._results.post(await self._exchange(call))
+        finally:
+            self._limiter.release()
+
+    async def _exchange(
+        self, call: CallUpstream
+    ) -> UpstreamReplied | UpstreamCallFailed:
+        path, reply_type = _ROUTES[type(call.request)]
+        body = encode_json(call.request).encode()
+        result = await self._client.exchange(
+            "POST", path, body, timeout_s=self._timeout_s
+        )
+        if not is_successful(result):
+            return self._describe_failure(call, result.failure())
+        reply = result.unwrap()
+        if reply.status != 200:
+            failure = UnexpectedStatus(
+                address=self._client.address, status=reply.status
+            )
+            return self._describe_failure(call, failure)
+        decoded = decode_json(reply.body, reply_type)
+        if not is_successful(decoded):
+            return self._describe_failure(call, decoded.failure())
+        return UpstreamReplied(
+            call.upstream_id, call.incarnation, call.request, decoded.unwrap()
+        )
+
+    def _describe_failure(
+        self, call: CallUpstream, failure: Failure
+    ) -> UpstreamCallFailed:
+        return UpstreamCallFailed(
+            call.upstream_id, call.incarnation, call.request, failure
+        )
+
+
+class LinkSet:
+    """Opens an `UpstreamLink` for each upstream that is called.
+
+    Parameters
+    ----------
+    tasks : TaskGroup
+        Where links run.
+    results : Mailbox
+        Receives the results of all calls.
+    max_connections : int
+        Connections to each upstream.
+    timeout_s : float
+        Time for one exchange.
+    """
+
+    def __init__(
+        self,
+        tasks: TaskGroup,
+        results: Mailbox,
+        max_connections: int,
+        timeout_s: float,
+    ) -> None:
+        self._tasks = tasks
+        self._results = results
+        self._max_connections = max_connections
+        self._timeout_s = timeout_s
+        self._links: dict[str, UpstreamLink] = {}
+
+    def call(self, call: CallUpstream) -> None:
+        """Pass a call to the link of its address."""
+        link = self._links.get(call.address)
+        if link is None:
+            link = UpstreamLink(
+                call.address, self._results, self._max_connections, self._timeout_s
+            )
+            self._links[call.address] = link
+            self._tasks.start_soon(self._run, call.address, link)
+        full = link.mailbox.post(call)
+        if full is not None:
+            self._results.post(
+                UpstreamCallFailed(
+                    call.upstream_id, call.incarnation, call.request, full
+                )
+            )
+
+    async def _run(self, address: str, link: UpstreamLink) -> None:
+        try:
+            await link.run()
+        finally:
+            if self._links.get(address) is link:
+                del self._links[address]
--- /dev/null
+++ b/tanagerpath/services/statuses.py
@@ -0,0 +1,42 @@
+"""HTTP statuses of replies and refusals."""
+
+from tanagerpath.core.model import JobState
+from tanagerpath.core.protocol.callers import JobReply
+
+__all__ = ["find_error_status", "find_job_status"]
+
+_BY_ERROR = {
+    "MalformedMessage": 400,
+    "InvalidDocument": 400,
+    "InvalidJob": 400,
+    "UnknownJob": 404,
+    "UnknownService": 404,
+    "UnknownOrganisation": 403,
+    "KeyConflict": 409,
+    "RevisionConflict": 409,
+    "GuaranteeCannotBeMet": 422,
+    "ImpossibleShape": 422,
+    "PayloadTooLarge": 413,
+    "QueueFull": 429,
+    "Overloaded": 429,
+    "MailboxFull": 429,
+}
+DEFAULT_ERROR_STATUS = 503
+ACCEPTED_STATUS = 202
+
+
+def find_error_status(type_name: str) -> int:
+    """Return the HTTP status of a failure's type."""
+    return _BY_ERROR.get(type_name, DEFAULT_ERROR_STATUS)
+
+
+def find_job_status(reply: JobReply) -> int:
+    """Return the HTTP status of a job: 202 until it has ended.
+
+    A job that was refused without having run has the status of its refusal.
+    """
+    if not reply.state.is_final:
+        return ACCEPTED_STATUS
+    if reply.state is JobState.REFUSED_NOT_RUN and reply.error is not None:
+        return find_error_status(reply.error.type)
+    return 200
