Add the replica of the log

Cause: documents and jobs need one durable order that survives the loss of a VM. Ruled out: the group id in a file of its own; it could disagree with the log after a crash, so it is part of the membership entry. Swapping an old identity for a new one in a single step; the quorums before and after need not meet.

--- /dev/null
+++ b/tanagerpath/core/consensus/changes.py
@@ -0,0 +1,163 @@
+"""Membership changes that a leader makes by itself."""
+
+from tanagerpath.core.consensus.context import ReplicaContext
+from tanagerpath.core.consensus.leadership import Leadership
+from tanagerpath.core.consensus.membership import Member, MemberRole, Membership
+from tanagerpath.core.consensus.messages import JoinRequest
+from tanagerpath.core.consensus.replication import Replicator
+
+__all__ = ["MIN_VOTERS", "MembershipChanges"]
+
+# One voter alone would lose acknowledged entries with its disk.
+MIN_VOTERS = 2
+
+
+class MembershipChanges:
+    """Admits, promotes, demotes and removes members, one voter at a time.
+
+    A change needs the lease, an entry of the own term that is committed, and no other
+    change that is not committed yet. Two quorums of consecutive memberships therefore
+    always have a voter in common.
+
+    Parameters
+    ----------
+    context : ReplicaContext
+        Shared state of the replica.
+    leadership : Leadership
+        Appends the changes.
+    replicator : Replicator
+        Progress of the members.
+    """
+
+    def __init__(
+        self, context: ReplicaContext, leadership: Leadership, replicator: Replicator
+    ) -> None:
+        self._context = context
+        self._leadership = leadership
+        self._replicator = replicator
+        self._joining: dict[str, Member] = {}
+
+    def request_join(self, request: JoinRequest) -> None:
+        """Note a replica that asks to be a member."""
+        context = self._context
+        refused = request.replica_id in context.membership.retired
+        if refused or request.vm_id == context.config.vm_id:
+            return
+        known = context.membership.find(request.replica_id)
+        if known is None or known.address != request.address:
+            self._joining[request.vm_id] = Member(
+                request.replica_id, request.vm_id, request.address, MemberRole.LEARNER
+            )
+
+    def tick(self) -> None:
+        """Append the next change that is due, if one may be made now."""
+        context = self._context
+        if not self._may_change():
+            return
+        changed = (
+            self._admit()
+            or self._promote()
+            or self._retire_older()
+            or self._demote()
+            or self._remove()
+        )
+        if changed is not None and changed != context.membership:
+            self._leadership.change_membership(changed)
+
+    def _may_change(self) -> bool:
+        context = self._context
+        return (
+            self._leadership.has_lease(context.now_s)
+            and context.log.membership_index <= context.commit_index
+        )
+
+    def _admit(self) -> Membership | None:
+        while self._joining:
+            member = self._joining.popitem()[1]
+            changed = self._add(member)
+            if changed is not None and changed != self._context.membership:
+                return changed
+        return None
+
+    def _add(self, member: Member) -> Membership | None:
+        membership = self._context.membership
+        if member.replica_id in membership.retired:
+            return None
+        known = membership.find(member.replica_id)
+        if known is not None:
+            member = Member(member.replica_id, member.vm_id, member.address, known.role)
+        for older in membership.find_on_vm(member.vm_id):
+            if older.replica_id != member.replica_id:
+                membership = self._retire(membership, older)
+        return membership.with_member(member)
+
+    def _retire(self, membership: Membership, older: Member) -> Membership:
+        if older.role is MemberRole.LEARNER or self._may_lose(older.replica_id):
+            return membership.retire(older.replica_id)
+        return membership
+
+    def _may_lose(self, voter: str) -> bool:
+        """Return whether the other voters suffice and a quorum of them answers."""
+        rest = self._context.membership.without(voter)
+        active = [other for other in rest.voters if self._is_active(other)]
+        return len(rest.voters) >= MIN_VOTERS and rest.has_quorum(active)
+
+    def _is_active(self, replica_id: str) -> bool:
+        context = self._context
+        if replica_id == context.replica_id:
+            return True
+        silence_s = context.now_s - self._replicator.find_contact_s(replica_id)
+        return silence_s < context.config.election_timeout_min_s
+
+    def _promote(self) -> Membership | None:
+        membership = self._context.membership
+        if len(membership.voters) >= self._context.config.max_voters:
+            return None
+        for member in membership.members:
+            if self._may_promote(member):
+                return membership.with_role(member.replica_id, MemberRole.VOTER)
+        return None
+
+    def _may_promote(self, member: Member) -> bool:
+        context = self._context
+        progress = self._replicator.progress.get(member.replica_id)
+        if member.role is not MemberRole.LEARNER or progress is None:
+            return False
+        others = context.membership.find_on_vm(member.vm_id)
+        caught_up = progress.match_index >= context.commit_index
+        return len(others) == 1 and caught_up and self._is_active(member.replica_id)
+
+    def _retire_older(self) -> Membership | None:
+        """Retire a voter whose newer identity had to wait as a learner."""
+        membership = self._context.membership
+        for member in membership.members:
+            on_vm = membership.find_on_vm(member.vm_id)
+            is_older = len(on_vm) > 1 and member.role is MemberRole.VOTER
+            if is_older and self._may_lose(member.replica_id):
+                return membership.retire(member.replica_id)
+        return None
+
+    def _is_away(self, replica_id: str) -> bool:
+        context = self._context
+        if replica_id == context.replica_id:
+            return False
+        silence_s = context.now_s - self._replicator.find_contact_s(replica_id)
+        return silence_s > context.config.replace_voter_after_s
+
+    def _demote(self) -> Membership | None:
+        """Take the vote from a voter that is away; it stays as a learner."""
+        membership = self._context.membership
+        for voter in membership.voters:
+            if self._is_away(voter) and self._may_lose(voter):
+                return membership.with_role(voter, MemberRole.LEARNER)
+        return None
+
+    def _remove(self) -> Membership | None:
+        """Remove a learner that is away and whose VM is not configured any more."""
+        membership = self._context.membership
+        for member in membership.members:
+            gone = member.vm_id not in self._context.config.vms
+            is_learner = member.role is MemberRole.LEARNER
+            if gone and is_learner and self._is_away(member.replica_id):
+                return membership.without(member.replica_id)
+        return None
--- /dev/null
+++ b/tanagerpath/core/consensus/config.py
@@ -0,0 +1,99 @@
+"""Settings of a replica and the state that it finds on disk."""
+
+import attrs
+
+from tanagerpath.core.consensus.events import LogEntry, Snapshot
+
+__all__ = ["ReplicaConfig", "RestoredState"]
+
+
+@attrs.frozen(kw_only=True)
+class ReplicaConfig:
+    """Settings of a replica; all replicas of a group have the same but for the VM.
+
+    Attributes
+    ----------
+    vm_id : str
+        VM that the replica runs on.
+    address : str
+        "ip:port" of this replica.
+    vms : dict of str to str
+        Configured control VMs: vm_id to "ip:port", with this one.
+    heartbeat_interval_s : float
+        Seconds between heartbeats of a leader.
+    election_timeout_min_s, election_timeout_max_s : float
+        Range in seconds of the random time without a leader before an election.
+    lease_duration_s : float
+        Seconds from the sending of a heartbeat for which a quorum's answers give the
+        lease. Below `election_timeout_min_s`, so that it ends before a quorum votes
+        for another leader; the difference covers clocks of different speed.
+    replace_voter_after_s : float
+        Seconds without contact after which a voter loses its vote.
+    join_interval_s : float
+        Seconds between join requests of a replica that has no leader.
+    empty_report_validity_s : float
+        Seconds for which a report of an empty directory counts for the formation.
+    max_voters : int
+        Most voters of the group.
+    max_batch_entries, max_batch_chars : int
+        Bounds of one append message.
+    max_batches_in_flight : int
+        Append messages with entries that may be unanswered for one follower.
+    snapshot_after_entries : int
+        Applied entries after which a new snapshot is requested.
+    retained_entries : int
+        Entries kept in memory before a snapshot for followers that lag a little.
+    snapshot_chunk_chars : int
+        Characters of a snapshot in one message.
+    """
+
+    vm_id: str
+    address: str
+    vms: dict[str, str]
+    heartbeat_interval_s: float = 0.1
+    election_timeout_min_s: float = 0.6
+    election_timeout_max_s: float = 1.2
+    lease_duration_s: float = 0.5
+    replace_voter_after_s: float = 60.0
+    join_interval_s: float = 0.25
+    empty_report_validity_s: float = 2.0
+    max_voters: int = 5
+    max_batch_entries: int = 256
+    max_batch_chars: int = 262144
+    max_batches_in_flight: int = 2
+    snapshot_after_entries: int = 1000
+    retained_entries: int = 256
+    snapshot_chunk_chars: int = 262144
+
+    def __attrs_post_init__(self) -> None:
+        """Refuse a lease that may overlap with the next leader's."""
+        if self.lease_duration_s >= self.election_timeout_min_s:
+            raise ValueError(
+                f"lease_duration_s {self.lease_duration_s} is not below "
+                f"election_timeout_min_s {self.election_timeout_min_s}"
+            )
+
+
+@attrs.frozen(kw_only=True)
+class RestoredState:
+    """Content of the data directory; the defaults describe an empty one.
+
+    Attributes
+    ----------
+    replica_id : str or None
+        Identity, None in an empty directory.
+    term : int
+        Last stored term.
+    voted_for : str or None
+        Replica that got the vote in that term.
+    snapshot : Snapshot or None
+        Last stored snapshot.
+    entries : tuple of LogEntry
+        Entries after the snapshot, without gaps.
+    """
+
+    replica_id: str | None = None
+    term: int = 0
+    voted_for: str | None = None
+    snapshot: Snapshot | None = None
+    entries: tuple[LogEntry, ...] = ()
--- /dev/null
+++ b/tanagerpath/core/consensus/context.py
@@ -0,0 +1,249 @@
+"""State of one replica that its parts share."""
+
+import random
+
+from tanagerpath.core.consensus.config import ReplicaConfig, RestoredState
+from tanagerpath.core.consensus.events import (
+    Action,
+    CommittedEntry,
+    DeliverCommitted,
+    LogEntry,
+    NotLeader,
+    ProposalRejected,
+    ProposalUncertain,
+    ReportRole,
+    RequestSnapshot,
+    RestoreSnapshot,
+    Role,
+    SendMessage,
+    Snapshot,
+)
+from tanagerpath.core.consensus.journal import Journal
+from tanagerpath.core.consensus.log import ReplicatedLog
+from tanagerpath.core.consensus.membership import Membership
+from tanagerpath.core.consensus.messages import ReplicaMessage
+
+__all__ = ["FOUNDING_TERM", "ReplicaContext"]
+
+# Term of the founding entry; the first election stands for the next one.
+FOUNDING_TERM = 1
+IDENTITY_BITS = 64
+
+
+class ReplicaContext:
+    """Term, vote, log and role of a replica, and the actions of the current step.
+
+    Parameters
+    ----------
+    config : ReplicaConfig
+        Settings.
+    restored : RestoredState
+        Content of the data directory.
+    random_source : random.Random
+        Source of the identity and of election timeouts.
+    """
+
+    def __init__(
+        self,
+        config: ReplicaConfig,
+        restored: RestoredState,
+        random_source: random.Random,
+    ) -> None:
+        self.config = config
+        self.random = random_source
+        self.log = ReplicatedLog(restored.snapshot, restored.entries)
+        self.journal = Journal(self.log.last_index)
+        self.term = restored.term
+        self.voted_for = restored.voted_for
+        self.role = Role.LEARNER
+        self.leader_id: str | None = None
+        self.group_id = self.log.membership.group_id
+        self.commit_index = self.log.base_index
+        self.now_s = 0.0
+        self.last_leader_contact_s = 0.0
+        self.election_deadline_s = 0.0
+        self.proposals: dict[int, int] = {}
+        self._requested_snapshot_at = 0
+        self._actions: list[Action] = []
+        self._reported: ReportRole | None = None
+        self.replica_id = restored.replica_id or self._create_identity()
+
+    def _create_identity(self) -> str:
+        replica_id = (
+            f"{self.config.vm_id}.{self.random.getrandbits(IDENTITY_BITS):016x}"
+        )
+        self.journal.record_identity(replica_id)
+        return replica_id
+
+    @property
+    def membership(self) -> Membership:
+        """Membership in force."""
+        return self.log.membership
+
+    @property
+    def formed(self) -> bool:
+        """Whether this replica holds a membership of a group."""
+        return bool(self.log.membership.members)
+
+    @property
+    def pristine(self) -> bool:
+        """Whether this replica has done nothing yet for the group that it holds.
+
+        Such a replica may follow another group, as if the founding proposal had never
+        arrived.
+        """
+        return (
+            self.term <= FOUNDING_TERM
+            and self.voted_for is None
+            and self.log.snapshot is None
+            and self.log.last_index <= 1
+        )
+
+    @property
+    def is_voter(self) -> bool:
+        """Whether this replica counts for quorums."""
+        return self.membership.is_voter(self.replica_id)
+
+    def is_sticky(self) -> bool:
+        """Return whether a leader may hold a lease that counts on this replica."""
+        known_until_s = self.last_leader_contact_s + self.config.election_timeout_min_s
+        return self.now_s < known_until_s
+
+    def record_leader_contact(self) -> None:
+        """Start the election timeout anew."""
+        self.last_leader_contact_s = self.now_s
+        self.restart_election_timeout()
+
+    def restart_election_timeout(self) -> None:
+        """Choose a random instant for the next election."""
+        self.election_deadline_s = self.now_s + self.random.uniform(
+            self.config.election_timeout_min_s, self.config.election_timeout_max_s
+        )
+
+    def enter_term(self, term: int, voted_for: str | None = None) -> None:
+        """Store a higher term, or a vote in the current one."""
+        if term > self.term:
+            self.journal.drop_held()
+        if (term, voted_for) != (self.term, self.voted_for):
+            self.term = term
+            self.voted_for = voted_for
+            self.journal.record_hard_state()
+
+    def become_follower(self, term: int, leader_id: str | None) -> None:
+        """Follow a leader, or wait for one, in `term`."""
+        if term > self.term:
+            self.enter_term(term)
+        if self.role is Role.LEADER:
+            self._fail_proposals()
+            self.restart_election_timeout()
+        self.role = Role.FOLLOWER if self.is_voter else Role.LEARNER
+        self.leader_id = leader_id
+
+    def _fail_proposals(self) -> None:
+        for proposal_id in self.proposals.values():
+            self.act(ProposalRejected(proposal_id, ProposalUncertain()))
+        self.proposals.clear()
+
+    def reject_proposal(self, proposal_id: int) -> None:
+        """Answer a proposal that this replica cannot take."""
+        known = None if self.leader_id == self.replica_id else self.leader_id
+        self.act(ProposalRejected(proposal_id, NotLeader(leader_id=known)))
+
+    def append(self, entries: tuple[LogEntry, ...]) -> None:
+        """Add entries to the log and to the write of this step."""
+        self.log.append(entries)
+        self.journal.record_entries(entries)
+        self._follow_membership()
+
+    def truncate_from(self, index: int) -> None:
+        """Remove entries that another leader has overwritten."""
+        self.log.truncate_from(index)
+        self.journal.record_truncation(index)
+        self._follow_membership()
+
+    def _follow_membership(self) -> None:
+        if self.formed:
+            self.group_id = self.log.membership.group_id
+        if self.role in (Role.FOLLOWER, Role.LEARNER):
+            self.role = Role.FOLLOWER if self.is_voter else Role.LEARNER
+
+    def commit_to(self, index: int) -> None:
+        """Deliver entries up to `index`."""
+        index = min(index, self.log.last_index)
+        if index <= self.commit_index:
+            return
+        entries = self.log.read(self.commit_index + 1, index)
+        self.commit_index = index
+        self.act(
+            DeliverCommitted(
+                tuple(
+                    CommittedEntry(entry, self.proposals.pop(entry.index, None))
+                    for entry in entries
+                )
+            )
+        )
+        self._request_snapshot()
+
+    def _request_snapshot(self) -> None:
+        taken = self.log.snapshot.last_index if self.log.snapshot else 0
+        since = max(taken, self._requested_snapshot_at)
+        if self.commit_index - since >= self.config.snapshot_after_entries:
+            self._requested_snapshot_at = self.commit_index
+            self.act(RequestSnapshot(self.commit_index))
+
+    def store_own_snapshot(self, last_index: int, payload: str) -> None:
+        """Store a snapshot that the state machine provided."""
+        taken = self.log.snapshot.last_index if self.log.snapshot else 0
+        last_term = self.log.find_term(last_index)
+        if last_term is None or not taken < last_index <= self.commit_index:
+            return
+        membership = self.log.find_membership(last_index)
+        snapshot = Snapshot(last_index, last_term, membership, payload)
+        self.log.compact(snapshot, self.config.retained_entries)
+        self.journal.record_snapshot(snapshot)
+
+    def install_snapshot(self, snapshot: Snapshot) -> None:
+        """Replace the log and the state by a snapshot of the leader."""
+        self.journal.record_truncation(1)
+        self.journal.record_snapshot(snapshot)
+        self.log.reset(snapshot)
+        self.commit_index = snapshot.last_index
+        self._follow_membership()
+        self.act(RestoreSnapshot(snapshot))
+
+    def act(self, action: Action) -> None:
+        """Add an action to the current step."""
+        self._actions.append(action)
+
+    def send(self, receiver: str, message: ReplicaMessage, address: str = "") -> None:
+        """Send a message once the term, the vote and the identity are synced."""
+        address = address or self._find_address(receiver)
+        self.journal.hold(
+            SendMessage(receiver, message, address, self.replica_id, self.group_id)
+        )
+
+    def send_to_address(self, address: str, message: ReplicaMessage) -> None:
+        """Send a message to whichever replica is at an address.
+
+        A pristine replica shows no group, because it may still join any.
+        """
+        group_id = "" if self.pristine else self.group_id
+        self.journal.hold(SendMessage("", message, address, self.replica_id, group_id))
+
+    def _find_address(self, receiver: str) -> str:
+        member = self.membership.find(receiver)
+        if member is not None:
+            return member.address
+        return self.config.vms.get(receiver.rpartition(".")[0], "")
+
+    def take_actions(self) -> list[Action]:
+        """Return the actions of the current step, with the write first."""
+        report = ReportRole(self.role, self.term, self.leader_id)
+        if report != self._reported:
+            self._reported = report
+            self.act(report)
+        actions, self._actions = self._actions, []
+        write = self.journal.take_write(self.term, self.voted_for)
+        if write is not None:
+            actions.insert(0, write)
+        return actions + self.journal.take_released()
--- /dev/null
+++ b/tanagerpath/core/consensus/elections.py
@@ -0,0 +1,129 @@
+"""Elections with pre-vote."""
+
+from tanagerpath.core.consensus.context import ReplicaContext
+from tanagerpath.core.consensus.events import Role
+from tanagerpath.core.consensus.messages import TimeoutNow, VoteReply, VoteRequest
+
+__all__ = ["Elections"]
+
+
+class Elections:
+    """Stands for election and votes.
+
+    A replica that heard from a leader less than `election_timeout_min_s` ago refuses
+    to vote, so a leader's lease ends before a quorum can elect another one. The start
+    of the process counts as such a contact, because a restarted replica does not know
+    whom it has just answered.
+
+    Parameters
+    ----------
+    context : ReplicaContext
+        Shared state of the replica.
+    """
+
+    def __init__(self, context: ReplicaContext) -> None:
+        self._context = context
+        self._supporters: set[str] = set()
+        self._vote_sequence = 0
+
+    def tick(self) -> None:
+        """Stand for election if no leader was heard for the election timeout."""
+        context = self._context
+        if context.role is Role.LEADER or not context.is_voter:
+            return
+        if context.now_s >= context.election_deadline_s:
+            self._start_pre_vote()
+
+    def _start_pre_vote(self) -> None:
+        context = self._context
+        context.role = Role.PRE_CANDIDATE
+        context.leader_id = None
+        self._supporters = {context.replica_id}
+        self._request_votes(context.term + 1, pre_vote=True)
+        self._check_pre_vote()
+
+    def _start_election(self, transfer: bool = False) -> None:
+        context = self._context
+        context.enter_term(context.term + 1, context.replica_id)
+        context.role = Role.CANDIDATE
+        context.leader_id = None
+        self._supporters = set()
+        self._vote_sequence = context.journal.next_sequence
+        self._request_votes(context.term, pre_vote=False, transfer=transfer)
+
+    def _request_votes(self, term: int, pre_vote: bool, transfer: bool = False) -> None:
+        context = self._context
+        context.restart_election_timeout()
+        log = context.log
+        request = VoteRequest(term, log.last_index, log.last_term, pre_vote, transfer)
+        for voter in context.membership.voters:
+            if voter != context.replica_id:
+                context.send(voter, request)
+
+    def handle_vote_request(self, sender: str, request: VoteRequest) -> None:
+        """Vote for the sender or refuse; see the class for when a vote is refused."""
+        context = self._context
+        if not request.transfer and self._has_leader():
+            self._answer(sender, request, granted=False)
+            return
+        if request.pre_vote:
+            granted = request.term > context.term and self._is_up_to_date(request)
+            self._answer(sender, request, granted)
+            return
+        if request.term > context.term:
+            context.become_follower(request.term, None)
+        granted = (
+            request.term == context.term
+            and context.voted_for in (None, sender)
+            and self._is_up_to_date(request)
+        )
+        if granted:
+            context.enter_term(request.term, sender)
+            context.restart_election_timeout()
+        self._answer(sender, request, granted)
+
+    def _has_leader(self) -> bool:
+        return self._context.role is Role.LEADER or self._context.is_sticky()
+
+    def _is_up_to_date(self, request: VoteRequest) -> bool:
+        log = self._context.log
+        position = (request.last_term, request.last_index)
+        return position >= (log.last_term, log.last_index)
+
+    def _answer(self, sender: str, request: VoteRequest, granted: bool) -> None:
+        term = request.term if granted else self._context.term
+        self._context.send(sender, VoteReply(term, granted, request.pre_vote))
+
+    def handle_vote_reply(self, sender: str, reply: VoteReply) -> None:
+        """Count a vote, or learn of a higher term."""
+        context = self._context
+        if not reply.granted:
+            if reply.term > context.term:
+                context.become_follower(reply.term, None)
+            return
+        if reply.pre_vote:
+            if context.role is Role.PRE_CANDIDATE and reply.term == context.term + 1:
+                self._supporters.add(sender)
+                self._check_pre_vote()
+        elif context.role is Role.CANDIDATE and reply.term == context.term:
+            self._supporters.add(sender)
+
+    def _check_pre_vote(self) -> None:
+        if self._context.membership.has_quorum(self._supporters):
+            self._start_election()
+
+    def has_won(self) -> bool:
+        """Return whether a quorum voted; the own vote counts once it is synced."""
+        context = self._context
+        if context.role is not Role.CANDIDATE:
+            return False
+        if context.journal.synced_sequence >= self._vote_sequence:
+            self._supporters.add(context.replica_id)
+        return context.membership.has_quorum(self._supporters)
+
+    def handle_timeout_now(self, sender: str, request: TimeoutNow) -> None:
+        """Stand for election because the leader hands over."""
+        context = self._context
+        from_leader = sender == context.leader_id and request.term == context.term
+        if from_leader and context.role is Role.FOLLOWER:
+            self._start_election(transfer=True)
--- a/tanagerpath/core/consensus/events.py
+++ b/tanagerpath/core/consensus/events.py
@@ -8,6 +8,7 @@
 
 import attrs
 
+from tanagerpath.core.consensus.membership import Membership
 from tanagerpath.errors import Failure
 
 __all__ = [
@@ -24,6 +25,7 @@
     "ProposalRejected",
     "ProposalUncertain",
     "ReportRole",
+    "RequestSnapshot",
     "RestoreSnapshot",
     "Role",
     "SendMessage",
@@ -55,25 +57,38 @@
 
 @attrs.frozen
 class LogEntry:
-    """One record of the replicated log."""
+    """One record of the replicated log.
+
+    Attributes
+    ----------
+    index, term : int
+        Position of the entry.
+    kind : EntryKind
+        What the entry holds.
+    payload : str
+        Text of a command, else empty.
+    membership : Membership or None
+        Members in force from this entry on, for the kind `MEMBERSHIP`.
+    """
 
     index: int
     term: int
     kind: EntryKind
-    payload: str
+    payload: str = ""
+    membership: Membership | None = None
 
 
 @attrs.frozen
 class Snapshot:
     """State after all entries up to and with `last_index`.
 
-    `membership` is the encoded membership in force at `last_index`; `payload` is the
-    encoded state of the state machine.
+    `membership` is in force at `last_index`; `payload` is the encoded state of the
+    state machine.
     """
 
     last_index: int
     last_term: int
-    membership: str
+    membership: Membership
     payload: str
 
 
@@ -107,10 +122,24 @@
 
 @attrs.frozen
 class MessageReceived:
-    """A message from another replica arrived."""
+    """A message from another replica arrived.
+
+    Attributes
+    ----------
+    sender : str
+        Identity of the sending replica.
+    message : ReplicaMessage
+        The message.
+    receiver : str
+        Identity that the message is for; empty if the sender knows only the address.
+    group_id : str
+        Group of the sender, empty if it has none.
+    """
 
     sender: str
     message: object
+    receiver: str = ""
+    group_id: str = ""
 
 
 @attrs.frozen
@@ -153,10 +182,27 @@
 
 @attrs.frozen
 class SendMessage:
-    """Send a message to another replica; may be lost, repeated or reordered."""
+    """Send a message to another replica; may be lost, repeated or reordered.
+
+    Attributes
+    ----------
+    receiver : str
+        Identity of the receiver; empty if only its address is known.
+    message : ReplicaMessage
+        The message.
+    address : str
+        "ip:port" of the receiver.
+    sender : str
+        Identity of the sending replica.
+    group_id : str
+        Group of the sender, empty if it has none.
+    """
 
     receiver: str
     message: object
+    address: str = ""
+    sender: str = ""
+    group_id: str = ""
 
 
 @attrs.frozen
@@ -177,6 +223,8 @@
         Entries to append.
     snapshot : Snapshot or None
         Snapshot to store; entries up to its index may be removed.
+    replica_id : str or None
+        Identity to store, on the first write to an empty directory.
     """
 
     sequence: int
@@ -185,6 +233,7 @@
     truncate_from: int | None = None
     entries: tuple[LogEntry, ...] = ()
     snapshot: Snapshot | None = None
+    replica_id: str | None = None
 
 
 @attrs.frozen
@@ -209,6 +258,17 @@
     snapshot: Snapshot
 
 
+@attrs.frozen
+class RequestSnapshot:
+    """Encode the state after the last delivered entry, as `SnapshotProvided`.
+
+    `last_index` is the index of the last delivered entry. A later snapshot serves as
+    well; the request is repeated if it is not answered.
+    """
+
+    last_index: int
+
+
 @attrs.frozen
 class ReportRole:
     """Role, term or known leader changed."""
@@ -231,6 +291,7 @@
     | PersistState
     | DeliverCommitted
     | RestoreSnapshot
+    | RequestSnapshot
     | ReportRole
     | ProposalRejected
 )
--- /dev/null
+++ b/tanagerpath/core/consensus/following.py
@@ -0,0 +1,230 @@
+"""Following a leader: taking its entries and its snapshots."""
+
+import attrs
+
+from tanagerpath.core.consensus.context import ReplicaContext
+from tanagerpath.core.consensus.events import LogEntry, Role, Snapshot
+from tanagerpath.core.consensus.messages import (
+    AppendReply,
+    AppendRequest,
+    SnapshotChunk,
+    SnapshotChunkReply,
+)
+from tanagerpath.errors import Failure, FailureError
+
+__all__ = ["Following", "LogDiverged"]
+
+
+@attrs.frozen(kw_only=True)
+class LogDiverged(Failure):
+    """A leader would overwrite a committed entry; the replica must not go on."""
+
+    index: int
+    leader_id: str
+
+    @property
+    def message(self) -> str:
+        """One line for people."""
+        return f"{self.leader_id} would overwrite the committed entry {self.index}"
+
+
+class Following:
+    """Takes entries and snapshots from the leader of the term.
+
+    Entries are acknowledged only after their own sync. Heartbeats are answered at
+    once, with what is on disk by then, so that a slow disk does not end the lease.
+
+    Parameters
+    ----------
+    context : ReplicaContext
+        Shared state of the replica.
+    """
+
+    def __init__(self, context: ReplicaContext) -> None:
+        self._context = context
+        self._forget_leader()
+        self._verified_term = 0
+
+    def _forget_leader(self) -> None:
+        self._verified_index = 0  # last index known to equal the leader's log
+        self._acknowledged_index = 0
+        self._last_request: AppendRequest | None = None
+        self._transfer: tuple[int, int] | None = None
+        self._chunks: list[str] = []
+
+    def _follow(self, sender: str, term: int) -> bool:
+        context = self._context
+        if term < context.term:
+            return False
+        if context.role is Role.LEADER and term == context.term:
+            return False
+        context.become_follower(term, sender)
+        context.record_leader_contact()
+        if self._verified_term != term:
+            self._forget_leader()
+            self._verified_term = term
+        return True
+
+    def handle_append(self, sender: str, request: AppendRequest) -> None:
+        """Take entries that follow the own log, or say where to send from."""
+        if not self._follow(sender, request.term):
+            self._refuse(sender, request, 0)
+            return
+        request = self._cut_before_base(request)
+        if self._context.log.find_term(request.prev_index) != request.prev_term:
+            self._refuse(sender, request, self._find_hint(request.prev_index))
+            return
+        self._take_entries(sender, request.entries)
+        matched = request.prev_index + len(request.entries)
+        self._verified_index = max(self._verified_index, matched)
+        self._context.commit_to(min(request.commit_index, matched))
+        self._last_request = request
+        if not request.entries or self._context.journal.synced_index >= matched:
+            self._acknowledge(sender, request)
+
+    def _cut_before_base(self, request: AppendRequest) -> AppendRequest:
+        log = self._context.log
+        skipped = log.base_index - request.prev_index
+        if skipped <= 0:
+            return request
+        # Entries up to the base are committed and so equal to the leader's.
+        return attrs.evolve(
+            request,
+            prev_index=log.base_index,
+            prev_term=log.base_term,
+            entries=request.entries[skipped:],
+        )
+
+    def _find_hint(self, prev_index: int) -> int:
+        context = self._context
+        if prev_index > context.log.last_index:
+            return context.log.last_index + 1
+        if prev_index <= context.commit_index:
+            return context.commit_index + 1
+        start = context.log.find_term_start(prev_index)
+        return max(start, context.commit_index + 1)
+
+    def _refuse(self, sender: str, request: AppendRequest, hint_index: int) -> None:
+        self._reply(sender, request, False, 0, hint_index)
+
+    def _acknowledge(self, sender: str, request: AppendRequest) -> None:
+        matched = request.prev_index + len(request.entries)
+        synced = min(matched, self._context.journal.synced_index)
+        self._acknowledged_index = max(self._acknowledged_index, synced)
+        self._reply(sender, request, True, synced, 0)
+
+    def _reply(
+        self,
+        sender: str,
+        request: AppendRequest,
+        accepted: bool,
+        match_index: int,
+        hint_index: int,
+    ) -> None:
+        self._context.send(
+            sender,
+            AppendReply(
+                term=self._context.term,
+                accepted=accepted,
+                match_index=match_index,
+                prev_index=request.prev_index,
+                hint_index=hint_index,
+                sent_s=request.sent_s,
+            ),
+        )
+
+    def _take_entries(self, sender: str, entries: tuple[LogEntry, ...]) -> None:
+        context = self._context
+        log = context.log
+        for position, entry in enumerate(entries):
+            held_term = log.find_term(entry.index)
+            if held_term == entry.term:
+                continue
+            if held_term is not None:
+                self._truncate(sender, entry.index)
+            context.append(entries[position:])
+            return
+
+    def _truncate(self, sender: str, index: int) -> None:
+        context = self._context
+        if index <= context.commit_index:
+            raise FailureError(LogDiverged(index=index, leader_id=sender))
+        context.truncate_from(index)
+        self._verified_index = min(self._verified_index, index - 1)
+
+    def record_sync(self) -> None:
+        """Acknowledge the entries that a sync has made durable."""
+        context = self._context
+        if context.leader_id is None or context.role is Role.LEADER:
+            return
+        request = self._last_request
+        synced = min(self._verified_index, context.journal.synced_index)
+        if request is None or request.term != context.term:
+            return
+        if synced > self._acknowledged_index:
+            self._acknowledged_index = synced
+            self._reply(context.leader_id, request, True, synced, 0)
+
+    def handle_chunk(self, sender: str, chunk: SnapshotChunk) -> None:
+        """Collect a snapshot and install it when it is complete."""
+        if not self._follow(sender, chunk.term):
+            return
+        if self._holds(chunk):
+            self._confirm_snapshot(sender, chunk)
+            return
+        if self._transfer != (chunk.last_index, chunk.last_term):
+            self._transfer = (chunk.last_index, chunk.last_term)
+            self._chunks = []
+        if chunk.offset == self._received_chars():
+            self._chunks.append(chunk.text)
+            if chunk.complete:
+                self._install(sender, chunk)
+                return
+        self._context.send(
+            sender,
+            SnapshotChunkReply(
+                self._context.term,
+                chunk.last_index,
+                self._received_chars(),
+                chunk.sent_s,
+            ),
+        )
+
+    def _holds(self, chunk: SnapshotChunk) -> bool:
+        """Return whether the log has all entries of the snapshot.
+
+        The log is then kept: entries after the snapshot may have been acknowledged.
+        """
+        context = self._context
+        if chunk.last_index <= context.commit_index:
+            return True
+        return context.log.find_term(chunk.last_index) == chunk.last_term
+
+    def _received_chars(self) -> int:
+        return sum(len(text) for text in self._chunks)
+
+    def _install(self, sender: str, chunk: SnapshotChunk) -> None:
+        payload = "".join(self._chunks)
+        self._chunks = []
+        self._transfer = None
+        snapshot = Snapshot(
+            chunk.last_index, chunk.last_term, chunk.membership, payload
+        )
+        self._context.install_snapshot(snapshot)
+        self._verified_index = max(self._verified_index, chunk.last_index)
+        self._last_request = self._describe_as_request(chunk)
+
+    def _confirm_snapshot(self, sender: str, chunk: SnapshotChunk) -> None:
+        self._verified_index = max(self._verified_index, chunk.last_index)
+        self._context.commit_to(chunk.last_index)
+        self._acknowledge(sender, self._describe_as_request(chunk))
+
+    def _describe_as_request(self, chunk: SnapshotChunk) -> AppendRequest:
+        return AppendRequest(
+            term=chunk.term,
+            prev_index=chunk.last_index,
+            prev_term=chunk.last_term,
+            entries=(),
+            commit_index=chunk.last_index,
+            sent_s=chunk.sent_s,
+        )
--- /dev/null
+++ b/tanagerpath/core/consensus/formation.py
@@ -0,0 +1,161 @@
+"""Formation of a new group and joining of an existing one."""
+
+import attrs
+
+from tanagerpath.core.consensus.context import FOUNDING_TERM, ReplicaContext
+from tanagerpath.core.consensus.events import EntryKind, LogEntry
+from tanagerpath.core.consensus.membership import Member, MemberRole, Membership
+from tanagerpath.core.consensus.messages import (
+    FoundingProposal,
+    JoinReply,
+    JoinRequest,
+)
+
+__all__ = ["Formation"]
+
+GROUP_ID_BITS = 64
+
+
+@attrs.frozen
+class _Report:
+    """Last answer of a configured VM to a join request of this replica."""
+
+    replica_id: str
+    address: str
+    formed: bool
+    received_s: float
+
+
+class Formation:
+    """Asks the configured VMs for a group, and founds one if all are empty.
+
+    Reports are answers to this replica's own requests, so a report of an empty
+    directory that was sent before this replica existed never counts.
+
+    Parameters
+    ----------
+    context : ReplicaContext
+        Shared state of the replica.
+    """
+
+    def __init__(self, context: ReplicaContext) -> None:
+        self._context = context
+        self._reports: dict[str, _Report] = {}
+        self._next_request_s = 0.0
+
+    @property
+    def next_request_s(self) -> float:
+        """Instant of the next join request."""
+        return self._next_request_s
+
+    def tick(self) -> None:
+        """Send join requests while there is no leader, and found a group if due."""
+        context = self._context
+        if context.now_s < self._next_request_s:
+            return
+        interval_s = context.config.join_interval_s
+        self._next_request_s = context.now_s + interval_s
+        if not self._lacks_leader():
+            return
+        if not context.formed and self._may_found():
+            self._found()
+        self._request_join()
+
+    def _lacks_leader(self) -> bool:
+        context = self._context
+        if context.pristine and context.leader_id is None:
+            return True
+        quiet_s = context.now_s - context.last_leader_contact_s
+        return quiet_s > 2 * context.config.election_timeout_max_s
+
+    def _request_join(self) -> None:
+        context = self._context
+        request = JoinRequest(
+            context.replica_id, context.config.vm_id, context.config.address
+        )
+        for vm_id, address in context.config.vms.items():
+            if vm_id != context.config.vm_id:
+                context.send_to_address(address, request)
+
+    def _may_found(self) -> bool:
+        context = self._context
+        vms = context.config.vms
+        if context.config.vm_id != min(vms) or not context.pristine:
+            return False
+        return all(
+            self._is_empty(vm_id) for vm_id in vms if vm_id != context.config.vm_id
+        )
+
+    def _is_empty(self, vm_id: str) -> bool:
+        report = self._reports.get(vm_id)
+        if report is None or report.formed:
+            return False
+        age_s = self._context.now_s - report.received_s
+        return age_s < self._context.config.empty_report_validity_s
+
+    def _found(self) -> None:
+        context = self._context
+        known = {
+            vm_id: (report.replica_id, report.address)
+            for vm_id, report in self._reports.items()
+            if vm_id in context.config.vms
+        }
+        known[context.config.vm_id] = (context.replica_id, context.config.address)
+        members = tuple(
+            Member(*known[vm_id][:1], vm_id, known[vm_id][1], self._choose_role(place))
+            for place, vm_id in enumerate(sorted(known))
+        )
+        group_id = f"{context.random.getrandbits(GROUP_ID_BITS):016x}"
+        membership = Membership(group_id, members)
+        self._store(LogEntry(1, FOUNDING_TERM, EntryKind.MEMBERSHIP, "", membership))
+        for member in members:
+            if member.replica_id != context.replica_id:
+                self._propose(member.replica_id)
+
+    def _choose_role(self, place: int) -> MemberRole:
+        is_voter = place < self._context.config.max_voters
+        return MemberRole.VOTER if is_voter else MemberRole.LEARNER
+
+    def _store(self, entry: LogEntry) -> None:
+        context = self._context
+        context.enter_term(max(context.term, FOUNDING_TERM))
+        context.append((entry,))
+        context.journal.record_hard_state()
+        context.restart_election_timeout()
+
+    def _propose(self, receiver: str) -> None:
+        """Send the founding entry; the own copy is synced before the message leaves."""
+        founding = self._context.log.read(1, 1)
+        if founding:
+            self._context.send(receiver, FoundingProposal(founding[0]))
+
+    def handle_request(self, sender: str, group_id: str, request: JoinRequest) -> None:
+        """Tell a replica without a leader whether this one has formed a group."""
+        context = self._context
+        if sender != request.replica_id or group_id not in ("", context.group_id):
+            return
+        reply = JoinReply(
+            context.replica_id,
+            context.config.vm_id,
+            context.config.address,
+            context.formed,
+        )
+        context.send(request.replica_id, reply, request.address)
+        is_member = context.membership.find(request.replica_id) is not None
+        if not group_id and is_member and context.pristine:
+            self._propose(request.replica_id)
+
+    def handle_reply(self, reply: JoinReply) -> None:
+        """Note the report of a configured VM."""
+        self._reports[reply.vm_id] = _Report(
+            reply.replica_id, reply.address, reply.formed, self._context.now_s
+        )
+
+    def handle_proposal(self, proposal: FoundingProposal) -> None:
+        """Store the founding entry if nothing is stored yet."""
+        context = self._context
+        membership = proposal.entry.membership
+        if context.formed or not context.pristine or membership is None:
+            return
+        if context.log.last_index == 0 and membership.find(context.replica_id):
+            self._store(proposal.entry)
--- /dev/null
+++ b/tanagerpath/core/consensus/messages.py
@@ -0,0 +1,169 @@
+"""Messages between replicas of one group.
+
+A leader's messages carry `sent_s`, the instant of sending on its own clock, and the
+receiver returns it unchanged. The lease is thereby measured from the sending, however
+long a message or its reply was delayed.
+"""
+
+import attrs
+
+from tanagerpath.core.consensus.events import LogEntry
+from tanagerpath.core.consensus.membership import Membership
+
+__all__ = [
+    "AppendReply",
+    "AppendRequest",
+    "FoundingProposal",
+    "JoinReply",
+    "JoinRequest",
+    "ReplicaMessage",
+    "SnapshotChunk",
+    "SnapshotChunkReply",
+    "TimeoutNow",
+    "VoteReply",
+    "VoteRequest",
+]
+
+
+@attrs.frozen
+class VoteRequest:
+    """Asks for a vote, or whether a vote would be given.
+
+    Attributes
+    ----------
+    term : int
+        Term that the sender stands for.
+    last_index, last_term : int
+        Position of the last entry of the sender's log.
+    pre_vote : bool
+        True if the sender only asks and has not entered the term.
+    transfer : bool
+        True if the leader asked the sender to stand; a receiver then votes although it
+        heard from that leader a moment ago.
+    """
+
+    term: int
+    last_index: int
+    last_term: int
+    pre_vote: bool = False
+    transfer: bool = False
+
+
+@attrs.frozen
+class VoteReply:
+    """Answers `VoteRequest`; a refusal carries the term of the refusing replica."""
+
+    term: int
+    granted: bool
+    pre_vote: bool = False
+
+
+@attrs.frozen
+class AppendRequest:
+    """Entries that follow `prev_index`, or a heartbeat if there are none."""
+
+    term: int
+    prev_index: int
+    prev_term: int
+    entries: tuple[LogEntry, ...]
+    commit_index: int
+    sent_s: float
+
+
+@attrs.frozen
+class AppendReply:
+    """Answers `AppendRequest` and a complete snapshot.
+
+    Attributes
+    ----------
+    term : int
+        Term of the replying replica.
+    accepted : bool
+        False if the log does not match at `prev_index`.
+    match_index : int
+        Last index that is on disk and equals the leader's log, if accepted.
+    prev_index : int
+        `prev_index` of the request.
+    hint_index : int
+        If not accepted, index from which the leader shall send.
+    sent_s : float
+        `sent_s` of the request.
+    """
+
+    term: int
+    accepted: bool
+    match_index: int
+    prev_index: int
+    hint_index: int
+    sent_s: float
+
+
+@attrs.frozen
+class SnapshotChunk:
+    """A part of the leader's snapshot, starting at character `offset`."""
+
+    term: int
+    last_index: int
+    last_term: int
+    membership: Membership
+    offset: int
+    text: str
+    complete: bool
+    sent_s: float
+
+
+@attrs.frozen
+class SnapshotChunkReply:
+    """Says from which offset the receiver lacks the snapshot after `last_index`."""
+
+    term: int
+    last_index: int
+    next_offset: int
+    sent_s: float
+
+
+@attrs.frozen
+class TimeoutNow:
+    """The leader of `term` hands over: the receiver stands for election at once."""
+
+    term: int
+
+
+@attrs.frozen
+class JoinRequest:
+    """A replica without a leader asks to be a member."""
+
+    replica_id: str
+    vm_id: str
+    address: str
+
+
+@attrs.frozen
+class JoinReply:
+    """Answers `JoinRequest`; `formed` is False if the sender's directory is empty."""
+
+    replica_id: str
+    vm_id: str
+    address: str
+    formed: bool
+
+
+@attrs.frozen
+class FoundingProposal:
+    """First entry of a new group; all founding members store it as index 1."""
+
+    entry: LogEntry
+
+
+ReplicaMessage = (
+    VoteRequest
+    | VoteReply
+    | AppendRequest
+    | AppendReply
+    | SnapshotChunk
+    | SnapshotChunkReply
+    | TimeoutNow
+    | JoinRequest
+    | JoinReply
+    | FoundingProposal
+)
--- /dev/null
+++ b/tanagerpath/core/consensus/replica.py
@@ -0,0 +1,282 @@
+"""One replica of the log."""
+
+import math
+import random
+
+from tanagerpath.core.consensus.changes import MembershipChanges
+from tanagerpath.core.consensus.config import ReplicaConfig, RestoredState
+from tanagerpath.core.consensus.context import ReplicaContext
+from tanagerpath.core.consensus.elections import Elections
+from tanagerpath.core.consensus.events import (
+    Action,
+    CommandProposed,
+    Event,
+    MessageReceived,
+    RestoreSnapshot,
+    Role,
+    SnapshotProvided,
+    StorageSynced,
+    Tick,
+    TransferRequested,
+)
+from tanagerpath.core.consensus.following import Following
+from tanagerpath.core.consensus.formation import Formation
+from tanagerpath.core.consensus.leadership import Leadership
+from tanagerpath.core.consensus.membership import Membership
+from tanagerpath.core.consensus.messages import (
+    AppendReply,
+    AppendRequest,
+    FoundingProposal,
+    JoinReply,
+    JoinRequest,
+    SnapshotChunk,
+    SnapshotChunkReply,
+    TimeoutNow,
+    VoteReply,
+    VoteRequest,
+)
+from tanagerpath.core.consensus.replication import Replicator
+
+__all__ = ["Replica"]
+
+
+class Replica:
+    """A member of a replication group, without input or output.
+
+    The owner calls `step` with one event at a time and carries out the returned actions
+    in their order. It sends a `Tick` no later than `find_wake_up_s`.
+
+    Parameters
+    ----------
+    context : ReplicaContext
+        State of the replica.
+    """
+
+    def __init__(self, context: ReplicaContext) -> None:
+        self._context = context
+        self._started = False
+        self._elections = Elections(context)
+        self._following = Following(context)
+        self._formation = Formation(context)
+        self._replicator = Replicator(context)
+        self._leadership = Leadership(context, self._replicator)
+        self._changes = MembershipChanges(context, self._leadership, self._replicator)
+        self._events = {
+            Tick: self._handle_tick,
+            MessageReceived: self._handle_message,
+            CommandProposed: self._handle_proposal,
+            StorageSynced: self._handle_sync,
+            SnapshotProvided: self._handle_snapshot,
+            TransferRequested: self._handle_transfer,
+        }
+        self._messages = {
+            VoteRequest: self._elections.handle_vote_request,
+            VoteReply: self._elections.handle_vote_reply,
+            AppendRequest: self._following.handle_append,
+            AppendReply: self._handle_append_reply,
+            SnapshotChunk: self._following.handle_chunk,
+            SnapshotChunkReply: self._handle_chunk_reply,
+            TimeoutNow: self._elections.handle_timeout_now,
+        }
+
+    @classmethod
+    def from_config(
+        cls,
+        config: ReplicaConfig,
+        restored: RestoredState,
+        random: random.Random,
+    ) -> "Replica":
+        """Build a replica on what its data directory holds.
+
+        Parameters
+        ----------
+        config : ReplicaConfig
+            Settings.
+        restored : RestoredState
+            Content of the data directory.
+        random : random.Random
+            Source of the identity, the group's name and election timeouts. In
+            production it is seeded from the operating system, because two replicas
+            must never draw the same identity.
+        """
+        return cls(ReplicaContext(config, restored, random))
+
+    @property
+    def replica_id(self) -> str:
+        """Identity of this replica."""
+        return self._context.replica_id
+
+    @property
+    def role(self) -> Role:
+        """Part that this replica plays."""
+        return self._context.role
+
+    @property
+    def term(self) -> int:
+        """Current term."""
+        return self._context.term
+
+    @property
+    def leader_id(self) -> str | None:
+        """Identity of the known leader."""
+        return self._context.leader_id
+
+    @property
+    def group_id(self) -> str:
+        """Name of the group, empty before the formation."""
+        return self._context.group_id
+
+    @property
+    def membership(self) -> Membership:
+        """Members in force."""
+        return self._context.membership
+
+    @property
+    def voters(self) -> tuple[str, ...]:
+        """Identities of the voters in force."""
+        return self._context.membership.voters
+
+    @property
+    def commit_index(self) -> int:
+        """Last index known to be committed."""
+        return self._context.commit_index
+
+    @property
+    def last_index(self) -> int:
+        """Last index of the log, committed or not."""
+        return self._context.log.last_index
+
+    def find_address(self, replica_id: str) -> str | None:
+        """Return the "ip:port" of a member, None if it is not a member."""
+        member = self._context.membership.find(replica_id)
+        return member.address if member else None
+
+    def has_lease(self, now_s: float) -> bool:
+        """Return whether this replica leads and no other one can at `now_s`."""
+        return self._leadership.has_lease(now_s)
+
+    def find_wake_up_s(self) -> float:
+        """Return the instant at which the next `Tick` is due."""
+        context = self._context
+        if not self._started:
+            return -math.inf
+        if context.role is Role.LEADER:
+            return self._leadership.next_heartbeat_s
+        if context.is_voter:
+            return min(context.election_deadline_s, self._formation.next_request_s)
+        return self._formation.next_request_s
+
+    def step(self, event: Event, now_s: float) -> list[Action]:
+        """Take one event and return what is to be done.
+
+        Parameters
+        ----------
+        event : Event
+            What happened.
+        now_s : float
+            Instant in seconds on the monotonic clock of the process, read after the
+            event was taken. An earlier instant would let this replica vote while a
+            leader still counts on its answer.
+
+        Returns
+        -------
+        list of Action
+            Actions in the order in which they are to be carried out.
+        """
+        self._context.now_s = now_s
+        if not self._started:
+            self._start()
+        self._events[type(event)](event)
+        if self._elections.has_won():
+            self._leadership.start()
+        return self._context.take_actions()
+
+    def _start(self) -> None:
+        context = self._context
+        self._started = True
+        context.record_leader_contact()
+        context.become_follower(context.term, None)
+        if context.log.snapshot is not None:
+            context.act(RestoreSnapshot(context.log.snapshot))
+
+    def _handle_tick(self, event: Tick) -> None:
+        if self._context.role is Role.LEADER:
+            self._leadership.tick()
+            self._changes.tick()
+        else:
+            self._elections.tick()
+            self._formation.tick()
+
+    def _handle_proposal(self, event: CommandProposed) -> None:
+        if self._context.role is Role.LEADER:
+            self._leadership.propose(event)
+        else:
+            self._context.reject_proposal(event.proposal_id)
+
+    def _handle_sync(self, event: StorageSynced) -> None:
+        self._context.journal.record_sync(event.sequence)
+        if self._context.role is Role.LEADER:
+            self._leadership.record_progress()
+        else:
+            self._following.record_sync()
+
+    def _handle_snapshot(self, event: SnapshotProvided) -> None:
+        self._context.store_own_snapshot(event.last_index, event.payload)
+
+    def _handle_transfer(self, event: TransferRequested) -> None:
+        if self._context.role is Role.LEADER:
+            self._leadership.request_transfer()
+
+    def _handle_message(self, event: MessageReceived) -> None:
+        message = event.message
+        if isinstance(message, JoinRequest):
+            self._handle_join(event, message)
+        elif event.receiver != self._context.replica_id:
+            return  # meant for an earlier identity of this VM
+        elif isinstance(message, JoinReply):
+            self._formation.handle_reply(message)
+        elif isinstance(message, FoundingProposal):
+            self._formation.handle_proposal(message)
+        elif self._accept_group(event):
+            self._messages[type(message)](event.sender, message)
+
+    def _accept_group(self, event: MessageReceived) -> bool:
+        context = self._context
+        if event.group_id == context.group_id:
+            return context.formed or self._is_from_leader(event)
+        if not event.group_id or not self._is_from_leader(event):
+            return False
+        if context.formed and not context.pristine:
+            return False
+        if context.formed:
+            context.truncate_from(1)
+        context.group_id = event.group_id
+        return True
+
+    def _is_from_leader(self, event: MessageReceived) -> bool:
+        return isinstance(event.message, (AppendRequest, SnapshotChunk))
+
+    def _handle_join(self, event: MessageReceived, request: JoinRequest) -> None:
+        context = self._context
+        self._formation.handle_request(event.sender, event.group_id, request)
+        if event.group_id not in ("", context.group_id) or not context.formed:
+            return
+        if context.role is Role.LEADER:
+            self._changes.request_join(request)
+        elif context.leader_id is not None and event.sender == request.replica_id:
+            context.send(context.leader_id, request)
+
+    def _handle_append_reply(self, sender: str, reply: AppendReply) -> None:
+        if self._leads_in(reply.term):
+            self._replicator.handle_append_reply(sender, reply)
+            self._leadership.record_progress()
+
+    def _handle_chunk_reply(self, sender: str, reply: SnapshotChunkReply) -> None:
+        if self._leads_in(reply.term):
+            self._replicator.handle_chunk_reply(sender, reply)
+
+    def _leads_in(self, term: int) -> bool:
+        context = self._context
+        if term > context.term:
+            context.become_follower(term, None)
+        return context.role is Role.LEADER and term == context.term
