--- /dev/null
+++ b/tanagerpath/cli/client.py
@@ -0,0 +1,147 @@
+"""Client of several entries that repeats a lost exchange on the next one."""
+
+from collections.abc import Callable
+from typing import Any, TypeVar
+
+import anyio
+import attrs
+from returns.pipeline import is_successful
+from returns.result import Failure as ResultFailure
+from returns.result import Result, Success
+
+from tanagerpath.cli.failures import (
+    CrossedReply,
+    NoEntryReachable,
+    Refused,
+    UnreadableReply,
+)
+from tanagerpath.codecs import decode_json
+from tanagerpath.core.protocol.callers import ErrorReply
+from tanagerpath.errors import Failure
+from tanagerpath.runtime.client import HttpClient, HttpReply
+from tanagerpath.settings import ClientSettings
+
+__all__ = ["EntryClient", "EntryRequest"]
+
+# With the default pause of 0.5 s, five rounds outlast a change of the leader (2 s).
+MAX_ROUNDS = 5
+_UNAVAILABLE_STATUS = 503
+
+T = TypeVar("T")
+
+
+@attrs.frozen
+class EntryRequest:
+    """One request to any entry; safe to repeat.
+
+    Attributes
+    ----------
+    method, path : str
+        HTTP method and target.
+    reply_type : type
+        Message that a success carries.
+    body : str
+        JSON text.
+    find_mismatch : callable
+        Returns why a reply belongs to another request or is not whole, or an empty
+        text.
+    extra_timeout_s : float
+        Seconds for which the entry may hold the request.
+    """
+
+    method: str
+    path: str
+    reply_type: type
+    body: str = ""
+    find_mismatch: Callable[[Any], str] = lambda reply: ""
+    extra_timeout_s: float = 0.0
+
+
+class EntryClient:
+    """Sends requests to the first entry that replies.
+
+    Parameters
+    ----------
+    settings : ClientSettings
+        Entries in the order in which they are tried, timeout and pause.
+    """
+
+    def __init__(self, settings: ClientSettings) -> None:
+        self._clients = [HttpClient(address) for address in settings.entries]
+        self._timeout_s = settings.client_timeout_s
+        self._pause_s = settings.client_pause_s
+
+    async def ask(self, request: EntryRequest) -> Result[Any, Failure]:
+        """Send a request until one entry replies.
+
+        An entry that is not available (status 503) is passed over like one that does
+        not reply, because another one may be.
+
+        Parameters
+        ----------
+        request : EntryRequest
+            What to send.
+
+        Returns
+        -------
+        Result
+            The message, or `Refused` or `NoEntryReachable`.
+        """
+        refusal: Refused | None = None
+        losses: list[Failure] = []
+        for number in range(MAX_ROUNDS):
+            if number:
+                await anyio.sleep(self._pause_s)
+            for client in self._clients:
+                outcome = await self._try(client, request)
+                if is_successful(outcome):
+                    return outcome
+                failure = outcome.failure()
+                if not isinstance(failure, Refused):
+                    losses.append(failure)
+                elif failure.status == _UNAVAILABLE_STATUS:
+                    refusal = failure
+                else:
+                    return outcome
+        return ResultFailure(refusal or self._describe_losses(losses))
+
+    async def _try(
+        self, client: HttpClient, request: EntryRequest
+    ) -> Result[Any, Failure]:
+        exchange = await client.exchange(
+            request.method,
+            request.path,
+            request.body.encode(),
+            timeout_s=self._timeout_s + request.extra_timeout_s,
+        )
+        return exchange.bind(lambda reply: _read(client.address, request, reply))
+
+    def _describe_losses(self, losses: list[Failure]) -> NoEntryReachable:
+        return NoEntryReachable(
+            entries=tuple(client.address for client in self._clients),
+            last=losses[-1].message,
+            not_run=all(loss.not_run for loss in losses),
+        )
+
+    async def close(self) -> None:
+        """Close all connections."""
+        for client in self._clients:
+            await client.close()
+
+
+def _read(
+    address: str, request: EntryRequest, reply: HttpReply
+) -> Result[Any, Failure]:
+    accepted = 200 <= reply.status < 300
+    kind = request.reply_type if accepted else ErrorReply
+    decoded = decode_json(reply.body, kind)
+    if not is_successful(decoded):
+        detail = f"status {reply.status}, {decoded.failure().message}"
+        return ResultFailure(UnreadableReply(address=address, detail=detail))
+    message = decoded.unwrap()
+    if not accepted:
+        return ResultFailure(Refused(error=message.error, status=reply.status))
+    mismatch = request.find_mismatch(message)
+    if mismatch:
+        return ResultFailure(CrossedReply(address=address, detail=mismatch))
+    return Success(message)
--- a/tanagerpath/settings/__init__.py
+++ b/tanagerpath/settings/__init__.py
@@ -1,5 +1,6 @@
 """Declared settings, read from flags and environment variables."""
 
+from tanagerpath.settings.client import ClientSettings
 from tanagerpath.settings.control import ControlSettings
 from tanagerpath.settings.declaration import Setting, list_settings
 from tanagerpath.settings.entry import EntrySettings
@@ -8,6 +9,7 @@
 from tanagerpath.settings.values import ControlAddress
 
 __all__ = [
+    "ClientSettings",
     "ControlAddress",
     "ControlSettings",
     "EntrySettings",
--- a/tanagerpath/settings/entry.py
+++ b/tanagerpath/settings/entry.py
@@ -9,7 +9,7 @@
 from tanagerpath.settings import common
 from tanagerpath.settings.declaration import Ordering, Setting, declare, find_fault
 from tanagerpath.settings.failures import InvalidSetting, MissingSetting
-from tanagerpath.settings.sources import read_values
+from tanagerpath.settings.sources import read_flags, read_values
 from tanagerpath.settings.values import ControlAddress, NumberType, WholeNumberType
 
 __all__ = ["EntrySettings"]
@@ -109,7 +109,15 @@
         Result
             The settings, or the first fault found.
         """
-        return read_values(cls, argv, environment).bind(cls._from_values)
+        given = read_flags(cls, argv)
+        return given.bind(lambda texts: cls.from_given(texts, environment))
+
+    @classmethod
+    def from_given(
+        cls, given: Mapping[str, str | None], environment: Mapping[str, str]
+    ) -> Result["EntrySettings", InvalidSetting | MissingSetting]:
+        """Read and check all settings from parsed flags; see `from_arguments`."""
+        return read_values(cls, given, environment).bind(cls._from_values)
 
     @classmethod
     def _from_values(cls, values: dict) -> Result["EntrySettings", InvalidSetting]:
--- a/tanagerpath/settings/reference.py
+++ b/tanagerpath/settings/reference.py
@@ -1,5 +1,6 @@
 """Reference page of all settings, made from their declarations."""
 
+from tanagerpath.settings.client import ClientSettings
 from tanagerpath.settings.control import ControlSettings
 from tanagerpath.settings.declaration import Setting, list_settings
 from tanagerpath.settings.entry import EntrySettings
@@ -20,6 +21,7 @@
 _SECTIONS = (
     ("`tanagerpath entry`", EntrySettings),
     ("`tanagerpath control`", ControlSettings),
+    ("Client commands", ClientSettings),
 )
 
 
--- a/tanagerpath/settings/sources.py
+++ b/tanagerpath/settings/sources.py
@@ -10,7 +10,7 @@
 from tanagerpath.settings.declaration import Setting, list_settings
 from tanagerpath.settings.failures import InvalidSetting, MissingSetting
 
-__all__ = ["add_flags", "read_values"]
+__all__ = ["add_flags", "read_flags", "read_values"]
 
 
 def add_flags(parser: argparse.ArgumentParser, kind: type) -> None:
@@ -42,8 +42,50 @@
     return text.replace("%", "%%")
 
 
+def read_flags(
+    kind: type, argv: Sequence[str]
+) -> Result[dict[str, str | None], InvalidSetting]:
+    """Read the flags of a class; a flag that it does not declare is refused.
+
+    Parameters
+    ----------
+    kind : type
+        Class made of `declare` fields.
+    argv : sequence of str
+        Flags with their values.
+
+    Returns
+    -------
+    Result
+        Texts by name of the setting, None for a flag that was not given.
+    """
+    parser = argparse.ArgumentParser(
+        add_help=False, allow_abbrev=False, exit_on_error=False
+    )
+    add_flags(parser, kind)
+    try:
+        given, unknown = parser.parse_known_args(list(argv))
+    except argparse.ArgumentError as error:
+        return ResultFailure(_describe_missing_value(str(error.argument_name)))
+    if unknown:
+        return ResultFailure(
+            InvalidSetting(
+                setting=unknown[0], value=" ".join(unknown), expected="a known flag"
+            )
+        )
+    return Success(vars(given))
+
+
+def _describe_missing_value(flag: str) -> InvalidSetting:
+    return InvalidSetting(
+        setting=flag.removeprefix("--").replace("-", "_"),
+        value="",
+        expected=f"a value after {flag}",
+    )
+
+
 def read_values(
-    kind: type, argv: Sequence[str], environment: Mapping[str, str]
+    kind: type, given: Mapping[str, str | None], environment: Mapping[str, str]
 ) -> Result[dict[str, Any], InvalidSetting | MissingSetting]:
     """Read the values that are given for the settings of a class.
 
@@ -51,8 +93,8 @@
     ----------
     kind : type
         Class made of `declare` fields.
-    argv : sequence of str
-        Flags; a flag goes before the variable of the same setting.
+    given : mapping of str to str or None
+        Texts of flags by name; a flag goes before the variable of the same setting.
     environment : mapping of str to str
         Environment variables; an empty one counts as not given.
 
@@ -61,43 +103,17 @@
     Result
         Parsed values by name, without those left to their defaults.
     """
-    given = _read_flags(kind, argv)
-    if isinstance(given, InvalidSetting):
-        return ResultFailure(given)
     values = {}
     for setting in list_settings(kind):
         text = given.get(setting.name)
         if text is None:
             text = environment.get(setting.variable) or None
+        if text is None and setting.required:
+            return ResultFailure(setting.make_missing())
         if text is None:
-            if setting.required:
-                return ResultFailure(setting.make_missing())
             continue
         try:
             values[setting.name] = setting.type.parse(text)
         except ValueError:
             return ResultFailure(setting.make_invalid(text))
     return Success(values)
-
-
-def _read_flags(
-    kind: type, argv: Sequence[str]
-) -> dict[str, str | None] | InvalidSetting:
-    parser = argparse.ArgumentParser(
-        add_help=False, allow_abbrev=False, exit_on_error=False
-    )
-    add_flags(parser, kind)
-    try:
-        given, unknown = parser.parse_known_args(list(argv))
-    except argparse.ArgumentError as error:
-        flag = str(error.argument_name)
-        return InvalidSetting(
-            setting=flag[2:].replace("-", "_"),
-            value="",
-            expected=f"a value after {flag}",
-        )
-    if unknown:
-        return InvalidSetting(
-            setting=unknown[0], value=" ".join(unknown), expected="a known flag"
-        )
-    return vars(given)
--- a/tanagerpath/settings/values.py
+++ b/tanagerpath/settings/values.py
@@ -11,6 +11,7 @@
 
 __all__ = [
     "AddressType",
+    "AddressesType",
     "ChoiceType",
     "ControlAddress",
     "ControlAddressesType",
@@ -184,6 +185,28 @@
         return self.minimum_port <= int(port) <= 65535
 
 
+@attrs.frozen
+class AddressesType(SettingType):
+    """Addresses in the order in which they are tried, separated by commas."""
+
+    @property
+    def expected(self) -> str:
+        """What a value must be."""
+        return "ip:port,ip:port,... with IPv4 addresses and ports from 1"
+
+    def parse(self, text: str) -> tuple[str, ...]:
+        """Return the addresses; see `SettingType.parse`."""
+        return tuple(part.strip() for part in text.split(","))
+
+    def allows(self, value: Any) -> bool:
+        """Return whether all addresses can be connected to."""
+        return len(value) > 0 and all(AddressType().allows(item) for item in value)
+
+    def render(self, value: Any) -> str:
+        """Return the text that stands for the addresses."""
+        return ",".join(value)
+
+
 @attrs.frozen
 class ControlAddress:
     """Where a control VM listens.
