Add the control process

Cause: the replica, the state and the leader's decisions need one owner that carries their actions out.

--- a/tanagerpath/cli/servers.py
+++ b/tanagerpath/cli/servers.py
@@ -92,6 +92,6 @@
 
     def make_application(self, settings: object) -> Application:
         """Build the control application."""
-        from tanagerpath.services.control import ControlApplication
+        from tanagerpath.services.control_application import ControlApplication
 
         return ControlApplication.from_settings(settings)
--- a/tanagerpath/core/coordination/coordinator.py
+++ b/tanagerpath/core/coordination/coordinator.py
@@ -29,7 +29,13 @@
 )
 from tanagerpath.core.coordination.sessions import LeaseTerms
 from tanagerpath.core.model import AttemptId, JobState, ServiceDocument
-from tanagerpath.core.placement import PendingJob, PlaceJob, PreemptJob, Scheduler
+from tanagerpath.core.placement import (
+    GuaranteeCannotBeMet,
+    PendingJob,
+    PlaceJob,
+    PreemptJob,
+    Scheduler,
+)
 from tanagerpath.core.protocol import upstreams as protocol
 from tanagerpath.core.protocol.upstreams import TaskPhase
 from tanagerpath.core.state import (
@@ -192,6 +198,10 @@
         """Attempts in progress by job; for status only."""
         return self._attempts
 
+    def list_unmet_guarantees(self) -> tuple[GuaranteeCannotBeMet, ...]:
+        """Return the guarantees that cannot be met now."""
+        return self._scheduler.list_unmet_guarantees()
+
     def _handle_event(self, event: Event, now: Instant) -> None:
         match event:
             case Ticked():
--- /dev/null
+++ b/tanagerpath/services/control_config.py
@@ -0,0 +1,51 @@
+"""Configurations of the core, made from the settings of a control process."""
+
+from tanagerpath.core.consensus import ReplicaConfig
+from tanagerpath.core.coordination import (
+    AttemptTerms,
+    ConclusionTerms,
+    CoordinatorConfig,
+    LeaseTerms,
+)
+from tanagerpath.core.placement import GuaranteeScheduler, Scheduler, SchedulerConfig
+from tanagerpath.settings import ControlSettings
+
+__all__ = ["make_coordinator_config", "make_replica_config", "make_scheduler"]
+
+
+def make_replica_config(settings: ControlSettings) -> ReplicaConfig:
+    """Return the configuration of the replica."""
+    vms = {c.vm_id: c.address for c in settings.control_addresses}
+    return ReplicaConfig(
+        vm_id=settings.vm_id,
+        address=vms[settings.vm_id],
+        vms=vms,
+        heartbeat_interval_s=settings.heartbeat_interval_s,
+        election_timeout_min_s=settings.election_timeout_min_s,
+        election_timeout_max_s=settings.election_timeout_max_s,
+        lease_duration_s=settings.lease_duration_s,
+        replace_voter_after_s=settings.replace_voter_after_s,
+        snapshot_after_entries=settings.snapshot_every_entries,
+    )
+
+
+def make_coordinator_config(settings: ControlSettings) -> CoordinatorConfig:
+    """Return the configuration of the coordinator."""
+    return CoordinatorConfig(
+        leases=LeaseTerms(
+            lease_s=settings.upstream_lease_s,
+            renew_interval_s=settings.upstream_renew_interval_s,
+            clock_margin_s=settings.clock_margin_s,
+        ),
+        attempts=AttemptTerms(
+            reservation_lapse_s=settings.reservation_lapse_s,
+            start_timeout_s=settings.start_timeout_s,
+        ),
+        conclusions=ConclusionTerms(job_retention_s=settings.job_retention_s),
+    )
+
+
+def make_scheduler(settings: ControlSettings) -> Scheduler:
+    """Return a fresh scheduling policy."""
+    config = SchedulerConfig(checkpoint_grace_s=settings.checkpoint_grace_s)
+    return GuaranteeScheduler.from_config(config)
--- /dev/null
+++ b/tanagerpath/services/control_messages.py
@@ -0,0 +1,30 @@
+"""Messages to the task that owns a control process's state."""
+
+import attrs
+
+from tanagerpath.core.protocol.internal import InternalRequest
+from tanagerpath.runtime import Reply
+
+__all__ = ["ConsensusArrived", "HandOver", "RequestArrived"]
+
+
+@attrs.frozen
+class ConsensusArrived:
+    """Messages of other replicas arrived, as (sender, message)."""
+
+    messages: tuple[tuple[str, object], ...]
+
+
+@attrs.frozen(eq=False)
+class RequestArrived:
+    """An entry asks; `reply` gets an `InternalReply`."""
+
+    request: InternalRequest
+    reply: Reply
+
+
+@attrs.frozen(eq=False)
+class HandOver:
+    """Give leadership away; `reply` gets None once another replica leads."""
+
+    reply: Reply
--- /dev/null
+++ b/tanagerpath/services/feeds.py
@@ -0,0 +1,51 @@
+"""Polls of entries that wait for changes."""
+
+import attrs
+
+from tanagerpath.core.protocol.internal import FeedRequest, NotLeaderReply
+from tanagerpath.core.state import SystemState
+from tanagerpath.runtime import Reply
+
+__all__ = ["FeedDesk"]
+
+
+@attrs.frozen(eq=False)
+class _Poll:
+    after_index: int
+    release_at_s: float
+    reply: Reply
+
+
+class FeedDesk:
+    """Holds polls until something changed or their time is up.
+
+    Parameters
+    ----------
+    hold_s : float
+        Longest time for which a poll is held, below the exchange deadline.
+    """
+
+    def __init__(self, hold_s: float) -> None:
+        self._hold_s = hold_s
+        self._polls: list[_Poll] = []
+
+    def hold(self, request: FeedRequest, reply: Reply, now_s: float) -> None:
+        """Keep a poll."""
+        self._polls.append(_Poll(request.after_index, now_s + self._hold_s, reply))
+
+    def find_wake_up_s(self) -> float | None:
+        """Return the instant at which the first poll has to be answered."""
+        return min((poll.release_at_s for poll in self._polls), default=None)
+
+    def release(self, state: SystemState, now_s: float, has_lease: bool) -> None:
+        """Answer the polls that are due; only the lease proves their freshness."""
+        kept: list[_Poll] = []
+        for poll in self._polls:
+            due = poll.after_index == 0 or now_s >= poll.release_at_s
+            if not due and not state.has_changes_after(poll.after_index):
+                kept.append(poll)
+            elif not has_lease or state.applied_index < poll.after_index:
+                poll.reply.send(NotLeaderReply())
+            else:
+                poll.reply.send(state.collect_changes(poll.after_index))
+        self._polls = kept
