--- /dev/null
+++ b/tanagerpath/core/placement/first_fit.py
@@ -0,0 +1,215 @@
+"""Baseline policies: first come first fit, with and without head-of-line blocking."""
+
+from collections.abc import Mapping
+from typing import Self
+
+import attrs
+from returns.result import Failure as Fail
+from returns.result import Result, Success
+
+from tanagerpath.core.model import (
+    AcceleratorRun,
+    Assignment,
+    GuaranteedShape,
+    JobRequest,
+    UpstreamCapacity,
+)
+from tanagerpath.core.placement.config import SchedulerConfig
+from tanagerpath.core.placement.geometry import (
+    MAX_SINGLE_UPSTREAM,
+    find_first_fit,
+)
+from tanagerpath.core.placement.occupancy import HeldJob, Occupancy
+from tanagerpath.core.placement.scheduler import (
+    Decision,
+    GuaranteeCannotBeMet,
+    ImpossibleShape,
+    PendingJob,
+    PlaceJob,
+    QuotaTooSmall,
+    Scheduler,
+    UpstreamCondition,
+)
+from tanagerpath.errors import Failure
+
+__all__ = ["FirstComeFirstFitScheduler", "FirstFitScheduler"]
+
+
+@attrs.define
+class FirstComeFirstFitScheduler(Scheduler):
+    """Places jobs strictly in order of arrival on the first run that fits.
+
+    It knows quotas and the conditions of upstreams, but no guarantees, classes,
+    preemption or failures. A job that does not fit blocks all later ones.
+    """
+
+    blocks_behind_head = True
+
+    _occupancy: Occupancy = attrs.field(factory=Occupancy)
+    _queue: dict[str, PendingJob] = attrs.field(factory=dict)
+    _quotas: dict[str, int] = attrs.field(factory=dict)
+
+    @classmethod
+    def from_config(cls, config: SchedulerConfig) -> Self:
+        """Make the policy; it has no use for the configuration."""
+        del config
+        return cls()
+
+    def update_upstream(
+        self, capacity: UpstreamCapacity, condition: UpstreamCondition, now_s: float
+    ) -> None:
+        """See `Scheduler`."""
+        self._occupancy.update_upstream(capacity, condition)
+
+    def remove_upstream(self, upstream_id: str) -> None:
+        """See `Scheduler`."""
+        self._occupancy.remove_upstream(upstream_id)
+
+    def update_guarantees(
+        self,
+        guarantees: Mapping[str, tuple[GuaranteedShape, ...]],
+        quotas: Mapping[str, int],
+    ) -> None:
+        """Replace the quotas; guarantees are ignored."""
+        self._quotas = dict(quotas)
+
+    def check_guarantees(
+        self, guarantees: Mapping[str, tuple[GuaranteedShape, ...]]
+    ) -> Result[None, GuaranteeCannotBeMet]:
+        """Accept any guarantees."""
+        return Success(None)
+
+    def list_unmet_guarantees(self) -> tuple[GuaranteeCannotBeMet, ...]:
+        """Return nothing."""
+        return ()
+
+    def submit(self, job: PendingJob, now_s: float) -> Result[None, Failure]:
+        """See `Scheduler`."""
+        request = job.request
+        if not self._occupancy.topology.could_hold(request):
+            return Fail(ImpossibleShape(accelerators=request.accelerators))
+        held = self._occupancy.topology.count_held(request.accelerators)
+        quota = self._quotas.get(request.organisation, 0)
+        if held > quota:
+            return Fail(QuotaTooSmall.from_request(request, quota))
+        self._queue[job.job_id] = job
+        return Success(None)
+
+    def withdraw(self, job_id: str) -> None:
+        """See `Scheduler`."""
+        self._queue.pop(job_id, None)
+
+    def restore(
+        self, job: PendingJob, assignment: Assignment, started_at_s: float
+    ) -> None:
+        """See `Scheduler`."""
+        self._queue.pop(job.job_id, None)
+        self._occupancy.hold(HeldJob(job, assignment, started_at_s, started_at_s))
+
+    def record_started(self, job_id: str, now_s: float) -> None:
+        """See `Scheduler`."""
+        held = self._occupancy.jobs.get(job_id)
+        if held is not None:
+            held.started_at_s = now_s
+
+    def record_finished(self, job_id: str, now_s: float) -> None:
+        """See `Scheduler`."""
+        self._occupancy.release(job_id)
+
+    def record_start_failure(self, job_id: str, upstream_id: str, now_s: float) -> None:
+        """Ignore the failure."""
+
+    def record_start_success(self, job_id: str, upstream_id: str, now_s: float) -> None:
+        """Ignore the success."""
+
+    def list_probe_candidates(self, now_s: float) -> tuple[str, ...]:
+        """Return nothing: no upstream is ever quarantined."""
+        return ()
+
+    def record_probe(self, upstream_id: str, healthy: bool, now_s: float) -> None:
+        """Ignore the probe."""
+
+    def decide(self, now_s: float) -> list[Decision]:
+        """See `Scheduler`."""
+        decisions: list[Decision] = []
+        refused: set[JobRequest] = set()
+        for job in sorted(self._queue.values(), key=_arrival):
+            needs = _describe_needs(job.request)
+            if needs in refused:
+                continue
+            assignment = self._find(job.request)
+            if assignment is not None:
+                self._occupancy.hold(HeldJob(job, assignment, now_s))
+                del self._queue[job.job_id]
+                decisions.append(PlaceJob(job.job_id, assignment))
+            elif self.blocks_behind_head:
+                break
+            else:
+                refused.add(needs)
+        return decisions
+
+    def find_wake_up_s(self, now_s: float) -> float | None:
+        """Return None: only events change what can be placed."""
+        return None
+
+    def explain(self, job_id: str, now_s: float) -> str:
+        """See `Scheduler`."""
+        if job_id in self._occupancy.jobs:
+            names = self._occupancy.jobs[job_id].assignment.upstream_ids
+            return f"Placed on {', '.join(names)}."
+        if job_id in self._queue:
+            return "Waits for its turn in order of arrival."
+        return "Not known to the scheduler."
+
+    def _find(self, request: JobRequest) -> Assignment | None:
+        topology = self._occupancy.topology
+        used = self._occupancy.usage.get(request.organisation, 0)
+        left = self._quotas.get(request.organisation, 0) - used
+        for window in topology.list_windows(request.accelerators):
+            if request.accelerators <= MAX_SINGLE_UPSTREAM:
+                assignment = self._fit_single(window[0], request)
+            else:
+                assignment = self._fit_gang(window, request)
+            if assignment is not None and assignment.accelerators <= left:
+                return assignment
+        return None
+
+    def _fit_single(self, upstream_id: str, request: JobRequest) -> Assignment | None:
+        state = self._occupancy.states[upstream_id]
+        if not state.is_usable or not state.has_room(request):
+            return None
+        first = find_first_fit(state.free, request.accelerators)
+        if first is None:
+            return None
+        return Assignment((AcceleratorRun(upstream_id, first, request.accelerators),))
+
+    def _fit_gang(
+        self, window: tuple[str, ...], request: JobRequest
+    ) -> Assignment | None:
+        for upstream_id in window:
+            state = self._occupancy.states[upstream_id]
+            if not state.is_usable or state.taken or not state.has_room(request):
+                return None
+        return self._occupancy.topology.make_gang_assignment(window)
+
+
+@attrs.define
+class FirstFitScheduler(FirstComeFirstFitScheduler):
+    """As the baseline, but a job that does not fit lets later ones pass."""
+
+    blocks_behind_head = False
+
+
+def _arrival(job: PendingJob) -> tuple[float, str]:
+    return (job.accepted_at_s, job.job_id)
+
+
+def _describe_needs(request: JobRequest) -> JobRequest:
+    return JobRequest(
+        organisation=request.organisation,
+        service=request.service,
+        key="",
+        accelerators=request.accelerators,
+        cores=request.cores,
+        memory_bytes=request.memory_bytes,
+    )
--- a/tanagerpath/core/placement/scheduler.py
+++ b/tanagerpath/core/placement/scheduler.py
@@ -3,6 +3,7 @@
 import abc
 import enum
 from collections.abc import Mapping
+from typing import Self
 
 import attrs
 from returns.result import Result
@@ -22,6 +23,7 @@
     "PendingJob",
     "PlaceJob",
     "PreemptJob",
+    "QuotaTooSmall",
     "Scheduler",
     "UpstreamCondition",
 ]
@@ -106,6 +108,33 @@
         )
 
 
+@attrs.frozen(kw_only=True)
+class QuotaTooSmall(Failure):
+    """The job needs more than its organisation may ever hold."""
+
+    not_run: bool = True
+    organisation: str
+    accelerators: int
+    quota_accelerators: int
+
+    @classmethod
+    def from_request(cls, request: JobRequest, quota_accelerators: int) -> Self:
+        """Make the failure for a request and the quota in force."""
+        return cls(
+            organisation=request.organisation,
+            accelerators=request.accelerators,
+            quota_accelerators=quota_accelerators,
+        )
+
+    @property
+    def message(self) -> str:
+        """One line for people."""
+        return (
+            f"{self.accelerators} accelerators exceed the quota of "
+            f"{self.quota_accelerators} of organisation {self.organisation!r}"
+        )
+
+
 class Scheduler(abc.ABC):
     """Decides where and when jobs run.
 
@@ -155,7 +184,11 @@
 
     @abc.abstractmethod
     def submit(self, job: PendingJob, now_s: float) -> Result[None, Failure]:
-        """Queue a job; fails with `ImpossibleShape` if it can never run."""
+        """Queue a job; fails with `ImpossibleShape` or `QuotaTooSmall` if it can't run.
+
+        A job that was preempted or whose start failed is submitted again under its
+        id, after `record_finished`.
+        """
 
     @abc.abstractmethod
     def withdraw(self, job_id: str) -> None:
