Add the guarantee plan and the scheduling policy

GuaranteeScheduler now keeps a plan of disjoint runs for all guaranteed shapes and spare runs, clears planned runs for claims, lets urgent jobs take over preemptible work, orders the queue by tier and age plus estimated run time, reserves runs for large jobs and backfills around them, learns run times, and counts start failures.

--- a/tanagerpath/core/placement/config.py
+++ b/tanagerpath/core/placement/config.py
@@ -20,8 +20,14 @@
         that a new document must leave room for.
     reservations : int
         Large waiting jobs that hold a dated reservation at the same time.
+    reservation_accelerators : int
+        Smallest job that gets a reservation.
     short_job_weight : float
         Seconds of age that a job loses for each second of estimated run time.
+    batch_handicap_s : float
+        Seconds of age that a batch job loses.
+    promote_after_s : float
+        Age at which any job counts as pressing.
     patient_margin_s : float
         A patient job counts as close to its deadline this long before the last
         instant at which it could start in time.
@@ -42,7 +48,10 @@
     spare_runs_wanted: int = 2
     spare_runs_required: int = 1
     reservations: int = 4
+    reservation_accelerators: int = 8
     short_job_weight: float = 1.0
+    batch_handicap_s: float = 600.0
+    promote_after_s: float = 4 * 3600.0
     patient_margin_s: float = 60.0
     failures_to_quarantine: int = 3
     upstreams_to_suspect_job: int = 3
--- /dev/null
+++ b/tanagerpath/core/placement/decisions.py
@@ -0,0 +1,239 @@
+"""One pass of decisions over all holds and waiting jobs."""
+
+import enum
+
+import attrs
+
+from tanagerpath.core.model import Assignment, JobClass
+from tanagerpath.core.placement.context import PolicyContext
+from tanagerpath.core.placement.dating import EarliestRunSearch
+from tanagerpath.core.placement.guarantees import PlannedRun
+from tanagerpath.core.placement.holds import Hold
+from tanagerpath.core.placement.occupancy import HeldJob
+from tanagerpath.core.placement.scheduler import (
+    Decision,
+    PendingJob,
+    PlaceJob,
+    PreemptJob,
+)
+from tanagerpath.core.placement.search import PlacementSearch
+from tanagerpath.core.placement.takeover import Takeover, TakeoverSearch, carve_run
+
+__all__ = ["HOLD_TIMEOUT_S", "RESERVATION_REVIEW_S", "DecisionPass"]
+
+# Longer than any checkpoint grace plus lease; a hold that old is searched for anew.
+HOLD_TIMEOUT_S = 10.0
+RESERVATION_REVIEW_S = 30.0
+
+
+class Outcome(enum.Enum):
+    """What came of trying one waiting job."""
+
+    TAKEN = enum.auto()
+    SKIPPED = enum.auto()
+    BLOCKED = enum.auto()
+
+
+@attrs.frozen
+class _QuotaBlock:
+    """The first job of an organisation that waits for its quota."""
+
+    job_id: str
+    date_s: float
+
+
+@attrs.define
+class DecisionPass:
+    """Makes the decisions of one call of `decide`."""
+
+    _context: PolicyContext
+    _decisions: list[Decision] = attrs.field(factory=list)
+    _quota_blocks: dict[str, _QuotaBlock] = attrs.field(factory=dict)
+    _dating: EarliestRunSearch = attrs.field()
+
+    @_dating.default
+    def _make_dating(self) -> EarliestRunSearch:
+        return EarliestRunSearch(self._context)
+
+    @classmethod
+    def from_context(cls, context: PolicyContext) -> "DecisionPass":
+        """Prepare a pass at the context's present instant."""
+        return cls(context)
+
+    def run(self) -> list[Decision]:
+        """Return the decisions."""
+        self._settle_holds()
+        waiting = self._context.queue.start_pass(self._context.now_s)
+        while (entry := waiting.pop()) is not None:
+            job, lane, index = entry
+            outcome = self._try(job)
+            if outcome is Outcome.TAKEN:
+                waiting.go_on(lane, index)
+            elif outcome is Outcome.SKIPPED:
+                waiting.go_on(lane, index + 1)
+        return self._decisions
+
+    def _settle_holds(self) -> None:
+        context = self._context
+        for hold in list(context.holds.holds.values()):
+            if not all(map(context.is_open, hold.assignment.upstream_ids)):
+                self._drop(hold)
+            elif self._is_ready(hold):
+                context.holds.remove(hold.job.job_id)
+                self._place(hold.job, hold.assignment)
+            elif context.now_s - hold.made_at_s > HOLD_TIMEOUT_S:
+                self._drop(hold)
+
+    def _is_ready(self, hold: Hold) -> bool:
+        context = self._context
+        if not context.holds.is_cleared(hold, context.occupancy):
+            return False
+        organisation = hold.job.request.organisation
+        used = context.occupancy.usage.get(organisation, 0)
+        return used + hold.assignment.accelerators <= context.quotas.get(
+            organisation, 0
+        )
+
+    def _drop(self, hold: Hold) -> None:
+        job_id = hold.job.job_id
+        self._context.holds.remove(job_id)
+        self._context.plan.release(job_id)
+        self._context.plan.refresh()
+        self._context.queue.add(hold.job)
+
+    def _try(self, job: PendingJob) -> Outcome:
+        context = self._context
+        if context.health.is_job_held(job.job_id, context.now_s):
+            return Outcome.SKIPPED
+        if context.plan.covers(job.request) and self._claim(job):
+            return Outcome.TAKEN
+        if self._has_quota(job):
+            assignment = PlacementSearch.from_job(context, job).find_free()
+            if assignment is not None:
+                self._place(job, assignment)
+                return Outcome.TAKEN
+            return self._wait_for_room(job)
+        if job.request.job_class is JobClass.URGENT and self._take_over(job):
+            return Outcome.TAKEN
+        return Outcome.BLOCKED
+
+    def _wait_for_room(self, job: PendingJob) -> Outcome:
+        if job.request.job_class is JobClass.URGENT and self._take_over(job):
+            return Outcome.TAKEN
+        self._reserve(job)
+        return Outcome.BLOCKED
+
+    def _claim(self, job: PendingJob) -> bool:
+        """Take a planned run of the job's organisation, clearing it if need be."""
+        plan = self._context.plan
+        runs = plan.list_claimable(job.request)
+        choices = runs + plan.list_exchangeable(runs)
+        found = self._choose_claim(choices, job)
+        if found is None and any(
+            plan.relocate(run, job.request, self._context.holds.masks) for run in runs
+        ):
+            found = self._choose_claim(runs, job)
+        if found is None:
+            return False
+        run, takeover = found
+        plan.claim(run, runs, job.job_id)
+        self._apply(job, takeover, self._context.config.reclaim_grace_s)
+        return True
+
+    def _choose_claim(
+        self, runs: list[PlannedRun], job: PendingJob
+    ) -> tuple[PlannedRun, Takeover] | None:
+        search = TakeoverSearch.from_claim(self._context, job)
+        choices = {carve_run(run, job.request.accelerators): run for run in runs}
+        takeover = search.choose(choices)
+        if takeover is None:
+            return None
+        return choices[takeover.assignment], takeover
+
+    def _take_over(self, job: PendingJob) -> bool:
+        """Take accelerators from preemptible work for an urgent job."""
+        if not self._context.leaves_claims_quota(job, job.request.accelerators):
+            return False
+        takeover = TakeoverSearch.from_urgent(self._context, job).find_cheapest()
+        if takeover is None:
+            return False
+        self._apply(job, takeover, self._context.config.urgent_grace_s)
+        return True
+
+    def _apply(self, job: PendingJob, takeover: Takeover, grace_s: float) -> None:
+        context = self._context
+        if not takeover.victims:
+            self._place(job, takeover.assignment)
+            return
+        context.queue.remove(job.job_id)
+        context.reservations.remove(job.job_id)
+        context.holds.add(Hold(job, takeover.assignment, context.now_s))
+        for job_id in takeover.victims:
+            self._preempt(context.occupancy.jobs[job_id], grace_s)
+
+    def _preempt(self, held: HeldJob, grace_s: float) -> None:
+        """Ask a job to leave; one that can't save a checkpoint is stopped at once."""
+        if held.preempting:
+            return
+        held.preempting = True
+        grace_s = grace_s if held.job.request.checkpointable else 0.0
+        deadline_s = self._context.now_s + grace_s
+        self._decisions.append(PreemptJob(held.job.job_id, deadline_s))
+
+    def _place(self, job: PendingJob, assignment: Assignment) -> None:
+        context = self._context
+        context.queue.remove(job.job_id)
+        context.reservations.remove(job.job_id)
+        context.occupancy.hold(HeldJob(job, assignment, context.now_s))
+        self._decisions.append(PlaceJob(job.job_id, assignment))
+
+    def _has_quota(self, job: PendingJob) -> bool:
+        """Whether the quota suffices; a job that lacks it blocks those that end later."""
+        context = self._context
+        organisation = job.request.organisation
+        needed = context.occupancy.topology.count_held(job.request.accelerators)
+        if not context.leaves_claims_quota(job, needed):
+            return False
+        if context.count_quota_left(organisation) < needed:
+            self._block_on_quota(job, needed)
+            return False
+        block = self._quota_blocks.get(organisation)
+        if block is None or job.request.job_class is JobClass.URGENT:
+            return True
+        return context.estimate_end_if_placed_s(job) <= block.date_s
+
+    def _block_on_quota(self, job: PendingJob, needed: int) -> None:
+        context = self._context
+        organisation = job.request.organisation
+        if organisation in self._quota_blocks:
+            return
+        ends = sorted(
+            (context.estimate_end_s(held), held.assignment.accelerators)
+            for held in context.occupancy.jobs.values()
+            if held.job.request.organisation == organisation
+        )
+        left = context.count_quota_left(organisation)
+        date_s = context.now_s
+        for end_s, accelerators in ends:
+            if left >= needed:
+                break
+            left += accelerators
+            date_s = end_s
+        self._quota_blocks[organisation] = _QuotaBlock(job.job_id, date_s)
+
+    def _reserve(self, job: PendingJob) -> None:
+        """Give a large waiting job a dated reservation, or look for a better one."""
+        context = self._context
+        if job.request.accelerators < context.config.reservation_accelerators:
+            return
+        present = context.reservations.by_job.get(job.job_id)
+        if present is None:
+            if len(context.reservations.by_job) >= context.config.reservations:
+                return
+        elif context.now_s - present.reviewed_at_s < RESERVATION_REVIEW_S:
+            return
+        found = self._dating.find(job)
+        if found is None:
+            context.reservations.remove(job.job_id)
+        else:
+            context.reservations.set(found)
--- a/tanagerpath/core/placement/geometry.py
+++ b/tanagerpath/core/placement/geometry.py
@@ -26,7 +26,9 @@
     "Topology",
     "carries",
     "find_first_fit",
+    "list_runs",
     "make_mask",
+    "measure_longest_run",
 ]
 
 MAX_SINGLE_UPSTREAM = 8
@@ -52,6 +54,30 @@
     return (starts & -starts).bit_length() - 1
 
 
+def measure_longest_run(free: int) -> int:
+    """Return the length of the longest run of adjacent set bits."""
+    length = 0
+    while free:
+        free &= free >> 1
+        length += 1
+    return length
+
+
+def list_runs(free: int) -> list[tuple[int, int]]:
+    """Return the first index and length of each run of adjacent set bits."""
+    runs = []
+    first = 0
+    while free:
+        skipped = (free & -free).bit_length() - 1
+        free >>= skipped
+        first += skipped
+        length = (~free & (free + 1)).bit_length() - 1
+        runs.append((first, length))
+        free >>= length
+        first += length
+    return runs
+
+
 def carries(capacity: UpstreamCapacity, request: JobRequest) -> bool:
     """Whether an empty upstream could run a member of this job."""
     if capacity.services and request.service not in capacity.services:
--- /dev/null
+++ b/tanagerpath/core/placement/health.py
@@ -0,0 +1,176 @@
+"""Start failures: which upstreams and which jobs are suspect."""
+
+import attrs
+
+from tanagerpath.core.placement.config import SchedulerConfig
+
+__all__ = ["HealthTracker"]
+
+
+@attrs.define
+class _UpstreamHealth:
+    failed_jobs: dict[str, float] = attrs.field(factory=dict)
+    paused_until_s: float = 0.0
+    quarantined: bool = False
+    probes: int = 0
+    next_probe_s: float = 0.0
+
+
+@attrs.define
+class _JobHealth:
+    failed_upstreams: dict[str, float] = attrs.field(factory=dict)
+    suspect: bool = False
+    held_until_s: float = 0.0
+
+
+@attrs.define
+class HealthTracker:
+    """Counts failed starts by upstream and by job.
+
+    An upstream is paused after each failure and quarantined once enough distinct
+    jobs failed on it; it comes back after a healthy probe. A job that failed on
+    enough distinct upstreams is suspect itself: its failures no longer count against
+    any upstream, and it waits longer before each further try.
+    """
+
+    _config: SchedulerConfig
+    _upstreams: dict[str, _UpstreamHealth] = attrs.field(factory=dict)
+    _jobs: dict[str, _JobHealth] = attrs.field(factory=dict)
+
+    def record_failure(self, job_id: str, upstream_id: str, now_s: float) -> bool:
+        """Count a failed start; return whether any quarantine changed."""
+        self._forget_old(now_s)
+        job = self._jobs.setdefault(job_id, _JobHealth())
+        job.failed_upstreams[upstream_id] = now_s
+        if len(job.failed_upstreams) >= self._config.upstreams_to_suspect_job:
+            return self._suspect(job_id, job, now_s)
+        upstream = self._upstreams.setdefault(upstream_id, _UpstreamHealth())
+        upstream.failed_jobs[job_id] = now_s
+        return self._pause(upstream, now_s)
+
+    def record_success(self, job_id: str, upstream_id: str) -> None:
+        """Forget earlier failures of an upstream that ran a job well.
+
+        A success of a job that had started before the quarantine does not end it.
+        """
+        self._jobs.pop(job_id, None)
+        upstream = self._upstreams.get(upstream_id)
+        if upstream is not None and not upstream.quarantined:
+            del self._upstreams[upstream_id]
+
+    def record_probe(self, upstream_id: str, healthy: bool, now_s: float) -> bool:
+        """Note a probe; return whether a quarantine ended."""
+        upstream = self._upstreams.get(upstream_id)
+        if upstream is None or not upstream.quarantined:
+            return False
+        if healthy:
+            del self._upstreams[upstream_id]
+            return True
+        upstream.probes += 1
+        interval_s = self._config.probe_interval_s * 2.0 ** min(upstream.probes, 16)
+        limit_s = self._config.probe_interval_limit_s
+        upstream.next_probe_s = now_s + min(interval_s, limit_s)
+        return False
+
+    def forget_upstream(self, upstream_id: str) -> None:
+        """Drop all that is known of an upstream."""
+        self._upstreams.pop(upstream_id, None)
+
+    def forget_job(self, job_id: str) -> None:
+        """Drop all that is known of a job."""
+        self._jobs.pop(job_id, None)
+
+    def is_quarantined(self, upstream_id: str) -> bool:
+        """Whether the upstream gets no work until a probe succeeds."""
+        upstream = self._upstreams.get(upstream_id)
+        return upstream is not None and upstream.quarantined
+
+    def has_failures(self, upstream_id: str) -> bool:
+        """Whether starts failed on the upstream since it last ran a job well."""
+        return upstream_id in self._upstreams
+
+    def is_paused(self, upstream_id: str, now_s: float) -> bool:
+        """Whether the upstream gets no ordinary work now."""
+        upstream = self._upstreams.get(upstream_id)
+        if upstream is None:
+            return False
+        return upstream.quarantined or upstream.paused_until_s > now_s
+
+    def is_job_held(self, job_id: str, now_s: float) -> bool:
+        """Whether a suspect job has to wait before its next try."""
+        job = self._jobs.get(job_id)
+        return job is not None and job.held_until_s > now_s
+
+    def is_job_suspect(self, job_id: str) -> bool:
+        """Whether a job failed on enough distinct upstreams to be suspect."""
+        job = self._jobs.get(job_id)
+        return job is not None and job.suspect
+
+    def list_failed_upstreams(self, job_id: str) -> tuple[str, ...]:
+        """Return the upstreams on which a job that is not suspect failed to start."""
+        job = self._jobs.get(job_id)
+        if job is None or job.suspect:
+            return ()
+        return tuple(job.failed_upstreams)
+
+    def list_probe_candidates(self, now_s: float) -> tuple[str, ...]:
+        """Return quarantined upstreams that are due for a probe."""
+        return tuple(
+            name
+            for name, upstream in self._upstreams.items()
+            if upstream.quarantined and upstream.next_probe_s <= now_s
+        )
+
+    def find_wake_up_s(self, now_s: float) -> float | None:
+        """Return the next instant at which a pause ends or a probe is due."""
+        instants = [
+            upstream.next_probe_s if upstream.quarantined else upstream.paused_until_s
+            for upstream in self._upstreams.values()
+        ]
+        instants += [job.held_until_s for job in self._jobs.values()]
+        return min((at_s for at_s in instants if at_s > now_s), default=None)
+
+    def _pause(self, upstream: _UpstreamHealth, now_s: float) -> bool:
+        failures = len(upstream.failed_jobs)
+        pause_s = self._config.back_off_s * 2.0 ** min(failures - 1, 16)
+        upstream.paused_until_s = now_s + min(pause_s, self._config.back_off_limit_s)
+        if upstream.quarantined or failures < self._config.failures_to_quarantine:
+            return False
+        upstream.quarantined = True
+        upstream.probes = 0
+        upstream.next_probe_s = now_s + self._config.probe_interval_s
+        return True
+
+    def _suspect(self, job_id: str, job: _JobHealth, now_s: float) -> bool:
+        job.suspect = True
+        tries = len(job.failed_upstreams) - self._config.upstreams_to_suspect_job
+        pause_s = self._config.back_off_s * 2.0 ** min(tries + 1, 16)
+        job.held_until_s = now_s + min(pause_s, self._config.back_off_limit_s)
+        changed = False
+        for upstream_id in job.failed_upstreams:
+            upstream = self._upstreams.get(upstream_id)
+            if upstream is not None:
+                changed |= self._take_back(upstream_id, upstream, job_id)
+        return changed
+
+    def _take_back(
+        self, upstream_id: str, upstream: _UpstreamHealth, job_id: str
+    ) -> bool:
+        upstream.failed_jobs.pop(job_id, None)
+        if not upstream.failed_jobs:
+            del self._upstreams[upstream_id]
+            return upstream.quarantined
+        if len(upstream.failed_jobs) >= self._config.failures_to_quarantine:
+            return False
+        was_quarantined = upstream.quarantined
+        upstream.quarantined = False
+        return was_quarantined
+
+    def _forget_old(self, now_s: float) -> None:
+        horizon_s = now_s - self._config.failure_memory_s
+        for job_id in [
+            job_id
+            for job_id, job in self._jobs.items()
+            if max(job.failed_upstreams.values()) < horizon_s
+        ]:
+            del self._jobs[job_id]
--- a/tanagerpath/core/placement/occupancy.py
+++ b/tanagerpath/core/placement/occupancy.py
@@ -3,7 +3,12 @@
 import attrs
 
 from tanagerpath.core.model import Assignment, JobRequest, UpstreamCapacity
-from tanagerpath.core.placement.geometry import Topology, carries, make_mask
+from tanagerpath.core.placement.geometry import (
+    Topology,
+    carries,
+    make_mask,
+    measure_longest_run,
+)
 from tanagerpath.core.placement.scheduler import PendingJob, UpstreamCondition
 
 __all__ = ["HeldJob", "Occupancy", "UpstreamState"]
@@ -25,6 +30,8 @@
         Instant at which all members ran.
     preempting : bool
         Whether the job was asked to leave.
+    failed : bool
+        Whether a member failed to start.
     """
 
     job: PendingJob
@@ -32,16 +39,24 @@
     placed_at_s: float
     started_at_s: float | None = None
     preempting: bool = False
+    failed: bool = False
 
 
 @attrs.define
 class UpstreamState:
-    """Use of one upstream; masks have one bit for each accelerator."""
+    """Use of one upstream; masks have one bit for each accelerator.
+
+    `firm` covers the accelerators held by jobs that may not be preempted, and
+    `firm_cores` and `firm_memory` are what those jobs use.
+    """
 
     capacity: UpstreamCapacity
     condition: UpstreamCondition
     masks: dict[str, int] = attrs.field(factory=dict)
     taken: int = 0
+    firm: int = 0
+    firm_cores: int = 0
+    firm_memory: int = 0
     cores_used: int = 0
     memory_used: int = 0
 
@@ -77,6 +92,10 @@
         self.taken |= mask
         self.cores_used += job.request.cores
         self.memory_used += job.request.memory_bytes
+        if not job.request.preemptible:
+            self.firm |= mask
+            self.firm_cores += job.request.cores
+            self.firm_memory += job.request.memory_bytes
 
     def discard(self, job: PendingJob) -> None:
         """Give back what a member holds."""
@@ -86,16 +105,50 @@
         self.taken &= ~mask
         self.cores_used -= job.request.cores
         self.memory_used -= job.request.memory_bytes
+        if not job.request.preemptible:
+            self.firm &= ~mask
+            self.firm_cores -= job.request.cores
+            self.firm_memory -= job.request.memory_bytes
 
 
 @attrs.define
 class Occupancy:
-    """Upstreams, the jobs on them and what each organisation holds."""
+    """Upstreams, the jobs on them and what each organisation holds.
+
+    Attributes
+    ----------
+    topology : Topology
+        All registered upstreams.
+    states : dict of str to UpstreamState
+        Use of each upstream.
+    jobs : dict of str to HeldJob
+        Jobs that hold accelerators.
+    usage, firm_usage : dict of str to int
+        Accelerators that each organisation holds, in all and by jobs that may not be
+        preempted.
+    """
 
     topology: Topology = attrs.field(factory=Topology)
     states: dict[str, UpstreamState] = attrs.field(factory=dict)
     jobs: dict[str, HeldJob] = attrs.field(factory=dict)
     usage: dict[str, int] = attrs.field(factory=dict)
+    firm_usage: dict[str, int] = attrs.field(factory=dict)
+    _by_free_run: dict[int, dict[str, None]] = attrs.field(factory=dict)
+    _free_run: dict[str, int] = attrs.field(factory=dict)
+
+    def list_by_free_run(self, length: int) -> list[str]:
+        """Return the upstreams whose longest run of free accelerators is `length`."""
+        return list(self._by_free_run.get(length, ()))
+
+    def list_free_runs(self, at_least: int) -> list[int]:
+        """Return the lengths of longest free runs that occur, in rising order."""
+        found = [length for length, names in self._by_free_run.items() if names]
+        return sorted(length for length in found if length >= at_least)
+
+    def count_empty_in_rack(self, upstream_id: str) -> int:
+        """Return how many upstreams of an upstream's rack are usable and empty."""
+        states = map(self.states.__getitem__, self.topology.list_rack(upstream_id))
+        return sum(state.is_usable and not state.taken for state in states)
 
     def update_upstream(
         self, capacity: UpstreamCapacity, condition: UpstreamCondition
@@ -106,16 +159,21 @@
         if state is not None:
             state.capacity = capacity
             state.condition = condition
+            self._index(state)
             return
         state = UpstreamState(capacity, condition)
         self.states[capacity.upstream_id] = state
         for held in self.jobs.values():
             self._attach(held, only=capacity.upstream_id)
+        self._index(state)
 
     def remove_upstream(self, upstream_id: str) -> None:
         """Forget an upstream."""
         self.topology.remove(upstream_id)
         self.states.pop(upstream_id, None)
+        length = self._free_run.pop(upstream_id, None)
+        if length is not None:
+            del self._by_free_run[length][upstream_id]
 
     def hold(self, held: HeldJob) -> None:
         """Note that a job holds its assignment.
@@ -136,6 +194,7 @@
             state = self.states.get(run.upstream_id)
             if state is not None:
                 state.discard(held.job)
+                self._index(state)
         self._count(held, -1)
         return held
 
@@ -145,8 +204,19 @@
             if state is None or only not in (None, run.upstream_id):
                 continue
             state.add(held.job, make_mask(run.first, run.count))
+            self._index(state)
+
+    def _index(self, state: UpstreamState) -> None:
+        name = state.capacity.upstream_id
+        length = measure_longest_run(state.free)
+        if name in self._free_run:
+            del self._by_free_run[self._free_run[name]][name]
+        self._free_run[name] = length
+        self._by_free_run.setdefault(length, {})[name] = None
 
     def _count(self, held: HeldJob, sign: int) -> None:
-        organisation = held.job.request.organisation
+        request = held.job.request
         change = sign * held.assignment.accelerators
-        self.usage[organisation] = self.usage.get(organisation, 0) + change
+        tables = [self.usage] if request.preemptible else [self.usage, self.firm_usage]
+        for table in tables:
+            table[request.organisation] = table.get(request.organisation, 0) + change
--- a/tanagerpath/core/placement/policy.py
+++ b/tanagerpath/core/placement/policy.py
@@ -1,12 +1,203 @@
 """The scheduling policy under guarantees."""
 
+from collections.abc import Mapping
+from typing import Self
+
 import attrs
+from returns.result import Failure as Fail
+from returns.result import Result, Success
 
-from tanagerpath.core.placement.first_fit import FirstFitScheduler
+from tanagerpath.core.model import Assignment, GuaranteedShape, UpstreamCapacity
+from tanagerpath.core.placement.config import SchedulerConfig
+from tanagerpath.core.placement.context import PolicyContext
+from tanagerpath.core.placement.decisions import (
+    HOLD_TIMEOUT_S,
+    RESERVATION_REVIEW_S,
+    DecisionPass,
+)
+from tanagerpath.core.placement.explanations import explain_job
+from tanagerpath.core.placement.occupancy import HeldJob
+from tanagerpath.core.placement.scheduler import (
+    Decision,
+    GuaranteeCannotBeMet,
+    ImpossibleShape,
+    PendingJob,
+    QuotaTooSmall,
+    Scheduler,
+    UpstreamCondition,
+)
+from tanagerpath.errors import Failure
 
 __all__ = ["GuaranteeScheduler"]
 
 
 @attrs.define
-class GuaranteeScheduler(FirstFitScheduler):
-    """First version without a guarantee plan: first fit that lets later jobs pass."""
+class GuaranteeScheduler(Scheduler):
+    """Keeps every guaranteed shape reclaimable and lends what it does not use.
+
+    The policy's design note is `docs/policy.md`.
+    """
+
+    _context: PolicyContext
+
+    @classmethod
+    def from_config(cls, config: SchedulerConfig) -> Self:
+        """Make the policy without upstreams, jobs or guarantees."""
+        return cls(PolicyContext.from_config(config))
+
+    def update_upstream(
+        self, capacity: UpstreamCapacity, condition: UpstreamCondition, now_s: float
+    ) -> None:
+        """See `Scheduler`."""
+        context = self._context
+        context.now_s = now_s
+        state = context.occupancy.states.get(capacity.upstream_id)
+        if state is not None and (state.capacity, state.condition) == (
+            capacity,
+            condition,
+        ):
+            return
+        context.occupancy.update_upstream(capacity, condition)
+        context.plan.is_stale = True
+        context.reservations.remove_on(capacity.upstream_id)
+
+    def remove_upstream(self, upstream_id: str) -> None:
+        """See `Scheduler`."""
+        context = self._context
+        context.occupancy.remove_upstream(upstream_id)
+        context.health.forget_upstream(upstream_id)
+        context.reservations.remove_on(upstream_id)
+        context.plan.is_stale = True
+
+    def update_guarantees(
+        self,
+        guarantees: Mapping[str, tuple[GuaranteedShape, ...]],
+        quotas: Mapping[str, int],
+    ) -> None:
+        """See `Scheduler`."""
+        self._context.quotas = dict(quotas)
+        self._context.plan.update_demands(guarantees)
+
+    def check_guarantees(
+        self, guarantees: Mapping[str, tuple[GuaranteedShape, ...]]
+    ) -> Result[None, GuaranteeCannotBeMet]:
+        """See `Scheduler`."""
+        return self._context.plan.check(guarantees)
+
+    def list_unmet_guarantees(self) -> tuple[GuaranteeCannotBeMet, ...]:
+        """See `Scheduler`."""
+        return self._context.plan.list_unmet()
+
+    def submit(self, job: PendingJob, now_s: float) -> Result[None, Failure]:
+        """See `Scheduler`."""
+        context = self._context
+        request = job.request
+        topology = context.occupancy.topology
+        if not topology.could_hold(request):
+            return Fail(ImpossibleShape(accelerators=request.accelerators))
+        quota = context.quotas.get(request.organisation, 0)
+        if topology.count_held(request.accelerators) > quota:
+            return Fail(QuotaTooSmall.from_request(request, quota))
+        context.queue.add(job)
+        return Success(None)
+
+    def withdraw(self, job_id: str) -> None:
+        """See `Scheduler`."""
+        context = self._context
+        removed = context.queue.remove(job_id) or context.holds.remove(job_id)
+        if removed is None:
+            return
+        context.plan.release(job_id)
+        context.reservations.remove(job_id)
+        context.health.forget_job(job_id)
+        context.progress_s.pop(job_id, None)
+
+    def restore(
+        self, job: PendingJob, assignment: Assignment, started_at_s: float
+    ) -> None:
+        """See `Scheduler`."""
+        context = self._context
+        context.queue.remove(job.job_id)
+        held = HeldJob(job, assignment, started_at_s, started_at_s)
+        context.occupancy.hold(held)
+        context.plan.is_stale = True
+
+    def record_started(self, job_id: str, now_s: float) -> None:
+        """See `Scheduler`."""
+        held = self._context.occupancy.jobs.get(job_id)
+        if held is not None:
+            held.started_at_s = now_s
+
+    def record_finished(self, job_id: str, now_s: float) -> None:
+        """See `Scheduler`."""
+        context = self._context
+        context.now_s = now_s
+        held = context.occupancy.release(job_id)
+        context.plan.release(job_id)
+        if held is not None:
+            self._learn(held, now_s)
+
+    def record_start_failure(self, job_id: str, upstream_id: str, now_s: float) -> None:
+        """See `Scheduler`."""
+        context = self._context
+        context.now_s = now_s
+        held = context.occupancy.jobs.get(job_id)
+        if held is not None:
+            held.failed = True
+        if context.health.record_failure(job_id, upstream_id, now_s):
+            context.plan.is_stale = True
+
+    def record_start_success(self, job_id: str, upstream_id: str, now_s: float) -> None:
+        """See `Scheduler`."""
+        self._context.health.record_success(job_id, upstream_id)
+
+    def list_probe_candidates(self, now_s: float) -> tuple[str, ...]:
+        """See `Scheduler`."""
+        return self._context.health.list_probe_candidates(now_s)
+
+    def record_probe(self, upstream_id: str, healthy: bool, now_s: float) -> None:
+        """See `Scheduler`."""
+        self._context.now_s = now_s
+        if self._context.health.record_probe(upstream_id, healthy, now_s):
+            self._context.plan.is_stale = True
+
+    def decide(self, now_s: float) -> list[Decision]:
+        """See `Scheduler`."""
+        self._context.now_s = now_s
+        self._context.plan.refresh()
+        return DecisionPass.from_context(self._context).run()
+
+    def find_wake_up_s(self, now_s: float) -> float | None:
+        """See `Scheduler`."""
+        context = self._context
+        instants = [
+            context.health.find_wake_up_s(now_s),
+            context.queue.find_wake_up_s(now_s),
+        ]
+        instants += [
+            hold.made_at_s + HOLD_TIMEOUT_S for hold in context.holds.holds.values()
+        ]
+        instants += [
+            reservation.reviewed_at_s + RESERVATION_REVIEW_S
+            for reservation in context.reservations.by_job.values()
+        ]
+        later = [at_s for at_s in instants if at_s is not None and at_s > now_s]
+        return min(later, default=None)
+
+    def explain(self, job_id: str, now_s: float) -> str:
+        """See `Scheduler`."""
+        self._context.now_s = now_s
+        self._context.plan.refresh()
+        return explain_job(self._context, job_id)
+
+    def _learn(self, held: HeldJob, now_s: float) -> None:
+        """Learn the run time of a job that ended by itself."""
+        context = self._context
+        job_id = held.job.job_id
+        if held.failed or held.started_at_s is None:
+            return
+        run_s = now_s - held.started_at_s + context.progress_s.pop(job_id, 0.0)
+        if not held.preempting:
+            context.estimator.observe(held.job.request, run_s)
+        elif held.job.request.checkpointable:
+            context.progress_s[job_id] = run_s
--- /dev/null
+++ b/tanagerpath/core/placement/queueing.py
@@ -0,0 +1,189 @@
+"""Order in which waiting jobs are tried."""
+
+import bisect
+import heapq
+import math
+
+import attrs
+
+from tanagerpath.core.model import JobClass
+from tanagerpath.core.placement.config import SchedulerConfig
+from tanagerpath.core.placement.estimates import RunTimeEstimator
+from tanagerpath.core.placement.scheduler import PendingJob
+
+__all__ = ["JobQueue", "Lane", "QueuePass", "Rank"]
+
+URGENT_TIER = 0
+CLAIM_TIER = 1
+PRESSING_TIER = 2
+ORDINARY_TIER = 3
+
+Rank = tuple[int, float, str]
+
+
+@attrs.frozen(cache_hash=True)
+class Lane:
+    """What makes waiting jobs interchangeable: if one can't start, none can."""
+
+    organisation: str
+    service: str
+    job_class: JobClass
+    accelerators: int
+    cores: int
+    memory_bytes: int
+    idempotent: bool
+    checkpointable: bool
+    guaranteed: bool
+    has_deadline: bool
+    declared_bucket: int
+
+    @classmethod
+    def from_job(cls, job: PendingJob) -> "Lane":
+        """Return the lane of a job; declared times are split by powers of four."""
+        request = job.request
+        declared_s = max(request.expected_run_s, 1.0)
+        return cls(
+            organisation=request.organisation,
+            service=request.service,
+            job_class=request.job_class,
+            accelerators=request.accelerators,
+            cores=request.cores,
+            memory_bytes=request.memory_bytes,
+            idempotent=request.idempotent,
+            checkpointable=request.checkpointable,
+            guaranteed=request.guaranteed,
+            has_deadline=job.deadline_s is not None,
+            declared_bucket=int(math.log(declared_s, 4.0)),
+        )
+
+
+@attrs.define
+class JobQueue:
+    """Waiting jobs in lanes of like jobs.
+
+    Tiers come first: urgent, guarantee claims, pressing (close to a deadline or older
+    than `promote_after_s`), ordinary. Ordinary jobs are ordered by their instant of
+    acceptance plus a share of their estimated run time; as that sum never changes, a
+    later job overtakes only within a bounded time and nothing starves.
+    """
+
+    _config: SchedulerConfig
+    _estimator: RunTimeEstimator
+    jobs: dict[str, PendingJob] = attrs.field(factory=dict)
+    _lanes: dict[Lane, list[tuple[float, float, str]]] = attrs.field(factory=dict)
+    _lane_of: dict[str, Lane] = attrs.field(factory=dict)
+
+    def add(self, job: PendingJob) -> None:
+        """Queue a job; a job of the same id is replaced."""
+        self.remove(job.job_id)
+        lane = Lane.from_job(job)
+        self.jobs[job.job_id] = job
+        self._lane_of[job.job_id] = lane
+        bisect.insort(self._lanes.setdefault(lane, []), _make_key(job))
+
+    def remove(self, job_id: str) -> PendingJob | None:
+        """Take a job out of the queue and return it."""
+        job = self.jobs.pop(job_id, None)
+        if job is None:
+            return None
+        lane = self._lane_of.pop(job_id)
+        keys = self._lanes[lane]
+        del keys[bisect.bisect_left(keys, _make_key(job))]
+        if not keys:
+            del self._lanes[lane]
+        return job
+
+    def find_rank(self, job: PendingJob, now_s: float) -> Rank:
+        """Return the sort key of a job; smaller goes first."""
+        request = job.request
+        if request.job_class is JobClass.URGENT:
+            return (URGENT_TIER, job.accepted_at_s, job.job_id)
+        if request.guaranteed:
+            return (CLAIM_TIER, job.accepted_at_s, job.job_id)
+        estimate_s = self._estimator.estimate_run_s(request)
+        if job.deadline_s is not None and job.deadline_s > now_s:
+            latest_start_s = job.deadline_s - estimate_s
+            if latest_start_s - self._config.patient_margin_s <= now_s:
+                return (PRESSING_TIER, latest_start_s, job.job_id)
+        if now_s - job.accepted_at_s > self._config.promote_after_s:
+            return (PRESSING_TIER, job.accepted_at_s, job.job_id)
+        handicap_s = self._config.short_job_weight * estimate_s
+        if request.job_class is JobClass.BATCH:
+            handicap_s += self._config.batch_handicap_s
+        return (ORDINARY_TIER, job.accepted_at_s + handicap_s, job.job_id)
+
+    def count_ahead(self, job: PendingJob, now_s: float) -> int:
+        """Return how many waiting jobs have a smaller rank."""
+        rank = self.find_rank(job, now_s)
+        others = self.jobs.values()
+        return sum(self.find_rank(other, now_s) < rank for other in others)
+
+    def find_wake_up_s(self, now_s: float) -> float | None:
+        """Return the next instant at which the head of a lane becomes pressing."""
+        instants = []
+        for keys in self._lanes.values():
+            job = self.jobs[keys[0][2]]
+            instants.append(job.accepted_at_s + self._config.promote_after_s)
+            if job.deadline_s is not None:
+                estimate_s = self._estimator.estimate_run_s(job.request)
+                latest_start_s = job.deadline_s - estimate_s
+                instants.append(latest_start_s - self._config.patient_margin_s)
+        # A moment later, so that the comparison with the limit is strict.
+        later = [at_s + 0.001 for at_s in instants if at_s > now_s]
+        return min(later, default=None)
+
+    def start_pass(self, now_s: float) -> "QueuePass":
+        """Return an iteration over the waiting jobs in order of rank."""
+        return QueuePass.from_queue(self, now_s)
+
+    def list_lane(self, lane: Lane) -> list[tuple[float, float, str]]:
+        """Return the sort keys of a lane's jobs."""
+        return self._lanes.get(lane, [])
+
+    def list_lanes(self) -> list[Lane]:
+        """Return all lanes that have jobs."""
+        return list(self._lanes)
+
+
+@attrs.define
+class QueuePass:
+    """One pass over the queue; a lane is left as soon as one of its jobs can't start.
+
+    The cost of a pass grows with the number of lanes and of started jobs, not with
+    the number of waiting jobs.
+    """
+
+    _queue: JobQueue
+    _now_s: float
+    _heap: list[tuple[Rank, int, Lane]] = attrs.field(factory=list)
+
+    @classmethod
+    def from_queue(cls, queue: JobQueue, now_s: float) -> "QueuePass":
+        """Start a pass over the heads of all lanes."""
+        made = cls(queue, now_s)
+        for lane in queue.list_lanes():
+            made._push(lane, 0)
+        return made
+
+    def pop(self) -> tuple[PendingJob, Lane, int] | None:
+        """Return the next job, its lane and its index there, or None at the end."""
+        if not self._heap:
+            return None
+        rank, index, lane = heapq.heappop(self._heap)
+        return self._queue.jobs[rank[2]], lane, index
+
+    def go_on(self, lane: Lane, index: int) -> None:
+        """Go on in a lane with the job that is now at `index`."""
+        self._push(lane, index)
+
+    def _push(self, lane: Lane, index: int) -> None:
+        keys = self._queue.list_lane(lane)
+        if index < len(keys):
+            job = self._queue.jobs[keys[index][2]]
+            rank = self._queue.find_rank(job, self._now_s)
+            heapq.heappush(self._heap, (rank, index, lane))
+
+
+def _make_key(job: PendingJob) -> tuple[float, float, str]:
+    deadline_s = math.inf if job.deadline_s is None else job.deadline_s
+    return (deadline_s, job.accepted_at_s, job.job_id)
--- /dev/null
+++ b/tanagerpath/core/placement/takeover.py
@@ -0,0 +1,242 @@
+"""Taking accelerators back from preemptible work."""
+
+from collections.abc import Iterable
+
+import attrs
+
+from tanagerpath.core.model import (
+    WORKERS_PER_RACK,
+    AcceleratorRun,
+    Assignment,
+    JobClass,
+)
+from tanagerpath.core.placement.context import PolicyContext
+from tanagerpath.core.placement.geometry import (
+    MAX_SINGLE_RACK,
+    MAX_SINGLE_UPSTREAM,
+    make_mask,
+)
+from tanagerpath.core.placement.guarantees import PlannedRun
+from tanagerpath.core.placement.occupancy import HeldJob, UpstreamState
+from tanagerpath.core.placement.scheduler import PendingJob
+
+__all__ = ["Takeover", "TakeoverSearch", "carve_run"]
+
+# Work lost when a job goes on from a checkpoint, in seconds for each accelerator.
+CHECKPOINT_LOSS_S = 10.0
+# Stopping such a job waits until its checkpoint was recorded, which may fail.
+NOT_IDEMPOTENT_LOSS_S = 3600.0
+# An urgent job gives way to a claim only if there is no other run.
+URGENT_LOSS_S = 36000.0
+# Urgent jobs keep clear of runs that may be claimed, where there is a choice.
+PLANNED_LOSS_S = 600.0
+# Feasible choices compared before the cheapest is taken; bounds the cost of a search.
+MAX_COMPARED = 64
+
+
+@attrs.frozen
+class Takeover:
+    """A run for a job and the jobs that have to leave for it.
+
+    Attributes
+    ----------
+    assignment : Assignment
+        The run.
+    victims : tuple of str
+        Jobs that hold it, or whose quota, cores or memory the job needs.
+    loss_s : float
+        Accelerator seconds of work that are lost.
+    """
+
+    assignment: Assignment
+    victims: tuple[str, ...]
+    loss_s: float
+
+
+@attrs.define
+class TakeoverSearch:
+    """Search for the run whose clearing loses the least work."""
+
+    _context: PolicyContext
+    _job: PendingJob
+    _spares_urgent: bool
+    _uses_planned: bool
+
+    @classmethod
+    def from_claim(cls, context: PolicyContext, job: PendingJob) -> "TakeoverSearch":
+        """Prepare the search for a guarantee claim inside its planned runs."""
+        return cls(context, job, spares_urgent=False, uses_planned=True)
+
+    @classmethod
+    def from_urgent(cls, context: PolicyContext, job: PendingJob) -> "TakeoverSearch":
+        """Prepare the search for an urgent job anywhere."""
+        return cls(
+            context,
+            job,
+            spares_urgent=True,
+            uses_planned=job.request.preemptible,
+        )
+
+    def evaluate(self, assignment: Assignment) -> Takeover | None:
+        """Return what taking this run would cost, or None if it can't be taken."""
+        victims: dict[str, None] = {}
+        for run in assignment.runs:
+            state = self._context.occupancy.states[run.upstream_id]
+            found = self._evict(state, make_mask(run.first, run.count))
+            if found is None:
+                return None
+            victims.update(dict.fromkeys(found))
+        extra = self._find_quota_victims(assignment.accelerators, victims)
+        if extra is None:
+            return None
+        victims.update(dict.fromkeys(extra))
+        jobs = self._context.occupancy.jobs
+        loss_s = sum(self._find_loss_s(jobs[name]) for name in victims)
+        if self._spares_urgent:
+            loss_s += PLANNED_LOSS_S * self._context.plan.count_owned(assignment)
+        return Takeover(assignment, tuple(victims), loss_s)
+
+    def find_cheapest(self) -> Takeover | None:
+        """Return the cheapest run anywhere, or None."""
+        return self.choose(self._list_runs())
+
+    def choose(self, assignments: Iterable[Assignment]) -> Takeover | None:
+        """Return the cheapest of several runs, or None."""
+        best: Takeover | None = None
+        compared = 0
+        for assignment in assignments:
+            found = self.evaluate(assignment)
+            if found is None:
+                continue
+            if best is None or found.loss_s < best.loss_s:
+                best = found
+            compared += 1
+            if best.loss_s <= 0.0 or compared >= MAX_COMPARED:
+                break
+        return best
+
+    def _list_runs(self) -> Iterable[Assignment]:
+        topology = self._context.occupancy.topology
+        size = self._job.request.accelerators
+        failed = self._context.health.list_failed_upstreams(self._job.job_id)
+        for window in topology.list_windows(size):
+            if any(name in failed or self._context.is_paused(name) for name in window):
+                continue
+            if size > MAX_SINGLE_UPSTREAM:
+                yield topology.make_gang_assignment(window)
+                continue
+            last = topology.capacities[window[0]].accelerators - size
+            for first in range(last + 1):
+                yield Assignment((AcceleratorRun(window[0], first, size),))
+
+    def _evict(self, state: UpstreamState, mask: int) -> list[str] | None:
+        """Return the jobs that have to leave these accelerators, or None."""
+        name = state.capacity.upstream_id
+        if not self._context.is_open(name) or mask & ~state.all_mask:
+            return None
+        if mask & (self._context.holds.masks.get(name, 0) | state.firm):
+            return None
+        if not self._uses_planned and mask & self._context.plan.masks.get(name, 0):
+            return None
+        victims = [job_id for job_id, held in state.masks.items() if held & mask]
+        jobs = self._context.occupancy.jobs
+        if self._spares_urgent and any(_is_urgent(jobs[name]) for name in victims):
+            return None
+        return self._add_room(state, victims)
+
+    def _add_room(self, state: UpstreamState, victims: list[str]) -> list[str] | None:
+        """Add victims on the upstream until cores, memory and a slot suffice."""
+        jobs = self._context.occupancy.jobs
+        others = [
+            jobs[name]
+            for name in state.masks
+            if name not in victims and self._may_evict(jobs[name])
+        ]
+        others.sort(key=self._find_loss_s)
+        while not self._has_room_without(state, victims):
+            if not others:
+                return None
+            victims.append(others.pop(0).job.job_id)
+        return victims
+
+    def _has_room_without(self, state: UpstreamState, victims: list[str]) -> bool:
+        jobs = self._context.occupancy.jobs
+        leaving = [jobs[name].job.request for name in victims]
+        request = self._job.request
+        capacity = state.capacity
+        if capacity.services and request.service not in capacity.services:
+            return False
+        if len(state.masks) - len(leaving) >= capacity.slots:
+            return False
+        cores = state.cores_used - sum(each.cores for each in leaving)
+        if cores + request.cores > capacity.cores:
+            return False
+        memory = state.memory_used - sum(each.memory_bytes for each in leaving)
+        return memory + request.memory_bytes <= capacity.memory_bytes
+
+    def _find_quota_victims(
+        self, accelerators: int, victims: Iterable[str]
+    ) -> list[str] | None:
+        """Return work of the same organisation that has to leave for its quota."""
+        organisation = self._job.request.organisation
+        jobs = self._context.occupancy.jobs
+        left = self._context.count_quota_left(organisation) - accelerators
+        if left >= 0:
+            return []
+        own = [
+            held
+            for held in jobs.values()
+            if held.job.request.organisation == organisation
+        ]
+        leaving = {held.job.job_id for held in own if held.preempting}.union(victims)
+        left += sum(
+            held.assignment.accelerators for held in own if held.job.job_id in leaving
+        )
+        extra = []
+        for held in sorted(own, key=self._find_loss_s):
+            if left >= 0:
+                break
+            if held.job.job_id not in leaving and self._may_evict(held):
+                extra.append(held.job.job_id)
+                left += held.assignment.accelerators
+        return extra if left >= 0 else None
+
+    def _may_evict(self, held: HeldJob) -> bool:
+        if not held.job.request.preemptible:
+            return False
+        return not (self._spares_urgent and _is_urgent(held))
+
+    def _find_loss_s(self, held: HeldJob) -> float:
+        """Return the accelerator seconds lost by stopping a job."""
+        if held.preempting:
+            return 0.0
+        request = held.job.request
+        loss_s = max(self._context.now_s - held.placed_at_s, 1.0)
+        if request.checkpointable:
+            loss_s = min(loss_s, CHECKPOINT_LOSS_S)
+        if not request.idempotent:
+            loss_s += NOT_IDEMPOTENT_LOSS_S
+        if _is_urgent(held):
+            loss_s += URGENT_LOSS_S
+        return loss_s * held.assignment.accelerators
+
+
+def carve_run(run: PlannedRun, accelerators: int) -> Assignment:
+    """Return the part of a planned run that a claim of this size takes."""
+    parts = run.assignment.runs
+    if accelerators <= MAX_SINGLE_UPSTREAM:
+        first = parts[0]
+        return Assignment(
+            (AcceleratorRun(first.upstream_id, first.first, accelerators),)
+        )
+    found = 0
+    taken = 0
+    step = WORKERS_PER_RACK if accelerators > MAX_SINGLE_RACK else 1
+    while found < accelerators:
+        found += sum(part.count for part in parts[taken : taken + step])
+        taken += step
+    return Assignment(parts[:taken])
+
+
+def _is_urgent(held: HeldJob) -> bool:
+    return held.job.request.job_class is JobClass.URGENT
