--- /dev/null
+++ b/tanagerpath/core/state/tests/test_system.py
@@ -0,0 +1,231 @@
+"""Guards the promises that the replicated state holds whoever proposes."""
+
+import testtools
+from returns.pipeline import is_successful
+
+from tanagerpath.codecs.state import (
+    decode_command,
+    decode_snapshot,
+    encode_command,
+    encode_snapshot,
+)
+from tanagerpath.core.model import (
+    AcceleratorRun,
+    Assignment,
+    AttemptId,
+    JobRequest,
+    JobState,
+    OrganisationTerms,
+    ServiceDocument,
+)
+from tanagerpath.core.state import (
+    AcceptJob,
+    ApplyDocument,
+    EndAttempt,
+    ExpireJobs,
+    FinishJob,
+    RecordCheckpoint,
+    RecordStart,
+    RecordStartRefuted,
+    RequestCancel,
+    SystemState,
+    make_job_id,
+)
+
+JOB = make_job_id("org", "sort", "key-1")
+ASSIGNMENT = Assignment((AcceleratorRun("u1", 0, 1),))
+FIRST, SECOND = AttemptId(1, 1), AttemptId(1, 2)
+
+
+def make_document(revision=1, owner="team", **changes):
+    return ServiceDocument(
+        "sort", revision, owner, (OrganisationTerms("org", 8),), **changes
+    )
+
+
+def apply_all(*commands):
+    state = SystemState()
+    results = [state.apply(i, command) for i, command in enumerate(commands, 1)]
+    return state, results
+
+
+def accept(idempotent=True, payload=""):
+    request = JobRequest("org", "sort", "key-1", idempotent=idempotent, payload=payload)
+    return AcceptJob(JOB, request, 100.0)
+
+
+def finish(attempt, state=JobState.ANSWERED):
+    return FinishJob(JOB, attempt, state, 900.0, answer="a", answer_sha256="d")
+
+
+START = RecordStart(JOB, FIRST, ASSIGNMENT)
+
+
+class TestDocuments(testtools.TestCase):
+    CASES = [
+        # name, documents in order, outcome of the last: None or the refusal's type
+        ("first", [make_document(1)], None),
+        ("first revision is not 1", [make_document(2)], "RevisionConflict"),
+        ("next", [make_document(1), make_document(2)], None),
+        ("gap", [make_document(1), make_document(3)], "RevisionConflict"),
+        ("same change again", [make_document(1), make_document(1)], None),
+        (
+            "equal revision, other content",
+            [make_document(1), make_document(1, owner="other")],
+            "RevisionConflict",
+        ),
+        (
+            "older change again",
+            [make_document(1), make_document(2), make_document(1)],
+            "RevisionConflict",
+        ),
+    ]
+
+    def test_compare_and_set(self):
+        for name, documents, refused in self.CASES:
+            _, results = apply_all(*map(ApplyDocument, documents))
+            got = results[-1]
+            outcome = None if is_successful(got) else got.failure().type_name
+            self.assertEqual(refused, outcome, name)
+
+    def test_conflict_names_the_current_revision(self):
+        _, results = apply_all(
+            ApplyDocument(make_document(1)),
+            ApplyDocument(make_document(2)),
+            ApplyDocument(make_document(2, owner="other")),
+        )
+        self.assertEqual(2, results[-1].failure().current_revision)
+
+    def test_resend_gets_the_same_answer(self):
+        change = ApplyDocument(make_document(1))
+        _, results = apply_all(change, accept(), change)
+        self.assertEqual(results[0], results[2])
+
+
+class TestJobs(testtools.TestCase):
+    """Each row ends with a command that must or must not have an effect."""
+
+    DOCUMENT = ApplyDocument(make_document(1))
+    CASES = [
+        ("second start of the same attempt", [START, START], "AttemptSuperseded"),
+        (
+            "non-idempotent job that may have run starts again",
+            [
+                START,
+                EndAttempt(JOB, FIRST, True),
+                RecordStart(JOB, SECOND, ASSIGNMENT),
+            ],
+            "NonIdempotentRerun",
+        ),
+        (
+            "non-idempotent job that certainly did not run starts again",
+            [
+                START,
+                RecordStartRefuted(JOB, FIRST),
+                RecordStart(JOB, SECOND, ASSIGNMENT),
+            ],
+            None,
+        ),
+        (
+            "refuted attempt is recorded again by an old leader",
+            [START, RecordStartRefuted(JOB, FIRST), START],
+            "AttemptSuperseded",
+        ),
+        ("answer of the current attempt", [START, finish(FIRST)], None),
+        ("answer of another attempt", [START, finish(SECOND)], "AttemptSuperseded"),
+        ("second answer", [START, finish(FIRST), finish(FIRST)], "JobAlreadyFinal"),
+        (
+            "answer after the attempt was refuted",
+            [START, RecordStartRefuted(JOB, FIRST), finish(FIRST)],
+            "AttemptSuperseded",
+        ),
+        (
+            "start after a cancel",
+            [RequestCancel((JOB,), 900.0), START],
+            "JobAlreadyFinal",
+        ),
+    ]
+
+    def test_effects(self):
+        for name, commands, refused in self.CASES:
+            _, results = apply_all(self.DOCUMENT, accept(idempotent=False), *commands)
+            got = results[-1]
+            outcome = None if is_successful(got) else got.failure().type_name
+            self.assertEqual(refused, outcome, name)
+
+    def test_refuted_attempt_after_a_preempted_one_leaves_the_job_possibly_run(self):
+        state, _ = apply_all(
+            self.DOCUMENT,
+            accept(),
+            START,
+            EndAttempt(JOB, FIRST, counts=False),
+            RecordStart(JOB, SECOND, ASSIGNMENT),
+            RecordStartRefuted(JOB, SECOND),
+            RequestCancel((JOB,), 900.0),
+        )
+        self.assertEqual(JobState.CANCELLED, state.jobs[JOB].state)
+        self.assertFalse(state.jobs[JOB].error.not_run)
+
+    def test_cancel_before_any_start_is_truly_not_run(self):
+        state, _ = apply_all(self.DOCUMENT, accept(), RequestCancel((JOB,), 900.0))
+        self.assertTrue(state.jobs[JOB].error.not_run)
+
+    def test_cancel_after_a_start_only_marks_the_job(self):
+        state, _ = apply_all(
+            self.DOCUMENT, accept(), START, RequestCancel((JOB,), 900.0)
+        )
+        self.assertEqual(JobState.START_RECORDED, state.jobs[JOB].state)
+        self.assertTrue(state.jobs[JOB].cancel_requested)
+
+    def test_same_key_finds_the_same_job_and_other_content_is_refused(self):
+        _, results = apply_all(
+            self.DOCUMENT, accept(), accept(), accept(payload="other")
+        )
+        self.assertEqual(results[1], results[2])
+        self.assertEqual("KeyConflict", results[3].failure().type_name)
+
+    def test_queue_bound_counts_waiting_jobs_only(self):
+        document = ApplyDocument(make_document(1, max_queued_jobs=1))
+        other = AcceptJob("other", JobRequest("org", "sort", "key-2"), 1.0)
+        _, results = apply_all(document, accept(), other, START, other)
+        outcomes = [is_successful(result) for result in results]
+        self.assertEqual([True, True, False, True, True], outcomes)
+
+    def test_checkpoints_survive_for_the_next_attempt(self):
+        state, _ = apply_all(
+            self.DOCUMENT, accept(), START, RecordCheckpoint(JOB, FIRST, ("c1",))
+        )
+        self.assertEqual(("c1",), state.jobs[JOB].checkpoints)
+        self.assertEqual(0, state.jobs[JOB].counted_attempts)
+
+    def test_ended_jobs_expire(self):
+        state, _ = apply_all(
+            self.DOCUMENT, accept(), START, finish(FIRST), ExpireJobs(900.0)
+        )
+        self.assertEqual({}, dict(state.jobs))
+
+
+class TestFeedAndSnapshot(testtools.TestCase):
+    COMMANDS = (ApplyDocument(make_document(1)), accept(), START, finish(FIRST))
+
+    def test_feed_lists_only_what_changed(self):
+        state, _ = apply_all(*self.COMMANDS)
+        new = state.collect_changes(0)
+        self.assertTrue(new.complete)
+        self.assertEqual(1, len(new.documents))
+        later = state.collect_changes(2)
+        self.assertEqual((), later.documents)
+        self.assertEqual([JOB], [change.job_id for change in later.jobs])
+        self.assertFalse(state.has_changes_after(4))
+
+    def test_snapshot_holds_everything(self):
+        state, _ = apply_all(*self.COMMANDS)
+        text = encode_snapshot(state.make_snapshot())
+        restored = SystemState.from_snapshot(decode_snapshot(text).unwrap())
+        self.assertEqual(state.make_snapshot(), restored.make_snapshot())
+        self.assertTrue(restored.collect_changes(2).complete)
+
+    def test_commands_survive_their_encoding(self):
+        for command in self.COMMANDS:
+            text = encode_command(command)
+            self.assertEqual(command, decode_command(text).unwrap())
--- a/tanagerpath/services/control_config.py
+++ b/tanagerpath/services/control_config.py
@@ -47,5 +47,5 @@
 
 def make_scheduler(settings: ControlSettings) -> Scheduler:
     """Return a fresh scheduling policy."""
-    config = SchedulerConfig(checkpoint_grace_s=settings.checkpoint_grace_s)
+    config = SchedulerConfig(reclaim_grace_s=settings.checkpoint_grace_s)
     return GuaranteeScheduler.from_config(config)
--- a/tanagerpath/services/statuses.py
+++ b/tanagerpath/services/statuses.py
@@ -16,6 +16,7 @@
     "RevisionConflict": 409,
     "GuaranteeCannotBeMet": 422,
     "ImpossibleShape": 422,
+    "QuotaTooSmall": 422,
     "PayloadTooLarge": 413,
     "QueueFull": 429,
     "Overloaded": 429,
