--- a/tanagerpath/core/consensus/replica.py
+++ b/tanagerpath/core/consensus/replica.py
@@ -151,6 +151,14 @@
         member = self._context.membership.find(replica_id)
         return member.address if member else None
 
+    @property
+    def peer_addresses(self) -> frozenset[str]:
+        """Addresses of all other members and configured VMs."""
+        context = self._context
+        members = {member.address for member in context.membership.members}
+        known = members | set(context.config.vms.values())
+        return frozenset(known - {context.config.address})
+
     def has_lease(self, now_s: float) -> bool:
         """Return whether this replica leads and no other one can at `now_s`."""
         return self._leadership.has_lease(now_s)
--- /dev/null
+++ b/tanagerpath/services/peers.py
@@ -0,0 +1,130 @@
+"""Tasks that carry messages to the other replicas."""
+
+import anyio
+from anyio.abc import TaskGroup
+
+from tanagerpath.codecs.replication import decode_batch, encode_batch
+from tanagerpath.core.consensus import SendMessage
+from tanagerpath.runtime.client import HttpClient
+from tanagerpath.runtime.mailbox import Mailbox
+from tanagerpath.runtime.tasks import Task
+
+__all__ = ["CONSENSUS_PATH", "PeerSet", "PeerTask", "decode_batch"]
+
+CONSENSUS_PATH = "/internal/v1/consensus"
+EXCHANGE_TIMEOUT_S = 1.0
+# About 10 s of heartbeats and replies; older messages are of no use to the protocol.
+MAILBOX_CAPACITY = 256
+
+
+class PeerTask(Task):
+    """Sends messages to one address, all that wait with one exchange.
+
+    Messages of an exchange that failed are not sent again; the protocol repeats what
+    matters.
+
+    Parameters
+    ----------
+    client : HttpClient
+        Client of the address; closed at the end.
+    capacity : int
+        Most messages that wait; the oldest are dropped beyond that.
+    timeout_s : float
+        Seconds until an exchange is given up.
+    """
+
+    def __init__(
+        self,
+        client: HttpClient,
+        capacity: int = MAILBOX_CAPACITY,
+        timeout_s: float = EXCHANGE_TIMEOUT_S,
+    ) -> None:
+        self._client = client
+        self._timeout_s = timeout_s
+        self._mailbox: Mailbox[SendMessage] = Mailbox(client.address, capacity)
+        self.dropped = 0
+        self.failed_exchanges = 0
+
+    def post(self, message: SendMessage) -> None:
+        """Queue a message; drop the older half of the queue if there is no room."""
+        if self._mailbox.post(message) is None:
+            return
+        waiting = self._mailbox.take_waiting()
+        kept = waiting[len(waiting) // 2 + 1 :]
+        self.dropped += len(waiting) - len(kept)
+        for newer in (*kept, message):
+            self._mailbox.post(newer)
+
+    async def run(self) -> None:
+        """Send until cancelled."""
+        try:
+            while True:
+                await self._send_waiting()
+        finally:
+            with anyio.CancelScope(shield=True):
+                await self._client.close()
+
+    async def _send_waiting(self) -> None:
+        first = await self._mailbox.receive()
+        messages = [first, *self._mailbox.take_waiting()]
+        result = await self._client.exchange(
+            "POST",
+            CONSENSUS_PATH,
+            encode_batch(messages),
+            timeout_s=self._timeout_s,
+        )
+        if result.map(lambda reply: reply.status >= 300).value_or(True):
+            self.failed_exchanges += 1
+
+
+class PeerSet:
+    """Keeps one `PeerTask` for each address in use.
+
+    Parameters
+    ----------
+    tasks : TaskGroup
+        Group that runs the peer tasks.
+    """
+
+    def __init__(self, tasks: TaskGroup) -> None:
+        self._tasks = tasks
+        self._peers: dict[str, PeerTask] = {}
+        self._scopes: dict[str, anyio.CancelScope] = {}
+
+    @property
+    def addresses(self) -> frozenset[str]:
+        """Addresses with an open task."""
+        return frozenset(self._peers)
+
+    def send(self, message: SendMessage) -> None:
+        """Queue a message for its address; one without an address is dropped."""
+        if not message.address:
+            return
+        if message.address not in self._peers:
+            self._open(message.address)
+        self._peers[message.address].post(message)
+
+    def _open(self, address: str) -> None:
+        self._peers[address] = PeerTask(HttpClient(address, max_connections=1))
+        self._scopes[address] = anyio.CancelScope()
+        self._tasks.start_soon(self._run, self._peers[address], self._scopes[address])
+
+    async def _run(self, peer: PeerTask, scope: anyio.CancelScope) -> None:
+        with scope:
+            await peer.run()
+
+    def retain(self, addresses: frozenset[str]) -> None:
+        """Close the tasks of all other addresses.
+
+        Parameters
+        ----------
+        addresses : frozenset of str
+            Addresses still in use, as `Replica.peer_addresses` gives them.
+        """
+        for address in self.addresses - addresses:
+            del self._peers[address]
+            self._scopes.pop(address).cancel()
+
+    def close(self) -> None:
+        """Close all tasks."""
+        self.retain(frozenset())
