--- /dev/null
+++ b/tanagerpath/emulator/caller.py
@@ -0,0 +1,123 @@
+"""Client of the caller and operator interface, as a caller's own program has one."""
+
+import time
+
+import attrs
+from returns.pipeline import is_successful
+
+from tanagerpath.codecs import decode_json, encode_json
+from tanagerpath.core.model import JobRequest, ServiceDocument
+from tanagerpath.core.protocol.callers import (
+    DocumentReply,
+    DocumentRequest,
+    ErrorBody,
+    ErrorReply,
+    JobReply,
+    SubmitRequest,
+)
+from tanagerpath.core.protocol.internal import StatusReply
+from tanagerpath.runtime.client import ConnectFailed, HttpClient
+
+__all__ = ["CallerClient", "Outcome"]
+
+EXCHANGE_MARGIN_S = 2.0
+
+
+@attrs.frozen
+class Outcome:
+    """Outcome of one exchange.
+
+    Attributes
+    ----------
+    value : object or None
+        Decoded reply of a successful exchange.
+    error : ErrorBody or None
+        Typed refusal.
+    status : int
+        HTTP status; 0 without a reply.
+    sent : bool
+        Whether the request may have arrived.
+    """
+
+    value: object | None = None
+    error: ErrorBody | None = None
+    status: int = 0
+    sent: bool = True
+
+
+class CallerClient:
+    """Exchanges with one of several entries; `move_on` turns to the next one.
+
+    Parameters
+    ----------
+    addresses : sequence of str
+        "ip:port" of the entries.
+    first : int
+        Index of the entry that is used first.
+    """
+
+    def __init__(self, addresses: tuple[str, ...], first: int = 0) -> None:
+        self._clients = [HttpClient(address, 1) for address in addresses]
+        self._index = first % len(addresses)
+
+    def move_on(self) -> None:
+        """Use the next entry from now on."""
+        self._index = (self._index + 1) % len(self._clients)
+
+    async def submit(self, job: JobRequest, wait_s: float) -> Outcome:
+        """Submit a job and wait up to `wait_s` seconds for its end."""
+        until_unix_s = time.time() + wait_s if wait_s else None
+        request = SubmitRequest(job, until_unix_s)
+        return await self._exchange("POST", "/v1/jobs", request, JobReply, wait_s)
+
+    async def poll(self, job_id: str, wait_s: float) -> Outcome:
+        """Ask for the answer of a job and wait up to `wait_s` seconds for it."""
+        path = f"/v1/jobs/{job_id}/answer?wait_ms={int(wait_s * 1000)}"
+        return await self._exchange("GET", path, None, JobReply, wait_s)
+
+    async def cancel(self, job_id: str) -> Outcome:
+        """Cancel a job."""
+        return await self._exchange("DELETE", f"/v1/jobs/{job_id}", None, JobReply)
+
+    async def apply(self, document: ServiceDocument) -> Outcome:
+        """Apply a document."""
+        path = f"/v1/services/{document.service}/document"
+        return await self._exchange(
+            "PUT", path, DocumentRequest(document), DocumentReply
+        )
+
+    async def read_document(self, service: str) -> Outcome:
+        """Return the document in force."""
+        path = f"/v1/services/{service}/document"
+        return await self._exchange("GET", path, None, DocumentReply)
+
+    async def read_status(self) -> Outcome:
+        """Return the state of the whole system."""
+        return await self._exchange("GET", "/v1/status", None, StatusReply)
+
+    async def is_ready(self) -> bool:
+        """Whether the entry in use takes work."""
+        reply = await self._clients[self._index].exchange("GET", "/readyz")
+        return is_successful(reply) and reply.unwrap().status == 200
+
+    async def _exchange(
+        self, method: str, path: str, request: object, kind: type, wait_s: float = 0.0
+    ) -> Outcome:
+        body = encode_json(request).encode() if request is not None else b""
+        result = await self._clients[self._index].exchange(
+            method, path, body, timeout_s=wait_s + EXCHANGE_MARGIN_S
+        )
+        if not is_successful(result):
+            return Outcome(sent=not isinstance(result.failure(), ConnectFailed))
+        reply = result.unwrap()
+        if reply.status in (200, 202):
+            value = decode_json(reply.body, kind).value_or(None)
+            return Outcome(value, status=reply.status)
+        refusal = decode_json(reply.body, ErrorReply).value_or(None)
+        error = refusal.error if refusal is not None else None
+        return Outcome(error=error, status=reply.status)
+
+    async def close(self) -> None:
+        """Close all connections."""
+        for client in self._clients:
+            await client.close()
--- a/tanagerpath/emulator/upstream.py
+++ b/tanagerpath/emulator/upstream.py
@@ -249,11 +249,12 @@
         """Listen for each upstream and start its tasks."""
         addresses = {}
         for index in range(self._options.count):
-            capacity = self._make_capacity(index)
+            capacity = self.make_capacity(index)
             addresses[capacity.upstream_id] = self._start_one(tasks, index, capacity)
         print(json.dumps({"ready": True, "upstreams": addresses}), flush=True)
 
-    def _make_capacity(self, index: int) -> UpstreamCapacity:
+    def make_capacity(self, index: int) -> UpstreamCapacity:
+        """Return what the upstream with an index carries."""
         options = self._options
         place = options.position + index
         location = UpstreamLocation(
