--- a/tanagerpath/core/coordination/attempts.py
+++ b/tanagerpath/core/coordination/attempts.py
@@ -89,6 +89,8 @@
         Whether the start is in the log.
     starts_sent : bool
         Whether this or an earlier leader may have sent a start.
+    recorded_at_s : float
+        Instant at which the record of the start was applied.
     reason : Failure or None
         Why the attempt is being stopped.
     answer : str or None
@@ -108,6 +110,7 @@
     record_proposed: bool = False
     recorded: bool = False
     starts_sent: bool = False
+    recorded_at_s: float = 0.0
     reason: Failure | None = None
     answer: str | None = None
     answer_sha256: str = ""
--- a/tanagerpath/core/coordination/coordinator.py
+++ b/tanagerpath/core/coordination/coordinator.py
@@ -17,10 +17,10 @@
     Effect,
     Event,
     Instant,
+    JobPeriod,
     LeaveArrived,
-    Milestone,
     Propose,
-    RecordMilestone,
+    RecordPeriod,
     ReportArrived,
     Respond,
     Ticked,
@@ -352,7 +352,6 @@
         attempt.checkpoints = record.checkpoints
         self._keep(attempt)
         self._effects += self._driver.reserve(attempt, now)
-        self._note_milestone(Milestone.PLACED, record, now)
 
     def _preempt(self, job_id: str, deadline_s: float, now: Instant) -> None:
         attempt = self._attempts.get(job_id)
@@ -363,14 +362,16 @@
         else:
             self._stop(attempt, failures.JobPreempted(), now)
 
-    def _note_milestone(
-        self, milestone: Milestone, record: JobRecord, now: Instant
+    def _note_period(
+        self, period: JobPeriod, record: JobRecord, elapsed_s: float
     ) -> None:
-        elapsed_s = max(0.0, now.unix_s - record.accepted_at_unix_s)
         request = record.request
         self._effects.append(
-            RecordMilestone(
-                milestone, request.organisation, request.job_class, elapsed_s
+            RecordPeriod(
+                period,
+                request.organisation,
+                request.job_class,
+                max(0.0, elapsed_s),
             )
         )
 
@@ -430,6 +431,9 @@
         if attempt is None or attempt.attempt_id != attempt_id:
             return
         if is_successful(result):
+            record = self._state.jobs[job_id]
+            elapsed_s = now.unix_s - record.accepted_at_unix_s
+            self._note_period(JobPeriod.WAITING, record, elapsed_s)
             self._effects += self._driver.start(attempt, now)
             self._advance(attempt, now)
         else:
@@ -459,8 +463,8 @@
             self._scheduler.withdraw(job_id)
             self._unstarted.pop(job_id, None)
             self._taken_job_ids.discard(job_id)
-            if record.state is JobState.ANSWERED:
-                self._note_milestone(Milestone.ANSWERED, record, now)
+            elapsed_s = now.unix_s - record.accepted_at_unix_s
+            self._note_period(JobPeriod.COMPLETION, record, elapsed_s)
 
     def _release(self, attempt: Attempt, now: Instant) -> None:
         del self._attempts[attempt.job_id]
@@ -497,7 +501,8 @@
         if attempt.phase is AttemptPhase.RUNNING and not was_running:
             self._scheduler.record_started(attempt.job_id, now.now_s)
             record = self._state.jobs[attempt.job_id]
-            self._note_milestone(Milestone.STARTED, record, now)
+            elapsed_s = now.now_s - attempt.recorded_at_s
+            self._note_period(JobPeriod.START, record, elapsed_s)
         self._advance(attempt, now)
 
     def _compare_tasks(
--- a/tanagerpath/core/coordination/driver.py
+++ b/tanagerpath/core/coordination/driver.py
@@ -80,6 +80,7 @@
         """Send the starts of an attempt whose start is in the log."""
         attempt.record_proposed = True
         attempt.recorded = True
+        attempt.recorded_at_s = now.now_s
         if attempt.phase is AttemptPhase.STOPPING:
             return []
         attempt.starts_sent = True
--- a/tanagerpath/core/coordination/messages.py
+++ b/tanagerpath/core/coordination/messages.py
@@ -17,10 +17,10 @@
     "Effect",
     "Event",
     "Instant",
+    "JobPeriod",
     "LeaveArrived",
-    "Milestone",
     "Propose",
-    "RecordMilestone",
+    "RecordPeriod",
     "ReportArrived",
     "Respond",
     "Ticked",
@@ -140,19 +140,23 @@
     reply: object
 
 
-class Milestone(enum.StrEnum):
-    """Instants in the life of a job that are measured from its acceptance."""
+class JobPeriod(enum.StrEnum):
+    """Periods in the life of a job that are measured.
 
-    PLACED = "placed"
-    STARTED = "started"
-    ANSWERED = "answered"
+    WAITING lasts from the acceptance to the recorded start, START from there until all
+    members run, COMPLETION from the acceptance to the end.
+    """
+
+    WAITING = "waiting"
+    START = "start"
+    COMPLETION = "completion"
 
 
 @attrs.frozen
-class RecordMilestone:
-    """A job reached a milestone `elapsed_s` seconds after it was accepted."""
+class RecordPeriod:
+    """A measured period of a job, in seconds."""
 
-    milestone: Milestone
+    period: JobPeriod
     organisation: str
     job_class: JobClass
     elapsed_s: float
@@ -165,4 +169,4 @@
     name: str
 
 
-Effect = Propose | CallUpstream | Respond | RecordMilestone | CountEvent
+Effect = Propose | CallUpstream | Respond | RecordPeriod | CountEvent
--- a/tanagerpath/observability/metrics.py
+++ b/tanagerpath/observability/metrics.py
@@ -142,6 +142,14 @@
         family = self._find_family(name, "gauge")
         family.values[_fold_labels(family, labels)] = value
 
+    def list_counts(self, name: str) -> tuple[tuple[str, int], ...]:
+        """Return the values of a counter with one label, by label value."""
+        family = self._families.get(name)
+        if family is None:
+            return ()
+        counts = [(labels[0][1], int(v)) for labels, v in family.values.items()]
+        return tuple(sorted(counts))
+
     def _find_family(self, name: str, kind: str) -> _Family:
         if _NAME.fullmatch(name) is None:
             raise ValueError(f"metric name {name!r} is not of a-z, 0-9 and '_'")
--- a/tanagerpath/services/control.py
+++ b/tanagerpath/services/control.py
@@ -18,7 +18,7 @@
     CountEvent,
     Instant,
     Propose,
-    RecordMilestone,
+    RecordPeriod,
     Respond,
     Ticked,
     UpstreamCallFailed,
@@ -28,7 +28,7 @@
 from tanagerpath.core.protocol import internal
 from tanagerpath.core.state import SystemState
 from tanagerpath.observability.logs import get_logger
-from tanagerpath.observability.metrics import MetricsRegistry
+from tanagerpath.observability.metrics import JobTime, MetricsRegistry
 from tanagerpath.runtime import Clock, Mailbox, Task
 from tanagerpath.services.control_config import make_coordinator_config, make_scheduler
 from tanagerpath.services.control_messages import (
@@ -129,6 +129,7 @@
         now_s = self._clock.read_s()
         if now_s >= self._replica.find_wake_up_s():
             self._step(consensus.Tick())
+        self._peers.retain(self._replica.peer_addresses)
         self._update_leadership()
         if now_s >= self._next_tick_s:
             self._next_tick_s = now_s + self._settings.tick_interval_s
@@ -146,8 +147,8 @@
     def _take(self, message: object) -> None:
         match message:
             case ConsensusArrived(messages):
-                for sender, content in messages:
-                    self._step(consensus.MessageReceived(sender, content))
+                for received in messages:
+                    self._step(received)
             case consensus.StorageSynced():
                 self._step(message)
             case RequestArrived():
@@ -202,8 +203,8 @@
 
     def _carry_out(self, action: consensus.Action) -> None:
         match action:
-            case consensus.SendMessage(receiver, message):
-                self._peers.send(receiver, message)
+            case consensus.SendMessage():
+                self._peers.send(action)
             case consensus.PersistState():
                 self._storage.post(action)
             case consensus.DeliverCommitted(entries):
@@ -311,9 +312,8 @@
                 self._links.call(effect)
             case Respond(token, reply):
                 self._desk.respond(token, reply)
-            case RecordMilestone(milestone, organisation, job_class, elapsed_s):
-                self._metrics.observe(
-                    str(milestone), elapsed_s, organisation, str(job_class)
-                )
+            case RecordPeriod(period, organisation, job_class, elapsed_s):
+                kind = JobTime(period.value)
+                self._metrics.record_time(kind, organisation, job_class, elapsed_s)
             case CountEvent(name):
                 self._metrics.count("events", type=name)
--- a/tanagerpath/services/control_application.py
+++ b/tanagerpath/services/control_application.py
@@ -71,8 +71,10 @@
         # Two replicas must never draw the same identity.
         source = random.SystemRandom()
         replica = Replica.from_config(config, restored.unwrap(), source)
-        storage = StorageTask(directory, self._mailbox)
-        peers = PeerSet(tasks, replica, config)
+        storage = StorageTask.from_directory(
+            directory, restored.unwrap(), self._mailbox
+        )
+        peers = PeerSet(tasks)
         self._control = ControlTask(
             self._settings,
             replica,
@@ -112,7 +114,7 @@
         batch = decode_batch(await request.body())
         if not is_successful(batch):
             return PlainTextResponse(batch.failure().message + "\n", 400)
-        self._mailbox.post(ConsensusArrived(batch.unwrap()))
+        self._mailbox.post(ConsensusArrived(tuple(batch.unwrap())))
         return Response(status_code=204)
 
     async def _take_request(self, request: Request) -> Response:
--- a/tanagerpath/services/control_messages.py
+++ b/tanagerpath/services/control_messages.py
@@ -2,6 +2,7 @@
 
 import attrs
 
+from tanagerpath.core.consensus import MessageReceived
 from tanagerpath.core.protocol.internal import InternalRequest
 from tanagerpath.runtime import Reply
 
@@ -10,9 +11,9 @@
 
 @attrs.frozen
 class ConsensusArrived:
-    """Messages of other replicas arrived, as (sender, message)."""
+    """Messages of other replicas arrived."""
 
-    messages: tuple[tuple[str, object], ...]
+    messages: tuple[MessageReceived, ...]
 
 
 @attrs.frozen(eq=False)
