--- a/tanagerpath/emulator/caller.py
+++ b/tanagerpath/emulator/caller.py
@@ -110,12 +110,11 @@
         if not is_successful(result):
             return Outcome(sent=not isinstance(result.failure(), ConnectFailed))
         reply = result.unwrap()
-        if reply.status in (200, 202):
-            value = decode_json(reply.body, kind).value_or(None)
-            return Outcome(value, status=reply.status)
+        # A job that never ran has the status of its refusal and the body of a job.
+        value = decode_json(reply.body, kind).value_or(None)
         refusal = decode_json(reply.body, ErrorReply).value_or(None)
         error = refusal.error if refusal is not None else None
-        return Outcome(error=error, status=reply.status)
+        return Outcome(value, error, reply.status)
 
     async def close(self) -> None:
         """Close all connections."""
--- /dev/null
+++ b/tanagerpath/emulator/processes.py
@@ -0,0 +1,84 @@
+"""Processes that the demo and the fault drill start, and end by their id."""
+
+import pathlib
+import signal
+import subprocess
+
+import anyio
+
+from tanagerpath.emulator.deployment import ProcessPlan
+
+__all__ = ["ProcessTable"]
+
+STOP_LIMIT_S = 20.0
+
+
+class ProcessTable:
+    """Owns child processes; their output goes to one log file for each name.
+
+    Parameters
+    ----------
+    folder : pathlib.Path
+        Folder of the log files.
+    """
+
+    def __init__(self, folder: pathlib.Path) -> None:
+        self._folder = folder
+        self._children: dict[str, subprocess.Popen] = {}
+
+    def find_log(self, name: str) -> pathlib.Path:
+        """Return the log file of a process."""
+        return self._folder / f"{name}.log"
+
+    def start(self, plan: ProcessPlan) -> None:
+        """Start a process."""
+        with self.find_log(plan.name).open("ab") as log:
+            self._children[plan.name] = subprocess.Popen(
+                plan.arguments,
+                stdin=subprocess.DEVNULL,
+                stdout=log,
+                stderr=subprocess.STDOUT,
+            )
+
+    def is_running(self, name: str) -> bool:
+        """Whether a process was started and has not ended."""
+        child = self._children.get(name)
+        return child is not None and child.poll() is None
+
+    def kill(self, name: str) -> None:
+        """Kill a process at once."""
+        self._children[name].kill()
+        self._children[name].wait()
+
+    def freeze(self, name: str) -> None:
+        """Keep a process from running until `resume`."""
+        self._children[name].send_signal(signal.SIGSTOP)
+
+    def resume(self, name: str) -> None:
+        """Let a frozen process run again."""
+        self._children[name].send_signal(signal.SIGCONT)
+
+    async def stop(self, name: str) -> int:
+        """Stop a process gracefully; return its exit status, -9 if it had to be killed.
+
+        Parameters
+        ----------
+        name : str
+            Name of the process.
+        """
+        child = self._children[name]
+        child.terminate()
+        with anyio.move_on_after(STOP_LIMIT_S):
+            while child.poll() is None:
+                await anyio.sleep(0.02)
+        if child.poll() is None:
+            self.kill(name)
+        return child.returncode
+
+    def kill_all(self) -> None:
+        """End all processes that still run."""
+        for child in self._children.values():
+            if child.poll() is None:
+                child.kill()
+        for child in self._children.values():
+            child.wait()
