--- a/tanagerpath/emulator/caller.py
+++ b/tanagerpath/emulator/caller.py
@@ -1,7 +1,9 @@
 """Client of the caller and operator interface, as a caller's own program has one."""
 
 import time
+from collections.abc import Sequence
 
+import anyio
 import attrs
 from returns.pipeline import is_successful
 
@@ -16,11 +18,13 @@
     SubmitRequest,
 )
 from tanagerpath.core.protocol.internal import StatusReply
+from tanagerpath.runtime import Mailbox, Task
 from tanagerpath.runtime.client import ConnectFailed, HttpClient
 
-__all__ = ["CallerClient", "Outcome"]
+__all__ = ["CallerClient", "Outcome", "ReadinessWatch"]
 
 EXCHANGE_MARGIN_S = 2.0
+PROBE_INTERVAL_S = 0.2
 
 
 @attrs.frozen
@@ -64,6 +68,10 @@
         """Use the next entry from now on."""
         self._index = (self._index + 1) % len(self._clients)
 
+    def use(self, index: int) -> None:
+        """Use one entry from now on."""
+        self._index = index
+
     async def submit(self, job: JobRequest, wait_s: float) -> Outcome:
         """Submit a job and wait up to `wait_s` seconds for its end."""
         until_unix_s = time.time() + wait_s if wait_s else None
@@ -120,3 +128,31 @@
         """Close all connections."""
         for client in self._clients:
             await client.close()
+
+
+class ReadinessWatch(Task):
+    """Probes entries as a balancer does and posts the indexes of the ready ones.
+
+    Parameters
+    ----------
+    addresses : sequence of str
+        "ip:port" of the entries.
+    owner : Mailbox
+        Gets a tuple of int after each round.
+    """
+
+    def __init__(self, addresses: Sequence[str], owner: Mailbox) -> None:
+        self._clients = [CallerClient((address,)) for address in addresses]
+        self._owner = owner
+
+    async def run(self) -> None:
+        """Probe until cancelled."""
+        try:
+            while True:
+                ready = [await client.is_ready() for client in self._clients]
+                self._owner.post(tuple(i for i, passed in enumerate(ready) if passed))
+                await anyio.sleep(PROBE_INTERVAL_S)
+        finally:
+            with anyio.CancelScope(shield=True):
+                for client in self._clients:
+                    await client.close()
--- a/tanagerpath/emulator/cluster.py
+++ b/tanagerpath/emulator/cluster.py
@@ -87,7 +87,7 @@
         """Start everything, apply the first document and wait until all is ready."""
         self.start_servers()
         self.start_upstreams()
-        await self.wait_for("entries", self._are_entries_ready)
+        await self.wait_for("entries", self.are_entries_ready)
         await self.wait_for("upstreams", self.are_upstreams_usable)
         await self.wait_for("document", self._apply_first)
 
@@ -111,7 +111,8 @@
             await anyio.sleep(POLL_INTERVAL_S)
         raise ClusterNotReady(f"{what}: not ready within {limit_s} s")
 
-    async def _are_entries_ready(self) -> bool:
+    async def are_entries_ready(self) -> bool:
+        """Whether the readiness probe of every entry passes."""
         for _ in self.deployment.entry_ids:
             if not await self.caller.is_ready():
                 return False
@@ -172,15 +173,16 @@
         elif name in self.deployment.entry_ids:
             self.processes.start(self.deployment.plan_entry(name))
         else:
-            self.processes.start(self.deployment.plan_upstreams(self._group(name)))
+            self.processes.start(self.deployment.plan_upstreams(self.find_group(name)))
 
     def kill_upstreams(self, name: str) -> None:
         """Kill a group of upstreams and note it in the journals."""
         self.processes.kill(name)
-        for upstream_id in self._group(name).upstream_ids:
+        for upstream_id in self.find_group(name).upstream_ids:
             self._kills.append(JournalLine(time.time(), upstream_id, "killed"))
 
-    def _group(self, name: str) -> UpstreamGroup:
+    def find_group(self, name: str) -> UpstreamGroup:
+        """Return the group of upstreams with a name."""
         return next(g for g in self.deployment.groups if g.name == name)
 
     def find_upstream_addresses(self, name: str) -> Mapping[str, str]:
--- a/tanagerpath/emulator/deployment.py
+++ b/tanagerpath/emulator/deployment.py
@@ -47,6 +47,8 @@
         Their zone.
     position : int
         Place of the first one in rack 0.
+    listen, announce_address : str
+        Where the upstreams listen, and what they announce if a proxy stands between.
     """
 
     name: str
@@ -54,6 +56,8 @@
     count: int
     availability_zone: str
     position: int = 0
+    listen: str = "127.0.0.1:0"
+    announce_address: str = ""
 
     @property
     def upstream_ids(self) -> tuple[str, ...]:
@@ -144,9 +148,7 @@
         }
         return ProcessPlan(vm_id, (*_python("tanagerpath"), role, *_flatten(flags)))
 
-    def plan_upstreams(
-        self, group: UpstreamGroup, listen: str = "", announce_address: str = ""
-    ) -> ProcessPlan:
+    def plan_upstreams(self, group: UpstreamGroup) -> ProcessPlan:
         """Return the command line of a process of stand-in upstreams."""
         flags = {
             "--upstream-id": group.upstream_ids[0],
@@ -156,8 +158,8 @@
             "--entries": ",".join(self.entry_addresses),
             "--services": SERVICE,
             "--journal": str(self.journals / f"{group.name}.journal"),
-            "--listen": listen or "127.0.0.1:0",
-            "--announce-address": announce_address,
+            "--listen": group.listen,
+            "--announce-address": group.announce_address,
         }
         command = _python("tanagerpath.emulator.upstream")
         return ProcessPlan(group.name, (*command, *_flatten(flags)))
--- a/tanagerpath/emulator/load.py
+++ b/tanagerpath/emulator/load.py
@@ -1,7 +1,8 @@
 """Load tool: submits jobs to entries over HTTP and counts what becomes of them.
 
 Jobs fall due at a fixed rate, whether or not earlier ones have ended, so that a slow
-system does not hide its delays. A caller whose exchange was lost sends the job again
+system does not hide its delays. As behind a balancer, each job goes to an entry whose
+readiness probe passed. A caller whose exchange was lost sends the job again
 with the same key through another entry. It counts as
 
 - lost: accepted or uncertain, and without a last word by the end, or forgotten (status
@@ -26,7 +27,7 @@
 from tanagerpath.codecs import encode_value
 from tanagerpath.core.model import JobClass, JobRequest, JobState
 from tanagerpath.core.protocol.callers import JobReply
-from tanagerpath.emulator.caller import CallerClient, Outcome
+from tanagerpath.emulator.caller import CallerClient, Outcome, ReadinessWatch
 from tanagerpath.emulator.evidence import audit_journals
 from tanagerpath.emulator.journal import read_journals
 from tanagerpath.emulator.load_plan import (
@@ -96,6 +97,7 @@
     kind: JobKind
     job: JobRequest
     due_s: float
+    entry: int
     rechecked: bool
 
 
@@ -117,13 +119,11 @@
 class _Worker(Task):
     """One caller at a time: takes due jobs and brings each to its last word."""
 
-    def __init__(
-        self, options: LoadOptions, number: int, due: Mailbox, done: Mailbox
-    ) -> None:
+    def __init__(self, options: LoadOptions, due: Mailbox, done: Mailbox) -> None:
         self._options = options
         self._due = due
         self._done = done
-        self._client = CallerClient(options.entries, number)
+        self._client = CallerClient(options.entries)
 
     async def run(self) -> None:
         try:
@@ -135,6 +135,7 @@
 
     async def _carry(self, due: _DueJob) -> JobOutcome:
         progress = _Progress()
+        self._client.use(due.entry)
         limit_s = due.due_s + self._options.job_limit_s
         reply = None
         while reply is None and anyio.current_time() < limit_s:
@@ -226,13 +227,15 @@
         self._options = options
         self._due: Mailbox = Mailbox("due jobs")
         self._done: Mailbox = Mailbox("outcomes")
+        self._ready: Mailbox = Mailbox("ready entries")
 
     async def run(self) -> None:
         """Run until each job has its last word or was given up."""
         async with anyio.create_task_group() as workers:
-            for number in range(self._options.workers):
-                worker = _Worker(self._options, number, self._due, self._done)
+            for _ in range(self._options.workers):
+                worker = _Worker(self._options, self._due, self._done)
                 workers.start_soon(worker.run)
+            workers.start_soon(ReadinessWatch(self._options.entries, self._ready).run)
             workers.start_soon(self._feed)
             for _ in range(self._options.jobs):
                 self.tally.add(await self._done.receive())
@@ -245,11 +248,16 @@
             options.mix, options.organisations, options.service, prefix, options.seed
         )
         start_s = anyio.current_time()
+        ready = tuple(range(len(options.entries)))
         for number in range(options.jobs):
             due_s = start_s + number / options.rate_per_s
             await anyio.sleep_until(due_s)
+            for seen in self._ready.take_waiting():
+                ready = seen or ready
             kind, job = next(jobs)
-            self._due.post(_DueJob(kind, job, due_s, number % RECHECK_EACH == 0))
+            entry = ready[number % len(ready)]
+            rechecked = number % RECHECK_EACH == 0
+            self._due.post(_DueJob(kind, job, due_s, entry, rechecked))
 
 
 def judge_load(
