--- a/tanagerpath/emulator/cluster.py
+++ b/tanagerpath/emulator/cluster.py
@@ -43,6 +43,11 @@
     )
 
 
+def find_vm(replica_id: str) -> str:
+    """Return the VM of a replica, whose id is "<vm>.<random text>"."""
+    return replica_id.rpartition(".")[0]
+
+
 class Cluster:
     """Starts, harms and watches the processes of a deployment.
 
@@ -147,7 +152,7 @@
         async def ask() -> bool:
             status = await self.read_status()
             if status is not None and status.leader_id:
-                found.append(status.leader_id)
+                found.append(find_vm(status.leader_id))
             return bool(found)
 
         await self.wait_for("leader", ask)
