Match the metrics registry to its callers in the services

Cause: the control and entry processes call `observe(name, elapsed_s, organisation, job_class)`, `count` and `list_counts`; the registry had other names for them.

Change: `observe` replaces `record_time` and takes any name of a-z, 0-9 and "_"; `list_counts` gives the status page its refusals. Times are measured from the acceptance of a job, because the bound on urgent starts counts from there.

--- a/tanagerpath/observability/metrics.py
+++ b/tanagerpath/observability/metrics.py
@@ -8,7 +8,6 @@
 import attrs
 from hdrh.histogram import HdrHistogram
 
-from tanagerpath.core.model import JobClass
 from tanagerpath.observability.labels import BoundedLabels
 
 __all__ = ["JobTime", "MetricsRegistry"]
@@ -32,17 +31,12 @@
     COMPLETION = "completion"
     ANSWER = "answer"
 
-    @property
-    def description(self) -> str:
-        """Begin and end of the time."""
-        return _TIME_DESCRIPTIONS[self]
-
 
 _TIME_DESCRIPTIONS = {
     JobTime.WAITING: "from acceptance to the recorded start",
-    JobTime.START: "from the recorded start until all members run",
+    JobTime.START: "from acceptance until all members run",
     JobTime.COMPLETION: "from acceptance to the final state",
-    JobTime.ANSWER: "from the arrival of a request to its whole answer",
+    JobTime.ANSWER: "from the arrival at an entry to the whole answer",
 }
 
 _Labels = tuple[tuple[str, str], ...]
@@ -93,33 +87,39 @@
 
     def __init__(self, max_organisations: int = MAX_ORGANISATIONS) -> None:
         self._organisations = BoundedLabels(max_organisations)
-        self._times: dict[JobTime, dict[_Labels, _TimeSeries]] = {}
+        self._times: dict[str, dict[_Labels, _TimeSeries]] = {}
         self._families: dict[str, _Family] = {}
 
-    def record_time(
-        self, kind: JobTime, organisation: str, job_class: JobClass, time_s: float
+    def observe(
+        self, name: str, elapsed_s: float, organisation: str, job_class: str
     ) -> None:
         """Add one measured time of a job.
 
         Parameters
         ----------
-        kind : JobTime
-            Which time.
+        name : str
+            Which time; one of `JobTime`, or another name of a-z, 0-9 and "_".
+        elapsed_s : float
+            Seconds; a value that is negative or not finite counts as 0.
         organisation : str
             Organisation of the job.
-        job_class : JobClass
-            Class of the job.
-        time_s : float
-            Seconds; a value that is negative or not finite counts as 0.
+        job_class : str
+            Class of the job, one of `JobClass`.
+
+        Raises
+        ------
+        ValueError
+            If the name has other characters.
         """
+        _check_name(name)
         labels = (
             ("organisation", self._organisations.fold(organisation)),
             ("class", str(job_class)),
         )
-        series = self._times.setdefault(kind, {})
+        series = self._times.setdefault(str(name), {})
         if labels not in series:
             series[labels] = _TimeSeries()
-        series[labels].record(time_s if 0 <= time_s < math.inf else 0.0)
+        series[labels].record(elapsed_s if 0 <= elapsed_s < math.inf else 0.0)
 
     def count(self, name: str, amount: int = 1, **labels: str) -> None:
         """Add to a counter, such as `refusals` or `failures` by `type`.
@@ -142,9 +142,26 @@
         family = self._find_family(name, "gauge")
         family.values[_fold_labels(family, labels)] = value
 
+    def list_counts(self, name: str) -> tuple[tuple[str, int], ...]:
+        """Return the values of a counter with one label, sorted by the label.
+
+        Parameters
+        ----------
+        name : str
+            Name as given to `count`.
+
+        Returns
+        -------
+        tuple of (str, int)
+            Label value and count; empty if nothing was counted.
+        """
+        if name not in self._families:
+            return ()
+        counted = self._families[name].values
+        return tuple(sorted((key[0][1], value) for key, value in counted.items()))
+
     def _find_family(self, name: str, kind: str) -> _Family:
-        if _NAME.fullmatch(name) is None:
-            raise ValueError(f"metric name {name!r} is not of a-z, 0-9 and '_'")
+        _check_name(name)
         family = self._families.setdefault(name, _Family(kind))
         if family.kind != kind:
             raise ValueError(f"metric {name!r} is a {family.kind}, not a {kind}")
@@ -162,9 +179,10 @@
         return "".join(f"{line}\n" for line in lines)
 
     def _render_times(self) -> Iterator[str]:
-        for kind, series in sorted(self._times.items()):
-            name = f"tanagerpath_job_{kind}_seconds"
-            yield f"# HELP {name} Time of a job {kind.description}."
+        for base, series in sorted(self._times.items()):
+            name = f"tanagerpath_job_{base}_seconds"
+            if base in _TIME_DESCRIPTIONS:
+                yield f"# HELP {name} Time of a job {_TIME_DESCRIPTIONS[base]}."
             yield f"# TYPE {name} summary"
             for labels, one in sorted(series.items()):
                 yield from one.render(name, labels)
@@ -178,6 +196,11 @@
                 yield _render_sample(name, labels, value)
 
 
+def _check_name(name: str) -> None:
+    if _NAME.fullmatch(name) is None:
+        raise ValueError(f"metric name {name!r} is not of a-z, 0-9 and '_'")
+
+
 def _fold_labels(family: _Family, labels: Mapping[str, str]) -> _Labels:
     return tuple(
         (name, family.labels.fold(str(value))) for name, value in labels.items()
--- a/tanagerpath/observability/tests/test_metrics.py
+++ b/tanagerpath/observability/tests/test_metrics.py
@@ -32,7 +32,7 @@
         for times, quantile, expected in self.CASES:
             registry = MetricsRegistry()
             for time_s in times:
-                registry.record_time(JobTime.START, "depot", JobClass.URGENT, time_s)
+                registry.observe(JobTime.START, time_s, "depot", JobClass.URGENT)
             name = "tanagerpath_job_start_seconds"
             labels = f'organisation="depot",class="urgent",quantile="{quantile}"'
             value = read_samples(registry)[f"{name}{{{labels}}}"]
@@ -40,10 +40,10 @@
 
     def test_sum_and_count_for_each_organisation_and_class(self):
         registry = MetricsRegistry()
-        registry.record_time(JobTime.ANSWER, "a", JobClass.URGENT, 1.5)
-        registry.record_time(JobTime.ANSWER, "a", JobClass.URGENT, 2.5)
-        registry.record_time(JobTime.ANSWER, "a", JobClass.BATCH, 9.0)
-        registry.record_time(JobTime.ANSWER, "b", JobClass.URGENT, 7.0)
+        registry.observe(JobTime.ANSWER, 1.5, "a", JobClass.URGENT)
+        registry.observe(JobTime.ANSWER, 2.5, "a", JobClass.URGENT)
+        registry.observe(JobTime.ANSWER, 9.0, "a", JobClass.BATCH)
+        registry.observe(JobTime.ANSWER, 7.0, "b", JobClass.URGENT)
         samples = read_samples(registry)
         for organisation, job_class, total, count in [
             ("a", "urgent", 4.0, 2),
@@ -60,7 +60,7 @@
     def test_organisations_past_the_bound_share_other(self):
         registry = MetricsRegistry(max_organisations=2)
         for name in ("a", "b", "c", "d", "a"):
-            registry.record_time(JobTime.WAITING, name, JobClass.BATCH, 1.0)
+            registry.observe(JobTime.WAITING, 1.0, name, JobClass.BATCH)
         samples = read_samples(registry)
         for name, count in [("a", 2), ("b", 1), ("other", 2)]:
             labels = f'{{organisation="{name}",class="batch"}}'
@@ -79,7 +79,7 @@
 class TestText(testtools.TestCase):
     def test_every_line_can_be_scraped(self):
         registry = MetricsRegistry()
-        registry.record_time(JobTime.COMPLETION, 'a"\\\n', JobClass.PATIENT, 0.25)
+        registry.observe(JobTime.COMPLETION, 0.25, 'a"\\\n', JobClass.PATIENT)
         registry.count("refusals", type="Overloaded")
         registry.count("failures", 3, type="ExchangeCut")
         registry.set_gauge("requests_in_flight", 12)
@@ -96,6 +96,13 @@
         ):
             self.assertIn(line, lines)
 
+    def test_counts_can_be_listed(self):
+        registry = MetricsRegistry()
+        registry.count("events", type="b")
+        registry.count("events", 2, type="a")
+        self.assertEqual((("a", 2), ("b", 1)), registry.list_counts("events"))
+        self.assertEqual((), registry.list_counts("failures"))
+
     def test_name_used_for_two_kinds_is_refused(self):
         registry = MetricsRegistry()
         registry.count("jobs")
