Count recorded attempts, and note the start when a report overtakes the reply

Cause: answered jobs showed 0 attempts, and 62 of 63 short jobs had no START period, because their report arrived before the reply to the start. Change: recorded_attempts in the job's record; a finished report counts as a confirmed start.

--- a/tanagerpath/core/coordination/coordinator.py
+++ b/tanagerpath/core/coordination/coordinator.py
@@ -496,14 +496,17 @@
         if attempt is None or attempt.attempt_id != request.attempt:
             return
         member = attempt.members[request.rank]
-        was_running = attempt.phase is AttemptPhase.RUNNING
+        was_starting = attempt.phase is AttemptPhase.STARTING
         self._effects += self._driver.take_reply(attempt, member, event.reply, now)
-        if attempt.phase is AttemptPhase.RUNNING and not was_running:
+        self._note_start(attempt, was_starting, now)
+        self._advance(attempt, now)
+
+    def _note_start(self, attempt: Attempt, was_starting: bool, now: Instant) -> None:
+        if was_starting and attempt.phase is AttemptPhase.RUNNING:
             self._scheduler.record_started(attempt.job_id, now.now_s)
             record = self._state.jobs[attempt.job_id]
             elapsed_s = now.now_s - attempt.recorded_at_s
             self._note_period(JobPeriod.START, record, elapsed_s)
-        self._advance(attempt, now)
 
     def _compare_tasks(
         self,
@@ -574,7 +577,9 @@
             self._effects.append(CountEvent("crossed_report"))
             self._effects.append(Respond(token, protocol.ReportReply(False)))
             return
+        was_starting = attempt.phase is AttemptPhase.STARTING
         self._effects += self._driver.take_report(attempt, member, report, now)
+        self._note_start(attempt, was_starting, now)
         self._advance(attempt, now)
         if attempt.phase is AttemptPhase.CONCLUDING:
             attempt.report_tokens.append(token)
--- a/tanagerpath/core/coordination/driver.py
+++ b/tanagerpath/core/coordination/driver.py
@@ -244,13 +244,16 @@
             member.started_at_s = now.now_s
             if member.phase is not TaskPhase.FINISHED:
                 member.phase = reply.phase
-            if attempt.all_started:
-                attempt.phase = AttemptPhase.RUNNING
+            self._note_started(attempt)
             return []
         self._count_start_failure(attempt, member, now)
         reason = self._describe_member(member, reply.phase, reply.reason)
         return self.stop(attempt, reason, now)
 
+    def _note_started(self, attempt: Attempt) -> None:
+        if attempt.phase is AttemptPhase.STARTING and attempt.all_started:
+            attempt.phase = AttemptPhase.RUNNING
+
     def _take_checkpoint(
         self,
         attempt: Attempt,
@@ -313,7 +316,9 @@
             return effects
         member.phase = TaskPhase.FINISHED
         if member.started_at_s is None:
+            # The report overtook the reply to the start.
             member.started_at_s = now.now_s
+        self._note_started(attempt)
         if member.rank == 0:
             attempt.answer = report.answer
             attempt.answer_sha256 = report.answer_sha256
--- a/tanagerpath/core/state/records.py
+++ b/tanagerpath/core/state/records.py
@@ -59,6 +59,8 @@
         Newest recorded attempt; kept after its end to fence later ones.
     assignment : Assignment or None
         Accelerators of the recorded attempt while it lasts.
+    recorded_attempts : int
+        Attempts whose start was recorded.
     counted_attempts : int
         Ended attempts that count against the retry budget.
     ran_before : bool
@@ -81,6 +83,7 @@
     state: JobState = JobState.ACCEPTED
     attempt: AttemptId | None = None
     assignment: Assignment | None = None
+    recorded_attempts: int = 0
     counted_attempts: int = 0
     ran_before: bool = False
     cancel_requested: bool = False
@@ -106,7 +109,7 @@
             answer_length=length,
             answer_sha256=self.answer_sha256,
             error=self.error,
-            attempts=self.counted_attempts + (self.assignment is not None),
+            attempts=self.recorded_attempts,
         )
 
 
--- a/tanagerpath/core/state/system.py
+++ b/tanagerpath/core/state/system.py
@@ -229,6 +229,7 @@
             state=JobState.START_RECORDED,
             attempt=command.attempt,
             assignment=command.assignment,
+            recorded_attempts=record.recorded_attempts + 1,
         )
         self._put(changed)
         return Success(changed)
