--- a/tanagerpath/core/coordination/coordinator.py
+++ b/tanagerpath/core/coordination/coordinator.py
@@ -27,11 +27,13 @@
     UpstreamCallFailed,
     UpstreamReplied,
 )
+from tanagerpath.core.coordination.queueing import JobQueue
+from tanagerpath.core.coordination.registers import AttemptRegister
 from tanagerpath.core.coordination.sessions import LeaseTerms
+from tanagerpath.core.coordination.strays import is_report_obsolete, list_stray_tasks
 from tanagerpath.core.model import AttemptId, JobState, ServiceDocument
 from tanagerpath.core.placement import (
     GuaranteeCannotBeMet,
-    PendingJob,
     PlaceJob,
     PreemptJob,
     Scheduler,
@@ -53,10 +55,7 @@
 
 __all__ = ["Coordinator", "CoordinatorConfig"]
 
-RESUBMIT_BACKOFF_BASE_S = 0.1
-RESUBMIT_BACKOFF_MAX_S = 5.0
 EXPIRE_INTERVAL_S = 60.0
-DEADLINE_CHECK_INTERVAL_S = 1.0
 
 
 @attrs.frozen
@@ -68,12 +67,6 @@
     conclusions: ConclusionTerms = attrs.field(factory=ConclusionTerms)
 
 
-@attrs.define
-class _Resubmission:
-    due_at_s: float
-    job_id: str
-
-
 class Coordinator:
     """Takes accepted jobs to their end; one instance for each term of a leader.
 
@@ -112,13 +105,9 @@
             state.upstreams.values(), scheduler, config.leases, term, now
         )
         self._driver = AttemptDriver(term, self._fleet, scheduler, config.attempts)
-        self._attempts: dict[str, Attempt] = {}
-        self._attempts_by_upstream: dict[str, set[str]] = {}
-        self._taken_job_ids: set[str] = set()
-        self._unstarted: dict[str, int] = {}
-        self._resubmissions: list[_Resubmission] = []
+        self._attempts = AttemptRegister()
+        self._queue = JobQueue(state, scheduler, config.conclusions, now)
         self._expire_at_s = now.now_s
-        self._check_deadlines_at_s = now.now_s
         self._effects: list[Effect] = []
         self._update_guarantees()
         self._take_over_jobs(now)
@@ -176,7 +165,7 @@
 
     def explain(self, job_id: str, now: Instant) -> str:
         """Say in one or two sentences why a job waits or where it runs."""
-        attempt = self._attempts.get(job_id)
+        attempt = self._attempts.find(job_id)
         if attempt is not None:
             places = ", ".join(
                 f"{run.upstream_id}[{run.first}:{run.first + run.count}]"
@@ -184,7 +173,7 @@
             )
             reason = f" because {attempt.reason.message}" if attempt.reason else ""
             return f"The job is {attempt.phase} on {places}{reason}."
-        if any(entry.job_id == job_id for entry in self._resubmissions):
+        if self._queue.is_pausing(job_id):
             return "The job waits for a short time after a failed attempt."
         return self._scheduler.explain(job_id, now.now_s)
 
@@ -196,7 +185,7 @@
     @property
     def attempts(self) -> dict[str, Attempt]:
         """Attempts in progress by job; for status only."""
-        return self._attempts
+        return self._attempts.by_job
 
     def list_unmet_guarantees(self) -> tuple[GuaranteeCannotBeMet, ...]:
         """Return the guarantees that cannot be met now."""
@@ -222,20 +211,20 @@
     def _take_over_jobs(self, now: Instant) -> None:
         for record in self._state.list_open_jobs():
             if record.assignment is None:
-                self._submit(record, now)
+                self._effects += self._queue.take(record, now)
             else:
                 self._resume(record, now)
 
     def _resume(self, record: JobRecord, now: Instant) -> None:
         """Send the starts again: they are idempotent and tell what runs."""
-        pending = self._make_pending(record, now)
+        pending = self._queue.make_pending(record, now)
         self._scheduler.restore(pending, record.assignment, now.now_s)
         attempt = Attempt.from_assignment(
             record.job_id, record.request, record.attempt, record.assignment, 0.0
         )
         attempt.checkpoints = record.checkpoints
-        self._taken_job_ids.add(record.job_id)
-        self._keep(attempt)
+        self._queue.note_running(record.job_id)
+        self._attempts.add(attempt)
         self._effects += self._driver.start(attempt, now)
         leases = self._config.leases
         # Upstreams may need a lease duration until they answer this leader.
@@ -243,88 +232,25 @@
         if record.cancel_requested:
             self._stop(attempt, failures.JobCancelled(), now)
 
-    def _keep(self, attempt: Attempt) -> None:
-        self._attempts[attempt.job_id] = attempt
-        for upstream_id in attempt.assignment.upstream_ids:
-            on_upstream = self._attempts_by_upstream.setdefault(upstream_id, set())
-            on_upstream.add(attempt.job_id)
-
-    def _list_attempts_on(self, upstream_id: str) -> list[Attempt]:
-        job_ids = self._attempts_by_upstream.get(upstream_id, ())
-        return [self._attempts[job_id] for job_id in job_ids]
-
     def _update_guarantees(self) -> None:
         self._scheduler.update_guarantees(
             self._state.merge_guarantees(), self._state.merge_quotas()
         )
 
-    # Queueing
-
-    def _make_pending(self, record: JobRecord, now: Instant) -> PendingJob:
-        offset_s = now.now_s - now.unix_s
-        deadline = record.request.deadline_unix_s
-        return PendingJob(
-            job_id=record.job_id,
-            request=record.request,
-            accepted_at_s=record.accepted_at_unix_s + offset_s,
-            deadline_s=None if deadline is None else deadline + offset_s,
-        )
-
-    def _submit(self, record: JobRecord, now: Instant) -> None:
-        self._taken_job_ids.add(record.job_id)
-        result = self._scheduler.submit(self._make_pending(record, now), now.now_s)
-        if is_successful(result):
-            return
-        finish = self._config.conclusions.refuse(record, result.failure(), now)
-        self._effects.append(Propose(finish))
-        self._effects.append(CountEvent(result.failure().type_name))
-
-    def _resubmit_later(self, job_id: str, now: Instant) -> None:
-        count = self._unstarted.get(job_id, 0)
-        backoff_s = RESUBMIT_BACKOFF_BASE_S * 2 ** min(count, 10)
-        due_at_s = now.now_s + min(backoff_s, RESUBMIT_BACKOFF_MAX_S)
-        self._resubmissions.append(_Resubmission(due_at_s, job_id))
-
-    def _resubmit_due(self, now: Instant) -> None:
-        due = [e for e in self._resubmissions if e.due_at_s <= now.now_s]
-        if not due:
-            return
-        self._resubmissions = [e for e in self._resubmissions if e.due_at_s > now.now_s]
-        for entry in due:
-            record = self._state.jobs.get(entry.job_id)
-            if record is not None and record.state is JobState.ACCEPTED:
-                self._submit(record, now)
-
     # Time
 
     def _tick(self, now: Instant) -> None:
         self._effects += self._fleet.renew_due(now)
-        for attempt in list(self._attempts.values()):
+        for attempt in self._attempts.list_all():
             self._effects += self._driver.tick(attempt, now)
             self._advance(attempt, now)
-        self._resubmit_due(now)
-        self._refuse_late_jobs(now)
+        self._effects += self._queue.tick(self._attempts, now)
         self._probe(now)
         if now.now_s >= self._expire_at_s:
             self._expire_at_s = now.now_s + EXPIRE_INTERVAL_S
             if self._state.has_expired_jobs(now.unix_s):
                 self._effects.append(Propose(ExpireJobs(now.unix_s)))
 
-    def _refuse_late_jobs(self, now: Instant) -> None:
-        if now.now_s < self._check_deadlines_at_s:
-            return
-        self._check_deadlines_at_s = now.now_s + DEADLINE_CHECK_INTERVAL_S
-        for record in self._state.list_open_jobs():
-            deadline = record.request.deadline_unix_s
-            if deadline is None or now.unix_s < deadline:
-                continue
-            if record.job_id in self._attempts or record.assignment is not None:
-                continue
-            self._scheduler.withdraw(record.job_id)
-            refusal = failures.DeadlinePassed(not_run=not record.may_have_run)
-            finish = self._config.conclusions.refuse(record, refusal, now)
-            self._effects.append(Propose(finish))
-
     def _probe(self, now: Instant) -> None:
         for upstream_id in self._scheduler.list_probe_candidates(now.now_s):
             session = self._fleet.find(upstream_id)
@@ -350,11 +276,11 @@
             now.now_s,
         )
         attempt.checkpoints = record.checkpoints
-        self._keep(attempt)
+        self._attempts.add(attempt)
         self._effects += self._driver.reserve(attempt, now)
 
     def _preempt(self, job_id: str, deadline_s: float, now: Instant) -> None:
-        attempt = self._attempts.get(job_id)
+        attempt = self._attempts.find(job_id)
         if attempt is None:
             return
         if attempt.phase is AttemptPhase.RUNNING:
@@ -403,18 +329,15 @@
         self, job_id: str, result: Result[object, Failure], now: Instant
     ) -> None:
         record = self._state.jobs.get(job_id)
-        if not is_successful(result) or record is None:
-            return
-        # Two entries may have had the same job accepted at the same time.
-        if record.state is JobState.ACCEPTED and job_id not in self._taken_job_ids:
-            self._submit(record, now)
+        if is_successful(result) and record is not None:
+            self._effects += self._queue.take(record, now)
 
     def _register(self, announcement: protocol.Announcement, now: Instant) -> None:
         replaced = self._fleet.register(announcement, now)
         if not replaced:
             return
         upstream_id = announcement.capacity.upstream_id
-        for attempt in self._list_attempts_on(upstream_id):
+        for attempt in self._attempts.list_on(upstream_id):
             for member in attempt.members:
                 if member.run.upstream_id == upstream_id and attempt.starts_sent:
                     self._effects += self._driver.lose_member(attempt, member, now)
@@ -427,7 +350,7 @@
         result: Result[object, Failure],
         now: Instant,
     ) -> None:
-        attempt = self._attempts.get(job_id)
+        attempt = self._attempts.find(job_id)
         if attempt is None or attempt.attempt_id != attempt_id:
             return
         if is_successful(result):
@@ -442,7 +365,7 @@
 
     def _take_cancel(self, job_id: str, now: Instant) -> None:
         self._scheduler.withdraw(job_id)
-        attempt = self._attempts.get(job_id)
+        attempt = self._attempts.find(job_id)
         if attempt is not None:
             self._stop(attempt, failures.JobCancelled(), now)
 
@@ -452,24 +375,20 @@
 
     def _take_conclusion(self, job_id: str, now: Instant) -> None:
         record = self._state.jobs.get(job_id)
-        attempt = self._attempts.get(job_id)
+        attempt = self._attempts.find(job_id)
         if record is None:
             return
         if attempt is not None and attempt.phase is AttemptPhase.CONCLUDING:
             self._release(attempt, now)
-        if record.state is JobState.ACCEPTED and job_id not in self._attempts:
-            self._resubmit_later(job_id, now)
+        if record.state is JobState.ACCEPTED and job_id not in self._attempts.by_job:
+            self._queue.retry(job_id, now)
         if record.state.is_final:
-            self._scheduler.withdraw(job_id)
-            self._unstarted.pop(job_id, None)
-            self._taken_job_ids.discard(job_id)
+            self._queue.forget(job_id)
             elapsed_s = now.unix_s - record.accepted_at_unix_s
             self._note_period(JobPeriod.COMPLETION, record, elapsed_s)
 
     def _release(self, attempt: Attempt, now: Instant) -> None:
-        del self._attempts[attempt.job_id]
-        for upstream_id in attempt.assignment.upstream_ids:
-            self._attempts_by_upstream[upstream_id].discard(attempt.job_id)
+        self._attempts.remove(attempt)
         self._scheduler.record_finished(attempt.job_id, now.now_s)
         for token in attempt.report_tokens:
             self._effects.append(Respond(token, protocol.ReportReply(True)))
@@ -492,7 +411,7 @@
 
     def _take_member_reply(self, event: UpstreamReplied, now: Instant) -> None:
         request = event.request
-        attempt = self._attempts.get(request.job_id)
+        attempt = self._attempts.find(request.job_id)
         if attempt is None or attempt.attempt_id != request.attempt:
             return
         member = attempt.members[request.rank]
@@ -516,7 +435,7 @@
         now: Instant,
     ) -> None:
         phases = {(t.job_id, t.attempt, t.rank): t.phase for t in reply.tasks}
-        for attempt in self._list_attempts_on(upstream_id):
+        for attempt in self._attempts.list_on(upstream_id):
             for member in attempt.members:
                 if member.run.upstream_id != upstream_id:
                     continue
@@ -529,13 +448,8 @@
         self._stop_strays(upstream_id, reply)
 
     def _stop_strays(self, upstream_id: str, reply: protocol.RenewReply) -> None:
-        """Stop tasks of attempts that the log does not show as current."""
         session = self._fleet.find(upstream_id)
-        for task in reply.tasks:
-            attempt = self._attempts.get(task.job_id)
-            current = attempt is not None and attempt.attempt_id == task.attempt
-            if current or task.phase is not TaskPhase.RUNNING or session is None:
-                continue
+        for task in list_stray_tasks(reply, self._attempts):
             stop = protocol.StopRequest(
                 self._term, task.job_id, task.attempt, task.rank
             )
@@ -555,7 +469,7 @@
             self._effects.append(Respond(token, protocol.LeaveReply(drained=True)))
             return
         self._fleet.mark_leaving(notice.upstream_id, now)
-        drained = not self._list_attempts_on(notice.upstream_id)
+        drained = not self._attempts.list_on(notice.upstream_id)
         if drained:
             removal = RemoveUpstream(notice.upstream_id, notice.incarnation)
             self._effects.append(Propose(removal))
@@ -567,7 +481,7 @@
         self, token: int, report: protocol.TaskReport, now: Instant
     ) -> None:
         status = report.status
-        attempt = self._attempts.get(status.job_id)
+        attempt = self._attempts.find(status.job_id)
         if attempt is None or attempt.attempt_id != status.attempt:
             self._answer_stray_report(token, report)
             return
@@ -587,17 +501,11 @@
             self._effects.append(Respond(token, protocol.ReportReply(False)))
 
     def _answer_stray_report(self, token: int, report: protocol.TaskReport) -> None:
-        """Acknowledge a report only if nobody can want it any more."""
-        record = self._state.jobs.get(report.status.job_id)
-        obsolete = (
-            record is None
-            or record.state.is_final
-            or (record.attempt is not None and report.status.attempt < record.attempt)
-            or (record.assignment is None and record.attempt == report.status.attempt)
-        )
-        self._effects.append(
-            CountEvent("late_report" if obsolete else "crossed_report")
+        obsolete = is_report_obsolete(
+            report, self._state.jobs.get(report.status.job_id)
         )
+        name = "late_report" if obsolete else "crossed_report"
+        self._effects.append(CountEvent(name))
         self._effects.append(Respond(token, protocol.ReportReply(obsolete)))
 
     # Ends of attempts
@@ -618,24 +526,23 @@
         """Forget an attempt of which no start was ever sent."""
         self._release(attempt, now)
         job_id = attempt.job_id
-        self._unstarted[job_id] = self._unstarted.get(job_id, 0) + 1
+        self._queue.count_failed_start(job_id)
         record = self._state.jobs.get(job_id)
         if record is not None and record.state is JobState.ACCEPTED:
-            self._resubmit_later(job_id, now)
+            self._queue.retry(job_id, now)
 
     def _conclude(self, attempt: Attempt, now: Instant) -> None:
         record = self._state.jobs[attempt.job_id]
         preempted = isinstance(attempt.reason, failures.JobPreempted)
         if attempt.all_refuted and not attempt.is_answered and not preempted:
-            count = self._unstarted.get(attempt.job_id, 0) + 1
-            self._unstarted[attempt.job_id] = count
+            self._queue.count_failed_start(attempt.job_id)
         attempt.phase = AttemptPhase.CONCLUDING
         document = self._state.documents.get(record.request.service)
         command = conclude(
             attempt,
             record,
             document.document if document else None,
-            self._unstarted.get(attempt.job_id, 0),
+            self._queue.find_failed_starts(attempt.job_id),
             self._config.conclusions,
             now,
         )
