--- a/tanagerpath/cli/client.py
+++ b/tanagerpath/cli/client.py
@@ -23,8 +23,8 @@
 
 __all__ = ["EntryClient", "EntryRequest"]
 
-# With the default pause of 0.5 s, five rounds outlast a change of the leader (2 s).
-MAX_ROUNDS = 5
+# An entry itself waits for a new leader, so a few rounds only cover lost exchanges.
+MAX_ROUNDS = 3
 _UNAVAILABLE_STATUS = 503
 
 T = TypeVar("T")
