--- a/tanagerpath/services/control.py
+++ b/tanagerpath/services/control.py
@@ -18,7 +18,7 @@
     CountEvent,
     Instant,
     Propose,
-    RecordMilestone,
+    RecordPeriod,
     Respond,
     Ticked,
     UpstreamCallFailed,
@@ -129,6 +129,7 @@
         now_s = self._clock.read_s()
         if now_s >= self._replica.find_wake_up_s():
             self._step(consensus.Tick())
+        self._peers.retain(self._replica.peer_addresses)
         self._update_leadership()
         if now_s >= self._next_tick_s:
             self._next_tick_s = now_s + self._settings.tick_interval_s
@@ -146,8 +147,8 @@
     def _take(self, message: object) -> None:
         match message:
             case ConsensusArrived(messages):
-                for sender, content in messages:
-                    self._step(consensus.MessageReceived(sender, content))
+                for received in messages:
+                    self._step(received)
             case consensus.StorageSynced():
                 self._step(message)
             case RequestArrived():
@@ -202,8 +203,8 @@
 
     def _carry_out(self, action: consensus.Action) -> None:
         match action:
-            case consensus.SendMessage(receiver, message):
-                self._peers.send(receiver, message)
+            case consensus.SendMessage():
+                self._peers.send(action)
             case consensus.PersistState():
                 self._storage.post(action)
             case consensus.DeliverCommitted(entries):
@@ -311,9 +312,9 @@
                 self._links.call(effect)
             case Respond(token, reply):
                 self._desk.respond(token, reply)
-            case RecordMilestone(milestone, organisation, job_class, elapsed_s):
+            case RecordPeriod(period, organisation, job_class, elapsed_s):
                 self._metrics.observe(
-                    str(milestone), elapsed_s, organisation, str(job_class)
+                    str(period), elapsed_s, organisation, str(job_class)
                 )
             case CountEvent(name):
                 self._metrics.count("events", type=name)
