Tag union members with message_type, so that refusals keep their type

Cause: the tag of tagged unions was `type`, and `ErrorBody` has a field of that name. Each refusal of the leader therefore arrived at the entry without its type and was taken for a lost exchange: a second revision 1 with other content, and a key with other content, ended as `OutcomeUncertain` with status 503 after up to 9 s instead of 409 at once.

Change: the tag is `message_type`. A test checks that no member of the unions has a field of that name, and that an `ErrorBody` survives a union.

Ruled out: renaming `ErrorBody.type`, because it is part of the callers' interface.

--- a/tanagerpath/codecs/tests/test_text.py
+++ b/tanagerpath/codecs/tests/test_text.py
@@ -1,12 +1,18 @@
 """Guards against fields dropped or bent in silence on the wire."""
 
+import typing
+
+import attrs
 import testtools
 from returns.pipeline import is_successful
 
 from tanagerpath.codecs import decode_json, encode_json
+from tanagerpath.codecs.text import UNION_TAG
 from tanagerpath.core.model import AttemptId, JobClass, JobRequest
+from tanagerpath.core.protocol.callers import ErrorBody
 from tanagerpath.core.protocol.internal import (
     AcceptRequest,
+    InternalReply,
     InternalRequest,
     JobQuery,
 )
@@ -25,6 +31,18 @@
             text = encode_json(message, InternalRequest)
             self.assertEqual(message, decode_json(text, InternalRequest).unwrap())
 
+    def test_union_keeps_fields_named_type(self):
+        """Guards against a tag that overwrites the type of a refusal."""
+        refusal = ErrorBody(type="KeyConflict", message="other content", not_run=True)
+        text = encode_json(refusal, InternalReply)
+        self.assertEqual(refusal, decode_json(text, InternalReply).unwrap())
+
+    def test_no_member_of_a_union_has_a_field_named_like_the_tag(self):
+        for union in (InternalRequest, InternalReply):
+            for member in typing.get_args(union):
+                names = [field.name for field in attrs.fields(member)]
+                self.assertNotIn(UNION_TAG, names, member)
+
 
 class TestRefusals(testtools.TestCase):
     CASES = [
--- a/tanagerpath/codecs/text.py
+++ b/tanagerpath/codecs/text.py
@@ -29,6 +29,9 @@
 
 T = TypeVar("T")
 
+# Names the class of a member of a union; no message may have a field of this name.
+UNION_TAG = "message_type"
+
 
 @attrs.frozen(kw_only=True)
 class MalformedMessage(Failure):
@@ -95,7 +98,7 @@
 @functools.cache
 def _tagged_converter(union: Any) -> cattrs.Converter:
     converter = _make_converter()
-    configure_tagged_union(union, converter, tag_name="type")
+    configure_tagged_union(union, converter, tag_name=UNION_TAG)
     return converter
 
 
@@ -111,7 +114,8 @@
     value : object
         An `attrs` message.
     kind : type or union, optional
-        A union of message types adds the field `type` with the name of the class.
+        A union of message types adds the field `message_type` with the name of the
+        class.
 
     Returns
     -------
