Describe the start time as the coordinator measures it

Cause: the coordinator measures the start from the recorded start, not from acceptance; the help text of the metric said otherwise.

Change: the help text.

Conclusion: text only.

--- a/tanagerpath/observability/metrics.py
+++ b/tanagerpath/observability/metrics.py
@@ -34,7 +34,7 @@
 
 _TIME_DESCRIPTIONS = {
     JobTime.WAITING: "from acceptance to the recorded start",
-    JobTime.START: "from acceptance until all members run",
+    JobTime.START: "from the recorded start until all members run",
     JobTime.COMPLETION: "from acceptance to the final state",
     JobTime.ANSWER: "from the arrival at an entry to the whole answer",
 }
