Send replies without waiting for a delayed acknowledgement

A reply of an idle process took 50 ms. asyncio sets TCP_NODELAY only on sockets whose protocol is stated, and the listener was opened without one, so the second segment of each reply waited for the peer's delayed acknowledgement. The client side was ruled out: its sockets come from getaddrinfo and have the protocol.

--- a/tanagerpath/runtime/server.py
+++ b/tanagerpath/runtime/server.py
@@ -35,7 +35,9 @@
         If the address cannot be bound.
     """
     host, _, port = address.rpartition(":")
-    listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    # asyncio sets TCP_NODELAY only on sockets whose protocol is stated; without it, each
+    # reply waited 40 ms for a delayed acknowledgement.
+    listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM, socket.IPPROTO_TCP)
     listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
     listener.bind((host, int(port)))
     return listener
