--- /dev/null
+++ b/tanagerpath/benchmarks/__init__.py
@@ -0,0 +1,1 @@
+"""Benchmarks and randomised checks of the core."""
--- a/tanagerpath/core/placement/decisions.py
+++ b/tanagerpath/core/placement/decisions.py
@@ -188,7 +188,7 @@
         self._decisions.append(PlaceJob(job.job_id, assignment))
 
     def _has_quota(self, job: PendingJob) -> bool:
-        """Whether the quota suffices; a job that lacks it blocks those that end later."""
+        """Whether the quota suffices; a job that lacks it blocks longer ones."""
         context = self._context
         organisation = job.request.organisation
         needed = context.occupancy.topology.count_held(job.request.accelerators)
