Check the replica under seeded faults

Change: SimulatedGroup models network, disks, clocks and processes from one seed; InvariantMonitor checks every step; FaultSchedule brings in crashes, freezes, cuts, lost disks, hand-overs and a lossy network; a table of 14 failures; 16 rows of deliberate faults that the checks must catch. Ruled out: counting only disks that exist at the commit.

--- a/tanagerpath/core/consensus/context.py
+++ b/tanagerpath/core/consensus/context.py
@@ -43,6 +43,8 @@
         Source of the identity and of election timeouts.
     """
 
+    journal_class = Journal
+
     def __init__(
         self,
         config: ReplicaConfig,
@@ -52,7 +54,7 @@
         self.config = config
         self.random = random_source
         self.log = ReplicatedLog(restored.snapshot, restored.entries)
-        self.journal = Journal(self.log.last_index)
+        self.journal = self.journal_class(self.log.last_index)
         self.term = restored.term
         self.voted_for = restored.voted_for
         self.role = Role.LEARNER
--- /dev/null
+++ b/tanagerpath/core/consensus/harness.py
@@ -0,0 +1,386 @@
+"""Seeded group of replicas in memory, with faults of network, disk and process.
+
+The harness makes no judgement: an observer sees every step. All decisions come from one
+seeded `random.Random`, so a seed repeats a run exactly.
+"""
+
+import abc
+import hashlib
+import heapq
+import random
+from collections.abc import Callable, Iterable
+
+import attrs
+
+from tanagerpath.core.consensus.config import ReplicaConfig, RestoredState
+from tanagerpath.core.consensus.events import (
+    Action,
+    CommandProposed,
+    DeliverCommitted,
+    Event,
+    LogEntry,
+    MessageReceived,
+    PersistState,
+    ProposalRejected,
+    RequestSnapshot,
+    RestoreSnapshot,
+    Role,
+    SendMessage,
+    Snapshot,
+    SnapshotProvided,
+    StorageSynced,
+    Tick,
+    TransferRequested,
+)
+from tanagerpath.core.consensus.replica import Replica
+from tanagerpath.core.consensus.simulated import (
+    DiskContent,
+    NetworkFaults,
+    SimulatedClock,
+    SimulatedDisk,
+)
+from tanagerpath.errors import Failure, FailureError
+
+__all__ = ["ReplicaFactory", "SimulatedGroup", "SimulatedVm", "StepObserver"]
+
+ReplicaFactory = Callable[[ReplicaConfig, RestoredState, random.Random], Replica]
+
+MIN_SYNC_S = 0.0005
+MAX_SYNC_S = 0.008
+MAX_TICK_DELAY_S = 0.005
+MIN_TICK_INTERVAL_S = 0.0005
+
+
+@attrs.define
+class StateMachine:
+    """Digest over all applied entries."""
+
+    index: int = 0
+    digest: str = ""
+
+    def apply(self, entry: LogEntry) -> None:
+        """Take the next entry."""
+        text = f"{self.digest}/{entry.index}/{entry.kind}/{entry.payload}"
+        self.index = entry.index
+        self.digest = hashlib.sha256(text.encode()).hexdigest()
+
+    def restore(self, snapshot: Snapshot) -> None:
+        """Take the state of a snapshot."""
+        self.index = snapshot.last_index
+        self.digest = snapshot.payload
+
+
+class SimulatedVm:
+    """One VM: its disk, and the process that runs on it, if any."""
+
+    def __init__(self, config: ReplicaConfig) -> None:
+        self.config = config
+        self.vm_id = config.vm_id
+        self.address = config.address
+        self.disk = SimulatedDisk()
+        self.replica: Replica | None = None
+        self.clock = SimulatedClock(0.0, 1.0)
+        self.machine = StateMachine()
+        self.frozen = False
+        self.starts = 0
+        self.inbox: list[Event] = []
+        self.scheduled_tick_s: float | None = None
+
+    @property
+    def running(self) -> bool:
+        """Whether a process runs and is not frozen."""
+        return self.replica is not None and not self.frozen
+
+
+class StepObserver(abc.ABC):
+    """Sees every step of every replica."""
+
+    @abc.abstractmethod
+    def record_step(self, vm: SimulatedVm, event: Event, actions: list[Action]) -> None:
+        """Take note of a step after its writes were queued."""
+
+    @abc.abstractmethod
+    def record_failure(self, vm: SimulatedVm, failure: Failure) -> None:
+        """Take note of a replica that stopped with a failure."""
+
+    @abc.abstractmethod
+    def record_emptied(self, vm: SimulatedVm, lost: DiskContent) -> None:
+        """Take note of an emptied disk and of what was on it."""
+
+
+class SimulatedGroup:
+    """Replicas on simulated VMs.
+
+    Parameters
+    ----------
+    seed : int
+        Seed of all decisions.
+    configs : iterable of ReplicaConfig
+        One for each VM.
+    replica_factory : callable
+        Builds a replica from settings, restored state and a random source.
+    """
+
+    def __init__(
+        self,
+        seed: int,
+        configs: Iterable[ReplicaConfig],
+        replica_factory: ReplicaFactory = Replica.from_config,
+    ) -> None:
+        self.random = random.Random(seed)
+        self.now_s = 0.0
+        self.faults = NetworkFaults()
+        self.cuts: set[tuple[str, str]] = set()
+        self.vms = {config.vm_id: SimulatedVm(config) for config in configs}
+        self.observers: list[StepObserver] = []
+        self.outcomes: dict[int, int | Failure] = {}
+        self.steps = 0
+        self._factory = replica_factory
+        self._by_address = {vm.address: vm for vm in self.vms.values()}
+        self._queue: list[tuple[float, int, Callable[[], None]]] = []
+        self._queued = 0
+        self._proposals = 0
+
+    @classmethod
+    def from_seed(
+        cls,
+        seed: int,
+        vm_count: int = 3,
+        replica_factory: ReplicaFactory = Replica.from_config,
+        **settings: float,
+    ) -> "SimulatedGroup":
+        """Build a group of `vm_count` VMs with the given `ReplicaConfig` settings."""
+        vms = {f"vm-{n}": f"10.0.0.{n}:7000" for n in range(1, vm_count + 1)}
+        configs = [
+            ReplicaConfig(vm_id=vm_id, address=address, vms=vms, **settings)
+            for vm_id, address in vms.items()
+        ]
+        return cls(seed, configs, replica_factory)
+
+    def schedule(self, delay_s: float, action: Callable[[], None]) -> None:
+        """Call `action` after `delay_s` seconds of simulated time."""
+        self._queued += 1
+        entry = (self.now_s + delay_s, self._queued, action)
+        heapq.heappush(self._queue, entry)
+
+    def run_for(self, duration_s: float) -> None:
+        """Run for some seconds of simulated time."""
+        end_s = self.now_s + duration_s
+        while self._queue and self._queue[0][0] <= end_s:
+            self._run_next()
+        self.now_s = end_s
+
+    def run_until(self, condition: Callable[[], bool], limit_s: float) -> bool:
+        """Run until `condition` holds; return False if it does not in `limit_s`."""
+        end_s = self.now_s + limit_s
+        while not condition():
+            if not self._queue or self._queue[0][0] > end_s:
+                return False
+            self._run_next()
+        return True
+
+    def _run_next(self) -> None:
+        self.now_s, _, action = heapq.heappop(self._queue)
+        action()
+
+    def start_all(self) -> None:
+        """Start the process of each VM that has none."""
+        for vm_id, vm in self.vms.items():
+            if vm.replica is None:
+                self.start(vm_id)
+
+    def start(self, vm_id: str) -> None:
+        """Start a process on what the disk of the VM holds."""
+        vm = self.vms[vm_id]
+        if vm.replica is not None:
+            return
+        vm.starts += 1
+        vm.frozen = False
+        vm.inbox.clear()
+        vm.machine = StateMachine()
+        vm.clock = SimulatedClock.from_random(self.random)
+        source = random.Random(self.random.getrandbits(64))
+        vm.replica = self._factory(vm.config, vm.disk.durable.restore(), source)
+        vm.scheduled_tick_s = None
+        self._deliver(vm, vm.starts, Tick())
+
+    def crash(self, vm_id: str) -> None:
+        """Kill the process; unsynced writes may be lost."""
+        vm = self.vms[vm_id]
+        vm.replica = None
+        vm.disk.crash(self.random)
+
+    def empty_disk(self, vm_id: str) -> None:
+        """Kill the process and lose the disk."""
+        self.crash(vm_id)
+        vm = self.vms[vm_id]
+        lost = vm.disk.durable
+        vm.disk.empty()
+        for observer in self.observers:
+            observer.record_emptied(vm, lost)
+
+    def freeze(self, vm_id: str) -> None:
+        """Stop a process for a while; its messages wait and its clock goes on."""
+        self.vms[vm_id].frozen = True
+
+    def thaw(self, vm_id: str) -> None:
+        """Let a frozen process go on, with its timer before or after its messages."""
+        vm = self.vms[vm_id]
+        if not vm.frozen:
+            return
+        vm.frozen = False
+        waiting, vm.inbox = vm.inbox, []
+        place = self.random.choice((0, len(waiting)))
+        for event in [*waiting[:place], Tick(), *waiting[place:]]:
+            self._deliver(vm, vm.starts, event)
+
+    def cut(self, sender: str, receiver: str) -> None:
+        """Lose all messages from one VM to another."""
+        self.cuts.add((sender, receiver))
+
+    def isolate(self, vm_id: str, incoming: bool = True, outgoing: bool = True) -> None:
+        """Lose all messages to or from a VM."""
+        for other in self.vms:
+            if other != vm_id and incoming:
+                self.cut(other, vm_id)
+            if other != vm_id and outgoing:
+                self.cut(vm_id, other)
+
+    def heal(self) -> None:
+        """End all faults and start all processes."""
+        self.cuts.clear()
+        self.faults = NetworkFaults()
+        for vm_id in self.vms:
+            self.thaw(vm_id)
+        self.start_all()
+
+    def propose(self, vm_id: str, payload: str) -> int:
+        """Propose a command on a VM; its result appears in `outcomes`."""
+        self._proposals += 1
+        event = CommandProposed(self._proposals, payload)
+        vm = self.vms[vm_id]
+        self._deliver(vm, vm.starts, event)
+        return self._proposals
+
+    def request_transfer(self, vm_id: str) -> None:
+        """Ask a replica to hand over leadership."""
+        vm = self.vms[vm_id]
+        self._deliver(vm, vm.starts, TransferRequested())
+
+    def find_leader(self) -> SimulatedVm | None:
+        """Return the running VM whose replica has the lease, if any."""
+        for vm in self.vms.values():
+            if vm.running and self.has_lease(vm):
+                return vm
+        return None
+
+    def has_lease(self, vm: SimulatedVm) -> bool:
+        """Return whether the replica of a VM has the lease now, frozen or not."""
+        if vm.replica is None:
+            return False
+        return vm.replica.has_lease(vm.clock.read_s(self.now_s))
+
+    def is_settled(self) -> bool:
+        """Return whether all VMs are voters and have applied all that is committed."""
+        leader = self.find_leader()
+        if leader is None or leader.replica is None:
+            return False
+        replicas = [vm.replica for vm in self.vms.values() if vm.replica is not None]
+        return len(replicas) == len(self.vms) and all(
+            replica.replica_id in leader.replica.voters
+            and replica.commit_index == leader.replica.last_index
+            and replica.role in (Role.LEADER, Role.FOLLOWER)
+            for replica in replicas
+        )
+
+    def _deliver(self, vm: SimulatedVm, start: int, event: Event) -> None:
+        if vm.replica is None or vm.starts != start:
+            return
+        if vm.frozen:
+            if not isinstance(event, Tick):
+                vm.inbox.append(event)
+            return
+        self._step(vm, vm.replica, event)
+
+    def _step(self, vm: SimulatedVm, replica: Replica, event: Event) -> None:
+        self.steps += 1
+        try:
+            actions = replica.step(event, vm.clock.read_s(self.now_s))
+        except FailureError as error:
+            self.crash(vm.vm_id)
+            for observer in self.observers:
+                observer.record_failure(vm, error.failure)
+            return
+        for action in actions:
+            self._carry_out(vm, action)
+        for observer in self.observers:
+            observer.record_step(vm, event, actions)
+        self._schedule_tick(vm, replica)
+
+    def _carry_out(self, vm: SimulatedVm, action: Action) -> None:
+        if isinstance(action, PersistState):
+            if vm.disk.write(action):
+                self._begin_sync(vm, vm.starts)
+        elif isinstance(action, SendMessage):
+            self._send(vm, action)
+        elif isinstance(action, DeliverCommitted):
+            self._apply(vm, action)
+        elif isinstance(action, RestoreSnapshot):
+            vm.machine.restore(action.snapshot)
+        elif isinstance(action, RequestSnapshot):
+            provided = SnapshotProvided(vm.machine.index, vm.machine.digest)
+            start = vm.starts
+            self.schedule(MIN_SYNC_S, lambda: self._deliver(vm, start, provided))
+        elif isinstance(action, ProposalRejected):
+            self.outcomes[action.proposal_id] = action.failure
+
+    def _apply(self, vm: SimulatedVm, action: DeliverCommitted) -> None:
+        for committed in action.entries:
+            vm.machine.apply(committed.entry)
+            if committed.proposal_id is not None:
+                self.outcomes[committed.proposal_id] = committed.entry.index
+
+    def _begin_sync(self, vm: SimulatedVm, start: int) -> None:
+        if vm.disk.begin_sync():
+            delay_s = self.random.uniform(MIN_SYNC_S, MAX_SYNC_S)
+            self.schedule(delay_s, lambda: self._end_sync(vm, start))
+
+    def _end_sync(self, vm: SimulatedVm, start: int) -> None:
+        if vm.replica is None or vm.starts != start:
+            return
+        sequence = vm.disk.end_sync()
+        self._begin_sync(vm, start)
+        self._deliver(vm, start, StorageSynced(sequence))
+
+    def _send(self, vm: SimulatedVm, action: SendMessage) -> None:
+        receiver = self._by_address.get(action.address)
+        if receiver is None or (vm.vm_id, receiver.vm_id) in self.cuts:
+            return
+        event = MessageReceived(
+            action.sender, action.message, action.receiver, action.group_id
+        )
+        for delay_s in self.faults.draw_delays(self.random):
+            self.schedule(
+                delay_s, lambda: self._deliver(receiver, receiver.starts, event)
+            )
+
+    def _schedule_tick(self, vm: SimulatedVm, replica: Replica) -> None:
+        wake_s = vm.clock.find_real_s(replica.find_wake_up_s())
+        wake_s = max(wake_s, self.now_s + MIN_TICK_INTERVAL_S)
+        if vm.scheduled_tick_s is not None and vm.scheduled_tick_s <= wake_s:
+            return
+        vm.scheduled_tick_s = wake_s
+        start = vm.starts
+        delay_s = wake_s - self.now_s + self.random.uniform(0, MAX_TICK_DELAY_S)
+        self.schedule(delay_s, lambda: self._fire_tick(vm, start, wake_s))
+
+    def _fire_tick(self, vm: SimulatedVm, start: int, wake_s: float) -> None:
+        if vm.starts != start or vm.scheduled_tick_s != wake_s:
+            return
+        vm.scheduled_tick_s = None
+        if vm.replica is None or vm.frozen:
+            return
+        if vm.clock.find_real_s(vm.replica.find_wake_up_s()) <= self.now_s:
+            self._deliver(vm, start, Tick())
+        else:
+            self._schedule_tick(vm, vm.replica)
--- a/tanagerpath/core/consensus/replica.py
+++ b/tanagerpath/core/consensus/replica.py
@@ -52,15 +52,23 @@
         State of the replica.
     """
 
+    # Parts that the checks replace by ones with a deliberate fault.
+    context_class = ReplicaContext
+    elections_class = Elections
+    following_class = Following
+    replicator_class = Replicator
+    leadership_class = Leadership
+    changes_class = MembershipChanges
+
     def __init__(self, context: ReplicaContext) -> None:
         self._context = context
         self._started = False
-        self._elections = Elections(context)
-        self._following = Following(context)
+        self._elections = self.elections_class(context)
+        self._following = self.following_class(context)
         self._formation = Formation(context)
-        self._replicator = Replicator(context)
-        self._leadership = Leadership(context, self._replicator)
-        self._changes = MembershipChanges(context, self._leadership, self._replicator)
+        self._replicator = self.replicator_class(context)
+        self._leadership = self.leadership_class(context, self._replicator)
+        self._changes = self.changes_class(context, self._leadership, self._replicator)
         self._events = {
             Tick: self._handle_tick,
             MessageReceived: self._handle_message,
@@ -99,7 +107,7 @@
             production it is seeded from the operating system, because two replicas
             must never draw the same identity.
         """
-        return cls(ReplicaContext(config, restored, random))
+        return cls(cls.context_class(config, restored, random))
 
     @property
     def replica_id(self) -> str:
--- /dev/null
+++ b/tanagerpath/core/consensus/tests/scenarios.py
@@ -0,0 +1,121 @@
+"""Directed schedules that random faults reach too rarely."""
+
+from tanagerpath.core.consensus import Replica, Role
+from tanagerpath.core.consensus.harness import SimulatedGroup
+from tanagerpath.core.consensus.invariants import InvariantMonitor
+
+# Small bounds, so that a few commands cause snapshots, chunks and several batches.
+SETTINGS = {
+    "replace_voter_after_s": 4.0,
+    "snapshot_after_entries": 20,
+    "retained_entries": 5,
+    "max_batch_entries": 4,
+    "snapshot_chunk_chars": 16,
+}
+
+
+def open_group(seed, vm_count=3, factory=Replica.from_config, **settings):
+    """Return a monitored group that has just become whole."""
+    settings = {**SETTINGS, **settings}
+    group = SimulatedGroup.from_seed(seed, vm_count, factory, **settings)
+    monitor = InvariantMonitor.attach(group)
+    group.start_all()
+    assert group.run_until(group.is_settled, 20.0)
+    return group, monitor
+
+
+def find_followers(group):
+    leader = group.find_leader()
+    return [vm for vm in group.vms.values() if vm is not leader]
+
+
+def cut_between(group, one, other):
+    group.cut(one.vm_id, other.vm_id)
+    group.cut(other.vm_id, one.vm_id)
+
+
+def commit(group, count, limit_s=20.0):
+    """Commit commands one after the other through whoever leads."""
+    for number in range(count):
+        if not _commit_one(group, f"command-{number}", limit_s):
+            return False
+    return True
+
+
+def _commit_one(group, payload, limit_s):
+    end_s = group.now_s + limit_s
+    while group.now_s < end_s:
+        leader = group.find_leader()
+        if leader is None:
+            group.run_for(0.05)
+            continue
+        proposal = group.propose(leader.vm_id, payload)
+        group.run_until(lambda: proposal in group.outcomes, 2.0)  # noqa: B023
+        if isinstance(group.outcomes.get(proposal), int):
+            return True
+    return False
+
+
+def run_restart_under_lease(seed, factory):
+    """A voter restarts right after it answered the leader, and is asked for a vote."""
+    group, monitor = open_group(seed, factory=factory)
+    leader = group.find_leader()
+    voter, candidate = find_followers(group)
+    cut_between(group, leader, candidate)
+    group.run_for(3.0)
+    group.crash(voter.vm_id)
+    cut_between(group, leader, voter)
+    group.start(voter.vm_id)
+    group.run_for(2.0)
+    return monitor
+
+
+def run_commit_of_older_term(seed, factory):
+    """Entries of an older term reach a majority, and a newer term overwrites them."""
+    settings = {"max_batch_entries": 1, "max_batches_in_flight": 1}
+    group, monitor = open_group(seed, factory=factory, **settings)
+    first = group.find_leader()
+    second, third = find_followers(group)
+    group.isolate(first.vm_id)
+    for number in range(5):
+        group.propose(first.vm_id, f"only-on-first-{number}")
+    group.run_for(0.1)
+    group.crash(first.vm_id)
+    _lead_alone(group, second, third)
+    group.cuts.clear()
+    group.start(first.vm_id)
+    group.run_until(lambda: third.disk.durable.last_index >= 4, 20.0)
+    group.crash(first.vm_id)
+    group.start(second.vm_id)
+    group.run_for(10.0)
+    group.heal()
+    group.run_for(10.0)
+    return monitor
+
+
+def _lead_alone(group, candidate, voter):
+    """Let a replica win an election and lose its first entry for all others."""
+    voted = candidate.disk.durable
+
+    def has_vote():
+        supporter = voter.disk.durable.voted_for
+        return supporter is not None and supporter == voted.replica_id
+
+    def give_vote():
+        return has_vote() and voter.disk.durable.term == candidate.replica.term
+
+    group.run_until(give_vote, 20.0)
+    group.cut(candidate.vm_id, voter.vm_id)
+    group.run_until(lambda: candidate.replica.role is Role.LEADER, 5.0)
+    group.run_for(0.05)
+    group.crash(candidate.vm_id)
+
+
+def run_loss_of_one_of_two(seed, factory):
+    """One of two voters loses its disk and returns at once as a new replica."""
+    group, monitor = open_group(seed, vm_count=2, factory=factory)
+    (follower,) = find_followers(group)
+    group.empty_disk(follower.vm_id)
+    group.start(follower.vm_id)
+    group.run_for(3.0)
+    return monitor
--- /dev/null
+++ b/tanagerpath/core/consensus/tests/test_scenarios.py
@@ -0,0 +1,206 @@
+"""Guards against groups that stop, or decide wrongly, when a part is lost.
+
+Each row of the table names the failure; its function brings the failure into a group
+and returns whether the group did what it must. All rules are checked after every step.
+"""
+
+import testtools
+
+from tanagerpath.core.consensus import Role
+from tanagerpath.core.consensus.harness import SimulatedGroup
+from tanagerpath.core.consensus.invariants import InvariantMonitor
+from tanagerpath.core.consensus.tests.scenarios import (
+    commit,
+    cut_between,
+    find_followers,
+    open_group,
+)
+
+
+def _kill_leader(group):
+    group.crash(group.find_leader().vm_id)
+    return group.run_until(group.find_leader, 5.0) and commit(group, 3)
+
+
+def _freeze_leader(group):
+    frozen = group.find_leader()
+    group.freeze(frozen.vm_id)
+    group.run_for(0.5 * 1.02)
+    expired = not group.has_lease(frozen)
+    succeeded = group.run_until(group.find_leader, 5.0) and commit(group, 3)
+    group.thaw(frozen.vm_id)
+    never_again = not group.has_lease(frozen)
+    group.run_for(2.0)
+    return expired and succeeded and never_again and frozen.replica.role != Role.LEADER
+
+
+def _cut_off_sending(group):
+    leader = group.find_leader()
+    group.isolate(leader.vm_id, incoming=False)
+    group.run_for(3.0)
+    return group.find_leader() is not leader and commit(group, 3)
+
+
+def _cut_off_receiving(group):
+    """A leader that still sends, but hears no answer, must make way for another."""
+    leader = group.find_leader()
+    group.isolate(leader.vm_id, outgoing=False)
+    group.run_for(5.0)
+    return group.find_leader() is not leader and commit(group, 3)
+
+
+def _return_of_isolated(group):
+    leader = group.find_leader()
+    term = leader.replica.term
+    isolated = find_followers(group)[0]
+    group.isolate(isolated.vm_id)
+    group.run_for(3.0)
+    group.cuts.clear()
+    group.run_for(3.0)
+    return group.find_leader() is leader and leader.replica.term == term
+
+
+def _return_of_demoted(group):
+    """A replica that lost its vote and does not know must not disturb the leader."""
+    leader = group.find_leader()
+    term = leader.replica.term
+    away = find_followers(group)[0]
+    group.isolate(away.vm_id)
+    group.run_for(6.0)
+    demoted = away.replica.replica_id not in leader.replica.voters
+    believes = away.replica.replica_id in away.replica.voters
+    group.cuts.clear()
+    whole = group.run_until(group.is_settled, 10.0)
+    return demoted and believes and whole and leader.replica.term == term
+
+
+def _partial_cut_between_followers_and_leader(group):
+    leader = group.find_leader()
+    cut_between(group, leader, find_followers(group)[0])
+    group.run_for(5.0)
+    return group.run_until(group.find_leader, 5.0) and commit(group, 3)
+
+
+def _second_loss_after_replacement(group):
+    """A lost VM is replaced by a new one; then another VM is lost."""
+    lost = find_followers(group)[0]
+    group.empty_disk(lost.vm_id)
+    group.run_for(6.0)
+    shrunk = len(group.find_leader().replica.voters) == 2
+    group.start(lost.vm_id)
+    whole = group.run_until(group.is_settled, 20.0)
+    group.crash(group.find_leader().vm_id)
+    return shrunk and whole and commit(group, 3)
+
+
+def _loss_of_a_second_vm_of_five(group):
+    """The voter set shrinks with each loss, so that two losses leave a quorum."""
+    for _ in range(2):
+        lost = next(vm for vm in find_followers(group) if vm.replica is not None)
+        group.crash(lost.vm_id)
+        group.run_for(6.0)
+    shrunk = len(group.find_leader().replica.voters) == 3
+    group.crash(group.find_leader().vm_id)
+    return shrunk and commit(group, 3)
+
+
+def _empty_directory(group):
+    vm = find_followers(group)[0]
+    old_id = vm.replica.replica_id
+    commit(group, 30)
+    group.empty_disk(vm.vm_id)
+    group.start(vm.vm_id)
+    whole = group.run_until(group.is_settled, 20.0)
+    voters = group.find_leader().replica.voters
+    return whole and old_id not in voters and vm.replica.replica_id in voters
+
+
+def _empty_directory_of_leader(group):
+    vm = group.find_leader()
+    group.empty_disk(vm.vm_id)
+    group.start(vm.vm_id)
+    return group.run_until(group.is_settled, 20.0) and commit(group, 3)
+
+
+def _restart_of_all(group):
+    commit(group, 30)
+    for vm_id in group.vms:
+        group.crash(vm_id)
+    group.start_all()
+    whole = group.run_until(group.is_settled, 20.0)
+    return whole and group.find_leader().machine.index >= 30
+
+
+def _hand_over(group):
+    leader = group.find_leader()
+    start_s = group.now_s
+    group.request_transfer(leader.vm_id)
+    group.run_until(lambda: group.find_leader() not in (None, leader), 5.0)
+    # Far below the election timeout, because the next leader does not wait for it.
+    return group.now_s - start_s < 0.3 and commit(group, 3)
+
+
+def _lag_beyond_the_log(group):
+    """A follower that missed more than the kept log gets a snapshot in chunks."""
+    lagging = find_followers(group)[0]
+    group.isolate(lagging.vm_id)
+    commit(group, 60)
+    group.cuts.clear()
+    whole = group.run_until(group.is_settled, 20.0)
+    return whole and lagging.disk.durable.snapshot.last_index >= 40
+
+
+TABLE = [
+    ("leader killed", 3, _kill_leader),
+    ("leader frozen past its lease and resumed", 3, _freeze_leader),
+    ("leader cannot send", 3, _cut_off_sending),
+    ("leader cannot receive", 3, _cut_off_receiving),
+    ("isolated replica returns", 3, _return_of_isolated),
+    ("demoted replica returns", 3, _return_of_demoted),
+    (
+        "one follower cannot reach the leader",
+        3,
+        _partial_cut_between_followers_and_leader,
+    ),
+    ("second loss after a replacement", 3, _second_loss_after_replacement),
+    ("third loss of five", 5, _loss_of_a_second_vm_of_five),
+    ("empty data directory", 3, _empty_directory),
+    ("empty data directory of the leader", 3, _empty_directory_of_leader),
+    ("all restarted", 3, _restart_of_all),
+    ("graceful hand-over", 3, _hand_over),
+    ("follower lags beyond the log", 3, _lag_beyond_the_log),
+]
+SEEDS = (1, 2, 3)
+
+
+class TestFailures(testtools.TestCase):
+    def test_group_goes_on_after_each_failure(self):
+        for name, vm_count, bring in TABLE:
+            for seed in SEEDS:
+                group, monitor = open_group(seed, vm_count)
+                self.assertTrue(bring(group), f"{name}, seed {seed}")
+                self.assertEqual([], monitor.violations, f"{name}, seed {seed}")
+
+
+class TestFormation(testtools.TestCase):
+    def test_no_group_is_founded_while_a_configured_vm_is_silent(self):
+        group, _ = self._start_without("vm-3")
+        group.run_for(10.0)
+        self.assertIsNone(group.find_leader())
+        group.start("vm-3")
+        self.assertTrue(group.run_until(group.is_settled, 10.0))
+
+    def _start_without(self, vm_id):
+        group = SimulatedGroup.from_seed(1, 3)
+        monitor = InvariantMonitor.attach(group)
+        for other in group.vms:
+            if other != vm_id:
+                group.start(other)
+        return group, monitor
+
+    def test_founder_that_loses_its_disk_joins_what_it_founded(self):
+        group, monitor = open_group(4)
+        group.empty_disk("vm-1")
+        group.start("vm-1")
+        self.assertTrue(group.run_until(group.is_settled, 20.0))
+        self.assertEqual([], monitor.violations)
--- /dev/null
+++ b/tanagerpath/core/consensus/tests/test_schedule.py
@@ -0,0 +1,48 @@
+"""Guards against loss, change and doubling of commands under seeded faults."""
+
+import testtools
+
+from tanagerpath.core.consensus.harness import SimulatedGroup
+from tanagerpath.core.consensus.invariants import InvariantMonitor
+from tanagerpath.core.consensus.schedule import FaultSchedule
+from tanagerpath.core.consensus.tests.scenarios import SETTINGS
+
+SEEDS = range(1, 13)
+DURATION_S = 15.0
+
+
+def _run(seed):
+    group = SimulatedGroup.from_seed(seed, 3 + seed % 3, **SETTINGS)
+    monitor = InvariantMonitor.attach(group)
+    schedule = FaultSchedule(group)
+    schedule.run(DURATION_S)
+    return group, monitor, schedule.settle()
+
+
+class TestSeededFaults(testtools.TestCase):
+    def test_rules_hold_and_the_group_becomes_whole_again(self):
+        for seed in SEEDS:
+            group, monitor, whole = _run(seed)
+            self.assertEqual([], monitor.violations, f"seed {seed}")
+            self.assertTrue(whole, f"seed {seed} does not become whole")
+            digests = {vm.machine.digest for vm in group.vms.values()}
+            self.assertEqual(1, len(digests), f"seed {seed}")
+
+    def test_committed_commands_are_in_the_log_once_and_refused_ones_never(self):
+        for seed in SEEDS:
+            group, monitor, _ = _run(seed)
+            payloads = [
+                entry.payload for entry in monitor.committed.values() if entry.payload
+            ]
+            self.assertEqual(len(payloads), len(set(payloads)), f"seed {seed}")
+            for proposal, outcome in group.outcomes.items():
+                payload = f"command-{proposal}"
+                if isinstance(outcome, int):
+                    self.assertEqual(payload, monitor.committed[outcome].payload)
+                elif outcome.not_run:
+                    self.assertNotIn(payload, payloads, f"seed {seed}")
+
+    def test_a_seed_repeats_a_run_exactly(self):
+        first, second = _run(3)[0], _run(3)[0]
+        self.assertEqual(first.steps, second.steps)
+        self.assertEqual(first.now_s, second.now_s)
