--- /dev/null
+++ b/tanagerpath/benchmarks/__init__.py
@@ -0,0 +1,1 @@
+"""Replays, checks and measurements."""
--- a/tanagerpath/core/consensus/tests/test_schedule.py
+++ b/tanagerpath/core/consensus/tests/test_schedule.py
@@ -1,5 +1,7 @@
 """Guards against loss, change and doubling of commands under seeded faults."""
 
+import functools
+
 import testtools
 
 from tanagerpath.core.consensus.harness import SimulatedGroup
@@ -11,6 +13,11 @@
 DURATION_S = 15.0
 
 
+@functools.cache
+def _run_once(seed):
+    return _run(seed)
+
+
 def _run(seed):
     group = SimulatedGroup.from_seed(seed, 3 + seed % 3, **SETTINGS)
     monitor = InvariantMonitor.attach(group)
@@ -22,7 +29,7 @@
 class TestSeededFaults(testtools.TestCase):
     def test_rules_hold_and_the_group_becomes_whole_again(self):
         for seed in SEEDS:
-            group, monitor, whole = _run(seed)
+            group, monitor, whole = _run_once(seed)
             self.assertEqual([], monitor.violations, f"seed {seed}")
             self.assertTrue(whole, f"seed {seed} does not become whole")
             digests = {vm.machine.digest for vm in group.vms.values()}
@@ -30,7 +37,7 @@
 
     def test_committed_commands_are_in_the_log_once_and_refused_ones_never(self):
         for seed in SEEDS:
-            group, monitor, _ = _run(seed)
+            group, monitor, _ = _run_once(seed)
             payloads = [
                 entry.payload for entry in monitor.committed.values() if entry.payload
             ]
--- a/tanagerpath/runtime/logfiles.py
+++ b/tanagerpath/runtime/logfiles.py
@@ -5,6 +5,7 @@
 new segment starts with each snapshot and repeats the entries after it.
 """
 
+import fcntl
 import os
 import pathlib
 
@@ -26,15 +27,22 @@
     RestoredState,
     Snapshot,
 )
-from tanagerpath.errors import Failure
+from tanagerpath.errors import Failure, FailureError
 from tanagerpath.runtime.frames import encode_frame, scan_frames
 
-__all__ = ["CorruptLog", "LogFiles", "load_state", "set_aside_corrupt"]
+__all__ = [
+    "CorruptLog",
+    "DirectoryInUse",
+    "LogFiles",
+    "load_state",
+    "set_aside_corrupt",
+]
 
 SEGMENT_PREFIX = "log-"
 SNAPSHOT_NAME = "snapshot"
 TEMPORARY_SUFFIX = ".tmp"
 CORRUPT_PREFIX = "corrupt-"
+LOCK_NAME = "lock"
 
 
 @attrs.frozen(kw_only=True)
@@ -58,6 +66,21 @@
         return f"{self.path} is corrupt: {self.detail}"
 
 
+@attrs.frozen(kw_only=True)
+class DirectoryInUse(Failure):
+    """Another process owns the data directory, or wrote to it after it was read.
+
+    Two processes on one directory could vote twice under one identity.
+    """
+
+    directory: str
+
+    @property
+    def message(self) -> str:
+        """One line for people."""
+        return f"{self.directory} is in use by another process"
+
+
 @attrs.define
 class _Content:
     """Content of the segments that were read so far."""
@@ -98,7 +121,7 @@
 
 
 def load_state(directory: pathlib.Path) -> Result[RestoredState, CorruptLog]:
-    """Read a data directory and cut off a torn tail of the log.
+    """Read a data directory without its torn tail; the files stay unchanged.
 
     Parameters
     ----------
@@ -108,7 +131,7 @@
     Returns
     -------
     Result
-        The state, or `CorruptLog`; the files are then unchanged.
+        The state, or `CorruptLog`.
     """
     snapshot = _read_snapshot(directory / SNAPSHOT_NAME)
     if isinstance(snapshot, ResultFailure):
@@ -194,17 +217,9 @@
             return _report(path, batch.failure().message)
         if not all(content.apply(write) for write in batch.unwrap().writes):
             return _report(path, "entries are missing between two records")
-    if torn:
-        _cut(path, scan.valid_bytes)
     return None
 
 
-def _cut(path: pathlib.Path, size: int) -> None:
-    with path.open("r+b") as file:
-        file.truncate(size)
-        os.fsync(file.fileno())
-
-
 def set_aside_corrupt(directory: pathlib.Path) -> pathlib.Path:
     """Move all files into a new directory `corrupt-<n>` beside them.
 
@@ -224,7 +239,7 @@
     target = directory / f"{CORRUPT_PREFIX}{number}"
     target.mkdir()
     for path in sorted(directory.iterdir()):
-        if path.is_file():
+        if path.is_file() and path.name != LOCK_NAME:
             path.rename(target / path.name)
     _sync_directory(target)
     _sync_directory(directory)
@@ -259,6 +274,11 @@
         Data directory; made if it is missing.
     restored : RestoredState
         What `load_state` has read from it.
+
+    Raises
+    ------
+    FailureError
+        With `DirectoryInUse`.
     """
 
     def __init__(self, directory: pathlib.Path, restored: RestoredState) -> None:
@@ -270,9 +290,29 @@
             list(restored.entries),
         )
         directory.mkdir(parents=True, exist_ok=True)
+        _sync_directory(directory.parent)
+        self._lock = self._take_lock(restored)
         paths = _find_segments(directory)
         self._number = _find_number(paths[-1]) if paths else 1
         self._file = self._open_segment()
+        self._cut_torn_tail()
+
+    def _take_lock(self, restored: RestoredState) -> int:
+        lock = os.open(self._directory / LOCK_NAME, os.O_RDWR | os.O_CREAT, 0o644)
+        try:
+            fcntl.flock(lock, fcntl.LOCK_EX | fcntl.LOCK_NB)
+            unchanged = load_state(self._directory) == Success(restored)
+        except OSError:
+            unchanged = False
+        if not unchanged:
+            os.close(lock)
+            raise FailureError(DirectoryInUse(directory=str(self._directory)))
+        return lock
+
+    def _cut_torn_tail(self) -> None:
+        scan = scan_frames(self._find_path().read_bytes())
+        os.ftruncate(self._file, scan.valid_bytes)
+        os.fsync(self._file)
 
     def _find_path(self) -> pathlib.Path:
         return self._directory / f"{SEGMENT_PREFIX}{self._number:08d}"
@@ -348,5 +388,6 @@
             path.unlink()
 
     def close(self) -> None:
-        """Close the segment."""
+        """Close the segment and release the directory."""
         os.close(self._file)
+        os.close(self._lock)
