Keep small claims out of larger shapes and planned runs off failing upstreams

Change: a claim takes a run of the smallest shape that covers it, and an unclaimed run moves away from an upstream at the first failed start. decide returns at once if nothing has changed since the last pass.

--- a/tanagerpath/core/placement/context.py
+++ b/tanagerpath/core/placement/context.py
@@ -20,6 +20,8 @@
     """Everything that one scheduler knows; owned by its caller's task.
 
     `progress_s` is the run time that preempted jobs have saved in checkpoints.
+    `is_changed` tells whether there was an event since the last decisions, and
+    `next_pass_s` from when on time alone may change them.
     """
 
     config: SchedulerConfig
@@ -33,6 +35,8 @@
     quotas: dict[str, int] = attrs.field(factory=dict)
     progress_s: dict[str, float] = attrs.field(factory=dict)
     now_s: float = 0.0
+    is_changed: bool = True
+    next_pass_s: float = 0.0
 
     @classmethod
     def from_config(cls, config: SchedulerConfig) -> "PolicyContext":
--- a/tanagerpath/core/placement/dating.py
+++ b/tanagerpath/core/placement/dating.py
@@ -34,7 +34,7 @@
                     best = (date_s, assignment)
         if best is None:
             return None
-        return Reservation(job.job_id, best[1], best[0], self._context.now_s)
+        return Reservation(job.job_id, best[1], best[0])
 
     def _list_aligned(self, upstream_id: str, size: int) -> list[Assignment]:
         accelerators = self._context.occupancy.topology.capacities[
--- a/tanagerpath/core/placement/decisions.py
+++ b/tanagerpath/core/placement/decisions.py
@@ -1,6 +1,7 @@
 """One pass of decisions over all holds and waiting jobs."""
 
 import enum
+import math
 
 import attrs
 
@@ -166,7 +167,7 @@
             self._place(job, takeover.assignment)
             return
         context.queue.remove(job.job_id)
-        context.reservations.remove(job.job_id)
+        context.reservations.forget(job.job_id)
         context.holds.add(Hold(job, takeover.assignment, context.now_s))
         for job_id in takeover.victims:
             self._preempt(context.occupancy.jobs[job_id], grace_s)
@@ -183,7 +184,7 @@
     def _place(self, job: PendingJob, assignment: Assignment) -> None:
         context = self._context
         context.queue.remove(job.job_id)
-        context.reservations.remove(job.job_id)
+        context.reservations.forget(job.job_id)
         context.occupancy.hold(HeldJob(job, assignment, context.now_s))
         self._decisions.append(PlaceJob(job.job_id, assignment))
 
@@ -226,14 +227,16 @@
         context = self._context
         if job.request.accelerators < context.config.reservation_accelerators:
             return
-        present = context.reservations.by_job.get(job.job_id)
-        if present is None:
-            if len(context.reservations.by_job) >= context.config.reservations:
-                return
-        elif context.now_s - present.reviewed_at_s < RESERVATION_REVIEW_S:
+        table = context.reservations
+        present = table.by_job.get(job.job_id)
+        if present is None and len(table.by_job) >= context.config.reservations:
             return
+        searched_at_s = table.searched_at_s.get(job.job_id, -math.inf)
+        if context.now_s - searched_at_s < RESERVATION_REVIEW_S:
+            return
+        table.searched_at_s[job.job_id] = context.now_s
         found = self._dating.find(job)
         if found is None:
-            context.reservations.remove(job.job_id)
+            table.remove(job.job_id)
         else:
-            context.reservations.set(found)
+            table.set(found)
--- a/tanagerpath/core/placement/geometry.py
+++ b/tanagerpath/core/placement/geometry.py
@@ -97,6 +97,8 @@
     capacities: dict[str, UpstreamCapacity] = attrs.field(factory=dict)
     _racks: dict[tuple[str, int], list[str]] = attrs.field(factory=dict)
     _windows: dict[int, list[Window]] = attrs.field(factory=dict)
+    _held: dict[int, int] = attrs.field(factory=dict)
+    _gangs: dict[Window, Assignment] = attrs.field(factory=dict)
 
     def add(self, capacity: UpstreamCapacity) -> None:
         """Register an upstream or replace its capacity."""
@@ -112,6 +114,8 @@
     def remove(self, upstream_id: str) -> None:
         """Forget an upstream."""
         self._windows.clear()
+        self._held.clear()
+        self._gangs.clear()
         capacity = self.capacities.pop(upstream_id, None)
         if capacity is None:
             return
@@ -133,24 +137,28 @@
 
     def make_gang_assignment(self, window: Window) -> Assignment:
         """Return the assignment of all accelerators of the window's upstreams."""
-        return Assignment(
-            tuple(
-                AcceleratorRun(name, 0, self.capacities[name].accelerators)
-                for name in window
+        if window not in self._gangs:
+            self._gangs[window] = Assignment(
+                tuple(
+                    AcceleratorRun(name, 0, self.capacities[name].accelerators)
+                    for name in window
+                )
             )
-        )
+        return self._gangs[window]
 
     def count_held(self, accelerators: int) -> int:
         """Return how many accelerators a gang of this size holds at least."""
         if accelerators <= MAX_SINGLE_UPSTREAM:
             return accelerators
-        windows = self.list_windows(accelerators)
-        if not windows:
-            return accelerators
-        return min(
-            sum(self.capacities[name].accelerators for name in window)
-            for window in windows
-        )
+        if accelerators not in self._held:
+            self._held[accelerators] = min(
+                (
+                    sum(map(self._size, window))
+                    for window in self.list_windows(accelerators)
+                ),
+                default=accelerators,
+            )
+        return self._held[accelerators]
 
     def could_hold(self, request: JobRequest) -> bool:
         """Whether the registered hardware, if all of it worked, could run the job."""
--- a/tanagerpath/core/placement/guarantees.py
+++ b/tanagerpath/core/placement/guarantees.py
@@ -146,16 +146,25 @@
         )
 
     def list_claimable(self, request: JobRequest) -> list[PlannedRun]:
-        """Return the unclaimed runs that a claim may take, smallest first."""
-        runs = [
+        """Return the unclaimed runs that a claim may take.
+
+        These are the runs of the smallest shape that covers the job: a small claim
+        that took a larger shape would leave the next claim of that shape without.
+        """
+        size = min(
+            demand.accelerators
+            for demand in self._demands
+            if demand.organisation == request.organisation
+            and demand.accelerators >= request.accelerators
+        )
+        return [
             run
             for run in self.runs
             if run.met
             and run.claimant is None
             and run.demand.organisation == request.organisation
-            and run.demand.accelerators >= request.accelerators
+            and run.demand.accelerators == size
         ]
-        return sorted(runs, key=lambda run: run.demand.accelerators)
 
     def list_exchangeable(self, runs: Iterable[PlannedRun]) -> list[PlannedRun]:
         """Return the spare runs that any of these runs may be exchanged for."""
@@ -227,7 +236,7 @@
         spares = []
         claimed_first = sorted(self.runs, key=lambda run: run.claimant is None)
         for run in claimed_first:
-            if not run.met or not self._is_valid(run):
+            if not run.met or not self._is_valid(run) or self._is_doubtful(run):
                 continue
             if run.demand.organisation is None:
                 spares.append(run)
@@ -237,6 +246,12 @@
         missing = sorted(wanted.elements(), key=lambda demand: -demand.accelerators)
         return spares, kept, missing
 
+    def _is_doubtful(self, run: PlannedRun) -> bool:
+        """Whether a run without claimant should move away from failed starts."""
+        if run.claimant is not None:
+            return False
+        return any(map(self._is_avoided, run.assignment.upstream_ids))
+
     def _is_valid(self, run: PlannedRun) -> bool:
         if not all(map(self._is_available, run.assignment.upstream_ids)):
             return False
--- a/tanagerpath/core/placement/health.py
+++ b/tanagerpath/core/placement/health.py
@@ -48,15 +48,17 @@
         upstream.failed_jobs[job_id] = now_s
         return self._pause(upstream, now_s)
 
-    def record_success(self, job_id: str, upstream_id: str) -> None:
-        """Forget earlier failures of an upstream that ran a job well.
+    def record_success(self, job_id: str, upstream_id: str) -> bool:
+        """Forget earlier failures of an upstream that ran a job well; tell if any.
 
         A success of a job that had started before the quarantine does not end it.
         """
         self._jobs.pop(job_id, None)
         upstream = self._upstreams.get(upstream_id)
-        if upstream is not None and not upstream.quarantined:
-            del self._upstreams[upstream_id]
+        if upstream is None or upstream.quarantined:
+            return False
+        del self._upstreams[upstream_id]
+        return True
 
     def record_probe(self, upstream_id: str, healthy: bool, now_s: float) -> bool:
         """Note a probe; return whether a quarantine ended."""
--- a/tanagerpath/core/placement/policy.py
+++ b/tanagerpath/core/placement/policy.py
@@ -1,5 +1,6 @@
 """The scheduling policy under guarantees."""
 
+import math
 from collections.abc import Mapping
 from typing import Self
 
@@ -58,8 +59,9 @@
         ):
             return
         context.occupancy.update_upstream(capacity, condition)
-        context.plan.is_stale = True
         context.reservations.remove_on(capacity.upstream_id)
+        context.plan.is_stale = True
+        context.is_changed = True
 
     def remove_upstream(self, upstream_id: str) -> None:
         """See `Scheduler`."""
@@ -68,6 +70,7 @@
         context.health.forget_upstream(upstream_id)
         context.reservations.remove_on(upstream_id)
         context.plan.is_stale = True
+        context.is_changed = True
 
     def update_guarantees(
         self,
@@ -77,6 +80,7 @@
         """See `Scheduler`."""
         self._context.quotas = dict(quotas)
         self._context.plan.update_demands(guarantees)
+        self._context.is_changed = True
 
     def check_guarantees(
         self, guarantees: Mapping[str, tuple[GuaranteedShape, ...]]
@@ -99,6 +103,7 @@
         if topology.count_held(request.accelerators) > quota:
             return Fail(QuotaTooSmall.from_request(request, quota))
         context.queue.add(job)
+        context.is_changed = True
         return Success(None)
 
     def withdraw(self, job_id: str) -> None:
@@ -107,8 +112,9 @@
         removed = context.queue.remove(job_id) or context.holds.remove(job_id)
         if removed is None:
             return
+        context.is_changed = True
         context.plan.release(job_id)
-        context.reservations.remove(job_id)
+        context.reservations.forget(job_id)
         context.health.forget_job(job_id)
         context.progress_s.pop(job_id, None)
 
@@ -121,6 +127,7 @@
         held = HeldJob(job, assignment, started_at_s, started_at_s)
         context.occupancy.hold(held)
         context.plan.is_stale = True
+        context.is_changed = True
 
     def record_started(self, job_id: str, now_s: float) -> None:
         """See `Scheduler`."""
@@ -134,6 +141,7 @@
         context.now_s = now_s
         held = context.occupancy.release(job_id)
         context.plan.release(job_id)
+        context.is_changed = True
         if held is not None:
             self._learn(held, now_s)
 
@@ -144,12 +152,14 @@
         held = context.occupancy.jobs.get(job_id)
         if held is not None:
             held.failed = True
-        if context.health.record_failure(job_id, upstream_id, now_s):
-            context.plan.is_stale = True
+        context.health.record_failure(job_id, upstream_id, now_s)
+        context.plan.is_stale = True
+        context.is_changed = True
 
     def record_start_success(self, job_id: str, upstream_id: str, now_s: float) -> None:
         """See `Scheduler`."""
-        self._context.health.record_success(job_id, upstream_id)
+        if self._context.health.record_success(job_id, upstream_id):
+            self._context.is_changed = True
 
     def list_probe_candidates(self, now_s: float) -> tuple[str, ...]:
         """See `Scheduler`."""
@@ -160,12 +170,23 @@
         self._context.now_s = now_s
         if self._context.health.record_probe(upstream_id, healthy, now_s):
             self._context.plan.is_stale = True
+            self._context.is_changed = True
 
     def decide(self, now_s: float) -> list[Decision]:
-        """See `Scheduler`."""
-        self._context.now_s = now_s
-        self._context.plan.refresh()
-        return DecisionPass.from_context(self._context).run()
+        """See `Scheduler`.
+
+        Does nothing if no event and no passed instant could change a decision.
+        """
+        context = self._context
+        context.now_s = now_s
+        if not context.is_changed and now_s < context.next_pass_s:
+            return []
+        context.is_changed = False
+        context.plan.refresh()
+        decisions = DecisionPass.from_context(context).run()
+        wake_up_s = self.find_wake_up_s(now_s)
+        context.next_pass_s = math.inf if wake_up_s is None else wake_up_s
+        return decisions
 
     def find_wake_up_s(self, now_s: float) -> float | None:
         """See `Scheduler`."""
@@ -178,8 +199,8 @@
             hold.made_at_s + HOLD_TIMEOUT_S for hold in context.holds.holds.values()
         ]
         instants += [
-            reservation.reviewed_at_s + RESERVATION_REVIEW_S
-            for reservation in context.reservations.by_job.values()
+            searched_at_s + RESERVATION_REVIEW_S
+            for searched_at_s in context.reservations.searched_at_s.values()
         ]
         later = [at_s for at_s in instants if at_s is not None and at_s > now_s]
         return min(later, default=None)
--- a/tanagerpath/core/placement/reservations.py
+++ b/tanagerpath/core/placement/reservations.py
@@ -20,21 +20,23 @@
         The reserved run.
     date_s : float
         Estimated instant at which the run is free.
-    reviewed_at_s : float
-        Instant of the last look for a better run.
     """
 
     job_id: str
     assignment: Assignment
     date_s: float
-    reviewed_at_s: float
 
 
 @attrs.define
 class ReservationTable:
-    """Reservations by job and by upstream."""
+    """Reservations by job and by upstream.
+
+    `searched_at_s` is the instant of the last search for each waiting job, found or
+    not.
+    """
 
     by_job: dict[str, Reservation] = attrs.field(factory=dict)
+    searched_at_s: dict[str, float] = attrs.field(factory=dict)
     _by_upstream: dict[str, list[tuple[int, Reservation]]] = attrs.field(factory=dict)
 
     def set(self, reservation: Reservation) -> None:
@@ -56,6 +58,11 @@
             if not entries:
                 del self._by_upstream[run.upstream_id]
 
+    def forget(self, job_id: str) -> None:
+        """Drop all that is known of a job that waits no more."""
+        self.remove(job_id)
+        self.searched_at_s.pop(job_id, None)
+
     def remove_on(self, upstream_id: str) -> None:
         """Give up all reservations that use an upstream."""
         for _, reservation in list(self._by_upstream.get(upstream_id, ())):
