--- a/tanagerpath/core/placement/first_fit.py
+++ b/tanagerpath/core/placement/first_fit.py
@@ -1,5 +1,6 @@
 """Baseline policies: first come first fit, with and without head-of-line blocking."""
 
+import bisect
 from collections.abc import Mapping
 from typing import Self
 
@@ -35,6 +36,27 @@
 __all__ = ["FirstComeFirstFitScheduler", "FirstFitScheduler"]
 
 
+@attrs.frozen
+class _Needs:
+    """What decides whether a job fits; equal needs fit or fail alike."""
+
+    organisation: str
+    service: str
+    accelerators: int
+    cores: int
+    memory_bytes: int
+
+    @classmethod
+    def from_request(cls, request: JobRequest) -> Self:
+        return cls(
+            request.organisation,
+            request.service,
+            request.accelerators,
+            request.cores,
+            request.memory_bytes,
+        )
+
+
 @attrs.define
 class FirstComeFirstFitScheduler(Scheduler):
     """Places jobs strictly in order of arrival on the first run that fits.
@@ -47,6 +69,7 @@
 
     _occupancy: Occupancy = attrs.field(factory=Occupancy)
     _queue: dict[str, PendingJob] = attrs.field(factory=dict)
+    _order: list[tuple[float, str]] = attrs.field(factory=list)
     _quotas: dict[str, int] = attrs.field(factory=dict)
 
     @classmethod
@@ -92,18 +115,20 @@
         quota = self._quotas.get(request.organisation, 0)
         if held > quota:
             return Fail(QuotaTooSmall.from_request(request, quota))
+        self._dequeue(job.job_id)
         self._queue[job.job_id] = job
+        bisect.insort(self._order, _arrival(job))
         return Success(None)
 
     def withdraw(self, job_id: str) -> None:
         """See `Scheduler`."""
-        self._queue.pop(job_id, None)
+        self._dequeue(job_id)
 
     def restore(
         self, job: PendingJob, assignment: Assignment, started_at_s: float
     ) -> None:
         """See `Scheduler`."""
-        self._queue.pop(job.job_id, None)
+        self._dequeue(job.job_id)
         self._occupancy.hold(HeldJob(job, assignment, started_at_s, started_at_s))
 
     def record_started(self, job_id: str, now_s: float) -> None:
@@ -132,15 +157,16 @@
     def decide(self, now_s: float) -> list[Decision]:
         """See `Scheduler`."""
         decisions: list[Decision] = []
-        refused: set[JobRequest] = set()
-        for job in sorted(self._queue.values(), key=_arrival):
-            needs = _describe_needs(job.request)
+        refused: set[_Needs] = set()
+        for _, job_id in list(self._order):
+            job = self._queue[job_id]
+            needs = _Needs.from_request(job.request)
             if needs in refused:
                 continue
             assignment = self._find(job.request)
             if assignment is not None:
                 self._occupancy.hold(HeldJob(job, assignment, now_s))
-                del self._queue[job.job_id]
+                self._dequeue(job.job_id)
                 decisions.append(PlaceJob(job.job_id, assignment))
             elif self.blocks_behind_head:
                 break
@@ -161,6 +187,11 @@
             return "Waits for its turn in order of arrival."
         return "Not known to the scheduler."
 
+    def _dequeue(self, job_id: str) -> None:
+        job = self._queue.pop(job_id, None)
+        if job is not None:
+            del self._order[bisect.bisect_left(self._order, _arrival(job))]
+
     def _find(self, request: JobRequest) -> Assignment | None:
         topology = self._occupancy.topology
         used = self._occupancy.usage.get(request.organisation, 0)
@@ -202,14 +233,3 @@
 
 def _arrival(job: PendingJob) -> tuple[float, str]:
     return (job.accepted_at_s, job.job_id)
-
-
-def _describe_needs(request: JobRequest) -> JobRequest:
-    return JobRequest(
-        organisation=request.organisation,
-        service=request.service,
-        key="",
-        accelerators=request.accelerators,
-        cores=request.cores,
-        memory_bytes=request.memory_bytes,
-    )
