Stop smaller work for large jobs within a loss budget

Cause: large gangs waited for runs in which small jobs ended at different times, with a reservation whose date moved on at each review.

Change: a large job may stop smaller preemptible work once the accelerator seconds lost are at most a tenth of those that it has waited; jobs stopped before count more.

--- a/tanagerpath/core/placement/config.py
+++ b/tanagerpath/core/placement/config.py
@@ -22,6 +22,9 @@
         Large waiting jobs that hold a dated reservation at the same time.
     reservation_accelerators : int
         Smallest job that gets a reservation.
+    large_loss_share : float
+        A large job may make others lose this share of the accelerator seconds that
+        it has waited.
     short_job_weight : float
         Seconds of age that a job loses for each second of estimated run time.
     batch_handicap_s : float
@@ -49,6 +52,7 @@
     spare_runs_required: int = 1
     reservations: int = 4
     reservation_accelerators: int = 8
+    large_loss_share: float = 0.1
     short_job_weight: float = 1.0
     batch_handicap_s: float = 600.0
     promote_after_s: float = 4 * 3600.0
--- a/tanagerpath/core/placement/context.py
+++ b/tanagerpath/core/placement/context.py
@@ -19,7 +19,8 @@
 class PolicyContext:
     """Everything that one scheduler knows; owned by its caller's task.
 
-    `progress_s` is the run time that preempted jobs have saved in checkpoints.
+    `progress_s` is the run time that preempted jobs have saved in checkpoints, and
+    `preemptions` how often each job was stopped.
     `is_changed` tells whether there was an event since the last decisions, and
     `next_pass_s` from when on time alone may change them.
     """
@@ -34,6 +35,7 @@
     reservations: ReservationTable
     quotas: dict[str, int] = attrs.field(factory=dict)
     progress_s: dict[str, float] = attrs.field(factory=dict)
+    preemptions: dict[str, int] = attrs.field(factory=dict)
     now_s: float = 0.0
     is_changed: bool = True
     next_pass_s: float = 0.0
@@ -57,6 +59,11 @@
             reservations=ReservationTable(),
         )
 
+    def forget_job(self, job_id: str) -> None:
+        """Drop what is kept of a job beyond its attempts."""
+        self.progress_s.pop(job_id, None)
+        self.preemptions.pop(job_id, None)
+
     def is_paused(self, upstream_id: str) -> bool:
         """Whether an upstream gets no ordinary work after failed starts."""
         return self.health.is_paused(upstream_id, self.now_s)
--- a/tanagerpath/core/placement/decisions.py
+++ b/tanagerpath/core/placement/decisions.py
@@ -121,6 +121,10 @@
     def _wait_for_room(self, job: PendingJob) -> Outcome:
         if job.request.job_class is JobClass.URGENT and self._take_over(job):
             return Outcome.TAKEN
+        if job.request.accelerators < self._context.config.reservation_accelerators:
+            return Outcome.BLOCKED
+        if self._clear_for_large(job):
+            return Outcome.TAKEN
         self._reserve(job)
         return Outcome.BLOCKED
 
@@ -161,6 +165,23 @@
         self._apply(job, takeover, self._context.config.urgent_grace_s)
         return True
 
+    def _clear_for_large(self, job: PendingJob) -> bool:
+        """Stop smaller work for a large job if that loses little beside its wait."""
+        context = self._context
+        tried_at_s = context.reservations.cleared_at_s.get(job.job_id, -math.inf)
+        if context.now_s - tried_at_s < RESERVATION_REVIEW_S:
+            return False
+        context.reservations.cleared_at_s[job.job_id] = context.now_s
+        takeover = TakeoverSearch.from_large(context, job).find_cheapest()
+        if takeover is None:
+            return False
+        waited_s = context.now_s - job.accepted_at_s
+        budget_s = context.config.large_loss_share * waited_s * job.request.accelerators
+        if takeover.loss_s > budget_s:
+            return False
+        self._apply(job, takeover, context.config.reclaim_grace_s)
+        return True
+
     def _apply(self, job: PendingJob, takeover: Takeover, grace_s: float) -> None:
         context = self._context
         if not takeover.victims:
@@ -177,6 +198,8 @@
         if held.preempting:
             return
         held.preempting = True
+        counts = self._context.preemptions
+        counts[held.job.job_id] = counts.get(held.job.job_id, 0) + 1
         grace_s = grace_s if held.job.request.checkpointable else 0.0
         deadline_s = self._context.now_s + grace_s
         self._decisions.append(PreemptJob(held.job.job_id, deadline_s))
@@ -225,8 +248,6 @@
     def _reserve(self, job: PendingJob) -> None:
         """Give a large waiting job a dated reservation, or look for a better one."""
         context = self._context
-        if job.request.accelerators < context.config.reservation_accelerators:
-            return
         table = context.reservations
         present = table.by_job.get(job.job_id)
         if present is None and len(table.by_job) >= context.config.reservations:
--- a/tanagerpath/core/placement/policy.py
+++ b/tanagerpath/core/placement/policy.py
@@ -116,7 +116,7 @@
         context.plan.release(job_id)
         context.reservations.forget(job_id)
         context.health.forget_job(job_id)
-        context.progress_s.pop(job_id, None)
+        context.forget_job(job_id)
 
     def restore(
         self, job: PendingJob, assignment: Assignment, started_at_s: float
@@ -220,5 +220,6 @@
         run_s = now_s - held.started_at_s + context.progress_s.pop(job_id, 0.0)
         if not held.preempting:
             context.estimator.observe(held.job.request, run_s)
+            context.forget_job(job_id)
         elif held.job.request.checkpointable:
             context.progress_s[job_id] = run_s
--- a/tanagerpath/core/placement/queueing.py
+++ b/tanagerpath/core/placement/queueing.py
@@ -112,6 +112,10 @@
             handicap_s += self._config.batch_handicap_s
         return (ORDINARY_TIER, job.accepted_at_s + handicap_s, job.job_id)
 
+    def is_pressing(self, job: PendingJob, now_s: float) -> bool:
+        """Whether a job, waiting or not, ranks before ordinary work."""
+        return self.find_rank(job, now_s)[0] < ORDINARY_TIER
+
     def count_ahead(self, job: PendingJob, now_s: float) -> int:
         """Return how many waiting jobs have a smaller rank."""
         rank = self.find_rank(job, now_s)
--- a/tanagerpath/core/placement/takeover.py
+++ b/tanagerpath/core/placement/takeover.py
@@ -61,6 +61,7 @@
     _job: PendingJob
     _spares_urgent: bool
     _uses_planned: bool
+    _evicts_below: int | None = None
 
     @classmethod
     def from_claim(cls, context: PolicyContext, job: PendingJob) -> "TakeoverSearch":
@@ -77,6 +78,17 @@
             uses_planned=job.request.preemptible,
         )
 
+    @classmethod
+    def from_large(cls, context: PolicyContext, job: PendingJob) -> "TakeoverSearch":
+        """Prepare the search for a large job, which only smaller ones make room for."""
+        return cls(
+            context,
+            job,
+            spares_urgent=True,
+            uses_planned=job.request.preemptible,
+            evicts_below=job.request.accelerators,
+        )
+
     def evaluate(self, assignment: Assignment) -> Takeover | None:
         """Return what taking this run would cost, or None if it can't be taken."""
         victims: dict[str, None] = {}
@@ -140,7 +152,7 @@
             return None
         victims = [job_id for job_id, held in state.masks.items() if held & mask]
         jobs = self._context.occupancy.jobs
-        if self._spares_urgent and any(_is_urgent(jobs[name]) for name in victims):
+        if not all(self._may_evict(jobs[name]) for name in victims):
             return None
         return self._add_room(state, victims)
 
@@ -204,7 +216,13 @@
     def _may_evict(self, held: HeldJob) -> bool:
         if not held.job.request.preemptible:
             return False
-        return not (self._spares_urgent and _is_urgent(held))
+        if self._spares_urgent and _is_urgent(held):
+            return False
+        if self._evicts_below is None or held.preempting:
+            return True
+        if held.job.request.accelerators >= self._evicts_below:
+            return False
+        return not self._context.queue.is_pressing(held.job, self._context.now_s)
 
     def _find_loss_s(self, held: HeldJob) -> float:
         """Return the accelerator seconds lost by stopping a job."""
@@ -218,6 +236,8 @@
             loss_s += NOT_IDEMPOTENT_LOSS_S
         if _is_urgent(held):
             loss_s += URGENT_LOSS_S
+        # A job that was stopped before is spared where there is a choice.
+        loss_s *= 1 + self._context.preemptions.get(held.job.job_id, 0)
         return loss_s * held.assignment.accelerators
 
 
