--- a/tanagerpath/runtime/server.py
+++ b/tanagerpath/runtime/server.py
@@ -35,8 +35,8 @@
         If the address cannot be bound.
     """
     host, _, port = address.rpartition(":")
-    # asyncio sets TCP_NODELAY only on sockets whose protocol is stated; without it, each
-    # reply waited 40 ms for a delayed acknowledgement.
+    # asyncio turns Nagle's algorithm off only if the protocol number is explicit; with
+    # it on, delayed acknowledgements held every reply back for about 40 ms.
     listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM, socket.IPPROTO_TCP)
     listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
     listener.bind((host, int(port)))
--- a/tanagerpath/services/control.py
+++ b/tanagerpath/services/control.py
@@ -28,7 +28,7 @@
 from tanagerpath.core.protocol import internal
 from tanagerpath.core.state import SystemState
 from tanagerpath.observability.logs import get_logger
-from tanagerpath.observability.metrics import JobTime, MetricsRegistry
+from tanagerpath.observability.metrics import MetricsRegistry
 from tanagerpath.runtime import Clock, Mailbox, Task
 from tanagerpath.services.control_config import make_coordinator_config, make_scheduler
 from tanagerpath.services.control_messages import (
@@ -313,7 +313,8 @@
             case Respond(token, reply):
                 self._desk.respond(token, reply)
             case RecordPeriod(period, organisation, job_class, elapsed_s):
-                kind = JobTime(period.value)
-                self._metrics.record_time(kind, organisation, job_class, elapsed_s)
+                self._metrics.observe(
+                    str(period), elapsed_s, organisation, str(job_class)
+                )
             case CountEvent(name):
                 self._metrics.count("events", type=name)
