Refuse deeply nested JSON as malformed

Cause: a body of 100,000 opening brackets raised `RecursionError` in the JSON decoder; an entry answered 500 with a plain text instead of 400 `MalformedMessage`.

Change: `decode_json` takes the error as a malformed text, and shortens a text before it is quoted in the failure, so that a body of megabytes is not escaped as a whole.

Conclusion: the case is in the table of bad texts, which failed before.

--- a/tanagerpath/codecs/tests/test_text.py
+++ b/tanagerpath/codecs/tests/test_text.py
@@ -52,12 +52,13 @@
         ('{"organisation":"o","service":"s","key":"k","job_class":"now"}', "now"),
         ("{", "JSON"),
         ("[]", ""),
+        ("[" * 100_000, "JSON"),
     ]
 
     def test_bad_texts_are_refused_and_named(self):
         for text, named in self.CASES:
             result = decode_json(text, JobRequest)
-            self.assertFalse(is_successful(result), text)
+            self.assertFalse(is_successful(result), text[:80])
             self.assertIn(named, result.failure().message)
 
     def test_defaults_apply(self):
--- a/tanagerpath/codecs/text.py
+++ b/tanagerpath/codecs/text.py
@@ -88,7 +88,7 @@
 
 
 def _shorten(value: Any) -> str:
-    text = repr(value)
+    text = repr(value[:100] if isinstance(value, str | bytes) else value)
     return text if len(text) <= 80 else text[:77] + "..."
 
 
@@ -158,7 +158,7 @@
     """Build a message from JSON text; see `decode_value`."""
     try:
         plain = json.loads(text)
-    except ValueError as error:
+    except (ValueError, RecursionError) as error:  # the latter for deep nesting
         return ResultFailure(
             MalformedMessage(value=_shorten(text), expected=f"JSON text ({error})")
         )
