Refuse a wait_ms that is no plain whole number up to an hour

Cause: `GET /v1/jobs/{id}/answer?wait_ms=%C2%B2` and a number of 5000 digits passed the check by `str.isdigit` and raised `ValueError` in `int`; the entry answered 500 with a plain text.

Change: only ASCII digits up to 3,600,000 are taken; anything else is `MalformedMessage` with the field `wait_ms`.

--- a/tanagerpath/services/entry_routes.py
+++ b/tanagerpath/services/entry_routes.py
@@ -33,6 +33,7 @@
 
 LEADER_TIMEOUT_S = 5.0
 REQUERY_INTERVAL_S = 5.0
+MAX_WAIT_MS = 3_600_000
 MAX_BODY_BYTES = 8 * 1024 * 1024
 
 
@@ -45,6 +46,20 @@
     return _write(body, find_error_status(failure.type_name))
 
 
+def _read_wait_ms(request: Request) -> int | MalformedMessage:
+    text = request.query_params.get("wait_ms", "0")
+    # `str.isdigit` alone also holds for digits such as "²", which `int` refuses.
+    if text.isascii() and text.isdigit() and len(text) <= len(str(MAX_WAIT_MS)):
+        wait_ms = int(text)
+        if wait_ms <= MAX_WAIT_MS:
+            return wait_ms
+    return MalformedMessage(
+        field="wait_ms",
+        value=repr(text[:80]),
+        expected=f"a whole number from 0 to {MAX_WAIT_MS}",
+    )
+
+
 class EntryRoutes:
     """Handlers of all paths that an entry serves.
 
@@ -131,22 +146,16 @@
         return await self._finish_wait(job_id, accepted, changed, wait_s)
 
     async def _await_answer(self, request: Request) -> Response:
-        wait_text = request.query_params.get("wait_ms", "0")
-        if not wait_text.isdigit():
-            return self._count_refusal(
-                MalformedMessage(
-                    field="wait_ms", value=wait_text, expected="a whole number"
-                )
-            )
+        wait_ms = _read_wait_ms(request)
+        if isinstance(wait_ms, Failure):
+            return self._count_refusal(wait_ms)
         self.callers_in_flight += 1
         try:
             job_id = request.path_params["job_id"]
             changed: Reply[None] = Reply()
             self._entry.post(WatchJob(job_id, changed))
             found = await self._ask(internal.JobQuery(job_id))
-            return await self._finish_wait(
-                job_id, found, changed, int(wait_text) / 1000
-            )
+            return await self._finish_wait(job_id, found, changed, wait_ms / 1000)
         finally:
             self.callers_in_flight -= 1
 
