Count the open proposals when a request is judged

Cause: the number of open proposals was noted only when one was added, so a bound once reached stayed reached until something else proposed. With `max_proposals_in_flight=1` an idle leader refused every document as `Overloaded`; with the default of 4096 a burst into a system without free hardware would do the same.

Change: the number is read from the open proposals for each request.

--- a/tanagerpath/services/control.py
+++ b/tanagerpath/services/control.py
@@ -173,6 +173,7 @@
                 )
                 arrived.reply.send(status)
             case request:
+                self._desk.open_proposals = len(self._proposals)
                 followed = self._desk.take(request, arrived.reply, now)
                 if isinstance(followed, Proposal):
                     self._propose(followed)
@@ -192,8 +193,6 @@
     def _propose(self, proposal: Proposal) -> None:
         proposal_id = next(self._proposal_ids)
         self._proposals[proposal_id] = proposal
-        if self._desk is not None:
-            self._desk.open_proposals = len(self._proposals)
         payload = encode_command(proposal.command)
         self._step(consensus.CommandProposed(proposal_id, payload))
 
