Test the interface of callers and operators as a contract

Cause: status and error type of good and bad requests are promises to other programs and need tables that start the real processes' parts.

Change: one control application, two entries and two stand-in upstreams run on loopback in the test process.

Known red: with two upstreams, an idempotent job that failed on both stays accepted for ever and every later job waits behind it. `HealthTracker.list_failed_upstreams` bars a job from the upstreams on which it failed until it failed on three.

--- /dev/null
+++ b/tanagerpath/services/tests/loopback.py
@@ -0,0 +1,134 @@
+"""A whole system in this process, on loopback: control, entries and upstreams."""
+
+import contextlib
+import http.client
+import json
+import pathlib
+import shutil
+import socket
+import tempfile
+import time
+
+import anyio.from_thread
+
+from tanagerpath.emulator.upstream import UpstreamsApplication, make_parser
+from tanagerpath.services.control_application import ControlApplication
+from tanagerpath.services.entry import EntryApplication
+from tanagerpath.settings import ControlAddress, ControlSettings, EntrySettings
+
+READY_LIMIT_S = 10.0
+
+
+def find_free_port():
+    with socket.socket() as listener:
+        listener.bind(("127.0.0.1", 0))
+        return listener.getsockname()[1]
+
+
+class LoopbackSystem:
+    """One control process, `entries` entry processes and `upstreams` upstreams."""
+
+    def __init__(self, entries=2, upstreams=2, services="sort,survey", **control):
+        self._folder = None
+        self._closing = contextlib.ExitStack()
+        address = f"127.0.0.1:{find_free_port()}"
+        self._common = {
+            "availability_zone": "a",
+            "control_addresses": (ControlAddress("c1", address),),
+        }
+        self._control = control
+        self._control_address = address
+        self._entry_count = entries
+        self._upstream_count = upstreams
+        self._services = services
+        self._portal = None
+        self.entries = []
+
+    def __enter__(self):
+        self._folder = pathlib.Path(tempfile.mkdtemp(prefix="tanagerpath-"))
+        self._closing.callback(shutil.rmtree, self._folder)
+        portal = anyio.from_thread.start_blocking_portal()
+        self._portal = self._closing.enter_context(portal)
+        self._run(ControlApplication.from_settings(self._make_control_settings()))
+        for number in range(self._entry_count):
+            self.entries.append(self._start_entry(f"e{number + 1}"))
+        self._run(self._make_upstreams())
+        self._wait_until_ready()
+        return self
+
+    def __exit__(self, *error):
+        self._closing.close()
+
+    def ask(self, method, path, body=None, entry=0):
+        """Return status and body; the body is JSON where it can be."""
+        connection = http.client.HTTPConnection(self.entries[entry], timeout=20)
+        content = body if isinstance(body, bytes) or body is None else json.dumps(body)
+        try:
+            connection.request(method, path, content)
+            reply = connection.getresponse()
+            text = reply.read().decode()
+        finally:
+            connection.close()
+        try:
+            return reply.status, json.loads(text)
+        except ValueError:
+            return reply.status, text
+
+    def _run(self, application):
+        future = self._portal.start_task_soon(application.run, False)
+        self._closing.callback(future.result, 10)
+        self._closing.callback(self._portal.call, application.request_stop)
+        return future
+
+    def _make_control_settings(self):
+        fast = {
+            "tick_interval_s": 0.01,
+            "heartbeat_interval_s": 0.02,
+            "election_timeout_min_s": 0.1,
+            "election_timeout_max_s": 0.2,
+            "lease_duration_s": 0.08,
+            "upstream_renew_interval_s": 0.2,
+            "drain_timeout_s": 0.1,
+        }
+        return ControlSettings(
+            vm_id="c1",
+            listen=self._control_address,
+            data_dir=self._folder / "c1",
+            **(self._common | fast | self._control),
+        )
+
+    def _start_entry(self, vm_id):
+        port = find_free_port()
+        settings = EntrySettings(
+            vm_id=vm_id,
+            listen=f"127.0.0.1:{port}",
+            drain_notice_s=0.0,
+            drain_timeout_s=1.0,
+            **self._common,
+        )
+        self._run(EntryApplication.from_settings(settings))
+        return settings.listen
+
+    def _make_upstreams(self):
+        arguments = [
+            f"--entries={','.join(self.entries)}",
+            f"--count={self._upstream_count}",
+            f"--services={self._services}",
+            f"--journal={self._folder / 'journal.jsonl'}",
+            "--drain-limit-s=0.1",
+        ]
+        return UpstreamsApplication(make_parser().parse_args(arguments))
+
+    def _wait_until_ready(self):
+        until_s = time.monotonic() + READY_LIMIT_S
+        while time.monotonic() < until_s:
+            with contextlib.suppress(OSError):
+                ready = all(
+                    self.ask("GET", "/readyz", entry=number)[0] == 200
+                    for number in range(self._entry_count)
+                )
+                _, status = self.ask("GET", "/v1/status")
+                if ready and len(status["upstreams"]) == self._upstream_count:
+                    return
+            time.sleep(0.02)
+        raise TimeoutError(f"the system was not ready within {READY_LIMIT_S} s")
