Name the setting when a process cannot start

Cause: a port in use or a data directory that cannot be created ended a process with "[Errno 98] Address already in use" alone; and `cancel` of a running job said "start_recorded".

Change: errors of the operating system that come from `listen` or `data_dir` are reported as a wrong setting with exit status 2; `cancel` says that the job will be cancelled once all members are stopped.

--- a/tanagerpath/cli/jobs.py
+++ b/tanagerpath/cli/jobs.py
@@ -227,6 +227,12 @@
     return Success(_render_reply(reply, submission.as_json))
 
 
+def _render_cancel(reply: JobReply, as_json: bool) -> str:
+    if as_json or reply.state.is_final:
+        return _render_reply(reply, as_json)
+    return f"job {reply.job_id} will be cancelled once all members are stopped"
+
+
 class CancelCommand(ClientCommand):
     """`tanagerpath cancel`."""
 
@@ -256,7 +262,7 @@
             find_mismatch=lambda reply: _compare_ids(reply.job_id, prepared.job),
         )
         outcome = await client.ask(request)
-        return outcome.map(lambda reply: _render_reply(reply, prepared.json))
+        return outcome.map(lambda reply: _render_cancel(reply, prepared.json))
 
 
 class ExplainCommand(ClientCommand):
--- a/tanagerpath/cli/servers.py
+++ b/tanagerpath/cli/servers.py
@@ -2,8 +2,9 @@
 
 import abc
 import argparse
-import sys
+import errno
 from collections.abc import Iterator, Mapping
+from typing import Any
 
 import anyio
 from returns.pipeline import is_successful
@@ -14,11 +15,17 @@
 from tanagerpath.errors import Failure, FailureError
 from tanagerpath.observability import configure_logs
 from tanagerpath.runtime import Application
-from tanagerpath.settings import ControlSettings, EntrySettings, add_flags
+from tanagerpath.settings import (
+    ControlSettings,
+    EntrySettings,
+    InvalidSetting,
+    add_flags,
+)
 
 __all__ = ["ControlCommand", "EntryCommand", "ServerCommand"]
 
 EXIT_START_FAILED = 1
+_LISTEN_ERRORS = (errno.EADDRINUSE, errno.EADDRNOTAVAIL, errno.EACCES)
 
 
 class ServerCommand(Command):
@@ -45,22 +52,49 @@
         if not is_successful(settings):
             write_failure(settings.failure())
             return EXIT_WRONG_INPUT
-        configure_logs(settings.unwrap().log_level)
-        application = self.make_application(settings.unwrap())
+        return self._run_application(settings.unwrap())
+
+    def _run_application(self, settings: Any) -> int:
+        configure_logs(settings.log_level)
+        application = self.make_application(settings)
         try:
             anyio.run(application.run)
         except Exception as error:
-            return _report_end(error)
+            return _report_end(error, settings)
         return EXIT_DONE
 
 
-def _report_end(error: Exception) -> int:
+def _report_end(error: Exception, settings: Any) -> int:
     """Write one line for a failure to start; raise anything else again."""
-    leaves = list(_list_leaves(error))
-    if not all(isinstance(leaf, FailureError | OSError) for leaf in leaves):
+    first, *others = _list_leaves(error)
+    if isinstance(first, FailureError):
+        write_failure(first.failure)
+        return EXIT_START_FAILED
+    if others or not isinstance(first, OSError):
+        raise error
+    fault = _find_wrong_setting(first, settings)
+    if fault is None:
         raise error
-    sys.stderr.write(f"tanagerpath: {' '.join(str(leaves[0]).split())}\n")
-    return EXIT_START_FAILED
+    write_failure(fault)
+    return EXIT_WRONG_INPUT
+
+
+def _find_wrong_setting(error: OSError, settings: Any) -> InvalidSetting | None:
+    """Return the setting that made the operating system refuse a start, or None."""
+    if error.errno in _LISTEN_ERRORS and error.filename is None:
+        return InvalidSetting(
+            setting="listen",
+            value=settings.listen,
+            expected=f"an address that can be bound ({error.strerror})",
+        )
+    data_dir = getattr(settings, "data_dir", None)
+    if data_dir is not None and str(error.filename).startswith(str(data_dir)):
+        return InvalidSetting(
+            setting="data_dir",
+            value=str(data_dir),
+            expected=f"a directory that can be written ({error.strerror})",
+        )
+    return None
 
 
 def _list_leaves(error: BaseException) -> Iterator[BaseException]:
--- a/tanagerpath/cli/tests/test_commands.py
+++ b/tanagerpath/cli/tests/test_commands.py
@@ -119,6 +119,27 @@
             self.assertIn(f"tanagerpath {name}", output)
 
 
+class TestServers(testtools.TestCase):
+    def test_process_that_cannot_start_names_the_setting(self):
+        with FakeEntry([]) as taken, tempfile.TemporaryDirectory() as folder:
+            # A directory below a file can be created by nobody, not even by root.
+            blocked = pathlib.Path(folder, "file", "data")
+            blocked.parent.touch()
+            for name, listen, data_dir, setting, value in [
+                ("entry", taken.address, folder, "listen", taken.address),
+                ("control", taken.address, folder, "listen", taken.address),
+                ("control", "127.0.0.1:0", blocked, "data_dir", str(blocked)),
+            ]:
+                argv = [name, "--vm-id=c1", "--availability-zone=a"]
+                argv += [f"--listen={listen}", "--control-addresses=c1=127.0.0.1:1"]
+                if name == "control":
+                    argv.append(f"--data-dir={data_dir}")
+                status, output, errors = run(*argv)
+                case = (name, setting)
+                self.assertEqual((2, "", 1), (status, output, errors.count("\n")), case)
+                self.assertIn(f"setting {setting}: got {value!r}", errors)
+
+
 class TestSubmit(testtools.TestCase):
     def test_lost_exchange_is_repeated_with_the_same_key_on_the_next_entry(self):
         short = make_reply(JobState.ANSWERED, "half", answer_length=8)
@@ -202,6 +223,12 @@
         crossed = 200, encode_json(ExplainReply("j2", "runs"))
         cases = [
             ("cancel", [make_reply(JobState.CANCELLED)], 0, "job j1 cancelled\n"),
+            (
+                "cancel",
+                [make_reply(JobState.START_RECORDED)],
+                0,
+                "job j1 will be cancelled once all members are stopped\n",
+            ),
             ("cancel", [make_refusal(404, "UnknownJob", False)], 3, ""),
             ("explain", [crossed, explanation], 0, "waits for 8 accelerators\n"),
         ]
