Check announcements before they reach the log

Cause: an upstream that announced -8 accelerators was accepted; the command was committed, and the scheduler then raised "negative shift count", which ended the control process. The entry stays in the log, so every leader would end the same way after each start. 10**9 accelerators would ask for a mask of 125 MB.

Change: `check_announcement` bounds identity, place, accelerators, slots, needs, services and address; the leader refuses a wrong one with `InvalidAnnouncement` and status 400.

--- a/tanagerpath/core/model/checks.py
+++ b/tanagerpath/core/model/checks.py
@@ -1,9 +1,7 @@
 """Checks of documents and jobs that need nothing but the document or the job."""
 
 import math
-import re
-from collections.abc import Iterable, Iterator
-from typing import Any, TypeVar
+from collections.abc import Iterator
 
 import attrs
 from returns.result import Failure as ResultFailure
@@ -15,6 +13,13 @@
     ServiceDocument,
 )
 from tanagerpath.core.model.jobs import JobRequest
+from tanagerpath.core.model.rules import (
+    Rule,
+    find_broken,
+    require_between,
+    require_name,
+    require_text,
+)
 from tanagerpath.errors import Failure
 
 __all__ = ["InvalidDocument", "InvalidJob", "check_document", "check_job"]
@@ -23,16 +28,9 @@
 MAX_KEY_CHARACTERS = 128
 MAX_PAYLOAD_BYTES = 1024 * 1024
 MAX_ANSWER_BYTES = 4 * 1024 * 1024
-# Larger integers lose digits in JSON readers that use floating point.
-MAX_INTEGER = 2**53
 # A gang of more than one worker takes whole workers.
 ACCELERATORS_PER_WORKER = 8
 
-_NAME = re.compile(r"[a-z0-9-]{1,63}")
-_NAME_EXPECTED = "1 to 63 characters of a-z, 0-9 and '-'"
-
-T = TypeVar("T")
-
 
 @attrs.frozen(kw_only=True)
 class InvalidDocument(Failure):
@@ -75,22 +73,6 @@
         return f"job field {self.field!r}: got {self.value}, expected {self.expected}"
 
 
-@attrs.frozen
-class _Rule:
-    """A condition on one field that must hold."""
-
-    holds: bool
-    field: str
-    value: Any
-    expected: str
-
-    def describe(self) -> dict[str, str]:
-        """Return the arguments of a failure."""
-        text = repr(self.value)
-        short = text if len(text) <= 80 else text[:77] + "..."
-        return {"field": self.field, "value": short, "expected": self.expected}
-
-
 def check_document(document: ServiceDocument) -> Result[ServiceDocument, Failure]:
     """Check a whole document.
 
@@ -104,7 +86,7 @@
     Result
         The same document, or `InvalidDocument` for the first rule that it breaks.
     """
-    broken = _find_broken(_list_document_rules(document))
+    broken = find_broken(_list_document_rules(document))
     if broken is None:
         return Success(document)
     return ResultFailure(InvalidDocument(**broken.describe()))
@@ -123,46 +105,29 @@
     Result
         The same job, or `InvalidJob` for the first rule that it breaks.
     """
-    broken = _find_broken(_list_job_rules(job))
+    broken = find_broken(_list_job_rules(job))
     if broken is None:
         return Success(job)
     return ResultFailure(InvalidJob(**broken.describe()))
 
 
-def _find_broken(rules: Iterable[_Rule]) -> _Rule | None:
-    return next((rule for rule in rules if not rule.holds), None)
-
-
-def _name(field: str, value: str) -> _Rule:
-    return _Rule(_NAME.fullmatch(value) is not None, field, value, _NAME_EXPECTED)
-
-
-def _between(field: str, value: int, minimum: int, maximum: int = MAX_INTEGER) -> _Rule:
-    expected = f"a whole number from {minimum} to {maximum}"
-    return _Rule(minimum <= value <= maximum, field, value, expected)
-
-
-def _text(field: str, value: str) -> _Rule:
-    # JSON may carry lone surrogates, which cannot be written as UTF-8 later.
-    holds = not any("\ud800" <= character <= "\udfff" for character in value)
-    return _Rule(holds, field, value, "text that can be encoded as UTF-8")
-
-
-def _list_document_rules(document: ServiceDocument) -> Iterator[_Rule]:
-    yield _name("service", document.service)
-    yield _between("revision", document.revision, 1)
-    yield _name("owner", document.owner)
-    yield _between("max_queued_jobs", document.max_queued_jobs, 1)
-    yield _between(
+def _list_document_rules(document: ServiceDocument) -> Iterator[Rule]:
+    yield require_name("service", document.service)
+    yield require_between("revision", document.revision, 1)
+    yield require_name("owner", document.owner)
+    yield require_between("max_queued_jobs", document.max_queued_jobs, 1)
+    yield require_between(
         "max_payload_bytes", document.max_payload_bytes, 0, MAX_PAYLOAD_BYTES
     )
-    yield _between("max_answer_bytes", document.max_answer_bytes, 1, MAX_ANSWER_BYTES)
-    yield _between("max_attempts", document.max_attempts, 1, 100)
+    yield require_between(
+        "max_answer_bytes", document.max_answer_bytes, 1, MAX_ANSWER_BYTES
+    )
+    yield require_between("max_attempts", document.max_attempts, 1, 100)
     seen: set[str] = set()
     for index, terms in enumerate(document.organisations):
         field = f"organisations[{index}]"
         yield from _list_terms_rules(field, terms)
-        yield _Rule(
+        yield Rule(
             terms.name not in seen,
             f"{field}.name",
             terms.name,
@@ -171,13 +136,13 @@
         seen.add(terms.name)
 
 
-def _list_terms_rules(field: str, terms: OrganisationTerms) -> Iterator[_Rule]:
-    yield _name(f"{field}.name", terms.name)
-    yield _between(f"{field}.quota_accelerators", terms.quota_accelerators, 0)
+def _list_terms_rules(field: str, terms: OrganisationTerms) -> Iterator[Rule]:
+    yield require_name(f"{field}.name", terms.name)
+    yield require_between(f"{field}.quota_accelerators", terms.quota_accelerators, 0)
     for index, shape in enumerate(terms.guarantees):
         yield from _list_shape_rules(f"{field}.guarantees[{index}]", shape)
     total = sum(shape.accelerators * shape.count for shape in terms.guarantees)
-    yield _Rule(
+    yield Rule(
         total <= terms.quota_accelerators,
         f"{field}.guarantees",
         total,
@@ -185,44 +150,44 @@
     )
 
 
-def _list_shape_rules(field: str, shape: GuaranteedShape) -> Iterator[_Rule]:
+def _list_shape_rules(field: str, shape: GuaranteedShape) -> Iterator[Rule]:
     size = shape.accelerators
-    yield _between(f"{field}.accelerators", size, 1, MAX_GANG_ACCELERATORS)
-    yield _Rule(
+    yield require_between(f"{field}.accelerators", size, 1, MAX_GANG_ACCELERATORS)
+    yield Rule(
         size <= ACCELERATORS_PER_WORKER or size % ACCELERATORS_PER_WORKER == 0,
         f"{field}.accelerators",
         size,
         f"a multiple of {ACCELERATORS_PER_WORKER} above {ACCELERATORS_PER_WORKER}",
     )
-    yield _between(f"{field}.count", shape.count, 1)
+    yield require_between(f"{field}.count", shape.count, 1)
     if shape.availability_zone is not None:
-        yield _name(f"{field}.availability_zone", shape.availability_zone)
+        yield require_name(f"{field}.availability_zone", shape.availability_zone)
 
 
-def _list_job_rules(job: JobRequest) -> Iterator[_Rule]:
-    yield _name("organisation", job.organisation)
-    yield _name("service", job.service)
-    yield _Rule(
+def _list_job_rules(job: JobRequest) -> Iterator[Rule]:
+    yield require_name("organisation", job.organisation)
+    yield require_name("service", job.service)
+    yield Rule(
         1 <= len(job.key) <= MAX_KEY_CHARACTERS,
         "key",
         job.key,
         f"1 to {MAX_KEY_CHARACTERS} characters",
     )
-    yield _text("key", job.key)
-    yield _between("accelerators", job.accelerators, 1, MAX_GANG_ACCELERATORS)
-    yield _text("payload", job.payload)
+    yield require_text("key", job.key)
+    yield require_between("accelerators", job.accelerators, 1, MAX_GANG_ACCELERATORS)
+    yield require_text("payload", job.payload)
     if job.deadline_unix_s is not None:
-        yield _Rule(
+        yield Rule(
             math.isfinite(job.deadline_unix_s) and job.deadline_unix_s > 0,
             "deadline_unix_s",
             job.deadline_unix_s,
             "a finite number of UTC seconds above 0",
         )
-    yield _Rule(
+    yield Rule(
         math.isfinite(job.expected_run_s) and job.expected_run_s > 0,
         "expected_run_s",
         job.expected_run_s,
         "a finite number of seconds above 0",
     )
-    yield _between("cores", job.cores, 0)
-    yield _between("memory_bytes", job.memory_bytes, 0)
+    yield require_between("cores", job.cores, 0)
+    yield require_between("memory_bytes", job.memory_bytes, 0)
--- /dev/null
+++ b/tanagerpath/core/protocol/checks.py
@@ -0,0 +1,120 @@
+"""Check of what an upstream announces."""
+
+import ipaddress
+from collections.abc import Iterator
+
+import attrs
+from returns.result import Failure as ResultFailure
+from returns.result import Result, Success
+
+from tanagerpath.core.model import WORKERS_PER_RACK
+from tanagerpath.core.model.rules import (
+    Rule,
+    find_broken,
+    require_between,
+    require_name,
+    require_text,
+)
+from tanagerpath.core.protocol.upstreams import Announcement
+from tanagerpath.errors import Failure
+
+__all__ = ["InvalidAnnouncement", "check_announcement"]
+
+# The placement keeps one bit for each accelerator of an upstream.
+MAX_ACCELERATORS = 64
+MAX_RACK = 2**31
+MAX_ID_CHARACTERS = 128
+MAX_SERVICES = 1024
+
+
+@attrs.frozen(kw_only=True)
+class InvalidAnnouncement(Failure):
+    """An announcement breaks a rule; the upstream is not registered.
+
+    Attributes
+    ----------
+    field : str
+        Path of the offending field.
+    value : str
+        The offending value.
+    expected : str
+        What was expected.
+    """
+
+    not_run: bool = True
+    field: str
+    value: str
+    expected: str
+
+    @property
+    def message(self) -> str:
+        """One line for people."""
+        return (
+            f"announcement field {self.field!r}: got {self.value}, "
+            f"expected {self.expected}"
+        )
+
+
+def check_announcement(announcement: Announcement) -> Result[Announcement, Failure]:
+    """Check an announcement by itself.
+
+    A wrong one must never reach the log: every leader would apply it again after each
+    start.
+
+    Parameters
+    ----------
+    announcement : Announcement
+        What the upstream sent.
+
+    Returns
+    -------
+    Result
+        The same announcement, or `InvalidAnnouncement` for the first rule that it
+        breaks.
+    """
+    broken = find_broken(_list_rules(announcement))
+    if broken is None:
+        return Success(announcement)
+    return ResultFailure(InvalidAnnouncement(**broken.describe()))
+
+
+def _list_rules(announcement: Announcement) -> Iterator[Rule]:
+    capacity = announcement.capacity
+    location = capacity.location
+    place = "capacity.location"
+    yield from _require_id("capacity.upstream_id", capacity.upstream_id)
+    yield require_name(f"{place}.availability_zone", location.availability_zone)
+    yield require_between(f"{place}.rack", location.rack, 0, MAX_RACK)
+    last_position = WORKERS_PER_RACK - 1
+    yield require_between(f"{place}.position", location.position, 0, last_position)
+    accelerators = capacity.accelerators
+    yield require_between("capacity.accelerators", accelerators, 1, MAX_ACCELERATORS)
+    yield require_between("capacity.cores", capacity.cores, 0)
+    yield require_between("capacity.memory_bytes", capacity.memory_bytes, 0)
+    yield require_between("capacity.slots", capacity.slots, 1)
+    yield require_between("capacity.services", len(capacity.services), 0, MAX_SERVICES)
+    for index, service in enumerate(capacity.services):
+        yield require_name(f"capacity.services[{index}]", service)
+    yield _require_address("address", announcement.address)
+    yield from _require_id("incarnation", announcement.incarnation)
+
+
+def _require_id(field: str, value: str) -> Iterator[Rule]:
+    expected = f"1 to {MAX_ID_CHARACTERS} characters"
+    yield Rule(1 <= len(value) <= MAX_ID_CHARACTERS, field, value, expected)
+    yield require_text(field, value)
+
+
+def _require_address(field: str, value: str) -> Rule:
+    host, _, port = value.rpartition(":")
+    holds = port.isascii() and port.isdigit() and len(port) <= 5
+    holds = holds and 1 <= int(port) <= 65535 and _is_ip_address(host)
+    return Rule(holds, field, value, "ip:port with an IPv4 address")
+
+
+def _is_ip_address(host: str) -> bool:
+    try:
+        ipaddress.IPv4Address(host)
+    except ValueError:
+        return False
+    return True
--- a/tanagerpath/services/requests.py
+++ b/tanagerpath/services/requests.py
@@ -17,6 +17,7 @@
 from tanagerpath.core.model.checks import check_document, check_job
 from tanagerpath.core.protocol import internal
 from tanagerpath.core.protocol.callers import DocumentReply, ErrorBody
+from tanagerpath.core.protocol.checks import check_announcement
 from tanagerpath.core.protocol.upstreams import (
     Announcement,
     AnnouncementReply,
@@ -230,6 +231,10 @@
             self._cancels.append((job_id, reply))
 
     def _announce(self, announcement: Announcement, reply: Reply) -> Proposal | None:
+        checked = check_announcement(announcement)
+        if not is_successful(checked):
+            self._refuse(reply, checked.failure())
+            return None
         upstream_id = announcement.capacity.upstream_id
         if self._state.upstreams.get(upstream_id) == announcement:
             reply.send(AnnouncementReply())
--- a/tanagerpath/services/statuses.py
+++ b/tanagerpath/services/statuses.py
@@ -9,6 +9,7 @@
     "MalformedMessage": 400,
     "InvalidDocument": 400,
     "InvalidJob": 400,
+    "InvalidAnnouncement": 400,
     "UnknownJob": 404,
     "UnknownService": 404,
     "UnknownOrganisation": 403,
--- a/tanagerpath/services/tests/test_caller_contract.py
+++ b/tanagerpath/services/tests/test_caller_contract.py
@@ -327,6 +327,28 @@
         self.await_terms("late-team", limit_s=5.0)
 
 
+class TestAnnouncements(SystemCase):
+    FAULTS = [
+        # changes of the capacity, of the location, field
+        ({"accelerators": -8}, {}, "capacity.accelerators"),
+        ({"accelerators": 10**9}, {}, "capacity.accelerators"),
+        ({}, {"rack": -1}, "capacity.location.rack"),
+        ({}, {"position": 99}, "capacity.location.position"),
+    ]
+
+    def test_wrong_announcement_is_refused_before_it_is_logged(self):
+        location = {"availability_zone": "a", "rack": 5, "position": 0}
+        for capacity, place, field in self.FAULTS:
+            wrong = {"upstream_id": "wrong", "location": location | place}
+            body = {"address": "127.0.0.1:1", "incarnation": "i"}
+            body["capacity"] = wrong | capacity
+            reply = self.ask("POST", "/v1/upstreams/announce", body)
+            error = self.assert_refused((400, "InvalidAnnouncement"), reply, field)
+            self.assertEqual(field, error["field"])
+        _, status = self.ask("GET", "/v1/status")
+        self.assertEqual(2, len(status["upstreams"]))
+
+
 class TestPlatform(SystemCase):
     def test_paths_of_the_platform(self):
         self.submit("counted")
