Move the control process's decisions into a node without input or output

Cause: ControlTask mixed decisions with mailboxes and reply objects, so the core check could not drive the code that runs. Change: core/control holds ControlNode.step(events, now_s, now_unix_s) -> actions with requests named by tokens; the task only carries actions out. The log's payloads go through the abstract StateCodec. Ruled out: a second copy of the loop for the check.

--- /dev/null
+++ b/tanagerpath/core/control/codec.py
@@ -0,0 +1,39 @@
+"""Interface of the encoding of log payloads."""
+
+import abc
+
+from tanagerpath.core.state import Command, StateSnapshot
+
+__all__ = ["StateCodec"]
+
+
+class StateCodec(abc.ABC):
+    """Turns commands and snapshots into the opaque text of the log."""
+
+    @abc.abstractmethod
+    def encode_command(self, command: Command) -> str:
+        """Return the payload of a log entry."""
+
+    @abc.abstractmethod
+    def decode_command(self, payload: str) -> Command:
+        """Read the payload of a log entry.
+
+        Raises
+        ------
+        FailureError
+            If the payload is not a command.
+        """
+
+    @abc.abstractmethod
+    def encode_snapshot(self, snapshot: StateSnapshot) -> str:
+        """Return the payload of a snapshot."""
+
+    @abc.abstractmethod
+    def decode_snapshot(self, payload: str) -> StateSnapshot:
+        """Read the payload of a snapshot.
+
+        Raises
+        ------
+        FailureError
+            If the payload is not a snapshot.
+        """
--- a/tanagerpath/services/feeds.py
+++ b/tanagerpath/core/control/feeds.py
@@ -1,19 +1,21 @@
 """Polls of entries that wait for changes."""
 
+import math
+
 import attrs
 
+from tanagerpath.core.control.messages import AnswerRequest
 from tanagerpath.core.protocol.internal import FeedRequest, NotLeaderReply
 from tanagerpath.core.state import SystemState
-from tanagerpath.runtime import Reply
 
 __all__ = ["FeedDesk"]
 
 
-@attrs.frozen(eq=False)
+@attrs.frozen
 class _Poll:
+    token: int
     after_index: int
     release_at_s: float
-    reply: Reply
 
 
 class FeedDesk:
@@ -29,23 +31,28 @@
         self._hold_s = hold_s
         self._polls: list[_Poll] = []
 
-    def hold(self, request: FeedRequest, reply: Reply, now_s: float) -> None:
+    def hold(self, token: int, request: FeedRequest, now_s: float) -> None:
         """Keep a poll."""
-        self._polls.append(_Poll(request.after_index, now_s + self._hold_s, reply))
+        self._polls.append(_Poll(token, request.after_index, now_s + self._hold_s))
 
-    def find_wake_up_s(self) -> float | None:
+    def find_wake_up_s(self) -> float:
         """Return the instant at which the first poll has to be answered."""
-        return min((poll.release_at_s for poll in self._polls), default=None)
+        return min((poll.release_at_s for poll in self._polls), default=math.inf)
 
-    def release(self, state: SystemState, now_s: float, has_lease: bool) -> None:
+    def release(
+        self, state: SystemState, now_s: float, has_lease: bool
+    ) -> list[AnswerRequest]:
         """Answer the polls that are due; only the lease proves their freshness."""
+        answers: list[AnswerRequest] = []
         kept: list[_Poll] = []
         for poll in self._polls:
             due = poll.after_index == 0 or now_s >= poll.release_at_s
             if not due and not state.has_changes_after(poll.after_index):
                 kept.append(poll)
             elif not has_lease or state.applied_index < poll.after_index:
-                poll.reply.send(NotLeaderReply())
+                answers.append(AnswerRequest(poll.token, NotLeaderReply()))
             else:
-                poll.reply.send(state.collect_changes(poll.after_index))
+                changes = state.collect_changes(poll.after_index)
+                answers.append(AnswerRequest(poll.token, changes))
         self._polls = kept
+        return answers
--- /dev/null
+++ b/tanagerpath/core/control/requests.py
@@ -0,0 +1,220 @@
+"""How the leader answers the requests of entries."""
+
+from returns.pipeline import is_successful
+
+from tanagerpath.core.admission import Overloaded
+from tanagerpath.core.control.messages import AnswerRequest, RequestArrived
+from tanagerpath.core.control.proposals import Proposal, describe_job
+from tanagerpath.core.coordination import (
+    Coordinator,
+    Event,
+    Instant,
+    LeaveArrived,
+    ReportArrived,
+)
+from tanagerpath.core.model import JobRequest, ServiceDocument
+from tanagerpath.core.model.checks import check_document, check_job
+from tanagerpath.core.protocol import internal
+from tanagerpath.core.protocol.callers import DocumentReply, ErrorBody
+from tanagerpath.core.protocol.upstreams import (
+    Announcement,
+    AnnouncementReply,
+    LeaveNotice,
+    TaskReport,
+)
+from tanagerpath.core.state import (
+    AcceptJob,
+    ApplyDocument,
+    RegisterUpstream,
+    RequestCancel,
+    SystemState,
+    make_job_id,
+)
+from tanagerpath.core.state.failures import UnknownJob, UnknownService
+from tanagerpath.errors import Failure
+
+__all__ = ["RequestDesk"]
+
+OVERLOAD_RETRY_AFTER_S = 1.0
+
+
+class RequestDesk:
+    """Answers from the state, or turns requests into proposals and events.
+
+    One instance lives for one term of a leader.
+
+    Parameters
+    ----------
+    state : SystemState
+        Replicated state.
+    coordinator : Coordinator
+        The leader's decisions.
+    max_proposals : int
+        Most proposals that may be open.
+    """
+
+    def __init__(
+        self, state: SystemState, coordinator: Coordinator, max_proposals: int
+    ) -> None:
+        self._state = state
+        self._coordinator = coordinator
+        self._max_proposals = max_proposals
+        self._waiting: set[int] = set()
+        self._cancels: list[tuple[str, int]] = []
+        self._answers: list[AnswerRequest] = []
+
+    def respond(self, token: int, reply: object) -> None:
+        """Answer the exchange that a token names, once."""
+        if token in self._waiting:
+            self._waiting.remove(token)
+            self._answer(token, reply)
+
+    def drop_waiting(self) -> None:
+        """Tell all exchanges that leadership was lost."""
+        for token in self._waiting:
+            self._answer(token, internal.NotLeaderReply())
+        for _, token in self._cancels:
+            self._answer(token, internal.NotLeaderReply())
+        self._waiting.clear()
+        self._cancels.clear()
+
+    def take_answers(self) -> list[AnswerRequest]:
+        """Return the answers that were made since the last call."""
+        answers, self._answers = self._answers, []
+        return answers
+
+    def take(
+        self, arrived: RequestArrived, open_proposals: int, now: Instant
+    ) -> Proposal | Event | None:
+        """Take one request.
+
+        Parameters
+        ----------
+        arrived : RequestArrived
+            The request.
+        open_proposals : int
+            Commands on their way through the log.
+        now : Instant
+            Now.
+
+        Returns
+        -------
+        Proposal, Event or None
+            What follows; None if the request was answered or was collected.
+        """
+        token, request = arrived.token, arrived.request
+        match request:
+            case internal.AcceptRequest(job):
+                return self._accept(job, token, open_proposals, now)
+            case internal.ApplyRequest(document):
+                return self._apply(document, token, open_proposals, now)
+            case internal.CancelRequest(job_id):
+                return self._cancel(job_id, token)
+            case internal.JobQuery(job_id):
+                self._answer(token, describe_job(self._state, job_id))
+            case internal.DocumentQuery(service):
+                self._answer(token, self._describe_document(service))
+            case internal.ExplainRequest(job_id):
+                self._answer(token, self._explain(job_id, now))
+            case Announcement():
+                return self._announce(request, token)
+            case TaskReport():
+                self._waiting.add(token)
+                return ReportArrived(token, request)
+            case LeaveNotice():
+                self._waiting.add(token)
+                return LeaveArrived(token, request)
+        return None
+
+    def collect_cancels(self, now: Instant, retention_s: float) -> Proposal | None:
+        """Make one command of all cancellations that came since the last call."""
+        if not self._cancels:
+            return None
+        job_ids = tuple(job_id for job_id, _ in self._cancels)
+        tokens = tuple(token for _, token in self._cancels)
+        self._cancels.clear()
+        command = RequestCancel(job_ids, now.unix_s + retention_s)
+        return Proposal(command, tokens, job_ids)
+
+    def _answer(self, token: int, reply: object) -> None:
+        self._answers.append(AnswerRequest(token, reply))
+
+    def _refuse(self, token: int, failure: Failure) -> None:
+        self._answer(token, ErrorBody.from_failure(failure))
+
+    def _find_overload(self, open_proposals: int, now: Instant) -> Failure | None:
+        if open_proposals < self._max_proposals:
+            return None
+        return Overloaded(
+            queue="the leader's log",
+            limit=self._max_proposals,
+            retry_at_unix_s=now.unix_s + OVERLOAD_RETRY_AFTER_S,
+        )
+
+    def _accept(
+        self, job: JobRequest, token: int, open_proposals: int, now: Instant
+    ) -> Proposal | None:
+        checked = check_job(job)
+        if not is_successful(checked):
+            return self._refuse(token, checked.failure())
+        job_id = make_job_id(job.organisation, job.service, job.key)
+        refusal = self._state.check_accept(job_id, job)
+        if refusal is not None:
+            return self._refuse(token, refusal)
+        if job_id in self._state.jobs:
+            return self._answer(token, describe_job(self._state, job_id))
+        overload = self._find_overload(open_proposals, now)
+        if overload is not None:
+            return self._refuse(token, overload)
+        return Proposal(AcceptJob(job_id, job, now.unix_s), (token,))
+
+    def _apply(
+        self,
+        document: ServiceDocument,
+        token: int,
+        open_proposals: int,
+        now: Instant,
+    ) -> Proposal | None:
+        checked = check_document(document)
+        if not is_successful(checked):
+            return self._refuse(token, checked.failure())
+        current = self._state.documents.get(document.service)
+        revision = current.document.revision if current else 0
+        if document.revision == revision + 1:
+            possible = self._coordinator.check_document(document)
+            if not is_successful(possible):
+                return self._refuse(token, possible.failure())
+        overload = self._find_overload(open_proposals, now)
+        if overload is not None:
+            return self._refuse(token, overload)
+        return Proposal(ApplyDocument(document), (token,))
+
+    def _cancel(self, job_id: str, token: int) -> None:
+        record = self._state.jobs.get(job_id)
+        if record is None or record.state.is_final or record.cancel_requested:
+            self._answer(token, describe_job(self._state, job_id))
+        else:
+            self._cancels.append((job_id, token))
+
+    def _announce(self, announcement: Announcement, token: int) -> Proposal | None:
+        upstream_id = announcement.capacity.upstream_id
+        if self._state.upstreams.get(upstream_id) == announcement:
+            return self._answer(token, AnnouncementReply())
+        return Proposal(RegisterUpstream(announcement), (token,))
+
+    def _describe_document(self, service: str) -> object:
+        record = self._state.documents.get(service)
+        if record is None:
+            return ErrorBody.from_failure(UnknownService(service=service))
+        return DocumentReply(record.document, record.log_index)
+
+    def _explain(self, job_id: str, now: Instant) -> object:
+        record = self._state.jobs.get(job_id)
+        if record is None:
+            return ErrorBody.from_failure(UnknownJob(job_id=job_id))
+        if record.state.is_final:
+            reason = f": {record.error.message}" if record.error else ""
+            text = f"The job ended as {record.state}{reason}."
+        else:
+            text = self._coordinator.explain(job_id, now)
+        return internal.ExplainReply(job_id, text)
--- a/tanagerpath/services/control_status.py
+++ b/tanagerpath/core/control/status.py
@@ -11,7 +11,6 @@
     UpstreamStatus,
 )
 from tanagerpath.core.state import SystemState
-from tanagerpath.observability.metrics import MetricsRegistry
 
 __all__ = ["describe_status"]
 
@@ -20,7 +19,7 @@
     replica: Replica,
     state: SystemState,
     coordinator: Coordinator,
-    metrics: MetricsRegistry,
+    event_counts: collections.Counter[str],
 ) -> StatusReply:
     """Return the status."""
     held_by_upstream: collections.Counter[str] = collections.Counter()
@@ -55,7 +54,7 @@
             )
             for name, quota in sorted(state.merge_quotas().items())
         ),
-        refusals=metrics.list_counts("events"),
+        refusals=tuple(sorted(event_counts.items())),
     )
 
 
--- a/tanagerpath/core/state/tests/test_system.py
+++ b/tanagerpath/core/state/tests/test_system.py
@@ -3,12 +3,7 @@
 import testtools
 from returns.pipeline import is_successful
 
-from tanagerpath.codecs.state import (
-    decode_command,
-    decode_snapshot,
-    encode_command,
-    encode_snapshot,
-)
+from tanagerpath.codecs.state import JsonStateCodec
 from tanagerpath.core.model import (
     AcceleratorRun,
     Assignment,
@@ -33,6 +28,7 @@
 )
 
 JOB = make_job_id("org", "sort", "key-1")
+CODEC = JsonStateCodec()
 ASSIGNMENT = Assignment((AcceleratorRun("u1", 0, 1),))
 FIRST, SECOND = AttemptId(1, 1), AttemptId(1, 2)
 
@@ -220,12 +216,12 @@
 
     def test_snapshot_holds_everything(self):
         state, _ = apply_all(*self.COMMANDS)
-        text = encode_snapshot(state.make_snapshot())
-        restored = SystemState.from_snapshot(decode_snapshot(text).unwrap())
+        text = CODEC.encode_snapshot(state.make_snapshot())
+        restored = SystemState.from_snapshot(CODEC.decode_snapshot(text))
         self.assertEqual(state.make_snapshot(), restored.make_snapshot())
         self.assertTrue(restored.collect_changes(2).complete)
 
     def test_commands_survive_their_encoding(self):
         for command in self.COMMANDS:
-            text = encode_command(command)
-            self.assertEqual(command, decode_command(text).unwrap())
+            text = CODEC.encode_command(command)
+            self.assertEqual(command, CODEC.decode_command(text))
--- a/tanagerpath/services/control_application.py
+++ b/tanagerpath/services/control_application.py
@@ -1,5 +1,6 @@
 """Life cycle of a control process."""
 
+import functools
 import random
 
 import anyio
@@ -10,19 +11,20 @@
 from starlette.routing import BaseRoute, Route
 
 from tanagerpath.codecs import decode_json, encode_json
-from tanagerpath.core.consensus import Replica
+from tanagerpath.codecs.state import JsonStateCodec
+from tanagerpath.core.control import ControlNode
 from tanagerpath.core.protocol.callers import ErrorBody, ErrorReply
 from tanagerpath.core.protocol.internal import InternalReply, InternalRequest
 from tanagerpath.observability.logs import get_logger
 from tanagerpath.runtime import Application, Clock, Mailbox, Reply, SystemClock
 from tanagerpath.runtime.server import HttpServer, bind_listener
 from tanagerpath.runtime.storage import StorageTask, load_state, set_aside_corrupt
-from tanagerpath.services.control import MAX_WAITING_MESSAGES, ControlTask
-from tanagerpath.services.control_config import make_replica_config
+from tanagerpath.services.control import ControlTask
+from tanagerpath.services.control_config import make_node_config, make_scheduler
 from tanagerpath.services.control_messages import (
+    AskLeader,
     ConsensusArrived,
     HandOver,
-    RequestArrived,
 )
 from tanagerpath.services.leader_link import INTERNAL_REQUEST_PATH
 from tanagerpath.services.peers import CONSENSUS_PATH, PeerSet, decode_batch
@@ -31,6 +33,7 @@
 __all__ = ["ControlApplication"]
 
 REPLY_TIMEOUT_S = 5.0
+MAX_WAITING_MESSAGES = 16_384
 OVERLOADED_STATUS = 503
 
 
@@ -67,20 +70,24 @@
             self._log.error("data is corrupt", reason=restored.failure().message)
             set_aside_corrupt(directory)
             restored = load_state(directory)
-        config = make_replica_config(self._settings)
-        # Two replicas must never draw the same identity.
-        source = random.SystemRandom()
-        replica = Replica.from_config(config, restored.unwrap(), source)
+        node = ControlNode.from_config(
+            make_node_config(self._settings),
+            restored.unwrap(),
+            # Two replicas must never draw the same identity.
+            random.SystemRandom(),
+            JsonStateCodec(),
+            functools.partial(make_scheduler, self._settings),
+        )
         storage = StorageTask.from_directory(
             directory, restored.unwrap(), self._mailbox
         )
-        peers = PeerSet(tasks)
         self._control = ControlTask(
-            self._settings,
-            replica,
-            storage.mailbox,
-            peers,
+            node,
             self._mailbox,
+            storage.mailbox,
+            PeerSet(tasks),
+            self._settings.upstream_connections,
+            self._settings.exchange_timeout_s,
             self._clock,
         )
         self._server = HttpServer(
@@ -90,7 +97,7 @@
         tasks.start_soon(self._control.run)
         tasks.start_soon(self._server.run)
         self._log.info(
-            "started", address=self._server.address, replica=replica.replica_id
+            "started", address=self._server.address, replica=node.replica.replica_id
         )
 
     async def drain(self) -> None:
@@ -123,7 +130,7 @@
             error = ErrorReply(ErrorBody.from_failure(decoded.failure()))
             return Response(encode_json(error), 400, media_type="application/json")
         reply: Reply = Reply()
-        full = self._mailbox.post(RequestArrived(decoded.unwrap(), reply))
+        full = self._mailbox.post(AskLeader(decoded.unwrap(), reply))
         if full is not None:
             return PlainTextResponse(full.message + "\n", OVERLOADED_STATUS)
         answer = await reply.receive(anyio.current_time() + REPLY_TIMEOUT_S)
--- a/tanagerpath/services/control_config.py
+++ b/tanagerpath/services/control_config.py
@@ -1,6 +1,7 @@
 """Configurations of the core, made from the settings of a control process."""
 
 from tanagerpath.core.consensus import ReplicaConfig
+from tanagerpath.core.control import ControlNodeConfig
 from tanagerpath.core.coordination import (
     AttemptTerms,
     ConclusionTerms,
@@ -10,11 +11,10 @@
 from tanagerpath.core.placement import GuaranteeScheduler, Scheduler, SchedulerConfig
 from tanagerpath.settings import ControlSettings
 
-__all__ = ["make_coordinator_config", "make_replica_config", "make_scheduler"]
+__all__ = ["make_node_config", "make_scheduler"]
 
 
-def make_replica_config(settings: ControlSettings) -> ReplicaConfig:
-    """Return the configuration of the replica."""
+def _make_replica_config(settings: ControlSettings) -> ReplicaConfig:
     vms = {c.vm_id: c.address for c in settings.control_addresses}
     return ReplicaConfig(
         vm_id=settings.vm_id,
@@ -29,8 +29,7 @@
     )
 
 
-def make_coordinator_config(settings: ControlSettings) -> CoordinatorConfig:
-    """Return the configuration of the coordinator."""
+def _make_coordinator_config(settings: ControlSettings) -> CoordinatorConfig:
     return CoordinatorConfig(
         leases=LeaseTerms(
             lease_s=settings.upstream_lease_s,
@@ -45,6 +44,17 @@
     )
 
 
+def make_node_config(settings: ControlSettings) -> ControlNodeConfig:
+    """Return the configuration of the control node."""
+    return ControlNodeConfig(
+        replica=_make_replica_config(settings),
+        coordinator=_make_coordinator_config(settings),
+        tick_interval_s=settings.tick_interval_s,
+        max_proposals=settings.max_proposals_in_flight,
+        job_retention_s=settings.job_retention_s,
+    )
+
+
 def make_scheduler(settings: ControlSettings) -> Scheduler:
     """Return a fresh scheduling policy."""
     config = SchedulerConfig(reclaim_grace_s=settings.checkpoint_grace_s)
--- a/tanagerpath/services/control_messages.py
+++ b/tanagerpath/services/control_messages.py
@@ -6,7 +6,7 @@
 from tanagerpath.core.protocol.internal import InternalRequest
 from tanagerpath.runtime import Reply
 
-__all__ = ["ConsensusArrived", "HandOver", "RequestArrived"]
+__all__ = ["AskLeader", "ConsensusArrived", "HandOver"]
 
 
 @attrs.frozen
@@ -17,7 +17,7 @@
 
 
 @attrs.frozen(eq=False)
-class RequestArrived:
+class AskLeader:
     """An entry asks; `reply` gets an `InternalReply`."""
 
     request: InternalRequest
