--- a/tanagerpath/emulator/cluster.py
+++ b/tanagerpath/emulator/cluster.py
@@ -124,6 +124,13 @@
             self.caller.move_on()
         return True
 
+    async def is_healthy(self, vm_id: str) -> bool:
+        """Whether the process of a VM answers."""
+        client = HttpClient(self.deployment.listen[vm_id])
+        result = await client.exchange("GET", "/healthz")
+        await client.close()
+        return is_successful(result) and result.unwrap().status == 200
+
     async def are_upstreams_usable(self) -> bool:
         """Whether the leader counts every upstream as usable."""
         status = await self.read_status()
--- a/tanagerpath/emulator/deployment.py
+++ b/tanagerpath/emulator/deployment.py
@@ -1,6 +1,7 @@
 """Places and command lines of the processes of a deployment on loopback."""
 
 import pathlib
+import random
 import socket
 import sys
 from collections.abc import Mapping
@@ -12,15 +13,28 @@
 SERVICE = "demo"
 # Shorter than the default of 60 s, so that a drill sees a voter replaced.
 REPLACE_VOTER_AFTER_S = 3.0
+# Below the range from which Linux takes the ports of outgoing connections (32768 on);
+# a port from that range was taken by one before its process had started.
+FIRST_PORT = 20_000
+LAST_PORT = 32_000
 
 
 def find_free_addresses(count: int) -> list[str]:
     """Return loopback addresses whose ports were free a moment ago."""
-    listeners = [socket.create_server(("127.0.0.1", 0)) for _ in range(count)]
-    addresses = [f"127.0.0.1:{entry.getsockname()[1]}" for entry in listeners]
-    for listener in listeners:
-        listener.close()
-    return addresses
+    ports: list[int] = []
+    while len(ports) < count:
+        port = random.randrange(FIRST_PORT, LAST_PORT)
+        if port not in ports and _is_free(port):
+            ports.append(port)
+    return [f"127.0.0.1:{port}" for port in ports]
+
+
+def _is_free(port: int) -> bool:
+    try:
+        socket.create_server(("127.0.0.1", port)).close()
+    except OSError:
+        return False
+    return True
 
 
 @attrs.frozen
--- a/tanagerpath/emulator/processes.py
+++ b/tanagerpath/emulator/processes.py
@@ -10,7 +10,8 @@
 
 __all__ = ["ProcessTable"]
 
-STOP_LIMIT_S = 20.0
+# Above the time for which an entry waits for its requests (30 s by default).
+STOP_LIMIT_S = 35.0
 
 
 class ProcessTable:
