--- /dev/null
+++ b/tanagerpath/benchmarks/__init__.py
@@ -0,0 +1,1 @@
+"""Benchmarks: what the control costs and how that grows."""
