Skip running attempts in the coordinator's tick

The tick looked at every member of every attempt every 50 ms. For a running attempt time alone changes nothing but the end of a member's lease, so the tick now asks each upstream once whether its lease has ended and passes over running attempts whose upstreams all hold theirs.

--- a/tanagerpath/core/coordination/coordinator.py
+++ b/tanagerpath/core/coordination/coordinator.py
@@ -299,7 +299,7 @@
 
     def _tick(self, now: Instant) -> None:
         self._effects += self._fleet.renew_due(now)
-        for attempt in list(self._attempts.values()):
+        for attempt in self._list_attempts_to_tick(now):
             self._effects += self._driver.tick(attempt, now)
             self._advance(attempt, now)
         self._resubmit_due(now)
@@ -310,6 +310,22 @@
             if self._state.has_expired_jobs(now.unix_s):
                 self._effects.append(Propose(ExpireJobs(now.unix_s)))
 
+    def _list_attempts_to_tick(self, now: Instant) -> list[Attempt]:
+        """Return the attempts for which the time may do something.
+
+        Time alone changes a running attempt only when a member's lease ends. Asking
+        each upstream once avoids a look at every member of every gang in each tick.
+        """
+        lost: set[str] = set()
+        for upstream_id, job_ids in self._attempts_by_upstream.items():
+            if job_ids and self._fleet.has_lease_ended(upstream_id, now):
+                lost |= job_ids
+        return [
+            attempt
+            for attempt in self._attempts.values()
+            if attempt.phase is not AttemptPhase.RUNNING or attempt.job_id in lost
+        ]
+
     def _refuse_late_jobs(self, now: Instant) -> None:
         if now.now_s < self._check_deadlines_at_s:
             return
