Check held polls against the last document index

Whether a held poll of the feed has news was found by a loop over all documents, for each poll in each loop of the leader. The state now keeps the log index of the last document change.

--- a/tanagerpath/core/state/system.py
+++ b/tanagerpath/core/state/system.py
@@ -37,6 +37,8 @@
     def __init__(self) -> None:
         self.applied_index = 0
         self._documents: dict[str, DocumentRecord] = {}
+        # Asked for each held poll in each loop of the leader.
+        self._documents_index = 0
         self._upstreams: dict[str, Announcement] = {}
         self._jobs: dict[str, JobRecord] = {}
         self._open_job_ids: dict[str, None] = {}
@@ -166,6 +168,7 @@
                 )
             )
         self._documents[document.service] = DocumentRecord(document, index)
+        self._documents_index = index
         return Success(DocumentReply(document, index))
 
     def _remove_upstream(
@@ -328,7 +331,7 @@
         """Tell whether documents or ended jobs have changed after a log index."""
         if self._finished and self._finished[-1].log_index > index:
             return True
-        return any(record.log_index > index for record in self._documents.values())
+        return self._documents_index > index
 
     def collect_changes(self, after_index: int) -> FeedReply:
         """Return what an entry that has seen `after_index` needs to know.
@@ -375,6 +378,7 @@
     ) -> None:
         for document in documents:
             self._documents[document.document.service] = document
+            self._documents_index = max(self._documents_index, document.log_index)
         for announcement in upstreams:
             self._upstreams[announcement.capacity.upstream_id] = announcement
         for record in jobs:
--- a/tanagerpath/core/state/tests/test_system.py
+++ b/tanagerpath/core/state/tests/test_system.py
@@ -218,6 +218,18 @@
         self.assertEqual([JOB], [change.job_id for change in later.jobs])
         self.assertFalse(state.has_changes_after(4))
 
+    def test_document_changes_are_seen_by_held_polls(self):
+        # Guards against an entry that never hears of a document after a take-over.
+        other = ServiceDocument("weigh", 1, "team")
+        state, _ = apply_all(ApplyDocument(other), ApplyDocument(make_document()))
+        text = encode_snapshot(state.make_snapshot())
+        restored = SystemState.from_snapshot(decode_snapshot(text).unwrap())
+        for held in (state, restored):
+            self.assertTrue(held.has_changes_after(1))
+            self.assertFalse(held.has_changes_after(2))
+            held.apply(3, ApplyDocument(make_document(revision=2)))
+            self.assertTrue(held.has_changes_after(2))
+
     def test_snapshot_holds_everything(self):
         state, _ = apply_all(*self.COMMANDS)
         text = encode_snapshot(state.make_snapshot())
