--- a/tanagerpath/benchmarks/capacity.py
+++ b/tanagerpath/benchmarks/capacity.py
@@ -30,7 +30,11 @@
 )
 from tanagerpath.benchmarks.capacity_processes import EntryProbe, LeaderProbe
 from tanagerpath.benchmarks.capacity_state import DocumentProbe, LogProbe, StateProbe
-from tanagerpath.benchmarks.capacity_wire import FeedPollProbe, RenewalProbe
+from tanagerpath.benchmarks.capacity_wire import (
+    FeedPollProbe,
+    LeanRenewalProbe,
+    RenewalProbe,
+)
 from tanagerpath.benchmarks.slopes import MIN_REPEATS, MeasuredLine, Probe, run_probe
 
 __all__ = ["list_probes", "list_small_probes", "main", "run_probes"]
@@ -49,6 +53,7 @@
         LogProbe(),
         ConsensusProbe(seed=seed),
         RenewalProbe(),
+        LeanRenewalProbe(),
         FeedPollProbe(),
         *_list_batch_probes(),
         EntryProbe(),
@@ -60,7 +65,7 @@
     """Return the probes of one process at sizes that take a few seconds in all."""
     return [
         CoordinatorProbe((15, 25), seed),
-        GangProbe((8, 16)),
+        GangProbe((16, 32)),
         PlacementProbe((15, 25), seed),
         LaneProbe((5, 10)),
         ShortPlanProbe((2, 4)),
--- a/tanagerpath/benchmarks/capacity_core.py
+++ b/tanagerpath/benchmarks/capacity_core.py
@@ -128,16 +128,19 @@
         LineSpec("gang.reply", "s", "member", "one gang; one reply in one call"),
         LineSpec("gang.tick", "s", "member", "one gang, nothing else"),
         LineSpec("gang.memory", "B", "member", "attempt beyond fleet and state"),
+        LineSpec("gang.job", "s", "member", "one whole gang job, nothing else"),
     )
 
-    def __init__(self, sizes: tuple[int, ...] = (8, 32, 128)) -> None:
+    # Fewer upstreams could not hold the guarantees; ShortPlanProbe measures that.
+    def __init__(self, sizes: tuple[int, ...] = (16, 64, 128)) -> None:
         self.sizes = sizes
 
     def prepare(self, size: int) -> None:
         """Start one gang on all upstreams."""
         self._loop = LeaderLoop(size, zones=1)
         before = measure_reachable_bytes(self._loop.coordinator, [self._loop.state])
-        self._loop.submit(1, size * 8)
+        self._size = size
+        (self._job_id,) = self._loop.submit(1, size * 8)
         after = measure_reachable_bytes(self._loop.coordinator, [self._loop.state])
         if len(self._loop.coordinator.attempts) != 1:
             raise RuntimeError(f"the gang of {size} members does not run")
@@ -155,4 +158,16 @@
             "gang.reply": reply_s,
             "gang.tick": tick_s,
             "gang.memory": self._memory,
+            "gang.job": self._time_job(),
         }
+
+    def _time_job(self) -> float:
+        """Time a gang that takes the place of the one before."""
+        self._loop.finish(self._job_id)
+        elapsed_s = time_calls(self._run_job, 1)
+        (self._job_id,) = self._loop.submit(1, self._size * 8)
+        return elapsed_s
+
+    def _run_job(self) -> None:
+        (job_id,) = self._loop.submit(1, self._size * 8)
+        self._loop.finish(job_id)
--- a/tanagerpath/benchmarks/capacity_state.py
+++ b/tanagerpath/benchmarks/capacity_state.py
@@ -92,6 +92,8 @@
         LineSpec("state.snapshot_bytes", "B", "job", "ended jobs"),
         LineSpec("state.snapshot_encode", "s", "job", "ended jobs"),
         LineSpec("state.snapshot_decode", "s", "job", "ended jobs"),
+        LineSpec("state.snapshot_bytes_upstream", "B", "upstream", "announcements"),
+        LineSpec("state.snapshot_encode_upstream", "s", "upstream", "announcements"),
         LineSpec("state.search_expired", "s", "job", "ended jobs, none expired"),
     )
 
@@ -103,12 +105,11 @@
         self._ended = _apply_decoded(_make_jobs(size, 1, True))
         running = _apply_decoded(_make_jobs(size, 1, False))
         announcements = [RegisterUpstream(make_announcement(i)) for i in range(size)]
+        self._upstreams = _apply_decoded(announcements)
         self._memory = {
             "state.memory_running_job": float(measure_reachable_bytes(running)),
             "state.memory_ended_job": float(measure_reachable_bytes(self._ended)),
-            "state.memory_upstream": float(
-                measure_reachable_bytes(_apply_decoded(announcements))
-            ),
+            "state.memory_upstream": float(measure_reachable_bytes(self._upstreams)),
         }
 
     def measure(self) -> dict[str, float]:
@@ -118,10 +119,14 @@
         encoded_s = time.thread_time()
         decode_snapshot(text).unwrap()
         decoded_s = time.thread_time()
+        upstreams_text = encode_snapshot(self._upstreams.make_snapshot())
+        upstreams_s = time.thread_time() - decoded_s
         return {
             "state.snapshot_bytes": float(len(text)),
             "state.snapshot_encode": encoded_s - begun_s,
             "state.snapshot_decode": decoded_s - encoded_s,
+            "state.snapshot_bytes_upstream": float(len(upstreams_text)),
+            "state.snapshot_encode_upstream": upstreams_s,
             "state.search_expired": time_calls(
                 lambda: self._ended.has_expired_jobs(1.0), 5
             ),
--- a/tanagerpath/benchmarks/capacity_wire.py
+++ b/tanagerpath/benchmarks/capacity_wire.py
@@ -7,6 +7,7 @@
 import anyio
 import anyio.from_thread
 import anyio.lowlevel
+import h11
 import httpcore
 from returns.pipeline import is_successful
 from starlette.requests import Request
@@ -34,6 +35,7 @@
 
 __all__ = [
     "FeedPollProbe",
+    "LeanRenewalProbe",
     "RenewalProbe",
     "ServerThread",
     "make_tasks",
@@ -267,3 +269,47 @@
         body = encode_json(self._request, InternalRequest).encode()
         reply = await client.exchange("POST", self.path, body)
         decode_json(reply.unwrap().body, InternalReply).unwrap()
+
+
+class LeanRenewalProbe(RenewalProbe):
+    """Trial: the same renewal with h11 alone on one stream, without a pool."""
+
+    prefix = "lean_renewal"
+    specs = _make_specs(
+        "lean_renewal", "task", "trial; kept connection, h11 alone, with codec"
+    )
+
+    async def _measure(self) -> dict[str, float]:
+        host, _, port = self._server.address.rpartition(":")
+        await wait_until_open(HttpClient(self._server.address, 1))
+        self._stream = await anyio.connect_tcp(host, int(port))
+        self._connection = h11.Connection(h11.CLIENT)
+        try:
+            return await super()._measure()
+        finally:
+            await self._stream.aclose()
+
+    async def exchange(self, client: HttpClient) -> None:
+        """Renew once, over the stream of this probe."""
+        body = encode_json(self._request).encode()
+        text = await self._post(body)
+        decode_json(text, RenewReply).unwrap()
+
+    async def _post(self, body: bytes) -> bytes:
+        connection = self._connection
+        headers = [
+            ("host", self._server.address),
+            ("content-type", "application/json"),
+            ("content-length", str(len(body))),
+        ]
+        request = h11.Request(method="POST", target=self.path, headers=headers)
+        parts = (request, h11.Data(data=body), h11.EndOfMessage())
+        await self._stream.send(b"".join(map(connection.send, parts)))
+        text = b""
+        while not isinstance(event := connection.next_event(), h11.EndOfMessage):
+            if event is h11.NEED_DATA:
+                connection.receive_data(await self._stream.receive())
+            elif isinstance(event, h11.Data):
+                text += event.data
+        connection.start_next_cycle()
+        return text
