Refuse messages of past terms without their sending instant

A leader of term 6 restarted with another clock and led again in term 7; a refusal of its old heartbeat came back with term 7 and the old sending instant, which lay in the future of the new clock. Change: a follower answers a request of a past term with StaleTerm, which has no sending instant; AppendReply always has the term of its request. Ruled out: comparing the instant with the own clock. An old instant that lies in the past would still count for a follower that had left the term.

--- a/tanagerpath/core/consensus/following.py
+++ b/tanagerpath/core/consensus/following.py
@@ -9,6 +9,7 @@
     AppendRequest,
     SnapshotChunk,
     SnapshotChunkReply,
+    StaleTerm,
 )
 from tanagerpath.errors import Failure, FailureError
 
@@ -68,7 +69,7 @@
     def handle_append(self, sender: str, request: AppendRequest) -> None:
         """Take entries that follow the own log, or say where to send from."""
         if not self._follow(sender, request.term):
-            self._refuse(sender, request, 0)
+            self._context.send(sender, StaleTerm(self._context.term))
             return
         request = self._cut_before_base(request)
         if self._context.log.find_term(request.prev_index) != request.prev_term:
@@ -168,6 +169,7 @@
     def handle_chunk(self, sender: str, chunk: SnapshotChunk) -> None:
         """Collect a snapshot and install it when it is complete."""
         if not self._follow(sender, chunk.term):
+            self._context.send(sender, StaleTerm(self._context.term))
             return
         if self._holds(chunk):
             self._confirm_snapshot(sender, chunk)
--- a/tanagerpath/core/consensus/messages.py
+++ b/tanagerpath/core/consensus/messages.py
@@ -19,6 +19,7 @@
     "ReplicaMessage",
     "SnapshotChunk",
     "SnapshotChunkReply",
+    "StaleTerm",
     "TimeoutNow",
     "VoteReply",
     "VoteRequest",
@@ -77,7 +78,7 @@
     Attributes
     ----------
     term : int
-        Term of the replying replica.
+        Term of the request and of the replying replica.
     accepted : bool
         False if the log does not match at `prev_index`.
     match_index : int
@@ -122,6 +123,17 @@
     sent_s: float
 
 
+@attrs.frozen
+class StaleTerm:
+    """Refuses a leader's message of a term that is over; `term` is the receiver's.
+
+    It carries no `sent_s`: the sender may lead again in `term`, perhaps in a new
+    process with another clock, and must not count the refusal for its lease.
+    """
+
+    term: int
+
+
 @attrs.frozen
 class TimeoutNow:
     """The leader of `term` hands over: the receiver stands for election at once."""
@@ -179,6 +191,7 @@
     | AppendReply
     | SnapshotChunk
     | SnapshotChunkReply
+    | StaleTerm
     | TimeoutNow
     | JoinRequest
     | JoinReply
--- a/tanagerpath/core/consensus/replica.py
+++ b/tanagerpath/core/consensus/replica.py
@@ -31,6 +31,7 @@
     JoinRequest,
     SnapshotChunk,
     SnapshotChunkReply,
+    StaleTerm,
     TimeoutNow,
     VoteReply,
     VoteRequest,
@@ -84,6 +85,7 @@
             AppendReply: self._handle_append_reply,
             SnapshotChunk: self._following.handle_chunk,
             SnapshotChunkReply: self._handle_chunk_reply,
+            StaleTerm: self._handle_stale_term,
             TimeoutNow: self._elections.handle_timeout_now,
         }
 
@@ -292,6 +294,9 @@
         if self._leads_in(reply.term):
             self._replicator.handle_chunk_reply(sender, reply)
 
+    def _handle_stale_term(self, sender: str, refusal: StaleTerm) -> None:
+        self._leads_in(refusal.term)
+
     def _leads_in(self, term: int) -> bool:
         context = self._context
         if term > context.term:
