Check log matching within a group; measure the idle cost

Change: the rule compares entries of one group; one leader for all groups, one sequence of committed entries and one lease stay checked across groups. The measurement prints the idle share of a core.

--- a/tanagerpath/benchmarks/replication.py
+++ b/tanagerpath/benchmarks/replication.py
@@ -16,8 +16,15 @@
 
 from tanagerpath.services.tests.replica_group import open_group
 
-__all__ = ["Latencies", "main", "measure_latencies", "measure_recovery"]
-
+__all__ = [
+    "Latencies",
+    "main",
+    "measure_idle_share",
+    "measure_latencies",
+    "measure_recovery",
+]
+
+IDLE_S = 10.0
 PAYLOAD_CHARS = 400  # about the size of an encoded job
 
 
@@ -65,6 +72,14 @@
     )
 
 
+async def measure_idle_share(group, duration_s: float) -> float:
+    """Return the share of one core that a group without commands uses."""
+    await group.find_leader()
+    start_s = time.process_time()
+    await anyio.sleep(duration_s)
+    return (time.process_time() - start_s) / duration_s
+
+
 async def measure_recovery(group) -> float:
     """Drop the leader; return the seconds until the next one commits a command."""
     first = await group.find_leader()
@@ -102,6 +117,8 @@
                 f"{in_flight} in flight: p50 {found.p50_ms:.2f} ms, "
                 f"p99 {found.p99_ms:.2f} ms, {found.per_s:.0f} entries/s"
             )
+        share = await measure_idle_share(group, IDLE_S)
+        print(f"idle: {share:.1%} of a core for all three replicas")
         recoveries = [await measure_recovery(group) for _ in range(losses)]
     print(
         f"recovery after {losses} losses of the leader: "
--- a/tanagerpath/core/consensus/invariants.py
+++ b/tanagerpath/core/consensus/invariants.py
@@ -64,7 +64,7 @@
         self.checks = 0
         self._leaders: dict[int, str] = {}
         self._groups: set[str] = set()
-        self._entries: dict[tuple[int, int], tuple[LogEntry, int | None]] = {}
+        self._entries: dict[tuple[str, int, int], tuple[LogEntry, int | None]] = {}
         self._committed: dict[int, LogEntry] = {}
         self._commit_terms: dict[int, int] = {}
         self._digests: dict[int, str] = {}
@@ -113,9 +113,14 @@
         self.violations.append(Violation(rule, self._group.now_s, vm.vm_id, detail))
 
     def _check_written(self, vm: SimulatedVm, write: PersistState) -> None:
-        """Log matching: index and term determine an entry and the one before it."""
+        """Check that index and term determine an entry and the one before it.
+
+        The rule is for one group: a founder whose proposal reached nobody and was lost
+        founds again, with another entry at index 1.
+        """
+        group_id = vm.replica.group_id if vm.replica else ""
         for entry in write.entries:
-            key = (entry.index, entry.term)
+            key = (group_id, entry.index, entry.term)
             previous = vm.disk.visible.find_term(entry.index - 1)
             known, known_previous = self._entries.setdefault(key, (entry, previous))
             both_known = previous is not None and known_previous is not None
