--- a/tanagerpath/core/consensus/tests/faulty.py
+++ b/tanagerpath/core/consensus/tests/faulty.py
@@ -153,6 +153,18 @@
     following_class = _CommitsAllFollowing
 
 
+class _RewindingContext(ReplicaContext):
+    def commit_to(self, index):
+        self.commit_index = min(self.commit_index, index)
+        super().commit_to(index)
+
+
+class FollowsLowerCommitIndex(Replica):
+    """Takes over a commit index that is lower than its own."""
+
+    context_class = _RewindingContext
+
+
 class _SwappingChanges(MembershipChanges):
     def _add(self, member):
         membership = self._context.membership
--- a/tanagerpath/core/consensus/tests/test_scenarios.py
+++ b/tanagerpath/core/consensus/tests/test_scenarios.py
@@ -187,6 +187,29 @@
                 self.assertEqual([], monitor.violations, f"{name}, seed {seed}")
 
 
+class TestRestartAfter500Changes(testtools.TestCase):
+    def test_all_changes_are_there_by_snapshot_and_by_log(self):
+        for snapshot_after_entries in (50, 10_000):
+            group, monitor = open_group(
+                1, snapshot_after_entries=snapshot_after_entries
+            )
+            leader = group.find_leader()
+            proposals = [group.propose(leader.vm_id, f"{n}") for n in range(500)]
+            group.run_for(5.0)
+            committed = [group.outcomes[proposal] for proposal in proposals]
+            digest = leader.machine.digest
+            for vm_id in group.vms:
+                group.crash(vm_id)
+            stored = leader.disk.durable.snapshot is not None
+            self.assertEqual(snapshot_after_entries == 50, stored)
+            group.start_all()
+            self.assertTrue(group.run_until(group.is_settled, 20.0))
+            self.assertEqual(500, len(set(committed)))
+            self.assertTrue(set(committed) <= set(monitor.committed))
+            self.assertEqual([], monitor.violations)
+            self.assertNotEqual(digest, group.find_leader().machine.digest)
+
+
 class TestFormation(testtools.TestCase):
     def test_no_group_is_founded_while_a_configured_vm_is_silent(self):
         group, _ = self._start_without("vm-3")
--- a/tanagerpath/services/tests/replica_group.py
+++ b/tanagerpath/services/tests/replica_group.py
@@ -44,6 +44,12 @@
         self._scopes[vm_id].cancel()
         await self.replicas.pop(vm_id).server.stop()
 
+    def damage(self, vm_id):
+        """Change the first byte of the log of a stopped VM."""
+        segment = max((self._directory / vm_id).glob("log-*"))
+        data = segment.read_bytes()
+        segment.write_bytes(bytes([data[0] ^ 0xFF]) + data[1:])
+
     async def find_leader(self):
         with anyio.fail_after(10):
             while True:
@@ -52,6 +58,17 @@
                         return vm_id
                 await anyio.sleep(0.01)
 
+    async def commit(self, payload):
+        """Propose to whoever leads until a leader says that it is committed.
+
+        An attempt whose outcome is not known may have committed as well.
+        """
+        with anyio.fail_after(20):
+            while True:
+                leader = self.replicas[await self.find_leader()]
+                if isinstance(await leader.propose(payload), int):
+                    return
+
     async def wait_for(self, condition):
         with anyio.fail_after(10):
             while not condition():
