--- a/tanagerpath/core/consensus/replica.py
+++ b/tanagerpath/core/consensus/replica.py
@@ -31,6 +31,7 @@
     JoinRequest,
     SnapshotChunk,
     SnapshotChunkReply,
+    StaleTerm,
     TimeoutNow,
     VoteReply,
     VoteRequest,
@@ -84,6 +85,7 @@
             AppendReply: self._handle_append_reply,
             SnapshotChunk: self._following.handle_chunk,
             SnapshotChunkReply: self._handle_chunk_reply,
+            StaleTerm: self._handle_stale_term,
             TimeoutNow: self._elections.handle_timeout_now,
         }
 
@@ -274,13 +276,14 @@
 
     def _handle_join(self, event: MessageReceived, request: JoinRequest) -> None:
         context = self._context
-        self._formation.handle_request(event.sender, event.group_id, request)
-        if event.group_id not in ("", context.group_id) or not context.formed:
+        if event.group_id not in ("", context.group_id):
             return
+        challenge = ""
         if context.role is Role.LEADER:
-            self._changes.request_join(request)
+            challenge = self._changes.request_join(request)
         elif context.leader_id is not None and event.sender == request.replica_id:
             context.send(context.leader_id, request)
+        self._formation.handle_request(request, event.group_id, challenge)
 
     def _handle_append_reply(self, sender: str, reply: AppendReply) -> None:
         if self._leads_in(reply.term):
@@ -291,6 +294,9 @@
         if self._leads_in(reply.term):
             self._replicator.handle_chunk_reply(sender, reply)
 
+    def _handle_stale_term(self, sender: str, refusal: StaleTerm) -> None:
+        self._leads_in(refusal.term)
+
     def _leads_in(self, term: int) -> bool:
         context = self._context
         if term > context.term:
