--- a/tanagerpath/core/placement/config.py
+++ b/tanagerpath/core/placement/config.py
@@ -53,7 +53,7 @@
     reservations: int = 4
     reservation_accelerators: int = 8
     large_loss_share: float = 0.1
-    short_job_weight: float = 1.0
+    short_job_weight: float = 0.2
     batch_handicap_s: float = 600.0
     promote_after_s: float = 4 * 3600.0
     patient_margin_s: float = 60.0
--- a/tanagerpath/core/placement/decisions.py
+++ b/tanagerpath/core/placement/decisions.py
@@ -24,7 +24,7 @@
 
 # Longer than any checkpoint grace plus lease; a hold that old is searched for anew.
 HOLD_TIMEOUT_S = 10.0
-RESERVATION_REVIEW_S = 30.0
+RESERVATION_REVIEW_S = 60.0
 
 
 class Outcome(enum.Enum):
@@ -50,6 +50,7 @@
     _context: PolicyContext
     _decisions: list[Decision] = attrs.field(factory=list)
     _quota_blocks: dict[str, _QuotaBlock] = attrs.field(factory=dict)
+    _large_tried: int = 0
     _dating: EarliestRunSearch = attrs.field()
 
     @_dating.default
@@ -116,12 +117,18 @@
             return self._wait_for_room(job)
         if job.request.job_class is JobClass.URGENT and self._take_over(job):
             return Outcome.TAKEN
+        if self._is_large(job) and self._clear_for_large(job):
+            return Outcome.TAKEN
         return Outcome.BLOCKED
 
+    def _is_large(self, job: PendingJob) -> bool:
+        least = self._context.config.reservation_accelerators
+        return job.request.accelerators >= least
+
     def _wait_for_room(self, job: PendingJob) -> Outcome:
         if job.request.job_class is JobClass.URGENT and self._take_over(job):
             return Outcome.TAKEN
-        if job.request.accelerators < self._context.config.reservation_accelerators:
+        if not self._is_large(job):
             return Outcome.BLOCKED
         if self._clear_for_large(job):
             return Outcome.TAKEN
@@ -168,10 +175,15 @@
     def _clear_for_large(self, job: PendingJob) -> bool:
         """Stop smaller work for a large job if that loses little beside its wait."""
         context = self._context
+        self._large_tried += 1
+        if self._large_tried > context.config.reservations:
+            return False
         tried_at_s = context.reservations.cleared_at_s.get(job.job_id, -math.inf)
         if context.now_s - tried_at_s < RESERVATION_REVIEW_S:
             return False
         context.reservations.cleared_at_s[job.job_id] = context.now_s
+        if not context.leaves_claims_quota(job, job.request.accelerators):
+            return False
         takeover = TakeoverSearch.from_large(context, job).find_cheapest()
         if takeover is None:
             return False
@@ -259,5 +271,8 @@
         found = self._dating.find(job)
         if found is None:
             table.remove(job.job_id)
-        else:
+        elif present is None or found.date_s < present.date_s - RESERVATION_REVIEW_S:
             table.set(found)
+        elif present.date_s <= context.now_s:
+            # The run is late: it stays closed to all that would end after now.
+            table.set(attrs.evolve(found, date_s=context.now_s))
--- a/tanagerpath/core/placement/policy.py
+++ b/tanagerpath/core/placement/policy.py
@@ -198,10 +198,10 @@
         instants += [
             hold.made_at_s + HOLD_TIMEOUT_S for hold in context.holds.holds.values()
         ]
-        instants += [
-            searched_at_s + RESERVATION_REVIEW_S
-            for searched_at_s in context.reservations.searched_at_s.values()
-        ]
+        if context.reservations.searched_at_s:
+            # One pass when all reviews are due, rather than one for each.
+            last_s = max(context.reservations.searched_at_s.values())
+            instants.append(last_s + RESERVATION_REVIEW_S)
         later = [at_s for at_s in instants if at_s is not None and at_s > now_s]
         return min(later, default=None)
 
