Give reservations by rank and gather firm work in few racks

Cause: the oldest gangs had no reservation, because later jobs of eight held all of them; and gangs of 64 waited for racks with one job that may not be preempted.

Change: the first six blocked large jobs in rank order hold the reservations. Firm work prefers racks of which the fewest upstreams could still be cleared, and planned runs count only usable upstreams without firm work as left over.

--- a/tanagerpath/core/placement/config.py
+++ b/tanagerpath/core/placement/config.py
@@ -50,7 +50,7 @@
     urgent_grace_s: float = 0.5
     spare_runs_wanted: int = 2
     spare_runs_required: int = 1
-    reservations: int = 4
+    reservations: int = 6
     reservation_accelerators: int = 8
     large_loss_share: float = 0.1
     short_job_weight: float = 0.2
--- a/tanagerpath/core/placement/decisions.py
+++ b/tanagerpath/core/placement/decisions.py
@@ -51,6 +51,7 @@
     _decisions: list[Decision] = attrs.field(factory=list)
     _quota_blocks: dict[str, _QuotaBlock] = attrs.field(factory=dict)
     _large_tried: int = 0
+    _reserving: set[str] = attrs.field(factory=set)
     _dating: EarliestRunSearch = attrs.field()
 
     @_dating.default
@@ -261,9 +262,13 @@
         """Give a large waiting job a dated reservation, or look for a better one."""
         context = self._context
         table = context.reservations
+        if len(self._reserving) >= context.config.reservations:
+            table.remove(job.job_id)
+            return
+        self._reserving.add(job.job_id)
         present = table.by_job.get(job.job_id)
         if present is None and len(table.by_job) >= context.config.reservations:
-            return
+            self._displace()
         searched_at_s = table.searched_at_s.get(job.job_id, -math.inf)
         if context.now_s - searched_at_s < RESERVATION_REVIEW_S:
             return
@@ -276,3 +281,11 @@
         elif present.date_s <= context.now_s:
             # The run is late: it stays closed to all that would end after now.
             table.set(attrs.evolve(found, date_s=context.now_s))
+
+    def _displace(self) -> None:
+        """Take the reservation of a job that ranks after those tried so far."""
+        table = self._context.reservations
+        for job_id in table.by_job:
+            if job_id not in self._reserving:
+                table.remove(job_id)
+                return
--- a/tanagerpath/core/placement/occupancy.py
+++ b/tanagerpath/core/placement/occupancy.py
@@ -150,6 +150,11 @@
         states = map(self.states.__getitem__, self.topology.list_rack(upstream_id))
         return sum(state.is_usable and not state.taken for state in states)
 
+    def count_clearable_in_rack(self, upstream_id: str) -> int:
+        """Return how many upstreams of a rack are usable and hold no firm work."""
+        states = map(self.states.__getitem__, self.topology.list_rack(upstream_id))
+        return sum(state.is_usable and not state.firm for state in states)
+
     def update_upstream(
         self, capacity: UpstreamCapacity, condition: UpstreamCondition
     ) -> None:
--- a/tanagerpath/core/placement/packing.py
+++ b/tanagerpath/core/placement/packing.py
@@ -142,7 +142,8 @@
         first = _find_aligned_fit(open_mask, demand.accelerators)
         if first is None:
             return None
-        return self._score_single(state, demand, open_mask, first)
+        score, run = self._score_single(state, demand, open_mask, first)
+        return (*score, self._count_left(window[0], taken)), run
 
     def _fit_everywhere(
         self, window: tuple[str, ...], demand: Demand, taken: Mapping[str, int]
@@ -177,12 +178,20 @@
             if taken.get(name, 0) or self._open(state, demand) != state.all_mask:
                 return None
             held += bool(state.firm)
-        rack = self._occupancy.topology.list_rack(window[0])
-        left = sum(not taken.get(name, 0) for name in rack) - len(window)
+        left = self._count_left(window[0], taken) - len(window)
         avoided = sum(map(self._is_avoided, window))
         run = self._occupancy.topology.make_gang_assignment(window)
         return (avoided, held, left), run
 
+    def _count_left(self, upstream_id: str, taken: Mapping[str, int]) -> int:
+        """Return how many upstreams of a rack could still become part of a gang."""
+        return sum(
+            self._occupancy.states[name].is_usable
+            and not self._occupancy.states[name].firm
+            and not taken.get(name, 0)
+            for name in self._occupancy.topology.list_rack(upstream_id)
+        )
+
     def _score_single(
         self, state: UpstreamState, demand: Demand, open_mask: int, first: int
     ) -> tuple[Score, Assignment]:
--- a/tanagerpath/core/placement/search.py
+++ b/tanagerpath/core/placement/search.py
@@ -41,9 +41,14 @@
         return self._find_single()
 
     def _find_single(self) -> Assignment | None:
+        """Look at the tightest free runs first.
+
+        Work that can't be preempted is compared over all upstreams, because where it
+        lies decides for hours which racks can be cleared for gangs.
+        """
         occupancy = self._context.occupancy
+        best: tuple[Score, AcceleratorRun] | None = None
         for length in occupancy.list_free_runs(self._job.request.accelerators):
-            best: tuple[Score, AcceleratorRun] | None = None
             compared = 0
             for name in occupancy.list_by_free_run(length):
                 found = self._fit_single(name)
@@ -54,9 +59,9 @@
                 compared += 1
                 if compared >= MAX_COMPARED:
                     break
-            if best is not None:
-                return Assignment((best[1],))
-        return None
+            if best is not None and self._job.request.preemptible:
+                break
+        return None if best is None else Assignment((best[1],))
 
     def _fit_single(self, upstream_id: str) -> tuple[Score, AcceleratorRun] | None:
         state = self._context.occupancy.states[upstream_id]
@@ -72,6 +77,9 @@
             return None
         left, first = min(fits)
         score = (left, *self._score_surroundings(state))
+        if not self._job.request.preemptible:
+            clearable = self._context.occupancy.count_clearable_in_rack(upstream_id)
+            score = (clearable, not state.firm, *score)
         return score, AcceleratorRun(upstream_id, first, count)
 
     def _score_surroundings(self, state: UpstreamState) -> Score:
