--- a/tanagerpath/core/placement/config.py
+++ b/tanagerpath/core/placement/config.py
@@ -50,10 +50,10 @@
     urgent_grace_s: float = 0.5
     spare_runs_wanted: int = 2
     spare_runs_required: int = 1
-    reservations: int = 4
+    reservations: int = 6
     reservation_accelerators: int = 8
     large_loss_share: float = 0.1
-    short_job_weight: float = 1.0
+    short_job_weight: float = 0.2
     batch_handicap_s: float = 600.0
     promote_after_s: float = 4 * 3600.0
     patient_margin_s: float = 60.0
