Tell cut connections from late replies

The rolling restart counted 48 cut exchanges on a machine with a load of 10; they were replies later than the caller's timeout. Only a connection that ends before its reply is a cut. A test of the stand-in took 11 s when the entry stopped before the upstream had taken its leave; it waits for the leave now.

--- a/tanagerpath/emulator/caller.py
+++ b/tanagerpath/emulator/caller.py
@@ -19,11 +19,13 @@
 )
 from tanagerpath.core.protocol.internal import StatusReply
 from tanagerpath.runtime import Mailbox, Task
-from tanagerpath.runtime.client import ConnectFailed, HttpClient
+from tanagerpath.runtime.client import ConnectFailed, ExchangeCut, HttpClient
 
 __all__ = ["CallerClient", "Outcome", "ReadinessWatch"]
 
 EXCHANGE_MARGIN_S = 2.0
+# An entry may take 5 s to find the leader and get its reply.
+OPERATOR_TIMEOUT_S = 6.0
 PROBE_INTERVAL_S = 0.2
 
 
@@ -41,12 +43,15 @@
         HTTP status; 0 without a reply.
     sent : bool
         Whether the request may have arrived.
+    cut : bool
+        Whether the connection ended before the reply.
     """
 
     value: object | None = None
     error: ErrorBody | None = None
     status: int = 0
     sent: bool = True
+    cut: bool = False
 
 
 class CallerClient:
@@ -76,12 +81,14 @@
         """Submit a job and wait up to `wait_s` seconds for its end."""
         until_unix_s = time.time() + wait_s if wait_s else None
         request = SubmitRequest(job, until_unix_s)
-        return await self._exchange("POST", "/v1/jobs", request, JobReply, wait_s)
+        timeout_s = wait_s + EXCHANGE_MARGIN_S
+        return await self._exchange("POST", "/v1/jobs", request, JobReply, timeout_s)
 
     async def poll(self, job_id: str, wait_s: float) -> Outcome:
         """Ask for the answer of a job and wait up to `wait_s` seconds for it."""
         path = f"/v1/jobs/{job_id}/answer?wait_ms={int(wait_s * 1000)}"
-        return await self._exchange("GET", path, None, JobReply, wait_s)
+        timeout_s = wait_s + EXCHANGE_MARGIN_S
+        return await self._exchange("GET", path, None, JobReply, timeout_s)
 
     async def cancel(self, job_id: str) -> Outcome:
         """Cancel a job."""
@@ -109,14 +116,23 @@
         return is_successful(reply) and reply.unwrap().status == 200
 
     async def _exchange(
-        self, method: str, path: str, request: object, kind: type, wait_s: float = 0.0
+        self,
+        method: str,
+        path: str,
+        request: object,
+        kind: type,
+        timeout_s: float = OPERATOR_TIMEOUT_S,
     ) -> Outcome:
         body = encode_json(request).encode() if request is not None else b""
         result = await self._clients[self._index].exchange(
-            method, path, body, timeout_s=wait_s + EXCHANGE_MARGIN_S
+            method, path, body, timeout_s=timeout_s
         )
         if not is_successful(result):
-            return Outcome(sent=not isinstance(result.failure(), ConnectFailed))
+            failure = result.failure()
+            return Outcome(
+                sent=not isinstance(failure, ConnectFailed),
+                cut=isinstance(failure, ExchangeCut),
+            )
         reply = result.unwrap()
         # A job that never ran has the status of its refusal and the body of a job.
         value = decode_json(reply.body, kind).value_or(None)
--- a/tanagerpath/emulator/load.py
+++ b/tanagerpath/emulator/load.py
@@ -108,6 +108,7 @@
     job_id: str = ""
     uncertain: bool = False
     resent: bool = False
+    cut: bool = False
     detail: str = ""
 
     @property
@@ -153,6 +154,7 @@
             latency_ms=latency_ms,
             doubled=doubled,
             resent=progress.resent,
+            cut=progress.cut,
             detail="" if verdict is Verdict.ANSWERED else progress.detail,
         )
 
@@ -183,6 +185,7 @@
             progress.detail = f"no reply (status {outcome.status})"
             progress.uncertain = True
             progress.resent = True
+            progress.cut |= outcome.cut
         self._client.move_on()
         wait_s = RETRY_INTERVAL_S
         if error is not None and error.retry_at_unix_s is not None:
--- a/tanagerpath/emulator/load_plan.py
+++ b/tanagerpath/emulator/load_plan.py
@@ -136,6 +136,8 @@
         Whether answers of two attempts arrived.
     resent : bool
         Whether an exchange was lost and the job was sent again.
+    cut : bool
+        Whether a connection ended before the reply.
     detail : str
         Type of the last error, if any.
     """
@@ -146,6 +148,7 @@
     latency_ms: float
     doubled: bool = False
     resent: bool = False
+    cut: bool = False
     detail: str = ""
 
 
@@ -164,6 +167,7 @@
     unknown: int
     cancelled: int
     resent: int
+    cut: int
     partial_gangs: int
     p50_ms: float
     p99_ms: float
@@ -220,6 +224,7 @@
             unknown=counts[Verdict.UNKNOWN],
             cancelled=counts[Verdict.CANCELLED],
             resent=sum(outcome.resent for outcome in self.outcomes),
+            cut=sum(outcome.cut for outcome in self.outcomes),
             partial_gangs=len(evidence.partial_gangs),
             p50_ms=leading["p50"],
             p99_ms=leading["p99"],
--- a/tanagerpath/emulator/tests/test_drill.py
+++ b/tanagerpath/emulator/tests/test_drill.py
@@ -27,6 +27,7 @@
     unknown=0,
     cancelled=0,
     resent=0,
+    cut=0,
     partial_gangs=0,
     p50_ms=1.0,
     p99_ms=1.0,
--- a/tanagerpath/emulator/tests/test_upstream.py
+++ b/tanagerpath/emulator/tests/test_upstream.py
@@ -75,6 +75,7 @@
     def __init__(self):
         self.announced = anyio.Event()
         self.acknowledged = anyio.Event()
+        self.left = anyio.Event()
         self.announcement = None
         self.reports = []
 
@@ -91,6 +92,7 @@
         return Response(encode_json(AnnouncementReply()))
 
     async def leave(self, request: Request) -> Response:
+        self.left.set()
         return Response(encode_json(LeaveReply(True)))
 
     async def report(self, request: Request) -> Response:
@@ -107,6 +109,13 @@
     return decode_json(reply.body, kind).unwrap() if kind else reply.status
 
 
+async def stop_upstreams(upstreams, entry):
+    """Stop while the entry still takes the leave; fail if it never came."""
+    upstreams.request_stop()
+    with anyio.fail_after(5):
+        await entry.left.wait()
+
+
 async def run_one_task(folder):
     entry = FakeEntry()
     server = HttpServer(bind_listener("127.0.0.1:0"), entry.routes())
@@ -132,7 +141,7 @@
             await call(client, "/v1/probe", ProbeRequest(3)),
             await call(client, "/v1/probe", Faults()),
         ]
-        upstreams.request_stop()
+        await stop_upstreams(upstreams, entry)
         await client.close()
         await server.stop()
     return entry, statuses
