Test drained entries and lost control in the caller contract

Cause: a stop must cut off no request in flight, and an entry without the leader must refuse as not run; both are promises to callers.

Change: one case drains an entry that holds a job about to end and one that hangs, stops the control process, checks the refusal of the other entry, and starts control again on the same directory. The loopback system can stop and start its processes by name.

--- a/tanagerpath/services/tests/loopback.py
+++ b/tanagerpath/services/tests/loopback.py
@@ -42,6 +42,7 @@
         self._upstream_count = upstreams
         self._services = services
         self._portal = None
+        self._running = {}
         self.entries = []
 
     def __enter__(self):
@@ -49,10 +50,11 @@
         self._closing.callback(shutil.rmtree, self._folder)
         portal = anyio.from_thread.start_blocking_portal()
         self._portal = self._closing.enter_context(portal)
-        self._run(ControlApplication.from_settings(self._make_control_settings()))
+        self._closing.callback(self._stop_all)
+        self.start_control()
         for number in range(self._entry_count):
             self.entries.append(self._start_entry(f"e{number + 1}"))
-        self._run(self._make_upstreams())
+        self._run("upstreams", self._make_upstreams())
         self._wait_until_ready()
         return self
 
@@ -74,11 +76,25 @@
         except ValueError:
             return reply.status, text
 
-    def _run(self, application):
+    def start_control(self):
+        """Start the control process, again if it was stopped."""
+        settings = self._make_control_settings()
+        self._run("c1", ControlApplication.from_settings(settings))
+
+    def stop(self, name):
+        """Stop a process gracefully and wait until it has ended."""
+        application, future = self._running.pop(name)
+        self._portal.call(application.request_stop)
+        future.result(10)
+
+    def _run(self, name, application):
         future = self._portal.start_task_soon(application.run, False)
-        self._closing.callback(future.result, 10)
-        self._closing.callback(self._portal.call, application.request_stop)
-        return future
+        self._running[name] = (application, future)
+
+    def _stop_all(self):
+        # Control goes last: without a leader, an entry holds upstreams for 5 s.
+        for name in sorted(self._running, reverse=True):
+            self.stop(name)
 
     def _make_control_settings(self):
         fast = {
@@ -102,11 +118,12 @@
         settings = EntrySettings(
             vm_id=vm_id,
             listen=f"127.0.0.1:{port}",
+            staleness_bound_s=1.0,
             drain_notice_s=0.0,
-            drain_timeout_s=1.0,
+            drain_timeout_s=1.5,
             **self._common,
         )
-        self._run(EntryApplication.from_settings(settings))
+        self._run(vm_id, EntryApplication.from_settings(settings))
         return settings.listen
 
     def _make_upstreams(self):
--- a/tanagerpath/services/tests/test_caller_contract.py
+++ b/tanagerpath/services/tests/test_caller_contract.py
@@ -1,5 +1,6 @@
 """Guards against replies to callers and operators that break the interface page."""
 
+import concurrent.futures as futures
 import hashlib
 import json
 import time
@@ -373,6 +374,54 @@
             self.assertTrue({"crews", "depot"} <= names, names)
 
 
+class TestStops(testtools.TestCase):
+    """Guards against requests that a stop cuts off, and against stale entries."""
+
+    def test_drained_entry_and_lost_control(self):
+        with LoopbackSystem() as system:
+            system.ask("PUT", path_of("sort"), make_document())
+            ends = make_job("ends", payload='{"run_ms":600}')
+            hangs = make_job("hangs", payload='{"hang":true}')
+            for job in (ends, hangs):
+                while system.ask("POST", "/v1/jobs", job)[0] != 202:
+                    time.sleep(0.01)
+                job["wait_until_unix_s"] = time.time() + 20.0
+            self._check_drain(system, ends, hangs)
+            system.stop("c1")
+            self._check_staleness(system)
+            system.start_control()
+            self._await(system, 200)
+            status, body = system.ask("POST", "/v1/jobs", ends, 1)
+            self.assertEqual((200, "answered"), (status, body["state"]))
+
+    def _check_drain(self, system, ends, hangs):
+        with futures.ThreadPoolExecutor() as callers:
+            calls = [
+                callers.submit(system.ask, "POST", "/v1/jobs", job)
+                for job in (ends, hangs)
+            ]
+            time.sleep(0.4)
+            system.stop("e1")
+            replies = [call.result() for call in calls]
+        self.assertEqual([200, 202], [status for status, _ in replies])
+        self.assertEqual("answered", replies[0][1]["state"])
+        self.assertRaises(OSError, system.ask, "GET", "/healthz")
+
+    def _check_staleness(self, system):
+        self._await(system, 503)
+        status, body = system.ask("POST", "/v1/jobs", make_job("stale"), 1)
+        error = body["error"]
+        expected = (503, "EntryStale", True)
+        self.assertEqual(expected, (status, error["type"], error["not_run"]))
+        self.assertEqual(200, system.ask("GET", "/healthz", None, 1)[0])
+
+    def _await(self, system, readiness):
+        until_s = time.monotonic() + 10.0
+        while system.ask("GET", "/readyz", None, 1)[0] != readiness:
+            self.assertTrue(time.monotonic() < until_s, readiness)
+            time.sleep(0.02)
+
+
 class TestSmallFleet(testtools.TestCase):
     def test_job_that_fails_on_every_upstream_ends_and_blocks_no_other(self):
         """Guards against a failed job that waits for ever at the head of the queue."""
@@ -394,7 +443,7 @@
 class TestBoundOfTheLog(testtools.TestCase):
     def test_leader_takes_more_once_its_proposals_are_committed(self):
         """Guards against a bound that stays reached after a burst."""
-        with LoopbackSystem(entries=1, max_proposals_in_flight=1) as system:
+        with LoopbackSystem(1, 0, max_proposals_in_flight=1) as system:
             for revision in (1, 2, 3):
                 body = make_document(revision=revision)
                 reply = system.ask("PUT", path_of("sort"), body)
