Give no proof of a start that did not happen on a repeated stop

Cause: TasksTable.stop remembered the member that it did not know, and took the memory for a reservation when the stop was repeated. The first reply said incarnation_covers_attempt false, the second true. A leader that lost the first reply recorded the start as refuted although the earlier incarnation had run the task; a non-idempotent job could have been started again. Ruled out: the coordinator, which counts only replies with the flag set. The contract case for the repeated stop failed before and passes now.

--- a/tanagerpath/emulator/tasks_table.py
+++ b/tanagerpath/emulator/tasks_table.py
@@ -75,6 +75,18 @@
     payload_sha256: str
 
 
+@attrs.frozen
+class _Over:
+    """What is remembered of a member that has ended.
+
+    `held` tells whether this incarnation ever held the member: a stop that is repeated
+    must not pass for the proof that the first one could not give.
+    """
+
+    ever_started: bool
+    held: bool
+
+
 @attrs.define
 class _Member:
     key: MemberKey
@@ -128,7 +140,7 @@
         self._first_term: int | None = None
         self._lowest_attempt: AttemptId | None = None
         self._members: dict[MemberKey, _Member] = {}
-        self._over: dict[MemberKey, bool] = {}
+        self._over: dict[MemberKey, _Over] = {}
         self._events: list[MemberEvent] = []
         self._reports: list[TaskReport] = []
 
@@ -223,12 +235,13 @@
         """End a member for good."""
         key = MemberKey(request.job_id, request.attempt, request.rank)
         member = self._members.get(key)
-        started = member.ever_started if member else self._over.get(key, False)
-        covers = member is not None or key in self._over or self._covers(key.attempt)
+        over = self._over.get(key, _Over(ever_started=False, held=False))
+        started = member.ever_started if member else over.ever_started
+        covers = member is not None or over.held or self._covers(key.attempt)
         if not self._admit_term(request.term):
             return StopReply(False, started, covers, "stale_term")
         if member is None:
-            self._remember_over(key, started)
+            self._remember_over(key, started, held=over.held)
         elif member.phase in _HOLDING:
             event = "stopped" if member.ever_started else None
             self._end(member, TaskPhase.STOPPED, event, report=False)
@@ -390,7 +403,9 @@
             return self._members[key].phase
         return TaskPhase.STOPPED if key in self._over else TaskPhase.ABSENT
 
-    def _remember_over(self, key: MemberKey, ever_started: bool) -> None:
-        self._over[key] = ever_started
+    def _remember_over(
+        self, key: MemberKey, ever_started: bool, held: bool = True
+    ) -> None:
+        self._over[key] = _Over(ever_started, held)
         if len(self._over) > MAX_OVER_MEMBERS:
             del self._over[next(iter(self._over))]
--- a/tanagerpath/emulator/tests/test_upstream_contract.py
+++ b/tanagerpath/emulator/tests/test_upstream_contract.py
@@ -186,6 +186,12 @@
             [(1000, stop())],
             {"ever_started": False, "incarnation_covers_attempt": False},
         ),
+        (
+            "repeated stop of an attempt of another incarnation",
+            {},
+            [(1000, stop()), (1500, stop())],
+            {"ever_started": False, "incarnation_covers_attempt": False},
+        ),
         (
             "stop after a lapsed reservation of an older attempt",
             {},
