Tell entries when a rejected command may still commit

Cause: a proposal that was in the log when its leader stepped down was answered with the same NotLeaderReply as one that was never appended. The entry searched for a leader until its deadline and then answered NoLeader with not_run true, although the next leader could commit and run the job. Ruled out: exchanges that time out, which already counted as uncertain.

--- a/tanagerpath/benchmarks/core_check_entries.py
+++ b/tanagerpath/benchmarks/core_check_entries.py
@@ -14,6 +14,7 @@
     OutcomeUncertain,
     RetryBudget,
 )
+from tanagerpath.core.consensus import ProposalUncertain
 from tanagerpath.core.model import JobRequest
 from tanagerpath.core.protocol import internal
 from tanagerpath.core.protocol.callers import ErrorBody
@@ -72,6 +73,8 @@
         route = self._entry.route
         if isinstance(reply, internal.NotLeaderReply):
             route.note_hint(self._address, reply.leader_address)
+            if reply.may_commit:
+                self._uncertain = ProposalUncertain()
         elif isinstance(reply, Failure):
             route.note_silence(self._address)
             if not isinstance(reply, Refused):
--- a/tanagerpath/core/control/node.py
+++ b/tanagerpath/core/control/node.py
@@ -288,10 +288,10 @@
                 self._state = SystemState.from_snapshot(restored)
             case consensus.RequestSnapshot():
                 self._provide_snapshot()
-            case consensus.ProposalRejected(number):
+            case consensus.ProposalRejected(number, failure):
                 proposal = self._proposals.take(number)
                 if proposal is not None:
-                    self._actions += proposal.reject()
+                    self._actions += proposal.reject(failure)
             case _:
                 self._actions.append(action)
 
--- a/tanagerpath/core/control/proposals.py
+++ b/tanagerpath/core/control/proposals.py
@@ -6,6 +6,7 @@
 from returns.pipeline import is_successful
 from returns.result import Result
 
+from tanagerpath.core.consensus import NotLeader
 from tanagerpath.core.control.messages import AnswerRequest
 from tanagerpath.core.protocol.callers import ErrorBody
 from tanagerpath.core.protocol.internal import NotLeaderReply
@@ -61,9 +62,11 @@
         outcome = _describe_outcome(result) if self.tokens else None
         return [AnswerRequest(token, outcome) for token in self.tokens]
 
-    def reject(self) -> list[AnswerRequest]:
-        """Tell all who wait that leadership was lost."""
-        return [AnswerRequest(token, NotLeaderReply()) for token in self.tokens]
+    def reject(self, failure: Failure) -> list[AnswerRequest]:
+        """Tell all who wait that leadership was lost, and if the command may commit."""
+        may_commit = not isinstance(failure, NotLeader)
+        reply = NotLeaderReply(may_commit=may_commit)
+        return [AnswerRequest(token, reply) for token in self.tokens]
 
 
 class ProposalRegister:
--- /dev/null
+++ b/tanagerpath/core/control/tests/test_proposals.py
@@ -0,0 +1,22 @@
+"""What the waiting exchanges of a rejected proposal are told."""
+
+import testtools
+
+from tanagerpath.core.consensus import NotLeader, ProposalUncertain
+from tanagerpath.core.control.proposals import Proposal
+from tanagerpath.core.state import ExpireJobs
+
+
+class TestRejection(testtools.TestCase):
+    """An entry must not report work as not run that may commit yet."""
+
+    def test_appended_command_may_commit(self):
+        # Told only that there is no leader, the entry reported "not run".
+        proposal = Proposal(ExpireJobs(0.0), (7,))
+        (answer,) = proposal.reject(ProposalUncertain())
+        self.assertTrue(answer.reply.may_commit)
+
+    def test_command_that_was_not_appended_cannot_commit(self):
+        proposal = Proposal(ExpireJobs(0.0), (7,))
+        (answer,) = proposal.reject(NotLeader())
+        self.assertFalse(answer.reply.may_commit)
--- a/tanagerpath/core/protocol/internal.py
+++ b/tanagerpath/core/protocol/internal.py
@@ -184,10 +184,14 @@
         VM of the leader that it knows, empty if none.
     leader_address : str
         "ip:port" of that leader, empty if none.
+    may_commit : bool
+        Whether the request was appended to the log before leadership was lost, so that
+        it may take effect yet.
     """
 
     leader_vm_id: str = ""
     leader_address: str = ""
+    may_commit: bool = False
 
 
 InternalRequest = (
--- a/tanagerpath/services/leader_link.py
+++ b/tanagerpath/services/leader_link.py
@@ -13,6 +13,7 @@
     OutcomeUncertain,
     RetryBudget,
 )
+from tanagerpath.core.consensus import ProposalUncertain
 from tanagerpath.core.protocol.internal import (
     InternalReply,
     InternalRequest,
@@ -144,6 +145,8 @@
                     call.reply.send(Success(reply))
                     return
                 self._route.note_hint(address, reply.leader_address)
+                if reply.may_commit:
+                    uncertain = ProposalUncertain()
             else:
                 self._route.note_silence(address)
                 if not isinstance(result.failure(), ConnectFailed):
