Keep the connections of one address without the library's pool

Ruled out: decisions and JSON; ControlNode.step was 1.1 of 8 s of the profile. Change: HttpClient keeps AsyncHTTPConnection objects itself, one exchange each.

--- a/tanagerpath/runtime/client.py
+++ b/tanagerpath/runtime/client.py
@@ -16,6 +16,8 @@
     "HttpReply",
 ]
 
+# Below the 75 s after which the server closes an idle connection.
+KEEPALIVE_EXPIRY_S = 60.0
 _JSON_HEADERS = [(b"content-type", b"application/json")]
 
 
@@ -68,8 +70,11 @@
 class HttpClient:
     """Exchanges requests with one address over kept connections.
 
-    After an exchange that timed out, all idle connections are dropped: whatever made
-    one of them silent may have done so to the others.
+    A connection carries one exchange at a time. After an exchange that timed out, all
+    idle connections are dropped: whatever made one of them silent may have done so to
+    the others. The connections are kept here and not in a pool of the library, because
+    there is one address only and the pool's share of an exchange was about a third of
+    its processor time.
 
     Parameters
     ----------
@@ -80,14 +85,11 @@
     """
 
     def __init__(self, address: str, max_connections: int = 4) -> None:
+        host, _, port = address.rpartition(":")
         self.address = address
-        self._max_connections = max_connections
-        self._pool = self._open_pool()
-
-    def _open_pool(self) -> httpcore.AsyncConnectionPool:
-        return httpcore.AsyncConnectionPool(
-            max_connections=self._max_connections, keepalive_expiry=60.0
-        )
+        self._origin = httpcore.Origin(b"http", host.encode(), int(port))
+        self._slots = anyio.Semaphore(max_connections)
+        self._idle: list[httpcore.AsyncHTTPConnection] = []
 
     async def exchange(
         self, method: str, path: str, body: bytes = b"", *, timeout_s: float = 1.0
@@ -101,41 +103,64 @@
         body : bytes
             JSON text.
         timeout_s : float
-            Seconds until the exchange is given up.
+            Seconds until the exchange is given up, with the wait for a connection.
 
         Returns
         -------
         Result
             `HttpReply`, or `ConnectFailed`, `ExchangeTimedOut` or `ExchangeCut`.
         """
-        pool = self._pool
         try:
             with anyio.fail_after(timeout_s):
-                reply = await pool.request(
-                    method,
-                    f"http://{self.address}{path}",
-                    headers=_JSON_HEADERS,
-                    content=body,
-                )
+                async with self._slots:
+                    return await self._exchange_once(method, path, body)
         except TimeoutError:
-            await self._drop_pool(pool)
+            await self._drop_idle()
             return ResultFailure(ExchangeTimedOut(address=self.address))
+
+    async def _exchange_once(
+        self, method: str, path: str, body: bytes
+    ) -> Result[HttpReply, Failure]:
+        connection = await self._take_connection()
+        try:
+            reply = await connection.request(
+                method,
+                f"http://{self.address}{path}",
+                headers=_JSON_HEADERS,
+                content=body,
+            )
         except (httpcore.ConnectError, httpcore.ConnectTimeout):
             return ResultFailure(ConnectFailed(address=self.address))
         except (httpcore.NetworkError, httpcore.ProtocolError) as error:
             return ResultFailure(
                 ExchangeCut(address=self.address, detail=type(error).__name__)
             )
+        finally:
+            await self._put_back(connection)
         return Success(HttpReply(reply.status, reply.content))
 
-    async def _drop_pool(self, pool: httpcore.AsyncConnectionPool) -> None:
-        if pool is not self._pool:
+    async def _take_connection(self) -> httpcore.AsyncHTTPConnection:
+        while self._idle:
+            connection = self._idle.pop()
+            if connection.is_available() and not connection.has_expired():
+                return connection
+            await connection.aclose()
+        return httpcore.AsyncHTTPConnection(
+            self._origin, keepalive_expiry=KEEPALIVE_EXPIRY_S
+        )
+
+    async def _put_back(self, connection: httpcore.AsyncHTTPConnection) -> None:
+        if connection.is_available():
+            self._idle.append(connection)
             return
-        self._pool = self._open_pool()
-        for connection in pool.connections:
-            if connection.is_idle():
-                await connection.aclose()
+        with anyio.CancelScope(shield=True):
+            await connection.aclose()
+
+    async def _drop_idle(self) -> None:
+        idle, self._idle = self._idle, []
+        for connection in idle:
+            await connection.aclose()
 
     async def close(self) -> None:
-        """Close all connections."""
-        await self._pool.aclose()
+        """Close all idle connections; one in use closes with its exchange."""
+        await self._drop_idle()
