Send answers between control processes back in the same exchange

Cause: each append cost four HTTP exchanges, because answers of followers went as exchanges of their own. Change: an exchange of another replica is held for up to 20 ms, and messages for that replica ride on its reply; uvicorn adds no proxy, server or date headers. Ruled out: waiting without a bound; an answer that comes later goes its own way as before.

--- a/tanagerpath/runtime/server.py
+++ b/tanagerpath/runtime/server.py
@@ -70,6 +70,9 @@
             lifespan="off",
             http="h11",
             ws="none",
+            proxy_headers=False,
+            server_header=False,
+            date_header=False,
             backlog=LISTEN_BACKLOG,
             timeout_keep_alive=75,
         )
--- a/tanagerpath/services/control.py
+++ b/tanagerpath/services/control.py
@@ -17,9 +17,15 @@
 from tanagerpath.observability.logs import get_logger
 from tanagerpath.observability.metrics import MetricsRegistry
 from tanagerpath.runtime import Clock, Mailbox, Reply, Task
-from tanagerpath.services.control_messages import AskLeader, ConsensusArrived, HandOver
+from tanagerpath.services.control_messages import (
+    AskLeader,
+    ConsensusArrived,
+    HandOver,
+    ReturnPathClosed,
+)
 from tanagerpath.services.links import LinkSet
 from tanagerpath.services.peers import PeerSet
+from tanagerpath.services.return_paths import ReturnPaths
 
 __all__ = ["ControlTask"]
 
@@ -64,6 +70,7 @@
         self._clock = clock
         self._log = get_logger("control")
         self._metrics = MetricsRegistry()
+        self._return_paths = ReturnPaths()
         self._replies: dict[int, Reply] = {}
         self._tokens = itertools.count(1)
         self._links: LinkSet | None = None
@@ -91,12 +98,17 @@
         now_s = self._clock.read_s()
         for action in self._node.step(events, now_s, self._clock.read_unix_s()):
             self._carry_out(action)
+        self._return_paths.flush()
         self._peers.retain(self._node.replica.peer_addresses)
 
     def _translate(self, message: object) -> list[ControlEvent]:
         match message:
-            case ConsensusArrived(messages):
+            case ConsensusArrived(messages, reply):
+                self._return_paths.open(messages[0].sender, reply)
                 return list(messages)
+            case ReturnPathClosed(sender, reply):
+                self._return_paths.close(sender, reply)
+                return []
             case AskLeader(request, reply):
                 return [RequestArrived(self._keep(reply), request)]
             case HandOver(reply):
@@ -111,7 +123,8 @@
     def _carry_out(self, action: ControlAction) -> None:
         match action:
             case consensus.SendMessage():
-                self._peers.send(action)
+                if not self._return_paths.take(action):
+                    self._peers.send(action)
             case consensus.PersistState():
                 self._storage.post(action)
             case AnswerRequest(token, reply):
--- a/tanagerpath/services/control_application.py
+++ b/tanagerpath/services/control_application.py
@@ -11,6 +11,7 @@
 from starlette.routing import BaseRoute, Route
 
 from tanagerpath.codecs import decode_json, encode_json
+from tanagerpath.codecs.replication import encode_batch
 from tanagerpath.codecs.state import JsonStateCodec
 from tanagerpath.core.control import ControlNode
 from tanagerpath.core.protocol.callers import ErrorBody, ErrorReply
@@ -25,6 +26,7 @@
     AskLeader,
     ConsensusArrived,
     HandOver,
+    ReturnPathClosed,
 )
 from tanagerpath.services.leader_link import INTERNAL_REQUEST_PATH
 from tanagerpath.services.peers import CONSENSUS_PATH, PeerSet, decode_batch
@@ -33,6 +35,8 @@
 __all__ = ["ControlApplication"]
 
 REPLY_TIMEOUT_S = 5.0
+# Several times a sync of the disk, and well below the heartbeat interval.
+RETURN_HOLD_S = 0.02
 MAX_WAITING_MESSAGES = 16_384
 OVERLOADED_STATUS = 503
 
@@ -85,7 +89,7 @@
             node,
             self._mailbox,
             storage.mailbox,
-            PeerSet(tasks),
+            PeerSet(tasks, self._mailbox),
             self._settings.upstream_connections,
             self._settings.exchange_timeout_s,
             self._clock,
@@ -121,8 +125,17 @@
         batch = decode_batch(await request.body())
         if not is_successful(batch):
             return PlainTextResponse(batch.failure().message + "\n", 400)
-        self._mailbox.post(ConsensusArrived(tuple(batch.unwrap())))
-        return Response(status_code=204)
+        messages = tuple(batch.unwrap())
+        if not messages:
+            return Response(status_code=204)
+        reply: Reply = Reply()
+        self._mailbox.post(ConsensusArrived(messages, reply))
+        answers = await reply.receive(anyio.current_time() + RETURN_HOLD_S)
+        if answers is None:
+            self._mailbox.post(ReturnPathClosed(messages[0].sender, reply))
+        if not answers:
+            return Response(status_code=204)
+        return Response(encode_batch(answers), media_type="application/json")
 
     async def _take_request(self, request: Request) -> Response:
         decoded = decode_json(await request.body(), InternalRequest)
--- a/tanagerpath/services/control_messages.py
+++ b/tanagerpath/services/control_messages.py
@@ -6,14 +6,27 @@
 from tanagerpath.core.protocol.internal import InternalRequest
 from tanagerpath.runtime import Reply
 
-__all__ = ["AskLeader", "ConsensusArrived", "HandOver"]
+__all__ = ["AskLeader", "ConsensusArrived", "HandOver", "ReturnPathClosed"]
 
 
-@attrs.frozen
+@attrs.frozen(eq=False)
 class ConsensusArrived:
-    """Messages of other replicas arrived."""
+    """Messages of another replica arrived.
+
+    `reply` gets the messages that go back in the same exchange, as a tuple of
+    `SendMessage`.
+    """
 
     messages: tuple[MessageReceived, ...]
+    reply: Reply
+
+
+@attrs.frozen(eq=False)
+class ReturnPathClosed:
+    """The exchange of a replica ended without a message for it."""
+
+    sender: str
+    reply: Reply
 
 
 @attrs.frozen(eq=False)
--- a/tanagerpath/services/peers.py
+++ b/tanagerpath/services/peers.py
@@ -1,5 +1,7 @@
 """Tasks that carry messages to the other replicas."""
 
+from typing import Any
+
 import anyio
 from anyio.abc import TaskGroup
 
@@ -13,6 +15,8 @@
 
 CONSENSUS_PATH = "/internal/v1/consensus"
 EXCHANGE_TIMEOUT_S = 1.0
+OK_STATUS = 200
+NO_CONTENT_STATUS = 204
 # About 10 s of heartbeats and replies; older messages are of no use to the protocol.
 MAILBOX_CAPACITY = 256
 
@@ -27,6 +31,8 @@
     ----------
     client : HttpClient
         Client of the address; closed at the end.
+    owner : Mailbox
+        Receives each `MessageReceived` that came back with a reply.
     capacity : int
         Most messages that wait; the oldest are dropped beyond that.
     timeout_s : float
@@ -36,10 +42,12 @@
     def __init__(
         self,
         client: HttpClient,
+        owner: Mailbox[Any],
         capacity: int = MAILBOX_CAPACITY,
         timeout_s: float = EXCHANGE_TIMEOUT_S,
     ) -> None:
         self._client = client
+        self._owner = owner
         self._timeout_s = timeout_s
         self._mailbox: Mailbox[SendMessage] = Mailbox(client.address, capacity)
         self.dropped = 0
@@ -73,8 +81,12 @@
             encode_batch(messages),
             timeout_s=self._timeout_s,
         )
-        if result.map(lambda reply: reply.status >= 300).value_or(True):
+        reply = result.value_or(None)
+        if reply is None or reply.status not in (OK_STATUS, NO_CONTENT_STATUS):
             self.failed_exchanges += 1
+        elif reply.status == OK_STATUS:
+            for received in decode_batch(reply.body).value_or([]):
+                self._owner.post(received)
 
 
 class PeerSet:
@@ -84,10 +96,13 @@
     ----------
     tasks : TaskGroup
         Group that runs the peer tasks.
+    owner : Mailbox
+        Receives each `MessageReceived` that came back with a reply.
     """
 
-    def __init__(self, tasks: TaskGroup) -> None:
+    def __init__(self, tasks: TaskGroup, owner: Mailbox[Any]) -> None:
         self._tasks = tasks
+        self._owner = owner
         self._peers: dict[str, PeerTask] = {}
         self._scopes: dict[str, anyio.CancelScope] = {}
 
@@ -105,7 +120,9 @@
         self._peers[message.address].post(message)
 
     def _open(self, address: str) -> None:
-        self._peers[address] = PeerTask(HttpClient(address, max_connections=1))
+        self._peers[address] = PeerTask(
+            HttpClient(address, max_connections=1), self._owner
+        )
         self._scopes[address] = anyio.CancelScope()
         self._tasks.start_soon(self._run, self._peers[address], self._scopes[address])
 
--- a/tanagerpath/services/tests/replica_task.py
+++ b/tanagerpath/services/tests/replica_task.py
@@ -79,7 +79,7 @@
 
     async def run(self):
         async with anyio.create_task_group() as tasks:
-            self.peers = PeerSet(tasks)
+            self.peers = PeerSet(tasks, self.mailbox)
             tasks.start_soon(self.storage.run)
             while True:
                 event = await self.mailbox.receive(self.replica.find_wake_up_s())
--- a/tanagerpath/services/tests/test_peers.py
+++ b/tanagerpath/services/tests/test_peers.py
@@ -8,6 +8,7 @@
 
 from tanagerpath.codecs.replication import decode_batch, encode_batch
 from tanagerpath.core.consensus import SendMessage, TimeoutNow
+from tanagerpath.runtime import Mailbox
 from tanagerpath.runtime.client import HttpClient
 from tanagerpath.services.peers import PeerTask
 from tanagerpath.services.tests.replica_group import open_group
@@ -72,7 +73,7 @@
 class TestPeerTask(testtools.TestCase):
     def test_oldest_messages_are_dropped_when_the_peer_is_slow(self):
         async def main():
-            peer = PeerTask(HttpClient("127.0.0.1:1"), capacity=4)
+            peer = PeerTask(HttpClient("127.0.0.1:1"), Mailbox("owner"), capacity=4)
             for term in range(9):
                 peer.post(SendMessage("b", TimeoutNow(term), "127.0.0.1:1", "a", "g"))
             return peer
