Let a job return to an upstream on which it failed, after a pause

Cause: a job avoided every upstream on which it had failed until it was suspect, which takes three; in a fleet of two it waited for ever and held the queue up (the known red test). Ruled out: making a job suspect after two failures, which would blame jobs for two bad upstreams. Before: the job stayed accepted; after: it ends as failed within its four attempts, and the job behind it is answered within 5 s.

--- a/tanagerpath/core/placement/config.py
+++ b/tanagerpath/core/placement/config.py
@@ -38,6 +38,8 @@
         Distinct jobs whose starts failed before an upstream is quarantined.
     upstreams_to_suspect_job : int
         Distinct upstreams on which a job failed before the job itself is suspect.
+    avoid_failed_upstream_s : float
+        Time for which a job avoids an upstream on which it failed.
     back_off_s, back_off_limit_s : float
         First and longest pause after a failed start.
     probe_interval_s, probe_interval_limit_s : float
@@ -59,6 +61,7 @@
     patient_margin_s: float = 60.0
     failures_to_quarantine: int = 3
     upstreams_to_suspect_job: int = 3
+    avoid_failed_upstream_s: float = 5.0
     back_off_s: float = 2.0
     back_off_limit_s: float = 60.0
     probe_interval_s: float = 10.0
--- a/tanagerpath/core/placement/health.py
+++ b/tanagerpath/core/placement/health.py
@@ -108,12 +108,18 @@
         job = self._jobs.get(job_id)
         return job is not None and job.suspect
 
-    def list_failed_upstreams(self, job_id: str) -> tuple[str, ...]:
-        """Return the upstreams on which a job that is not suspect failed to start."""
+    def list_avoided_upstreams(self, job_id: str, now_s: float) -> tuple[str, ...]:
+        """Return the upstreams that a job avoids because it failed there lately.
+
+        The time is bounded: a fleet may have fewer upstreams than make a job suspect,
+        and a job that avoided all of them for good would never end.
+        """
         job = self._jobs.get(job_id)
         if job is None or job.suspect:
             return ()
-        return tuple(job.failed_upstreams)
+        horizon_s = now_s - self._config.avoid_failed_upstream_s
+        failed = job.failed_upstreams.items()
+        return tuple(name for name, failed_s in failed if failed_s > horizon_s)
 
     def list_probe_candidates(self, now_s: float) -> tuple[str, ...]:
         """Return quarantined upstreams that are due for a probe."""
@@ -130,6 +136,10 @@
             for upstream in self._upstreams.values()
         ]
         instants += [job.held_until_s for job in self._jobs.values()]
+        avoid_s = self._config.avoid_failed_upstream_s
+        for job in self._jobs.values():
+            if not job.suspect:
+                instants += [at_s + avoid_s for at_s in job.failed_upstreams.values()]
         return min((at_s for at_s in instants if at_s > now_s), default=None)
 
     def _pause(self, upstream: _UpstreamHealth, now_s: float) -> bool:
--- a/tanagerpath/core/placement/search.py
+++ b/tanagerpath/core/placement/search.py
@@ -31,7 +31,9 @@
     @classmethod
     def from_job(cls, context: PolicyContext, job: PendingJob) -> "PlacementSearch":
         """Prepare a search for a job that would start now."""
-        avoided = frozenset(context.health.list_failed_upstreams(job.job_id))
+        avoided = frozenset(
+            context.health.list_avoided_upstreams(job.job_id, context.now_s)
+        )
         return cls(context, job, context.estimate_end_if_placed_s(job), avoided)
 
     def find_free(self) -> Assignment | None:
--- a/tanagerpath/core/placement/takeover.py
+++ b/tanagerpath/core/placement/takeover.py
@@ -130,7 +130,9 @@
     def _list_runs(self) -> Iterable[Assignment]:
         topology = self._context.occupancy.topology
         size = self._job.request.accelerators
-        failed = self._context.health.list_failed_upstreams(self._job.job_id)
+        failed = self._context.health.list_avoided_upstreams(
+            self._job.job_id, self._context.now_s
+        )
         for window in topology.list_windows(size):
             if any(name in failed or self._context.is_paused(name) for name in window):
                 continue
