--- a/tanagerpath/core/consensus/tests/test_scenarios.py
+++ b/tanagerpath/core/consensus/tests/test_scenarios.py
@@ -14,6 +14,7 @@
     cut_between,
     find_followers,
     open_group,
+    run_formation,
 )
 
 
@@ -171,6 +172,10 @@
     ("follower lags beyond the log", 3, _lag_beyond_the_log),
 ]
 SEEDS = (1, 2, 3)
+# The first four did not become whole before join requests had a challenge.
+FORMATION_SEEDS = (504, 515, 525, 587, *range(12))
+# A minute of a group of five takes about 10,000 steps.
+MAX_FORMATION_STEPS = 50_000
 
 
 class TestFailures(testtools.TestCase):
@@ -182,6 +187,29 @@
                 self.assertEqual([], monitor.violations, f"{name}, seed {seed}")
 
 
+class TestRestartAfter500Changes(testtools.TestCase):
+    def test_all_changes_are_there_by_snapshot_and_by_log(self):
+        for snapshot_after_entries in (50, 10_000):
+            group, monitor = open_group(
+                1, snapshot_after_entries=snapshot_after_entries
+            )
+            leader = group.find_leader()
+            proposals = [group.propose(leader.vm_id, f"{n}") for n in range(500)]
+            group.run_for(5.0)
+            committed = [group.outcomes[proposal] for proposal in proposals]
+            digest = leader.machine.digest
+            for vm_id in group.vms:
+                group.crash(vm_id)
+            stored = leader.disk.durable.snapshot is not None
+            self.assertEqual(snapshot_after_entries == 50, stored)
+            group.start_all()
+            self.assertTrue(group.run_until(group.is_settled, 20.0))
+            self.assertEqual(500, len(set(committed)))
+            self.assertTrue(set(committed) <= set(monitor.committed))
+            self.assertEqual([], monitor.violations)
+            self.assertNotEqual(digest, group.find_leader().machine.digest)
+
+
 class TestFormation(testtools.TestCase):
     def test_no_group_is_founded_while_a_configured_vm_is_silent(self):
         group, _ = self._start_without("vm-3")
@@ -198,6 +226,15 @@
                 group.start(other)
         return group, monitor
 
+    def test_one_group_is_founded_under_faults(self):
+        """A delayed join request of a lost identity once retired its successor."""
+        for seed in FORMATION_SEEDS:
+            group, monitor, whole = run_formation(seed)
+            self.assertEqual([], monitor.violations, f"seed {seed}")
+            self.assertTrue(whole, f"seed {seed}")
+            # Copies of join requests once answered each other without end.
+            self.assertLess(group.steps, MAX_FORMATION_STEPS, f"seed {seed}")
+
     def test_founder_that_loses_its_disk_joins_what_it_founded(self):
         group, monitor = open_group(4)
         group.empty_disk("vm-1")
--- a/tanagerpath/core/coordination/registers.py
+++ b/tanagerpath/core/coordination/registers.py
@@ -47,6 +47,10 @@
         """Return all attempts."""
         return list(self._by_job.values())
 
+    def list_upstreams(self) -> list[str]:
+        """Return the upstreams with at least one attempt."""
+        return list(self._jobs_by_upstream)
+
     def list_on(self, upstream_id: str) -> list[Attempt]:
         """Return the attempts with a member on an upstream."""
         jobs = self._jobs_by_upstream.get(upstream_id, ())
