End a job whose cancellation came just before the end of its attempt

Cause: a RequestCancel committed after the leader had proposed EndAttempt marks the job and ends nothing; EndAttempt then makes it accepted again, with the mark, and the queue started it once more. Later cancellations were answered from the mark, so the job ran to its end, or for ever. Ruled out: the stop of the running attempt, which was confirmed at 16.34 s; the conclusion, which ends a marked job if it sees the mark in time. Change: the queue proposes the cancellation again instead of submitting a marked job. The regression test failed before.

--- a/tanagerpath/core/coordination/queueing.py
+++ b/tanagerpath/core/coordination/queueing.py
@@ -15,7 +15,7 @@
 from tanagerpath.core.coordination.registers import AttemptRegister, RetryQueue
 from tanagerpath.core.model import JobState
 from tanagerpath.core.placement import PendingJob, Scheduler
-from tanagerpath.core.state import JobRecord, SystemState
+from tanagerpath.core.state import JobRecord, RequestCancel, SystemState
 
 __all__ = ["JobQueue"]
 
@@ -115,6 +115,11 @@
 
     def _submit(self, record: JobRecord, now: Instant) -> list[Effect]:
         self._taken_job_ids.add(record.job_id)
+        if record.cancel_requested:
+            # The request was committed just before the end of the attempt that it was
+            # to stop, so it ends the job only now.
+            expires_at_unix_s = now.unix_s + self._terms.job_retention_s
+            return [Propose(RequestCancel((record.job_id,), expires_at_unix_s))]
         result = self._scheduler.submit(self.make_pending(record, now), now.now_s)
         if is_successful(result):
             return []
--- a/tanagerpath/core/coordination/tests/rig.py
+++ b/tanagerpath/core/coordination/tests/rig.py
@@ -97,9 +97,9 @@
         self.term = 0
         self.coordinator = None
         document = ServiceDocument("sort", 1, "t", (OrganisationTerms("org", 999),))
-        self._apply(ApplyDocument(document))
+        self.apply(ApplyDocument(document))
         for upstream_id in self.upstreams:
-            self._apply(RegisterUpstream(self.announce(upstream_id)))
+            self.apply(RegisterUpstream(self.announce(upstream_id)))
         self.take_over()
 
     def announce(self, upstream_id):
@@ -122,7 +122,7 @@
         )
         self.feed(Ticked())
 
-    def _apply(self, command):
+    def apply(self, command):
         return self.state.apply(self.state.applied_index + 1, command)
 
     def feed(self, *events):
@@ -134,7 +134,7 @@
             for effect in effects:
                 match effect:
                     case Propose(command):
-                        result = self._apply(command)
+                        result = self.apply(command)
                         queue.append(CommandApplied(command, result))
                     case CallUpstream():
                         queue += self._call(effect)
@@ -163,7 +163,7 @@
             self.feed(Ticked())
 
     def propose(self, command):
-        result = self._apply(command)
+        result = self.apply(command)
         assert is_successful(result), result
         self.feed(CommandApplied(command, result))
 
--- a/tanagerpath/core/coordination/tests/test_coordinator.py
+++ b/tanagerpath/core/coordination/tests/test_coordinator.py
@@ -7,7 +7,7 @@
 from tanagerpath.core.model import AttemptId, JobState
 from tanagerpath.core.protocol import upstreams as protocol
 from tanagerpath.core.protocol.upstreams import TaskPhase
-from tanagerpath.core.state import RegisterUpstream
+from tanagerpath.core.state import EndAttempt, RegisterUpstream, RequestCancel
 
 LEASE_AND_MARGIN_S = 6.5
 GANG_OF_TWO = 16
@@ -243,6 +243,20 @@
         self.assertFalse(rig.record(job_id).error.not_run)
         self.assertEqual([{}, {}], [u.tasks for u in rig.upstreams.values()])
 
+    def test_cancel_committed_before_the_end_of_an_attempt_is_not_lost(self):
+        # The job ran again, and later cancels were answered without effect.
+        rig = Rig()
+        job_id = rig.submit()
+        attempt = rig.record(job_id).attempt
+        for command in (
+            RequestCancel((job_id,), 2e9),
+            EndAttempt(job_id, attempt, counts=False),
+        ):
+            rig.apply(command)
+        rig.take_over()
+        self.assertEqual(JobState.CANCELLED, rig.record(job_id).state)
+        self.assertFalse(rig.record(job_id).error.not_run)
+
     def test_wave_of_cancels_frees_the_queue(self):
         rig = Rig(upstreams=1)
         running = rig.submit("k0", accelerators=8)
