--- a/tanagerpath/runtime/server.py
+++ b/tanagerpath/runtime/server.py
@@ -8,6 +8,7 @@
 import uvicorn
 from starlette.applications import Starlette
 from starlette.routing import BaseRoute
+from starlette.types import ASGIApp, Message, Receive, Scope, Send
 
 from tanagerpath.runtime.tasks import Task
 
@@ -50,6 +51,32 @@
         yield
 
 
+class _ClosingApplication:
+    """Asks clients to close kept connections once `closing` is set.
+
+    A client that sends on a kept connection just as it is closed cannot tell whether
+    the request arrived, so the connections have to go before the server stops.
+
+    Parameters
+    ----------
+    application : ASGIApp
+        The application that answers.
+    """
+
+    def __init__(self, application: ASGIApp) -> None:
+        self._application = application
+        self.closing = False
+
+    async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
+        async def send_closing(message: Message) -> None:
+            if message["type"] == "http.response.start" and self.closing:
+                headers = [*message.get("headers", ()), (b"connection", b"close")]
+                message = message | {"headers": headers}
+            await send(message)
+
+        await self._application(scope, receive, send_closing)
+
+
 class HttpServer(Task):
     """Serves routes on a bound socket until asked to stop.
 
@@ -63,8 +90,9 @@
 
     def __init__(self, listener: socket.socket, routes: list[BaseRoute]) -> None:
         self._listener = listener
+        self._application = _ClosingApplication(Starlette(routes=routes))
         config = uvicorn.Config(
-            Starlette(routes=routes),
+            self._application,
             log_config=None,
             access_log=False,
             lifespan="off",
@@ -92,6 +120,10 @@
         finally:
             self._ended.set()
 
+    def close_kept_connections(self) -> None:
+        """End each connection with its next reply; new ones are still accepted."""
+        self._application.closing = True
+
     async def stop(self) -> None:
         """Accept nothing new, finish what is in flight, and return when done."""
         self._server.should_exit = True
--- a/tanagerpath/runtime/tests/test_client.py
+++ b/tanagerpath/runtime/tests/test_client.py
@@ -3,6 +3,7 @@
 import socket
 
 import anyio
+import httpcore
 import testtools
 from starlette.requests import Request
 from starlette.responses import PlainTextResponse
@@ -46,6 +47,28 @@
         reply = anyio.run(main)
         self.assertEqual((200, b"whole"), (reply.status, reply.body))
 
+    def test_leaving_server_ends_kept_connections_with_a_reply(self):
+        """Guards against requests cut on a kept connection while a server stops."""
+
+        async def main():
+            route = Route("/", _answer, methods=["POST"])
+            server = HttpServer(bind_listener("127.0.0.1:0"), [route])
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(server.run)
+                await anyio.sleep(0.2)
+                async with httpcore.AsyncConnectionPool() as pool:
+                    headers = []
+                    for _ in range(2):
+                        url = f"http://{server.address}/"
+                        reply = await pool.request("POST", url)
+                        headers.append(dict(reply.headers).get(b"connection"))
+                        server.close_kept_connections()
+                    open_connections = len(pool.connections)
+                await server.stop()
+            return headers, open_connections
+
+        self.assertEqual(([None, b"close"], 0), anyio.run(main))
+
     def test_failures_are_typed(self):
         async def main(behaviour):
             async def handle(stream):
--- a/tanagerpath/services/entry_routes.py
+++ b/tanagerpath/services/entry_routes.py
@@ -32,7 +32,8 @@
 __all__ = ["EntryRoutes"]
 
 LEADER_TIMEOUT_S = 5.0
-REQUERY_INTERVAL_S = 5.0
+# The feed tells of every end; this only bounds the effect of a fault in it.
+REQUERY_INTERVAL_S = 30.0
 MAX_WAIT_MS = 3_600_000
 MAX_BODY_BYTES = 8 * 1024 * 1024
 
