--- a/tanagerpath/services/tests/test_caller_contract.py
+++ b/tanagerpath/services/tests/test_caller_contract.py
@@ -451,6 +451,24 @@
         self.assertEqual((200, "failed"), (status, body["state"]))
 
 
+class TestReplacedUpstream(testtools.TestCase):
+    def test_lost_upstream_hides_no_working_one_at_the_same_place(self):
+        """Guards against a replaced VM whose old name keeps its place for ever."""
+        with LoopbackSystem(entries=1) as system:
+            system.ask("PUT", path_of("sort"), make_document())
+            location = {"availability_zone": "a", "rack": 0, "position": 0}
+            body = {"address": "127.0.0.1:9", "incarnation": "old"}
+            body["capacity"] = {"upstream_id": "zz-old", "location": location}
+            body["capacity"]["services"] = ["sort"]
+            reply = system.ask("POST", "/v1/upstreams/announce", body)
+            self.assertEqual(200, reply[0], reply)
+            gang = make_job("gang", accelerators=16)
+            submit_once_ready(system, gang)
+            gang["wait_until_unix_s"] = time.time() + 10.0
+            status, body = system.ask("POST", "/v1/jobs", gang)
+        self.assertEqual((200, "answered"), (status, body["state"]))
+
+
 class TestBoundOfTheLog(testtools.TestCase):
     def test_leader_takes_more_once_its_proposals_are_committed(self):
         """Guards against a bound that stays reached after a burst."""
