--- a/tanagerpath/benchmarks/core_check.py
+++ b/tanagerpath/benchmarks/core_check.py
@@ -105,6 +105,7 @@
             self.upstreams,
             self.entries,
             self._cancel_wave,
+            self.promises.runs.list_gang_upstreams,
         )
 
     def run(self) -> SeedOutcome:
--- a/tanagerpath/benchmarks/core_check_callers.py
+++ b/tanagerpath/benchmarks/core_check_callers.py
@@ -42,15 +42,19 @@
 def draw_job(world: World, number: int, guarantee: GuaranteedShape) -> JobRequest:
     """Return a random job."""
     source = world.random
-    size = source.choices((1, 8, 16), (5, 3, 2))[0]
+    size = source.choices((1, 8, 16), (4, 3, 3))[0]
     guaranteed = source.random() < 0.15
     if guaranteed:
         size = guarantee.accelerators
     fail = None
     if source.random() < 0.1:
         fail = source.choice(("run", "start") if size <= 8 else ("run",))
+    # Some gangs outlast a lease, so that the loss of a member shows.
+    long_weight = 6 if size > 8 else 1
     script = TaskScript(
-        run_ms=source.choices((20, 200, 1000, 3000, 12_000), (4, 4, 4, 4, 1))[0],
+        run_ms=source.choices((20, 200, 1000, 3000, 12_000), (4, 4, 4, 4, long_weight))[
+            0
+        ],
         echo=f"echo-{number}",
         answer_bytes=source.choice((0, 50)),
         fail=fail,
@@ -66,7 +70,7 @@
         job_class=source.choice(list(JobClass)),
         accelerators=size,
         payload=encode_json(script),
-        idempotent=source.random() < 0.6,
+        idempotent=source.random() < (0.8 if size > 8 else 0.6),
         checkpointable=source.random() < 0.3,
         guaranteed=guaranteed,
         deadline_unix_s=deadline_unix_s,
--- a/tanagerpath/benchmarks/core_check_faults.py
+++ b/tanagerpath/benchmarks/core_check_faults.py
@@ -31,6 +31,7 @@
     upstreams: list[Any]
     entries: list[Any]
     cancel_wave: Callable[[], None]
+    list_gangs: Callable[[], list[list[Any]]]
     active: bool = True
     mean_interval_s: float = attrs.field(init=False)
 
@@ -88,6 +89,8 @@
             self._freeze_upstream,
             self._spoil_upstream,
             self._spoil_upstream,
+            self._break_gang,
+            self._break_gang,
             self._crash_entry,
             self._freeze_entry,
             self.cancel_wave,
@@ -143,6 +146,17 @@
     def _freeze_upstream(self) -> None:
         self._freeze(self.world.random.choice(self.upstreams))
 
+    def _break_gang(self) -> None:
+        """Take a VM from under a running gang, sometimes with the leader."""
+        gangs = self.list_gangs()
+        if not gangs:
+            return
+        upstream = self.world.random.choice(self.world.random.choice(gangs))
+        strike = self.world.random.choice((self._crash, self._freeze))
+        strike(upstream)
+        if self.world.random.random() < 0.3:
+            self._crash_control()
+
     def _crash_entry(self) -> None:
         self._crash(self.world.random.choice(self.entries))
 
--- a/tanagerpath/benchmarks/core_check_runs.py
+++ b/tanagerpath/benchmarks/core_check_runs.py
@@ -160,6 +160,14 @@
             if rank.started_at_s is not None and rank.ended_at_s is None
         ]
 
+    def list_gang_upstreams(self) -> list[list[Party]]:
+        """Return the upstreams of each running gang of several members."""
+        return [
+            [rank.upstream for rank in gang.ranks.values()]
+            for gang in self._live.values()
+            if gang.size > 1 and gang.is_running
+        ]
+
     def _note_start(self, upstream: Party, event: MemberEvent) -> None:
         self.starts += 1
         key = event.key
--- /dev/null
+++ b/tanagerpath/benchmarks/tests/core_faults.py
@@ -0,0 +1,157 @@
+"""Deliberate faults, one for each promise of the core check.
+
+Each entry breaks one safeguard of the core in memory, for the time of a run, and names
+the promise that has to notice.
+"""
+
+import contextlib
+from unittest import mock
+
+import attrs
+
+from tanagerpath.core.admission import DocumentView
+from tanagerpath.core.consensus import Replica, Role
+from tanagerpath.core.coordination import attempts, driver, fleet
+from tanagerpath.core.coordination.registers import RetryQueue
+from tanagerpath.core.placement.guarantees import GuaranteePlan
+from tanagerpath.core.state import DocumentRecord, SystemState
+from tanagerpath.core.state.records import JobRecord
+
+__all__ = ["FAULTS", "DeliberateFault"]
+
+
+@attrs.frozen
+class DeliberateFault:
+    """One broken safeguard.
+
+    Attributes
+    ----------
+    name : str
+        What is broken.
+    promise : int
+        Promise that is broken by it.
+    seed : int
+        Seed that catches it.
+    target, attribute, replacement
+        What is replaced by what.
+    """
+
+    name: str
+    promise: int
+    seed: int
+    target: object
+    attribute: str
+    replacement: object
+
+    def in_force(self) -> contextlib.AbstractContextManager:
+        """Return the context in which the fault is in force."""
+        return mock.patch.object(self.target, self.attribute, self.replacement)
+
+
+def _apply_equal_revision(self, index, command):
+    """Lets a document replace another one of the same revision."""
+    document = command.document
+    current = self._documents.get(document.service)
+    if current and current.document.revision == document.revision:
+        self._documents[document.service] = DocumentRecord(document, index)
+    return _apply_document(self, index, command)
+
+
+_apply_document = SystemState._apply_document
+
+
+def _forget_old_jobs(self, record):
+    """Keeps only the last jobs."""
+    _put(self, record)
+    if len(self._jobs) > 5:
+        self._open_job_ids.pop(next(iter(self._jobs)), None)
+        del self._jobs[next(iter(self._jobs))]
+
+
+_put = SystemState._put
+
+FAULTS = (
+    DeliberateFault(
+        "every stopped attempt counts as never started",
+        1,
+        1,
+        attempts.Attempt,
+        "all_refuted",
+        property(lambda self: True),
+    ),
+    DeliberateFault(
+        "a job that may have run is cancelled as not run",
+        2,
+        1,
+        JobRecord,
+        "may_have_run",
+        property(lambda self: False),
+    ),
+    DeliberateFault(
+        "answers are not compared with their digest",
+        3,
+        1,
+        driver,
+        "is_answer_whole",
+        lambda report: report.answer is not None,
+    ),
+    DeliberateFault(
+        "old jobs are forgotten", 3, 1, SystemState, "_put", _forget_old_jobs
+    ),
+    DeliberateFault(
+        "accelerators are free before the lease has ended",
+        4,
+        1,
+        fleet.Fleet,
+        "has_lease_ended",
+        lambda self, upstream_id, now: True,
+    ),
+    DeliberateFault(
+        "a lost member does not stop its gang",
+        5,
+        1,
+        driver.AttemptDriver,
+        "lose_member",
+        lambda self, attempt, member, now: [],
+    ),
+    DeliberateFault(
+        "an equal revision replaces the document",
+        6,
+        1,
+        SystemState,
+        "_apply_document",
+        _apply_equal_revision,
+    ),
+    DeliberateFault(
+        "an entry is fresh without proof",
+        7,
+        1,
+        DocumentView,
+        "is_fresh",
+        lambda self, now_s: True,
+    ),
+    DeliberateFault(
+        "a leader keeps its lease for ever",
+        8,
+        1,
+        Replica,
+        "has_lease",
+        lambda self, now_s: self.role is Role.LEADER,
+    ),
+    DeliberateFault(
+        "missing guarantees are not reported",
+        9,
+        1,
+        GuaranteePlan,
+        "list_unmet",
+        lambda self: (),
+    ),
+    DeliberateFault(
+        "jobs are not tried again",
+        0,
+        1,
+        RetryQueue,
+        "take_due",
+        lambda self, now_s: [],
+    ),
+)
