Let the upstream that worked last occupy its place in a rack

Ruled out: forgetting the lost upstream at once; its lease must run out before its accelerators count as free. Change: windows over several upstreams take one upstream for each place, the one that worked last.

--- a/tanagerpath/core/placement/geometry.py
+++ b/tanagerpath/core/placement/geometry.py
@@ -17,6 +17,7 @@
     Assignment,
     JobRequest,
     UpstreamCapacity,
+    UpstreamLocation,
 )
 
 __all__ = [
@@ -91,19 +92,36 @@
 class Topology:
     """Registered upstreams, and the windows of neighbouring ones.
 
-    A window is the tuple of upstream ids that a run of a given size would lie on.
+    A window is the tuple of upstream ids that a run of a given size would lie on. When
+    a VM was replaced, two upstreams stand at one place; the one that worked last
+    occupies it, and only that one is part of windows over several upstreams.
     """
 
     capacities: dict[str, UpstreamCapacity] = attrs.field(factory=dict)
     _racks: dict[tuple[str, int], list[str]] = attrs.field(factory=dict)
+    _occupants: dict[UpstreamLocation, str] = attrs.field(factory=dict)
     _windows: dict[int, list[Window]] = attrs.field(factory=dict)
     _held: dict[int, int] = attrs.field(factory=dict)
     _gangs: dict[Window, Assignment] = attrs.field(factory=dict)
 
-    def add(self, capacity: UpstreamCapacity) -> None:
-        """Register an upstream or replace its capacity."""
-        if self.capacities.get(capacity.upstream_id) == capacity:
-            return
+    def add(self, capacity: UpstreamCapacity, working: bool = True) -> None:
+        """Register an upstream or replace its capacity.
+
+        Parameters
+        ----------
+        capacity : UpstreamCapacity
+            The upstream.
+        working : bool
+            Whether it works, so that it takes its place from one that was there.
+        """
+        if self.capacities.get(capacity.upstream_id) != capacity:
+            self._register(capacity)
+        occupant = self._occupants.get(capacity.location)
+        if occupant is None or (working and occupant != capacity.upstream_id):
+            self._occupants[capacity.location] = capacity.upstream_id
+            self._clear_windows()
+
+    def _register(self, capacity: UpstreamCapacity) -> None:
         self.remove(capacity.upstream_id)
         self.capacities[capacity.upstream_id] = capacity
         location = capacity.location
@@ -113,17 +131,34 @@
 
     def remove(self, upstream_id: str) -> None:
         """Forget an upstream."""
-        self._windows.clear()
-        self._held.clear()
-        self._gangs.clear()
+        self._clear_windows()
         capacity = self.capacities.pop(upstream_id, None)
         if capacity is None:
             return
         key = (capacity.location.availability_zone, capacity.location.rack)
-        self._racks[key].remove(upstream_id)
-        if not self._racks[key]:
+        rack = self._racks[key]
+        rack.remove(upstream_id)
+        if self._occupants.get(capacity.location) == upstream_id:
+            del self._occupants[capacity.location]
+            for other in rack:
+                if self.capacities[other].location == capacity.location:
+                    self._occupants[capacity.location] = other
+        if not rack:
             del self._racks[key]
 
+    def _clear_windows(self) -> None:
+        self._windows.clear()
+        self._held.clear()
+        self._gangs.clear()
+
+    def _list_occupants(self, key: tuple[str, int]) -> list[str]:
+        """Return the upstreams of a rack that occupy their places, in order."""
+        return [
+            name
+            for name in self._racks[key]
+            if self._occupants[self.capacities[name].location] == name
+        ]
+
     def list_rack(self, upstream_id: str) -> list[str]:
         """Return the upstreams of the rack of an upstream, in order of position."""
         location = self.capacities[upstream_id].location
@@ -185,7 +220,8 @@
                 if capacity.accelerators >= accelerators:
                     yield (name,)
         elif accelerators <= MAX_SINGLE_RACK:
-            for _, rack in sorted(self._racks.items()):
+            for key in sorted(self._racks):
+                rack = self._list_occupants(key)
                 yield from _chain(rack, accelerators, self._size, self._position)
         else:
             yield from self._generate_rack_windows(accelerators)
@@ -198,7 +234,7 @@
         for _, keys in sorted(zones.items()):
             chains = _chain(keys, accelerators, self._rack_size, lambda key: key[1])
             for chain in chains:
-                yield tuple(name for key in chain for name in self._racks[key])
+                yield tuple(n for key in chain for n in self._list_occupants(key))
 
     def _size(self, upstream_id: str) -> int:
         return self.capacities[upstream_id].accelerators
@@ -207,7 +243,7 @@
         return self.capacities[upstream_id].location.position
 
     def _rack_size(self, key: tuple[str, int]) -> int:
-        return sum(map(self._size, self._racks[key]))
+        return sum(map(self._size, self._list_occupants(key)))
 
 
 def _chain(
--- a/tanagerpath/core/placement/occupancy.py
+++ b/tanagerpath/core/placement/occupancy.py
@@ -159,7 +159,8 @@
         self, capacity: UpstreamCapacity, condition: UpstreamCondition
     ) -> None:
         """Add an upstream or change it; its jobs keep what they hold."""
-        self.topology.add(capacity)
+        working = condition is UpstreamCondition.USABLE
+        self.topology.add(capacity, working)
         state = self.states.get(capacity.upstream_id)
         if state is not None:
             state.capacity = capacity
