Show the times of jobs in the status, and measure the answer time in entries

Cause: the histograms could be read from each process's metrics only, and no entry measured the answer time. Change: StatusReply carries count, median, 99th percentile and maximum of each time by organisation and class; entries observe the time from a request's arrival to its whole answer.

--- a/tanagerpath/cli/status.py
+++ b/tanagerpath/cli/status.py
@@ -55,6 +55,8 @@
         parts.append(_render_organisations(status))
     if status.upstreams:
         parts.append(_render_upstreams(status))
+    if status.times:
+        parts.append(_render_times(status))
     if status.refusals:
         parts.append(_render_table(("refusal", "count"), status.refusals))
     return "\n\n".join(parts)
@@ -103,6 +105,23 @@
     return _render_table(head, rows)
 
 
+def _render_times(status: StatusReply) -> str:
+    head = ("time", "organisation", "class", "jobs", "p50 s", "p99 s", "max s")
+    rows = [
+        (
+            item.name,
+            item.organisation,
+            item.job_class,
+            item.count,
+            f"{item.p50_s:.3f}",
+            f"{item.p99_s:.3f}",
+            f"{item.max_s:.3f}",
+        )
+        for item in status.times
+    ]
+    return _render_table(head, rows)
+
+
 def _render_table(head: Sequence[str], rows: Iterable[Sequence[object]]) -> str:
     texts = [tuple(head), *(tuple(str(cell) for cell in row) for row in rows)]
     widths = [max(len(row[column]) for row in texts) for column in range(len(head))]
--- a/tanagerpath/core/protocol/internal.py
+++ b/tanagerpath/core/protocol/internal.py
@@ -26,6 +26,7 @@
     "InternalRequest",
     "JobChange",
     "JobQuery",
+    "JobTimes",
     "NotLeaderReply",
     "OrganisationStatus",
     "StatusReply",
@@ -159,6 +160,23 @@
     unmet_guarantees: int
 
 
+@attrs.frozen
+class JobTimes:
+    """Quantiles of one measured time of jobs, in seconds.
+
+    `name` is "waiting", "start" or "completion"; the leader measures them since its
+    process started.
+    """
+
+    name: str
+    organisation: str
+    job_class: str
+    count: int
+    p50_s: float
+    p99_s: float
+    max_s: float
+
+
 @attrs.frozen
 class StatusReply:
     """State of the whole system as the leader sees it."""
@@ -172,6 +190,7 @@
     upstreams: tuple[UpstreamStatus, ...] = ()
     organisations: tuple[OrganisationStatus, ...] = ()
     refusals: tuple[tuple[str, int], ...] = ()
+    times: tuple[JobTimes, ...] = ()
 
 
 @attrs.frozen
--- a/tanagerpath/observability/metrics.py
+++ b/tanagerpath/observability/metrics.py
@@ -8,6 +8,7 @@
 import attrs
 from hdrh.histogram import HdrHistogram
 
+from tanagerpath.core.protocol.internal import JobTimes
 from tanagerpath.observability.labels import BoundedLabels
 
 __all__ = ["JobTime", "MetricsRegistry"]
@@ -58,11 +59,17 @@
         self._sum_s += time_s
         self._count += 1
 
+    @property
+    def count(self) -> int:
+        return self._count
+
+    def find_quantile_s(self, quantile: float) -> float:
+        return self._histogram.get_value_at_percentile(quantile * 100) / 1000
+
     def render(self, name: str, labels: _Labels) -> Iterator[str]:
         for quantile in QUANTILES:
-            value_ms = self._histogram.get_value_at_percentile(quantile * 100)
             extended = (*labels, ("quantile", f"{quantile:g}"))
-            yield _render_sample(name, extended, value_ms / 1000)
+            yield _render_sample(name, extended, self.find_quantile_s(quantile))
         yield _render_sample(f"{name}_sum", labels, round(self._sum_s, 6))
         yield _render_sample(f"{name}_count", labels, self._count)
 
@@ -160,6 +167,22 @@
         counted = self._families[name].values
         return tuple(sorted((key[0][1], value) for key, value in counted.items()))
 
+    def list_times(self) -> tuple[JobTimes, ...]:
+        """Return the quantiles of all measured times, sorted by name and labels."""
+        return tuple(
+            JobTimes(
+                name=name,
+                organisation=labels[0][1],
+                job_class=labels[1][1],
+                count=one.count,
+                p50_s=one.find_quantile_s(0.5),
+                p99_s=one.find_quantile_s(0.99),
+                max_s=one.find_quantile_s(1.0),
+            )
+            for name, series in sorted(self._times.items())
+            for labels, one in sorted(series.items())
+        )
+
     def _find_family(self, name: str, kind: str) -> _Family:
         _check_name(name)
         family = self._families.setdefault(name, _Family(kind))
--- a/tanagerpath/observability/tests/test_metrics.py
+++ b/tanagerpath/observability/tests/test_metrics.py
@@ -103,6 +103,20 @@
         self.assertEqual((("a", 2), ("b", 1)), registry.list_counts("events"))
         self.assertEqual((), registry.list_counts("failures"))
 
+    def test_times_are_listed_with_their_quantiles(self):
+        """Guards against a status that mixes up organisations or units."""
+        registry = MetricsRegistry()
+        for elapsed_s in (0.1, 0.1, 2.0):
+            registry.observe("waiting", elapsed_s, "b", "urgent")
+        registry.observe("waiting", 5.0, "a", "batch")
+        first, second = registry.list_times()
+        self.assertEqual(
+            ("a", "batch", 1), (first.organisation, first.job_class, first.count)
+        )
+        self.assertEqual((3, "urgent"), (second.count, second.job_class))
+        self.assertAlmostEqual(0.1, second.p50_s, places=2)
+        self.assertAlmostEqual(2.0, second.max_s, places=1)
+
     def test_name_used_for_two_kinds_is_refused(self):
         registry = MetricsRegistry()
         registry.count("jobs")
--- a/tanagerpath/services/control.py
+++ b/tanagerpath/services/control.py
@@ -3,6 +3,7 @@
 import itertools
 
 import anyio
+import attrs
 
 from tanagerpath.core import consensus
 from tanagerpath.core.control import (
@@ -14,6 +15,7 @@
     RequestArrived,
 )
 from tanagerpath.core.coordination import CallUpstream, CountEvent, RecordPeriod
+from tanagerpath.core.protocol.internal import StatusReply
 from tanagerpath.observability.logs import get_logger
 from tanagerpath.observability.metrics import MetricsRegistry
 from tanagerpath.runtime import Clock, Mailbox, Reply, Task
@@ -127,6 +129,9 @@
                     self._peers.send(action)
             case consensus.PersistState():
                 self._storage.post(action)
+            case AnswerRequest(token, StatusReply() as status):
+                times = self._metrics.list_times()
+                self._replies.pop(token).send(attrs.evolve(status, times=times))
             case AnswerRequest(token, reply):
                 self._replies.pop(token).send(reply)
             case CallUpstream():
--- a/tanagerpath/services/entry_routes.py
+++ b/tanagerpath/services/entry_routes.py
@@ -12,12 +12,13 @@
 from starlette.routing import BaseRoute, Route
 
 from tanagerpath.codecs import MalformedMessage, decode_json, encode_json
+from tanagerpath.core.model import JobRequest
 from tanagerpath.core.model.checks import check_document, check_job
 from tanagerpath.core.protocol import callers, internal
 from tanagerpath.core.protocol import upstreams as protocol
 from tanagerpath.core.state import make_job_id
 from tanagerpath.errors import Failure
-from tanagerpath.observability.metrics import MetricsRegistry
+from tanagerpath.observability.metrics import JobTime, MetricsRegistry
 from tanagerpath.runtime import Mailbox, Reply
 from tanagerpath.services.leader_link import LeaderLink
 from tanagerpath.services.messages import (
@@ -35,6 +36,7 @@
 # The feed tells of every end; this only bounds the effect of a fault in it.
 REQUERY_INTERVAL_S = 30.0
 MAX_WAIT_MS = 3_600_000
+ANSWERED_STATUS = 200
 MAX_BODY_BYTES = 8 * 1024 * 1024
 
 
@@ -129,11 +131,20 @@
         refusal = await admitted.receive()
         if refusal is not None:
             return self._count_refusal(refusal)
+        arrived_s = anyio.current_time()
         try:
-            return await self._submit_admitted(submit)
+            response = await self._submit_admitted(submit)
+            if response.status_code == ANSWERED_STATUS:
+                self._observe_answer(submit.job, anyio.current_time() - arrived_s)
+            return response
         finally:
             self._entry.post(Release(submit.job.organisation))
 
+    def _observe_answer(self, job: JobRequest, elapsed_s: float) -> None:
+        self._metrics.observe(
+            JobTime.ANSWER, elapsed_s, job.organisation, str(job.job_class)
+        )
+
     async def _submit_admitted(self, submit: callers.SubmitRequest) -> Response:
         job = submit.job
         job_id = make_job_id(job.organisation, job.service, job.key)
