--- a/tanagerpath/core/consensus/schedule.py
+++ b/tanagerpath/core/consensus/schedule.py
@@ -177,10 +177,11 @@
         leader = self.group.find_leader()
         if leader is None or leader.replica is None:
             return False
-        commit_index = leader.replica.commit_index
+        # The membership in force may not be committed yet, so the whole log counts.
+        last_index = leader.replica.last_index
         voters = leader.replica.voters
         return all(
             vm.disk.durable.replica_id in voters
-            and vm.disk.durable.last_index >= commit_index
+            and vm.disk.durable.last_index >= last_index
             for vm in self.group.vms.values()
         )
--- a/tanagerpath/core/consensus/tests/test_scenarios.py
+++ b/tanagerpath/core/consensus/tests/test_scenarios.py
@@ -210,6 +210,19 @@
             self.assertEqual(1, len(digests))
 
 
+class TestOpenFaults(testtools.TestCase):
+    def test_disk_lost_after_another_voter_was_demoted(self):
+        """The demoted replica returns with all it had, and a quorum of three exists."""
+        group, _ = open_group(1)
+        away, lost = find_followers(group)
+        group.crash(away.vm_id)
+        group.run_for(6.0)
+        group.empty_disk(lost.vm_id)
+        group.start(lost.vm_id)
+        group.start(away.vm_id)
+        self.assertTrue(group.run_until(group.is_settled, 60.0))
+
+
 class TestFormation(testtools.TestCase):
     def test_no_group_is_founded_while_a_configured_vm_is_silent(self):
         group, _ = self._start_without("vm-3")
