Bound how often a job makes room for large ones

Cause: in a long overload the same checkpointable jobs were stopped up to 27 times.

Change: after two stops a job makes room for large jobs no more.

--- a/tanagerpath/core/placement/config.py
+++ b/tanagerpath/core/placement/config.py
@@ -25,6 +25,8 @@
     large_loss_share : float
         A large job may make others lose this share of the accelerator seconds that
         it has waited.
+    most_stops_for_large : int
+        Preemptions after which a job makes room for large jobs no more.
     short_job_weight : float
         Seconds of age that a job loses for each second of estimated run time. Any
         positive value raised the 99th percentile of completion in the replay.
@@ -54,6 +56,7 @@
     reservations: int = 6
     reservation_accelerators: int = 8
     large_loss_share: float = 0.1
+    most_stops_for_large: int = 2
     short_job_weight: float = 0.0
     batch_handicap_s: float = 600.0
     promote_after_s: float = 4 * 3600.0
--- a/tanagerpath/core/placement/takeover.py
+++ b/tanagerpath/core/placement/takeover.py
@@ -222,6 +222,9 @@
             return True
         if held.job.request.accelerators >= self._evicts_below:
             return False
+        stops = self._context.preemptions.get(held.job.job_id, 0)
+        if stops >= self._context.config.most_stops_for_large:
+            return False
         queue = self._context.queue
         if queue.is_due(held.job, self._context.now_s):
             return False
