End started processes when a load cannot be built

A run whose 250 stand-in upstreams did not get into use ended with an error and left its control, entry and upstream processes running, because only measurements were inside the part that cleans up. They ran beside the two next runs of the benchmark until they were ended by id.

Loads are now built inside that part, each probe notes what it has opened as it opens it, and SIGTERM ends the benchmark as an exception. A test guards that a probe is closed when its load cannot be built.

--- a/tanagerpath/benchmarks/capacity.py
+++ b/tanagerpath/benchmarks/capacity.py
@@ -12,6 +12,7 @@
 import argparse
 import json
 import os
+import signal
 import sys
 import time
 
@@ -37,6 +38,8 @@
 )
 from tanagerpath.benchmarks.slopes import MIN_REPEATS, MeasuredLine, Probe, run_probe
 
+EXIT_TERMINATED = 143
+
 __all__ = ["list_probes", "list_small_probes", "main", "run_probes"]
 
 
@@ -125,4 +128,6 @@
 
 
 if __name__ == "__main__":
+    # As an exception, so that the started processes are ended too.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(EXIT_TERMINATED))
     sys.exit(main())
--- a/tanagerpath/benchmarks/capacity_processes.py
+++ b/tanagerpath/benchmarks/capacity_processes.py
@@ -1,5 +1,6 @@
 """Cost of whole processes: an entry with waiting callers, a leader with upstreams."""
 
+import contextlib
 import http.client
 import json
 import os
@@ -173,19 +174,21 @@
 
     def __init__(self, sizes: tuple[int, ...] = (25, 100, 250)) -> None:
         self.sizes = sizes
+        self._opened = contextlib.ExitStack()
 
     def prepare(self, size: int) -> None:
         """Start the entry and let callers wait."""
         self._number = size
         self._leader = _StandInLeader()
+        self._opened.callback(self._leader.server.stop)
         self._port = _find_free_port()
         self._entry = _start_entry(self._port, self._leader.server.address)
-        self._callers: list[socket.socket] = []
+        self._opened.callback(self._entry.stop)
         _wait_until(lambda: _get(self._port, "/readyz")[0] == 200, "readiness")
         for number in range(size):
             caller = socket.create_connection(("127.0.0.1", self._port))
+            self._opened.callback(caller.close)
             caller.sendall(_write_submit(number, time.time() + CALLER_WAIT_S))
-            self._callers.append(caller)
             time.sleep(REQUERY_INTERVAL_S / size)
         time.sleep(SETTLE_S)
 
@@ -237,10 +240,7 @@
 
     def close(self) -> None:
         """See `Probe`."""
-        for caller in self._callers:
-            caller.close()
-        self._entry.stop()
-        self._leader.server.stop()
+        self._opened.close()
 
 
 def _write_submit(number: int, wait_until_unix_s: float) -> bytes:
@@ -269,37 +269,43 @@
 
     def __init__(self, sizes: tuple[int, ...] = (25, 75, 150)) -> None:
         self.sizes = sizes
+        self._opened = contextlib.ExitStack()
 
     def prepare(self, size: int) -> None:
         """Start all processes and wait until each upstream takes work."""
-        self._directory = tempfile.TemporaryDirectory()
+        directory = self._opened.enter_context(tempfile.TemporaryDirectory())
         self._port = _find_free_port()
         address = f"127.0.0.1:{_find_free_port()}"
-        self._control = Child(
+        self._control = self._start(
             [
                 "tanagerpath",
                 "control",
                 "--vm-id=c1",
                 "--availability-zone=a",
                 f"--listen={address}",
-                f"--data-dir={self._directory.name}/c1",
+                f"--data-dir={directory}/c1",
                 f"--control-addresses=c1={address}",
                 "--log-level=error",
             ]
         )
-        self._entry = _start_entry(self._port, address)
+        self._opened.callback(_start_entry(self._port, address).stop)
         _wait_until(lambda: _get(self._port, "/readyz")[0] == 200, "readiness")
-        self._upstreams = Child(
+        self._upstreams = self._start(
             [
                 "tanagerpath.emulator.upstream",
                 f"--count={size}",
                 f"--entries=127.0.0.1:{self._port}",
-                f"--journal={self._directory.name}/journal",
+                f"--journal={directory}/journal",
             ]
         )
         _wait_until(lambda: self._count_usable() == size, f"{size} usable upstreams")
         time.sleep(SETTLE_S)
 
+    def _start(self, arguments: list[str]) -> Child:
+        child = Child(arguments)
+        self._opened.callback(child.stop)
+        return child
+
     def _count_usable(self) -> int:
         status, body = _get(self._port, "/v1/status")
         if status != 200:
@@ -325,6 +331,4 @@
 
     def close(self) -> None:
         """See `Probe`."""
-        for child in (self._upstreams, self._entry, self._control):
-            child.stop()
-        self._directory.cleanup()
+        self._opened.close()
--- a/tanagerpath/benchmarks/slopes.py
+++ b/tanagerpath/benchmarks/slopes.py
@@ -172,7 +172,7 @@
         """Return one value for each line, by name."""
 
     def close(self) -> None:
-        """Release what `prepare` has built."""
+        """Release what `prepare` has built, also if it failed half-way."""
         return None
 
 
@@ -193,8 +193,8 @@
     """
     rounds: list[list[dict[str, float]]] = []
     for size in probe.sizes:
-        probe.prepare(size)
         try:
+            probe.prepare(size)
             rounds.append([probe.measure() for _ in range(repeats)])
         finally:
             probe.close()
--- a/tanagerpath/benchmarks/tests/test_slopes.py
+++ b/tanagerpath/benchmarks/tests/test_slopes.py
@@ -63,6 +63,16 @@
         self.assertEqual((3.0, 5.0), line.slope_range)
         self.assertEqual(2, probe.closed)
 
+    def test_probe_is_closed_if_its_load_cannot_be_built(self):
+        # Guards against processes that go on after a failed start.
+        class Unbuildable(_CountingProbe):
+            def prepare(self, size):
+                raise RuntimeError("no load")
+
+        probe = Unbuildable()
+        self.assertRaises(RuntimeError, run_probe, probe)
+        self.assertEqual(1, probe.closed)
+
     def test_too_few_repeats_are_refused(self):
         repeats = ((1.0, 2.0), (1.0, 2.0))
         self.assertRaises(ValueError, MeasuredLine, SPEC, (1, 2), repeats)
