Take a vote away only if that lowers the quorum

Two voters need as many answers as three, so the step gained nothing. Ruled out: keeping the rule and marking the returned replica as a voter by hand; nobody but a leader may change the members.

--- a/tanagerpath/core/consensus/changes.py
+++ b/tanagerpath/core/consensus/changes.py
@@ -4,7 +4,12 @@
 
 from tanagerpath.core.consensus.context import ReplicaContext
 from tanagerpath.core.consensus.leadership import Leadership
-from tanagerpath.core.consensus.membership import Member, MemberRole, Membership
+from tanagerpath.core.consensus.membership import (
+    Member,
+    MemberRole,
+    Membership,
+    find_quorum_size,
+)
 from tanagerpath.core.consensus.messages import JoinRequest
 from tanagerpath.core.consensus.replication import Replicator
 
@@ -192,10 +197,19 @@
         return silence_s > context.config.replace_voter_after_s
 
     def _demote(self) -> Membership | None:
-        """Take the vote from a voter that is away; it stays as a learner."""
+        """Take the vote from a voter that is away; it stays as a learner.
+
+        Only if the quorum gets smaller once all that are away have lost their vote.
+        From three voters to two it would not, and the loss of one further disk would
+        leave no quorum even after the first voter is back.
+        """
         membership = self._context.membership
-        for voter in membership.voters:
-            if self._is_away(voter) and self._may_lose(voter):
+        away = [voter for voter in membership.voters if self._is_away(voter)]
+        remaining = len(membership.voters) - len(away)
+        if find_quorum_size(remaining) >= find_quorum_size(len(membership.voters)):
+            return None
+        for voter in away:
+            if self._may_lose(voter):
                 return membership.with_role(voter, MemberRole.LEARNER)
         return None
 
--- a/tanagerpath/core/consensus/membership.py
+++ b/tanagerpath/core/consensus/membership.py
@@ -19,6 +19,11 @@
     LEARNER = "learner"
 
 
+def find_quorum_size(voters: int) -> int:
+    """Return how many of this number of voters decide."""
+    return voters // 2 + 1
+
+
 @attrs.frozen
 class Member:
     """One replica of the group.
@@ -71,7 +76,7 @@
     @property
     def quorum(self) -> int:
         """Number of voters that decide."""
-        return len(self.voters) // 2 + 1
+        return find_quorum_size(len(self.voters))
 
     def find(self, replica_id: str) -> Member | None:
         """Return the member with this identity, if any."""
