--- a/tanagerpath/emulator/demo.py
+++ b/tanagerpath/emulator/demo.py
@@ -79,8 +79,8 @@
     parser = argparse.ArgumentParser(
         prog="python -m tanagerpath.emulator.demo", description=__doc__
     )
-    parser.add_argument("--jobs", type=int, default=300)
-    parser.add_argument("--rate-per-s", type=float, default=30.0)
+    parser.add_argument("--jobs", type=int, default=240)
+    parser.add_argument("--rate-per-s", type=float, default=20.0)
     parser.add_argument("--folder", help="keep logs and journals in this empty folder")
     flags = parser.parse_args(arguments)
     with tempfile.TemporaryDirectory(prefix="tanagerpath-demo-") as made:
