Stop the rest of a gang when a member's lease is over, inside the margin

Cause: the other members were stopped only once lease and clock margin had passed, so each stop arrived after the bound of lease plus margin, and half a second later if it was lost. The silent upstream has ended its tasks by its own clock when the lease is over; the margin only protects its accelerators. Change: the stops go out at the end of the lease, the accelerators still come back after the margin. The regression test, 6.25 s after the last reply, failed before.

--- a/tanagerpath/core/coordination/driver.py
+++ b/tanagerpath/core/coordination/driver.py
@@ -142,8 +142,12 @@
                 continue
             if not attempt.starts_sent and not stopping:
                 continue
-            if self._fleet.has_lease_ended(member.run.upstream_id, now):
+            upstream_id = member.run.upstream_id
+            if self._fleet.has_lease_ended(upstream_id, now):
                 effects += self.lose_member(attempt, member, now)
+            elif self._fleet.has_lease_run_out(upstream_id, now):
+                # The clock margin is the time in which the other members stop.
+                effects += self._stop_for_lost(attempt, member, now)
         return effects
 
     def lose_member(
@@ -153,11 +157,16 @@
         if member.phase is not TaskPhase.FINISHED:
             member.phase = TaskPhase.STOPPED
         member.gone = True
+        return self._stop_for_lost(attempt, member, now)
+
+    def _stop_for_lost(
+        self, attempt: Attempt, member: Member, now: Instant
+    ) -> list[Effect]:
+        if attempt.is_answered:
+            return []
         reason = failures.MemberLost(
             upstream_id=member.run.upstream_id, rank=member.rank
         )
-        if attempt.is_answered:
-            return []
         return self.stop(attempt, reason, now)
 
     def _call_members(
--- a/tanagerpath/core/coordination/fleet.py
+++ b/tanagerpath/core/coordination/fleet.py
@@ -2,6 +2,8 @@
 
 from collections.abc import Iterable
 
+import attrs
+
 from tanagerpath.core.coordination.messages import CallUpstream, Instant
 from tanagerpath.core.coordination.sessions import LeaseTerms, UpstreamSession
 from tanagerpath.core.placement import Scheduler, UpstreamCondition
@@ -98,6 +100,14 @@
             return now.now_s >= self._inherited_until_s
         return now.now_s >= session.lease_expires_at_s
 
+    def has_lease_run_out(self, upstream_id: str, now: Instant) -> bool:
+        """Tell whether the lease is over but for the clock margin.
+
+        Whatever runs there is of no use any more, but the accelerators are not free.
+        """
+        later_s = now.now_s + self._terms.clock_margin_s
+        return self.has_lease_ended(upstream_id, attrs.evolve(now, now_s=later_s))
+
     def take_reply(
         self, session: UpstreamSession, reply: RenewReply, now: Instant
     ) -> list[CallUpstream]:
--- a/tanagerpath/core/coordination/tests/test_coordinator.py
+++ b/tanagerpath/core/coordination/tests/test_coordinator.py
@@ -162,6 +162,15 @@
         rig.run_for(LEASE_AND_MARGIN_S + 3)
         self.assertEqual({}, rig.upstreams["u0"].tasks)
 
+    def test_surviving_member_is_stopped_inside_the_clock_margin(self):
+        # A stop sent only after the margin reaches the survivor too late.
+        rig = Rig()
+        rig.submit(accelerators=GANG_OF_TWO)
+        rig.run_for(1.0)
+        rig.upstreams["u1"].silent = True
+        rig.run_for(LEASE_AND_MARGIN_S - 0.25)
+        self.assertEqual({}, rig.upstreams["u0"].tasks)
+
     def test_renewal_echoes_the_clock_of_the_last_reply(self):
         rig = Rig(upstreams=1)
         rig.run_for(3.0)
