--- a/tanagerpath/benchmarks/core_check.py
+++ b/tanagerpath/benchmarks/core_check.py
@@ -68,6 +68,7 @@
     jobs: int
     starts: int
     virtual_s: float
+    longest_partial_s: float
     broken: tuple[PromiseBroken, ...]
     trace: tuple[str, ...]
 
@@ -120,6 +121,7 @@
             len(self.callers),
             self.promises.runs.starts,
             self.world.now_s,
+            self.promises.runs.longest_partial_s,
             tuple(self.promises.broken),
             tuple(self.world.trace[-TRACE_LINES:]),
         )
@@ -287,6 +289,7 @@
     started_s = time.perf_counter()
     totals = {"seeds": 0, "steps": 0, "violations": 0, "jobs": 0, "starts": 0}
     failing = []
+    longest_s = 0.0
     for seed in range(options.first_seed, options.first_seed + options.seeds):
         outcome = run_seed(seed)
         totals["seeds"] += 1
@@ -294,11 +297,18 @@
         totals["violations"] += len(outcome.broken)
         totals["jobs"] += outcome.jobs
         totals["starts"] += outcome.starts
+        longest_s = max(longest_s, outcome.longest_partial_s)
         if outcome.broken:
             failing.append(seed)
             _print_failure(outcome)
     elapsed_s = round(time.perf_counter() - started_s, 1)
-    print(json.dumps({**totals, "failing_seeds": failing, "elapsed_s": elapsed_s}))
+    line = {
+        **totals,
+        "longest_partial_gang_s": round(longest_s, 2),
+        "failing_seeds": failing,
+        "elapsed_s": elapsed_s,
+    }
+    print(json.dumps(line))
     return 1 if failing else 0
 
 
--- a/tanagerpath/benchmarks/core_check_promises.py
+++ b/tanagerpath/benchmarks/core_check_promises.py
@@ -102,6 +102,7 @@
         self._newest: dict[str, int] = {}
         self._acceptances: list[_Acceptance] = []
         self._views: dict[tuple[str, int, str], int] = {}
+        self._terms: set[tuple[str, int]] = set()
         self._node_indices: dict[tuple[str, int], int] = {}
 
     def watch(self, controls: Iterable[Any]) -> None:
@@ -209,6 +210,8 @@
         self.monitor.violations.clear()
         if vm.node is None:
             return
+        if vm.node.is_deciding:
+            self._note_term(vm)
         key = (vm.name, vm.starts)
         index = vm.node.state.applied_index
         if self._node_indices.get(key) != index:
@@ -216,6 +219,13 @@
             for record in vm.node.state.documents.values():
                 self._check_view(vm, record.document)
 
+    def _note_term(self, vm: Any) -> None:
+        term = (vm.name, vm.replica.term)
+        if term not in self._terms:
+            self._terms.add(term)
+            self._world.note(f"{vm.name} decides in term {vm.replica.term}")
+            self.runs.note_take_over()
+
     def check_entry(self, entry: Any) -> None:
         """Check the documents of an entry after it has taken a feed reply in."""
         for service in self._newest:
