Look at running attempts once a member's lease has run out

Cause: two merged changes met: the tick passed over running attempts until a lease had ended with its margin, while the stop of the other members is due before the margin. Change: the tick looks at attempts whose lease has run out; both checks share one lookup of the lease's end. Before: test_surviving_member_is_stopped_inside_the_clock_margin failed on the merge; after: all coordination tests pass.

--- a/tanagerpath/core/coordination/coordinator.py
+++ b/tanagerpath/core/coordination/coordinator.py
@@ -259,7 +259,7 @@
         """
         lost: set[str] = set()
         for upstream_id in self._attempts.list_upstreams():
-            if self._fleet.has_lease_ended(upstream_id, now):
+            if self._fleet.has_lease_run_out(upstream_id, now):
                 lost.update(a.job_id for a in self._attempts.list_on(upstream_id))
         return [
             attempt
--- a/tanagerpath/core/coordination/fleet.py
+++ b/tanagerpath/core/coordination/fleet.py
@@ -2,8 +2,6 @@
 
 from collections.abc import Iterable
 
-import attrs
-
 from tanagerpath.core.coordination.messages import CallUpstream, Instant
 from tanagerpath.core.coordination.sessions import LeaseTerms, UpstreamSession
 from tanagerpath.core.placement import Scheduler, UpstreamCondition
@@ -95,18 +93,21 @@
 
     def has_lease_ended(self, upstream_id: str, now: Instant) -> bool:
         """Tell whether the upstream has certainly stopped all tasks by itself."""
-        session = self._sessions.get(upstream_id)
-        if session is None:
-            return now.now_s >= self._inherited_until_s
-        return now.now_s >= session.lease_expires_at_s
+        return now.now_s >= self._find_lease_end_s(upstream_id)
 
     def has_lease_run_out(self, upstream_id: str, now: Instant) -> bool:
         """Tell whether the lease is over but for the clock margin.
 
         Whatever runs there is of no use any more, but the accelerators are not free.
         """
-        later_s = now.now_s + self._terms.clock_margin_s
-        return self.has_lease_ended(upstream_id, attrs.evolve(now, now_s=later_s))
+        margin_s = self._terms.clock_margin_s
+        return now.now_s >= self._find_lease_end_s(upstream_id) - margin_s
+
+    def _find_lease_end_s(self, upstream_id: str) -> float:
+        session = self._sessions.get(upstream_id)
+        if session is None:
+            return self._inherited_until_s
+        return session.lease_expires_at_s
 
     def take_reply(
         self, session: UpstreamSession, reply: RenewReply, now: Instant
