--- a/tanagerpath/benchmarks/core_check_controls.py
+++ b/tanagerpath/benchmarks/core_check_controls.py
@@ -215,7 +215,7 @@
             event = kind(call.upstream_id, call.incarnation, call.request, reply)
             self.take(event)
 
-        upstream = self._parties[call.address]
+        upstream = self._parties[call.upstream_id]
         self.world.exchange(self, upstream, call.request, finish, EXCHANGE_TIMEOUT_S)
 
     def _plan_wake(self) -> None:
--- a/tanagerpath/benchmarks/core_check_upstreams.py
+++ b/tanagerpath/benchmarks/core_check_upstreams.py
@@ -14,6 +14,8 @@
 
 ANNOUNCE_AFTER_S = 3.0
 ANNOUNCE_CHECK_S = 0.5
+# Calls are routed by name; the address only has to be well formed.
+ANNOUNCED_ADDRESS = "10.0.0.1:1"
 RESEND_INTERVAL_S = 1.0
 EXCHANGE_TIMEOUT_S = 1.0
 
@@ -140,7 +142,7 @@
         if self.world.now_s - self._renewed_at_s < ANNOUNCE_AFTER_S:
             return
         announcement = protocol.Announcement(
-            self.capacity, self.name, self.table.incarnation
+            self.capacity, ANNOUNCED_ADDRESS, self.table.incarnation
         )
         self._post(announcement, lambda reply: None)
 
