Skip gang searches that found no empty window in the same pass

Most lanes of a long queue scanned all windows for an empty one. Windows only fill up during a pass, so a size that found none is not searched again. Decisions are the same.

--- a/tanagerpath/core/placement/decisions.py
+++ b/tanagerpath/core/placement/decisions.py
@@ -42,6 +42,7 @@
     _context: PolicyContext
     _decisions: list[Decision] = attrs.field(factory=list)
     _quota_dates_s: dict[str, float] = attrs.field(factory=dict)
+    _exhausted: set[int] = attrs.field(factory=set)
     _large_tried: int = 0
     _reserving: set[str] = attrs.field(factory=set)
     _dating: EarliestRunSearch = attrs.field()
@@ -105,7 +106,8 @@
         if self._gives_way(job):
             return Outcome.BLOCKED
         if self._has_quota(job):
-            assignment = PlacementSearch.from_job(context, job).find_free()
+            search = PlacementSearch.from_job(context, job, self._exhausted)
+            assignment = search.find_free()
             if assignment is not None:
                 self._place(job, assignment)
                 return Outcome.TAKEN
--- a/tanagerpath/core/placement/search.py
+++ b/tanagerpath/core/placement/search.py
@@ -27,12 +27,27 @@
     _job: PendingJob
     _ends_at_s: float
     _avoided: frozenset[str]
+    _exhausted: set[int]
 
     @classmethod
-    def from_job(cls, context: PolicyContext, job: PendingJob) -> "PlacementSearch":
-        """Prepare a search for a job that would start now."""
+    def from_job(
+        cls, context: PolicyContext, job: PendingJob, exhausted: set[int]
+    ) -> "PlacementSearch":
+        """Prepare a search for a job that would start now.
+
+        Parameters
+        ----------
+        context : PolicyContext
+            What the scheduler knows.
+        job : PendingJob
+            The job.
+        exhausted : set of int
+            Sizes of gangs for which no window is empty; the search adds to it. It is
+            valid for one pass of decisions, in which windows only fill up.
+        """
         avoided = frozenset(context.health.list_failed_upstreams(job.job_id))
-        return cls(context, job, context.estimate_end_if_placed_s(job), avoided)
+        ends_at_s = context.estimate_end_if_placed_s(job)
+        return cls(context, job, ends_at_s, avoided, exhausted)
 
     def find_free(self) -> Assignment | None:
         """Return free accelerators on which the job may start now, or None."""
@@ -97,10 +112,17 @@
     def _find_gang(self) -> Assignment | None:
         occupancy = self._context.occupancy
         size = self._job.request.accelerators
+        if size in self._exhausted:
+            return None
         best: tuple[Score, tuple[str, ...]] | None = None
-        for window in occupancy.topology.list_windows(size):
-            if any(occupancy.states[name].taken for name in window):
-                continue
+        empty = [
+            window
+            for window in occupancy.topology.list_windows(size)
+            if not any(occupancy.states[name].taken for name in window)
+        ]
+        if not empty:
+            self._exhausted.add(size)
+        for window in empty:
             if not all(map(self._is_wholly_allowed, window)):
                 continue
             score = (occupancy.count_empty_in_rack(window[0]) - len(window),)
--- a/tanagerpath/core/placement/tests/test_policy.py
+++ b/tanagerpath/core/placement/tests/test_policy.py
@@ -256,6 +256,23 @@
         placed = list_placed(_finish(scheduler, list_preempted(decisions), 202.0))
         self.assertEqual({"gang"}, set(placed))
 
+    def test_job_that_was_stopped_often_makes_room_for_large_jobs_no_more(self):
+        scheduler = make_scheduler(make_fleet(1, 2))
+        small = make_job("small", 1, checkpointable=True, expected_run_s=1e5)
+        submit_all(scheduler, [small])
+        scheduler.decide(0.0)
+        stops = 0
+        for now_s in (1000.0, 2000.0, 3000.0, 4000.0):
+            submit_all(scheduler, [make_job(f"gang{now_s}", 16, now_s - 900.0)], now_s)
+            stopped = list_preempted(scheduler.decide(now_s))
+            stops += len(stopped)
+            _finish(scheduler, stopped, now_s + 1.0)
+            scheduler.withdraw(f"gang{now_s}")
+            scheduler.record_finished(f"gang{now_s}", now_s + 2.0)
+            submit_all(scheduler, [small] if stopped else [], now_s + 2.0)
+            scheduler.decide(now_s + 2.0)
+        self.assertEqual(2, stops)
+
     def test_whole_upstreams_are_kept_free(self):
         scheduler = make_scheduler(make_fleet(2))
         placed = _fill(scheduler, 8, accelerators=1)
