--- a/tanagerpath/core/placement/decisions.py
+++ b/tanagerpath/core/placement/decisions.py
@@ -42,6 +42,7 @@
     _context: PolicyContext
     _decisions: list[Decision] = attrs.field(factory=list)
     _quota_dates_s: dict[str, float] = attrs.field(factory=dict)
+    _exhausted: set[int] = attrs.field(factory=set)
     _large_tried: int = 0
     _reserving: set[str] = attrs.field(factory=set)
     _dating: EarliestRunSearch = attrs.field()
@@ -105,7 +106,8 @@
         if self._gives_way(job):
             return Outcome.BLOCKED
         if self._has_quota(job):
-            assignment = PlacementSearch.from_job(context, job).find_free()
+            search = PlacementSearch.from_job(context, job, self._exhausted)
+            assignment = search.find_free()
             if assignment is not None:
                 self._place(job, assignment)
                 return Outcome.TAKEN
@@ -191,7 +193,9 @@
 
     def _apply(self, job: PendingJob, takeover: Takeover, grace_s: float) -> None:
         context = self._context
-        if not takeover.victims:
+        left = context.count_quota_left(job.request.organisation)
+        # Quota may also be awaited from jobs that were asked to leave before.
+        if not takeover.victims and left >= takeover.assignment.accelerators:
             self._place(job, takeover.assignment)
             return
         context.queue.remove(job.job_id)
