Refuse work past its deadline, and mend what the contract found

Cause: reports of the contract tests: a job 100 s past its deadline was run; feed_hold_s was a setting that no process read; a single control process waited 10 s for a hand-over to nobody; unknown paths had no error body; one failing job paused a fleet of two for longer than an urgent job may wait (1.78 s against 1.2 s, a trial at load 10). Change: DeadlinePassed at admission; feed_hold_s belongs to control; a lone voter stops at once; UnknownPath for 404 and 405; urgent work is held back by quarantine only, not by the pauses of a few seconds; the reason of a failed member reads as a sentence. Ruled out: shorter pauses for all, which would send batch work back to failing upstreams.

--- a/tanagerpath/core/control/node.py
+++ b/tanagerpath/core/control/node.py
@@ -225,6 +225,9 @@
                 if self._leader_term is not None:
                     self._leader_term.events.append(event)
             case HandOverRequested(token):
+                if self._replica.voters == (self._replica.replica_id,):
+                    self._answer(token, None)
+                    return
                 self._hand_overs.append(token)
                 self._step_replica(consensus.TransferRequested())
 
--- a/tanagerpath/core/control/requests.py
+++ b/tanagerpath/core/control/requests.py
@@ -12,6 +12,7 @@
     LeaveArrived,
     ReportArrived,
 )
+from tanagerpath.core.coordination.failures import DeadlinePassed
 from tanagerpath.core.model import JobRequest, ServiceDocument
 from tanagerpath.core.model.checks import check_document, check_job
 from tanagerpath.core.protocol import internal
@@ -164,6 +165,8 @@
             return self._refuse(token, refusal)
         if job_id in self._state.jobs:
             return self._answer(token, describe_job(self._state, job_id))
+        if job.deadline_unix_s is not None and job.deadline_unix_s <= now.unix_s:
+            return self._refuse(token, DeadlinePassed(not_run=True))
         overload = self._find_overload(open_proposals, now)
         if overload is not None:
             return self._refuse(token, overload)
--- a/tanagerpath/core/coordination/failures.py
+++ b/tanagerpath/core/coordination/failures.py
@@ -30,7 +30,9 @@
     @property
     def message(self) -> str:
         """One line for people."""
-        return f"rank {self.rank} on {self.upstream_id}: {self.phase} {self.detail}"
+        phase = self.phase.replace("_", " ")
+        detail = f" ({self.detail})" if self.detail else ""
+        return f"rank {self.rank} on {self.upstream_id} {phase}{detail}"
 
 
 @attrs.frozen(kw_only=True)
--- a/tanagerpath/core/placement/context.py
+++ b/tanagerpath/core/placement/context.py
@@ -2,6 +2,7 @@
 
 import attrs
 
+from tanagerpath.core.model import JobClass, JobRequest
 from tanagerpath.core.placement.config import SchedulerConfig
 from tanagerpath.core.placement.estimates import RunTimeEstimator
 from tanagerpath.core.placement.guarantees import GuaranteePlan
@@ -64,8 +65,14 @@
         self.progress_s.pop(job_id, None)
         self.preemptions.pop(job_id, None)
 
-    def is_paused(self, upstream_id: str) -> bool:
-        """Whether an upstream gets no ordinary work after failed starts."""
+    def is_barred(self, upstream_id: str, request: JobRequest) -> bool:
+        """Whether an upstream gets no such job after failed starts.
+
+        The pauses of a few seconds do not hold urgent work back: one failing job would
+        otherwise pause a small fleet for longer than urgent work may wait.
+        """
+        if request.job_class is JobClass.URGENT:
+            return self.health.is_quarantined(upstream_id)
         return self.health.is_paused(upstream_id, self.now_s)
 
     def is_open(self, upstream_id: str) -> bool:
--- a/tanagerpath/core/placement/search.py
+++ b/tanagerpath/core/placement/search.py
@@ -143,7 +143,7 @@
         if not state.is_usable or name in self._avoided:
             return False
         request = self._job.request
-        if not state.has_room(request) or self._context.is_paused(name):
+        if not state.has_room(request) or self._context.is_barred(name, request):
             return False
         return request.preemptible or self._leaves_share(state)
 
--- a/tanagerpath/core/placement/takeover.py
+++ b/tanagerpath/core/placement/takeover.py
@@ -134,7 +134,7 @@
             self._job.job_id, self._context.now_s
         )
         for window in topology.list_windows(size):
-            if any(name in failed or self._context.is_paused(name) for name in window):
+            if any(name in failed or self._is_barred(name) for name in window):
                 continue
             if size > MAX_SINGLE_UPSTREAM:
                 yield topology.make_gang_assignment(window)
@@ -143,6 +143,9 @@
             for first in range(last + 1):
                 yield Assignment((AcceleratorRun(window[0], first, size),))
 
+    def _is_barred(self, upstream_id: str) -> bool:
+        return self._context.is_barred(upstream_id, self._job.request)
+
     def _evict(self, state: UpstreamState, mask: int) -> list[str] | None:
         """Return the jobs that have to leave these accelerators, or None."""
         name = state.capacity.upstream_id
--- a/tanagerpath/core/placement/tests/test_learning.py
+++ b/tanagerpath/core/placement/tests/test_learning.py
@@ -2,6 +2,7 @@
 
 import testtools
 
+from tanagerpath.core.model import JobClass
 from tanagerpath.core.placement import SchedulerConfig
 from tanagerpath.core.placement.estimates import RunTimeEstimator
 from tanagerpath.core.placement.health import HealthTracker
@@ -84,6 +85,18 @@
         wake_up_s = scheduler.find_wake_up_s(2.0)
         self.assertEqual({"j"}, set(list_placed(scheduler.decide(wake_up_s))))
 
+    def test_urgent_work_starts_on_upstreams_that_another_job_paused(self):
+        """Guards the urgent start bound: one failing job paused a fleet of two."""
+        scheduler = make_scheduler(make_fleet(1, 2))
+        for number in range(2):
+            submit_all(scheduler, [make_job("bad")], float(number))
+            (run,) = list_placed(scheduler.decide(float(number)))["bad"].runs
+            scheduler.record_start_failure("bad", run.upstream_id, float(number))
+            scheduler.record_finished("bad", float(number))
+        jobs = [make_job("plain"), make_job("quick", job_class=JobClass.URGENT)]
+        submit_all(scheduler, jobs, 1.0)
+        self.assertEqual({"quick"}, set(list_placed(scheduler.decide(1.0))))
+
 
 class TestEstimates(testtools.TestCase):
     def _learn(self, pairs):
--- a/tanagerpath/runtime/server.py
+++ b/tanagerpath/runtime/server.py
@@ -2,20 +2,24 @@
 
 import contextlib
 import socket
-from collections.abc import Iterator
+from collections.abc import Awaitable, Callable, Iterator, Mapping
 
 import anyio
 import uvicorn
 from starlette.applications import Starlette
+from starlette.requests import Request
+from starlette.responses import Response
 from starlette.routing import BaseRoute
 from starlette.types import ASGIApp, Message, Receive, Scope, Send
 
 from tanagerpath.runtime.tasks import Task
 
-__all__ = ["HttpServer", "bind_listener"]
+__all__ = ["ErrorHandler", "HttpServer", "bind_listener"]
 
 LISTEN_BACKLOG = 2048
 
+ErrorHandler = Callable[[Request, Exception], Awaitable[Response]]
+
 
 def bind_listener(address: str) -> socket.socket:
     """Open a listening socket.
@@ -86,11 +90,20 @@
         Bound socket; closed at the end.
     routes : list of BaseRoute
         Starlette routes.
+    error_handlers : mapping of int to ErrorHandler, optional
+        Handlers of the statuses 404 and 405, which no route answers.
     """
 
-    def __init__(self, listener: socket.socket, routes: list[BaseRoute]) -> None:
+    def __init__(
+        self,
+        listener: socket.socket,
+        routes: list[BaseRoute],
+        error_handlers: Mapping[int, ErrorHandler] | None = None,
+    ) -> None:
         self._listener = listener
-        self._application = _ClosingApplication(Starlette(routes=routes))
+        application = Starlette(routes=routes, exception_handlers=error_handlers)
+        application.router.redirect_slashes = False
+        self._application = _ClosingApplication(application)
         config = uvicorn.Config(
             self._application,
             log_config=None,
--- a/tanagerpath/services/control_application.py
+++ b/tanagerpath/services/control_application.py
@@ -101,7 +101,10 @@
         tasks.start_soon(self._control.run)
         tasks.start_soon(self._server.run)
         self._log.info(
-            "started", address=self._server.address, replica=node.replica.replica_id
+            "started",
+            address=self._server.address,
+            availability_zone=self._settings.availability_zone,
+            replica=node.replica.replica_id,
         )
 
     async def drain(self) -> None:
--- a/tanagerpath/services/control_config.py
+++ b/tanagerpath/services/control_config.py
@@ -50,6 +50,7 @@
         replica=_make_replica_config(settings),
         coordinator=_make_coordinator_config(settings),
         tick_interval_s=settings.tick_interval_s,
+        feed_hold_s=settings.feed_hold_s,
         max_proposals=settings.max_proposals_in_flight,
         job_retention_s=settings.job_retention_s,
     )
--- a/tanagerpath/services/entry.py
+++ b/tanagerpath/services/entry.py
@@ -161,12 +161,18 @@
     async def start(self, tasks: TaskGroup) -> None:
         """Bind the socket and start all tasks."""
         listener = bind_listener(self._settings.listen)
-        self._server = HttpServer(listener, self._routes.list_routes())
+        self._server = HttpServer(
+            listener, self._routes.list_routes(), self._routes.list_error_handlers()
+        )
         tasks.start_soon(self._entry.run)
         tasks.start_soon(self._leader.run)
         tasks.start_soon(self._feed.run)
         tasks.start_soon(self._server.run)
-        self._log.info("started", address=self._server.address)
+        self._log.info(
+            "started",
+            address=self._server.address,
+            availability_zone=self._settings.availability_zone,
+        )
 
     async def drain(self) -> None:
         """Leave the balancer, then finish what is in flight."""
--- a/tanagerpath/services/entry_routes.py
+++ b/tanagerpath/services/entry_routes.py
@@ -4,6 +4,7 @@
 from typing import Any
 
 import anyio
+import attrs
 from returns.pipeline import is_successful
 from returns.result import Failure as ResultFailure
 from returns.result import Result
@@ -20,6 +21,7 @@
 from tanagerpath.errors import Failure
 from tanagerpath.observability.metrics import JobTime, MetricsRegistry
 from tanagerpath.runtime import Mailbox, Reply
+from tanagerpath.runtime.server import ErrorHandler
 from tanagerpath.services.leader_link import LeaderLink
 from tanagerpath.services.messages import (
     Admit,
@@ -63,6 +65,20 @@
     )
 
 
+@attrs.frozen(kw_only=True)
+class UnknownPath(Failure):
+    """No interface has this method and path."""
+
+    not_run: bool = True
+    method: str
+    path: str
+
+    @property
+    def message(self) -> str:
+        """One line for people."""
+        return f"no interface answers {self.method} {self.path}"
+
+
 class EntryRoutes:
     """Handlers of all paths that an entry serves.
 
@@ -101,6 +117,18 @@
             Route("/metrics", self._show_metrics, methods=["GET"]),
         ]
 
+    def list_error_handlers(self) -> dict[int, ErrorHandler]:
+        """Return the handlers of requests that no route takes."""
+        return {404: self._refuse_path, 405: self._refuse_path}
+
+    async def _refuse_path(self, request: Request, error: Exception) -> Response:
+        failure = UnknownPath(method=request.method, path=request.url.path)
+        status = getattr(error, "status_code", 404)
+        self._metrics.count("refusals", type=failure.type_name)
+        return _write(
+            callers.ErrorReply(callers.ErrorBody.from_failure(failure)), status
+        )
+
     def fail_readiness(self) -> None:
         """Make the balancer send callers elsewhere."""
         self._leaving = True
--- a/tanagerpath/services/statuses.py
+++ b/tanagerpath/services/statuses.py
@@ -17,6 +17,7 @@
     "RevisionConflict": 409,
     "GuaranteeCannotBeMet": 422,
     "ImpossibleShape": 422,
+    "DeadlinePassed": 422,
     "QuotaTooSmall": 422,
     "PayloadTooLarge": 413,
     "QueueFull": 429,
--- a/tanagerpath/services/tests/test_caller_contract.py
+++ b/tanagerpath/services/tests/test_caller_contract.py
@@ -120,6 +120,16 @@
             error = self.assert_refused((400, name), reply, case)
             self.assertEqual((field, True), (error["field"], error["not_run"]), case)
 
+    def test_unknown_paths_and_methods_have_an_error_body(self):
+        """Guards against refusals that a caller cannot read."""
+        for method, path, status in [
+            ("GET", "/v1/nothing", 404),
+            ("GET", "/v1/jobs/", 404),
+            ("PUT", "/v1/jobs", 405),
+        ]:
+            reply = self.ask(method, path)
+            self.assert_refused((status, "UnknownPath"), reply, path)
+
     def test_body_above_the_bound_is_refused(self):
         body = b" " * (8 * 1024 * 1024 + 1)
         reply = self.ask("POST", "/v1/jobs", body)
@@ -204,6 +214,12 @@
             body = reply[1]
             self.assertEqual(("refused_not_run", 0), (body["state"], body["attempts"]))
 
+    def test_job_past_its_deadline_is_refused_as_not_run(self):
+        """Guards against work whose answer nobody can use any more."""
+        reply = self.submit("late", deadline_unix_s=time.time() - 100.0)
+        error = self.assert_refused((422, "DeadlinePassed"), reply, "late")
+        self.assertTrue(error["not_run"])
+
     def test_payload_above_the_document_bound(self):
         reply = self.submit("large", payload="é" * 501)
         error = self.assert_refused((413, "PayloadTooLarge"), reply, "1002 bytes")
--- a/tanagerpath/settings/control.py
+++ b/tanagerpath/settings/control.py
@@ -117,6 +117,13 @@
     3600.0,
     "Time that a preempted job has to save a checkpoint before it is stopped.",
 )
+_FEED_HOLD_S = _seconds(
+    "feed_hold_s",
+    0.5,
+    0.01,
+    30.0,
+    "Time for which the leader holds a poll of an entry open.",
+)
 _MAX_PROPOSALS_IN_FLIGHT = Setting(
     name="max_proposals_in_flight",
     type=WholeNumberType(1, 1_000_000),
@@ -147,6 +154,8 @@
 )
 
 _ORDERINGS = (
+    # A poll that is held up to the exchange deadline would look like a lost exchange.
+    Ordering("feed_hold_s", "exchange_timeout_s"),
     Ordering("tick_interval_s", "heartbeat_interval_s", or_equal=True),
     Ordering("heartbeat_interval_s", "lease_duration_s"),
     # Else a new leader could decide while the old one still holds its lease.
@@ -185,6 +194,7 @@
     start_timeout_s: float = declare(_START_TIMEOUT_S)
     reservation_lapse_s: float = declare(_RESERVATION_LAPSE_S)
     checkpoint_grace_s: float = declare(_CHECKPOINT_GRACE_S)
+    feed_hold_s: float = declare(_FEED_HOLD_S)
     max_proposals_in_flight: int = declare(_MAX_PROPOSALS_IN_FLIGHT)
     job_retention_s: float = declare(_JOB_RETENTION_S)
     upstream_connections: int = declare(_UPSTREAM_CONNECTIONS)
--- a/tanagerpath/settings/entry.py
+++ b/tanagerpath/settings/entry.py
@@ -21,13 +21,6 @@
     default=3.0,
     description="Age of the last proof of freshness past which new work is refused.",
 )
-_FEED_HOLD_S = Setting(
-    name="feed_hold_s",
-    type=NumberType(0.01, 30.0),
-    unit="s",
-    default=0.5,
-    description="Time for which the leader may hold a poll of the feed open.",
-)
 _MAX_REQUESTS_IN_FLIGHT = Setting(
     name="max_requests_in_flight",
     type=WholeNumberType(1, 1_000_000),
@@ -64,8 +57,6 @@
 )
 
 _ORDERINGS = (
-    # A poll that is held up to the exchange deadline would look like a lost exchange.
-    Ordering("feed_hold_s", "exchange_timeout_s"),
     # One lost poll alone must not make an entry stale.
     Ordering("exchange_timeout_s", "staleness_bound_s"),
     Ordering("max_requests_per_organisation", "max_requests_in_flight", or_equal=True),
@@ -82,7 +73,6 @@
     listen: str = declare(common.LISTEN)
     control_addresses: tuple[ControlAddress, ...] = declare(common.CONTROL_ADDRESSES)
     staleness_bound_s: float = declare(_STALENESS_BOUND_S)
-    feed_hold_s: float = declare(_FEED_HOLD_S)
     exchange_timeout_s: float = declare(common.EXCHANGE_TIMEOUT_S)
     max_requests_in_flight: int = declare(_MAX_REQUESTS_IN_FLIGHT)
     max_requests_per_organisation: int = declare(_MAX_REQUESTS_PER_ORGANISATION)
--- a/tanagerpath/settings/tests/test_settings.py
+++ b/tanagerpath/settings/tests/test_settings.py
@@ -71,7 +71,7 @@
         (EntrySettings, ["--log-level", "loud"], "log_level", "loud"),
         (EntrySettings, ["--log-level"], "log_level", ""),
         (EntrySettings, ["--no-such-flag", "1"], "--no-such-flag", "--no-such-flag 1"),
-        (EntrySettings, ["--feed-hold-s", "1.0"], "feed_hold_s", "1.0"),
+        (ControlSettings, ["--feed-hold-s", "1.0"], "feed_hold_s", "1.0"),
         (EntrySettings, ["--drain-notice-s", "30"], "drain_notice_s", "30.0"),
         (ControlSettings, ["--vm-id", "c9"], "vm_id", "c9"),
         (ControlSettings, ["--vm-id", "C 1"], "vm_id", "C 1"),
