Test the decisions of entries in tables

Cause: core/admission had no tests of its own. Change: tables for freshness, dropped older feeds and foreign groups, bounds, retry budget and the leader's route. Ruled out: a ratio of 0.2 in the budget's test; its sum is not exact in binary, so the test uses 0.25.

--- /dev/null
+++ b/tanagerpath/core/admission/tests/test_admission.py
@@ -0,0 +1,122 @@
+"""Guards entries against stale documents, reverts, floods and lost leaders."""
+
+import testtools
+
+from tanagerpath.core.admission import (
+    DocumentView,
+    LeaderRoute,
+    RequestLimits,
+    RetryBudget,
+)
+from tanagerpath.core.model import ServiceDocument
+from tanagerpath.core.protocol.internal import FeedReply
+
+BOUND_S = 3.0
+
+
+def make_feed(index, *revisions, complete=False):
+    documents = tuple(ServiceDocument("sort", number, "team") for number in revisions)
+    return FeedReply(index, complete, documents)
+
+
+class TestDocumentView(testtools.TestCase):
+    # name, feeds as (reply, asked at), instant, fresh, revision in force
+    CASES = [
+        ("never heard", [], 0.0, False, None),
+        ("just heard", [(make_feed(5, 1, complete=True), 10.0)], 12.9, True, 1),
+        ("bound passed", [(make_feed(5, 1, complete=True), 10.0)], 13.0, False, 1),
+        (
+            "older index is dropped and proves nothing",
+            [(make_feed(5, 2, complete=True), 10.0), (make_feed(4, 1), 12.0)],
+            13.0,
+            False,
+            2,
+        ),
+        (
+            "late reply does not shorten the proof",
+            [(make_feed(5, 1, complete=True), 10.0), (make_feed(5), 9.0)],
+            12.5,
+            True,
+            1,
+        ),
+        (
+            "change arrives",
+            [(make_feed(5, 1, complete=True), 10.0), (make_feed(6, 2), 11.0)],
+            13.5,
+            True,
+            2,
+        ),
+        (
+            "whole set of another group with a lower revision is dropped",
+            [
+                (make_feed(5, 3, complete=True), 10.0),
+                (make_feed(9, 1, complete=True), 12.0),
+            ],
+            13.0,
+            False,
+            3,
+        ),
+        (
+            "whole set without a known document is dropped",
+            [(make_feed(5, 3, complete=True), 10.0), (make_feed(9, complete=True), 12)],
+            13.0,
+            False,
+            3,
+        ),
+    ]
+
+    def test_freshness_and_no_revert(self):
+        for name, feeds, now_s, fresh, revision in self.CASES:
+            view = DocumentView(BOUND_S)
+            for reply, asked_at_s in feeds:
+                view.take_feed(reply, asked_at_s)
+            self.assertEqual(fresh, view.is_fresh(now_s), name)
+            document = view.find_document("sort")
+            self.assertEqual(revision, document and document.revision, name)
+
+
+class TestLimits(testtools.TestCase):
+    def test_one_organisation_leaves_room_for_others(self):
+        limits = RequestLimits(max_in_flight=3, max_per_organisation=2)
+        admitted = [limits.admit(name, 100.0) is None for name in "aaab"]
+        self.assertEqual([True, True, False, True], admitted)
+        self.assertIsNotNone(limits.admit("c", 100.0))
+        limits.release("a")
+        self.assertIsNone(limits.admit("c", 100.0))
+        self.assertEqual(3, limits.in_flight)
+
+    def test_refusal_says_when_to_come_back(self):
+        limits = RequestLimits(max_in_flight=0, max_per_organisation=1)
+        refusal = limits.admit("a", 100.0)
+        self.assertTrue(refusal.not_run)
+        self.assertGreater(refusal.retry_at_unix_s, 100.0)
+
+    def test_retries_stay_a_share_of_the_requests(self):
+        """Guards against retries that multiply the load of a lost leader."""
+        budget = RetryBudget(ratio=0.25, reserve=2.0)
+        for _ in range(50):
+            budget.note_request()
+        granted = sum(budget.take_retry() for _ in range(1000))
+        self.assertEqual(14, granted)
+
+
+class TestLeaderRoute(testtools.TestCase):
+    def test_search_goes_round_and_hints_are_followed(self):
+        route = LeaderRoute(("a", "b", "c"))
+        self.assertEqual(["a", "b", "c", "a"], [route.choose() for _ in range(4)])
+        route.note_hint("a", "b")
+        self.assertEqual("b", route.choose())
+        route.note_leader("b")
+        route.note_hint("c", "a")
+        self.assertEqual("b", route.choose(), "only the known leader is believed")
+        route.note_silence("c")
+        self.assertEqual("b", route.choose())
+        route.note_silence("b")
+        self.assertIsNone(route.leader_address)
+
+    def test_leader_that_names_itself_or_nobody_is_left(self):
+        for hinted in ("", "a"):
+            route = LeaderRoute(("a", "b"))
+            route.note_leader("a")
+            route.note_hint("a", hinted)
+            self.assertIsNone(route.leader_address)
