Wait for the quota of jobs that are still leaving

Change: without new victims a job is placed at once only if the quota is free, else it is held for. The new test fails on a scratch copy without the change.

--- a/tanagerpath/core/placement/decisions.py
+++ b/tanagerpath/core/placement/decisions.py
@@ -193,7 +193,9 @@
 
     def _apply(self, job: PendingJob, takeover: Takeover, grace_s: float) -> None:
         context = self._context
-        if not takeover.victims:
+        left = context.count_quota_left(job.request.organisation)
+        # Quota may also be awaited from jobs that were asked to leave before.
+        if not takeover.victims and left >= takeover.assignment.accelerators:
             self._place(job, takeover.assignment)
             return
         context.queue.remove(job.job_id)
--- a/tanagerpath/core/placement/tests/test_policy.py
+++ b/tanagerpath/core/placement/tests/test_policy.py
@@ -217,6 +217,22 @@
         self.assertEqual(2, len(_fill(scheduler, 8)))
         self.assertIn("quota", scheduler.explain("fill5", 0.0))
 
+    def test_quota_of_a_leaving_job_is_not_used_before_it_has_left(self):
+        scheduler = make_scheduler(
+            make_fleet(1, 4), quotas={"red": 16, "blue": 16}, reservations=0
+        )
+        submit_all(scheduler, [make_job("b", 16, organisation="blue")])
+        scheduler.decide(0.0)
+        _fill(scheduler, 1, accelerators=16, checkpointable=True)
+        _finish(scheduler, ["b"], 0.5)
+        for number in (1, 2):
+            now_s = float(number)
+            urgent = make_job(f"u{number}", 8, now_s, job_class=JobClass.URGENT)
+            submit_all(scheduler, [urgent], now_s)
+            self.assertEqual({}, list_placed(scheduler.decide(now_s)))
+        placed = list_placed(_finish(scheduler, ["fill0"], 3.0))
+        self.assertEqual({"u1", "u2"}, set(placed))
+
     def test_job_that_waits_for_quota_is_not_overtaken_by_longer_ones(self):
         scheduler = make_scheduler(make_fleet(1, 4), quotas={"red": 16})
         _fill(scheduler, 1, idempotent=False, expected_run_s=1000.0)
