--- a/tanagerpath/core/placement/tests/test_policy.py
+++ b/tanagerpath/core/placement/tests/test_policy.py
@@ -218,8 +218,13 @@
         self.assertIn("quota", scheduler.explain("fill5", 0.0))
 
     def test_quota_of_a_leaving_job_is_not_used_before_it_has_left(self):
-        scheduler = make_scheduler(make_fleet(1, 4), quotas={"red": 16})
+        scheduler = make_scheduler(
+            make_fleet(1, 4), quotas={"red": 16, "blue": 16}, reservations=0
+        )
+        submit_all(scheduler, [make_job("b", 16, organisation="blue")])
+        scheduler.decide(0.0)
         _fill(scheduler, 1, accelerators=16, checkpointable=True)
+        _finish(scheduler, ["b"], 0.5)
         for number in (1, 2):
             now_s = float(number)
             urgent = make_job(f"u{number}", 8, now_s, job_class=JobClass.URGENT)
