Bind a reservation to the incarnation that it is meant for

Cause: an upstream counted a reservation, an older attempt's reservation or an older term as proof that its incarnation began before an attempt. A late copy of the reservation reached the next incarnation after the attempt had run in the one before; the stop was then answered as never started, with proof. The leader could report the job as not run, or start a non-idempotent one again. Ruled out: the coordinator, which asked for the proof; the repeated stop, which was fixed before. Change: reserve names the incarnation and another one refuses it; only a reservation held in this incarnation counts as proof. A lapsed reservation is remembered, so that an attempt that was never started can still be refuted. Tests: the contract case of the older attempt expected the wrong proof and now expects none; the start after a lapse is still refused, as attempt_over.

--- a/tanagerpath/core/coordination/attempts.py
+++ b/tanagerpath/core/coordination/attempts.py
@@ -169,7 +169,7 @@
         return finished and self.answer is not None
 
     def make_reserve(
-        self, member: Member, term: int, lapse_s: float
+        self, member: Member, term: int, lapse_s: float, incarnation: str
     ) -> protocol.ReserveRequest:
         """Ask a member's upstream to hold its accelerators."""
         return protocol.ReserveRequest(
@@ -182,6 +182,7 @@
             cores=self.request.cores,
             memory_bytes=self.request.memory_bytes,
             lapse_after_ms=round(lapse_s * 1000),
+            incarnation=incarnation,
         )
 
     def make_start(self, member: Member, term: int) -> protocol.StartRequest:
--- a/tanagerpath/core/coordination/driver.py
+++ b/tanagerpath/core/coordination/driver.py
@@ -26,7 +26,7 @@
 
 RESEND_INTERVAL_S = 0.5
 MAX_BAD_REPORTS = 5
-BLAMELESS_REFUSALS = frozenset({"leaving", "stale_term"})
+BLAMELESS_REFUSALS = frozenset({"leaving", "stale_term", "other_incarnation"})
 
 
 @attrs.frozen
@@ -176,21 +176,24 @@
         for member in attempt.members:
             if only_due and member.next_call_at_s > now.now_s:
                 continue
-            request = self._find_request(attempt, member, now)
             session = self._fleet.find(member.run.upstream_id)
-            if request is None or session is None:
+            if session is None:
+                continue
+            incarnation = session.announcement.incarnation
+            request = self._find_request(attempt, member, incarnation, now)
+            if request is None:
                 continue
             member.next_call_at_s = now.now_s + RESEND_INTERVAL_S
             effects.append(session.call(request))
         return effects
 
     def _find_request(
-        self, attempt: Attempt, member: Member, now: Instant
+        self, attempt: Attempt, member: Member, incarnation: str, now: Instant
     ) -> object | None:
         match attempt.phase:
             case AttemptPhase.RESERVING if not member.reserved:
                 lapse_s = self._terms.reservation_lapse_s
-                return attempt.make_reserve(member, self._term, lapse_s)
+                return attempt.make_reserve(member, self._term, lapse_s, incarnation)
             case AttemptPhase.STARTING if member.started_at_s is None:
                 return attempt.make_start(member, self._term)
             case AttemptPhase.CHECKPOINTING if not member.checkpoint:
--- a/tanagerpath/core/protocol/upstreams.py
+++ b/tanagerpath/core/protocol/upstreams.py
@@ -160,7 +160,11 @@
 
 @attrs.frozen
 class ReserveRequest:
-    """Holds accelerators for one member of a gang until the reservation lapses."""
+    """Holds accelerators for one member of a gang until the reservation lapses.
+
+    `incarnation` is the one that the leader knows. Another one refuses: it could not
+    tell later whether the attempt had run before it began.
+    """
 
     term: int
     job_id: str
@@ -171,6 +175,7 @@
     cores: int
     memory_bytes: int
     lapse_after_ms: int
+    incarnation: str
 
 
 @attrs.frozen
@@ -238,8 +243,8 @@
     ever_started : bool
         Whether the member ever began to run in this incarnation.
     incarnation_covers_attempt : bool
-        True if this incarnation began before the attempt's reservation, so that
-        `ever_started` is the whole truth.
+        True if this incarnation has reserved the member, so that `ever_started` is the
+        whole truth.
     """
 
     stopped: bool
--- a/tanagerpath/emulator/tasks_table.py
+++ b/tanagerpath/emulator/tasks_table.py
@@ -137,8 +137,6 @@
         self.leaving = False
         self.lease_ends_at_ms = -math.inf
         self.highest_term = 0
-        self._first_term: int | None = None
-        self._lowest_attempt: AttemptId | None = None
         self._members: dict[MemberKey, _Member] = {}
         self._over: dict[MemberKey, _Over] = {}
         self._events: list[MemberEvent] = []
@@ -175,7 +173,7 @@
         for member in list(self._members.values()):
             if member.phase is TaskPhase.RESERVED:
                 if clock_ms >= member.lapses_at_ms:
-                    del self._members[member.key]
+                    self._end(member, TaskPhase.STOPPED, None, report=False)
             elif member.phase is TaskPhase.RUNNING:
                 if member.ends_at_ms <= min(clock_ms, self.lease_ends_at_ms):
                     self._end_run(member)
@@ -198,7 +196,6 @@
         if reason:
             return ReserveReply(False, reason, clock_ms)
         key = MemberKey(request.job_id, request.attempt, request.rank)
-        self._note_attempt(request.attempt)
         lapses_at_ms = clock_ms + request.lapse_after_ms
         held = self._members.get(key)
         if held is not None:
@@ -237,7 +234,7 @@
         member = self._members.get(key)
         over = self._over.get(key, _Over(ever_started=False, held=False))
         started = member.ever_started if member else over.ever_started
-        covers = member is not None or over.held or self._covers(key.attempt)
+        covers = member is not None or over.held
         if not self._admit_term(request.term):
             return StopReply(False, started, covers, "stale_term")
         if member is None:
@@ -285,30 +282,15 @@
             del self._members[key]
 
     def _admit_term(self, term: int) -> bool:
-        if self._first_term is None:
-            self._first_term = term
         self.highest_term = max(self.highest_term, term)
         return term >= self.highest_term
 
-    def _note_attempt(self, attempt: AttemptId) -> None:
-        if self._lowest_attempt is None or attempt < self._lowest_attempt:
-            self._lowest_attempt = attempt
-
-    def _covers(self, attempt: AttemptId) -> bool:
-        """Whether this incarnation surely began before an attempt it never held.
-
-        Fencing numbers are given out in order, so an attempt that is newer than one
-        reserved here, or of a later term than the first one seen here, is younger than
-        this incarnation.
-        """
-        if self._lowest_attempt is not None and attempt > self._lowest_attempt:
-            return True
-        return self._first_term is not None and attempt.term > self._first_term
-
     def _refuse_reserve(self, request: ReserveRequest) -> str:
         key = MemberKey(request.job_id, request.attempt, request.rank)
         if not self._admit_term(request.term):
             return "stale_term"
+        if request.incarnation != self.incarnation:
+            return "other_incarnation"
         if key in self._over:
             return "attempt_over"
         if key in self._members:
