Say not run only when no earlier try can have run

The drill also found that a leader which sends but cannot be reached kept its lead since answers ride on its own exchanges; that polls of open jobs hold a stopping entry up; a traceback for each killed peer; and by reading, that a removal could drop a session of a newer incarnation. Ruled out: asking the log before each refusal; an entry that cannot reach the leader has nothing to ask. Change: SubmitRequest.retry marks a repeat, and refusals of a repeat never claim not_run; answers to heartbeats go as exchanges of their own; a leaving entry answers polls at once; recorded starts that were refuted are counted apart from reservations that failed, and six of them end a job, before ten of both; callers of the core check stop at DeadlinePassed.

--- a/tanagerpath/benchmarks/core_check_callers.py
+++ b/tanagerpath/benchmarks/core_check_callers.py
@@ -159,6 +159,8 @@
         if isinstance(reply, ErrorBody) and reply.not_run:
             self.refusals += 1
             self._consider_giving_up(reply)
+            if reply.type == "DeadlinePassed" and not self.accepted:
+                self._stop_after_deadline(reply)
         if not self.accepted and not self.gave_up:
             self._after(0.1, 1.5, self._resend)
 
@@ -174,6 +176,12 @@
             self.gave_up = self.done = True
             self.promises.note_not_run(self.job_id, refusal.type)
 
+    def _stop_after_deadline(self, refusal: ErrorBody) -> None:
+        """Stop asking; a request that is still unanswered may be accepted all the same."""
+        if not self.done and self.refusals == self.sends:
+            self.promises.note_not_run(self.job_id, refusal.type)
+        self.gave_up = self.done = True
+
     def _poll(self) -> None:
         if self.done:
             return
--- a/tanagerpath/cli/client.py
+++ b/tanagerpath/cli/client.py
@@ -42,6 +42,8 @@
         Message that a success carries.
     body : str
         JSON text.
+    retry_body : str
+        JSON text after a try that may have been accepted; empty for the same.
     find_mismatch : callable
         Returns why a reply belongs to another request or is not whole, or an empty
         text.
@@ -53,6 +55,7 @@
     path: str
     reply_type: type
     body: str = ""
+    retry_body: str = ""
     find_mismatch: Callable[[Any], str] = lambda reply: ""
     extra_timeout_s: float = 0.0
 
@@ -93,7 +96,10 @@
             if number:
                 await anyio.sleep(self._pause_s)
             for client in self._clients:
-                outcome = await self._try(client, request)
+                uncertain = any(not loss.not_run for loss in losses)
+                if refusal is not None:
+                    uncertain |= not refusal.error.not_run
+                outcome = await self._try(client, request, uncertain)
                 if is_successful(outcome):
                     return outcome
                 failure = outcome.failure()
@@ -106,12 +112,13 @@
         return ResultFailure(refusal or self._describe_losses(losses))
 
     async def _try(
-        self, client: HttpClient, request: EntryRequest
+        self, client: HttpClient, request: EntryRequest, uncertain: bool
     ) -> Result[Any, Failure]:
+        body = request.retry_body if uncertain else ""
         exchange = await client.exchange(
             request.method,
             request.path,
-            request.body.encode(),
+            (body or request.body).encode(),
             timeout_s=self._timeout_s + request.extra_timeout_s,
         )
         return exchange.bind(lambda reply: _read(client.address, request, reply))
--- a/tanagerpath/cli/jobs.py
+++ b/tanagerpath/cli/jobs.py
@@ -149,6 +149,7 @@
                 "/v1/jobs",
                 JobReply,
                 encode_json(SubmitRequest(job)),
+                encode_json(SubmitRequest(job, retry=True)),
                 lambda reply: find_mismatch(reply, job.key),
             )
         )
--- a/tanagerpath/core/coordination/conclusions.py
+++ b/tanagerpath/core/coordination/conclusions.py
@@ -32,11 +32,11 @@
     job_retention_s : float
         Time for which an ended job is remembered.
     max_unstarted_attempts : int
-        Attempts that may end without a start before the job is refused.
+        Recorded attempts that may end without a start before the job is refused.
     """
 
     job_retention_s: float = 86_400.0
-    max_unstarted_attempts: int = 10
+    max_unstarted_attempts: int = 6
 
     def refuse(self, record: JobRecord, reason: Failure, now: Instant) -> FinishJob:
         """End a job without a recorded attempt."""
--- a/tanagerpath/core/coordination/coordinator.py
+++ b/tanagerpath/core/coordination/coordinator.py
@@ -330,7 +330,9 @@
             case RegisterUpstream(announcement):
                 self._register(announcement, now)
             case RemoveUpstream(upstream_id):
-                self._fleet.remove(upstream_id)
+                # It may have come back under a new incarnation in the meantime.
+                if upstream_id not in self._state.upstreams:
+                    self._fleet.remove(upstream_id)
             case RecordStart(job_id, attempt_id):
                 self._take_start_record(job_id, attempt_id, result, now)
             case RequestCancel(job_ids):
@@ -542,7 +544,7 @@
         """Forget an attempt of which no start was ever sent."""
         self._release(attempt, now)
         job_id = attempt.job_id
-        self._queue.count_failed_start(job_id)
+        self._queue.count_failed_start(job_id, refuted=False)
         record = self._state.jobs.get(job_id)
         if record is not None and record.state is JobState.ACCEPTED:
             self._queue.retry(job_id, now)
@@ -551,14 +553,14 @@
         record = self._state.jobs[attempt.job_id]
         preempted = isinstance(attempt.reason, failures.JobPreempted)
         if attempt.all_refuted and not attempt.is_answered and not preempted:
-            self._queue.count_failed_start(attempt.job_id)
+            self._queue.count_failed_start(attempt.job_id, refuted=True)
         attempt.phase = AttemptPhase.CONCLUDING
         document = self._state.documents.get(record.request.service)
         command = conclude(
             attempt,
             record,
             document.document if document else None,
-            self._queue.find_failed_starts(attempt.job_id),
+            self._queue.find_refuted_starts(attempt.job_id),
             self._config.conclusions,
             now,
         )
--- a/tanagerpath/core/coordination/queueing.py
+++ b/tanagerpath/core/coordination/queueing.py
@@ -49,6 +49,7 @@
         self._terms = terms
         self._taken_job_ids: set[str] = set()
         self._failed_starts: collections.Counter[str] = collections.Counter()
+        self._refuted_starts: collections.Counter[str] = collections.Counter()
         self._retries = RetryQueue()
         self._check_deadlines_at_s = now.now_s
 
@@ -78,14 +79,23 @@
         """Note a job that an earlier leader has started."""
         self._taken_job_ids.add(job_id)
 
-    def count_failed_start(self, job_id: str) -> int:
-        """Count an attempt that ended without a start; return the new count."""
+    def count_failed_start(self, job_id: str, refuted: bool) -> None:
+        """Count an attempt that ended without a start.
+
+        Parameters
+        ----------
+        job_id : str
+            The job.
+        refuted : bool
+            Whether its members were told to start and refused; else they could not be
+            reserved, which says nothing about the job.
+        """
         self._failed_starts[job_id] += 1
-        return self._failed_starts[job_id]
+        self._refuted_starts[job_id] += int(refuted)
 
-    def find_failed_starts(self, job_id: str) -> int:
-        """Return the attempts that ended without a start."""
-        return self._failed_starts[job_id]
+    def find_refuted_starts(self, job_id: str) -> int:
+        """Return the recorded attempts that ended without a start."""
+        return self._refuted_starts[job_id]
 
     def retry(self, job_id: str, now: Instant) -> None:
         """Queue a job again after a pause that grows with its failed starts."""
@@ -100,6 +110,7 @@
         self._scheduler.withdraw(job_id)
         self._taken_job_ids.discard(job_id)
         self._failed_starts.pop(job_id, None)
+        self._refuted_starts.pop(job_id, None)
 
     def tick(self, attempts: AttemptRegister, now: Instant) -> list[Effect]:
         """Submit jobs whose pause is over and refuse jobs that are too late."""
--- a/tanagerpath/core/protocol/callers.py
+++ b/tanagerpath/core/protocol/callers.py
@@ -26,10 +26,15 @@
     wait_until_unix_s : float or None
         Instant in UTC seconds until which the entry may hold the exchange open for the
         answer; None returns as soon as the job is accepted.
+    retry : bool
+        Whether an earlier exchange with the same key ended without a reply or with
+        `not_run` false. A refusal then never says `not_run`, because the earlier one
+        may have been accepted or may still arrive.
     """
 
     job: JobRequest
     wait_until_unix_s: float | None = None
+    retry: bool = False
 
 
 @attrs.frozen
--- a/tanagerpath/emulator/caller.py
+++ b/tanagerpath/emulator/caller.py
@@ -77,10 +77,15 @@
         """Use one entry from now on."""
         self._index = index
 
-    async def submit(self, job: JobRequest, wait_s: float) -> Outcome:
-        """Submit a job and wait up to `wait_s` seconds for its end."""
+    async def submit(
+        self, job: JobRequest, wait_s: float, retry: bool = False
+    ) -> Outcome:
+        """Submit a job and wait up to `wait_s` seconds for its end.
+
+        `retry` tells that an earlier try may have been accepted.
+        """
         until_unix_s = time.time() + wait_s if wait_s else None
-        request = SubmitRequest(job, until_unix_s)
+        request = SubmitRequest(job, until_unix_s, retry)
         timeout_s = wait_s + EXCHANGE_MARGIN_S
         return await self._exchange("POST", "/v1/jobs", request, JobReply, timeout_s)
 
--- a/tanagerpath/emulator/load.py
+++ b/tanagerpath/emulator/load.py
@@ -161,7 +161,7 @@
     async def _ask(self, job: JobRequest, progress: _Progress) -> Outcome:
         if progress.job_id and not progress.uncertain:
             return await self._client.poll(progress.job_id, WAIT_S)
-        return await self._client.submit(job, WAIT_S)
+        return await self._client.submit(job, WAIT_S, retry=progress.uncertain)
 
     async def _weigh(self, outcome: Outcome, progress: _Progress) -> JobReply | None:
         """Return the last word on the job, or None if it must be asked for again."""
@@ -197,7 +197,7 @@
         if not due.rechecked:
             return False
         self._client.move_on()
-        again = (await self._client.submit(due.job, WAIT_S)).value
+        again = (await self._client.submit(due.job, WAIT_S, retry=True)).value
         if not isinstance(again, JobReply) or again.answer is None:
             return False
         return again.answer != first.answer
--- a/tanagerpath/services/control.py
+++ b/tanagerpath/services/control.py
@@ -32,6 +32,16 @@
 __all__ = ["ControlTask"]
 
 
+def _expects_answer(received: consensus.MessageReceived) -> bool:
+    """Whether a commit waits for the answer.
+
+    Answers to heartbeats go as exchanges of their own: a leader that can send but can't
+    be reached by others has to notice it and step down.
+    """
+    message = received.message
+    return isinstance(message, consensus.AppendRequest) and bool(message.entries)
+
+
 class ControlTask(Task):
     """Feeds a control node with messages and time, and does what it returns.
 
@@ -106,7 +116,10 @@
     def _translate(self, message: object) -> list[ControlEvent]:
         match message:
             case ConsensusArrived(messages, reply):
-                self._return_paths.open(messages[0].sender, reply)
+                if any(map(_expects_answer, messages)):
+                    self._return_paths.open(messages[0].sender, reply)
+                else:
+                    reply.send(())
                 return list(messages)
             case ReturnPathClosed(sender, reply):
                 self._return_paths.close(sender, reply)
--- a/tanagerpath/services/control_application.py
+++ b/tanagerpath/services/control_application.py
@@ -6,7 +6,7 @@
 import anyio
 from anyio.abc import TaskGroup
 from returns.pipeline import is_successful
-from starlette.requests import Request
+from starlette.requests import ClientDisconnect, Request
 from starlette.responses import PlainTextResponse, Response
 from starlette.routing import BaseRoute, Route
 
@@ -125,7 +125,12 @@
         ]
 
     async def _take_consensus(self, request: Request) -> Response:
-        batch = decode_batch(await request.body())
+        try:
+            body = await request.body()
+        except ClientDisconnect:
+            # The peer died in the middle of its request; nobody reads the reply.
+            return Response(status_code=400)
+        batch = decode_batch(body)
         if not is_successful(batch):
             return PlainTextResponse(batch.failure().message + "\n", 400)
         messages = tuple(batch.unwrap())
--- a/tanagerpath/services/entry_routes.py
+++ b/tanagerpath/services/entry_routes.py
@@ -65,6 +65,12 @@
     )
 
 
+def _weaken_on_retry(answer: Any, submit: callers.SubmitRequest) -> Any:
+    """Take the claim back that a job did not run, if an earlier try may have run."""
+    claims = isinstance(answer, (Failure, callers.ErrorBody)) and answer.not_run
+    return attrs.evolve(answer, not_run=False) if claims and submit.retry else answer
+
+
 @attrs.frozen(kw_only=True)
 class UnknownPath(Failure):
     """No interface has this method and path."""
@@ -158,7 +164,7 @@
         self._entry.post(Admit(submit.job, admitted))
         refusal = await admitted.receive()
         if refusal is not None:
-            return self._count_refusal(refusal)
+            return self._count_refusal(_weaken_on_retry(refusal, submit))
         arrived_s = anyio.current_time()
         try:
             response = await self._submit_admitted(submit)
@@ -180,6 +186,9 @@
         changed: Reply[None] = Reply()
         self._entry.post(WatchJob(job_id, changed))
         accepted = await self._ask(internal.AcceptRequest(job))
+        accepted = accepted.alt(lambda failure: _weaken_on_retry(failure, submit)).map(
+            lambda reply: _weaken_on_retry(reply, submit)
+        )
         wait_s = 0.0
         if submit.wait_until_unix_s is not None:
             wait_s = submit.wait_until_unix_s - time.time()
@@ -195,7 +204,9 @@
             changed: Reply[None] = Reply()
             self._entry.post(WatchJob(job_id, changed))
             found = await self._ask(internal.JobQuery(job_id))
-            return await self._finish_wait(job_id, found, changed, wait_ms / 1000)
+            # A poll of an open job would hold a stop up for as long as it is repeated.
+            wait_s = 0.0 if self._leaving else wait_ms / 1000
+            return await self._finish_wait(job_id, found, changed, wait_s)
         finally:
             self.callers_in_flight -= 1
 
