--- a/tanagerpath/benchmarks/core_check_callers.py
+++ b/tanagerpath/benchmarks/core_check_callers.py
@@ -177,7 +177,7 @@
             self.promises.note_not_run(self.job_id, refusal.type)
 
     def _stop_after_deadline(self, refusal: ErrorBody) -> None:
-        """Stop asking; a request that is still unanswered may be accepted all the same."""
+        """Stop asking; an unanswered request may still be accepted."""
         if not self.done and self.refusals == self.sends:
             self.promises.note_not_run(self.job_id, refusal.type)
         self.gave_up = self.done = True
--- a/tanagerpath/cli/client.py
+++ b/tanagerpath/cli/client.py
@@ -42,22 +42,22 @@
         Message that a success carries.
     body : str
         JSON text.
-    retry_body : str
-        JSON text after a try that may have been accepted; empty for the same.
     find_mismatch : callable
         Returns why a reply belongs to another request or is not whole, or an empty
         text.
     extra_timeout_s : float
         Seconds for which the entry may hold the request.
+    retry_body : str
+        JSON text after a try that may have been accepted; empty for the same.
     """
 
     method: str
     path: str
     reply_type: type
     body: str = ""
-    retry_body: str = ""
     find_mismatch: Callable[[Any], str] = lambda reply: ""
     extra_timeout_s: float = 0.0
+    retry_body: str = ""
 
 
 class EntryClient:
--- a/tanagerpath/cli/jobs.py
+++ b/tanagerpath/cli/jobs.py
@@ -149,8 +149,8 @@
                 "/v1/jobs",
                 JobReply,
                 encode_json(SubmitRequest(job)),
-                encode_json(SubmitRequest(job, retry=True)),
                 lambda reply: find_mismatch(reply, job.key),
+                retry_body=encode_json(SubmitRequest(job, retry=True)),
             )
         )
         while is_successful(outcome) and not outcome.unwrap().state.is_final:
