Register the incarnation that answers a renewal

Cause: a late copy of an old announcement, applied after that of the new incarnation, put the old one in force. The upstream saw renewals, so it did not announce itself again, and no reservation or start on it could work. Ruled out: a start failure of the upstream and the placement, which chose it rightly. Before reservations named the incarnation, the starts failed instead for want of a lease. The regression test failed before.

--- a/tanagerpath/core/coordination/coordinator.py
+++ b/tanagerpath/core/coordination/coordinator.py
@@ -29,7 +29,7 @@
 )
 from tanagerpath.core.coordination.queueing import JobQueue
 from tanagerpath.core.coordination.registers import AttemptRegister
-from tanagerpath.core.coordination.sessions import LeaseTerms
+from tanagerpath.core.coordination.sessions import LeaseTerms, UpstreamSession
 from tanagerpath.core.coordination.strays import is_report_obsolete, list_stray_tasks
 from tanagerpath.core.model import AttemptId, JobState, ServiceDocument
 from tanagerpath.core.placement import (
@@ -400,6 +400,10 @@
         if session is None:
             return
         match event.reply:
+            case protocol.RenewReply(incarnation=incarnation) if (
+                incarnation != session.announcement.incarnation
+            ):
+                self._correct_incarnation(session, incarnation)
             case protocol.RenewReply():
                 asked_at_s = session.renewal_sent_at_s
                 self._effects += self._fleet.take_reply(session, event.reply, now)
@@ -409,6 +413,15 @@
             case _:
                 self._take_member_reply(event, now)
 
+    def _correct_incarnation(self, session: UpstreamSession, incarnation: str) -> None:
+        """Register who answers: a late announcement of an older one came last.
+
+        The upstream sees renewals, so it does not announce itself again.
+        """
+        self._fleet.note_silence(session)
+        announcement = attrs.evolve(session.announcement, incarnation=incarnation)
+        self._effects.append(Propose(RegisterUpstream(announcement)))
+
     def _take_member_reply(self, event: UpstreamReplied, now: Instant) -> None:
         request = event.request
         attempt = self._attempts.find(request.job_id)
--- a/tanagerpath/core/coordination/tests/test_coordinator.py
+++ b/tanagerpath/core/coordination/tests/test_coordinator.py
@@ -171,6 +171,16 @@
         rig.run_for(LEASE_AND_MARGIN_S - 0.25)
         self.assertEqual({}, rig.upstreams["u0"].tasks)
 
+    def test_late_announcement_of_an_old_incarnation_is_corrected(self):
+        # The upstream saw renewals and stayed silent, and no start ever worked.
+        rig = Rig(upstreams=1)
+        old = rig.announce("u0")
+        rig.upstreams["u0"].incarnation = "i2"
+        rig.propose(RegisterUpstream(rig.announce("u0")))
+        rig.propose(RegisterUpstream(old))
+        rig.run_for(2.0)
+        self.assertEqual("i2", rig.state.upstreams["u0"].incarnation)
+
     def test_renewal_echoes_the_clock_of_the_last_reply(self):
         rig = Rig(upstreams=1)
         rig.run_for(3.0)
