Show for each promise a fault that the core check catches

Eleven safeguards of the core are broken in memory, one at a time, and the check has to name the broken promise.

--- a/tanagerpath/benchmarks/tests/core_faults.py
+++ b/tanagerpath/benchmarks/tests/core_faults.py
@@ -9,6 +9,7 @@
 
 import attrs
 
+from tanagerpath.benchmarks.core_check import CheckPlan
 from tanagerpath.core.admission import DocumentView
 from tanagerpath.core.consensus import Replica, Role
 from tanagerpath.core.coordination import attempts, driver, fleet
@@ -34,6 +35,8 @@
         Seed that catches it.
     target, attribute, replacement
         What is replaced by what.
+    faults_s : float
+        Virtual seconds under faults.
     """
 
     name: str
@@ -42,6 +45,13 @@
     target: object
     attribute: str
     replacement: object
+    faults_s: float = 15.0
+
+    @property
+    def plan(self) -> CheckPlan:
+        """Plan of the runs; only a fault of the end needs a long one."""
+        settle_limit_s = 0.0 if self.promise else 90.0
+        return CheckPlan(faults_s=self.faults_s, settle_limit_s=settle_limit_s)
 
     def in_force(self) -> contextlib.AbstractContextManager:
         """Return the context in which the fault is in force."""
@@ -74,7 +84,7 @@
     DeliberateFault(
         "every stopped attempt counts as never started",
         1,
-        1,
+        2,
         attempts.Attempt,
         "all_refuted",
         property(lambda self: True),
@@ -82,7 +92,7 @@
     DeliberateFault(
         "a job that may have run is cancelled as not run",
         2,
-        1,
+        9,
         JobRecord,
         "may_have_run",
         property(lambda self: False),
@@ -90,7 +100,7 @@
     DeliberateFault(
         "answers are not compared with their digest",
         3,
-        1,
+        40,
         driver,
         "is_answer_whole",
         lambda report: report.answer is not None,
@@ -109,10 +119,12 @@
     DeliberateFault(
         "a lost member does not stop its gang",
         5,
-        1,
+        46,
         driver.AttemptDriver,
         "lose_member",
         lambda self, attempt, member, now: [],
+        # The gang has to outlast the lease under one leader.
+        faults_s=25.0,
     ),
     DeliberateFault(
         "an equal revision replaces the document",
@@ -141,7 +153,7 @@
     DeliberateFault(
         "missing guarantees are not reported",
         9,
-        1,
+        12,
         GuaranteePlan,
         "list_unmet",
         lambda self: (),
