Give up a replaced incarnation only when its successor answers

Cause: any announcement of another incarnation ended the members of the known one at once, as if they were gone. A late copy of an older announcement did so while the task ran, and the job was started a second time beside it. Ruled out: the lease of the silent leader; the first attempt was ended by the registration at 14.46 s. Change: the members are lost once a renewal is answered under an incarnation other than the one they were reserved in; the new session keeps the end of the old lease until then. The regression test failed before.

--- a/tanagerpath/core/coordination/attempts.py
+++ b/tanagerpath/core/coordination/attempts.py
@@ -49,6 +49,8 @@
         Name of the saved state, empty if there is none.
     bad_reports : int
         Reports whose answer was not whole.
+    incarnation : str
+        Incarnation that was asked to reserve; empty if an earlier leader asked it.
     next_call_at_s : float
         Instant at which an unanswered request is sent again.
     """
@@ -62,6 +64,7 @@
     refuted: bool = False
     checkpoint: str = ""
     bad_reports: int = 0
+    incarnation: str = ""
     next_call_at_s: float = 0.0
 
 
--- a/tanagerpath/core/coordination/coordinator.py
+++ b/tanagerpath/core/coordination/coordinator.py
@@ -333,13 +333,20 @@
             self._effects += self._queue.take(record, now)
 
     def _register(self, announcement: protocol.Announcement, now: Instant) -> None:
-        replaced = self._fleet.register(announcement, now)
-        if not replaced:
-            return
-        upstream_id = announcement.capacity.upstream_id
+        self._fleet.register(announcement, now)
+
+    def _lose_replaced(self, session: UpstreamSession, now: Instant) -> None:
+        """Give up the members of other incarnations than the one that answers."""
+        upstream_id = session.upstream_id
+        current = ("", session.announcement.incarnation)
         for attempt in self._attempts.list_on(upstream_id):
             for member in attempt.members:
-                if member.run.upstream_id == upstream_id and attempt.starts_sent:
+                on_this = member.run.upstream_id == upstream_id
+                if (
+                    on_this
+                    and attempt.starts_sent
+                    and member.incarnation not in current
+                ):
                     self._effects += self._driver.lose_member(attempt, member, now)
             self._advance(attempt, now)
 
@@ -406,6 +413,8 @@
                 self._correct_incarnation(session, incarnation)
             case protocol.RenewReply():
                 asked_at_s = session.renewal_sent_at_s
+                if session.replied_at_s is None:
+                    self._lose_replaced(session, now)
                 self._effects += self._fleet.take_reply(session, event.reply, now)
                 self._compare_tasks(event.upstream_id, event.reply, asked_at_s, now)
             case protocol.ProbeReply(healthy):
--- a/tanagerpath/core/coordination/driver.py
+++ b/tanagerpath/core/coordination/driver.py
@@ -183,6 +183,8 @@
             request = self._find_request(attempt, member, incarnation, now)
             if request is None:
                 continue
+            if attempt.phase is AttemptPhase.RESERVING:
+                member.incarnation = incarnation
             member.next_call_at_s = now.now_s + RESEND_INTERVAL_S
             effects.append(session.call(request))
         return effects
--- a/tanagerpath/core/coordination/fleet.py
+++ b/tanagerpath/core/coordination/fleet.py
@@ -58,7 +58,8 @@
         Returns
         -------
         bool
-            True if an earlier incarnation was replaced, whose tasks are gone.
+            True if another incarnation was replaced. The announcement may be a late
+            one, so only a reply to a renewal shows which of them is gone.
         """
         upstream_id = announcement.capacity.upstream_id
         known = self._sessions.get(upstream_id)
@@ -70,7 +71,7 @@
         if known is None or replaced:
             self._sessions[upstream_id] = UpstreamSession(
                 announcement,
-                lease_expires_at_s=self._inherited_until_s,
+                lease_expires_at_s=self._find_lease_end_s(known),
                 next_renew_at_s=now.now_s,
             )
         else:
@@ -78,6 +79,12 @@
         self._update_condition(upstream_id, now, force=True)
         return replaced
 
+    def _find_lease_end_s(self, known: UpstreamSession | None) -> float:
+        """Return the end of the lease that an earlier incarnation may still hold."""
+        if known is None:
+            return self._inherited_until_s
+        return max(self._inherited_until_s, known.lease_expires_at_s)
+
     def remove(self, upstream_id: str) -> None:
         """Forget an upstream that has left."""
         if self._sessions.pop(upstream_id, None) is not None:
--- a/tanagerpath/core/coordination/tests/test_coordinator.py
+++ b/tanagerpath/core/coordination/tests/test_coordinator.py
@@ -181,6 +181,22 @@
         rig.run_for(2.0)
         self.assertEqual("i2", rig.state.upstreams["u0"].incarnation)
 
+    def test_late_announcement_does_not_end_a_running_attempt(self):
+        # A second attempt started beside the first one.
+        rig = Rig(upstreams=2)
+        old = rig.announce("u0")
+        rig.upstreams["u0"].incarnation = "i2"
+        rig.propose(RegisterUpstream(rig.announce("u0")))
+        rig.upstreams["u1"].silent = True
+        rig.run_for(4.0)
+        job_id = rig.submit(accelerators=8)
+        rig.run_for(1.0)
+        attempt = rig.record(job_id).attempt
+        rig.propose(RegisterUpstream(old))
+        rig.run_for(5.0)
+        self.assertEqual(attempt, rig.record(job_id).attempt)
+        self.assertEqual(JobState.START_RECORDED, rig.record(job_id).state)
+
     def test_renewal_echoes_the_clock_of_the_last_reply(self):
         rig = Rig(upstreams=1)
         rig.run_for(3.0)
