--- a/tanagerpath/core/coordination/fleet.py
+++ b/tanagerpath/core/coordination/fleet.py
@@ -69,7 +69,7 @@
         if known is None or replaced:
             self._sessions[upstream_id] = UpstreamSession(
                 announcement,
-                lease_expires_at_s=self._find_lease_end_s(known),
+                lease_expires_at_s=self._find_earlier_lease_end_s(known),
                 next_renew_at_s=now.now_s,
             )
         else:
@@ -77,7 +77,7 @@
         self._update_condition(upstream_id, now, force=True)
         return replaced
 
-    def _find_lease_end_s(self, known: UpstreamSession | None) -> float:
+    def _find_earlier_lease_end_s(self, known: UpstreamSession | None) -> float:
         """Return the end of the lease that an earlier incarnation may still hold."""
         if known is None:
             return self._inherited_until_s
