Merge changed guarantees in the state, and describe attempts where they live

Cause: the coordinator took shapes out of merged lists to judge a changed document, and wrote sentences about attempts.

--- a/tanagerpath/core/coordination/attempts.py
+++ b/tanagerpath/core/coordination/attempts.py
@@ -171,6 +171,15 @@
         finished = all(m.phase is TaskPhase.FINISHED for m in self.members)
         return finished and self.answer is not None
 
+    def describe(self) -> str:
+        """Say in one sentence where the attempt is and what it does."""
+        places = ", ".join(
+            f"{run.upstream_id}[{run.first}:{run.first + run.count}]"
+            for run in self.assignment.runs
+        )
+        reason = f" because {self.reason.message}" if self.reason else ""
+        return f"The job is {self.phase} on {places}{reason}."
+
     def make_reserve(
         self, member: Member, term: int, lapse_s: float, incarnation: str
     ) -> protocol.ReserveRequest:
--- a/tanagerpath/core/coordination/coordinator.py
+++ b/tanagerpath/core/coordination/coordinator.py
@@ -149,16 +149,7 @@
 
     def check_document(self, document: ServiceDocument) -> Result[None, Failure]:
         """Tell whether all guarantees could be held with this document in force."""
-        merged = self._state.merge_guarantees()
-        current = self._state.documents.get(document.service)
-        old_terms = current.document.organisations if current else ()
-        for terms in old_terms:
-            kept = list(merged[terms.name])
-            for shape in terms.guarantees:
-                kept.remove(shape)
-            merged[terms.name] = tuple(kept)
-        for terms in document.organisations:
-            merged[terms.name] = merged.get(terms.name, ()) + terms.guarantees
+        merged = self._state.merge_guarantees(document)
         if not any(merged.values()):
             return Success(None)
         return self._scheduler.check_guarantees(merged)
@@ -167,12 +158,7 @@
         """Say in one or two sentences why a job waits or where it runs."""
         attempt = self._attempts.find(job_id)
         if attempt is not None:
-            places = ", ".join(
-                f"{run.upstream_id}[{run.first}:{run.first + run.count}]"
-                for run in attempt.assignment.runs
-            )
-            reason = f" because {attempt.reason.message}" if attempt.reason else ""
-            return f"The job is {attempt.phase} on {places}{reason}."
+            return attempt.describe()
         if self._queue.is_pausing(job_id):
             return "The job waits for a short time after a failed attempt."
         return self._scheduler.explain(job_id, now.now_s)
@@ -327,7 +313,7 @@
             case ApplyDocument() if is_successful(result):
                 self._update_guarantees()
             case RegisterUpstream(announcement):
-                self._register(announcement, now)
+                self._fleet.register(announcement, now)
             case RemoveUpstream(upstream_id):
                 # It may have come back under a new incarnation in the meantime.
                 if upstream_id not in self._state.upstreams:
@@ -349,9 +335,6 @@
         if is_successful(result) and record is not None:
             self._effects += self._queue.take(record, now)
 
-    def _register(self, announcement: protocol.Announcement, now: Instant) -> None:
-        self._fleet.register(announcement, now)
-
     def _lose_replaced(self, session: UpstreamSession, now: Instant) -> None:
         """Give up the members of other incarnations than the one that answers."""
         upstream_id = session.upstream_id
--- a/tanagerpath/core/state/system.py
+++ b/tanagerpath/core/state/system.py
@@ -8,7 +8,12 @@
 from returns.result import Failure as ResultFailure
 from returns.result import Result, Success
 
-from tanagerpath.core.model import GuaranteedShape, JobRequest, JobState
+from tanagerpath.core.model import (
+    GuaranteedShape,
+    JobRequest,
+    JobState,
+    ServiceDocument,
+)
 from tanagerpath.core.protocol.callers import DocumentReply, ErrorBody
 from tanagerpath.core.protocol.internal import FeedReply, JobChange
 from tanagerpath.core.protocol.upstreams import Announcement
@@ -67,11 +72,22 @@
         """Return the jobs that have not ended, oldest first."""
         return [self._jobs[job_id] for job_id in self._open_job_ids]
 
-    def merge_guarantees(self) -> dict[str, tuple[GuaranteedShape, ...]]:
-        """Return all guaranteed shapes by organisation, over all documents."""
+    def merge_guarantees(
+        self, changed: ServiceDocument | None = None
+    ) -> dict[str, tuple[GuaranteedShape, ...]]:
+        """Return all guaranteed shapes by organisation, over all documents.
+
+        Parameters
+        ----------
+        changed : ServiceDocument, optional
+            Taken in place of the document in force for its service.
+        """
+        documents = {r.document.service: r.document for r in self._documents.values()}
+        if changed is not None:
+            documents[changed.service] = changed
         merged: dict[str, tuple[GuaranteedShape, ...]] = {}
-        for record in self._documents.values():
-            for terms in record.document.organisations:
+        for document in documents.values():
+            for terms in document.organisations:
                 merged[terms.name] = merged.get(terms.name, ()) + terms.guarantees
         return merged
 
