--- a/tanagerpath/settings/client.py
+++ b/tanagerpath/settings/client.py
@@ -1,14 +1,9 @@
 """Settings of the client commands."""
 
-from collections.abc import Mapping
-
 import attrs
-from returns.result import Failure as ResultFailure
-from returns.result import Result, Success
 
-from tanagerpath.settings.declaration import Setting, declare, find_fault
-from tanagerpath.settings.failures import InvalidSetting, MissingSetting
-from tanagerpath.settings.sources import read_values
+from tanagerpath.settings.base import SettingsBase
+from tanagerpath.settings.declaration import Setting, declare
 from tanagerpath.settings.values import AddressesType, NumberType
 
 __all__ = ["ClientSettings"]
@@ -37,35 +32,9 @@
 
 
 @attrs.frozen(kw_only=True)
-class ClientSettings:
+class ClientSettings(SettingsBase):
     """Settings of the client commands; docs/settings.md describes each one."""
 
     entries: tuple[str, ...] = declare(_ENTRIES)
     client_timeout_s: float = declare(_CLIENT_TIMEOUT_S)
     client_pause_s: float = declare(_CLIENT_PAUSE_S)
-
-    @classmethod
-    def from_given(
-        cls, given: Mapping[str, str | None], environment: Mapping[str, str]
-    ) -> Result["ClientSettings", InvalidSetting | MissingSetting]:
-        """Read and check all settings.
-
-        Parameters
-        ----------
-        given : mapping of str to str or None
-            Texts of flags by name; other names are ignored.
-        environment : mapping of str to str
-            Environment variables.
-
-        Returns
-        -------
-        Result
-            The settings, or the first fault found.
-        """
-        return read_values(cls, given, environment).bind(cls._from_values)
-
-    @classmethod
-    def _from_values(cls, values: dict) -> Result["ClientSettings", InvalidSetting]:
-        settings = cls(**values)
-        fault = find_fault(settings, ())
-        return Success(settings) if fault is None else ResultFailure(fault)
--- a/tanagerpath/settings/entry.py
+++ b/tanagerpath/settings/entry.py
@@ -1,15 +1,10 @@
 """Settings of an entry process."""
 
-from collections.abc import Mapping, Sequence
-
 import attrs
-from returns.result import Failure as ResultFailure
-from returns.result import Result, Success
 
 from tanagerpath.settings import common
-from tanagerpath.settings.declaration import Ordering, Setting, declare, find_fault
-from tanagerpath.settings.failures import InvalidSetting, MissingSetting
-from tanagerpath.settings.sources import read_flags, read_values
+from tanagerpath.settings.base import SettingsBase
+from tanagerpath.settings.declaration import Ordering, Setting, declare
 from tanagerpath.settings.values import ControlAddress, NumberType, WholeNumberType
 
 __all__ = ["EntrySettings"]
@@ -65,9 +60,11 @@
 
 
 @attrs.frozen(kw_only=True)
-class EntrySettings:
+class EntrySettings(SettingsBase):
     """Settings of an entry process; docs/settings.md describes each one."""
 
+    ORDERINGS = _ORDERINGS
+
     vm_id: str = declare(common.VM_ID)
     availability_zone: str = declare(common.AVAILABILITY_ZONE)
     listen: str = declare(common.LISTEN)
@@ -80,41 +77,3 @@
     drain_notice_s: float = declare(_DRAIN_NOTICE_S)
     drain_timeout_s: float = declare(_DRAIN_TIMEOUT_S)
     log_level: str = declare(common.LOG_LEVEL)
-
-    @classmethod
-    def from_arguments(
-        cls, argv: Sequence[str], environment: Mapping[str, str]
-    ) -> Result["EntrySettings", InvalidSetting | MissingSetting]:
-        """Read and check all settings.
-
-        Parameters
-        ----------
-        argv : sequence of str
-            Flags, without the name of the program.
-        environment : mapping of str to str
-            Environment variables.
-
-        Returns
-        -------
-        Result
-            The settings, or the first fault found.
-        """
-        given = read_flags(cls, argv)
-        return given.bind(lambda texts: cls.from_given(texts, environment))
-
-    @classmethod
-    def from_given(
-        cls, given: Mapping[str, str | None], environment: Mapping[str, str]
-    ) -> Result["EntrySettings", InvalidSetting | MissingSetting]:
-        """Read and check all settings from parsed flags; see `from_arguments`."""
-        return read_values(cls, given, environment).bind(cls._from_values)
-
-    @classmethod
-    def _from_values(cls, values: dict) -> Result["EntrySettings", InvalidSetting]:
-        settings = cls(**values)
-        fault = settings.find_fault()
-        return Success(settings) if fault is None else ResultFailure(fault)
-
-    def find_fault(self) -> InvalidSetting | None:
-        """Return the first fault of the values by themselves or together, or None."""
-        return find_fault(self, _ORDERINGS)
