Move planned runs only for work that has no place beside them

Change: the plan moves only if no usable accelerators for the job lie outside it. Conclusion: kept, because it moves the plan less often; the large wait is listed as open.

--- a/tanagerpath/core/placement/decisions.py
+++ b/tanagerpath/core/placement/decisions.py
@@ -8,6 +8,10 @@
 from tanagerpath.core.model import Assignment, JobClass
 from tanagerpath.core.placement.context import PolicyContext
 from tanagerpath.core.placement.dating import EarliestRunSearch
+from tanagerpath.core.placement.geometry import (
+    MAX_SINGLE_UPSTREAM,
+    measure_longest_run,
+)
 from tanagerpath.core.placement.guarantees import PlannedRun
 from tanagerpath.core.placement.holds import Hold
 from tanagerpath.core.placement.occupancy import HeldJob
@@ -138,6 +142,9 @@
             return False
         self._plan_reviews += 1
         reviewed_at_s[job.job_id] = context.now_s
+        if self._has_place_beside_plan(job):
+            # It waits for that place; moving the plan for it too would scatter both.
+            return False
         search = PlacementSearch.from_job(context, job, set(), beside_plan=False)
         wanted = search.find_free()
         if wanted is None or not context.plan.make_way(wanted):
@@ -149,6 +156,26 @@
         self._place(job, assignment)
         return True
 
+    def _has_place_beside_plan(self, job: PendingJob) -> bool:
+        """Whether some usable accelerators for a job lie outside all planned runs."""
+        context = self._context
+        size = job.request.accelerators
+        topology = context.occupancy.topology
+        for window in topology.list_windows(size):
+            if not all(map(context.is_open, window)):
+                continue
+            outside = [
+                context.occupancy.states[name].all_mask
+                & ~context.plan.masks.get(name, 0)
+                for name in window
+            ]
+            if size <= MAX_SINGLE_UPSTREAM:
+                if measure_longest_run(outside[0]) >= size:
+                    return True
+            elif not any(context.plan.masks.get(name, 0) for name in window):
+                return True
+        return False
+
     def _is_large(self, job: PendingJob) -> bool:
         least = self._context.config.reservation_accelerators
         return job.request.accelerators >= least
