--- a/tanagerpath/core/coordination/attempts.py
+++ b/tanagerpath/core/coordination/attempts.py
@@ -171,6 +171,17 @@
         finished = all(m.phase is TaskPhase.FINISHED for m in self.members)
         return finished and self.answer is not None
 
+    def list_replaced(self, upstream_id: str, incarnation: str) -> list[Member]:
+        """Return the members on an upstream that an earlier incarnation reserved."""
+        current = ("", incarnation)
+        return [
+            member
+            for member in self.members
+            if member.run.upstream_id == upstream_id
+            and self.starts_sent
+            and member.incarnation not in current
+        ]
+
     def describe(self) -> str:
         """Say in one sentence where the attempt is and what it does."""
         places = ", ".join(
--- a/tanagerpath/core/coordination/coordinator.py
+++ b/tanagerpath/core/coordination/coordinator.py
@@ -337,17 +337,10 @@
 
     def _lose_replaced(self, session: UpstreamSession, now: Instant) -> None:
         """Give up the members of other incarnations than the one that answers."""
-        upstream_id = session.upstream_id
-        current = ("", session.announcement.incarnation)
-        for attempt in self._attempts.list_on(upstream_id):
-            for member in attempt.members:
-                on_this = member.run.upstream_id == upstream_id
-                if (
-                    on_this
-                    and attempt.starts_sent
-                    and member.incarnation not in current
-                ):
-                    self._effects += self._driver.lose_member(attempt, member, now)
+        incarnation = session.announcement.incarnation
+        for attempt in self._attempts.list_on(session.upstream_id):
+            for member in attempt.list_replaced(session.upstream_id, incarnation):
+                self._effects += self._driver.lose_member(attempt, member, now)
             self._advance(attempt, now)
 
     def _take_start_record(
@@ -410,7 +403,8 @@
             case protocol.RenewReply(incarnation=incarnation) if (
                 incarnation != session.announcement.incarnation
             ):
-                self._correct_incarnation(session, incarnation)
+                actual = self._fleet.correct_incarnation(session, incarnation)
+                self._effects.append(Propose(RegisterUpstream(actual)))
             case protocol.RenewReply():
                 asked_at_s = session.renewal_sent_at_s
                 if session.replied_at_s is None:
@@ -422,15 +416,6 @@
             case _:
                 self._take_member_reply(event, now)
 
-    def _correct_incarnation(self, session: UpstreamSession, incarnation: str) -> None:
-        """Register who answers: a late announcement of an older one came last.
-
-        The upstream sees renewals, so it does not announce itself again.
-        """
-        self._fleet.note_silence(session)
-        announcement = attrs.evolve(session.announcement, incarnation=incarnation)
-        self._effects.append(Propose(RegisterUpstream(announcement)))
-
     def _take_member_reply(self, event: UpstreamReplied, now: Instant) -> None:
         request = event.request
         attempt = self._attempts.find(request.job_id)
--- a/tanagerpath/core/coordination/fleet.py
+++ b/tanagerpath/core/coordination/fleet.py
@@ -2,6 +2,8 @@
 
 from collections.abc import Iterable
 
+import attrs
+
 from tanagerpath.core.coordination.messages import CallUpstream, Instant
 from tanagerpath.core.coordination.sessions import LeaseTerms, UpstreamSession
 from tanagerpath.core.placement import Scheduler, UpstreamCondition
@@ -50,21 +52,18 @@
         """Sessions by upstream id; not to be changed by the caller."""
         return self._sessions
 
-    def register(self, announcement: Announcement, now: Instant) -> bool:
+    def register(self, announcement: Announcement, now: Instant) -> None:
         """Take in an upstream or its new incarnation.
 
-        Returns
-        -------
-        bool
-            True if another incarnation was replaced. The announcement may be a late
-            one, so only a reply to a renewal shows which of them is gone.
+        The announcement may be a late one, so only a reply to a renewal shows which
+        incarnation is gone.
         """
         upstream_id = announcement.capacity.upstream_id
         known = self._sessions.get(upstream_id)
         replaced = False
         if known is not None:
             if known.announcement == announcement:
-                return False
+                return
             replaced = known.announcement.incarnation != announcement.incarnation
         if known is None or replaced:
             self._sessions[upstream_id] = UpstreamSession(
@@ -75,7 +74,6 @@
         else:
             known.announcement = announcement
         self._update_condition(upstream_id, now, force=True)
-        return replaced
 
     def _find_earlier_lease_end_s(self, known: UpstreamSession | None) -> float:
         """Return the end of the lease that an earlier incarnation may still hold."""
@@ -126,6 +124,17 @@
             return [session.renew(self._term, now.now_s, self._terms)]
         return []
 
+    def correct_incarnation(
+        self, session: UpstreamSession, incarnation: str
+    ) -> Announcement:
+        """Return the announcement of who answers a renewal in place of the known one.
+
+        A late announcement of an older incarnation came last. The upstream sees
+        renewals, so it does not announce itself again.
+        """
+        self.note_silence(session)
+        return attrs.evolve(session.announcement, incarnation=incarnation)
+
     def note_silence(self, session: UpstreamSession) -> None:
         """Note that a renewal got no reply."""
         session.renewal_in_flight = False
