Separate the replicated node from the decisions that it replicates

Cause: the platform's jobs need a second kind of replicated decisions. Leading, proposing, applying and restoring stood inside ControlNode, which decides on gang jobs. ReplicatedNode now holds them; ControlNode keeps its state and its decisions. No change of behaviour.

--- a/tanagerpath/core/control/node.py
+++ b/tanagerpath/core/control/node.py
@@ -9,14 +9,9 @@
 from tanagerpath.core import consensus
 from tanagerpath.core.control.codec import StateCodec
 from tanagerpath.core.control.feeds import FeedDesk
-from tanagerpath.core.control.messages import (
-    AnswerRequest,
-    ControlAction,
-    ControlEvent,
-    HandOverRequested,
-    RequestArrived,
-)
-from tanagerpath.core.control.proposals import Proposal, ProposalRegister
+from tanagerpath.core.control.messages import ControlEvent, RequestArrived
+from tanagerpath.core.control.proposals import Proposal
+from tanagerpath.core.control.replicated import ReplicatedNode
 from tanagerpath.core.control.requests import RequestDesk
 from tanagerpath.core.control.status import describe_status
 from tanagerpath.core.coordination import (
@@ -76,18 +71,14 @@
 class _LeaderTerm:
     """What exists only while this node leads."""
 
-    term: int
     coordinator: Coordinator
     desk: RequestDesk
     events: list[Event] = attrs.field(factory=list)
 
 
-class ControlNode:
+class ControlNode(ReplicatedNode):
     """Replica, replicated state and, on the leader, all decisions.
 
-    The owner calls `step` with what has arrived and carries out the returned actions
-    in their order. It calls it again no later than `find_wake_up_s`.
-
     Parameters
     ----------
     config : ControlNodeConfig
@@ -107,20 +98,13 @@
         codec: StateCodec,
         make_scheduler: SchedulerFactory,
     ) -> None:
+        super().__init__(replica, codec, config.tick_interval_s)
         self._config = config
-        self._replica = replica
-        self._codec = codec
         self._make_scheduler = make_scheduler
         self._state = SystemState()
         self._leader_term: _LeaderTerm | None = None
         self._feeds = FeedDesk(config.feed_hold_s)
-        self._proposals = ProposalRegister()
-        self._hand_overs: list[int] = []
         self._event_counts: collections.Counter[str] = collections.Counter()
-        self._next_tick_s = 0.0
-        self._now_s = 0.0
-        self._now_unix_s = 0.0
-        self._actions: list[ControlAction] = []
 
     @classmethod
     def from_config(
@@ -149,87 +133,33 @@
         replica = consensus.Replica.from_config(config.replica, restored, source)
         return cls(config, replica, codec, make_scheduler)
 
-    @property
-    def replica(self) -> consensus.Replica:
-        """The replica; for its status only."""
-        return self._replica
-
     @property
     def state(self) -> SystemState:
         """The replicated state; to be read only."""
         return self._state
 
-    @property
-    def is_deciding(self) -> bool:
-        """Whether this node leads and has taken over the decisions."""
-        return self._leader_term is not None
-
     def find_wake_up_s(self) -> float:
         """Return the instant at which `step` is due without an event."""
-        replica_s = self._replica.find_wake_up_s()
-        return min(replica_s, self._next_tick_s, self._feeds.find_wake_up_s())
-
-    def step(
-        self, events: list[ControlEvent], now_s: float, now_unix_s: float
-    ) -> list[ControlAction]:
-        """Take what has arrived and return what is to be done.
-
-        Parameters
-        ----------
-        events : list of ControlEvent
-            Events in the order of their arrival; may be empty.
-        now_s : float
-            Seconds on the monotonic clock, read after the events were taken.
-        now_unix_s : float
-            UTC seconds.
-
-        Returns
-        -------
-        list of ControlAction
-            To be carried out in order.
-        """
-        self._now_s = now_s
-        self._now_unix_s = now_unix_s
-        for event in events:
-            self._take(event)
-        if now_s >= self._replica.find_wake_up_s():
-            self._step_replica(consensus.Tick())
-        self._update_leadership()
-        self._tick()
-        self._coordinate()
-        now = self._read_instant()
-        self._actions += self._feeds.release(self._state, now_s, now.has_lease)
-        actions, self._actions = self._actions, []
-        return actions
-
-    def _read_instant(self) -> Instant:
-        has_lease = self._replica.has_lease(self._now_s)
-        return Instant(self._now_s, self._now_unix_s, has_lease)
+        return min(super().find_wake_up_s(), self._feeds.find_wake_up_s())
 
     def _tick(self) -> None:
-        if self._now_s < self._next_tick_s:
-            return
-        self._next_tick_s = self._now_s + self._config.tick_interval_s
         if self._leader_term is not None:
             self._leader_term.events.append(Ticked())
 
+    def _decide(self) -> None:
+        self._coordinate()
+        now = self._read_instant()
+        self._actions += self._feeds.release(self._state, self._now_s, now.has_lease)
+
     # Events
 
-    def _take(self, event: ControlEvent) -> None:
+    def _take_event(self, event: ControlEvent) -> None:
         match event:
-            case consensus.MessageReceived() | consensus.StorageSynced():
-                self._step_replica(event)
             case RequestArrived():
                 self._take_request(event)
             case UpstreamReplied() | UpstreamCallFailed():
                 if self._leader_term is not None:
                     self._leader_term.events.append(event)
-            case HandOverRequested(token):
-                if self._replica.voters == (self._replica.replica_id,):
-                    self._answer(token, None)
-                    return
-                self._hand_overs.append(token)
-                self._step_replica(consensus.TransferRequested())
 
     def _take_request(self, arrived: RequestArrived) -> None:
         now = self._read_instant()
@@ -255,65 +185,26 @@
         elif followed is not None:
             leader_term.events.append(followed)
 
-    def _answer(self, token: int, reply: internal.InternalReply | None) -> None:
-        self._actions.append(AnswerRequest(token, reply))
-
     def _describe_status(self, leader_term: _LeaderTerm) -> internal.StatusReply:
         return describe_status(
             self._replica, self._state, leader_term.coordinator, self._event_counts
         )
 
-    def _make_not_leader(self) -> internal.NotLeaderReply:
-        leader_id = self._replica.leader_id
-        if leader_id is None or leader_id == self._replica.replica_id:
-            return internal.NotLeaderReply()
-        address = self._replica.find_address(leader_id) or ""
-        return internal.NotLeaderReply(leader_id.rpartition(".")[0], address)
-
-    # Log
-
-    def _propose(self, proposal: Proposal) -> None:
-        number = self._proposals.add(proposal)
-        payload = self._codec.encode_command(proposal.command)
-        self._step_replica(consensus.CommandProposed(number, payload))
-
-    def _step_replica(self, event: consensus.Event) -> None:
-        for action in self._replica.step(event, self._now_s):
-            self._take_action(action)
-
-    def _take_action(self, action: consensus.Action) -> None:
-        match action:
-            case consensus.DeliverCommitted(entries):
-                for committed in entries:
-                    self._apply(committed)
-            case consensus.RestoreSnapshot(snapshot):
-                restored = self._codec.decode_snapshot(snapshot.payload)
-                self._state = SystemState.from_snapshot(restored)
-            case consensus.RequestSnapshot():
-                self._provide_snapshot()
-            case consensus.ProposalRejected(number, failure):
-                proposal = self._proposals.take(number)
-                if proposal is not None:
-                    self._actions += proposal.reject(failure)
-            case _:
-                self._actions.append(action)
+    # State
 
-    def _provide_snapshot(self) -> None:
-        payload = self._codec.encode_snapshot(self._state.make_snapshot())
-        index = self._state.applied_index
-        self._step_replica(consensus.SnapshotProvided(index, payload))
+    def _restore(self, snapshot: object) -> None:
+        self._state = SystemState.from_snapshot(snapshot)
 
-    def _apply(self, committed: consensus.CommittedEntry) -> None:
-        entry = committed.entry
-        if entry.kind is not consensus.EntryKind.COMMAND:
-            self._state.skip(entry.index)
-            return
-        proposal = self._proposals.take(committed.proposal_id)
-        if proposal is not None:
-            command = proposal.command
-        else:
-            command = self._codec.decode_command(entry.payload)
-        result = self._state.apply(entry.index, command)
+    def _take_snapshot(self) -> tuple[int, object]:
+        return self._state.applied_index, self._state.make_snapshot()
+
+    def _skip(self, index: int) -> None:
+        self._state.skip(index)
+
+    def _apply_command(
+        self, index: int, command: object, proposal: Proposal | None
+    ) -> None:
+        result = self._state.apply(index, command)
         if self._leader_term is not None:
             self._leader_term.events.append(CommandApplied(command, result))
         if proposal is not None:
@@ -321,30 +212,16 @@
 
     # Leadership
 
-    def _update_leadership(self) -> None:
-        leads = self._replica.role is consensus.Role.LEADER
-        held = self._leader_term
-        if held is not None and (not leads or held.term != self._replica.term):
-            self._end_term(held)
-        now = self._read_instant()
-        if leads and self._leader_term is None and now.has_lease:
-            self._begin_term(now)
-        if not leads and self._replica.leader_id is not None:
-            for token in self._hand_overs:
-                self._answer(token, None)
-            self._hand_overs = []
-
-    def _begin_term(self, now: Instant) -> None:
-        term = self._replica.term
+    def _begin_term(self, term: int, now: Instant) -> None:
         coordinator = Coordinator.from_state(
             self._config.coordinator, self._state, self._make_scheduler(), term, now
         )
         desk = RequestDesk(self._state, coordinator, self._config.max_proposals)
-        self._leader_term = _LeaderTerm(term, coordinator, desk)
+        self._leader_term = _LeaderTerm(coordinator, desk)
 
-    def _end_term(self, leader_term: _LeaderTerm) -> None:
-        leader_term.desk.drop_waiting()
-        self._actions += leader_term.desk.take_answers()
+    def _end_term(self) -> None:
+        self._leader_term.desk.drop_waiting()
+        self._actions += self._leader_term.desk.take_answers()
         self._leader_term = None
 
     # Decisions
--- a/tanagerpath/core/control/proposals.py
+++ b/tanagerpath/core/control/proposals.py
@@ -1,5 +1,6 @@
 """Commands on their way through the log, and who waits for them."""
 
+import abc
 import itertools
 
 import attrs
@@ -11,11 +12,11 @@
 from tanagerpath.core.protocol.callers import ErrorBody
 from tanagerpath.core.protocol.internal import NotLeaderReply
 from tanagerpath.core.protocol.upstreams import Announcement, AnnouncementReply
-from tanagerpath.core.state import Command, JobRecord, SystemState
+from tanagerpath.core.state import JobRecord, SystemState
 from tanagerpath.core.state.failures import UnknownJob
 from tanagerpath.errors import Failure
 
-__all__ = ["Proposal", "ProposalRegister", "describe_job"]
+__all__ = ["OpenProposal", "Proposal", "ProposalRegister", "describe_job"]
 
 
 def describe_job(state: SystemState, job_id: str) -> object:
@@ -39,15 +40,31 @@
 
 
 @attrs.frozen
-class Proposal:
-    """A command to append, and the exchanges that wait for its outcome.
+class OpenProposal(abc.ABC):
+    """A command to append, and the exchanges that wait for its outcome."""
+
+    command: object
+    tokens: tuple[int, ...] = ()
+
+    def reject(self, failure: Failure) -> list[AnswerRequest]:
+        """Tell all who wait that leadership was lost, and if the command may commit."""
+        may_commit = not isinstance(failure, NotLeader)
+        reply = NotLeaderReply(may_commit=may_commit)
+        return [AnswerRequest(token, reply) for token in self.tokens]
+
+    @abc.abstractmethod
+    def answer(self, result: object, state: object) -> list[AnswerRequest]:
+        """Return the outcome for all who wait."""
+
+
+@attrs.frozen
+class Proposal(OpenProposal):
+    """A command of the job log.
 
     `job_ids` names the jobs whose state each exchange gets instead of the outcome of
     the command.
     """
 
-    command: Command
-    tokens: tuple[int, ...] = ()
     job_ids: tuple[str, ...] = ()
 
     def answer(
@@ -62,29 +79,23 @@
         outcome = _describe_outcome(result) if self.tokens else None
         return [AnswerRequest(token, outcome) for token in self.tokens]
 
-    def reject(self, failure: Failure) -> list[AnswerRequest]:
-        """Tell all who wait that leadership was lost, and if the command may commit."""
-        may_commit = not isinstance(failure, NotLeader)
-        reply = NotLeaderReply(may_commit=may_commit)
-        return [AnswerRequest(token, reply) for token in self.tokens]
-
 
 class ProposalRegister:
     """Open proposals by the number that the replica returns with their outcome."""
 
     def __init__(self) -> None:
-        self._open: dict[int, Proposal] = {}
+        self._open: dict[int, OpenProposal] = {}
         self._numbers = itertools.count(1)
 
     def __len__(self) -> int:
         return len(self._open)
 
-    def add(self, proposal: Proposal) -> int:
+    def add(self, proposal: OpenProposal) -> int:
         """Note a proposal and return its number."""
         number = next(self._numbers)
         self._open[number] = proposal
         return number
 
-    def take(self, number: int | None) -> Proposal | None:
+    def take(self, number: int | None) -> OpenProposal | None:
         """Remove and return a proposal; None if this node did not make it."""
         return None if number is None else self._open.pop(number, None)
--- /dev/null
+++ b/tanagerpath/core/control/replicated.py
@@ -0,0 +1,220 @@
+"""A node that keeps a replicated state, without input or output."""
+
+import abc
+
+from tanagerpath.core import consensus
+from tanagerpath.core.control.codec import StateCodec
+from tanagerpath.core.control.messages import (
+    AnswerRequest,
+    ControlAction,
+    ControlEvent,
+    HandOverRequested,
+)
+from tanagerpath.core.control.proposals import OpenProposal, ProposalRegister
+from tanagerpath.core.coordination import Instant
+from tanagerpath.core.protocol.internal import InternalReply, NotLeaderReply
+
+__all__ = ["ReplicatedNode"]
+
+
+class ReplicatedNode(abc.ABC):
+    """Replica, proposals and terms of leadership; subclasses hold the state.
+
+    The owner calls `step` with what has arrived and carries out the returned actions
+    in their order. It calls it again no later than `find_wake_up_s`.
+
+    Parameters
+    ----------
+    replica : Replica
+        The replica.
+    codec : StateCodec
+        Encoding of log payloads.
+    tick_interval_s : float
+        Seconds between two looks of the leader at its deadlines.
+    """
+
+    def __init__(
+        self, replica: consensus.Replica, codec: StateCodec, tick_interval_s: float
+    ) -> None:
+        self._replica = replica
+        self._codec = codec
+        self._tick_interval_s = tick_interval_s
+        self._proposals = ProposalRegister()
+        self._hand_overs: list[int] = []
+        self._led_term: int | None = None
+        self._next_tick_s = 0.0
+        self._now_s = 0.0
+        self._now_unix_s = 0.0
+        self._actions: list[ControlAction] = []
+
+    @property
+    def replica(self) -> consensus.Replica:
+        """The replica; for its status only."""
+        return self._replica
+
+    @property
+    def is_deciding(self) -> bool:
+        """Whether this node leads and has taken over the decisions."""
+        return self._led_term is not None
+
+    def find_wake_up_s(self) -> float:
+        """Return the instant at which `step` is due without an event."""
+        return min(self._replica.find_wake_up_s(), self._next_tick_s)
+
+    def step(
+        self, events: list[ControlEvent], now_s: float, now_unix_s: float
+    ) -> list[ControlAction]:
+        """Take what has arrived and return what is to be done.
+
+        Parameters
+        ----------
+        events : list of ControlEvent
+            Events in the order of their arrival; may be empty.
+        now_s : float
+            Seconds on the monotonic clock, read after the events were taken.
+        now_unix_s : float
+            UTC seconds.
+
+        Returns
+        -------
+        list of ControlAction
+            To be carried out in order.
+        """
+        self._now_s = now_s
+        self._now_unix_s = now_unix_s
+        for event in events:
+            self._take(event)
+        if now_s >= self._replica.find_wake_up_s():
+            self._step_replica(consensus.Tick())
+        self._update_leadership()
+        if now_s >= self._next_tick_s:
+            self._next_tick_s = now_s + self._tick_interval_s
+            self._tick()
+        self._decide()
+        actions, self._actions = self._actions, []
+        return actions
+
+    def _read_instant(self) -> Instant:
+        has_lease = self._replica.has_lease(self._now_s)
+        return Instant(self._now_s, self._now_unix_s, has_lease)
+
+    def _take(self, event: ControlEvent) -> None:
+        match event:
+            case consensus.MessageReceived() | consensus.StorageSynced():
+                self._step_replica(event)
+            case HandOverRequested(token):
+                if self._replica.voters == (self._replica.replica_id,):
+                    self._answer(token, None)
+                    return
+                self._hand_overs.append(token)
+                self._step_replica(consensus.TransferRequested())
+            case _:
+                self._take_event(event)
+
+    def _answer(self, token: int, reply: InternalReply | None) -> None:
+        self._actions.append(AnswerRequest(token, reply))
+
+    def _make_not_leader(self) -> NotLeaderReply:
+        leader_id = self._replica.leader_id
+        if leader_id is None or leader_id == self._replica.replica_id:
+            return NotLeaderReply()
+        address = self._replica.find_address(leader_id) or ""
+        return NotLeaderReply(leader_id.rpartition(".")[0], address)
+
+    # Log
+
+    def _propose(self, proposal: OpenProposal) -> None:
+        number = self._proposals.add(proposal)
+        payload = self._codec.encode_command(proposal.command)
+        self._step_replica(consensus.CommandProposed(number, payload))
+
+    def _step_replica(self, event: consensus.Event) -> None:
+        for action in self._replica.step(event, self._now_s):
+            self._take_action(action)
+
+    def _take_action(self, action: consensus.Action) -> None:
+        match action:
+            case consensus.DeliverCommitted(entries):
+                for committed in entries:
+                    self._apply(committed)
+            case consensus.RestoreSnapshot(snapshot):
+                self._restore(self._codec.decode_snapshot(snapshot.payload))
+            case consensus.RequestSnapshot():
+                index, state = self._take_snapshot()
+                payload = self._codec.encode_snapshot(state)
+                self._step_replica(consensus.SnapshotProvided(index, payload))
+            case consensus.ProposalRejected(number, failure):
+                proposal = self._proposals.take(number)
+                if proposal is not None:
+                    self._actions += proposal.reject(failure)
+            case _:
+                self._actions.append(action)
+
+    def _apply(self, committed: consensus.CommittedEntry) -> None:
+        entry = committed.entry
+        if entry.kind is not consensus.EntryKind.COMMAND:
+            self._skip(entry.index)
+            return
+        proposal = self._proposals.take(committed.proposal_id)
+        if proposal is not None:
+            command = proposal.command
+        else:
+            command = self._codec.decode_command(entry.payload)
+        self._apply_command(entry.index, command, proposal)
+
+    # Leadership
+
+    def _update_leadership(self) -> None:
+        leads = self._replica.role is consensus.Role.LEADER
+        held = self._led_term
+        if held is not None and (not leads or held != self._replica.term):
+            self._end_term()
+            self._led_term = None
+        now = self._read_instant()
+        if leads and self._led_term is None and now.has_lease:
+            self._begin_term(self._replica.term, now)
+            self._led_term = self._replica.term
+        if not leads and self._replica.leader_id is not None:
+            for token in self._hand_overs:
+                self._answer(token, None)
+            self._hand_overs = []
+
+    # What subclasses decide
+
+    @abc.abstractmethod
+    def _take_event(self, event: ControlEvent) -> None:
+        """Take an event that does not concern the replica."""
+
+    @abc.abstractmethod
+    def _apply_command(
+        self, index: int, command: object, proposal: OpenProposal | None
+    ) -> None:
+        """Apply a committed command, and answer who waits for it."""
+
+    @abc.abstractmethod
+    def _skip(self, index: int) -> None:
+        """Note an entry that holds no command."""
+
+    @abc.abstractmethod
+    def _restore(self, snapshot: object) -> None:
+        """Replace the state by a decoded snapshot."""
+
+    @abc.abstractmethod
+    def _take_snapshot(self) -> tuple[int, object]:
+        """Return the last applied index and the state to encode."""
+
+    @abc.abstractmethod
+    def _begin_term(self, term: int, now: Instant) -> None:
+        """Start to decide as the leader of a term."""
+
+    @abc.abstractmethod
+    def _end_term(self) -> None:
+        """Stop deciding; answer who waits for a decision."""
+
+    @abc.abstractmethod
+    def _tick(self) -> None:
+        """Note that time has passed."""
+
+    @abc.abstractmethod
+    def _decide(self) -> None:
+        """Decide on all that has arrived in this step."""
