--- a/tanagerpath/benchmarks/capacity_processes.py
+++ b/tanagerpath/benchmarks/capacity_processes.py
@@ -32,7 +32,7 @@
     InternalRequest,
 )
 from tanagerpath.core.state import make_job_id
-from tanagerpath.services.leader_link import INTERNAL_REQUEST_PATH
+from tanagerpath.services.leader_link import JOB_PROTOCOL
 
 __all__ = ["Child", "EntryProbe", "LeaderProbe"]
 
@@ -131,7 +131,7 @@
         self.answers_at_once = False
         self.polls = 0
         self._index = 1
-        route = Route(INTERNAL_REQUEST_PATH, self._answer, methods=["POST"])
+        route = Route(JOB_PROTOCOL.path, self._answer, methods=["POST"])
         self.server = ServerThread([route])
 
     async def _answer(self, request: Request) -> Response:
--- a/tanagerpath/core/admission/__init__.py
+++ b/tanagerpath/core/admission/__init__.py
@@ -9,7 +9,7 @@
 )
 from tanagerpath.core.admission.freshness import DocumentView
 from tanagerpath.core.admission.limits import RequestLimits, RetryBudget
-from tanagerpath.core.admission.routing import LeaderRoute
+from tanagerpath.core.admission.routing import LeaderRoute, Route, SearchingRoute
 
 __all__ = [
     "DocumentView",
@@ -21,4 +21,6 @@
     "Overloaded",
     "RequestLimits",
     "RetryBudget",
+    "Route",
+    "SearchingRoute",
 ]
--- a/tanagerpath/core/admission/routing.py
+++ b/tanagerpath/core/admission/routing.py
@@ -1,10 +1,40 @@
 """Which control process an entry asks next."""
 
-__all__ = ["LeaderRoute"]
+import abc
 
+__all__ = ["LeaderRoute", "Route", "SearchingRoute"]
 
-class LeaderRoute:
-    """Follows the leader from hints, and searches when there is none.
+# A hint to a process that has just been silent is not followed for this long.
+SILENCE_S = 1.0
+
+
+class Route(abc.ABC):
+    """Follows the leader from answers and hints."""
+
+    def __init__(self) -> None:
+        self.leader_address: str | None = None
+
+    @abc.abstractmethod
+    def find_address(self, now_s: float) -> str | None:
+        """Return the address to ask at an instant, None to wait for the leader."""
+
+    def note_leader(self, address: str) -> None:
+        """Note that a process answered as the leader."""
+        self.leader_address = address
+
+    def note_hint(self, asked: str, hinted: str) -> None:
+        """Note that a process is not the leader and which one it named."""
+        if self.leader_address in (None, asked):
+            self.leader_address = hinted if hinted and hinted != asked else None
+
+    def note_silence(self, asked: str, now_s: float = 0.0) -> None:
+        """Note that a process did not answer."""
+        if self.leader_address == asked:
+            self.leader_address = None
+
+
+class LeaderRoute(Route):
+    """Asks only the known leader, which another task finds.
 
     Parameters
     ----------
@@ -13,9 +43,13 @@
     """
 
     def __init__(self, addresses: tuple[str, ...]) -> None:
+        super().__init__()
         self._addresses = addresses
         self._next = 0
-        self.leader_address: str | None = None
+
+    def find_address(self, now_s: float) -> str | None:
+        """Return the known leader."""
+        return self.leader_address
 
     def choose(self) -> str:
         """Return the address to ask: the known leader, else the next in turn."""
@@ -25,16 +59,54 @@
         self._next += 1
         return address
 
-    def note_leader(self, address: str) -> None:
-        """Note that a process answered as the leader."""
-        self.leader_address = address
 
-    def note_hint(self, asked: str, hinted: str) -> None:
-        """Note that a process is not the leader and which one it named."""
-        if self.leader_address in (None, asked):
-            self.leader_address = hinted if hinted and hinted != asked else None
+class SearchingRoute(Route):
+    """Asks the known leader, or all known control processes in turn.
 
-    def note_silence(self, asked: str) -> None:
+    Parameters
+    ----------
+    seeds : tuple of str
+        "ip:port" of the control processes that the settings name.
+    """
+
+    def __init__(self, seeds: tuple[str, ...]) -> None:
+        super().__init__()
+        self._seeds = seeds
+        self._learned: tuple[str, ...] = ()
+        self._silent_until_s: dict[str, float] = {}
+        self._next = 0
+
+    @property
+    def addresses(self) -> tuple[str, ...]:
+        """All known control processes."""
+        return tuple(dict.fromkeys((*self._learned, *self._seeds)))
+
+    def note_seeds(self, seeds: tuple[str, ...]) -> None:
+        """Take the control processes that changed settings name."""
+        self._seeds = seeds
+
+    def note_members(self, addresses: tuple[str, ...]) -> None:
+        """Take the control processes that the leader has named."""
+        self._learned = addresses
+
+    def find_address(self, now_s: float) -> str | None:
+        """Return the known leader, or the next process that was not silent."""
+        leader = self.leader_address
+        if leader is not None and not self._is_silent(leader, now_s):
+            return leader
+        addresses = self.addresses
+        for _ in addresses:
+            address = addresses[self._next % len(addresses)]
+            self._next += 1
+            if not self._is_silent(address, now_s):
+                return address
+        # All were silent: the one that has been so for longest is asked first.
+        return min(addresses, key=self._silent_until_s.get, default=None)
+
+    def _is_silent(self, address: str, now_s: float) -> bool:
+        return now_s < self._silent_until_s.get(address, 0.0)
+
+    def note_silence(self, asked: str, now_s: float = 0.0) -> None:
         """Note that a process did not answer."""
-        if self.leader_address == asked:
-            self.leader_address = None
+        super().note_silence(asked, now_s)
+        self._silent_until_s[asked] = now_s + SILENCE_S
--- a/tanagerpath/core/control/__init__.py
+++ b/tanagerpath/core/control/__init__.py
@@ -13,6 +13,7 @@
     ControlNodeConfig,
     SchedulerFactory,
 )
+from tanagerpath.core.control.replicated import ReplicatedNode
 
 __all__ = [
     "AnswerRequest",
@@ -21,6 +22,7 @@
     "ControlNode",
     "ControlNodeConfig",
     "HandOverRequested",
+    "ReplicatedNode",
     "RequestArrived",
     "SchedulerFactory",
     "StateCodec",
--- a/tanagerpath/core/control/replicated.py
+++ b/tanagerpath/core/control/replicated.py
@@ -147,6 +147,7 @@
                 proposal = self._proposals.take(number)
                 if proposal is not None:
                     self._actions += proposal.reject(failure)
+                    self._note_rejected(proposal)
             case _:
                 self._actions.append(action)
 
@@ -179,6 +180,10 @@
                 self._answer(token, None)
             self._hand_overs = []
 
+    def _note_rejected(self, proposal: OpenProposal) -> None:
+        """Note that a command was not appended; most subclasses need not know."""
+        return None
+
     # What subclasses decide
 
     @abc.abstractmethod
--- a/tanagerpath/core/coordination/messages.py
+++ b/tanagerpath/core/coordination/messages.py
@@ -123,13 +123,17 @@
     upstream_id, incarnation, address : str
         Whom to call; the incarnation returns with the event.
     request : object
-        A request message of `tanagerpath.core.protocol.upstreams`.
+        A request message of `tanagerpath.core.protocol.upstreams`, or an order of
+        `tanagerpath.core.workloads`.
+    timeout_s : float or None
+        Seconds until the exchange is given up; None for the setting of the process.
     """
 
     upstream_id: str
     incarnation: str
     address: str
     request: object
+    timeout_s: float | None = None
 
 
 @attrs.frozen
--- /dev/null
+++ b/tanagerpath/core/workloads/backlog.py
@@ -0,0 +1,200 @@
+"""Tasks that may start, in units that a policy places."""
+
+from collections.abc import Iterator
+
+import attrs
+
+from tanagerpath.core.workloads.configuration import Queue
+from tanagerpath.core.workloads.estimates import RunEstimates
+from tanagerpath.core.workloads.policy import PlanUnit
+from tanagerpath.core.workloads.records import WorkloadRecord
+from tanagerpath.core.workloads.specs import TaskId
+from tanagerpath.core.workloads.state import FleetState
+
+__all__ = ["Backlog"]
+
+
+@attrs.define(eq=False)
+class Backlog:
+    """Builds the units that wait, from the state and the leader's open plans.
+
+    Attributes
+    ----------
+    state : FleetState
+        Replicated state.
+    estimates : RunEstimates
+        Learned run times.
+    planned : set of TaskId
+        Tasks whose start is on its way through the log.
+    failed_on : dict of str to set of str
+        Upstreams on which a workload's tasks have failed.
+    """
+
+    state: FleetState
+    estimates: RunEstimates
+    planned: set[TaskId] = attrs.Factory(set)
+    failed_on: dict[str, set[str]] = attrs.Factory(dict)
+    _unfinished: dict[str, None] = attrs.Factory(dict)
+
+    def __attrs_post_init__(self) -> None:
+        """Collect the unfinished workloads of the state."""
+        for workload_id, record in self.state.workloads.items():
+            if record.final_state is None:
+                self._unfinished[workload_id] = None
+
+    def __len__(self) -> int:
+        return len(self._unfinished)
+
+    def add(self, workload_id: str) -> None:
+        """Note an accepted workload."""
+        self._unfinished[workload_id] = None
+
+    def remove(self, workload_id: str) -> None:
+        """Note that a workload has reached its final state."""
+        self._unfinished.pop(workload_id, None)
+        self.failed_on.pop(workload_id, None)
+        record = self.state.workloads.get(workload_id)
+        if record is not None:
+            self.estimates.forget_workload(workload_id, len(record.spec.steps))
+
+    def list_records(self) -> Iterator[WorkloadRecord]:
+        """Return the unfinished workloads in the order of their acceptance."""
+        for workload_id in self._unfinished:
+            record = self.state.workloads.get(workload_id)
+            if record is not None:
+                yield record
+
+    def count_pending(self, queue: str) -> int:
+        """Return the workloads of a queue of which nothing has started."""
+        return sum(
+            record.queue == queue and not record.tasks for record in self.list_records()
+        )
+
+    def list_units(self, unix_s: float) -> list[PlanUnit]:
+        """Return everything that may start at an instant in UTC seconds."""
+        guaranteed = self._find_guaranteed()
+        return [
+            unit
+            for record in self.list_records()
+            for unit in self._list_record(record, unix_s, guaranteed)
+        ]
+
+    def _list_record(
+        self, record: WorkloadRecord, unix_s: float, guaranteed: set[str]
+    ) -> Iterator[PlanUnit]:
+        queue = self.state.find_queue(record.queue)
+        if queue is None:
+            return
+        chains = self._find_chains(record, queue)
+        for occurrence in record.spec.occurrences:
+            due_s = record.spec.find_due_unix_s(occurrence)
+            if due_s > unix_s:
+                return
+            for step in range(len(record.spec.steps)):
+                indexes = self._list_waiting(record, occurrence, step)
+                if indexes:
+                    yield self._make_unit(
+                        record, queue, occurrence, step, indexes, chains, guaranteed
+                    )
+
+    def _list_waiting(
+        self, record: WorkloadRecord, occurrence: int, step: int
+    ) -> tuple[int, ...]:
+        if record.is_step_done(occurrence, step):
+            return ()
+        if not record.may_begin(occurrence, step):
+            return ()
+        spec = record.spec.steps[step]
+        waiting = tuple(
+            index
+            for index in range(spec.count)
+            if self._is_waiting(
+                record, TaskId(record.workload_id, occurrence, step, index)
+            )
+        )
+        if spec.gang and len(waiting) < spec.count:
+            return ()
+        return waiting
+
+    def _is_waiting(self, record: WorkloadRecord, task: TaskId) -> bool:
+        held = record.tasks.get(task)
+        if held is not None and (held.done or held.open_runs):
+            return False
+        return task not in self.planned
+
+    def _make_unit(
+        self,
+        record: WorkloadRecord,
+        queue: Queue,
+        occurrence: int,
+        step: int,
+        indexes: tuple[int, ...],
+        chains: list[float],
+        guaranteed: set[str],
+    ) -> PlanUnit:
+        first = TaskId(record.workload_id, occurrence, step, indexes[0])
+        failures = record.count_failures(first)
+        spec = record.spec.steps[step]
+        objective_s = queue.objective_factor * max(chains) + queue.objective_margin_s
+        return PlanUnit(
+            record=record,
+            queue=queue,
+            occurrence=occurrence,
+            step=step,
+            indexes=indexes,
+            begun_unix_s=max(
+                record.accepted_at_unix_s, record.spec.find_due_unix_s(occurrence)
+            ),
+            objective_s=objective_s,
+            left_s=chains[step],
+            is_guaranteed=record.workload_id in guaranteed,
+            avoided=frozenset(self.failed_on.get(record.workload_id, ())),
+            is_last_attempt=not spec.long_running
+            and failures > 0
+            and failures >= queue.max_attempts - 1,
+        )
+
+    def _find_chains(self, record: WorkloadRecord, queue: Queue) -> list[float]:
+        """Return for each step the seconds of the longest chain that begins there."""
+        steps = record.spec.steps
+        chains = [
+            self.estimates.predict_work_s(
+                (record.workload_id, number), queue.name, step.declared_run_s
+            )
+            for number, step in enumerate(steps)
+        ]
+        for number in reversed(range(len(steps))):
+            for earlier in steps[number].depends_on:
+                own_s = self.estimates.predict_work_s(
+                    (record.workload_id, earlier),
+                    queue.name,
+                    steps[earlier].declared_run_s,
+                )
+                chains[earlier] = max(chains[earlier], own_s + chains[number])
+        return chains
+
+    def _find_guaranteed(self) -> set[str]:
+        """Return the workloads that their organisation's guarantee covers.
+
+        The guarantee covers workloads of priority 0 in the order of their acceptance,
+        as long as all of them together need no more than it.
+        """
+        configuration = self.state.configuration
+        if configuration is None:
+            return set()
+        left = {
+            organisation.name: organisation.guaranteed.accelerators
+            for organisation in configuration.organisations
+        }
+        covered: set[str] = set()
+        for record in self.list_records():
+            queue = self.state.find_queue(record.queue)
+            if queue is None or queue.priority != 0:
+                continue
+            needed = max(
+                step.count * step.needs.accelerators for step in record.spec.steps
+            )
+            if needed <= left.get(record.organisation, 0):
+                left[record.organisation] -= needed
+                covered.add(record.workload_id)
+        return covered
--- /dev/null
+++ b/tanagerpath/core/workloads/configuration.py
@@ -0,0 +1,206 @@
+"""Configuration of queues, pools and organisations, and its checks."""
+
+import attrs
+
+from tanagerpath.core.workloads.failures import (
+    InvalidConfiguration,
+    UnknownKey,
+    UnknownQueue,
+)
+from tanagerpath.core.workloads.resources import Resources
+from tanagerpath.errors import Failure
+
+__all__ = ["AdviceTerms", "Configuration", "Organisation", "Pool", "Queue"]
+
+
+@attrs.frozen(kw_only=True)
+class AdviceTerms:
+    """A queue's tasks may start only where an outside service allows it.
+
+    Attributes
+    ----------
+    decision_s, per_upstream_s : float
+        Seconds that a decision takes, and more for each upstream that it names.
+    validity_s : float
+        Seconds for which a ticket is valid.
+    """
+
+    decision_s: float = 0.0
+    per_upstream_s: float = 0.0
+    validity_s: float = 0.0
+
+
+@attrs.frozen(kw_only=True)
+class Queue:
+    """Where callers hand in workloads of one kind.
+
+    Attributes
+    ----------
+    name : str
+        Name of the queue.
+    host, prefix : str
+        Host and start of the path of its calls.
+    pool : str
+        Pool of upstreams that runs its tasks.
+    priority : int
+        0 comes first and may preempt others.
+    max_attempts : int
+        Failed runs of a task, or of a gang, after which the workload has failed.
+    objective_factor : float
+        Objective of a workload in multiples of its longest chain of work.
+    objective_margin_s : float
+        What is added to the objective.
+    public : bool
+        Whether calls need no key.
+    timeout_s : float
+        Longest time that a call may take.
+    advice : AdviceTerms or None
+        Terms of the service that must allow each upstream.
+    """
+
+    name: str
+    host: str
+    prefix: str
+    pool: str
+    priority: int = 0
+    max_attempts: int = 1
+    objective_factor: float = 1.0
+    objective_margin_s: float = 0.0
+    public: bool = False
+    timeout_s: float = 3.0
+    advice: AdviceTerms | None = None
+
+
+@attrs.frozen(kw_only=True)
+class Pool:
+    """Upstreams of one service.
+
+    Attributes
+    ----------
+    name : str
+        Name that upstreams announce.
+    refuses_overload : bool
+        Whether its upstreams refuse what does not fit.
+    standby : bool
+        Whether its VMs are switched off.
+    """
+
+    name: str
+    refuses_overload: bool = False
+    standby: bool = False
+
+
+@attrs.frozen(kw_only=True)
+class Organisation:
+    """Who submits workloads.
+
+    Attributes
+    ----------
+    name : str
+        Name.
+    api_keys : tuple of str
+        Keys of its calls.
+    guaranteed : Resources
+        Capacity that is its own at all times for workloads of priority 0.
+    """
+
+    name: str
+    api_keys: tuple[str, ...] = ()
+    guaranteed: Resources = Resources()
+
+
+@attrs.frozen(kw_only=True)
+class Configuration:
+    """A complete configuration.
+
+    Attributes
+    ----------
+    version : int
+        The highest version takes effect.
+    queues, pools, organisations : tuple
+        Content.
+    document : str
+        The text that the operator sent; it is returned to readers as it is.
+    """
+
+    version: int
+    queues: tuple[Queue, ...] = ()
+    pools: tuple[Pool, ...] = ()
+    organisations: tuple[Organisation, ...] = ()
+    document: str = ""
+
+    def find_fault(self) -> InvalidConfiguration | None:
+        """Return what is wrong with the configuration, None if nothing is."""
+        return self._find_queue_fault() or self._find_key_fault()
+
+    def _find_queue_fault(self) -> InvalidConfiguration | None:
+        pools = {pool.name for pool in self.pools}
+        places: set[tuple[str, str]] = set()
+        for queue in self.queues:
+            if queue.pool not in pools:
+                return InvalidConfiguration(
+                    field=f"queue {queue.name}",
+                    value=repr(queue.pool),
+                    expected="a service of this configuration",
+                )
+            if queue.timeout_s <= 0:
+                return InvalidConfiguration(
+                    field=f"queue {queue.name}",
+                    value=f"timeout {queue.timeout_s:g} s",
+                    expected="a timeout above 0",
+                )
+            place = (queue.host.lower(), queue.prefix)
+            if place in places:
+                return InvalidConfiguration(
+                    field=f"queue {queue.name}",
+                    value=f"{queue.host}{queue.prefix}",
+                    expected="a host and prefix that no other queue has",
+                )
+            places.add(place)
+        return None
+
+    def _find_key_fault(self) -> InvalidConfiguration | None:
+        owners: dict[str, str] = {}
+        for organisation in self.organisations:
+            for key in organisation.api_keys:
+                owner = owners.setdefault(key, organisation.name)
+                if owner != organisation.name:
+                    return InvalidConfiguration(
+                        field=f"organisation {organisation.name}",
+                        value=f"a key of {owner}",
+                        expected="keys that no other organisation has",
+                    )
+        return None
+
+    def find_queue(self, host: str, path: str) -> Queue | UnknownQueue:
+        """Return the queue with the longest prefix that a path begins with."""
+        wanted = host.lower()
+        matching = [
+            queue
+            for queue in self.queues
+            if queue.host.lower() == wanted and path.startswith(queue.prefix)
+        ]
+        if not matching:
+            return UnknownQueue(host=host, path=path, version=self.version)
+        return max(matching, key=lambda queue: len(queue.prefix))
+
+    def find_organisation(self, queue: Queue, api_key: str) -> str | UnknownKey:
+        """Return the organisation of a key; empty on a public queue without one."""
+        for organisation in self.organisations:
+            if api_key and api_key in organisation.api_keys:
+                return organisation.name
+        if queue.public:
+            return ""
+        return UnknownKey(queue=queue.name, version=self.version)
+
+    def identify(
+        self, host: str, path: str, api_key: str
+    ) -> tuple[Queue, str] | Failure:
+        """Return the queue of a call and the organisation that makes it."""
+        queue = self.find_queue(host, path)
+        if isinstance(queue, Failure):
+            return queue
+        organisation = self.find_organisation(queue, api_key)
+        if isinstance(organisation, Failure):
+            return organisation
+        return queue, organisation
--- /dev/null
+++ b/tanagerpath/core/workloads/deadline_policy.py
@@ -0,0 +1,399 @@
+"""Policy that orders work by its objective and packs it onto fast upstreams."""
+
+from collections.abc import Iterable
+
+import attrs
+
+from tanagerpath.core.workloads.evictions import find_evictions
+from tanagerpath.core.workloads.policy import (
+    FleetView,
+    Placement,
+    Plan,
+    PlanUnit,
+    WorkloadPolicy,
+)
+from tanagerpath.core.workloads.resources import Resources
+from tanagerpath.core.workloads.sessions import RunPhase, UpstreamSession
+
+__all__ = ["DeadlinePolicy", "DeadlineTerms"]
+
+# Speeds this close count as equal, so that tasks are packed before they are spread.
+SPEED_STEPS_PER_UNIT = 4
+# A caller counts a workload as late up to this many times its objective.
+LATE_MULTIPLE = 3.0
+
+
+@attrs.frozen(kw_only=True)
+class DeadlineTerms:
+    """Settings of the policy.
+
+    Attributes
+    ----------
+    remote_patience : float
+        Predicted run times that a task waits for its rack before it runs elsewhere.
+    evict_after_s : float
+        Seconds that guaranteed work waits for runs to end before others are stopped.
+    max_reservations : int
+        Gangs for which upstreams are kept free at the same time.
+    """
+
+    remote_patience: float = 1.0
+    evict_after_s: float = 0.2
+    max_reservations: int = 3
+
+
+@attrs.frozen(eq=False)
+class _Option:
+    """Upstreams for all members of a gang, with the predicted run time."""
+
+    run_s: float
+    is_remote: bool
+    sessions: tuple[UpstreamSession, ...]
+
+
+class _Rooms:
+    """Room that is left on each upstream while a plan is made."""
+
+    def __init__(self, fleet: FleetView) -> None:
+        self._fleet = fleet
+        self._rooms: dict[str, Resources] = {}
+        self._free_until_s: dict[str, float] = {}
+        self.sessions: list[UpstreamSession] = []
+        for session in fleet.sessions:
+            health = fleet.health[session.upstream_id]
+            if session.is_usable and not health.is_quarantined(fleet.now_s):
+                self._rooms[session.upstream_id] = session.room
+                self.sessions.append(session)
+        self.planned: dict[tuple[str, str, int, int], int] = {}
+
+    def find_room(self, session: UpstreamSession) -> Resources:
+        """Return the room that is left."""
+        return self._rooms[session.upstream_id]
+
+    def take(self, unit: PlanUnit, session: UpstreamSession, count: int = 1) -> None:
+        """Take room for tasks of a unit."""
+        room = self._rooms[session.upstream_id]
+        for _ in range(count):
+            room = room - unit.spec.reserved
+        self._rooms[session.upstream_id] = room
+        key = self._make_key(unit, session)
+        self.planned[key] = self.planned.get(key, 0) + count
+
+    def _make_key(
+        self, unit: PlanUnit, session: UpstreamSession
+    ) -> tuple[str, str, int, int]:
+        return (
+            session.upstream_id,
+            unit.record.workload_id,
+            unit.occurrence,
+            unit.step,
+        )
+
+    def reserve(self, session: UpstreamSession, until_s: float) -> None:
+        """Keep an upstream free of runs that would last longer than an instant."""
+        held = self._free_until_s.get(session.upstream_id, until_s)
+        self._free_until_s[session.upstream_id] = min(held, until_s)
+
+    def count_fitting(self, unit: PlanUnit, session: UpstreamSession, most: int) -> int:
+        """Return how many tasks of a unit an upstream takes now, at most `most`."""
+        until_s = self._free_until_s.get(session.upstream_id)
+        if until_s is not None:
+            run_s = self._fleet.predict_run_s(unit, session)
+            if self._fleet.now_s + run_s > until_s:
+                return 0
+        bound = unit.spec.max_per_upstream
+        if bound:
+            taken = session.count_step(unit.make_task_id(0))
+            taken += self.planned.get(self._make_key(unit, session), 0)
+            most = min(most, max(bound - taken, 0))
+        health = self._fleet.health[session.upstream_id]
+        if health.is_on_probation:
+            # One run shows whether it works again.
+            most = 0 if session.runs or unit.spec.gang else min(most, 1)
+        return unit.spec.reserved.count_in(self.find_room(session), most)
+
+
+def _is_suitable(unit: PlanUnit, session: UpstreamSession) -> bool:
+    spec = unit.spec
+    if session.record.pool != unit.queue.pool:
+        return False
+    if spec.required_label and spec.required_label not in session.record.labels:
+        return False
+    return unit.tickets is None or session.upstream_id in unit.tickets
+
+
+class DeadlinePolicy(WorkloadPolicy):
+    """Places guaranteed work first, then by priority and objective.
+
+    Parameters
+    ----------
+    terms : DeadlineTerms
+        Settings.
+    """
+
+    def __init__(self, terms: DeadlineTerms) -> None:
+        self._terms = terms
+
+    @classmethod
+    def from_config(cls, terms: DeadlineTerms) -> "DeadlinePolicy":
+        """Build the policy of a new leader."""
+        return cls(terms)
+
+    def plan(self, units: list[PlanUnit], fleet: FleetView) -> Plan:
+        """Return what starts and what stops now; see `WorkloadPolicy`."""
+        rooms = _Rooms(fleet)
+        plan = Plan()
+        reservations = 0
+        for unit in sorted(units, key=lambda one: self._rank(one, fleet)):
+            left = self._place(unit, rooms, fleet, plan)
+            if not left:
+                continue
+            plan.blocked.append(unit)
+            if unit.is_guaranteed:
+                self._claim(unit, left, rooms, fleet, plan)
+            elif unit.spec.gang and reservations < self._terms.max_reservations:
+                reservations += 1
+                self._reserve(unit, rooms, fleet)
+        return plan
+
+    def _rank(self, unit: PlanUnit, fleet: FleetView) -> tuple:
+        """Return the place in the order: guaranteed, useful, urgent work first."""
+        end_s = fleet.unix_s - unit.begun_unix_s + unit.left_s
+        is_late = end_s > unit.objective_s
+        is_useless = end_s > LATE_MULTIPLE * unit.objective_s
+        deadline_s = unit.begun_unix_s + unit.objective_s
+        return (
+            not unit.is_guaranteed,
+            is_useless,
+            unit.queue.priority,
+            is_late,
+            deadline_s,
+            unit.step_key,
+            unit.occurrence,
+        )
+
+    def _find_waited_s(self, unit: PlanUnit, fleet: FleetView) -> float:
+        return max(fleet.unix_s - unit.begun_unix_s, 0.0)
+
+    # Placing
+
+    def _place(
+        self, unit: PlanUnit, rooms: _Rooms, fleet: FleetView, plan: Plan
+    ) -> tuple[int, ...]:
+        """Place what fits; return the tasks that are left."""
+        sessions = self._list_candidates(unit, rooms, fleet)
+        if unit.spec.gang:
+            option = self._choose_option(unit, sessions, rooms, fleet)
+            if option is None:
+                return unit.indexes
+            chosen = option.sessions
+        else:
+            chosen = self._choose_singles(unit, sessions, rooms, fleet)
+        for index, session in zip(unit.indexes, chosen, strict=False):
+            plan.placements.append(Placement(unit, index, session))
+            rooms.take(unit, session)
+        return unit.indexes[len(chosen) :]
+
+    def _list_candidates(
+        self, unit: PlanUnit, rooms: _Rooms, fleet: FleetView
+    ) -> list[UpstreamSession]:
+        suitable = [one for one in rooms.sessions if _is_suitable(unit, one)]
+        sound = [
+            one
+            for one in suitable
+            if one.upstream_id not in unit.avoided
+            and not (unit.is_last_attempt and fleet.health[one.upstream_id].is_suspect)
+        ]
+        return sound or suitable
+
+    def _order(
+        self, unit: PlanUnit, sessions: Iterable[UpstreamSession], rooms: _Rooms, fleet
+    ) -> list[UpstreamSession]:
+        """Return upstreams, fast ones first, and among equals the fullest."""
+
+        def rank(session: UpstreamSession) -> tuple:
+            speed = fleet.estimates.find_speed(session.upstream_id)
+            room = rooms.find_room(session)
+            is_remote = bool(
+                unit.spec.preferred_rack
+                and unit.spec.preferred_rack != session.record.rack
+            )
+            return (
+                is_remote,
+                fleet.health[session.upstream_id].is_suspect,
+                -round(speed * SPEED_STEPS_PER_UNIT),
+                room.find_share(session.record.capacity),
+                session.upstream_id,
+            )
+
+        return sorted(sessions, key=rank)
+
+    def _choose_singles(
+        self,
+        unit: PlanUnit,
+        sessions: list[UpstreamSession],
+        rooms: _Rooms,
+        fleet: FleetView,
+    ) -> list[UpstreamSession]:
+        chosen: list[UpstreamSession] = []
+        for session in self._order(unit, sessions, rooms, fleet):
+            wanted = len(unit.indexes) - len(chosen)
+            if not wanted:
+                break
+            if not self._may_run_on(unit, session, fleet):
+                continue
+            chosen += [session] * rooms.count_fitting(unit, session, wanted)
+        return chosen
+
+    def _may_run_on(
+        self, unit: PlanUnit, session: UpstreamSession, fleet: FleetView
+    ) -> bool:
+        """Return whether waiting for the rack with the data is no longer better."""
+        rack = unit.spec.preferred_rack
+        if not rack or rack == session.record.rack:
+            return True
+        return self._is_patience_over(unit, fleet) or not any(
+            one.is_usable and one.record.rack == rack for one in fleet.sessions
+        )
+
+    def _is_patience_over(self, unit: PlanUnit, fleet: FleetView) -> bool:
+        if unit.is_guaranteed:
+            return True
+        work_s = fleet.estimates.predict_work_s(
+            unit.step_key, unit.queue.name, unit.spec.declared_run_s
+        )
+        waited_s = self._find_waited_s(unit, fleet)
+        return waited_s > self._terms.remote_patience * work_s
+
+    def _choose_option(
+        self,
+        unit: PlanUnit,
+        sessions: list[UpstreamSession],
+        rooms: _Rooms,
+        fleet: FleetView,
+    ) -> _Option | None:
+        """Return the fastest set of upstreams that takes a whole gang."""
+        options = [
+            option
+            for group, is_spread in self._list_groups(unit, sessions)
+            if (option := self._fill(unit, group, is_spread, rooms, fleet))
+        ]
+        if not options:
+            return None
+        best = min(options, key=lambda option: option.run_s)
+        if best.is_remote and not self._is_patience_over(unit, fleet):
+            return None
+        return best
+
+    def _list_groups(
+        self, unit: PlanUnit, sessions: list[UpstreamSession]
+    ) -> list[tuple[list[UpstreamSession], bool]]:
+        """Return sets of upstreams to choose from, and whether each is spread."""
+        if not (unit.spec.same_rack or unit.spec.preferred_rack):
+            return [(sessions, False)]
+        by_rack: dict[str, list[UpstreamSession]] = {}
+        for session in sessions:
+            by_rack.setdefault(session.record.rack, []).append(session)
+        groups = [(group, False) for group in by_rack.values()]
+        return [*groups, (sessions, unit.spec.same_rack)]
+
+    def _fill(
+        self,
+        unit: PlanUnit,
+        group: list[UpstreamSession],
+        is_spread: bool,
+        rooms: _Rooms,
+        fleet: FleetView,
+    ) -> _Option | None:
+        chosen: list[UpstreamSession] = []
+        for session in self._order(unit, group, rooms, fleet):
+            wanted = len(unit.indexes) - len(chosen)
+            if not wanted:
+                break
+            chosen += [session] * rooms.count_fitting(unit, session, wanted)
+        if len(chosen) < len(unit.indexes):
+            return None
+        run_s = max(fleet.predict_run_s(unit, session) for session in chosen)
+        racks = {session.record.rack for session in chosen}
+        is_spread = is_spread and len(racks) > 1
+        if is_spread:
+            run_s *= fleet.remote_factor
+        preferred = unit.spec.preferred_rack
+        is_remote = is_spread or bool(preferred and racks != {preferred})
+        return _Option(run_s, is_remote, tuple(chosen))
+
+    # Making room
+
+    def _claim(
+        self,
+        unit: PlanUnit,
+        left: tuple[int, ...],
+        rooms: _Rooms,
+        fleet: FleetView,
+        plan: Plan,
+    ) -> None:
+        """Keep room for guaranteed work, and stop other runs if it has waited."""
+        may_evict = self._find_waited_s(unit, fleet) >= self._terms.evict_after_s
+        sessions = [
+            one
+            for one in self._list_candidates(unit, rooms, fleet)
+            if not fleet.health[one.upstream_id].is_on_probation
+        ]
+        found = find_evictions(unit, len(left), sessions, rooms.find_room, fleet)
+        if found is None:
+            return
+        for session, count in found.places:
+            rooms.take(unit, session, count)
+        if may_evict:
+            plan.evictions += found.evictions
+
+    def _reserve(self, unit: PlanUnit, rooms: _Rooms, fleet: FleetView) -> None:
+        """Keep the upstreams that are free soonest for a gang that does not fit yet."""
+        options = []
+        for group, _ in self._list_groups(
+            unit, self._list_candidates(unit, rooms, fleet)
+        ):
+            free = sorted(
+                (self._find_free_s(unit, session, fleet), session.upstream_id, session)
+                for session in group
+                if unit.spec.reserved.fits(session.record.capacity)
+            )
+            chosen: list[tuple[float, UpstreamSession]] = []
+            members = 0
+            for free_s, _, session in free:
+                if members >= len(unit.indexes):
+                    break
+                members += self._count_members(unit, session)
+                chosen.append((free_s, session))
+            if members >= len(unit.indexes):
+                options.append((chosen[-1][0], chosen))
+        if not options:
+            return
+        until_s, chosen = min(options, key=lambda option: option[0])
+        for _, session in chosen:
+            rooms.reserve(session, until_s)
+
+    def _count_members(self, unit: PlanUnit, session: UpstreamSession) -> int:
+        most = unit.spec.max_per_upstream or len(unit.indexes)
+        return unit.spec.reserved.count_in(session.record.capacity, most)
+
+    def _find_free_s(
+        self, unit: PlanUnit, session: UpstreamSession, fleet: FleetView
+    ) -> float:
+        """Return the instant at which an upstream has room for its members."""
+        needed = Resources()
+        for _ in range(self._count_members(unit, session)):
+            needed = needed + unit.spec.reserved
+        room = session.room
+        free_s = fleet.now_s
+        ends = sorted(
+            (fleet.predict_left_s(view, session), number, view)
+            for number, view in enumerate(session.runs.values())
+        )
+        for left_s, _, view in ends:
+            if needed.fits(room):
+                break
+            room = room + view.spec.reserved
+            if view.phase is not RunPhase.STOPPING:
+                free_s = fleet.now_s + left_s
+        return free_s
--- /dev/null
+++ b/tanagerpath/core/workloads/desk.py
@@ -0,0 +1,290 @@
+"""How the leader answers requests about workloads, upstreams and configuration."""
+
+import attrs
+
+from tanagerpath.core.control.messages import AnswerRequest, RequestArrived
+from tanagerpath.core.control.proposals import OpenProposal
+from tanagerpath.core.coordination import Instant
+from tanagerpath.core.protocol.callers import ErrorBody
+from tanagerpath.core.workloads import commands, requests
+from tanagerpath.core.workloads.configuration import Queue
+from tanagerpath.core.workloads.dispatcher import Dispatcher
+from tanagerpath.core.workloads.failures import (
+    NotConfigured,
+    TooManyWorkloads,
+    UnknownWave,
+    UnknownWorkload,
+)
+from tanagerpath.core.workloads.records import WaveRecord, WorkloadRecord
+from tanagerpath.core.workloads.state import Applied, FleetState
+from tanagerpath.errors import Failure
+
+__all__ = ["WorkloadDesk", "WorkloadProposal"]
+
+RETRY_AFTER_S = 1.0
+
+
+@attrs.frozen
+class WorkloadProposal(OpenProposal):
+    """A command about workloads, and who waits for it.
+
+    `leader_address` goes into the answers to heartbeats.
+    """
+
+    leader_address: str = ""
+
+    def answer(self, result: Applied, state: FleetState) -> list[AnswerRequest]:
+        """Return the outcome for all who wait."""
+        if not self.tokens:
+            return []
+        reply = self._describe(state)
+        return [AnswerRequest(token, reply) for token in self.tokens]
+
+    def _describe(self, state: FleetState) -> object:
+        match self.command:
+            case commands.AcceptWorkload(spec=spec):
+                return _describe_workload(state, spec.workload_id)
+            case commands.CancelWorkload(workload_id):
+                return _describe_workload(state, workload_id)
+            case commands.PutConfiguration():
+                return requests.ConfigurationStored(state.configuration.version)
+            case commands.DeclareWave(wave=wave):
+                return _describe_wave(state.waves[wave])
+        return requests.UpstreamReportReply(self.leader_address)
+
+
+def _describe_workload(state: FleetState, workload_id: str) -> object:
+    record = state.workloads.get(workload_id)
+    if record is None:
+        return ErrorBody.from_failure(UnknownWorkload(workload_id=workload_id))
+    return requests.WorkloadReply(workload_id, record.state)
+
+
+def _describe_wave(wave: WaveRecord) -> requests.WaveReply:
+    return requests.WaveReply(wave.wave, wave.is_completed)
+
+
+class WorkloadDesk:
+    """Answers from the state, or returns the proposals that a request needs.
+
+    One instance lives for one term of a leader.
+
+    Parameters
+    ----------
+    state : FleetState
+        Replicated state.
+    dispatcher : Dispatcher
+        The leader's decisions.
+    leader_address : str
+        "ip:port" of this process for other processes of the system.
+    list_addresses : callable
+        Returns the addresses of all control VMs.
+    """
+
+    def __init__(
+        self,
+        state: FleetState,
+        dispatcher: Dispatcher,
+        leader_address: str,
+        list_addresses,
+    ) -> None:
+        self._state = state
+        self._dispatcher = dispatcher
+        self._leader_address = leader_address
+        self._list_addresses = list_addresses
+        self._handlers = {
+            requests.SubmitWorkload: self._submit,
+            requests.WorkloadQuery: self._show_workload,
+            requests.CancelWorkloadRequest: self._cancel,
+            requests.PendingQuery: self._count_pending,
+            requests.UpstreamReport: self._take_report,
+            requests.WithdrawalReport: self._take_withdrawal,
+            requests.ConfigurationRequest: self._put_configuration,
+            requests.ConfigurationQuery: self._show_configuration,
+            requests.WaveRequest: self._declare_wave,
+            requests.WaveQuery: self._show_wave,
+            requests.LeaderQuery: self._show_leader,
+        }
+
+    def take(
+        self, arrived: RequestArrived, now: Instant
+    ) -> tuple[object | None, list[WorkloadProposal]]:
+        """Answer a request.
+
+        Parameters
+        ----------
+        arrived : RequestArrived
+            The request.
+        now : Instant
+            Reading of the clocks.
+
+        Returns
+        -------
+        tuple
+            The reply, None if it waits for the last of the proposals, and these.
+        """
+        answer = self._handlers[type(arrived.request)](arrived.request, now)
+        if isinstance(answer, Failure):
+            self._note_refusal(arrived.request, answer)
+            return ErrorBody.from_failure(answer), []
+        if not isinstance(answer, list):
+            return answer, []
+        proposals = [
+            WorkloadProposal(command, (), self._leader_address) for command in answer
+        ]
+        proposals[-1] = attrs.evolve(proposals[-1], tokens=(arrived.token,))
+        return None, proposals
+
+    def _note_refusal(self, request: object, failure: Failure) -> None:
+        spec = getattr(request, "spec", None)
+        workload_id = spec.workload_id if spec else getattr(request, "workload_id", "")
+        configuration = self._state.configuration
+        self._dispatcher.context.note(
+            "request refused",
+            workload=workload_id,
+            request=type(request).__name__,
+            failure=failure.type_name,
+            reason=failure.message,
+            configuration=configuration.version if configuration else None,
+        )
+
+    # Callers
+
+    def _identify(self, call: requests.Call) -> tuple[Queue, str] | Failure:
+        configuration = self._state.configuration
+        if configuration is None:
+            return NotConfigured()
+        return configuration.identify(call.host, call.path, call.api_key)
+
+    def _submit(
+        self, request: requests.SubmitWorkload, now: Instant
+    ) -> object | list[commands.WorkloadCommand]:
+        identity = self._identify(request.call)
+        if isinstance(identity, Failure):
+            return identity
+        spec = request.spec
+        if spec.workload_id in self._state.workloads:
+            return _describe_workload(self._state, spec.workload_id)
+        fault = spec.find_fault()
+        if fault is not None:
+            return fault
+        bound = self._dispatcher.context.terms.max_unfinished
+        if len(self._dispatcher.context.backlog) >= bound:
+            retry_at_unix_s = now.unix_s + RETRY_AFTER_S
+            return TooManyWorkloads(bound=bound, retry_at_unix_s=retry_at_unix_s)
+        queue, organisation = identity
+        self._dispatcher.context.note(
+            "workload accepted",
+            workload=spec.workload_id,
+            queue=queue.name,
+            organisation=organisation,
+            tasks=sum(step.count for step in spec.steps),
+            occurrences=len(spec.occurrences),
+            configuration=self._state.configuration.version,
+        )
+        return [
+            commands.AcceptWorkload(
+                spec=spec,
+                queue=queue.name,
+                organisation=organisation,
+                accepted_at_unix_s=now.unix_s,
+            )
+        ]
+
+    def _find_record(
+        self, call: requests.Call, workload_id: str
+    ) -> WorkloadRecord | Failure:
+        identity = self._identify(call)
+        if isinstance(identity, Failure):
+            return identity
+        record = self._state.workloads.get(workload_id)
+        return record or UnknownWorkload(workload_id=workload_id)
+
+    def _show_workload(self, request: requests.WorkloadQuery, now: Instant) -> object:
+        record = self._find_record(request.call, request.workload_id)
+        if isinstance(record, Failure):
+            return record
+        return requests.WorkloadReply(record.workload_id, record.state)
+
+    def _cancel(
+        self, request: requests.CancelWorkloadRequest, now: Instant
+    ) -> object | list[commands.WorkloadCommand]:
+        record = self._find_record(request.call, request.workload_id)
+        if isinstance(record, Failure):
+            return record
+        if record.final_state is not None:
+            return requests.WorkloadReply(record.workload_id, record.state)
+        return [commands.CancelWorkload(record.workload_id, now.unix_s)]
+
+    def _count_pending(self, request: requests.PendingQuery, now: Instant) -> object:
+        identity = self._identify(request.call)
+        if isinstance(identity, Failure):
+            return identity
+        queue, _ = identity
+        count = self._dispatcher.context.backlog.count_pending(queue.name)
+        return requests.PendingCount(count)
+
+    # Upstreams
+
+    def _take_report(
+        self, request: requests.UpstreamReport, now: Instant
+    ) -> object | list[commands.WorkloadCommand]:
+        needed = self._dispatcher.registry.take_report(request)
+        return needed or requests.UpstreamReportReply(self._leader_address)
+
+    def _take_withdrawal(
+        self, request: requests.WithdrawalReport, now: Instant
+    ) -> object | list[commands.WorkloadCommand]:
+        needed = self._dispatcher.registry.take_withdrawal(request)
+        return needed or requests.UpstreamReportReply(self._leader_address)
+
+    # Operators
+
+    def _put_configuration(
+        self, request: requests.ConfigurationRequest, now: Instant
+    ) -> object | list[commands.WorkloadCommand]:
+        configuration = request.configuration
+        fault = configuration.find_fault()
+        if fault is not None:
+            return fault
+        held = self._state.configuration
+        if held is not None and configuration.version <= held.version:
+            return requests.ConfigurationStored(held.version)
+        self._dispatcher.context.note(
+            "configuration accepted",
+            version=configuration.version,
+            before=held.version if held else None,
+            queues=len(configuration.queues),
+            organisations=len(configuration.organisations),
+        )
+        return [commands.PutConfiguration(configuration)]
+
+    def _show_configuration(
+        self, request: requests.ConfigurationQuery, now: Instant
+    ) -> object:
+        held = self._state.configuration
+        if held is None:
+            return NotConfigured()
+        return requests.ConfigurationReply(held.version, held.document)
+
+    def _declare_wave(
+        self, request: requests.WaveRequest, now: Instant
+    ) -> object | list[commands.WorkloadCommand]:
+        held = self._state.waves.get(request.wave)
+        if held is not None:
+            return _describe_wave(held)
+        return [
+            commands.DeclareWave(
+                wave=request.wave,
+                vm_ids=request.vm_ids,
+                due_at_unix_s=now.unix_s + request.duration_s,
+                most_at_once=request.most_at_once,
+            )
+        ]
+
+    def _show_wave(self, request: requests.WaveQuery, now: Instant) -> object:
+        held = self._state.waves.get(request.wave)
+        return UnknownWave(wave=request.wave) if held is None else _describe_wave(held)
+
+    def _show_leader(self, request: requests.LeaderQuery, now: Instant) -> object:
+        return requests.LeaderReply(self._leader_address, self._list_addresses())
--- /dev/null
+++ b/tanagerpath/core/workloads/evictions.py
@@ -0,0 +1,146 @@
+"""Which runs have to make room for guaranteed work."""
+
+from collections.abc import Callable
+
+import attrs
+
+from tanagerpath.core.workloads.policy import Eviction, FleetView, PlanUnit
+from tanagerpath.core.workloads.resources import Resources
+from tanagerpath.core.workloads.sessions import RunPhase, RunView, UpstreamSession
+
+__all__ = ["EvictionPlan", "find_evictions"]
+
+
+@attrs.define(eq=False)
+class EvictionPlan:
+    """Upstreams for all tasks of a unit, and the runs that have to end for it."""
+
+    places: list[tuple[UpstreamSession, int]] = attrs.Factory(list)
+    evictions: list[Eviction] = attrs.Factory(list)
+    lost_cores_s: float = 0.0
+
+
+@attrs.frozen(eq=False)
+class _Step:
+    """The next upstream of a plan: what ends there and how many tasks it takes."""
+
+    session: UpstreamSession
+    count: int
+    victims: tuple[RunView, ...]
+    lost_cores_s: float
+
+
+def find_evictions(
+    unit: PlanUnit,
+    count: int,
+    sessions: list[UpstreamSession],
+    find_room: Callable[[UpstreamSession], Resources],
+    fleet: FleetView,
+) -> EvictionPlan | None:
+    """Return the cheapest way that was found to make room for a unit.
+
+    Parameters
+    ----------
+    unit : PlanUnit
+        Guaranteed work.
+    count : int
+        Tasks of it that have no place.
+    sessions : list of UpstreamSession
+        Upstreams that may run it.
+    find_room : callable
+        Room of an upstream that no plan has taken.
+    fleet : FleetView
+        Instants and terms.
+
+    Returns
+    -------
+    EvictionPlan or None
+        None if no runs that may be stopped would make enough room.
+    """
+    groups = [sessions]
+    if unit.spec.same_rack:
+        by_rack: dict[str, list[UpstreamSession]] = {}
+        for session in sessions:
+            by_rack.setdefault(session.record.rack, []).append(session)
+        groups = list(by_rack.values())
+    plans = [_make_plan(unit, count, group, find_room, fleet) for group in groups]
+    found = [plan for plan in plans if plan is not None]
+    if not found and len(groups) > 1:
+        return _make_plan(unit, count, sessions, find_room, fleet)
+    return min(found, key=lambda plan: plan.lost_cores_s, default=None)
+
+
+def _make_plan(
+    unit: PlanUnit,
+    count: int,
+    sessions: list[UpstreamSession],
+    find_room: Callable[[UpstreamSession], Resources],
+    fleet: FleetView,
+) -> EvictionPlan | None:
+    plan = EvictionPlan()
+    left = count
+    remaining = list(sessions)
+    while left:
+        steps = [
+            step
+            for session in remaining
+            if (step := _look_at(unit, left, session, find_room(session), fleet))
+        ]
+        if not steps:
+            return None
+        best = min(steps, key=lambda step: step.lost_cores_s / step.count)
+        plan.places.append((best.session, best.count))
+        plan.evictions += [
+            Eviction(best.session, victim, unit) for victim in best.victims
+        ]
+        plan.lost_cores_s += best.lost_cores_s
+        left -= best.count
+        remaining.remove(best.session)
+    return plan
+
+
+def _look_at(
+    unit: PlanUnit,
+    count: int,
+    session: UpstreamSession,
+    room: Resources,
+    fleet: FleetView,
+) -> _Step | None:
+    """Return what one upstream offers, with as few runs stopped as possible."""
+    most = min(count, unit.spec.max_per_upstream or count)
+    for view in session.runs.values():
+        if view.phase is RunPhase.STOPPING:
+            room = room + view.spec.reserved
+    fitting = unit.spec.reserved.count_in(room, most)
+    if fitting:
+        return _Step(session, fitting, (), 0.0)
+    victims: list[RunView] = []
+    lost = 0.0
+    for cost, _, view in sorted(_list_victims(unit, session, fleet)):
+        victims.append(view)
+        lost += cost
+        room = room + view.spec.reserved
+        fitting = unit.spec.reserved.count_in(room, most)
+        if fitting:
+            return _Step(session, fitting, tuple(victims), lost)
+    return None
+
+
+def _list_victims(
+    unit: PlanUnit, session: UpstreamSession, fleet: FleetView
+) -> list[tuple[float, int, RunView]]:
+    """Return the runs that may be stopped for a unit, with what each would lose."""
+    return [
+        (_find_loss(view, fleet), number, view)
+        for number, view in enumerate(session.runs.values())
+        if view.priority > unit.queue.priority
+        and view.phase in (RunPhase.RUNNING, RunPhase.ORDERED)
+        and not view.spec.long_running
+    ]
+
+
+def _find_loss(view: RunView, fleet: FleetView) -> float:
+    """Return the core seconds that are lost; a gang ends with its first member."""
+    unsaved_s = view.find_unsaved_s(fleet.now_s, fleet.checkpoint_interval_s)
+    members = view.spec.count if view.spec.gang else 1
+    return unsaved_s * view.spec.needs.weighted_cores * members
--- /dev/null
+++ b/tanagerpath/core/workloads/failures.py
@@ -0,0 +1,140 @@
+"""Failures of workloads, their configuration and their upstreams."""
+
+import attrs
+
+from tanagerpath.errors import Failure
+
+__all__ = [
+    "InvalidConfiguration",
+    "InvalidUpstreamReport",
+    "InvalidWorkload",
+    "NotConfigured",
+    "TooManyWorkloads",
+    "UnknownKey",
+    "UnknownQueue",
+    "UnknownWave",
+    "UnknownWorkload",
+]
+
+
+@attrs.frozen(kw_only=True)
+class _WrongField(Failure):
+    """A field has a value that it cannot take.
+
+    Attributes
+    ----------
+    field : str
+        Path of the field.
+    value : str
+        The offending value, shortened.
+    expected : str
+        What was expected.
+    """
+
+    not_run: bool = True
+    field: str
+    value: str
+    expected: str
+
+    @property
+    def message(self) -> str:
+        """One line for people."""
+        return f"field {self.field!r}: got {self.value}, expected {self.expected}"
+
+
+@attrs.frozen(kw_only=True)
+class InvalidWorkload(_WrongField):
+    """A workload can't be accepted."""
+
+
+@attrs.frozen(kw_only=True)
+class InvalidConfiguration(_WrongField):
+    """A configuration can't be put in force."""
+
+
+@attrs.frozen(kw_only=True)
+class InvalidUpstreamReport(_WrongField):
+    """A heartbeat or a list of runs can't be used."""
+
+
+@attrs.frozen(kw_only=True)
+class NotConfigured(Failure):
+    """No configuration has been accepted yet."""
+
+    not_run: bool = True
+
+    @property
+    def message(self) -> str:
+        """One line for people."""
+        return "no configuration has been accepted yet"
+
+
+@attrs.frozen(kw_only=True)
+class UnknownQueue(Failure):
+    """No queue has this host and path in the configuration in force."""
+
+    not_run: bool = True
+    host: str
+    path: str
+    version: int
+
+    @property
+    def message(self) -> str:
+        """One line for people."""
+        return (
+            f"no queue for host {self.host!r} and path {self.path!r} "
+            f"in configuration {self.version}"
+        )
+
+
+@attrs.frozen(kw_only=True)
+class UnknownKey(Failure):
+    """The caller's key belongs to no organisation of the configuration in force."""
+
+    not_run: bool = True
+    queue: str
+    version: int
+
+    @property
+    def message(self) -> str:
+        """One line for people."""
+        return (
+            f"the key for queue {self.queue!r} is not in configuration {self.version}"
+        )
+
+
+@attrs.frozen(kw_only=True)
+class UnknownWorkload(Failure):
+    """No workload has this identity."""
+
+    workload_id: str
+
+    @property
+    def message(self) -> str:
+        """One line for people."""
+        return f"workload {self.workload_id!r} is not known"
+
+
+@attrs.frozen(kw_only=True)
+class TooManyWorkloads(Failure):
+    """The bound of unfinished workloads is reached."""
+
+    not_run: bool = True
+    bound: int
+
+    @property
+    def message(self) -> str:
+        """One line for people."""
+        return f"{self.bound} workloads are unfinished, which is the bound"
+
+
+@attrs.frozen(kw_only=True)
+class UnknownWave(Failure):
+    """No upkeep wave has this number."""
+
+    wave: int
+
+    @property
+    def message(self) -> str:
+        """One line for people."""
+        return f"upkeep wave {self.wave} is not known"
--- /dev/null
+++ b/tanagerpath/core/workloads/node.py
@@ -0,0 +1,197 @@
+"""All decisions of a control process on workloads, without input or output."""
+
+from collections.abc import Callable
+
+import attrs
+
+from tanagerpath.core import consensus
+from tanagerpath.core.control import (
+    ControlEvent,
+    ReplicatedNode,
+    RequestArrived,
+    StateCodec,
+)
+from tanagerpath.core.control.proposals import OpenProposal
+from tanagerpath.core.coordination import (
+    Effect,
+    Instant,
+    Propose,
+    Ticked,
+    UpstreamCallFailed,
+    UpstreamReplied,
+)
+from tanagerpath.core.workloads.desk import WorkloadDesk, WorkloadProposal
+from tanagerpath.core.workloads.dispatch_context import DispatchTerms
+from tanagerpath.core.workloads.dispatcher import Dispatcher
+from tanagerpath.core.workloads.events import (
+    CommandRecorded,
+    CommandRejected,
+    NoteDecision,
+)
+from tanagerpath.core.workloads.policy import WorkloadPolicy
+from tanagerpath.core.workloads.state import Applied, FleetState
+
+__all__ = ["PolicyFactory", "WorkloadNode", "WorkloadNodeConfig"]
+
+PolicyFactory = Callable[[], WorkloadPolicy]
+
+
+@attrs.frozen(kw_only=True)
+class WorkloadNodeConfig:
+    """Settings of a node.
+
+    Attributes
+    ----------
+    replica : ReplicaConfig
+        Settings of the replica.
+    dispatch : DispatchTerms
+        Settings of the leader's decisions.
+    tick_interval_s : float
+        Seconds between two looks of the leader at its deadlines.
+    """
+
+    replica: consensus.ReplicaConfig
+    dispatch: DispatchTerms = DispatchTerms()
+    tick_interval_s: float = 0.05
+
+
+@attrs.define
+class _LeaderTerm:
+    """What exists only while this node leads."""
+
+    dispatcher: Dispatcher
+    desk: WorkloadDesk
+    events: list[object] = attrs.field(factory=list)
+
+
+class WorkloadNode(ReplicatedNode):
+    """Replica, replicated state and, on the leader, all decisions on workloads.
+
+    Parameters
+    ----------
+    config : WorkloadNodeConfig
+        Settings.
+    replica : Replica
+        The replica.
+    codec : StateCodec
+        Encoding of log payloads.
+    make_policy : PolicyFactory
+        Builds the placement policy of a new leader.
+    """
+
+    def __init__(
+        self,
+        config: WorkloadNodeConfig,
+        replica: consensus.Replica,
+        codec: StateCodec,
+        make_policy: PolicyFactory,
+    ) -> None:
+        super().__init__(replica, codec, config.tick_interval_s)
+        self._config = config
+        self._make_policy = make_policy
+        self._state = FleetState()
+        self._leader_term: _LeaderTerm | None = None
+
+    @property
+    def state(self) -> FleetState:
+        """The replicated state; to be read only."""
+        return self._state
+
+    def _tick(self) -> None:
+        if self._leader_term is not None:
+            self._leader_term.events.append(Ticked())
+
+    def _take_event(self, event: ControlEvent) -> None:
+        match event:
+            case RequestArrived():
+                self._take_request(event)
+            case UpstreamReplied() | UpstreamCallFailed():
+                if self._leader_term is not None:
+                    self._leader_term.events.append(event)
+
+    def _take_request(self, arrived: RequestArrived) -> None:
+        now = self._read_instant()
+        leader_term = self._leader_term
+        if leader_term is None or not now.has_lease:
+            self._answer(arrived.token, self._make_not_leader())
+            return
+        reply, proposals = leader_term.desk.take(arrived, now)
+        if reply is not None:
+            self._answer(arrived.token, reply)
+        for proposal in proposals:
+            self._propose(proposal)
+
+    # State
+
+    def _restore(self, snapshot: object) -> None:
+        self._state = FleetState.from_snapshot(snapshot)
+
+    def _take_snapshot(self) -> tuple[int, object]:
+        return self._state.applied_index, self._state.make_snapshot()
+
+    def _skip(self, index: int) -> None:
+        self._state.skip(index)
+
+    def _apply_command(
+        self, index: int, command: object, proposal: OpenProposal | None
+    ) -> None:
+        applied: Applied = self._state.apply(index, command)
+        if self._leader_term is not None:
+            self._leader_term.events.append(CommandRecorded(command, applied))
+        if proposal is not None:
+            self._actions += proposal.answer(applied, self._state)
+
+    def _note_rejected(self, proposal: OpenProposal) -> None:
+        if self._leader_term is not None:
+            self._leader_term.events.append(CommandRejected(proposal.command))
+
+    # Leadership
+
+    def _begin_term(self, term: int, now: Instant) -> None:
+        dispatcher = Dispatcher.from_state(
+            self._config.dispatch, self._state, self._make_policy(), term, now
+        )
+        desk = WorkloadDesk(
+            self._state, dispatcher, self._config.replica.address, self._list_addresses
+        )
+        self._leader_term = _LeaderTerm(dispatcher, desk, [Ticked()])
+        self._actions.append(
+            NoteDecision(
+                "leadership taken",
+                {
+                    "term": term,
+                    "workloads": len(self._state.workloads),
+                    "upstreams": len(self._state.upstreams),
+                    "applied_index": self._state.applied_index,
+                },
+            )
+        )
+
+    def _end_term(self) -> None:
+        self._leader_term = None
+        self._actions.append(NoteDecision("leadership ended", {"term": self._led_term}))
+
+    def _list_addresses(self) -> tuple[str, ...]:
+        members = self._replica.membership.members
+        return tuple(sorted(member.address for member in members))
+
+    # Decisions
+
+    def _decide(self) -> None:
+        """Run the dispatcher until it has nothing more to say.
+
+        A group with a single voter commits at once, so effects may bring new events.
+        """
+        leader_term = self._leader_term
+        while leader_term is not None and leader_term.events:
+            events, leader_term.events = leader_term.events, []
+            effects = leader_term.dispatcher.handle(events, self._read_instant())
+            for effect in effects:
+                self._take_effect(effect)
+
+    def _take_effect(self, effect: Effect) -> None:
+        match effect:
+            case Propose(command):
+                self._propose(WorkloadProposal(command))
+            case _:
+                self._actions.append(effect)
--- /dev/null
+++ b/tanagerpath/core/workloads/policy.py
@@ -0,0 +1,180 @@
+"""Interface of the policy that decides which task runs where, and what it works on."""
+
+import abc
+
+import attrs
+
+from tanagerpath.core.workloads.configuration import Queue
+from tanagerpath.core.workloads.estimates import RunEstimates
+from tanagerpath.core.workloads.health import UpstreamHealth
+from tanagerpath.core.workloads.records import WorkloadRecord
+from tanagerpath.core.workloads.sessions import RunView, UpstreamSession
+from tanagerpath.core.workloads.specs import StepSpec, TaskId
+
+__all__ = ["Eviction", "FleetView", "Placement", "Plan", "PlanUnit", "WorkloadPolicy"]
+
+MIN_RUN_S = 0.05
+
+
+@attrs.frozen(kw_only=True, eq=False)
+class PlanUnit:
+    """Tasks of one step of one occurrence that wait for a place.
+
+    Attributes
+    ----------
+    record : WorkloadRecord
+        Their workload.
+    queue : Queue
+        Terms of its queue.
+    occurrence, step : int
+        Where they belong.
+    indexes : tuple of int
+        The waiting tasks; all tasks of the step for a gang.
+    begun_unix_s : float
+        Instant in UTC seconds from which the caller counts.
+    objective_s : float
+        Seconds from there within which the workload is on time.
+    left_s : float
+        Seconds of work that are left on the longest chain.
+    is_guaranteed : bool
+        Whether the guarantee of its organisation covers it.
+    avoided : frozenset of str
+        Upstreams on which a task of the unit has failed.
+    is_last_attempt : bool
+        Whether one more failure ends the workload.
+    tickets : dict of str to str or None
+        Tickets by upstream; None if no ticket is needed.
+    """
+
+    record: WorkloadRecord
+    queue: Queue
+    occurrence: int
+    step: int
+    indexes: tuple[int, ...]
+    begun_unix_s: float
+    objective_s: float
+    left_s: float
+    is_guaranteed: bool = False
+    avoided: frozenset[str] = frozenset()
+    is_last_attempt: bool = False
+    tickets: dict[str, str] | None = None
+
+    @property
+    def spec(self) -> StepSpec:
+        """The step."""
+        return self.record.spec.steps[self.step]
+
+    @property
+    def step_key(self) -> tuple[str, int]:
+        """Names the step for estimates."""
+        return self.record.workload_id, self.step
+
+    def make_task_id(self, index: int) -> TaskId:
+        """Return the identity of a task of the unit."""
+        return TaskId(self.record.workload_id, self.occurrence, self.step, index)
+
+
+@attrs.frozen(kw_only=True, eq=False)
+class FleetView:
+    """What a policy may look at.
+
+    Attributes
+    ----------
+    now_s, unix_s : float
+        Instant on the leader's steady clock and in UTC seconds.
+    sessions : tuple of UpstreamSession
+        All known upstreams.
+    health : dict of str to UpstreamHealth
+        Health by upstream.
+    estimates : RunEstimates
+        Learned run times.
+    remote_factor : float
+        How many times longer a task takes away from its rack.
+    checkpoint_interval_s : float
+        Seconds of work between two checkpoints.
+    """
+
+    now_s: float
+    unix_s: float
+    sessions: tuple[UpstreamSession, ...]
+    health: dict[str, UpstreamHealth]
+    estimates: RunEstimates
+    remote_factor: float = 3.0
+    checkpoint_interval_s: float = 1.0
+
+    def predict_run_s(self, unit: PlanUnit, session: UpstreamSession) -> float:
+        """Return the seconds that a task of a unit takes on an upstream."""
+        spec = unit.spec
+        work_s = self.estimates.predict_work_s(
+            unit.step_key, unit.queue.name, spec.declared_run_s
+        )
+        run_s = work_s / self.estimates.find_speed(session.upstream_id)
+        if spec.preferred_rack and spec.preferred_rack != session.record.rack:
+            run_s *= self.remote_factor
+        return max(run_s, MIN_RUN_S)
+
+    def predict_left_s(self, view: RunView, session: UpstreamSession) -> float:
+        """Return the seconds until a run ends by itself."""
+        if view.running_since_s is None:
+            return self._predict_whole_s(view, session)
+        worked_s = self.now_s - view.running_since_s
+        gained = view.percent - max(view.first_percent, 0)
+        if gained > 0 and view.progress_s > view.running_since_s:
+            pace = gained / (view.progress_s - view.running_since_s)
+            since_s = self.now_s - view.progress_s
+            return max((100 - view.percent) / pace - since_s, MIN_RUN_S)
+        return max(self._predict_whole_s(view, session) - worked_s, MIN_RUN_S)
+
+    def _predict_whole_s(self, view: RunView, session: UpstreamSession) -> float:
+        step = (view.task.workload_id, view.task.step)
+        work_s = self.estimates.predict_work_s(step, "", view.spec.declared_run_s)
+        return work_s / self.estimates.find_speed(session.upstream_id)
+
+
+@attrs.frozen(eq=False)
+class Placement:
+    """A task of a unit gets a place."""
+
+    unit: PlanUnit
+    index: int
+    session: UpstreamSession
+
+
+@attrs.frozen(eq=False)
+class Eviction:
+    """A run has to make room for a unit."""
+
+    session: UpstreamSession
+    view: RunView
+    unit: PlanUnit
+
+
+@attrs.define(eq=False)
+class Plan:
+    """What a policy has decided."""
+
+    placements: list[Placement] = attrs.Factory(list)
+    evictions: list[Eviction] = attrs.Factory(list)
+    blocked: list[PlanUnit] = attrs.Factory(list)
+
+
+class WorkloadPolicy(abc.ABC):
+    """Decides which waiting tasks start where, and which runs make room."""
+
+    @abc.abstractmethod
+    def plan(self, units: list[PlanUnit], fleet: FleetView) -> Plan:
+        """Return what starts and what stops now.
+
+        Parameters
+        ----------
+        units : list of PlanUnit
+            Everything that waits, in any order.
+        fleet : FleetView
+            Upstreams and what is known of them.
+
+        Returns
+        -------
+        Plan
+            Placements never take more than the room of an upstream, and a gang is
+            placed whole or not at all.
+        """
--- /dev/null
+++ b/tanagerpath/core/workloads/resources.py
@@ -0,0 +1,79 @@
+"""Amounts of processor, memory and accelerators."""
+
+import attrs
+
+__all__ = ["ACCELERATOR_CORES", "Resources"]
+
+# Cores that one accelerator counts for when work of different shape is compared.
+ACCELERATOR_CORES = 8
+
+
+@attrs.frozen
+class Resources:
+    """What a task needs or an upstream offers.
+
+    Attributes
+    ----------
+    cpu_millicores : int
+        Thousandths of a core.
+    memory_mb : int
+        Megabytes of memory.
+    accelerators : int
+        Accelerators.
+    """
+
+    cpu_millicores: int = 0
+    memory_mb: int = 0
+    accelerators: int = 0
+
+    def __add__(self, other: "Resources") -> "Resources":
+        return Resources(
+            self.cpu_millicores + other.cpu_millicores,
+            self.memory_mb + other.memory_mb,
+            self.accelerators + other.accelerators,
+        )
+
+    def __sub__(self, other: "Resources") -> "Resources":
+        return Resources(
+            self.cpu_millicores - other.cpu_millicores,
+            self.memory_mb - other.memory_mb,
+            self.accelerators - other.accelerators,
+        )
+
+    def fits(self, room: "Resources") -> bool:
+        """Return whether `room` holds this much."""
+        return (
+            self.cpu_millicores <= room.cpu_millicores
+            and self.memory_mb <= room.memory_mb
+            and self.accelerators <= room.accelerators
+        )
+
+    def count_in(self, room: "Resources", most: int) -> int:
+        """Return how many times this fits into `room`, at most `most`."""
+        count = most
+        for needed, free in (
+            (self.cpu_millicores, room.cpu_millicores),
+            (self.memory_mb, room.memory_mb),
+            (self.accelerators, room.accelerators),
+        ):
+            if needed > 0:
+                count = min(count, free // needed)
+        return max(count, 0)
+
+    def find_share(self, capacity: "Resources") -> float:
+        """Return the largest share of `capacity` that this takes, 0 to 1."""
+        shares = [
+            taken / whole
+            for taken, whole in (
+                (self.cpu_millicores, capacity.cpu_millicores),
+                (self.memory_mb, capacity.memory_mb),
+                (self.accelerators, capacity.accelerators),
+            )
+            if whole > 0
+        ]
+        return max(shares, default=0.0)
+
+    @property
+    def weighted_cores(self) -> float:
+        """Cores, with each accelerator counted as `ACCELERATOR_CORES`."""
+        return self.cpu_millicores / 1000 + self.accelerators * ACCELERATOR_CORES
--- /dev/null
+++ b/tanagerpath/core/workloads/run_driver.py
@@ -0,0 +1,407 @@
+"""Orders to upstreams, and what their answers say about runs."""
+
+from tanagerpath.core.workloads.commands import RunOutcome
+from tanagerpath.core.workloads.dispatch_context import DispatchContext, describe_task
+from tanagerpath.core.workloads.orders import (
+    EndedRun,
+    HoldReply,
+    HoldRequest,
+    OrderDone,
+    OrderRefused,
+    PaceRequest,
+    Refusal,
+    RunningTask,
+    StartRequest,
+    StopRequest,
+)
+from tanagerpath.core.workloads.sessions import RunPhase, RunView, UpstreamSession
+
+__all__ = ["RunDriver"]
+
+MS_PER_S = 1000
+# Ends that are not recorded yet keep a renewal from being worth its price.
+UNRECORDED_HOLD_INTERVAL_S = 1.0
+# From here on the progress of a run tells how long the whole of it takes.
+OBSERVED_PERCENT = 25
+_OWN_ENDS = (RunOutcome.DONE, RunOutcome.FAILED)
+
+
+class RunDriver:
+    """Sends what each run and each lease needs, and takes the answers.
+
+    Parameters
+    ----------
+    context : DispatchContext
+        Shared state of the term.
+    """
+
+    def __init__(self, context: DispatchContext) -> None:
+        self._context = context
+        self._hold_sent_s: dict[str, float] = {}
+
+    # Orders
+
+    def drive(self, session: UpstreamSession) -> None:
+        """Send the orders that are due on an upstream."""
+        now_s = self._context.now_s
+        if session.left_at_s is not None:
+            self._close_left(session)
+            return
+        if session.runs and now_s >= session.find_lapse_s(self._context.terms.leases):
+            self._close_lapsed(session)
+        for view in tuple(session.runs.values()):
+            self._drive_run(session, view)
+        if not session.hold_in_flight and now_s >= session.next_hold_s:
+            self._send_hold(session)
+
+    def _close_left(self, session: UpstreamSession) -> None:
+        delay_s = self._context.terms.leave_delay_s
+        if self._context.now_s < session.left_at_s + delay_s:
+            return
+        for view in session.runs.values():
+            if view.phase is not RunPhase.PROPOSED:
+                self._context.queue_end(session, view, RunOutcome.LOST)
+
+    def _close_lapsed(self, session: UpstreamSession) -> None:
+        if session.reachable and session.synced:
+            return
+        for view in session.runs.values():
+            if view.phase is not RunPhase.PROPOSED:
+                self._context.queue_end(session, view, RunOutcome.LAPSED)
+
+    def _drive_run(self, session: UpstreamSession, view: RunView) -> None:
+        context = self._context
+        if view.order_in_flight or context.now_s < view.next_order_s:
+            return
+        if context.is_ending(view.key):
+            return
+        if view.phase is RunPhase.ORDERED and session.synced:
+            if context.now_s - view.began_s > context.terms.start_patience_s:
+                self.stop(session, view, "start unanswered")
+            else:
+                self._send_start(session, view)
+        elif view.phase is RunPhase.STOPPING and view.must_be_listed_s is None:
+            self._send_stop(session, view)
+
+    def _send_start(self, session: UpstreamSession, view: RunView) -> None:
+        context = self._context
+        leases = context.terms.leases
+        lease_s = leases.lease_s if session.lease_until_ms else leases.start_lease_s
+        record = context.state.workloads[view.task.workload_id]
+        request = StartRequest(
+            task=view.task,
+            run=view.run,
+            payload=record.spec.payload,
+            lease_until_ms=session.extend_lease(lease_s, context.now_s),
+            fencing_token=context.term,
+            checkpoint=view.checkpoint,
+            ticket=view.ticket,
+        )
+        self._send_order(session, view, request)
+
+    def _send_stop(self, session: UpstreamSession, view: RunView) -> None:
+        request = StopRequest(
+            task=view.task, run=view.run, fencing_token=self._context.term
+        )
+        self._send_order(session, view, request)
+
+    def _send_order(
+        self, session: UpstreamSession, view: RunView, request: object
+    ) -> None:
+        view.order_in_flight = True
+        view.orders += 1
+        self._context.call(session, request, self._context.terms.order_timeout_s)
+
+    def _send_hold(self, session: UpstreamSession) -> None:
+        context = self._context
+        terms = context.terms
+        unrecorded = session.listed_end > session.recorded_end
+        wait_s = terms.hold_wait_s if session.synced and not unrecorded else 0.0
+        lease_until_ms = None
+        if session.runs and session.clock_ms is not None:
+            lease_until_ms = session.extend_lease(terms.leases.lease_s, context.now_s)
+        session.hold_in_flight = True
+        self._hold_sent_s[session.upstream_id] = context.now_s
+        request = HoldRequest(
+            fencing_token=context.term,
+            end_cursor=session.recorded_end,
+            lease_until_ms=lease_until_ms,
+            wait_ms=int(wait_s * MS_PER_S),
+        )
+        context.call(session, request, wait_s + terms.hold_timeout_s)
+
+    def stop(self, session: UpstreamSession, view: RunView, reason: str) -> None:
+        """Make a run end."""
+        if view.phase in (RunPhase.STOPPING, RunPhase.PROPOSED):
+            return
+        view.stop_reason = reason
+        view.enter(RunPhase.STOPPING, self._context.now_s)
+        self._context.note(
+            "run stopped",
+            task=describe_task(view.task),
+            run=view.run,
+            upstream=session.upstream_id,
+            reason=reason,
+            percent=view.percent,
+        )
+
+    def pace(self, session: UpstreamSession, view: RunView, percent: int) -> None:
+        """Let a run work at a share of its speed."""
+        view.pace = percent
+        request = PaceRequest(
+            task=view.task,
+            run=view.run,
+            percent=percent,
+            fencing_token=self._context.term,
+        )
+        self._context.call(session, request, self._context.terms.order_timeout_s)
+
+    # Answers
+
+    def take_failure(self, session: UpstreamSession, request: object) -> None:
+        """Take note of an exchange that ended without an answer."""
+        context = self._context
+        if session.reachable:
+            context.note(
+                "upstream unreachable",
+                upstream=session.upstream_id,
+                heard_age_s=round(context.now_s - session.heard_s, 3),
+                runs=len(session.runs),
+            )
+        session.reachable = False
+        if isinstance(request, HoldRequest):
+            session.hold_in_flight = False
+            session.next_hold_s = context.now_s + context.terms.hold_retry_s
+            return
+        view = self._find_view(session, request)
+        if view is not None:
+            view.order_in_flight = False
+            view.next_order_s = context.now_s + context.terms.hold_retry_s
+
+    def _find_view(self, session: UpstreamSession, request: object) -> RunView | None:
+        """Return the run that an order was for, if it is still in that phase."""
+        if not isinstance(request, StartRequest | StopRequest):
+            return None
+        view = session.runs.get((request.task, request.run))
+        if view is None:
+            return None
+        is_stop = isinstance(request, StopRequest)
+        if is_stop != (view.phase is RunPhase.STOPPING):
+            # The phase has changed since; the answer no longer decides anything.
+            view.order_in_flight = False
+            return None
+        return view
+
+    def take_reply(
+        self, session: UpstreamSession, request: object, reply: object
+    ) -> None:
+        """Take an answer of an upstream."""
+        context = self._context
+        if not session.reachable:
+            context.note("upstream reachable", upstream=session.upstream_id)
+        session.reachable = True
+        session.heard_s = context.now_s
+        session.note_clock(reply.clock_ms, context.now_s)
+        if isinstance(reply, HoldReply):
+            self._take_lists(session, reply)
+            return
+        view = self._find_view(session, request)
+        if view is None:
+            return
+        view.order_in_flight = False
+        match reply:
+            case OrderDone():
+                self._take_done(view)
+            case OrderRefused(refusal):
+                self._take_refusal(session, view, request, refusal)
+
+    def _take_done(self, view: RunView) -> None:
+        now_s = self._context.now_s
+        view.must_be_listed_s = now_s
+        if view.phase is RunPhase.ORDERED:
+            view.phase = RunPhase.RUNNING
+            view.running_since_s = now_s
+            view.progress_s = now_s
+
+    def _take_refusal(
+        self,
+        session: UpstreamSession,
+        view: RunView,
+        request: object,
+        refusal: Refusal,
+    ) -> None:
+        context = self._context
+        context.note(
+            "order refused",
+            task=describe_task(view.task),
+            run=view.run,
+            upstream=session.upstream_id,
+            order=type(request).__name__,
+            refusal=str(refusal),
+        )
+        if view.phase is RunPhase.STOPPING:
+            # A malformed or late stop would never succeed; the lists decide.
+            view.must_be_listed_s = context.now_s
+            return
+        if refusal is Refusal.UNHEALTHY:
+            context.find_health(session.upstream_id).note_failure(
+                view.task.workload_id, context.now_s
+            )
+        if view.orders > 1:
+            # An earlier order without an answer may have been carried out.
+            self.stop(session, view, f"refused as {refusal}")
+        else:
+            context.queue_end(session, view, RunOutcome.NOT_STARTED)
+
+    # Lists
+
+    def _take_lists(self, session: UpstreamSession, reply: HoldReply) -> None:
+        context = self._context
+        sent_s = self._hold_sent_s.get(session.upstream_id, context.now_s)
+        session.hold_in_flight = False
+        session.next_hold_s = context.now_s
+        listed = {(task.task, task.run) for task in reply.running}
+        ended = {(end.task, end.run) for end in reply.ended}
+        for running in reply.running:
+            self._take_running(session, running)
+        for end in sorted(reply.ended, key=lambda one: one.number):
+            self._take_end(session, end)
+        for view in tuple(session.runs.values()):
+            if view.key not in listed and view.key not in ended:
+                self._take_absence(session, view, sent_s)
+        if not session.synced:
+            session.synced = True
+            context.must_plan = True
+            context.note(
+                "upstream taken over",
+                upstream=session.upstream_id,
+                running=len(listed),
+                ended=len(ended),
+                room=session.room.accelerators,
+            )
+        if session.listed_end > session.recorded_end:
+            session.next_hold_s = context.now_s + UNRECORDED_HOLD_INTERVAL_S
+
+    def _take_running(self, session: UpstreamSession, running: RunningTask) -> None:
+        context = self._context
+        view = session.runs.get((running.task, running.run))
+        if view is None:
+            self._stop_stray(session, running)
+            return
+        if view.phase in (RunPhase.ORDERED, RunPhase.INHERITED):
+            view.phase = RunPhase.RUNNING
+        if view.running_since_s is None:
+            view.running_since_s = context.now_s
+            view.progress_s = context.now_s
+        if view.first_percent < 0:
+            view.first_percent = running.percent
+        if running.percent != view.percent:
+            view.percent = running.percent
+            view.progress_s = context.now_s
+        view.checkpoint = running.checkpoint or view.checkpoint
+        view.load = running.load
+        self._observe_progress(session, view)
+
+    def _observe_progress(self, session: UpstreamSession, view: RunView) -> None:
+        """Learn the run time of a run that is well under way."""
+        gained = view.percent - max(view.first_percent, 0)
+        if view.observed or view.spec.long_running or gained < OBSERVED_PERCENT:
+            return
+        view.observed = True
+        self._observe(session, view, gained, view.progress_s)
+
+    def _observe(
+        self, session: UpstreamSession, view: RunView, gained: int, until_s: float
+    ) -> None:
+        context = self._context
+        if view.running_since_s is None or until_s <= view.running_since_s:
+            return
+        run_s = (until_s - view.running_since_s) * 100 / gained
+        preferred = view.spec.preferred_rack
+        if preferred and preferred != session.record.rack:
+            run_s /= context.terms.remote_factor
+        record = context.state.workloads.get(view.task.workload_id)
+        if record is not None:
+            context.estimates.observe(
+                session.upstream_id,
+                (view.task.workload_id, view.task.step),
+                record.queue,
+                view.spec.declared_run_s,
+                run_s,
+            )
+
+    def _stop_stray(self, session: UpstreamSession, running: RunningTask) -> None:
+        """Stop a run that the state does not hold as open."""
+        context = self._context
+        context.note(
+            "stray run stopped",
+            task=describe_task(running.task),
+            run=running.run,
+            upstream=session.upstream_id,
+        )
+        request = StopRequest(
+            task=running.task, run=running.run, fencing_token=context.term
+        )
+        context.call(session, request, context.terms.order_timeout_s)
+
+    def _take_end(self, session: UpstreamSession, end: EndedRun) -> None:
+        if end.number <= session.listed_end:
+            return
+        session.listed_end = end.number
+        view = session.runs.get((end.task, end.run))
+        if view is None or self._context.is_ending(view.key):
+            # The state does not wait for this end: it may be forgotten at once.
+            if not self._has_unrecorded(session):
+                session.recorded_end = end.number
+            return
+        self._judge(session, view, end)
+        self._context.queue_end(
+            session, view, end.outcome, end.checkpoint, number=end.number
+        )
+
+    def _has_unrecorded(self, session: UpstreamSession) -> bool:
+        return any(self._context.is_ending(key) for key in session.runs)
+
+    def _judge(self, session: UpstreamSession, view: RunView, end: EndedRun) -> None:
+        """Learn from an end about the upstream and the work."""
+        context = self._context
+        health = context.find_health(session.upstream_id)
+        if end.outcome is RunOutcome.DONE:
+            health.note_success()
+            if not view.observed and not view.checkpoint:
+                self._observe(session, view, 100, context.now_s)
+        elif end.outcome is RunOutcome.FAILED:
+            workload_id = view.task.workload_id
+            failed_on = context.backlog.failed_on.setdefault(workload_id, set())
+            failed_on.add(session.upstream_id)
+            if health.note_failure(workload_id, context.now_s):
+                self._note_quarantine(session, health.failed_workloads)
+
+    def _note_quarantine(
+        self, session: UpstreamSession, failed_workloads: dict[str, int]
+    ) -> None:
+        self._context.note(
+            "upstream quarantined",
+            upstream=session.upstream_id,
+            failed_workloads=sorted(failed_workloads),
+        )
+
+    def _take_absence(
+        self, session: UpstreamSession, view: RunView, sent_s: float
+    ) -> None:
+        """Decide on a run that an upstream lists neither as running nor as ended."""
+        context = self._context
+        if context.is_ending(view.key):
+            return
+        if view.phase is RunPhase.INHERITED:
+            # The hold carried this leader's token, so no earlier order can follow.
+            context.queue_end(session, view, RunOutcome.NOT_STARTED)
+            return
+        if view.must_be_listed_s is None or sent_s <= view.must_be_listed_s:
+            return
+        if view.phase is RunPhase.STOPPING:
+            began = view.running_since_s is not None
+            outcome = RunOutcome.STOPPED if began else RunOutcome.NOT_STARTED
+            context.queue_end(session, view, outcome)
+        elif view.phase is RunPhase.RUNNING:
+            self.stop(session, view, "not listed by its upstream")
--- /dev/null
+++ b/tanagerpath/core/workloads/state.py
@@ -0,0 +1,239 @@
+"""Replicated state of workloads, upstreams and their configuration."""
+
+from collections.abc import Iterator
+from typing import Any
+
+import attrs
+
+from tanagerpath.core.workloads import commands
+from tanagerpath.core.workloads.commands import UpstreamRecord
+from tanagerpath.core.workloads.configuration import Configuration, Queue
+from tanagerpath.core.workloads.records import (
+    StoredWorkload,
+    WaveRecord,
+    WorkloadRecord,
+    WorkloadState,
+)
+
+__all__ = ["Applied", "FleetSnapshot", "FleetState"]
+
+
+@attrs.frozen
+class Applied:
+    """What a committed command did.
+
+    Attributes
+    ----------
+    changed : bool
+        Whether the state changed; a repeated command changes nothing.
+    starts : tuple of RunStart
+        Starts of `RecordRuns` that were recorded.
+    ended_ids : tuple of str
+        Workloads that reached their final state.
+    """
+
+    changed: bool = True
+    starts: tuple[commands.RunStart, ...] = ()
+    ended_ids: tuple[str, ...] = ()
+
+
+@attrs.frozen(kw_only=True)
+class FleetSnapshot:
+    """Everything that `FleetState` holds, for the log's snapshot."""
+
+    applied_index: int = 0
+    configuration: Configuration | None = None
+    upstreams: tuple[UpstreamRecord, ...] = ()
+    workloads: tuple[StoredWorkload, ...] = ()
+    waves: tuple[WaveRecord, ...] = ()
+    known_queues: tuple[Queue, ...] = ()
+
+
+class FleetState:
+    """State machine of the replicated log; `apply` is deterministic."""
+
+    def __init__(self) -> None:
+        self.applied_index = 0
+        self.configuration: Configuration | None = None
+        self.upstreams: dict[str, UpstreamRecord] = {}
+        self.workloads: dict[str, WorkloadRecord] = {}
+        self.waves: dict[int, WaveRecord] = {}
+        # The last terms of each queue, so that accepted work of a removed one goes on.
+        self.known_queues: dict[str, Queue] = {}
+        self._apply_by_type: dict[type, Any] = {
+            commands.PutConfiguration: self._put_configuration,
+            commands.AcceptWorkload: self._accept,
+            commands.CancelWorkload: self._cancel,
+            commands.RecordRuns: self._record_runs,
+            commands.RegisterUpstream: self._register,
+            commands.WithdrawUpstream: self._withdraw,
+            commands.ExpireWorkloads: self._expire,
+            commands.DeclareWave: self._declare_wave,
+            commands.RecordUpkeep: self._record_upkeep,
+        }
+
+    @classmethod
+    def from_snapshot(cls, snapshot: FleetSnapshot) -> "FleetState":
+        """Build the state that a snapshot holds."""
+        state = cls()
+        state.applied_index = snapshot.applied_index
+        state.configuration = snapshot.configuration
+        state.upstreams = {one.upstream_id: one for one in snapshot.upstreams}
+        state.workloads = {
+            one.spec.workload_id: one.restore() for one in snapshot.workloads
+        }
+        state.waves = {one.wave: one for one in snapshot.waves}
+        state.known_queues = {one.name: one for one in snapshot.known_queues}
+        return state
+
+    def make_snapshot(self) -> FleetSnapshot:
+        """Return all content."""
+        return FleetSnapshot(
+            applied_index=self.applied_index,
+            configuration=self.configuration,
+            upstreams=tuple(self.upstreams.values()),
+            workloads=tuple(one.store() for one in self.workloads.values()),
+            waves=tuple(self.waves.values()),
+            known_queues=tuple(self.known_queues.values()),
+        )
+
+    def skip(self, index: int) -> None:
+        """Note an entry of the log that holds no command."""
+        self.applied_index = index
+
+    def apply(self, index: int, command: commands.WorkloadCommand) -> Applied:
+        """Apply a committed command."""
+        self.applied_index = index
+        return self._apply_by_type[type(command)](command)
+
+    def find_queue(self, name: str) -> Queue | None:
+        """Return the terms of a queue, the last known ones if it was removed."""
+        return self.known_queues.get(name)
+
+    def find_due_wave(self) -> Iterator[WaveRecord]:
+        """Return the waves with VMs whose upkeep has not begun, oldest first."""
+        return (wave for _, wave in sorted(self.waves.items()) if wave.waiting)
+
+    def _put_configuration(self, command: commands.PutConfiguration) -> Applied:
+        configuration = command.configuration
+        held = self.configuration
+        if held is not None and configuration.version <= held.version:
+            return Applied(changed=False)
+        self.configuration = configuration
+        for queue in configuration.queues:
+            self.known_queues[queue.name] = queue
+        self._forget_queues()
+        return Applied()
+
+    def _forget_queues(self) -> None:
+        """Forget queues that were removed and have no unfinished workload."""
+        needed = {queue.name for queue in self.configuration.queues}
+        needed |= {
+            record.queue
+            for record in self.workloads.values()
+            if record.final_state is None or record.open_count
+        }
+        self.known_queues = {
+            name: queue for name, queue in self.known_queues.items() if name in needed
+        }
+
+    def _accept(self, command: commands.AcceptWorkload) -> Applied:
+        workload_id = command.spec.workload_id
+        if workload_id in self.workloads:
+            return Applied(changed=False)
+        self.workloads[workload_id] = WorkloadRecord(
+            command.spec,
+            command.queue,
+            command.organisation,
+            command.accepted_at_unix_s,
+        )
+        return Applied()
+
+    def _cancel(self, command: commands.CancelWorkload) -> Applied:
+        record = self.workloads.get(command.workload_id)
+        if record is None or record.final_state is not None:
+            return Applied(changed=False)
+        record.end(WorkloadState.CANCELLED, command.ended_at_unix_s)
+        return Applied(ended_ids=(command.workload_id,))
+
+    def _record_runs(self, command: commands.RecordRuns) -> Applied:
+        touched = [self._record_end(end, command.at_unix_s) for end in command.ends]
+        ended_ids = tuple(dict.fromkeys(filter(None, touched)))
+        starts = tuple(start for start in command.starts if self._record_start(start))
+        return Applied(starts=starts, ended_ids=ended_ids)
+
+    def _record_end(self, end: commands.RunEnd, at_unix_s: float) -> str:
+        """Note an end; return the workload if it reached its final state by it."""
+        record = self.workloads.get(end.task.workload_id)
+        if record is None:
+            return ""
+        queue = self.find_queue(record.queue)
+        failed = record.record_end(end, queue.max_attempts if queue else 1)
+        if record.final_state is not None:
+            return ""
+        if failed:
+            record.end(WorkloadState.FAILED, at_unix_s)
+        elif end.outcome is commands.RunOutcome.DONE and record.is_all_done:
+            record.end(WorkloadState.COMPLETED, at_unix_s)
+        return record.workload_id if record.final_state is not None else ""
+
+    def _record_start(self, start: commands.RunStart) -> bool:
+        record = self.workloads.get(start.task.workload_id)
+        if record is None or record.final_state is not None:
+            return False
+        task = record.find_task(start.task)
+        if task.done or start.run <= task.last_run:
+            return False
+        upstream = self.upstreams.get(start.upstream_id)
+        if upstream is None or upstream.incarnation != start.incarnation:
+            return False
+        if upstream.draining:
+            return False
+        record.record_start(start)
+        return True
+
+    def _register(self, command: commands.RegisterUpstream) -> Applied:
+        record = command.record
+        held = self.upstreams.get(record.upstream_id)
+        if held == record:
+            return Applied(changed=False)
+        self.upstreams[record.upstream_id] = record
+        return Applied()
+
+    def _withdraw(self, command: commands.WithdrawUpstream) -> Applied:
+        held = self.upstreams.get(command.upstream_id)
+        if held is None or held.incarnation != command.incarnation:
+            return Applied(changed=False)
+        del self.upstreams[command.upstream_id]
+        return Applied()
+
+    def _expire(self, command: commands.ExpireWorkloads) -> Applied:
+        expired = [
+            workload_id
+            for workload_id, record in self.workloads.items()
+            if record.final_state is not None
+            and not record.open_count
+            and record.ended_at_unix_s < command.ended_before_unix_s
+        ]
+        for workload_id in expired:
+            del self.workloads[workload_id]
+        return Applied(changed=bool(expired))
+
+    def _declare_wave(self, command: commands.DeclareWave) -> Applied:
+        if command.wave in self.waves:
+            return Applied(changed=False)
+        self.waves[command.wave] = WaveRecord(
+            command.wave,
+            command.vm_ids,
+            command.vm_ids,
+            command.due_at_unix_s,
+            command.most_at_once,
+        )
+        return Applied()
+
+    def _record_upkeep(self, command: commands.RecordUpkeep) -> Applied:
+        wave = self.waves.get(command.wave)
+        if wave is None or command.vm_id not in wave.waiting:
+            return Applied(changed=False)
+        wave.waiting = tuple(vm for vm in wave.waiting if vm != command.vm_id)
+        return Applied()
--- a/tanagerpath/runtime/client.py
+++ b/tanagerpath/runtime/client.py
@@ -14,6 +14,7 @@
     "ExchangeTimedOut",
     "HttpClient",
     "HttpReply",
+    "HttpRequest",
 ]
 
 # Below the 75 s after which the server closes an idle connection.
@@ -59,6 +60,16 @@
         return f"connection to {self.address} ended before the reply: {self.detail}"
 
 
+@attrs.frozen
+class HttpRequest:
+    """Method, target, JSON text and further headers of a request."""
+
+    method: str
+    path: str
+    body: bytes = b""
+    headers: tuple[tuple[bytes, bytes], ...] = ()
+
+
 @attrs.frozen
 class HttpReply:
     """Status and body of a reply."""
@@ -93,15 +104,19 @@
 
     async def exchange(
         self, method: str, path: str, body: bytes = b"", *, timeout_s: float = 1.0
+    ) -> Result[HttpReply, Failure]:
+        """Send JSON text and wait for the whole reply; see `send`."""
+        return await self.send(HttpRequest(method, path, body), timeout_s=timeout_s)
+
+    async def send(
+        self, request: HttpRequest, *, timeout_s: float = 1.0
     ) -> Result[HttpReply, Failure]:
         """Send one request and wait for its whole reply.
 
         Parameters
         ----------
-        method, path : str
-            HTTP method and target.
-        body : bytes
-            JSON text.
+        request : HttpRequest
+            What to send.
         timeout_s : float
             Seconds until the exchange is given up, with the wait for a connection.
 
@@ -113,21 +128,19 @@
         try:
             with anyio.fail_after(timeout_s):
                 async with self._slots:
-                    return await self._exchange_once(method, path, body)
+                    return await self._exchange_once(request)
         except TimeoutError:
             await self._drop_idle()
             return ResultFailure(ExchangeTimedOut(address=self.address))
 
-    async def _exchange_once(
-        self, method: str, path: str, body: bytes
-    ) -> Result[HttpReply, Failure]:
+    async def _exchange_once(self, request: HttpRequest) -> Result[HttpReply, Failure]:
         connection = await self._take_connection()
         try:
             reply = await connection.request(
-                method,
-                f"http://{self.address}{path}",
-                headers=_JSON_HEADERS,
-                content=body,
+                request.method,
+                f"http://{self.address}{request.path}",
+                headers=[*_JSON_HEADERS, *request.headers],
+                content=request.body,
             )
         except (httpcore.ConnectError, httpcore.ConnectTimeout):
             return ResultFailure(ConnectFailed(address=self.address))
--- a/tanagerpath/runtime/clock.py
+++ b/tanagerpath/runtime/clock.py
@@ -22,8 +22,11 @@
     """Clocks of the operating system."""
 
     def read_s(self) -> float:
-        """Return seconds on the monotonic clock of the system."""
-        return time.monotonic()
+        """Return seconds on the clock that also counts the time of a suspension.
+
+        A lease that was taken before a suspension must be over after it.
+        """
+        return time.clock_gettime(time.CLOCK_BOOTTIME)
 
     def read_unix_s(self) -> float:
         """Return UTC seconds of the system."""
--- a/tanagerpath/services/control.py
+++ b/tanagerpath/services/control.py
@@ -1,48 +1,22 @@
-"""Task that owns a control node and carries its actions out."""
+"""Task that owns the control node of gang jobs."""
 
-import itertools
+from typing import Any
 
-import anyio
 import attrs
+from anyio.abc import TaskGroup
 
-from tanagerpath.core import consensus
-from tanagerpath.core.control import (
-    AnswerRequest,
-    ControlAction,
-    ControlEvent,
-    ControlNode,
-    HandOverRequested,
-    RequestArrived,
-)
-from tanagerpath.core.coordination import CallUpstream, CountEvent, RecordPeriod
+from tanagerpath.core.control import ControlAction, ControlNode
+from tanagerpath.core.coordination import RecordPeriod
 from tanagerpath.core.protocol.internal import StatusReply
-from tanagerpath.observability.logs import get_logger
-from tanagerpath.observability.metrics import MetricsRegistry
-from tanagerpath.runtime import Clock, Mailbox, Reply, Task
-from tanagerpath.services.control_messages import (
-    AskLeader,
-    ConsensusArrived,
-    HandOver,
-    ReturnPathClosed,
-)
-from tanagerpath.services.links import LinkSet
+from tanagerpath.runtime import Clock, Mailbox
+from tanagerpath.services.links import JsonUpstreamCodec, LinkSet
 from tanagerpath.services.peers import PeerSet
-from tanagerpath.services.return_paths import ReturnPaths
+from tanagerpath.services.replica_task import ReplicaTask
 
 __all__ = ["ControlTask"]
 
 
-def _expects_answer(received: consensus.MessageReceived) -> bool:
-    """Whether a commit waits for the answer.
-
-    Answers to heartbeats go as exchanges of their own: a leader that can send but can't
-    be reached by others has to notice it and step down.
-    """
-    message = received.message
-    return isinstance(message, consensus.AppendRequest) and bool(message.entries)
-
-
-class ControlTask(Task):
+class ControlTask(ReplicaTask):
     """Feeds a control node with messages and time, and does what it returns.
 
     Parameters
@@ -73,89 +47,27 @@
         exchange_timeout_s: float,
         clock: Clock,
     ) -> None:
-        self._node = node
-        self._mailbox = mailbox
-        self._storage = storage
-        self._peers = peers
+        super().__init__(node, mailbox, storage, peers, clock)
         self._max_connections = max_connections
         self._exchange_timeout_s = exchange_timeout_s
-        self._clock = clock
-        self._log = get_logger("control")
-        self._metrics = MetricsRegistry()
-        self._return_paths = ReturnPaths()
-        self._replies: dict[int, Reply] = {}
-        self._tokens = itertools.count(1)
-        self._links: LinkSet | None = None
-
-    @property
-    def metrics(self) -> MetricsRegistry:
-        """Metrics of this process; read by the metrics route."""
-        return self._metrics
 
-    async def run(self) -> None:
-        """Handle messages and time until cancelled."""
-        async with anyio.create_task_group() as links:
-            self._links = LinkSet(
-                links, self._mailbox, self._max_connections, self._exchange_timeout_s
-            )
-            while True:
-                message = await self._mailbox.receive(self._node.find_wake_up_s())
-                waiting = [] if message is None else [message]
-                waiting += self._mailbox.take_waiting()
-                self._step(waiting)
-
-    def _step(self, messages: list) -> None:
-        events = [event for message in messages for event in self._translate(message)]
-        # The clock is read after the messages were taken.
-        now_s = self._clock.read_s()
-        for action in self._node.step(events, now_s, self._clock.read_unix_s()):
-            self._carry_out(action)
-        self._return_paths.flush()
-        self._peers.retain(self._node.replica.peer_addresses)
-
-    def _translate(self, message: object) -> list[ControlEvent]:
-        match message:
-            case ConsensusArrived(messages, reply):
-                if any(map(_expects_answer, messages)):
-                    self._return_paths.open(messages[0].sender, reply)
-                else:
-                    reply.send(())
-                return list(messages)
-            case ReturnPathClosed(sender, reply):
-                self._return_paths.close(sender, reply)
-                return []
-            case AskLeader(request, reply):
-                return [RequestArrived(self._keep(reply), request)]
-            case HandOver(reply):
-                return [HandOverRequested(self._keep(reply))]
-        return [message]
-
-    def _keep(self, reply: Reply) -> int:
-        token = next(self._tokens)
-        self._replies[token] = reply
-        return token
-
-    def _carry_out(self, action: ControlAction) -> None:
+    def _make_links(self, tasks: TaskGroup) -> LinkSet:
+        return LinkSet(
+            tasks,
+            self._mailbox,
+            JsonUpstreamCodec(),
+            self._max_connections,
+            self._exchange_timeout_s,
+        )
+
+    def _complete(self, reply: Any) -> Any:
+        if not isinstance(reply, StatusReply):
+            return reply
+        return attrs.evolve(reply, times=self._metrics.list_times())
+
+    def _take_note(self, action: ControlAction) -> None:
         match action:
-            case consensus.SendMessage():
-                if not self._return_paths.take(action):
-                    self._peers.send(action)
-            case consensus.PersistState():
-                self._storage.post(action)
-            case AnswerRequest(token, StatusReply() as status):
-                times = self._metrics.list_times()
-                self._replies.pop(token).send(attrs.evolve(status, times=times))
-            case AnswerRequest(token, reply):
-                self._replies.pop(token).send(reply)
-            case CallUpstream():
-                self._links.call(action)
             case RecordPeriod(period, organisation, job_class, elapsed_s):
                 self._metrics.observe(
                     str(period), elapsed_s, organisation, str(job_class)
                 )
-            case CountEvent(name):
-                self._metrics.count("events", type=name)
-            case consensus.ReportRole(role, term, leader_id):
-                self._log.info(
-                    "role changed", role=str(role), term=term, leader=leader_id
-                )
--- a/tanagerpath/services/entry.py
+++ b/tanagerpath/services/entry.py
@@ -7,6 +7,7 @@
     DocumentView,
     EntryDraining,
     EntryStale,
+    LeaderRoute,
     RequestLimits,
     RetryBudget,
 )
@@ -17,7 +18,7 @@
 from tanagerpath.runtime.server import HttpServer, bind_listener
 from tanagerpath.services.entry_routes import EntryRoutes
 from tanagerpath.services.feed import FeedArrived, FeedTask
-from tanagerpath.services.leader_link import LeaderLink
+from tanagerpath.services.leader_link import JOB_PROTOCOL, LeaderLink
 from tanagerpath.services.messages import (
     Admit,
     BeginDrain,
@@ -134,7 +135,8 @@
         self._entry = EntryTask(settings, clock or SystemClock())
         addresses = tuple(c.address for c in settings.control_addresses)
         self._leader = LeaderLink(
-            addresses,
+            LeaderRoute(addresses),
+            JOB_PROTOCOL,
             settings.exchange_timeout_s,
             RetryBudget(settings.retry_budget_ratio),
         )
--- a/tanagerpath/services/feed.py
+++ b/tanagerpath/services/feed.py
@@ -15,7 +15,7 @@
 )
 from tanagerpath.runtime import Mailbox, Task
 from tanagerpath.runtime.client import HttpClient
-from tanagerpath.services.leader_link import INTERNAL_REQUEST_PATH, LeaderFound
+from tanagerpath.services.leader_link import JOB_PROTOCOL, LeaderFound
 
 __all__ = ["FeedArrived", "FeedTask"]
 
@@ -75,7 +75,7 @@
         body = encode_json(FeedRequest(self._entry_id, self._index), InternalRequest)
         asked_at_s = anyio.current_time()
         result = await client.exchange(
-            "POST", INTERNAL_REQUEST_PATH, body.encode(), timeout_s=self._timeout_s
+            "POST", JOB_PROTOCOL.path, body.encode(), timeout_s=self._timeout_s
         )
         if not is_successful(result) or result.unwrap().status != 200:
             self._route.note_silence(address)
--- a/tanagerpath/services/leader_link.py
+++ b/tanagerpath/services/leader_link.py
@@ -1,5 +1,7 @@
 """Task of an entry that owns the connections to the control processes."""
 
+from typing import Any
+
 import anyio
 import attrs
 from returns.pipeline import is_successful
@@ -8,10 +10,10 @@
 
 from tanagerpath.codecs import decode_json, encode_json
 from tanagerpath.core.admission import (
-    LeaderRoute,
     NoLeader,
     OutcomeUncertain,
     RetryBudget,
+    Route,
 )
 from tanagerpath.core.consensus import ProposalUncertain
 from tanagerpath.core.protocol.internal import (
@@ -23,30 +25,49 @@
 from tanagerpath.runtime import Mailbox, MailboxFull, Reply, Task
 from tanagerpath.runtime.client import ConnectFailed, HttpClient
 
-__all__ = ["INTERNAL_REQUEST_PATH", "LeaderCall", "LeaderFound", "LeaderLink"]
+__all__ = ["JOB_PROTOCOL", "LeaderCall", "LeaderFound", "LeaderLink", "LeaderProtocol"]
 
-INTERNAL_REQUEST_PATH = "/internal/v1/request"
 MAX_WAITING_CALLS = 4096
 CONNECTIONS_PER_CONTROL = 32
 RETRY_PAUSE_S = 0.02
 
 
+@attrs.frozen
+class LeaderProtocol:
+    """Requests that a leader takes, and where.
+
+    Attributes
+    ----------
+    path : str
+        Target of the exchanges.
+    request_type, reply_type : union
+        Messages; the replies include `NotLeaderReply`.
+    """
+
+    path: str
+    request_type: Any
+    reply_type: Any
+
+
+JOB_PROTOCOL = LeaderProtocol("/internal/v1/request", InternalRequest, InternalReply)
+
+
 @attrs.frozen
 class LeaderCall:
     """Ask the leader; the reply is sent once, at the deadline at the latest.
 
     Attributes
     ----------
-    request : InternalRequest
+    request : object
         What to ask.
     reply : Reply
-        Receives a `Result` of `InternalReply`, or `NoLeader`, `OutcomeUncertain` or
+        Receives a `Result` of the leader's reply, or `NoLeader`, `OutcomeUncertain` or
         `MailboxFull`.
     deadline_s : float
         Instant on the clock of the event loop.
     """
 
-    request: InternalRequest
+    request: object
     reply: Reply
     deadline_s: float
 
@@ -61,13 +82,15 @@
 class LeaderLink(Task):
     """Sends requests to the leader and repeats them where that is safe.
 
-    All internal requests are idempotent: jobs by their key, documents by their
-    revision, the others by their content.
+    All internal requests are idempotent: jobs by their key, workloads by their
+    identity, documents by their revision, the others by their content.
 
     Parameters
     ----------
-    addresses : tuple of str
-        "ip:port" of all control processes.
+    route : Route
+        Which control process to ask.
+    protocol : LeaderProtocol
+        Requests and replies.
     exchange_timeout_s : float
         Time for one exchange.
     budget : RetryBudget
@@ -76,11 +99,13 @@
 
     def __init__(
         self,
-        addresses: tuple[str, ...],
+        route: Route,
+        protocol: LeaderProtocol,
         exchange_timeout_s: float,
         budget: RetryBudget,
     ) -> None:
-        self._route = LeaderRoute(addresses)
+        self._route = route
+        self._protocol = protocol
         self._exchange_timeout_s = exchange_timeout_s
         self._budget = budget
         self._clients: dict[str, HttpClient] = {}
@@ -89,14 +114,12 @@
             "leader link", MAX_WAITING_CALLS
         )
 
-    async def call(
-        self, request: InternalRequest, deadline_s: float
-    ) -> Result[InternalReply, Failure]:
+    async def call(self, request: object, deadline_s: float) -> Result[Any, Failure]:
         """Ask the leader from another task.
 
         Parameters
         ----------
-        request : InternalRequest
+        request : object
             What to ask.
         deadline_s : float
             Instant on the clock of the event loop.
@@ -106,7 +129,7 @@
         Result
             The leader's reply, or `NoLeader`, `OutcomeUncertain` or `MailboxFull`.
         """
-        reply: Reply[Result[InternalReply, Failure]] = Reply()
+        reply: Reply[Result[Any, Failure]] = Reply()
         full = self.mailbox.post(LeaderCall(request, reply, deadline_s))
         if full is not None:
             return ResultFailure(full)
@@ -131,10 +154,10 @@
                     await client.close()
 
     async def _carry_out(self, call: LeaderCall) -> None:
-        body = encode_json(call.request, InternalRequest).encode()
+        body = encode_json(call.request, self._protocol.request_type).encode()
         uncertain: Failure | None = None
         while anyio.current_time() < call.deadline_s:
-            address = self._route.leader_address
+            address = self._route.find_address(anyio.current_time())
             if address is None:
                 await self._wait_for_leader(call.deadline_s)
                 continue
@@ -142,13 +165,14 @@
             if is_successful(result):
                 reply = result.unwrap()
                 if not isinstance(reply, NotLeaderReply):
+                    self._route.note_leader(address)
                     call.reply.send(Success(reply))
                     return
                 self._route.note_hint(address, reply.leader_address)
                 if reply.may_commit:
                     uncertain = ProposalUncertain()
             else:
-                self._route.note_silence(address)
+                self._route.note_silence(address, anyio.current_time())
                 if not isinstance(result.failure(), ConnectFailed):
                     uncertain = result.failure()
                     if not self._budget.take_retry():
@@ -168,7 +192,7 @@
 
     async def _exchange(
         self, address: str, body: bytes, deadline_s: float
-    ) -> Result[InternalReply, Failure]:
+    ) -> Result[Any, Failure]:
         client = self._clients.get(address)
         if client is None:
             client = HttpClient(address, CONNECTIONS_PER_CONTROL)
@@ -176,7 +200,7 @@
         left_s = deadline_s - anyio.current_time()
         result = await client.exchange(
             "POST",
-            INTERNAL_REQUEST_PATH,
+            self._protocol.path,
             body,
             timeout_s=min(self._exchange_timeout_s, left_s),
         )
@@ -185,4 +209,4 @@
         reply = result.unwrap()
         if reply.status != 200:
             return ResultFailure(MailboxFull(task=address))
-        return decode_json(reply.body, InternalReply)
+        return decode_json(reply.body, self._protocol.reply_type)
--- a/tanagerpath/services/links.py
+++ b/tanagerpath/services/links.py
@@ -1,9 +1,13 @@
 """Tasks that own the connections to upstreams."""
 
+import abc
+
 import anyio
 import attrs
 from anyio.abc import TaskGroup
 from returns.pipeline import is_successful
+from returns.result import Failure as ResultFailure
+from returns.result import Result
 
 from tanagerpath.codecs import decode_json, encode_json
 from tanagerpath.core.coordination import (
@@ -14,9 +18,15 @@
 from tanagerpath.core.protocol import upstreams as protocol
 from tanagerpath.errors import Failure
 from tanagerpath.runtime import Mailbox, Task
-from tanagerpath.runtime.client import HttpClient
+from tanagerpath.runtime.client import HttpClient, HttpReply, HttpRequest
 
-__all__ = ["LinkSet", "UnexpectedStatus", "UpstreamLink"]
+__all__ = [
+    "JsonUpstreamCodec",
+    "LinkSet",
+    "UnexpectedStatus",
+    "UpstreamCodec",
+    "UpstreamLink",
+]
 
 MAX_WAITING_CALLS = 256
 IDLE_LINK_LIFETIME_S = 60.0
@@ -45,6 +55,36 @@
         return f"{self.address} answered with status {self.status}, expected 200"
 
 
+class UpstreamCodec(abc.ABC):
+    """How an order to an upstream and its answer look on the wire."""
+
+    @abc.abstractmethod
+    def encode(self, call: CallUpstream) -> HttpRequest:
+        """Return the exchange that carries an order."""
+
+    @abc.abstractmethod
+    def decode(self, call: CallUpstream, reply: HttpReply) -> Result[object, Failure]:
+        """Return the typed answer, or why there is none."""
+
+
+class JsonUpstreamCodec(UpstreamCodec):
+    """The product's own interface of upstreams."""
+
+    def encode(self, call: CallUpstream) -> HttpRequest:
+        """Return the exchange that carries an order."""
+        path, _ = _ROUTES[type(call.request)]
+        return HttpRequest("POST", path, encode_json(call.request).encode())
+
+    def decode(self, call: CallUpstream, reply: HttpReply) -> Result[object, Failure]:
+        """Return the typed answer, or why there is none."""
+        if reply.status != 200:
+            return ResultFailure(
+                UnexpectedStatus(address=call.address, status=reply.status)
+            )
+        _, reply_type = _ROUTES[type(call.request)]
+        return decode_json(reply.body, reply_type)
+
+
 class UpstreamLink(Task):
     """Owns the connections to one address of an upstream.
 
@@ -54,21 +94,25 @@
         "ip:port" of the upstream.
     results : Mailbox
         Receives `UpstreamReplied` and `UpstreamCallFailed`.
+    codec : UpstreamCodec
+        Encoding of orders and answers.
     max_connections : int
         Connections to this upstream.
     timeout_s : float
-        Time for one exchange.
+        Time for one exchange that names none.
     """
 
     def __init__(
         self,
         address: str,
         results: Mailbox,
+        codec: UpstreamCodec,
         max_connections: int,
         timeout_s: float,
     ) -> None:
         self._client = HttpClient(address, max_connections)
         self._results = results
+        self._codec = codec
         self._timeout_s = timeout_s
         self.mailbox: Mailbox[CallUpstream] = Mailbox(
             f"upstream link {address}", MAX_WAITING_CALLS
@@ -98,20 +142,11 @@
     async def _exchange(
         self, call: CallUpstream
     ) -> UpstreamReplied | UpstreamCallFailed:
-        path, reply_type = _ROUTES[type(call.request)]
-        body = encode_json(call.request).encode()
-        result = await self._client.exchange(
-            "POST", path, body, timeout_s=self._timeout_s
-        )
+        timeout_s = self._timeout_s if call.timeout_s is None else call.timeout_s
+        result = await self._client.send(self._codec.encode(call), timeout_s=timeout_s)
         if not is_successful(result):
             return self._describe_failure(call, result.failure())
-        reply = result.unwrap()
-        if reply.status != 200:
-            failure = UnexpectedStatus(
-                address=self._client.address, status=reply.status
-            )
-            return self._describe_failure(call, failure)
-        decoded = decode_json(reply.body, reply_type)
+        decoded = self._codec.decode(call, result.unwrap())
         if not is_successful(decoded):
             return self._describe_failure(call, decoded.failure())
         return UpstreamReplied(
@@ -135,21 +170,25 @@
         Where links run.
     results : Mailbox
         Receives the results of all calls.
+    codec : UpstreamCodec
+        Encoding of orders and answers.
     max_connections : int
         Connections to each upstream.
     timeout_s : float
-        Time for one exchange.
+        Time for one exchange that names none.
     """
 
     def __init__(
         self,
         tasks: TaskGroup,
         results: Mailbox,
+        codec: UpstreamCodec,
         max_connections: int,
         timeout_s: float,
     ) -> None:
         self._tasks = tasks
         self._results = results
+        self._codec = codec
         self._max_connections = max_connections
         self._timeout_s = timeout_s
         self._links: dict[str, UpstreamLink] = {}
@@ -159,7 +198,11 @@
         link = self._links.get(call.address)
         if link is None:
             link = UpstreamLink(
-                call.address, self._results, self._max_connections, self._timeout_s
+                call.address,
+                self._results,
+                self._codec,
+                self._max_connections,
+                self._timeout_s,
             )
             self._links[call.address] = link
             self._tasks.start_soon(self._run, call.address, link)
--- /dev/null
+++ b/tanagerpath/services/replica_application.py
@@ -0,0 +1,119 @@
+"""Life cycle that all kinds of control processes share."""
+
+import abc
+import pathlib
+import random
+
+import anyio
+from anyio.abc import TaskGroup
+from returns.pipeline import is_successful
+from starlette.routing import BaseRoute
+
+from tanagerpath.core.consensus import RestoredState
+from tanagerpath.core.control import ReplicatedNode
+from tanagerpath.observability.logs import get_logger
+from tanagerpath.runtime import Application, Clock, Mailbox, Reply, SystemClock
+from tanagerpath.runtime.server import HttpServer, bind_listener
+from tanagerpath.runtime.storage import StorageTask, load_state, set_aside_corrupt
+from tanagerpath.services.control_messages import HandOver
+from tanagerpath.services.leader_link import LeaderProtocol
+from tanagerpath.services.peers import PeerSet
+from tanagerpath.services.replica_routes import ReplicaRoutes
+from tanagerpath.services.replica_task import ReplicaTask
+
+__all__ = ["ReplicaApplication"]
+
+MAX_WAITING_MESSAGES = 16_384
+
+
+class ReplicaApplication(Application):
+    """All tasks of a control process.
+
+    Parameters
+    ----------
+    listen : str
+        "ip:port" for other processes of the system.
+    data_dir : pathlib.Path
+        Directory of all files.
+    availability_zone : str
+        Where the process runs.
+    drain_timeout_s : float
+        Seconds that a graceful stop waits for the transfer of leadership.
+    protocol : LeaderProtocol
+        Requests that entries send.
+    clock : Clock, optional
+        Source of instants.
+    """
+
+    def __init__(
+        self,
+        listen: str,
+        data_dir: pathlib.Path,
+        availability_zone: str,
+        drain_timeout_s: float,
+        protocol: LeaderProtocol,
+        clock: Clock | None = None,
+    ) -> None:
+        super().__init__()
+        self._listen = listen
+        self._data_dir = data_dir
+        self._availability_zone = availability_zone
+        self._drain_timeout_s = drain_timeout_s
+        self._protocol = protocol
+        self._clock = clock or SystemClock()
+        self._log = get_logger("control")
+        self._mailbox: Mailbox = Mailbox("control", MAX_WAITING_MESSAGES)
+        self._server: HttpServer | None = None
+
+    @abc.abstractmethod
+    def _make_node(
+        self, restored: RestoredState, source: random.Random
+    ) -> ReplicatedNode:
+        """Build the node on what the data directory holds."""
+
+    @abc.abstractmethod
+    def _make_task(
+        self, node: ReplicatedNode, storage: Mailbox, peers: PeerSet
+    ) -> ReplicaTask:
+        """Build the task that owns the node."""
+
+    def _list_own_routes(self) -> list[BaseRoute]:
+        """Return further routes for other processes of the system."""
+        return []
+
+    async def start(self, tasks: TaskGroup) -> None:
+        """Read the data directory, bind the socket and start all tasks."""
+        restored = load_state(self._data_dir)
+        if not is_successful(restored):
+            self._log.error("data is corrupt", reason=restored.failure().message)
+            set_aside_corrupt(self._data_dir)
+            restored = load_state(self._data_dir)
+        # Two replicas must never draw the same identity.
+        node = self._make_node(restored.unwrap(), random.SystemRandom())
+        storage = StorageTask.from_directory(
+            self._data_dir, restored.unwrap(), self._mailbox
+        )
+        control = self._make_task(node, storage.mailbox, PeerSet(tasks, self._mailbox))
+        routes = ReplicaRoutes(self._mailbox, self._protocol, control.metrics)
+        self._server = HttpServer(
+            bind_listener(self._listen), routes.list_routes() + self._list_own_routes()
+        )
+        tasks.start_soon(storage.run)
+        tasks.start_soon(control.run)
+        tasks.start_soon(self._server.run)
+        self._log.info(
+            "started",
+            address=self._server.address,
+            availability_zone=self._availability_zone,
+            replica=node.replica.replica_id,
+            log_index=node.replica.last_index,
+        )
+
+    async def drain(self) -> None:
+        """Hand leadership over, then finish the exchanges in flight."""
+        self._log.info("handing over")
+        handed_over: Reply[None] = Reply()
+        self._mailbox.post(HandOver(handed_over))
+        await handed_over.receive(anyio.current_time() + self._drain_timeout_s)
+        await self._server.stop()
+        self._log.info("stopped")
--- /dev/null
+++ b/tanagerpath/services/replica_routes.py
@@ -0,0 +1,99 @@
+"""HTTP routes of a control process for other processes of the system."""
+
+import anyio
+from returns.pipeline import is_successful
+from starlette.requests import ClientDisconnect, Request
+from starlette.responses import PlainTextResponse, Response
+from starlette.routing import BaseRoute, Route
+
+from tanagerpath.codecs import decode_json, encode_json
+from tanagerpath.codecs.replication import encode_batch
+from tanagerpath.core.protocol.callers import ErrorBody, ErrorReply
+from tanagerpath.observability.metrics import MetricsRegistry
+from tanagerpath.runtime import Mailbox, Reply
+from tanagerpath.services.control_messages import (
+    AskLeader,
+    ConsensusArrived,
+    ReturnPathClosed,
+)
+from tanagerpath.services.leader_link import LeaderProtocol
+from tanagerpath.services.peers import CONSENSUS_PATH, decode_batch
+
+__all__ = ["ReplicaRoutes"]
+
+REPLY_TIMEOUT_S = 5.0
+# Several times a sync of the disk, and well below the heartbeat interval.
+RETURN_HOLD_S = 0.02
+OVERLOADED_STATUS = 503
+
+
+class ReplicaRoutes:
+    """Passes consensus messages and requests for the leader to the owning task.
+
+    Parameters
+    ----------
+    mailbox : Mailbox
+        Mailbox of the task that owns the node.
+    protocol : LeaderProtocol
+        Requests that entries send.
+    metrics : MetricsRegistry
+        Metrics of the process.
+    """
+
+    def __init__(
+        self, mailbox: Mailbox, protocol: LeaderProtocol, metrics: MetricsRegistry
+    ) -> None:
+        self._mailbox = mailbox
+        self._protocol = protocol
+        self._metrics = metrics
+
+    def list_routes(self) -> list[BaseRoute]:
+        """Return all routes."""
+        return [
+            Route(CONSENSUS_PATH, self._take_consensus, methods=["POST"]),
+            Route(self._protocol.path, self._take_request, methods=["POST"]),
+            Route("/healthz", self._show_health, methods=["GET"]),
+            Route("/metrics", self._show_metrics, methods=["GET"]),
+        ]
+
+    async def _take_consensus(self, request: Request) -> Response:
+        try:
+            body = await request.body()
+        except ClientDisconnect:
+            # The peer died in the middle of its request; nobody reads the reply.
+            return Response(status_code=400)
+        batch = decode_batch(body)
+        if not is_successful(batch):
+            return PlainTextResponse(batch.failure().message + "\n", 400)
+        messages = tuple(batch.unwrap())
+        if not messages:
+            return Response(status_code=204)
+        reply: Reply = Reply()
+        self._mailbox.post(ConsensusArrived(messages, reply))
+        answers = await reply.receive(anyio.current_time() + RETURN_HOLD_S)
+        if answers is None:
+            self._mailbox.post(ReturnPathClosed(messages[0].sender, reply))
+        if not answers:
+            return Response(status_code=204)
+        return Response(encode_batch(answers), media_type="application/json")
+
+    async def _take_request(self, request: Request) -> Response:
+        decoded = decode_json(await request.body(), self._protocol.request_type)
+        if not is_successful(decoded):
+            error = ErrorReply(ErrorBody.from_failure(decoded.failure()))
+            return Response(encode_json(error), 400, media_type="application/json")
+        reply: Reply = Reply()
+        full = self._mailbox.post(AskLeader(decoded.unwrap(), reply))
+        if full is not None:
+            return PlainTextResponse(full.message + "\n", OVERLOADED_STATUS)
+        answer = await reply.receive(anyio.current_time() + REPLY_TIMEOUT_S)
+        if answer is None:
+            return PlainTextResponse("no answer in time\n", OVERLOADED_STATUS)
+        text = encode_json(answer, self._protocol.reply_type)
+        return Response(text, media_type="application/json")
+
+    async def _show_health(self, request: Request) -> Response:
+        return PlainTextResponse("ok\n")
+
+    async def _show_metrics(self, request: Request) -> Response:
+        return PlainTextResponse(self._metrics.render())
