--- a/tanagerpath/codecs/state.py
+++ b/tanagerpath/codecs/state.py
@@ -1,4 +1,4 @@
-"""JSON text of commands and of snapshots of the replicated state."""
+"""JSON text of commands and of snapshots of the replicated states."""
 
 from typing import Any
 
@@ -7,29 +7,41 @@
 from tanagerpath.codecs.text import decode_json, encode_json
 from tanagerpath.core.control.codec import StateCodec
 from tanagerpath.core.state import Command, StateSnapshot
+from tanagerpath.core.workloads.commands import WorkloadCommand
+from tanagerpath.core.workloads.state import FleetSnapshot
 from tanagerpath.errors import FailureError
 
-__all__ = ["JsonStateCodec"]
+__all__ = ["JsonFleetCodec", "JsonStateCodec"]
 
 
 class JsonStateCodec(StateCodec):
-    """JSON with the name of the command's class as tag."""
+    """JSON of the jobs' state, with the name of the command's class as tag."""
 
-    def encode_command(self, command: Command) -> str:
+    command_type: Any = Command
+    snapshot_type: Any = StateSnapshot
+
+    def encode_command(self, command: Any) -> str:
         """Return the payload of a log entry."""
-        return encode_json(command, Command)
+        return encode_json(command, self.command_type)
 
-    def decode_command(self, payload: str) -> Command:
+    def decode_command(self, payload: str) -> Any:
         """Read the payload of a log entry."""
-        return _decode(payload, Command)
+        return _decode(payload, self.command_type)
 
-    def encode_snapshot(self, snapshot: StateSnapshot) -> str:
+    def encode_snapshot(self, snapshot: Any) -> str:
         """Return the payload of a snapshot."""
         return encode_json(snapshot)
 
-    def decode_snapshot(self, payload: str) -> StateSnapshot:
+    def decode_snapshot(self, payload: str) -> Any:
         """Read the payload of a snapshot."""
-        return _decode(payload, StateSnapshot)
+        return _decode(payload, self.snapshot_type)
+
+
+class JsonFleetCodec(JsonStateCodec):
+    """JSON of the workloads' state."""
+
+    command_type = WorkloadCommand
+    snapshot_type = FleetSnapshot
 
 
 def _decode(payload: str, kind: Any) -> Any:
--- a/tanagerpath/core/consensus/config.py
+++ b/tanagerpath/core/consensus/config.py
@@ -29,6 +29,9 @@
         for another leader; the difference covers clocks of different speed.
     replace_voter_after_s : float
         Seconds without contact after which a voter loses its vote.
+    may_found : bool
+        Whether this VM may found a group; false where it can't be known that all
+        configured VMs have empty directories because they are new.
     join_interval_s : float
         Seconds between join requests of a replica that has no leader.
     empty_report_validity_s : float
@@ -55,6 +58,7 @@
     election_timeout_max_s: float = 1.2
     lease_duration_s: float = 0.5
     replace_voter_after_s: float = 60.0
+    may_found: bool = True
     join_interval_s: float = 0.25
     empty_report_validity_s: float = 2.0
     max_voters: int = 5
--- a/tanagerpath/core/consensus/formation.py
+++ b/tanagerpath/core/consensus/formation.py
@@ -83,6 +83,8 @@
     def _may_found(self) -> bool:
         context = self._context
         vms = context.config.vms
+        if not context.config.may_found:
+            return False
         if context.config.vm_id != min(vms) or not context.pristine:
             return False
         return all(
--- /dev/null
+++ b/tanagerpath/observability/decisions.py
@@ -0,0 +1,47 @@
+"""Bounded log of decisions."""
+
+import time
+from typing import Any
+
+from tanagerpath.observability.metrics import MetricsRegistry
+
+__all__ = ["DecisionLog"]
+
+# Lines that may be written at once, and lines a second after that.
+BURST_LINES = 400
+LINES_PER_S = 200.0
+
+
+class DecisionLog:
+    """Writes one line for each decision, and counts the lines beyond the bound.
+
+    Parameters
+    ----------
+    logger : structlog logger
+        Where the lines go.
+    metrics : MetricsRegistry
+        Counts dropped lines as `log_lines_dropped`.
+    """
+
+    def __init__(self, logger: Any, metrics: MetricsRegistry) -> None:
+        self._logger = logger
+        self._metrics = metrics
+        self._tokens = float(BURST_LINES)
+        self._refilled_s = time.monotonic()
+        self._dropped = 0
+
+    def write(self, name: str, fields: dict[str, Any]) -> None:
+        """Write a line, or drop it if too many were written lately."""
+        now_s = time.monotonic()
+        gained = (now_s - self._refilled_s) * LINES_PER_S
+        self._tokens = min(self._tokens + gained, float(BURST_LINES))
+        self._refilled_s = now_s
+        if self._tokens < 1.0:
+            self._dropped += 1
+            self._metrics.count("log_lines_dropped")
+            return
+        self._tokens -= 1.0
+        if self._dropped:
+            fields = {**fields, "lines_dropped_before": self._dropped}
+            self._dropped = 0
+        self._logger.info(name, **fields)
--- /dev/null
+++ b/tanagerpath/platform/__main__.py
@@ -0,0 +1,62 @@
+"""Runs a process on the platform: `python -m tanagerpath.platform entry|control`."""
+
+import argparse
+import os
+import sys
+
+import anyio
+from returns.pipeline import is_successful
+
+from tanagerpath.cli.command import write_failure
+from tanagerpath.observability import configure_logs
+from tanagerpath.observability.metrics import MetricsRegistry
+from tanagerpath.platform.control_edge import OperatorEdge
+from tanagerpath.platform.entry_edge import CallerEdge
+from tanagerpath.platform.orders import WorkerCodec
+from tanagerpath.platform.settings_file import SettingsFile
+from tanagerpath.runtime import Application
+from tanagerpath.settings import WorkloadControlSettings, WorkloadEntrySettings
+
+__all__ = ["main"]
+
+EXIT_WRONG_INPUT = 2
+
+
+def _make_entry(settings: WorkloadEntrySettings) -> Application:
+    from tanagerpath.services.workload_entry import WorkloadEntryApplication
+
+    edge = CallerEdge(settings.leader_timeout_s)
+    return WorkloadEntryApplication.from_settings(settings, edge, MetricsRegistry())
+
+
+def _make_control(settings: WorkloadControlSettings) -> Application:
+    from tanagerpath.services.workload_control import WorkloadControlApplication
+
+    public_port = settings.public_listen.rpartition(":")[2]
+    edge = OperatorEdge(public_port, settings.leader_timeout_s)
+    return WorkloadControlApplication.from_settings(settings, edge, WorkerCodec())
+
+
+def main() -> int:
+    """Run the process that the first argument names."""
+    parser = argparse.ArgumentParser(prog="tanagerpath.platform")
+    parser.add_argument("role", choices=["entry", "control"])
+    role = parser.parse_args().role
+    settings_file = SettingsFile.from_environment(os.environ)
+    if role == "entry":
+        settings = settings_file.read_entry(os.environ)
+        make = _make_entry
+    else:
+        settings = settings_file.read_control(os.environ)
+        make = _make_control
+    if not is_successful(settings):
+        write_failure(settings.failure())
+        return EXIT_WRONG_INPUT
+    configure_logs(settings.unwrap().log_level, sys.stdout)
+    application = make(settings.unwrap())
+    anyio.run(application.run)
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/tanagerpath/platform/configuration.py
@@ -0,0 +1,95 @@
+"""Configurations of operators, read from the platform's form."""
+
+import json
+
+from tanagerpath.core.workloads.configuration import (
+    AdviceTerms,
+    Configuration,
+    Organisation,
+    Pool,
+    Queue,
+)
+from tanagerpath.core.workloads.resources import Resources
+from tanagerpath.platform.fields import Fields
+
+__all__ = ["read_configuration", "read_resources"]
+
+MS_PER_S = 1000.0
+
+
+def read_resources(fields: Fields | None) -> Resources:
+    """Read processor, memory and accelerators; nothing if there are no fields."""
+    if fields is None:
+        return Resources()
+    return Resources(
+        cpu_millicores=fields.read_whole("cpu", 0),
+        memory_mb=fields.read_whole("mem_mb", 0),
+        accelerators=fields.read_whole("gpu", 0),
+    )
+
+
+def _read_queue(fields: Fields) -> Queue:
+    advice = fields.read_optional("advice")
+    return Queue(
+        name=fields.read_text("name"),
+        host=fields.read_text("host"),
+        prefix=fields.read_text("path_prefix"),
+        pool=fields.read_text("service"),
+        priority=fields.read_whole("priority", 0),
+        max_attempts=fields.read_whole("max_attempts", 1, minimum=1),
+        objective_factor=float(fields.read_number("slack_factor", 1.0)),
+        objective_margin_s=fields.read_number("target_latency_ms", 0) / MS_PER_S,
+        public=fields.read_flag("public", False),
+        timeout_s=fields.read_number("timeout_ms") / MS_PER_S,
+        advice=None if advice is None else _read_advice(advice),
+    )
+
+
+def _read_advice(fields: Fields) -> AdviceTerms:
+    return AdviceTerms(
+        decision_s=fields.read_number("decision_ms", 0) / MS_PER_S,
+        per_upstream_s=fields.read_number("per_worker_ms", 0) / MS_PER_S,
+        validity_s=fields.read_number("validity_ms", 0) / MS_PER_S,
+    )
+
+
+def _read_pool(fields: Fields) -> Pool:
+    return Pool(
+        name=fields.read_text("name"),
+        refuses_overload=fields.read_flag("rejects_overload", False),
+        standby=fields.read_flag("standby", False),
+    )
+
+
+def _read_organisation(fields: Fields) -> Organisation:
+    return Organisation(
+        name=fields.read_text("name"),
+        api_keys=fields.read_texts("api_keys", []),
+        guaranteed=read_resources(fields.read_optional("guaranteed")),
+    )
+
+
+def read_configuration(fields: Fields, body: bytes) -> Configuration:
+    """Read a configuration.
+
+    Parameters
+    ----------
+    fields : Fields
+        Content of the body.
+    body : bytes
+        The body itself, which readers get back.
+
+    Raises
+    ------
+    FailureError
+        With `MalformedMessage`, if it can't be read in full.
+    """
+    return Configuration(
+        version=fields.read_whole("version"),
+        queues=tuple(_read_queue(one) for one in fields.read_objects("routes")),
+        pools=tuple(_read_pool(one) for one in fields.read_objects("services")),
+        organisations=tuple(
+            _read_organisation(one) for one in fields.read_objects("tenants", [])
+        ),
+        document=json.dumps(json.loads(body), separators=(",", ":")),
+    )
--- /dev/null
+++ b/tanagerpath/platform/control_edge.py
@@ -0,0 +1,118 @@
+"""Calls of operators and of announcing workers."""
+
+from returns.pipeline import is_successful
+from starlette.requests import ClientDisconnect, Request
+from starlette.responses import Response
+from starlette.routing import BaseRoute, Route
+
+from tanagerpath.core.protocol.callers import ErrorBody
+from tanagerpath.core.workloads.requests import (
+    ConfigurationQuery,
+    ConfigurationReply,
+    ConfigurationRequest,
+    ConfigurationStored,
+    UpstreamReportReply,
+    WaveQuery,
+    WaveReply,
+    WaveRequest,
+    WithdrawalReport,
+)
+from tanagerpath.errors import FailureError
+from tanagerpath.platform.configuration import read_configuration
+from tanagerpath.platform.fields import read_object
+from tanagerpath.platform.reports import read_report
+from tanagerpath.platform.statuses import refuse, write_json
+from tanagerpath.services.edges import ControlEdge, LeaderAsker
+
+__all__ = ["OperatorEdge"]
+
+
+class OperatorEdge(ControlEdge):
+    """The platform's interface of operators and workers.
+
+    Parameters
+    ----------
+    public_port : str
+        Port of this interface, the same on all VMs.
+    timeout_s : float
+        Longest time that a call waits for the leader.
+    """
+
+    def __init__(self, public_port: str, timeout_s: float) -> None:
+        self._public_port = public_port
+        self._timeout_s = timeout_s
+
+    def list_routes(self, leader: LeaderAsker) -> list[BaseRoute]:
+        """Return the routes of operators and announcing workers."""
+        reads = {
+            ("PUT", "/instances/{upstream_id}"): self._read_report,
+            ("DELETE", "/instances/{upstream_id}"): self._read_withdrawal,
+            ("PUT", "/config"): self._read_configuration,
+            ("GET", "/config"): self._read_configuration_query,
+            ("POST", "/wave-start"): self._read_wave,
+            ("GET", "/wave-get/{wave:int}"): self._read_wave_query,
+        }
+        return [
+            Route(path, self._make_endpoint(read, leader), methods=[method])
+            for (method, path), read in reads.items()
+        ]
+
+    def _make_endpoint(self, read, leader: LeaderAsker):
+        async def take(request: Request) -> Response:
+            try:
+                message = await read(request)
+            except FailureError as error:
+                return refuse(error.failure)
+            except ClientDisconnect:
+                # The sender is gone; nobody reads the reply.
+                return Response(status_code=400)
+            answer = await leader.ask(message, self._timeout_s)
+            if not is_successful(answer):
+                return refuse(answer.failure())
+            return self._write(answer.unwrap())
+
+        return take
+
+    async def _read_report(self, request: Request) -> object:
+        fields = read_object(await request.body())
+        return read_report(request.path_params["upstream_id"], fields)
+
+    async def _read_withdrawal(self, request: Request) -> object:
+        return WithdrawalReport(request.path_params["upstream_id"])
+
+    async def _read_configuration(self, request: Request) -> object:
+        body = await request.body()
+        fields = read_object(body)
+        return ConfigurationRequest(read_configuration(fields, body))
+
+    async def _read_configuration_query(self, request: Request) -> object:
+        return ConfigurationQuery()
+
+    async def _read_wave(self, request: Request) -> object:
+        fields = read_object(await request.body())
+        return WaveRequest(
+            wave=fields.read_whole("wave"),
+            vm_ids=fields.read_texts("machines"),
+            duration_s=float(fields.read_number("duration_s")),
+            most_at_once=fields.read_whole("cap", minimum=1),
+        )
+
+    async def _read_wave_query(self, request: Request) -> object:
+        return WaveQuery(request.path_params["wave"])
+
+    def _write(self, reply: object) -> Response:
+        match reply:
+            case ErrorBody():
+                return refuse(reply)
+            case UpstreamReportReply(leader_address):
+                # Later heartbeats go straight to the leader.
+                host = leader_address.rpartition(":")[0]
+                return write_json({"heartbeat_addr": f"{host}:{self._public_port}"})
+            case ConfigurationStored(version):
+                return write_json({"version": version})
+            case ConfigurationReply(_, document):
+                return Response(document, media_type="application/json")
+            case WaveReply(_, is_completed):
+                state = "completed" if is_completed else "running"
+                return write_json({"state": state})
+        raise TypeError(f"no answer for {type(reply).__name__}")
--- /dev/null
+++ b/tanagerpath/platform/orders.py
@@ -0,0 +1,187 @@
+"""Orders to workers and other services in the platform's form."""
+
+import json
+from typing import Any
+
+from returns.result import Failure as ResultFailure
+from returns.result import Result, Success
+
+from tanagerpath.codecs import MalformedMessage
+from tanagerpath.core.coordination import CallUpstream
+from tanagerpath.core.workloads.commands import RunOutcome
+from tanagerpath.core.workloads.orders import (
+    EndedRun,
+    HoldReply,
+    HoldRequest,
+    OrderDone,
+    OrderRefused,
+    PaceRequest,
+    Refusal,
+    RunningTask,
+    StartRequest,
+    StopRequest,
+    WrongIncarnation,
+)
+from tanagerpath.errors import Failure, FailureError
+from tanagerpath.platform.fields import Fields, read_object
+from tanagerpath.platform.workloads import read_task_id, write_task_id
+from tanagerpath.runtime.client import HttpReply, HttpRequest
+from tanagerpath.services.links import UnexpectedStatus, UpstreamCodec
+
+__all__ = ["WorkerCodec"]
+
+_OUTCOMES = {
+    "done": RunOutcome.DONE,
+    "failed": RunOutcome.FAILED,
+    "stopped": RunOutcome.STOPPED,
+    "lapsed": RunOutcome.LAPSED,
+    "broken": RunOutcome.BROKEN,
+    "alone": RunOutcome.ALONE,
+}
+_REFUSALS = {
+    "fence": Refusal.FENCED,
+    "old": Refusal.SUPERSEDED,
+    "late": Refusal.EXPIRED,
+    "room": Refusal.NO_ROOM,
+    "ticket": Refusal.NO_TICKET,
+}
+_OK = 200
+_MALFORMED = 400
+_REFUSED = 409
+_WRONG_INCARNATION = 421
+_UNHEALTHY = (429, 503)
+
+
+def _write_hold(request: HoldRequest) -> tuple[str, dict[str, Any]]:
+    body = {
+        "fencing_token": request.fencing_token,
+        "ack_cursor": request.end_cursor,
+        "wait_ms": request.wait_ms,
+    }
+    if request.lease_until_ms is not None:
+        body["deadline_ms"] = request.lease_until_ms
+    return "/hold", body
+
+
+def _write_start(request: StartRequest) -> tuple[str, dict[str, Any]]:
+    body = {
+        "task": write_task_id(request.task),
+        "run_id": request.run,
+        "spec": request.payload,
+        # End of the lease on the worker's clock, not a time for the task.
+        "deadline_ms": request.lease_until_ms,
+        "fencing_token": request.fencing_token,
+    }
+    if request.checkpoint:
+        body["checkpoint"] = request.checkpoint
+    if request.ticket:
+        body["ticket"] = request.ticket
+    return "/run-start", body
+
+
+def _write_stop(request: StopRequest) -> tuple[str, dict[str, Any]]:
+    body = {
+        "task": write_task_id(request.task),
+        "run_id": request.run,
+        "fencing_token": request.fencing_token,
+    }
+    return "/run-stop", body
+
+
+def _write_pace(request: PaceRequest) -> tuple[str, dict[str, Any]]:
+    _, body = _write_stop(request)
+    return "/pace", body | {"percent": request.percent}
+
+
+_WRITERS = {
+    HoldRequest: _write_hold,
+    StartRequest: _write_start,
+    StopRequest: _write_stop,
+    PaceRequest: _write_pace,
+}
+
+
+def _read_running(entry: Any) -> RunningTask:
+    """Read [task, run, checkpoint, percent] and, where it is told, the load."""
+    match entry:
+        case [str(task), int(run), str(checkpoint), int(percent) | float(percent)]:
+            return RunningTask(read_task_id(task), run, checkpoint, int(percent))
+        case [
+            str(task),
+            int(run),
+            str(checkpoint),
+            int(percent) | float(percent),
+            int(load) | float(load),
+            *_,
+        ]:
+            return RunningTask(
+                read_task_id(task), run, checkpoint, int(percent), float(load)
+            )
+    raise _make_entry_error("running", entry)
+
+
+def _read_ended(entry: Any) -> EndedRun:
+    """Read [number, task, run, how, checkpoint]."""
+    match entry:
+        case [int(number), str(task), int(run), str(how), str(checkpoint), *_]:
+            if how in _OUTCOMES:
+                return EndedRun(
+                    number, read_task_id(task), run, _OUTCOMES[how], checkpoint
+                )
+    raise _make_entry_error("ended_runs", entry)
+
+
+def _make_entry_error(name: str, entry: Any) -> FailureError:
+    return FailureError(
+        MalformedMessage(
+            field=name, value=repr(entry)[:80], expected="an entry of the list"
+        )
+    )
+
+
+def _read_lists(fields: Fields) -> HoldReply:
+    return HoldReply(
+        clock_ms=fields.read_whole("clock_ms"),
+        # Unix milliseconds of the worker's start; it names the incarnation.
+        born_unix_ms=fields.read_whole("born", 0),
+        running=tuple(map(_read_running, fields.read_list("running"))),
+        ended=tuple(map(_read_ended, fields.read_list("ended_runs"))),
+    )
+
+
+class WorkerCodec(UpstreamCodec):
+    """The platform's interface of workers."""
+
+    def encode(self, call: CallUpstream) -> HttpRequest:
+        """Return the exchange that carries an order."""
+        path, body = _WRITERS[type(call.request)](call.request)
+        headers = ((b"x-expected-instance", call.upstream_id.encode()),)
+        text = json.dumps(body, separators=(",", ":")).encode()
+        return HttpRequest("POST", path, text, headers)
+
+    def decode(self, call: CallUpstream, reply: HttpReply) -> Result[object, Failure]:
+        """Return the typed answer, or why there is none."""
+        if reply.status == _WRONG_INCARNATION:
+            return ResultFailure(WrongIncarnation(upstream_id=call.upstream_id))
+        if reply.status in _UNHEALTHY:
+            return Success(OrderRefused(Refusal.UNHEALTHY))
+        if reply.status == _MALFORMED:
+            return Success(OrderRefused(Refusal.MALFORMED))
+        if reply.status not in (_OK, _REFUSED):
+            return ResultFailure(
+                UnexpectedStatus(address=call.address, status=reply.status)
+            )
+        try:
+            fields = read_object(reply.body)
+            return Success(self._read(call, reply.status, fields))
+        except FailureError as error:
+            return ResultFailure(error.failure)
+
+    def _read(self, call: CallUpstream, status: int, fields: Fields) -> object:
+        clock_ms = fields.read_whole("clock_ms", None)
+        if status == _REFUSED:
+            reason = fields.read_text("reason")
+            return OrderRefused(_REFUSALS.get(reason, Refusal.MALFORMED), clock_ms)
+        if isinstance(call.request, HoldRequest):
+            return _read_lists(fields)
+        return OrderDone(clock_ms, fields.read_whole("born", 0))
--- /dev/null
+++ b/tanagerpath/platform/reports.py
@@ -0,0 +1,71 @@
+"""Heartbeats of workers, read from the platform's form."""
+
+from tanagerpath.codecs import MalformedMessage
+from tanagerpath.core.workloads.commands import UpstreamRecord
+from tanagerpath.core.workloads.requests import UpstreamReport
+from tanagerpath.errors import FailureError
+from tanagerpath.platform.configuration import MS_PER_S, read_resources
+from tanagerpath.platform.fields import Fields
+
+__all__ = ["read_report"]
+
+_READY = "ready"
+_DRAINING = "draining"
+
+
+def read_report(upstream_id: str, fields: Fields) -> UpstreamReport:
+    """Read a heartbeat.
+
+    Parameters
+    ----------
+    upstream_id : str
+        Identity from the path.
+    fields : Fields
+        Content of the body.
+
+    Raises
+    ------
+    FailureError
+        With `MalformedMessage`, naming the wrong field.
+    """
+    state = fields.read_text("state")
+    if state not in (_READY, _DRAINING):
+        raise FailureError(
+            MalformedMessage(
+                field="state", value=repr(state), expected=f"{_READY} or {_DRAINING}"
+            )
+        )
+    born_unix_ms = fields.read_whole("born", 0)
+    record = UpstreamRecord(
+        upstream_id=upstream_id,
+        incarnation=f"{upstream_id}@{born_unix_ms}",
+        born_unix_ms=born_unix_ms,
+        pool=fields.read_text("service"),
+        address=_read_address(fields),
+        availability_zone=fields.read_text("zone", ""),
+        capacity=read_resources(fields.read_fields("capacity")),
+        # The worker's kind first, its rack last.
+        labels=fields.read_texts("labels", []),
+        draining=state == _DRAINING,
+        vm_id=fields.read_text("machine", ""),
+    )
+    remaining_ms = None
+    if record.draining and fields.has("remaining_ms"):
+        remaining_ms = fields.read_number("remaining_ms")
+    return UpstreamReport(
+        record,
+        # Grows with each heartbeat of one incarnation.
+        sequence=fields.read_whole("seq"),
+        clock_ms=fields.read_whole("clock_ms", None),
+        remaining_s=None if remaining_ms is None else remaining_ms / MS_PER_S,
+    )
+
+
+def _read_address(fields: Fields) -> str:
+    address = fields.read_text("address")
+    host, _, port = address.rpartition(":")
+    if not host or not port.isascii() or not port.isdigit():
+        raise FailureError(
+            MalformedMessage(field="address", value=repr(address), expected="ip:port")
+        )
+    return address
--- /dev/null
+++ b/tanagerpath/platform/settings_file.py
@@ -0,0 +1,132 @@
+"""The platform's settings file, turned into the product's settings."""
+
+import os
+import pathlib
+from collections.abc import Mapping
+
+from returns.result import Failure as ResultFailure
+from returns.result import Result
+
+from tanagerpath.codecs import MalformedMessage
+from tanagerpath.errors import Failure, FailureError
+from tanagerpath.platform.fields import Fields, read_object
+from tanagerpath.settings import WorkloadControlSettings, WorkloadEntrySettings
+
+__all__ = ["CONFIG_VARIABLE", "SettingsFile"]
+
+CONFIG_VARIABLE = "TANAGERPATH_CONFIG"
+MS_PER_S = 1000.0
+# Places in the range of ports between nodes, the same on every VM.
+CONTROL_PORT_PLACE = 0
+ENTRY_PORT_PLACE = 1
+
+
+class SettingsFile:
+    """Reads the settings file; it may change while the process runs.
+
+    Parameters
+    ----------
+    path : pathlib.Path
+        The file.
+    """
+
+    def __init__(self, path: pathlib.Path) -> None:
+        self._path = path
+
+    @classmethod
+    def from_environment(cls, environment: Mapping[str, str]) -> "SettingsFile":
+        """Return the file that the platform names."""
+        return cls(pathlib.Path(environment.get(CONFIG_VARIABLE, "")))
+
+    def read_stamp(self) -> int | None:
+        """Return a number that changes with the file, None if it can't be read."""
+        try:
+            return os.stat(self._path).st_mtime_ns
+        except OSError:
+            return None
+
+    def _read(self) -> Fields:
+        try:
+            body = self._path.read_bytes()
+        except OSError as error:
+            raise FailureError(
+                MalformedMessage(
+                    field=CONFIG_VARIABLE,
+                    value=str(self._path),
+                    expected=f"a file that can be read ({error.strerror})",
+                )
+            ) from error
+        return read_object(body)
+
+    def read_control(
+        self, environment: Mapping[str, str]
+    ) -> Result[WorkloadControlSettings, Failure]:
+        """Read the settings of a control process."""
+        try:
+            given = _list_control(self._read())
+        except FailureError as error:
+            return ResultFailure(error.failure)
+        return WorkloadControlSettings.from_given(given, environment)
+
+    def read_entry(
+        self, environment: Mapping[str, str]
+    ) -> Result[WorkloadEntrySettings, Failure]:
+        """Read the settings of an entry process."""
+        try:
+            given = _list_entry(self._read())
+        except FailureError as error:
+            return ResultFailure(error.failure)
+        return WorkloadEntrySettings.from_given(given, environment)
+
+
+def _find_port(fields: Fields, place: int) -> int:
+    """Return one of the ports between nodes; the list holds the first and the last."""
+    return fields.read_wholes("internal_ports")[0] + place
+
+
+def _list_shared(fields: Fields, place: int) -> dict[str, str]:
+    control_port = _find_port(fields, CONTROL_PORT_PLACE)
+    seeds = [
+        f"{seed.rpartition(':')[0]}:{control_port}"
+        for seed in fields.read_texts("seeds")
+    ]
+    return {
+        "vm_id": fields.read_text("node_name"),
+        "availability_zone": fields.read_text("zone"),
+        "listen": f"{fields.read_text('ip')}:{_find_port(fields, place)}",
+        "seeds": ",".join(seeds),
+    }
+
+
+def _list_entry(fields: Fields) -> dict[str, str]:
+    listen = fields.read_fields("listen")
+    return _list_shared(fields, ENTRY_PORT_PLACE) | {
+        "public_listen": listen.read_text("front"),
+        "readiness_listen": listen.read_text("readiness"),
+    }
+
+
+def _list_control(fields: Fields) -> dict[str, str]:
+    bounds = fields.read_fields("bounds")
+    given = _list_shared(fields, CONTROL_PORT_PLACE) | {
+        "public_listen": fields.read_fields("listen").read_text("control"),
+        "data_dir": fields.read_text("data_dir"),
+        "may_found": "true" if fields.read_flag("bootstrap", False) else "false",
+    }
+    milliseconds = {
+        "max_lease_s": "hold_max_ms",
+        "gang_timeout_s": "gang_timeout_ms",
+        "interference_s": "interference_ms",
+    }
+    for name, bound in milliseconds.items():
+        if bounds.has(bound):
+            given[name] = str(bounds.read_number(bound) / MS_PER_S)
+    plain = {
+        "remote_factor": "remote_factor",
+        "checkpoint_interval_s": "checkpoint_s",
+        "status_retention_s": "status_s",
+    }
+    for name, bound in plain.items():
+        if bounds.has(bound):
+            given[name] = str(bounds.read_number(bound))
+    return given
--- /dev/null
+++ b/tanagerpath/platform/statuses.py
@@ -0,0 +1,60 @@
+"""HTTP answers for typed failures."""
+
+import json
+import math
+import time
+from typing import Any
+
+from starlette.responses import Response
+
+from tanagerpath.core.protocol.callers import ErrorBody
+from tanagerpath.errors import Failure
+
+__all__ = ["refuse", "write_json"]
+
+# Only 429 and 503 tell a client that its request took no effect.
+_STATUSES = {
+    "EntryDraining": 503,
+    "InvalidConfiguration": 400,
+    "InvalidUpstreamReport": 400,
+    "InvalidWorkload": 400,
+    "MailboxFull": 503,
+    "MalformedMessage": 400,
+    "NoLeader": 503,
+    "NotConfigured": 503,
+    "OutcomeUncertain": 504,
+    "TooManyWorkloads": 429,
+    "UnknownKey": 401,
+    "UnknownQueue": 404,
+    "UnknownWave": 404,
+    "UnknownWorkload": 410,
+}
+_UNCERTAIN = 504
+_RETRY_STATUSES = (429, 503)
+DEFAULT_RETRY_AFTER_S = 1
+
+
+def write_json(content: Any, status: int = 200) -> Response:
+    """Return an answer with a JSON body."""
+    text = json.dumps(content, separators=(",", ":"))
+    return Response(text, status, media_type="application/json")
+
+
+def refuse(failure: Failure | ErrorBody) -> Response:
+    """Return the answer for a failure; a refusal says when to come back."""
+    body = failure
+    if isinstance(failure, Failure):
+        body = ErrorBody.from_failure(failure)
+    status = _STATUSES.get(body.type, _UNCERTAIN)
+    if status == _UNCERTAIN and body.not_run:
+        status = _RETRY_STATUSES[1]
+    response = write_json({"error": body.message, "type": body.type}, status)
+    if status in _RETRY_STATUSES:
+        response.headers["retry-after"] = str(_find_retry_after_s(body))
+    return response
+
+
+def _find_retry_after_s(body: ErrorBody) -> int:
+    if body.retry_at_unix_s is None:
+        return DEFAULT_RETRY_AFTER_S
+    return max(math.ceil(body.retry_at_unix_s - time.time()), 0)
--- /dev/null
+++ b/tanagerpath/platform/workloads.py
@@ -0,0 +1,92 @@
+"""Jobs of callers, read from the platform's form."""
+
+from tanagerpath.codecs import MalformedMessage
+from tanagerpath.core.workloads.records import WorkloadState
+from tanagerpath.core.workloads.specs import StepSpec, TaskId, WorkloadSpec
+from tanagerpath.errors import FailureError
+from tanagerpath.platform.configuration import MS_PER_S, read_resources
+from tanagerpath.platform.fields import Fields
+
+__all__ = ["read_task_id", "read_workload", "write_state", "write_task_id"]
+
+_STATES = {
+    WorkloadState.QUEUED: "queued",
+    WorkloadState.RUNNING: "running",
+    WorkloadState.COMPLETED: "completed",
+    WorkloadState.FAILED: "failed",
+    WorkloadState.CANCELLED: "cancelled",
+}
+
+
+def read_workload(workload_id: str, fields: Fields) -> WorkloadSpec:
+    """Read a job.
+
+    Parameters
+    ----------
+    workload_id : str
+        Identity from the path.
+    fields : Fields
+        Content of the body.
+
+    Raises
+    ------
+    FailureError
+        With `MalformedMessage`, naming the wrong field.
+    """
+    return WorkloadSpec(
+        workload_id=workload_id,
+        payload=fields.read_text("spec", ""),
+        steps=tuple(_read_step(one) for one in fields.read_objects("steps")),
+        repeat_count=fields.read_whole("repeat_count", 0),
+        first_due_unix_s=fields.read_number("start_at_ms", 0) / MS_PER_S,
+        interval_s=fields.read_number("interval_ms", 0) / MS_PER_S,
+    )
+
+
+def _read_step(fields: Fields) -> StepSpec:
+    # Fields that are 0, false or empty are left out on the wire.
+    return StepSpec(
+        count=fields.read_whole("count", 0),
+        needs=read_resources(fields),
+        declared_run_s=fields.read_number("estimate_ms", 0) / MS_PER_S,
+        depends_on=fields.read_wholes("depends_on", []),
+        checkpointing=fields.read_flag("checkpointing", False),
+        gang=fields.read_flag("gang", False),
+        same_rack=fields.read_flag("same_rack", False),
+        required_label=fields.read_text("requires", ""),
+        preferred_rack=fields.read_text("affinity", ""),
+        max_per_upstream=fields.read_whole("anti_affinity", 0),
+        speculative=fields.read_flag("speculative", False),
+        long_running=fields.read_flag("long_running", False),
+        image=fields.read_text("image", ""),
+        tail_target_ms=float(fields.read_number("target_ms", 0)),
+        fills=fields.read_flag("fills", False),
+        max_unavailable=fields.read_whole("miss_allowed", 0),
+    )
+
+
+def write_state(state: WorkloadState) -> str:
+    """Return the platform's word for a state."""
+    return _STATES[state]
+
+
+def write_task_id(task: TaskId) -> str:
+    """Return the platform's name of a task."""
+    return f"{task.workload_id}.{task.occurrence}.{task.step}.{task.index}"
+
+
+def read_task_id(text: str) -> TaskId:
+    """Read the platform's name of a task.
+
+    Raises
+    ------
+    FailureError
+        With `MalformedMessage`.
+    """
+    workload_id, *numbers = text.split(".")
+    if len(numbers) == 3 and all(one.isascii() and one.isdigit() for one in numbers):
+        occurrence, step, index = map(int, numbers)
+        return TaskId(workload_id, occurrence, step, index)
+    raise FailureError(
+        MalformedMessage(field="task", value=text[:60], expected="ID.K.STEP.INDEX")
+    )
--- a/tanagerpath/services/leader_link.py
+++ b/tanagerpath/services/leader_link.py
@@ -95,6 +95,8 @@
         Time for one exchange.
     budget : RetryBudget
         Bounds the repeats of exchanges that ended without a reply.
+    retry_pause_s : float
+        Seconds between two exchanges for one request.
     """
 
     def __init__(
@@ -103,11 +105,13 @@
         protocol: LeaderProtocol,
         exchange_timeout_s: float,
         budget: RetryBudget,
+        retry_pause_s: float = RETRY_PAUSE_S,
     ) -> None:
         self._route = route
         self._protocol = protocol
         self._exchange_timeout_s = exchange_timeout_s
         self._budget = budget
+        self._retry_pause_s = retry_pause_s
         self._clients: dict[str, HttpClient] = {}
         self._leader_known = anyio.Event()
         self.mailbox: Mailbox[LeaderCall | LeaderFound] = Mailbox(
@@ -177,7 +181,7 @@
                     uncertain = result.failure()
                     if not self._budget.take_retry():
                         break
-            await anyio.sleep(RETRY_PAUSE_S)
+            await anyio.sleep(self._retry_pause_s)
         if uncertain is None:
             call.reply.send(ResultFailure(NoLeader()))
         else:
--- /dev/null
+++ b/tanagerpath/services/workload_control.py
@@ -0,0 +1,210 @@
+"""The control process of workloads."""
+
+import functools
+import random
+
+import anyio
+from anyio.abc import TaskGroup
+
+from tanagerpath.codecs.state import JsonFleetCodec
+from tanagerpath.core.admission import SearchingRoute
+from tanagerpath.core.consensus import Replica, ReplicaConfig, RestoredState
+from tanagerpath.core.control import ControlAction, ReplicatedNode
+from tanagerpath.core.workloads import (
+    DeadlinePolicy,
+    DeadlineTerms,
+    DispatchTerms,
+    LeaseTerms,
+    NoteDecision,
+    WorkloadNode,
+    WorkloadNodeConfig,
+)
+from tanagerpath.observability.decisions import DecisionLog
+from tanagerpath.runtime import Clock, Mailbox
+from tanagerpath.runtime.server import HttpServer, bind_listener
+from tanagerpath.services.edges import ControlEdge, LocalLeader, RemoteLeader
+from tanagerpath.services.links import LinkSet, UpstreamCodec
+from tanagerpath.services.peers import PeerSet
+from tanagerpath.services.replica_application import ReplicaApplication
+from tanagerpath.services.replica_task import ReplicaTask
+from tanagerpath.services.workload_protocol import WORKLOAD_PROTOCOL, make_leader_link
+from tanagerpath.settings import WorkloadControlSettings
+
+__all__ = ["WorkloadControlApplication", "WorkloadControlTask", "make_node_config"]
+
+# A renewal must reach the upstream before the longest lease that it takes is over.
+LEASE_SHARE = 0.95
+# Half of the time for which the members of a gang wait for each other.
+START_PATIENCE_SHARE = 0.5
+# Ended workloads are shown a little longer than promised.
+RETENTION_MARGIN_S = 30.0
+
+
+def make_node_config(settings: WorkloadControlSettings) -> WorkloadNodeConfig:
+    """Return the configuration of the node of a control process."""
+    addresses = dict.fromkeys((*settings.seeds, settings.listen))
+    vms = {address.rpartition(":")[0]: address for address in addresses}
+    replica = ReplicaConfig(
+        vm_id=settings.listen.rpartition(":")[0],
+        address=settings.listen,
+        vms=vms,
+        may_found=settings.may_found and settings.listen in settings.seeds,
+        heartbeat_interval_s=settings.heartbeat_interval_s,
+        election_timeout_min_s=settings.election_timeout_min_s,
+        election_timeout_max_s=settings.election_timeout_max_s,
+        lease_duration_s=settings.lease_duration_s,
+        snapshot_after_entries=settings.snapshot_every_entries,
+    )
+    dispatch = DispatchTerms(
+        leases=LeaseTerms(lease_s=settings.max_lease_s * LEASE_SHARE),
+        start_patience_s=settings.gang_timeout_s * START_PATIENCE_SHARE,
+        remote_factor=settings.remote_factor,
+        checkpoint_interval_s=settings.checkpoint_interval_s,
+        interference_s=settings.interference_s,
+        retention_s=settings.status_retention_s + RETENTION_MARGIN_S,
+    )
+    return WorkloadNodeConfig(replica=replica, dispatch=dispatch)
+
+
+class WorkloadControlTask(ReplicaTask):
+    """Feeds the node of workloads with messages and time, and does what it returns.
+
+    Parameters
+    ----------
+    node : WorkloadNode
+        All decisions.
+    mailbox : Mailbox
+        Receives everything that this task handles.
+    storage : Mailbox
+        Mailbox of the storage task; takes `PersistState`.
+    peers : PeerSet
+        Connections to the other control processes.
+    codec : UpstreamCodec
+        Encoding of orders to upstreams.
+    max_connections : int
+        Connections to each upstream.
+    exchange_timeout_s : float
+        Time for an exchange that names none.
+    clock : Clock
+        Source of instants.
+    """
+
+    def __init__(
+        self,
+        node: WorkloadNode,
+        mailbox: Mailbox,
+        storage: Mailbox,
+        peers: PeerSet,
+        codec: UpstreamCodec,
+        max_connections: int,
+        exchange_timeout_s: float,
+        clock: Clock,
+    ) -> None:
+        super().__init__(node, mailbox, storage, peers, clock)
+        self._codec = codec
+        self._max_connections = max_connections
+        self._exchange_timeout_s = exchange_timeout_s
+        self._decisions = DecisionLog(self._log, self._metrics)
+
+    def _make_links(self, tasks: TaskGroup) -> LinkSet:
+        return LinkSet(
+            tasks,
+            self._mailbox,
+            self._codec,
+            self._max_connections,
+            self._exchange_timeout_s,
+        )
+
+    def _take_note(self, action: ControlAction) -> None:
+        match action:
+            case NoteDecision(name, fields):
+                self._decisions.write(name, fields)
+
+
+class WorkloadControlApplication(ReplicaApplication):
+    """All tasks of a control process of workloads.
+
+    Parameters
+    ----------
+    settings : WorkloadControlSettings
+        Settings of the process.
+    edge : ControlEdge
+        Translates the calls of operators and upstreams.
+    codec : UpstreamCodec
+        Encoding of orders to upstreams.
+    clock : Clock, optional
+        Source of instants.
+    """
+
+    def __init__(
+        self,
+        settings: WorkloadControlSettings,
+        edge: ControlEdge,
+        codec: UpstreamCodec,
+        clock: Clock | None = None,
+    ) -> None:
+        super().__init__(
+            settings.listen,
+            settings.data_dir,
+            settings.availability_zone,
+            settings.drain_timeout_s,
+            WORKLOAD_PROTOCOL,
+            clock,
+        )
+        self._settings = settings
+        self._edge = edge
+        self._codec = codec
+        self._route = SearchingRoute(settings.seeds)
+        self._link = make_leader_link(self._route, settings.exchange_timeout_s)
+        self._public: HttpServer | None = None
+
+    @classmethod
+    def from_settings(
+        cls, settings: WorkloadControlSettings, edge: ControlEdge, codec: UpstreamCodec
+    ) -> "WorkloadControlApplication":
+        """Build the application of a process."""
+        return cls(settings, edge, codec)
+
+    def _make_node(
+        self, restored: RestoredState, source: random.Random
+    ) -> ReplicatedNode:
+        config = make_node_config(self._settings)
+        replica = Replica.from_config(config.replica, restored, source)
+        make_policy = functools.partial(DeadlinePolicy.from_config, DeadlineTerms())
+        return WorkloadNode(config, replica, JsonFleetCodec(), make_policy)
+
+    def _make_task(
+        self, node: ReplicatedNode, storage: Mailbox, peers: PeerSet
+    ) -> ReplicaTask:
+        return WorkloadControlTask(
+            node,
+            self._mailbox,
+            storage,
+            peers,
+            self._codec,
+            self._settings.upstream_connections,
+            self._settings.exchange_timeout_s,
+            self._clock,
+        )
+
+    async def start(self, tasks: TaskGroup) -> None:
+        """Start the replica, then take calls of operators and upstreams."""
+        await super().start(tasks)
+        leader = LocalLeader(self._mailbox, RemoteLeader(self._link))
+        self._public = HttpServer(
+            bind_listener(self._settings.public_listen), self._edge.list_routes(leader)
+        )
+        tasks.start_soon(self._link.run)
+        tasks.start_soon(self._public.run)
+
+    def note_seeds(self, seeds: tuple[str, ...]) -> None:
+        """Take the control processes that changed settings name."""
+        self._route.note_seeds(seeds)
+        self._log.info("settings reloaded", seeds=list(seeds))
+
+    async def drain(self) -> None:
+        """Hand leadership over, then finish the exchanges in flight."""
+        self._public.close_kept_connections()
+        with anyio.move_on_after(self._settings.drain_timeout_s * 2):
+            await super().drain()
+        await self._public.stop()
--- /dev/null
+++ b/tanagerpath/services/workload_entry.py
@@ -0,0 +1,171 @@
+"""The entry process of workloads."""
+
+import anyio
+from anyio.abc import TaskGroup
+from returns.pipeline import is_successful
+from starlette.requests import Request
+from starlette.responses import PlainTextResponse
+from starlette.routing import Route
+
+from tanagerpath.core.admission import SearchingRoute
+from tanagerpath.core.workloads.requests import LeaderQuery, LeaderReply
+from tanagerpath.observability.logs import get_logger
+from tanagerpath.observability.metrics import MetricsRegistry
+from tanagerpath.runtime import Application, Task
+from tanagerpath.runtime.server import HttpServer, bind_listener
+from tanagerpath.services.edges import EntryEdge, LeaderAsker, RemoteLeader
+from tanagerpath.services.workload_protocol import make_leader_link
+from tanagerpath.settings import WorkloadEntrySettings
+
+__all__ = ["LeaderProbe", "WorkloadEntryApplication"]
+
+PROBE_INTERVAL_S = 1.0
+PROBE_TIMEOUT_S = 1.5
+# An entry that has not reached the leader for this long takes no new connections.
+MAX_PROBE_AGE_S = 4.0
+
+
+class LeaderProbe(Task):
+    """Looks for the leader, and learns the control processes from it.
+
+    Parameters
+    ----------
+    leader : LeaderAsker
+        Asks the leader.
+    route : SearchingRoute
+        Gets the control processes.
+    metrics : MetricsRegistry
+        Counts lost and regained leaders.
+    """
+
+    def __init__(
+        self, leader: LeaderAsker, route: SearchingRoute, metrics: MetricsRegistry
+    ) -> None:
+        self._leader = leader
+        self._route = route
+        self._metrics = metrics
+        self._log = get_logger("entry")
+        self._found_s = float("-inf")
+        self._is_lost = True
+
+    @property
+    def is_fresh(self) -> bool:
+        """Whether the leader answered a moment ago."""
+        return anyio.current_time() - self._found_s < MAX_PROBE_AGE_S
+
+    async def run(self) -> None:
+        """Ask at intervals until cancelled."""
+        while True:
+            await self._probe()
+            await anyio.sleep(PROBE_INTERVAL_S)
+
+    async def _probe(self) -> None:
+        result = await self._leader.ask(LeaderQuery(), PROBE_TIMEOUT_S)
+        if is_successful(result) and isinstance(result.unwrap(), LeaderReply):
+            self._note_found(result.unwrap())
+        elif not self._is_lost:
+            self._is_lost = True
+            self._metrics.count("leader_changes", event="lost")
+            reason = "an unexpected reply"
+            if not is_successful(result):
+                reason = result.failure().message
+            self._log.warning("leader lost", reason=reason)
+
+    def _note_found(self, reply: LeaderReply) -> None:
+        self._found_s = anyio.current_time()
+        self._route.note_members(reply.control_addresses)
+        if self._is_lost:
+            self._is_lost = False
+            self._metrics.count("leader_changes", event="found")
+            self._log.info(
+                "leader found",
+                leader=reply.leader_address,
+                control_processes=list(reply.control_addresses),
+            )
+
+
+class WorkloadEntryApplication(Application):
+    """All tasks of an entry process of workloads.
+
+    Parameters
+    ----------
+    settings : WorkloadEntrySettings
+        Settings of the process.
+    edge : EntryEdge
+        Translates the calls of callers.
+    metrics : MetricsRegistry
+        Metrics of the process.
+    """
+
+    def __init__(
+        self,
+        settings: WorkloadEntrySettings,
+        edge: EntryEdge,
+        metrics: MetricsRegistry,
+    ) -> None:
+        super().__init__()
+        self._settings = settings
+        self._edge = edge
+        self._metrics = metrics
+        self._log = get_logger("entry")
+        self._route = SearchingRoute(settings.seeds)
+        self._link = make_leader_link(self._route, settings.exchange_timeout_s)
+        self._leader = RemoteLeader(self._link)
+        self._probe = LeaderProbe(self._leader, self._route, metrics)
+        self._draining = False
+        self._servers: list[HttpServer] = []
+
+    @classmethod
+    def from_settings(
+        cls,
+        settings: WorkloadEntrySettings,
+        edge: EntryEdge,
+        metrics: MetricsRegistry,
+    ) -> "WorkloadEntryApplication":
+        """Build the application of a process."""
+        return cls(settings, edge, metrics)
+
+    def _is_ready(self) -> bool:
+        return not self._draining and self._probe.is_fresh
+
+    async def _show_metrics(self, request: Request) -> PlainTextResponse:
+        return PlainTextResponse(self._metrics.render())
+
+    async def start(self, tasks: TaskGroup) -> None:
+        """Bind the sockets and start all tasks."""
+        settings = self._settings
+        routes = {
+            settings.public_listen: self._edge.list_routes(self._leader),
+            settings.readiness_listen: self._edge.list_readiness_routes(self._is_ready),
+            settings.listen: [Route("/metrics", self._show_metrics, methods=["GET"])],
+        }
+        for address, listed in routes.items():
+            server = HttpServer(bind_listener(address), listed)
+            self._servers.append(server)
+            tasks.start_soon(server.run)
+        tasks.start_soon(self._link.run)
+        tasks.start_soon(self._probe.run)
+        self._log.info(
+            "started",
+            address=settings.public_listen,
+            availability_zone=settings.availability_zone,
+            seeds=list(settings.seeds),
+        )
+
+    def note_seeds(self, seeds: tuple[str, ...]) -> None:
+        """Take the control processes that changed settings name."""
+        self._route.note_seeds(seeds)
+        self._log.info("settings reloaded", seeds=list(seeds))
+
+    async def drain(self) -> None:
+        """Leave the balancer, then finish what is in flight."""
+        self._log.info("draining")
+        self._draining = True
+        for server in self._servers:
+            server.close_kept_connections()
+        await anyio.sleep(self._settings.drain_notice_s)
+        with anyio.move_on_after(self._settings.drain_timeout_s):
+            async with anyio.create_task_group() as stops:
+                for server in self._servers:
+                    stops.start_soon(server.stop)
+        self._log.info("stopped")
--- a/tanagerpath/settings/__init__.py
+++ b/tanagerpath/settings/__init__.py
@@ -7,6 +7,10 @@
 from tanagerpath.settings.failures import InvalidSetting, MissingSetting
 from tanagerpath.settings.sources import add_flags
 from tanagerpath.settings.values import ControlAddress
+from tanagerpath.settings.workloads import (
+    WorkloadControlSettings,
+    WorkloadEntrySettings,
+)
 
 __all__ = [
     "ClientSettings",
@@ -16,6 +20,8 @@
     "InvalidSetting",
     "MissingSetting",
     "Setting",
+    "WorkloadControlSettings",
+    "WorkloadEntrySettings",
     "add_flags",
     "list_settings",
 ]
--- a/tanagerpath/settings/reference.py
+++ b/tanagerpath/settings/reference.py
@@ -4,6 +4,10 @@
 from tanagerpath.settings.control import ControlSettings
 from tanagerpath.settings.declaration import Setting, list_settings
 from tanagerpath.settings.entry import EntrySettings
+from tanagerpath.settings.workloads import (
+    WorkloadControlSettings,
+    WorkloadEntrySettings,
+)
 
 __all__ = ["render_reference"]
 
@@ -22,6 +26,8 @@
     ("`tanagerpath entry`", EntrySettings),
     ("`tanagerpath control`", ControlSettings),
     ("Client commands", ClientSettings),
+    ("Entry process for workloads", WorkloadEntrySettings),
+    ("Control process for workloads", WorkloadControlSettings),
 )
 
 
--- a/tanagerpath/settings/values.py
+++ b/tanagerpath/settings/values.py
@@ -16,6 +16,7 @@
     "ControlAddress",
     "ControlAddressesType",
     "DirectoryType",
+    "FlagType",
     "NameType",
     "NumberType",
     "SettingType",
@@ -132,6 +133,30 @@
         return value in self.choices
 
 
+@attrs.frozen
+class FlagType(SettingType):
+    """Yes or no."""
+
+    @property
+    def expected(self) -> str:
+        """What a value must be."""
+        return "true or false"
+
+    def parse(self, text: str) -> bool:
+        """Return the value; see `SettingType.parse`."""
+        if text not in ("true", "false"):
+            raise ValueError(text)
+        return text == "true"
+
+    def allows(self, value: Any) -> bool:
+        """Return whether the value is yes or no."""
+        return isinstance(value, bool)
+
+    def render(self, value: Any) -> str:
+        """Return the text that stands for the value."""
+        return "true" if value else "false"
+
+
 @attrs.frozen
 class DirectoryType(SettingType):
     """Path of a directory; it is created on the first start."""
