Learn speeds and work with their variances, and keep fast upstreams for urgent work

Also: each retry of an order to a silent upstream extended the lease that it had been sent, so that runs on an upstream that stays cut off never counted as over. The new rig for the dispatcher found it.

Tests: core/workloads/tests, 20 pass; test_run_on_a_cut_off_upstream_waits_for _its_lease failed before the change of the leases.

--- a/tanagerpath/core/workloads/deadline_policy.py
+++ b/tanagerpath/core/workloads/deadline_policy.py
@@ -31,15 +31,23 @@
     ----------
     remote_patience : float
         Predicted run times that a task waits for its rack before it runs elsewhere.
-    evict_after_s : float
-        Seconds that guaranteed work waits for runs to end before others are stopped.
+    guaranteed_patience_s : float
+        Longest such wait of guaranteed work in seconds.
+    max_eviction_cores_s : float
+        Core seconds of work that may be lost to make room for urgent work that no
+        guarantee covers.
     max_reservations : int
         Gangs for which upstreams are kept free at the same time.
+    modest_share : float
+        Share of its objective within which work that is not urgent leaves fast
+        upstreams to others.
     """
 
     remote_patience: float = 1.0
-    evict_after_s: float = 0.2
+    guaranteed_patience_s: float = 1.2
+    max_eviction_cores_s: float = 150.0
     max_reservations: int = 3
+    modest_share: float = 0.7
 
 
 @attrs.frozen(eq=False)
@@ -149,7 +157,7 @@
             if not left:
                 continue
             plan.blocked.append(unit)
-            if unit.is_guaranteed:
+            if unit.queue.priority == 0:
                 self._claim(unit, left, rooms, fleet, plan)
             elif unit.spec.gang and reservations < self._terms.max_reservations:
                 reservations += 1
@@ -218,16 +226,28 @@
                 unit.spec.preferred_rack
                 and unit.spec.preferred_rack != session.record.rack
             )
+            is_modest = self._is_modest(unit, session, fleet)
+            order = round(speed * SPEED_STEPS_PER_UNIT)
             return (
                 is_remote,
                 fleet.health[session.upstream_id].is_suspect,
-                -round(speed * SPEED_STEPS_PER_UNIT),
+                not is_modest,
+                order if is_modest else -order,
                 room.find_share(session.record.capacity),
                 session.upstream_id,
             )
 
         return sorted(sessions, key=rank)
 
+    def _is_modest(
+        self, unit: PlanUnit, session: UpstreamSession, fleet: FleetView
+    ) -> bool:
+        """Return whether work that is not urgent is on time on a slow upstream."""
+        if unit.queue.priority == 0:
+            return False
+        end_s = self._find_waited_s(unit, fleet) + fleet.predict_run_s(unit, session)
+        return end_s <= self._terms.modest_share * unit.objective_s
+
     def _choose_singles(
         self,
         unit: PlanUnit,
@@ -257,13 +277,13 @@
         )
 
     def _is_patience_over(self, unit: PlanUnit, fleet: FleetView) -> bool:
-        if unit.is_guaranteed:
-            return True
         work_s = fleet.estimates.predict_work_s(
             unit.step_key, unit.queue.name, unit.spec.declared_run_s
         )
-        waited_s = self._find_waited_s(unit, fleet)
-        return waited_s > self._terms.remote_patience * work_s
+        patience_s = self._terms.remote_patience * work_s
+        if unit.is_guaranteed:
+            patience_s = min(patience_s, self._terms.guaranteed_patience_s)
+        return self._find_waited_s(unit, fleet) > patience_s
 
     def _choose_option(
         self,
@@ -332,8 +352,7 @@
         fleet: FleetView,
         plan: Plan,
     ) -> None:
-        """Keep room for guaranteed work, and stop other runs if it has waited."""
-        may_evict = self._find_waited_s(unit, fleet) >= self._terms.evict_after_s
+        """Keep room for urgent work, and stop other runs for it."""
         sessions = [
             one
             for one in self._list_candidates(unit, rooms, fleet)
@@ -342,10 +361,12 @@
         found = find_evictions(unit, len(left), sessions, rooms.find_room, fleet)
         if found is None:
             return
+        bound = self._terms.max_eviction_cores_s
+        if not unit.is_guaranteed and found.lost_cores_s > bound:
+            return
         for session, count in found.places:
             rooms.take(unit, session, count)
-        if may_evict:
-            plan.evictions += found.evictions
+        plan.evictions += found.evictions
 
     def _reserve(self, unit: PlanUnit, rooms: _Rooms, fleet: FleetView) -> None:
         """Keep the upstreams that are free soonest for a gang that does not fit yet."""
--- a/tanagerpath/core/workloads/dispatcher.py
+++ b/tanagerpath/core/workloads/dispatcher.py
@@ -384,6 +384,7 @@
             task,
             run,
             unit.spec,
+            unit.queue.name,
             unit.queue.priority,
             RunPhase.PROPOSED,
             context.now_s,
--- a/tanagerpath/core/workloads/estimates.py
+++ b/tanagerpath/core/workloads/estimates.py
@@ -1,8 +1,9 @@
 """Estimates of run times, learned from the progress of runs.
 
-The time of a task is taken as the work of its step divided by the speed of the
-upstream. Callers' declarations are far off, but by about the same factor for all tasks
-of a step, so that tasks of one step on different upstreams tell their speeds apart.
+The logarithm of a task's time is taken as the work of its step minus the speed of its
+upstream. Both are kept with a variance, and each measured run moves the less certain
+one further. Callers' declarations are far off, so what a queue's earlier work took
+counts as well, each by how well it has foretold the work so far.
 """
 
 import math
@@ -11,48 +12,93 @@
 
 __all__ = ["RunEstimates"]
 
-# Weight of a caller's declaration against one measured run.
-DECLARATION_WEIGHT = 0.5
-# Share of a deviation that is put down to the upstream rather than the work.
-SPEED_LEARNING_RATE = 0.25
-BIAS_LEARNING_RATE = 0.1
 SHORTEST_RUN_S = 0.05
-# A single run may change the logarithm of a speed by this much at most.
-MAX_DEVIATION = 1.5
+# Variances of logarithms: of a speed that nothing is known of, and of the work of one
+# task about that of its step.
+UNKNOWN_SPEED_VARIANCE = 0.2
+TASK_VARIANCE = 0.05
+# Speeds change, so that their variance grows again with time.
+SPEED_DRIFT_PER_S = 0.004
+# Variances of a declaration and of a queue's mean before anything was measured.
+FIRST_DECLARATION_VARIANCE = 0.8
+FIRST_MEAN_VARIANCE = 4.0
+# Weight of these first variances, in measured steps.
+FIRST_WEIGHT = 2.0
+MIN_VARIANCE = 0.02
+# A single run may not move an estimate by more than this.
+MAX_DEVIATION = 2.0
 
 StepKey = tuple[str, int]
 
 
 @attrs.define
-class _Work:
-    """Logarithm of the run time at speed 1, and the weight of what it rests on."""
+class _Estimate:
+    """A logarithm and its variance."""
 
-    log_s: float
-    weight: float
+    log: float
+    variance: float
+
+
+@attrs.define
+class _Predictor:
+    """How well something has foretold the work of steps."""
+
+    variance: float
+    bias: float = 0.0
+    weight: float = FIRST_WEIGHT
+
+    def learn(self, error: float) -> None:
+        """Take the difference between the work of a step and what was foretold."""
+        self.weight += 1
+        deviation = error - self.bias
+        self.bias += deviation / self.weight
+        self.variance += (deviation * deviation - self.variance) / self.weight
+        self.variance = max(self.variance, MIN_VARIANCE)
+
+
+@attrs.define
+class _QueueHistory:
+    """Work of a queue's earlier steps, and how far declarations were off."""
+
+    declaration: _Predictor
+    mean: _Predictor
+
+    def foretell(self, declared: float) -> _Estimate:
+        """Return the work of a new step from its declared logarithm."""
+        by_declaration = 1 / self.declaration.variance
+        by_mean = 1 / self.mean.variance
+        weight = by_declaration + by_mean
+        log = (
+            (declared + self.declaration.bias) * by_declaration
+            + self.mean.bias * by_mean
+        ) / weight
+        return _Estimate(log, 1 / weight)
 
 
 class RunEstimates:
     """Speeds of upstreams and work of steps, as logarithms."""
 
     def __init__(self) -> None:
-        self._log_speeds: dict[str, float] = {}
-        self._work: dict[StepKey, _Work] = {}
-        self._bias: dict[str, float] = {}
+        self._speeds: dict[str, _Estimate] = {}
+        self._speed_read_s: dict[str, float] = {}
+        self._work: dict[StepKey, _Estimate] = {}
+        self._queues: dict[str, _QueueHistory] = {}
 
     def observe(
         self,
-        upstream_id: str,
+        upstream_ids: tuple[str, ...],
         step: StepKey,
         queue: str,
         declared_s: float,
         run_s: float,
+        now_s: float,
     ) -> None:
         """Learn from a run.
 
         Parameters
         ----------
-        upstream_id : str
-            Where it ran.
+        upstream_ids : tuple of str
+            Where it ran; a gang goes at the speed of its slowest member.
         step : tuple of (str, int)
             Workload and step.
         queue : str
@@ -61,35 +107,78 @@
             Seconds that the caller declared.
         run_s : float
             Seconds that the whole task takes, as measured or as extrapolated.
+        now_s : float
+            Instant on the steady clock.
         """
+        is_new = step not in self._work
         work = self._find_work(step, queue, declared_s)
-        speed = self._log_speeds.get(upstream_id, 0.0)
+        slowest = min(upstream_ids, key=self.find_speed)
+        speed = self._find_speed(slowest, now_s)
         measured = math.log(max(run_s, SHORTEST_RUN_S))
-        deviation = measured - (work.log_s - speed)
+        deviation = measured - (work.log - speed.log)
         deviation = min(max(deviation, -MAX_DEVIATION), MAX_DEVIATION)
-        known = work.weight / (work.weight + 1)
-        work.weight += 1
-        work.log_s += deviation / work.weight
-        self._log_speeds[upstream_id] = speed - SPEED_LEARNING_RATE * known * deviation
-        declared = math.log(max(declared_s, SHORTEST_RUN_S))
-        bias = self._bias.get(queue, 0.0)
-        self._bias[queue] = bias + BIAS_LEARNING_RATE * (work.log_s - declared - bias)
+        total = work.variance + speed.variance + TASK_VARIANCE
+        work_gain, speed_gain = work.variance / total, speed.variance / total
+        work.log += work_gain * deviation
+        work.variance *= 1 - work_gain
+        speed.log -= speed_gain * deviation
+        speed.variance *= 1 - speed_gain
         self._work[step] = work
-
-    def _find_work(self, step: StepKey, queue: str, declared_s: float) -> _Work:
+        self._speeds[slowest] = speed
+        self._speed_read_s[slowest] = now_s
+        self._raise_members(upstream_ids, speed, now_s)
+        if is_new:
+            self._learn_queue(queue, declared_s, work.log)
+
+    def _raise_members(
+        self, upstream_ids: tuple[str, ...], slowest: _Estimate, now_s: float
+    ) -> None:
+        """Members of a gang are at least as fast as its slowest one."""
+        for upstream_id in upstream_ids:
+            speed = self._find_speed(upstream_id, now_s)
+            if speed.log < slowest.log:
+                self._speeds[upstream_id] = _Estimate(slowest.log, speed.variance)
+                self._speed_read_s[upstream_id] = now_s
+
+    def _learn_queue(self, queue: str, declared_s: float, log: float) -> None:
+        history = self._find_history(queue, declared_s)
+        declared = math.log(max(declared_s, SHORTEST_RUN_S))
+        history.declaration.learn(log - declared)
+        history.mean.learn(log)
+
+    def _find_history(self, queue: str, declared_s: float) -> _QueueHistory:
+        held = self._queues.get(queue)
+        if held is None:
+            declared = math.log(max(declared_s, SHORTEST_RUN_S))
+            held = self._queues[queue] = _QueueHistory(
+                _Predictor(FIRST_DECLARATION_VARIANCE),
+                _Predictor(FIRST_MEAN_VARIANCE, declared),
+            )
+        return held
+
+    def _find_work(self, step: StepKey, queue: str, declared_s: float) -> _Estimate:
         held = self._work.get(step)
         if held is not None:
             return held
-        log_s = math.log(max(declared_s, SHORTEST_RUN_S)) + self._bias.get(queue, 0.0)
-        return _Work(log_s, DECLARATION_WEIGHT)
+        declared = math.log(max(declared_s, SHORTEST_RUN_S))
+        return self._find_history(queue, declared_s).foretell(declared)
+
+    def _find_speed(self, upstream_id: str, now_s: float) -> _Estimate:
+        held = self._speeds.get(upstream_id)
+        if held is None:
+            return _Estimate(0.0, UNKNOWN_SPEED_VARIANCE)
+        age_s = now_s - self._speed_read_s[upstream_id]
+        variance = held.variance + SPEED_DRIFT_PER_S * max(age_s, 0.0)
+        return _Estimate(held.log, min(variance, UNKNOWN_SPEED_VARIANCE))
 
     def predict_work_s(self, step: StepKey, queue: str, declared_s: float) -> float:
         """Return the seconds that a task of a step takes at speed 1."""
-        return math.exp(self._find_work(step, queue, declared_s).log_s)
+        return math.exp(self._find_work(step, queue, declared_s).log)
 
     def find_speed(self, upstream_id: str) -> float:
         """Return the speed of an upstream; 1 if nothing is known of it."""
-        return math.exp(self._log_speeds.get(upstream_id, 0.0))
+        held = self._speeds.get(upstream_id)
+        return 1.0 if held is None else math.exp(held.log)
 
     def forget_workload(self, workload_id: str, steps: int) -> None:
         """Forget the work of an ended workload."""
@@ -98,4 +187,5 @@
 
     def forget_upstream(self, upstream_id: str) -> None:
         """Forget the speed of an upstream that is gone."""
-        self._log_speeds.pop(upstream_id, None)
+        self._speeds.pop(upstream_id, None)
+        self._speed_read_s.pop(upstream_id, None)
--- a/tanagerpath/core/workloads/evictions.py
+++ b/tanagerpath/core/workloads/evictions.py
@@ -1,4 +1,4 @@
-"""Which runs have to make room for guaranteed work."""
+"""Which runs have to make room for urgent work."""
 
 from collections.abc import Callable
 
@@ -42,7 +42,7 @@
     Parameters
     ----------
     unit : PlanUnit
-        Guaranteed work.
+        Urgent work.
     count : int
         Tasks of it that have no place.
     sessions : list of UpstreamSession
@@ -57,19 +57,29 @@
     EvictionPlan or None
         None if no runs that may be stopped would make enough room.
     """
-    groups = [sessions]
-    if unit.spec.same_rack:
-        by_rack: dict[str, list[UpstreamSession]] = {}
-        for session in sessions:
-            by_rack.setdefault(session.record.rack, []).append(session)
-        groups = list(by_rack.values())
+    groups = _list_groups(unit, sessions)
     plans = [_make_plan(unit, count, group, find_room, fleet) for group in groups]
     found = [plan for plan in plans if plan is not None]
-    if not found and len(groups) > 1:
+    if not found and groups != [sessions]:
         return _make_plan(unit, count, sessions, find_room, fleet)
     return min(found, key=lambda plan: plan.lost_cores_s, default=None)
 
 
+def _list_groups(
+    unit: PlanUnit, sessions: list[UpstreamSession]
+) -> list[list[UpstreamSession]]:
+    """Return the sets of upstreams on which a unit is not slowed by distances."""
+    rack = unit.spec.preferred_rack
+    if rack:
+        return [[one for one in sessions if one.record.rack == rack]]
+    if not unit.spec.same_rack:
+        return [sessions]
+    by_rack: dict[str, list[UpstreamSession]] = {}
+    for session in sessions:
+        by_rack.setdefault(session.record.rack, []).append(session)
+    return list(by_rack.values())
+
+
 def _make_plan(
     unit: PlanUnit,
     count: int,
--- a/tanagerpath/core/workloads/policy.py
+++ b/tanagerpath/core/workloads/policy.py
@@ -127,7 +127,9 @@
 
     def _predict_whole_s(self, view: RunView, session: UpstreamSession) -> float:
         step = (view.task.workload_id, view.task.step)
-        work_s = self.estimates.predict_work_s(step, "", view.spec.declared_run_s)
+        work_s = self.estimates.predict_work_s(
+            step, view.queue, view.spec.declared_run_s
+        )
         return work_s / self.estimates.find_speed(session.upstream_id)
 
 
--- a/tanagerpath/core/workloads/registry.py
+++ b/tanagerpath/core/workloads/registry.py
@@ -63,6 +63,7 @@
             task_id,
             held.run,
             workload.spec.steps[task_id.step],
+            workload.queue,
             queue.priority if queue else 0,
             RunPhase.INHERITED,
             context.now_s,
@@ -203,7 +204,9 @@
         ]
         for name in departed:
             session = context.sessions.pop(name)
-            context.health.pop(session.upstream_id, None)
+            if session.upstream_id not in context.sessions:
+                context.health.pop(session.upstream_id, None)
+                context.estimates.forget_upstream(session.upstream_id)
 
     def note_incarnation(self, session: UpstreamSession, born_unix_ms: int) -> bool:
         """Check the birth that an upstream tells in its lists.
--- a/tanagerpath/core/workloads/run_driver.py
+++ b/tanagerpath/core/workloads/run_driver.py
@@ -92,13 +92,23 @@
             task=view.task,
             run=view.run,
             payload=record.spec.payload,
-            lease_until_ms=session.extend_lease(lease_s, context.now_s),
+            lease_until_ms=self._choose_lease(session, lease_s),
             fencing_token=context.term,
             checkpoint=view.checkpoint,
             ticket=view.ticket,
         )
         self._send_order(session, view, request)
 
+    def _choose_lease(self, session: UpstreamSession, lease_s: float) -> int:
+        """Return the end of the lease for an order.
+
+        An order to a silent upstream may be carried out much later. It must not make
+        the lease longer, or the runs there would never count as over.
+        """
+        if not session.reachable and session.lease_until_ms:
+            return session.lease_until_ms
+        return session.extend_lease(lease_s, self._context.now_s)
+
     def _send_stop(self, session: UpstreamSession, view: RunView) -> None:
         request = StopRequest(
             task=view.task, run=view.run, fencing_token=self._context.term
@@ -119,7 +129,7 @@
         wait_s = terms.hold_wait_s if session.synced and not unrecorded else 0.0
         lease_until_ms = None
         if session.runs and session.clock_ms is not None:
-            lease_until_ms = session.extend_lease(terms.leases.lease_s, context.now_s)
+            lease_until_ms = self._choose_lease(session, terms.leases.lease_s)
         session.hold_in_flight = True
         self._hold_sent_s[session.upstream_id] = context.now_s
         request = HoldRequest(
@@ -317,18 +327,42 @@
         if view.running_since_s is None or until_s <= view.running_since_s:
             return
         run_s = (until_s - view.running_since_s) * 100 / gained
-        preferred = view.spec.preferred_rack
-        if preferred and preferred != session.record.rack:
+        members = self._list_members(session, view)
+        if self._is_remote(view, members):
             run_s /= context.terms.remote_factor
-        record = context.state.workloads.get(view.task.workload_id)
-        if record is not None:
-            context.estimates.observe(
-                session.upstream_id,
-                (view.task.workload_id, view.task.step),
-                record.queue,
-                view.spec.declared_run_s,
-                run_s,
-            )
+        context.estimates.observe(
+            tuple(member.upstream_id for member in members),
+            (view.task.workload_id, view.task.step),
+            view.queue,
+            view.spec.declared_run_s,
+            run_s,
+            context.now_s,
+        )
+
+    def _list_members(
+        self, session: UpstreamSession, view: RunView
+    ) -> list[UpstreamSession]:
+        """Return the upstreams that work on a run; all of them for a gang.
+
+        The whole gang counts once: its other members need not be observed again.
+        """
+        if not view.spec.gang:
+            return [session]
+        members = []
+        for other in self._context.sessions.values():
+            for held in other.runs.values():
+                if held.is_same_gang(view):
+                    held.observed = True
+                    members.append(other)
+        return list(dict.fromkeys(members)) or [session]
+
+    def _is_remote(self, view: RunView, members: list[UpstreamSession]) -> bool:
+        """Return whether a run is slowed by its distance from its data or members."""
+        racks = {member.record.rack for member in members}
+        preferred = view.spec.preferred_rack
+        if preferred and racks != {preferred}:
+            return True
+        return view.spec.same_rack and len(racks) > 1
 
     def _stop_stray(self, session: UpstreamSession, running: RunningTask) -> None:
         """Stop a run that the state does not hold as open."""
--- a/tanagerpath/core/workloads/sessions.py
+++ b/tanagerpath/core/workloads/sessions.py
@@ -66,6 +66,8 @@
         The run.
     spec : StepSpec
         Step of the task.
+    queue : str
+        Its queue.
     priority : int
         Priority of its queue.
     phase : RunPhase
@@ -105,6 +107,7 @@
     task: TaskId
     run: int
     spec: StepSpec
+    queue: str
     priority: int
     phase: RunPhase
     began_s: float
@@ -128,6 +131,15 @@
         """Names the run."""
         return self.task, self.run
 
+    def is_same_gang(self, other: "RunView") -> bool:
+        """Return whether another run belongs to the same run of a gang."""
+        return (
+            self.run == other.run
+            and self.task.workload_id == other.task.workload_id
+            and self.task.occurrence == other.task.occurrence
+            and self.task.step == other.task.step
+        )
+
     def enter(self, phase: RunPhase, now_s: float) -> None:
         """Enter a phase that needs orders of its own."""
         self.phase = phase
--- /dev/null
+++ b/tanagerpath/core/workloads/tests/test_dispatcher.py
@@ -0,0 +1,233 @@
+"""Guards the promises on runs: once, within capacity, in order, whole gangs."""
+
+import attrs
+import testtools
+
+from tanagerpath.core.workloads.resources import Resources
+from tanagerpath.core.workloads.specs import StepSpec
+from tanagerpath.core.workloads.tests.rig import Rig
+
+SMALL = Resources(8_000, 16_000, 1)
+WHOLE = Resources(8_000, 16_000, 8)
+
+
+def _step(count=1, needs=SMALL, **fields):
+    return StepSpec(count=count, needs=needs, declared_run_s=1.0, **fields)
+
+
+class TestRuns(testtools.TestCase):
+    def test_workload_completes_in_the_order_of_its_steps(self):
+        rig = Rig()
+        rig.submit("w", _step(6), _step(3, depends_on=(0,)))
+        rig.run(5)
+        self.assertEqual("completed", rig.find_state("w"))
+        self.assertEqual(9, len(rig.starts))
+
+    def test_work_beyond_the_capacity_waits(self):
+        rig = Rig(upstreams=1)
+        rig.submit("w", _step(20))
+        rig.run(6)
+        self.assertEqual("completed", rig.find_state("w"))
+
+    def test_gang_starts_whole_or_not_at_all(self):
+        rig = Rig(upstreams=3)
+        rig.submit("long", _step(1, WHOLE), work_s=4.0)
+        rig.run(0.5)
+        rig.submit("gang", _step(3, WHOLE, gang=True), queue="batch", work_s=1.0)
+        rig.run(3)
+        self.assertEqual("queued", rig.find_state("gang"))
+        rig.run(6)
+        self.assertEqual("completed", rig.find_state("gang"))
+        runs = {start.run for start in rig.starts if start.task.workload_id == "gang"}
+        self.assertEqual({1}, runs)
+
+    def test_gang_with_a_lost_member_starts_again_whole(self):
+        rig = Rig(upstreams=5)
+        rig.submit("gang", _step(3, WHOLE, gang=True), queue="batch", work_s=3.0)
+        rig.run(1)
+        victim = next(up for up in rig.upstreams.values() if up.runs)
+        victim.cut = True
+        rig.run(30)
+        self.assertEqual("completed", rig.find_state("gang"))
+
+    def test_failed_task_is_tried_elsewhere_and_then_fails_its_workload(self):
+        rig = Rig()
+        rig.submit("w", _step(1))
+        rig.poison.add("w")
+        rig.run(3)
+        self.assertEqual("failed", rig.find_state("w"))
+        self.assertEqual(3, len(rig.starts))
+
+    def test_upstream_that_fails_everything_loses_its_work(self):
+        rig = Rig(upstreams=3)
+        rig.upstreams["u0"].fails_all = True
+        for number in range(30):
+            rig.submit(f"w{number}", _step(2))
+        rig.run(25)
+        states = {rig.find_state(f"w{number}") for number in range(30)}
+        self.assertEqual({"completed"}, states)
+        names = [note.name for note in rig.notes]
+        self.assertIn("upstream quarantined", names)
+
+    def test_stalled_run_is_moved(self):
+        rig = Rig(upstreams=2)
+        rig.upstreams["u0"].stalls = True
+        rig.submit("w", _step(4), work_s=1.0)
+        rig.run(12)
+        self.assertEqual("completed", rig.find_state("w"))
+
+    def test_cancelled_workload_is_stopped_and_starts_nothing(self):
+        rig = Rig()
+        rig.submit("w", _step(40), work_s=5.0)
+        rig.run(1)
+        rig.cancel("w")
+        rig.run(1.5)
+        started = len(rig.starts)
+        self.assertEqual([], [up for up in rig.upstreams.values() if up.runs])
+        rig.run(5)
+        self.assertEqual(started, len(rig.starts))
+        self.assertEqual("cancelled", rig.find_state("w"))
+
+    def test_occurrences_start_when_they_are_due(self):
+        rig = Rig()
+        first_due = rig.now_s + 2
+        rig.submit(
+            "w", _step(1), repeat_count=3, first_due_unix_s=first_due, interval_s=2
+        )
+        rig.run(1.9)
+        self.assertEqual([], rig.starts)
+        rig.run(8)
+        self.assertEqual("completed", rig.find_state("w"))
+        self.assertEqual([0, 1, 2], [start.task.occurrence for start in rig.starts])
+
+    def test_long_running_task_is_started_again_however_it_ends(self):
+        rig = Rig()
+        rig.submit("w", _step(1, long_running=True), work_s=1.0)
+        rig.run(6)
+        self.assertEqual("running", rig.find_state("w"))
+        self.assertGreater(len(rig.starts), 2)
+
+    def test_guaranteed_work_takes_room_from_other_work(self):
+        rig = Rig(upstreams=2)
+        rig.submit("scan", _step(16, checkpointing=True), work_s=20.0)
+        rig.run(2)
+        rig.submit("check", _step(1, WHOLE), queue="urgent", work_s=1.0)
+        rig.run(1.0)
+        self.assertEqual("running", rig.find_state("check"))
+        rig.run(25)
+        self.assertEqual("completed", rig.find_state("scan"))
+
+    def test_resumed_run_carries_a_checkpoint_of_its_own_task(self):
+        rig = Rig(upstreams=2)
+        rig.submit("scan", _step(16, checkpointing=True), work_s=20.0)
+        rig.run(4)
+        rig.submit("check", _step(1, WHOLE), queue="urgent", work_s=1.0)
+        rig.run(4)
+        resumed = [start for start in rig.starts if start.checkpoint]
+        self.assertNotEqual([], resumed)
+        for start in resumed:
+            self.assertTrue(start.checkpoint.startswith(f"c{start.task.index}:"))
+
+
+class TestUpstreams(testtools.TestCase):
+    def test_draining_upstream_gets_nothing_new(self):
+        rig = Rig(upstreams=2)
+        record = attrs.evolve(rig.upstreams["u0"].record, draining=True)
+        rig.report(record, sequence=5)
+        rig.submit("w", _step(8))
+        rig.run(4)
+        self.assertEqual("completed", rig.find_state("w"))
+        self.assertEqual({}, rig.upstreams["u0"].highest)
+
+    def test_delayed_heartbeat_does_not_undo_a_later_one(self):
+        rig = Rig(upstreams=2)
+        record = rig.upstreams["u0"].record
+        rig.report(attrs.evolve(record, draining=True), sequence=5)
+        self.assertEqual([], rig.report(record, sequence=4))
+
+    def test_heartbeat_of_an_earlier_incarnation_is_ignored(self):
+        rig = Rig(upstreams=1)
+        old = rig.upstreams["u0"].record
+        new = attrs.evolve(old, upstream_id="u9", incarnation="u9@2", born_unix_ms=2)
+        self.assertEqual(2, len(rig.report(new)))
+        self.assertEqual([], rig.report(old, sequence=9))
+
+    def test_work_of_a_replaced_incarnation_starts_again(self):
+        rig = Rig(upstreams=2)
+        rig.submit("w", _step(16), work_s=3.0)
+        rig.run(1)
+        fake = rig.upstreams["u0"]
+        fake.runs.clear()
+        fake.highest.clear()
+        fake.fence = fake.end_count = 0
+        fake.record = attrs.evolve(fake.record, incarnation="u0@2", born_unix_ms=2)
+        rig.report(fake.record)
+        rig.run(8)
+        self.assertEqual("completed", rig.find_state("w"))
+
+    def test_run_on_a_cut_off_upstream_waits_for_its_lease(self):
+        rig = Rig(upstreams=2)
+        rig.submit("w", _step(1), work_s=30.0)
+        rig.run(1)
+        victim = next(up for up in rig.upstreams.values() if up.runs)
+        victim.cut = True
+        rig.run(8)
+        self.assertEqual(1, len(rig.starts))
+        rig.run(5)
+        self.assertEqual(2, len(rig.starts))
+
+
+class TestLeaders(testtools.TestCase):
+    def test_new_leader_takes_over_what_runs(self):
+        rig = Rig()
+        rig.submit("w", _step(8), work_s=3.0)
+        rig.run(1)
+        rig.lead(2)
+        rig.run(6)
+        self.assertEqual("completed", rig.find_state("w"))
+        self.assertEqual(8, len(rig.starts))
+
+    def test_new_leader_waits_for_the_lease_of_an_upstream_it_cannot_reach(self):
+        rig = Rig(upstreams=2)
+        rig.submit("w", _step(1), work_s=30.0)
+        rig.run(1)
+        victim = next(up for up in rig.upstreams.values() if up.runs)
+        victim.cut = True
+        rig.lead(2)
+        rig.run(9)
+        self.assertEqual(1, len(rig.starts))
+        rig.run(3)
+        self.assertEqual(2, len(rig.starts))
+
+    def test_random_faults_break_no_promise(self):
+        for seed in range(12):
+            rig = Rig(upstreams=6, seed=seed)
+            rig.lost_replies = 0.05
+            rig.late_orders = 0.05
+            self._disturb(rig, seed)
+
+    def _disturb(self, rig, seed):
+        term = 1
+        for number in range(30):
+            gang = rig.random.random() < 0.4
+            queue = rig.random.choice(["urgent", "batch", "scan"])
+            needs = rig.random.choice([SMALL, WHOLE])
+            count = rig.random.randint(1, 4)
+            step = _step(count, needs, gang=gang, checkpointing=not gang)
+            work_s = rig.random.uniform(0.3, 4.0)
+            rig.submit(f"w{number}", step, queue=queue, work_s=work_s)
+            rig.run(rig.random.uniform(0.1, 1.5))
+            upstream = rig.random.choice(list(rig.upstreams.values()))
+            upstream.cut = rig.random.random() < 0.3
+            upstream.stalls = rig.random.random() < 0.1
+            if rig.random.random() < 0.1:
+                term += 1
+                rig.lead(term)
+            if rig.random.random() < 0.1:
+                rig.cancel(f"w{rig.random.randrange(number + 1)}")
+        for upstream in rig.upstreams.values():
+            upstream.cut = upstream.stalls = False
+        rig.late_orders = rig.lost_replies = 0.0
+        rig.run(90)
+        states = {record.final_state for record in rig.state.workloads.values()}
+        self.assertNotIn(None, states, f"seed {seed}")
