--- a/tanagerpath/core/workloads/node.py
+++ b/tanagerpath/core/workloads/node.py
@@ -52,7 +52,7 @@
 
     replica: consensus.ReplicaConfig
     dispatch: DispatchTerms = DispatchTerms()
-    tick_interval_s: float = 0.05
+    tick_interval_s: float = 0.1
 
 
 @attrs.define
@@ -97,6 +97,12 @@
         """The replicated state; to be read only."""
         return self._state
 
+    def find_wake_up_s(self) -> float:
+        """Return the instant at which `step` is due; only a leader has deadlines."""
+        if not self.is_deciding:
+            return self._replica.find_wake_up_s()
+        return super().find_wake_up_s()
+
     def _tick(self) -> None:
         if self._leader_term is not None:
             self._leader_term.events.append(Ticked())
--- a/tanagerpath/observability/logs.py
+++ b/tanagerpath/observability/logs.py
@@ -1,11 +1,14 @@
 """Set-up of the log: JSON lines with a fixed prefix for each part."""
 
+import io
 import logging
 import sys
 from typing import Any, TextIO
 
 import structlog
 
+from tanagerpath.observability.streams import LineStream
+
 __all__ = ["configure_logs", "get_logger"]
 
 _LEVELS = {
@@ -16,7 +19,9 @@
 }
 
 
-def configure_logs(level: str = "info", stream: TextIO | None = None) -> None:
+def configure_logs(
+    level: str = "info", stream: TextIO | LineStream | None = None
+) -> None:
     """Set up the log of this process.
 
     Each line is a JSON object with `time` (UTC), `level` and `message`, and further
@@ -26,10 +31,10 @@
     ----------
     level : str
         Lowest level written: "debug", "info", "warning" or "error".
-    stream : TextIO, optional
-        Where the lines go; standard error by default.
+    stream : TextIO or LineStream, optional
+        Where the lines go; standard error without waiting for its reader by default.
     """
-    target = sys.stderr if stream is None else stream
+    target = stream or _open_error_stream()
     structlog.configure(
         processors=[
             structlog.processors.add_log_level,
@@ -46,6 +51,14 @@
     root.handlers = [_LibraryHandler(level=logging.WARNING)]
 
 
+def _open_error_stream() -> TextIO | LineStream:
+    try:
+        return LineStream.from_stream(sys.stderr)
+    except io.UnsupportedOperation:
+        # Standard error was replaced by a stream in memory, which never blocks.
+        return sys.stderr
+
+
 def get_logger(part: str) -> Any:
     """Return the logger of a part.
 
--- a/tanagerpath/platform/__main__.py
+++ b/tanagerpath/platform/__main__.py
@@ -10,6 +10,7 @@
 from tanagerpath.cli.command import write_failure
 from tanagerpath.observability import configure_logs
 from tanagerpath.observability.metrics import MetricsRegistry
+from tanagerpath.observability.streams import LineStream
 from tanagerpath.platform.control_edge import OperatorEdge
 from tanagerpath.platform.entry_edge import CallerEdge
 from tanagerpath.platform.orders import WorkerCodec
@@ -52,7 +53,7 @@
     if not is_successful(settings):
         write_failure(settings.failure())
         return EXIT_WRONG_INPUT
-    configure_logs(settings.unwrap().log_level, sys.stdout)
+    configure_logs(settings.unwrap().log_level, LineStream.from_stream(sys.stdout))
     application = make(settings.unwrap())
     anyio.run(application.run)
     return 0
--- a/tanagerpath/services/workload_entry.py
+++ b/tanagerpath/services/workload_entry.py
@@ -19,10 +19,10 @@
 
 __all__ = ["LeaderProbe", "WorkloadEntryApplication"]
 
-PROBE_INTERVAL_S = 1.0
+PROBE_INTERVAL_S = 1.5
 PROBE_TIMEOUT_S = 1.5
 # An entry that has not reached the leader for this long takes no new connections.
-MAX_PROBE_AGE_S = 4.0
+MAX_PROBE_AGE_S = 5.0
 
 
 class LeaderProbe(Task):
--- a/tanagerpath/settings/workloads.py
+++ b/tanagerpath/settings/workloads.py
@@ -91,21 +91,21 @@
     "Time for which the state of an ended workload is shown.",
 )
 _HEARTBEAT_INTERVAL_S = _seconds(
-    "heartbeat_interval_s", 0.1, 0.001, 10.0, "Time between a leader's heartbeats."
+    "heartbeat_interval_s", 0.2, 0.001, 10.0, "Time between a leader's heartbeats."
 )
 _ELECTION_TIMEOUT_MIN_S = _seconds(
     "election_timeout_min_s",
-    0.6,
+    0.8,
     0.01,
     60.0,
     "Shortest time without a heartbeat after which a replica stands for election.",
 )
 _ELECTION_TIMEOUT_MAX_S = _seconds(
-    "election_timeout_max_s", 1.2, 0.01, 120.0, "Longest such time."
+    "election_timeout_max_s", 1.5, 0.01, 120.0, "Longest such time."
 )
 _LEASE_DURATION_S = _seconds(
     "lease_duration_s",
-    0.5,
+    0.7,
     0.01,
     60.0,
     "Time from sending an acknowledged heartbeat for which a leader may decide.",
