Reload on SIGHUP and on changed settings

The log showed an entry that got SIGTERM at 30.6 s and SIGHUP while it drained: nothing handled SIGHUP, whose default action ends a process, so a request in flight was cut. Ruled out: the time limit of the drain (0.5 s had passed) and the balancer.

A signal or a changed file now reads the seeds again; wrong settings are kept out with a line in the log. Signals are taken before anything is started.

--- a/tanagerpath/platform/__main__.py
+++ b/tanagerpath/platform/__main__.py
@@ -2,6 +2,7 @@
 
 import argparse
 import os
+import signal
 import sys
 
 import anyio
@@ -23,23 +24,31 @@
 EXIT_WRONG_INPUT = 2
 
 
-def _make_entry(settings: WorkloadEntrySettings) -> Application:
+def _make_entry(settings: WorkloadEntrySettings, source: SettingsFile) -> Application:
     from tanagerpath.services.workload_entry import WorkloadEntryApplication
 
     edge = CallerEdge(settings.leader_timeout_s)
-    return WorkloadEntryApplication.from_settings(settings, edge, MetricsRegistry())
+    return WorkloadEntryApplication.from_settings(
+        settings, edge, source, MetricsRegistry()
+    )
 
 
-def _make_control(settings: WorkloadControlSettings) -> Application:
+def _make_control(
+    settings: WorkloadControlSettings, source: SettingsFile
+) -> Application:
     from tanagerpath.services.workload_control import WorkloadControlApplication
 
     public_port = settings.public_listen.rpartition(":")[2]
     edge = OperatorEdge(public_port, settings.leader_timeout_s)
-    return WorkloadControlApplication.from_settings(settings, edge, WorkerCodec())
+    return WorkloadControlApplication.from_settings(
+        settings, edge, WorkerCodec(), source
+    )
 
 
 def main() -> int:
     """Run the process that the first argument names."""
+    # The default action of SIGHUP ends a process that is still starting.
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
     parser = argparse.ArgumentParser(prog="tanagerpath.platform")
     parser.add_argument("role", choices=["entry", "control"])
     role = parser.parse_args().role
@@ -54,7 +63,7 @@
         write_failure(settings.failure())
         return EXIT_WRONG_INPUT
     configure_logs(settings.unwrap().log_level, LineStream.from_stream(sys.stdout))
-    application = make(settings.unwrap())
+    application = make(settings.unwrap(), settings_file)
     anyio.run(application.run)
     return 0
 
--- a/tanagerpath/platform/settings_file.py
+++ b/tanagerpath/platform/settings_file.py
@@ -5,11 +5,12 @@
 from collections.abc import Mapping
 
 from returns.result import Failure as ResultFailure
-from returns.result import Result
+from returns.result import Result, Success
 
 from tanagerpath.codecs import MalformedMessage
 from tanagerpath.errors import Failure, FailureError
 from tanagerpath.platform.fields import Fields, read_object
+from tanagerpath.services.edges import SettingsSource
 from tanagerpath.settings import WorkloadControlSettings, WorkloadEntrySettings
 
 __all__ = ["CONFIG_VARIABLE", "SettingsFile"]
@@ -21,7 +22,7 @@
 ENTRY_PORT_PLACE = 1
 
 
-class SettingsFile:
+class SettingsFile(SettingsSource):
     """Reads the settings file; it may change while the process runs.
 
     Parameters
@@ -45,6 +46,13 @@
         except OSError:
             return None
 
+    def read_seeds(self) -> Result[tuple[str, ...], Failure]:
+        """Return the control processes that are asked first, or what is wrong."""
+        try:
+            return Success(_list_seeds(self._read()))
+        except FailureError as error:
+            return ResultFailure(error.failure)
+
     def _read(self) -> Fields:
         try:
             body = self._path.read_bytes()
@@ -84,17 +92,20 @@
     return fields.read_wholes("internal_ports")[0] + place
 
 
+def _list_seeds(fields: Fields) -> tuple[str, ...]:
+    """Return where the control processes listen for other processes of the system."""
+    port = _find_port(fields, CONTROL_PORT_PLACE)
+    return tuple(
+        f"{seed.rpartition(':')[0]}:{port}" for seed in fields.read_texts("seeds")
+    )
+
+
 def _list_shared(fields: Fields, place: int) -> dict[str, str]:
-    control_port = _find_port(fields, CONTROL_PORT_PLACE)
-    seeds = [
-        f"{seed.rpartition(':')[0]}:{control_port}"
-        for seed in fields.read_texts("seeds")
-    ]
     return {
         "vm_id": fields.read_text("node_name"),
         "availability_zone": fields.read_text("zone"),
         "listen": f"{fields.read_text('ip')}:{_find_port(fields, place)}",
-        "seeds": ",".join(seeds),
+        "seeds": ",".join(_list_seeds(fields)),
     }
 
 
--- a/tanagerpath/runtime/application.py
+++ b/tanagerpath/runtime/application.py
@@ -4,7 +4,7 @@
 import signal
 
 import anyio
-from anyio.abc import TaskGroup
+from anyio.abc import TaskGroup, TaskStatus
 
 __all__ = ["Application"]
 
@@ -13,7 +13,7 @@
     """Owns all tasks of a process and ends them in order.
 
     `run` calls the hook `start`, then waits for SIGTERM, SIGINT or `request_stop`,
-    then calls `drain` and `close`, and cancels what is left.
+    then calls `drain` and `close`, and cancels what is left. SIGHUP calls `reload`.
     """
 
     def __init__(self) -> None:
@@ -31,6 +31,10 @@
         """Release what `start` opened; called after `drain`."""
         return None
 
+    async def reload(self) -> None:
+        """Take changed settings; called on SIGHUP."""
+        return None
+
     def request_stop(self) -> None:
         """Ask for a graceful stop."""
         self._stop_requested.set()
@@ -41,18 +45,26 @@
         Parameters
         ----------
         handle_signals : bool
-            Whether SIGTERM and SIGINT request a stop; only possible in the main thread.
+            Whether SIGTERM and SIGINT request a stop, and SIGHUP a reload; only
+            possible in the main thread.
         """
         async with anyio.create_task_group() as tasks:
             if handle_signals:
-                tasks.start_soon(self._watch_signals)
+                # A signal that arrives during the start must not end the process.
+                await tasks.start(self._watch_signals)
             await self.start(tasks)
             await self._stop_requested.wait()
             await self.drain()
             await self.close()
             tasks.cancel_scope.cancel()
 
-    async def _watch_signals(self) -> None:
-        with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
-            async for _ in signals:
-                self.request_stop()
+    async def _watch_signals(self, task_status: TaskStatus[None]) -> None:
+        with anyio.open_signal_receiver(
+            signal.SIGTERM, signal.SIGINT, signal.SIGHUP
+        ) as signals:
+            task_status.started()
+            async for number in signals:
+                if number == signal.SIGHUP:
+                    await self.reload()
+                else:
+                    self.request_stop()
--- a/tanagerpath/services/edges.py
+++ b/tanagerpath/services/edges.py
@@ -14,7 +14,14 @@
 from tanagerpath.services.control_messages import AskLeader
 from tanagerpath.services.leader_link import LeaderLink
 
-__all__ = ["ControlEdge", "EntryEdge", "LeaderAsker", "LocalLeader", "RemoteLeader"]
+__all__ = [
+    "ControlEdge",
+    "EntryEdge",
+    "LeaderAsker",
+    "LocalLeader",
+    "RemoteLeader",
+    "SettingsSource",
+]
 
 # A process that leads answers itself within a commit, far below this.
 LOCAL_PATIENCE_S = 1.0
@@ -104,3 +111,15 @@
     @abc.abstractmethod
     def list_routes(self, leader: LeaderAsker) -> list[BaseRoute]:
         """Return the routes of operators and announcing upstreams."""
+
+
+class SettingsSource(abc.ABC):
+    """Where the settings come from that may change while a process runs."""
+
+    @abc.abstractmethod
+    def read_stamp(self) -> int | None:
+        """Return a number that changes with the settings, None if there are none."""
+
+    @abc.abstractmethod
+    def read_seeds(self) -> Result[tuple[str, ...], Failure]:
+        """Return the control processes that are asked first, or what is wrong."""
--- a/tanagerpath/services/workload_control.py
+++ b/tanagerpath/services/workload_control.py
@@ -22,11 +22,17 @@
 from tanagerpath.observability.decisions import DecisionLog
 from tanagerpath.runtime import Clock, Mailbox
 from tanagerpath.runtime.server import HttpServer, bind_listener
-from tanagerpath.services.edges import ControlEdge, LocalLeader, RemoteLeader
+from tanagerpath.services.edges import (
+    ControlEdge,
+    LocalLeader,
+    RemoteLeader,
+    SettingsSource,
+)
 from tanagerpath.services.links import LinkSet, UpstreamCodec
 from tanagerpath.services.peers import PeerSet
 from tanagerpath.services.replica_application import ReplicaApplication
 from tanagerpath.services.replica_task import ReplicaTask
+from tanagerpath.services.settings_watch import SettingsWatch
 from tanagerpath.services.workload_protocol import WORKLOAD_PROTOCOL, make_leader_link
 from tanagerpath.settings import WorkloadControlSettings
 
@@ -132,6 +138,8 @@
         Translates the calls of operators and upstreams.
     codec : UpstreamCodec
         Encoding of orders to upstreams.
+    source : SettingsSource
+        Settings that may change.
     clock : Clock, optional
         Source of instants.
     """
@@ -141,6 +149,7 @@
         settings: WorkloadControlSettings,
         edge: ControlEdge,
         codec: UpstreamCodec,
+        source: SettingsSource,
         clock: Clock | None = None,
     ) -> None:
         super().__init__(
@@ -156,14 +165,19 @@
         self._codec = codec
         self._route = SearchingRoute(settings.seeds)
         self._link = make_leader_link(self._route, settings.exchange_timeout_s)
+        self._watch = SettingsWatch(source, self._route.note_seeds, self._log)
         self._public: HttpServer | None = None
 
     @classmethod
     def from_settings(
-        cls, settings: WorkloadControlSettings, edge: ControlEdge, codec: UpstreamCodec
+        cls,
+        settings: WorkloadControlSettings,
+        edge: ControlEdge,
+        codec: UpstreamCodec,
+        source: SettingsSource,
     ) -> "WorkloadControlApplication":
         """Build the application of a process."""
-        return cls(settings, edge, codec)
+        return cls(settings, edge, codec, source)
 
     def _make_node(
         self, restored: RestoredState, source: random.Random
@@ -195,12 +209,12 @@
             bind_listener(self._settings.public_listen), self._edge.list_routes(leader)
         )
         tasks.start_soon(self._link.run)
+        tasks.start_soon(self._watch.run)
         tasks.start_soon(self._public.run)
 
-    def note_seeds(self, seeds: tuple[str, ...]) -> None:
-        """Take the control processes that changed settings name."""
-        self._route.note_seeds(seeds)
-        self._log.info("settings reloaded", seeds=list(seeds))
+    async def reload(self) -> None:
+        """Take changed settings."""
+        self._watch.reload("SIGHUP")
 
     async def drain(self) -> None:
         """Hand leadership over, then finish the exchanges in flight."""
--- a/tanagerpath/services/workload_entry.py
+++ b/tanagerpath/services/workload_entry.py
@@ -13,7 +13,13 @@
 from tanagerpath.observability.metrics import MetricsRegistry
 from tanagerpath.runtime import Application, Task
 from tanagerpath.runtime.server import HttpServer, bind_listener
-from tanagerpath.services.edges import EntryEdge, LeaderAsker, RemoteLeader
+from tanagerpath.services.edges import (
+    EntryEdge,
+    LeaderAsker,
+    RemoteLeader,
+    SettingsSource,
+)
+from tanagerpath.services.settings_watch import SettingsWatch
 from tanagerpath.services.workload_protocol import make_leader_link
 from tanagerpath.settings import WorkloadEntrySettings
 
@@ -93,6 +99,8 @@
         Settings of the process.
     edge : EntryEdge
         Translates the calls of callers.
+    source : SettingsSource
+        Settings that may change.
     metrics : MetricsRegistry
         Metrics of the process.
     """
@@ -101,6 +109,7 @@
         self,
         settings: WorkloadEntrySettings,
         edge: EntryEdge,
+        source: SettingsSource,
         metrics: MetricsRegistry,
     ) -> None:
         super().__init__()
@@ -112,6 +121,7 @@
         self._link = make_leader_link(self._route, settings.exchange_timeout_s)
         self._leader = RemoteLeader(self._link)
         self._probe = LeaderProbe(self._leader, self._route, metrics)
+        self._watch = SettingsWatch(source, self._route.note_seeds, self._log)
         self._draining = False
         self._servers: list[HttpServer] = []
 
@@ -120,10 +130,11 @@
         cls,
         settings: WorkloadEntrySettings,
         edge: EntryEdge,
+        source: SettingsSource,
         metrics: MetricsRegistry,
     ) -> "WorkloadEntryApplication":
         """Build the application of a process."""
-        return cls(settings, edge, metrics)
+        return cls(settings, edge, source, metrics)
 
     def _is_ready(self) -> bool:
         return not self._draining and self._probe.is_fresh
@@ -145,6 +156,7 @@
             tasks.start_soon(server.run)
         tasks.start_soon(self._link.run)
         tasks.start_soon(self._probe.run)
+        tasks.start_soon(self._watch.run)
         self._log.info(
             "started",
             address=settings.public_listen,
@@ -152,10 +164,9 @@
             seeds=list(settings.seeds),
         )
 
-    def note_seeds(self, seeds: tuple[str, ...]) -> None:
-        """Take the control processes that changed settings name."""
-        self._route.note_seeds(seeds)
-        self._log.info("settings reloaded", seeds=list(seeds))
+    async def reload(self) -> None:
+        """Take changed settings."""
+        self._watch.reload("SIGHUP")
 
     async def drain(self) -> None:
         """Leave the balancer, then finish what is in flight."""
