Reserve upstreams for urgent gangs, and log and measure each request

Urgent work that no cheap eviction helps now gets one too, and there are up to eight. Entries write one line for each request with its outcome and the age of what they know of the leader; waiting and completion times are kept for each organisation and queue.

Ruled out for the waits: the guarantee (those gangs were beyond it) and lost orders (none on those workloads).

--- a/tanagerpath/core/coordination/messages.py
+++ b/tanagerpath/core/coordination/messages.py
@@ -158,11 +158,11 @@
 
 @attrs.frozen
 class RecordPeriod:
-    """A measured period of a job, in seconds."""
+    """A measured period of a job, in seconds; a workload's class is its queue."""
 
     period: JobPeriod
     organisation: str
-    job_class: JobClass
+    job_class: JobClass | str
     elapsed_s: float
 
 
--- a/tanagerpath/core/workloads/deadline_policy.py
+++ b/tanagerpath/core/workloads/deadline_policy.py
@@ -46,7 +46,7 @@
     remote_patience: float = 1.0
     guaranteed_patience_s: float = 1.2
     max_eviction_cores_s: float = 150.0
-    max_reservations: int = 3
+    max_reservations: int = 8
     modest_share: float = 0.7
 
 
@@ -157,9 +157,9 @@
             if not left:
                 continue
             plan.blocked.append(unit)
-            if unit.queue.priority == 0:
-                self._claim(unit, left, rooms, fleet, plan)
-            elif unit.spec.gang and reservations < self._terms.max_reservations:
+            if unit.queue.priority == 0 and self._claim(unit, left, rooms, fleet, plan):
+                continue
+            if unit.spec.gang and reservations < self._terms.max_reservations:
                 reservations += 1
                 self._reserve(unit, rooms, fleet)
         return plan
@@ -351,8 +351,8 @@
         rooms: _Rooms,
         fleet: FleetView,
         plan: Plan,
-    ) -> None:
-        """Keep room for urgent work, and stop other runs for it."""
+    ) -> bool:
+        """Keep room for urgent work, and stop other runs for it, if that is cheap."""
         sessions = [
             one
             for one in self._list_candidates(unit, rooms, fleet)
@@ -360,13 +360,14 @@
         ]
         found = find_evictions(unit, len(left), sessions, rooms.find_room, fleet)
         if found is None:
-            return
+            return False
         bound = self._terms.max_eviction_cores_s
         if not unit.is_guaranteed and found.lost_cores_s > bound:
-            return
+            return False
         for session, count in found.places:
             rooms.take(unit, session, count)
         plan.evictions += found.evictions
+        return True
 
     def _reserve(self, unit: PlanUnit, rooms: _Rooms, fleet: FleetView) -> None:
         """Keep the upstreams that are free soonest for a gang that does not fit yet."""
--- a/tanagerpath/core/workloads/dispatcher.py
+++ b/tanagerpath/core/workloads/dispatcher.py
@@ -3,7 +3,9 @@
 from tanagerpath.core.coordination import (
     Effect,
     Instant,
+    JobPeriod,
     Propose,
+    RecordPeriod,
     Ticked,
     UpstreamCallFailed,
     UpstreamReplied,
@@ -197,6 +199,13 @@
         view.began_s = context.now_s
         view.enter(RunPhase.ORDERED, context.now_s)
         record = context.state.workloads[start.task.workload_id]
+        if start.task.index == 0 and start.run == 1:
+            waited_s = context.now.unix_s - record.accepted_at_unix_s
+            context.act(
+                RecordPeriod(
+                    JobPeriod.WAITING, record.organisation, record.queue, waited_s
+                )
+            )
         if record.final_state is not None:
             self._driver.stop(session, view, str(record.final_state))
 
@@ -244,6 +253,10 @@
             age_s=round(context.now.unix_s - record.accepted_at_unix_s, 3),
             tasks=len(record.tasks),
         )
+        age_s = context.now.unix_s - record.accepted_at_unix_s
+        context.act(
+            RecordPeriod(JobPeriod.COMPLETION, record.organisation, record.queue, age_s)
+        )
         if record.final_state is not WorkloadState.COMPLETED:
             for session, view in self._find_views(workload_id):
                 self._driver.stop(session, view, str(record.final_state))
--- a/tanagerpath/services/workload_control.py
+++ b/tanagerpath/services/workload_control.py
@@ -10,6 +10,7 @@
 from tanagerpath.core.admission import SearchingRoute
 from tanagerpath.core.consensus import Replica, ReplicaConfig, RestoredState
 from tanagerpath.core.control import ControlAction, ReplicatedNode
+from tanagerpath.core.coordination import RecordPeriod
 from tanagerpath.core.workloads import (
     DeadlinePolicy,
     DeadlineTerms,
@@ -125,6 +126,8 @@
         match action:
             case NoteDecision(name, fields):
                 self._decisions.write(name, fields)
+            case RecordPeriod(period, organisation, queue, elapsed_s):
+                self._metrics.observe(str(period), elapsed_s, organisation, str(queue))
 
 
 class WorkloadControlApplication(ReplicaApplication):
--- a/tanagerpath/services/workload_entry.py
+++ b/tanagerpath/services/workload_entry.py
@@ -9,16 +9,13 @@
 
 from tanagerpath.core.admission import SearchingRoute
 from tanagerpath.core.workloads.requests import LeaderQuery, LeaderReply
+from tanagerpath.observability.decisions import DecisionLog
 from tanagerpath.observability.logs import get_logger
 from tanagerpath.observability.metrics import MetricsRegistry
 from tanagerpath.runtime import Application, Task
 from tanagerpath.runtime.server import HttpServer, bind_listener
-from tanagerpath.services.edges import (
-    EntryEdge,
-    LeaderAsker,
-    RemoteLeader,
-    SettingsSource,
-)
+from tanagerpath.services.edges import EntryEdge, RemoteLeader, SettingsSource
+from tanagerpath.services.measured_leader import MeasuredLeader
 from tanagerpath.services.settings_watch import SettingsWatch
 from tanagerpath.services.workload_protocol import make_leader_link
 from tanagerpath.settings import WorkloadEntrySettings
@@ -36,8 +33,8 @@
 
     Parameters
     ----------
-    leader : LeaderAsker
-        Asks the leader.
+    leader : MeasuredLeader
+        Asks the leader, and is told which one was found.
     route : SearchingRoute
         Gets the control processes.
     metrics : MetricsRegistry
@@ -45,7 +42,7 @@
     """
 
     def __init__(
-        self, leader: LeaderAsker, route: SearchingRoute, metrics: MetricsRegistry
+        self, leader: MeasuredLeader, route: SearchingRoute, metrics: MetricsRegistry
     ) -> None:
         self._leader = leader
         self._route = route
@@ -80,6 +77,7 @@
     def _note_found(self, reply: LeaderReply) -> None:
         self._found_s = anyio.current_time()
         self._route.note_members(reply.control_addresses)
+        self._leader.note_leader(reply)
         if self._is_lost:
             self._is_lost = False
             self._metrics.count("leader_changes", event="found")
@@ -119,7 +117,9 @@
         self._log = get_logger("entry")
         self._route = SearchingRoute(settings.seeds)
         self._link = make_leader_link(self._route, settings.exchange_timeout_s)
-        self._leader = RemoteLeader(self._link)
+        self._leader = MeasuredLeader(
+            RemoteLeader(self._link), DecisionLog(self._log, metrics), metrics
+        )
         self._probe = LeaderProbe(self._leader, self._route, metrics)
         self._watch = SettingsWatch(source, self._route.note_seeds, self._log)
         self._draining = False
