Ask for advice on places, and carry upkeep waves out

Starts on a queue with advice carry the ticket of an upstream that the service allows; waves take VMs one after the other, wait for short runs, and mind the tasks of long-running steps that may be away.

--- /dev/null
+++ b/tanagerpath/core/workloads/advice.py
@@ -0,0 +1,177 @@
+"""Tickets of an outside service that must allow where a step runs."""
+
+import attrs
+
+from tanagerpath.core.coordination import CallUpstream
+from tanagerpath.core.workloads.dispatch_context import DispatchContext
+from tanagerpath.core.workloads.orders import AdviceReply, AdviceRequest
+from tanagerpath.core.workloads.policy import PlanUnit
+
+__all__ = ["ADVICE_ID", "AdviceBook"]
+
+# Stands for the service where an order names its receiver.
+ADVICE_ID = "advice"
+# The service answers the calls of one caller in turn, so more would only wait.
+MAX_CALLS_IN_FLIGHT = 2
+# The time of a decision grows with each upstream that a call names.
+MAX_UPSTREAMS_PER_CALL = 30
+ANSWER_MARGIN_S = 2.0
+RETRY_INTERVAL_S = 0.5
+# Tickets are given up a little before they expire.
+VALIDITY_SHARE = 0.8
+
+_StepKey = tuple[str, int, int]
+
+
+@attrs.define
+class _Tickets:
+    """What is known of one step of one occurrence."""
+
+    by_upstream: dict[str, str] = attrs.Factory(dict)
+    incarnations: dict[str, str] = attrs.Factory(dict)
+    valid_until_s: float = 0.0
+    asking: bool = False
+    next_call_s: float = 0.0
+
+
+class AdviceBook:
+    """Asks for tickets, and hands them to the units that wait for them.
+
+    Parameters
+    ----------
+    context : DispatchContext
+        Shared state of the term.
+    """
+
+    def __init__(self, context: DispatchContext) -> None:
+        self._context = context
+        self._steps: dict[_StepKey, _Tickets] = {}
+
+    def equip(self, units: list[PlanUnit]) -> list[PlanUnit]:
+        """Return the units that may be placed, those with advice with their tickets."""
+        ready = []
+        for unit in sorted(units, key=lambda one: one.queue.priority):
+            if unit.queue.advice is None:
+                ready.append(unit)
+                continue
+            tickets = self._find_valid(unit)
+            if tickets:
+                ready.append(attrs.evolve(unit, tickets=tickets))
+            else:
+                self._ask(unit)
+        return ready
+
+    def _find_key(self, unit: PlanUnit) -> _StepKey:
+        return unit.record.workload_id, unit.occurrence, unit.step
+
+    def _find_valid(self, unit: PlanUnit) -> dict[str, str]:
+        held = self._steps.get(self._find_key(unit))
+        if held is None or self._context.now_s >= held.valid_until_s:
+            return {}
+        sessions = self._context.sessions
+        return {
+            upstream_id: text
+            for upstream_id, text in held.by_upstream.items()
+            if upstream_id in sessions
+            and sessions[upstream_id].record.incarnation
+            == held.incarnations.get(upstream_id)
+        }
+
+    def _ask(self, unit: PlanUnit) -> None:
+        context = self._context
+        held = self._steps.setdefault(self._find_key(unit), _Tickets())
+        in_flight = sum(one.asking for one in self._steps.values())
+        if held.asking or context.now_s < held.next_call_s:
+            return
+        if in_flight >= MAX_CALLS_IN_FLIGHT:
+            return
+        chosen = self._choose_upstreams(unit)
+        if not chosen:
+            return
+        held.asking = True
+        held.incarnations = {
+            upstream_id: context.sessions[upstream_id].record.incarnation
+            for upstream_id in chosen
+        }
+        workload_id, occurrence, step = self._find_key(unit)
+        request = AdviceRequest(
+            workload_id=workload_id,
+            occurrence=occurrence,
+            step=step,
+            upstream_ids=chosen,
+        )
+        terms = unit.queue.advice
+        decision_s = terms.decision_s + terms.per_upstream_s * len(chosen)
+        timeout_s = decision_s * MAX_CALLS_IN_FLIGHT + ANSWER_MARGIN_S
+        address = context.terms.advice_address
+        context.act(CallUpstream(ADVICE_ID, "", address, request, timeout_s))
+
+    def _choose_upstreams(self, unit: PlanUnit) -> tuple[str, ...]:
+        """Name the upstreams that fit, near the data and free ones first."""
+        spec = unit.spec
+        suitable = [
+            session
+            for session in self._context.sessions.values()
+            if session.is_usable
+            and session.record.pool == unit.queue.pool
+            and spec.reserved.fits(session.record.capacity)
+            and (
+                not spec.required_label or spec.required_label in session.record.labels
+            )
+        ]
+        suitable.sort(
+            key=lambda session: (
+                bool(spec.preferred_rack)
+                and session.record.rack != spec.preferred_rack,
+                not spec.reserved.fits(session.room),
+                session.upstream_id,
+            )
+        )
+        return tuple(one.upstream_id for one in suitable[:MAX_UPSTREAMS_PER_CALL])
+
+    def take_reply(self, request: AdviceRequest, reply: AdviceReply) -> None:
+        """Take the tickets for a step."""
+        context = self._context
+        held = self._find_asked(request)
+        record = context.state.workloads.get(request.workload_id)
+        queue = context.state.find_queue(record.queue) if record else None
+        if held is None or queue is None or queue.advice is None:
+            return
+        held.by_upstream = {one.upstream_id: one.text for one in reply.tickets}
+        validity_s = queue.advice.validity_s * VALIDITY_SHARE
+        held.valid_until_s = context.now_s + validity_s
+        if not held.by_upstream:
+            held.next_call_s = context.now_s + RETRY_INTERVAL_S
+        context.must_plan = True
+        context.note(
+            "advice taken",
+            workload=request.workload_id,
+            step=request.step,
+            asked=len(request.upstream_ids),
+            allowed=len(reply.tickets),
+        )
+
+    def take_failure(self, request: AdviceRequest, reason: str) -> None:
+        """Ask again later for a step."""
+        held = self._find_asked(request)
+        if held is not None:
+            held.next_call_s = self._context.now_s + RETRY_INTERVAL_S
+        self._context.note("advice failed", workload=request.workload_id, reason=reason)
+
+    def _find_asked(self, request: AdviceRequest) -> _Tickets | None:
+        key = (request.workload_id, request.occurrence, request.step)
+        held = self._steps.get(key)
+        if held is not None:
+            held.asking = False
+        return held
+
+    def drop_ticket(self, workload_id: str, occurrence: int, step: int) -> None:
+        """Ask anew for a step whose ticket was refused."""
+        held = self._steps.get((workload_id, occurrence, step))
+        if held is not None:
+            held.valid_until_s = 0.0
+
+    def forget(self, workload_id: str) -> None:
+        """Forget the tickets of an ended workload."""
+        for key in [key for key in self._steps if key[0] == workload_id]:
+            del self._steps[key]
--- a/tanagerpath/core/workloads/dispatch_context.py
+++ b/tanagerpath/core/workloads/dispatch_context.py
@@ -61,6 +61,8 @@
         Seconds for which a serving task may be over its target.
     silent_after_s : float
         Seconds without a heartbeat or reply after which an upstream is forgotten.
+    advice_address, platform_address : str
+        "ip:port" of the service that advises on places, and of the platform's VMs.
     """
 
     leases: LeaseTerms = LeaseTerms()
@@ -79,6 +81,8 @@
     checkpoint_interval_s: float = 1.0
     interference_s: float = 4.0
     silent_after_s: float = 30.0
+    advice_address: str = ""
+    platform_address: str = ""
 
 
 def describe_task(task: TaskId) -> str:
--- a/tanagerpath/core/workloads/dispatcher.py
+++ b/tanagerpath/core/workloads/dispatcher.py
@@ -11,6 +11,7 @@
     UpstreamReplied,
 )
 from tanagerpath.core.workloads import commands
+from tanagerpath.core.workloads.advice import ADVICE_ID, AdviceBook
 from tanagerpath.core.workloads.commands import RunOutcome, RunStart
 from tanagerpath.core.workloads.dispatch_context import (
     DispatchContext,
@@ -19,7 +20,12 @@
     describe_task,
 )
 from tanagerpath.core.workloads.events import CommandRecorded, CommandRejected
-from tanagerpath.core.workloads.orders import HoldReply, WrongIncarnation
+from tanagerpath.core.workloads.orders import (
+    HoldReply,
+    OrderRefused,
+    Refusal,
+    WrongIncarnation,
+)
 from tanagerpath.core.workloads.pacing import PaceKeeper
 from tanagerpath.core.workloads.policy import (
     Eviction,
@@ -34,6 +40,7 @@
 from tanagerpath.core.workloads.sessions import RunPhase, RunView, UpstreamSession
 from tanagerpath.core.workloads.specs import TaskId
 from tanagerpath.core.workloads.state import Applied, FleetState
+from tanagerpath.core.workloads.upkeep import PLATFORM_ID, UpkeepKeeper
 
 __all__ = ["Dispatcher"]
 
@@ -61,6 +68,9 @@
         self.registry = UpstreamRegistry(context)
         self._driver = RunDriver(context)
         self._pace_keeper = PaceKeeper(context, self._driver)
+        self._advice = AdviceBook(context)
+        self._upkeep = UpkeepKeeper(context, self._driver, f"leader-{context.term}")
+        self._services = {ADVICE_ID: self._advice, PLATFORM_ID: self._upkeep}
         self._recording: commands.RecordRuns | None = None
         self._recorded_ends: list[QueuedEnd] = []
         self._next_plan_s = 0.0
@@ -114,6 +124,14 @@
                 self._follow(command, applied)
             case CommandRejected(command):
                 self._take_rejection(command)
+            case UpstreamReplied(upstream_id, _, request, reply) if (
+                upstream_id in self._services
+            ):
+                self._services[upstream_id].take_reply(request, reply)
+            case UpstreamCallFailed(upstream_id, _, request, failure) if (
+                upstream_id in self._services
+            ):
+                self._services[upstream_id].take_failure(request, failure.message)
             case UpstreamReplied(upstream_id, incarnation, request, reply):
                 session = self._context.find_session(upstream_id, incarnation)
                 if session is not None:
@@ -135,6 +153,9 @@
         ):
             self.registry.mark_replaced(session)
             return
+        if isinstance(reply, OrderRefused) and reply.refusal is Refusal.NO_TICKET:
+            task = request.task
+            self._advice.drop_ticket(task.workload_id, task.occurrence, task.step)
         self._driver.take_reply(session, request, reply)
 
     # Committed commands
@@ -243,6 +264,7 @@
         context = self._context
         record = context.state.workloads[workload_id]
         context.backlog.remove(workload_id)
+        self._advice.forget(workload_id)
         context.must_plan = True
         context.note(
             "workload ended",
@@ -280,6 +302,7 @@
         for session in tuple(context.sessions.values()):
             self._driver.drive(session)
         self._pace_keeper.keep()
+        self._upkeep.keep()
         self._forget_silent()
         if self._recording is None:
             self._record(self._plan())
@@ -357,7 +380,7 @@
         self._next_plan_s = context.now_s + context.terms.plan_interval_s
         for session in context.sessions.values():
             context.find_health(session.upstream_id)
-        units = context.backlog.list_units(context.now.unix_s)
+        units = self._advice.equip(context.backlog.list_units(context.now.unix_s))
         if not units:
             return ()
         plan = self._policy.plan(units, self._view_fleet())
--- a/tanagerpath/core/workloads/orders.py
+++ b/tanagerpath/core/workloads/orders.py
@@ -5,7 +5,6 @@
 import attrs
 
 from tanagerpath.core.workloads.commands import RunOutcome
-from tanagerpath.core.workloads.resources import Resources
 from tanagerpath.core.workloads.specs import TaskId
 from tanagerpath.errors import Failure
 
@@ -24,9 +23,6 @@
     "StopRequest",
     "Ticket",
     "UpkeepRequest",
-    "VmListReply",
-    "VmListRequest",
-    "VmView",
     "WrongIncarnation",
 ]
 
@@ -216,32 +212,6 @@
     tickets: tuple[Ticket, ...] = ()
 
 
-@attrs.frozen
-class VmListRequest:
-    """Asks for VMs; an empty token asks for the first page."""
-
-    page_token: str = ""
-
-
-@attrs.frozen(kw_only=True)
-class VmView:
-    """A VM as the platform lists it."""
-
-    vm_id: str
-    pool: str
-    is_up: bool
-    upstream_id: str = ""
-    capacity: Resources = Resources()
-
-
-@attrs.frozen
-class VmListReply:
-    """A page of VMs; an empty token means that it is the last one."""
-
-    vms: tuple[VmView, ...] = ()
-    next_token: str = ""
-
-
 @attrs.frozen(kw_only=True)
 class UpkeepRequest:
     """Begins the upkeep of a VM; everything on it ends."""
--- a/tanagerpath/core/workloads/registry.py
+++ b/tanagerpath/core/workloads/registry.py
@@ -39,7 +39,9 @@
         lapse_s = context.now_s + context.terms.leases.stretch(
             context.terms.leases.lease_s
         )
-        session = UpstreamSession(record, lapse_s, heard_s=context.now_s)
+        session = UpstreamSession(
+            record, lapse_s, heard_s=context.now_s, opened_s=context.now_s
+        )
         context.sessions[record.upstream_id] = session
         context.must_plan = True
         return session
--- a/tanagerpath/core/workloads/sessions.py
+++ b/tanagerpath/core/workloads/sessions.py
@@ -193,6 +193,10 @@
         Instant of the next hold.
     left_at_s : float or None
         Instant at which it said that it ends.
+    opened_s : float
+        Instant at which the leader learned of it.
+    is_reserved : bool
+        Whether its VM is about to have its upkeep.
     """
 
     record: UpstreamRecord
@@ -212,6 +216,8 @@
     hold_in_flight: bool = False
     next_hold_s: float = 0.0
     left_at_s: float | None = None
+    opened_s: float = 0.0
+    is_reserved: bool = False
 
     @property
     def upstream_id(self) -> str:
@@ -230,6 +236,7 @@
             self.synced
             and self.reachable
             and not self.record.draining
+            and not self.is_reserved
             and self.left_at_s is None
         )
 
--- a/tanagerpath/core/workloads/tests/rig.py
+++ b/tanagerpath/core/workloads/tests/rig.py
@@ -24,6 +24,7 @@
 )
 from tanagerpath.core.workloads.commands import RunOutcome, UpstreamRecord
 from tanagerpath.core.workloads.configuration import (
+    AdviceTerms,
     Configuration,
     Organisation,
     Pool,
@@ -31,6 +32,8 @@
 )
 from tanagerpath.core.workloads.events import CommandRecorded, NoteDecision
 from tanagerpath.core.workloads.orders import (
+    AdviceReply,
+    AdviceRequest,
     EndedRun,
     HoldReply,
     HoldRequest,
@@ -40,6 +43,8 @@
     RunningTask,
     StartRequest,
     StopRequest,
+    Ticket,
+    UpkeepRequest,
 )
 from tanagerpath.core.workloads.resources import Resources
 from tanagerpath.core.workloads.specs import StepSpec, WorkloadSpec
@@ -77,6 +82,7 @@
             address=f"10.0.0.{len(rig.upstreams) + 1}:80",
             capacity=CAPACITY,
             labels=("a", rack),
+            vm_id=name,
         )
         self.speed = speed
         self.runs: dict[tuple, FakeRun] = {}
@@ -228,6 +234,9 @@
         self.done_taken: set = set()
         self.failed_taken: collections.Counter = collections.Counter()
         self.starts: list[StartRequest] = []
+        self.allowed: set[str] = set()
+        self.upkeeps: list[tuple[float, str]] = []
+        self.cut_by_upkeep = 0
         self._waiting: list[tuple[float, int, object]] = []
         self._numbers = iter(range(1_000_000))
         self.gang_losses: set = set()
@@ -251,11 +260,13 @@
                 max_attempts=3,
                 objective_factor=factor,
                 objective_margin_s=0.25,
+                advice=AdviceTerms(validity_s=5.0) if name == "advised" else None,
             )
             for name, priority, factor in (
                 ("urgent", 0, 1.5),
                 ("batch", 1, 3.0),
                 ("scan", 2, 3.0),
+                ("advised", 2, 3.0),
             )
         )
         guaranteed = Resources(accelerators=16)
@@ -407,7 +418,38 @@
     def _later(self, delay_s, what):
         self._waiting.append((self.now_s + delay_s, next(self._numbers), what))
 
+    def _call_service(self, call):
+        """Answer for the service that advises and for the platform's VMs."""
+        if isinstance(call.request, AdviceRequest):
+            allowed = [one for one in call.request.upstream_ids if one in self.allowed]
+            reply = AdviceReply(tuple(Ticket(one, f"t-{one}") for one in allowed))
+        else:
+            self.upkeeps.append((self.now_s, call.request.vm_id))
+            fake = self.upstreams[call.request.vm_id]
+            self.cut_by_upkeep += len(fake.runs)
+            fake.runs.clear()
+            fake.cut = True
+            reply = OrderDone()
+        event = UpstreamReplied(call.upstream_id, "", call.request, reply)
+        self._later(STEP_S, ("event", event, None))
+
+    def finish_upkeep(self, name):
+        """Bring a VM back with a new incarnation."""
+        fake = self.upstreams[name]
+        born = fake.record.born_unix_ms + 1
+        fake.record = attrs.evolve(
+            fake.record, incarnation=f"{name}@{born}", born_unix_ms=born
+        )
+        fake.cut = False
+        fake.highest.clear()
+        fake.ended = []
+        fake.fence = fake.end_count = 0
+        self.report(fake.record)
+
     def _call(self, call):
+        if isinstance(call.request, AdviceRequest | UpkeepRequest):
+            self._call_service(call)
+            return
         upstream = self.upstreams.get(call.upstream_id)
         if upstream is None or upstream.cut:
             self._fail(call)
--- a/tanagerpath/platform/orders.py
+++ b/tanagerpath/platform/orders.py
@@ -10,6 +10,8 @@
 from tanagerpath.core.coordination import CallUpstream
 from tanagerpath.core.workloads.commands import RunOutcome
 from tanagerpath.core.workloads.orders import (
+    AdviceReply,
+    AdviceRequest,
     EndedRun,
     HoldReply,
     HoldRequest,
@@ -20,6 +22,8 @@
     RunningTask,
     StartRequest,
     StopRequest,
+    Ticket,
+    UpkeepRequest,
     WrongIncarnation,
 )
 from tanagerpath.errors import Failure, FailureError
@@ -44,6 +48,8 @@
     "late": Refusal.EXPIRED,
     "room": Refusal.NO_ROOM,
     "ticket": Refusal.NO_TICKET,
+    "busy": Refusal.BUSY,
+    "wave": Refusal.WRONG_WAVE,
 }
 _OK = 200
 _MALFORMED = 400
@@ -93,7 +99,18 @@
     return "/pace", body | {"percent": request.percent}
 
 
+def _write_advice(request: AdviceRequest) -> tuple[str, dict[str, Any]]:
+    step = f"{request.workload_id}.{request.occurrence}.{request.step}"
+    return "/advise", {"step": step, "workers": list(request.upstream_ids)}
+
+
+def _write_upkeep(request: UpkeepRequest) -> tuple[str, dict[str, Any]]:
+    return "/machine-upkeep", {"machine": request.vm_id, "wave": request.wave}
+
+
 _WRITERS = {
+    AdviceRequest: _write_advice,
+    UpkeepRequest: _write_upkeep,
     HoldRequest: _write_hold,
     StartRequest: _write_start,
     StopRequest: _write_stop,
@@ -149,13 +166,41 @@
     )
 
 
+def _read_allowed(fields: Fields) -> AdviceReply:
+    """Read rows of a worker's id and its ticket."""
+    tickets = []
+    for row in fields.read_list("allowed"):
+        match row:
+            case [str(upstream_id), str(text), *_]:
+                tickets.append(Ticket(upstream_id, text))
+            case _:
+                raise _make_entry_error("allowed", row)
+    return AdviceReply(tuple(tickets))
+
+
+def _list_headers(call: CallUpstream) -> tuple[tuple[bytes, bytes], ...]:
+    match call.request:
+        case UpkeepRequest(holder=holder, fencing_token=token):
+            return (
+                (b"x-duty-holder", holder.encode()),
+                (b"x-fencing-token", str(token).encode()),
+            )
+        case AdviceRequest():
+            return ()
+    return ((b"x-expected-instance", call.upstream_id.encode()),)
+
+
+def _is_to_worker(call: CallUpstream) -> bool:
+    return not isinstance(call.request, AdviceRequest | UpkeepRequest)
+
+
 class WorkerCodec(UpstreamCodec):
-    """The platform's interface of workers."""
+    """The platform's interfaces of workers, of advice and of VMs."""
 
     def encode(self, call: CallUpstream) -> HttpRequest:
         """Return the exchange that carries an order."""
         path, body = _WRITERS[type(call.request)](call.request)
-        headers = ((b"x-expected-instance", call.upstream_id.encode()),)
+        headers = _list_headers(call)
         text = json.dumps(body, separators=(",", ":")).encode()
         return HttpRequest("POST", path, text, headers)
 
@@ -163,7 +208,7 @@
         """Return the typed answer, or why there is none."""
         if reply.status == _WRONG_INCARNATION:
             return ResultFailure(WrongIncarnation(upstream_id=call.upstream_id))
-        if reply.status in _UNHEALTHY:
+        if reply.status in _UNHEALTHY and _is_to_worker(call):
             return Success(OrderRefused(Refusal.UNHEALTHY))
         if reply.status == _MALFORMED:
             return Success(OrderRefused(Refusal.MALFORMED))
@@ -172,6 +217,8 @@
                 UnexpectedStatus(address=call.address, status=reply.status)
             )
         try:
+            if isinstance(call.request, UpkeepRequest) and reply.status == _OK:
+                return Success(OrderDone())
             fields = read_object(reply.body)
             return Success(self._read(call, reply.status, fields))
         except FailureError as error:
@@ -184,4 +231,6 @@
             return OrderRefused(_REFUSALS.get(reason, Refusal.MALFORMED), clock_ms)
         if isinstance(call.request, HoldRequest):
             return _read_lists(fields)
+        if isinstance(call.request, AdviceRequest):
+            return _read_allowed(fields)
         return OrderDone(clock_ms, fields.read_whole("born", 0))
--- a/tanagerpath/platform/settings_file.py
+++ b/tanagerpath/platform/settings_file.py
@@ -124,6 +124,11 @@
         "data_dir": fields.read_text("data_dir"),
         "may_found": "true" if fields.read_flag("bootstrap", False) else "false",
     }
+    platform = fields.read_optional("cloud_api")
+    if platform is not None and platform.has("address"):
+        given["platform_address"] = platform.read_text("address")
+    if fields.has("advice"):
+        given["advice_address"] = fields.read_text("advice")
     milliseconds = {
         "max_lease_s": "hold_max_ms",
         "gang_timeout_s": "gang_timeout_ms",
--- a/tanagerpath/services/workload_control.py
+++ b/tanagerpath/services/workload_control.py
@@ -69,6 +69,8 @@
         checkpoint_interval_s=settings.checkpoint_interval_s,
         interference_s=settings.interference_s,
         retention_s=settings.status_retention_s + RETENTION_MARGIN_S,
+        advice_address=settings.advice_address,
+        platform_address=settings.platform_address,
     )
     return WorkloadNodeConfig(replica=replica, dispatch=dispatch)
 
--- a/tanagerpath/settings/values.py
+++ b/tanagerpath/settings/values.py
@@ -19,6 +19,7 @@
     "FlagType",
     "NameType",
     "NumberType",
+    "OptionalAddressType",
     "SettingType",
     "WholeNumberType",
 ]
@@ -210,6 +211,20 @@
         return self.minimum_port <= int(port) <= 65535
 
 
+@attrs.frozen
+class OptionalAddressType(AddressType):
+    """An address, or nothing."""
+
+    @property
+    def expected(self) -> str:
+        """What a value must be."""
+        return f"{super().expected}, or nothing"
+
+    def allows(self, value: Any) -> bool:
+        """Return whether the address can be connected to, or is empty."""
+        return not value or super().allows(value)
+
+
 @attrs.frozen
 class AddressesType(SettingType):
     """Addresses in the order in which they are tried, separated by commas."""
--- a/tanagerpath/settings/workloads.py
+++ b/tanagerpath/settings/workloads.py
@@ -13,6 +13,7 @@
     DirectoryType,
     FlagType,
     NumberType,
+    OptionalAddressType,
     WholeNumberType,
 )
 
@@ -83,6 +84,18 @@
     600.0,
     "Time for which a serving task may be over its target.",
 )
+_ADVICE_ADDRESS = Setting(
+    name="advice_address",
+    type=OptionalAddressType(),
+    default="",
+    description="Service that must allow where tasks of some queues run.",
+)
+_PLATFORM_ADDRESS = Setting(
+    name="platform_address",
+    type=OptionalAddressType(),
+    default="",
+    description="The platform's interface of VMs.",
+)
 _STATUS_RETENTION_S = _seconds(
     "status_retention_s",
     120.0,
@@ -185,6 +198,8 @@
     remote_factor: float = declare(_REMOTE_FACTOR)
     checkpoint_interval_s: float = declare(_CHECKPOINT_INTERVAL_S)
     interference_s: float = declare(_INTERFERENCE_S)
+    advice_address: str = declare(_ADVICE_ADDRESS)
+    platform_address: str = declare(_PLATFORM_ADDRESS)
     status_retention_s: float = declare(_STATUS_RETENTION_S)
     heartbeat_interval_s: float = declare(_HEARTBEAT_INTERVAL_S)
     election_timeout_min_s: float = declare(_ELECTION_TIMEOUT_MIN_S)
