--- a/tanagerpath/cli/main.py
+++ b/tanagerpath/cli/main.py
@@ -10,6 +10,7 @@
 from tanagerpath.cli.jobs import CancelCommand, ExplainCommand, SubmitCommand
 from tanagerpath.cli.servers import ControlCommand, EntryCommand
 from tanagerpath.cli.status import StatusCommand
+from tanagerpath.cli.story import StoryCommand
 
 __all__ = ["main"]
 
@@ -30,6 +31,7 @@
         StatusCommand(),
         CancelCommand(),
         ExplainCommand(),
+        StoryCommand(),
     ]
 
 
--- /dev/null
+++ b/tanagerpath/cli/tests/test_story.py
@@ -0,0 +1,42 @@
+"""Guards the way from a request's identity to its lines over all processes."""
+
+import pathlib
+import tempfile
+
+import testtools
+
+from tanagerpath.cli.story import find_story
+from tanagerpath.cli.tests.test_commands import run
+
+LINES = [
+    'a-1 {"time": "2026-01-01T00:00:02Z", "message": "control: run ended", '
+    '"task": "5c0e7a21d94b36f8.0.0.1", "outcome": "failed", "reason": ""}',
+    '{"time": "2026-01-01T00:00:01Z", "message": "entry: request ended", '
+    '"workload": "5c0e7a21d94b36f8", "outcome": "answered"}',
+    '{"time": "2026-01-01T00:00:03Z", "message": "x", "workload": "other"}',
+    "not a log line",
+    '{"time": broken',
+]
+
+
+class TestStory(testtools.TestCase):
+    def test_lines_of_other_requests_and_broken_ones_are_left_out(self):
+        found = list(find_story(LINES, "5c0e7a21d94b36f8"))
+        self.assertEqual(2, len(found))
+        self.assertEqual("a-1 ", found[0].origin)
+        self.assertNotIn("reason", found[0].text)
+
+    def test_command_prints_all_files_in_the_order_of_time(self):
+        with tempfile.TemporaryDirectory() as folder:
+            paths = [pathlib.Path(folder) / name for name in ("a", "b")]
+            for path, line in zip(paths, LINES, strict=False):
+                path.write_text(line + "\n")
+            status, output, _ = run("story", "5c0e7a21d94b36f8", *paths)
+        self.assertEqual(0, status)
+        self.assertIn("request ended", output.splitlines()[0])
+        self.assertIn("outcome=failed", output.splitlines()[1])
+
+    def test_missing_file_is_named(self):
+        status, _, errors = run("story", "x", "/nonexistent/log")
+        self.assertEqual(2, status)
+        self.assertIn("/nonexistent/log", errors)
--- /dev/null
+++ b/tanagerpath/platform/tests/test_orders.py
@@ -0,0 +1,153 @@
+"""Contract of the worker interface: answers by status, reason and shape."""
+
+import json
+
+import testtools
+from returns.pipeline import is_successful
+
+from tanagerpath.core.coordination import CallUpstream
+from tanagerpath.core.workloads import orders
+from tanagerpath.core.workloads.commands import RunOutcome
+from tanagerpath.core.workloads.orders import OrderRefused, Refusal
+from tanagerpath.core.workloads.specs import TaskId
+from tanagerpath.platform.orders import WorkerCodec
+from tanagerpath.runtime.client import HttpReply
+
+TASK = TaskId("5c0e7a21d94b36f8", 0, 1, 17)
+NAME = "5c0e7a21d94b36f8.0.1.17"
+START = orders.StartRequest(
+    task=TASK, run=2, payload="text", lease_until_ms=486000, fencing_token=7
+)
+STOP = orders.StopRequest(task=TASK, run=2, fencing_token=7)
+HOLD = orders.HoldRequest(
+    fencing_token=7, end_cursor=57, lease_until_ms=486000, wait_ms=1000
+)
+ADVICE = orders.AdviceRequest(
+    workload_id="5c0e7a21d94b36f8", occurrence=0, step=1, upstream_ids=("i-1",)
+)
+UPKEEP = orders.UpkeepRequest(vm_id="m-1", wave=3, holder="leader-7", fencing_token=7)
+
+
+def _call(request):
+    return CallUpstream("i-7f3a91c2", "i-7f3a91c2@1", "10.0.0.9:8080", request)
+
+
+def _decode(request, status, body):
+    text = body if isinstance(body, bytes) else json.dumps(body).encode()
+    return WorkerCodec().decode(_call(request), HttpReply(status, text))
+
+
+class TestEncoding(testtools.TestCase):
+    def test_orders_carry_the_platforms_fields(self):
+        cases = [
+            (
+                START,
+                "/run-start",
+                {
+                    "task": NAME,
+                    "run_id": 2,
+                    "spec": "text",
+                    "deadline_ms": 486000,
+                    "fencing_token": 7,
+                },
+            ),
+            (STOP, "/run-stop", {"task": NAME, "run_id": 2, "fencing_token": 7}),
+            (
+                HOLD,
+                "/hold",
+                {
+                    "fencing_token": 7,
+                    "ack_cursor": 57,
+                    "deadline_ms": 486000,
+                    "wait_ms": 1000,
+                },
+            ),
+            (
+                orders.PaceRequest(task=TASK, run=2, percent=50, fencing_token=7),
+                "/pace",
+                {"task": NAME, "run_id": 2, "percent": 50, "fencing_token": 7},
+            ),
+            (ADVICE, "/advise", {"step": "5c0e7a21d94b36f8.0.1", "workers": ["i-1"]}),
+            (UPKEEP, "/machine-upkeep", {"machine": "m-1", "wave": 3}),
+        ]
+        for request, path, body in cases:
+            sent = WorkerCodec().encode(_call(request))
+            self.assertEqual((path, body), (sent.path, json.loads(sent.body)))
+
+    def test_order_names_the_incarnation_that_is_meant(self):
+        sent = WorkerCodec().encode(_call(START))
+        self.assertIn((b"x-expected-instance", b"i-7f3a91c2"), sent.headers)
+
+    def test_upkeep_names_its_holder_and_fence(self):
+        headers = dict(WorkerCodec().encode(_call(UPKEEP)).headers)
+        self.assertEqual(b"leader-7", headers[b"x-duty-holder"])
+        self.assertEqual(b"7", headers[b"x-fencing-token"])
+
+
+class TestAnswers(testtools.TestCase):
+    def test_refusals_by_status_and_reason(self):
+        cases = [
+            (START, 409, {"clock_ms": 5, "reason": "fence"}, Refusal.FENCED),
+            (START, 409, {"clock_ms": 5, "reason": "old"}, Refusal.SUPERSEDED),
+            (START, 409, {"clock_ms": 5, "reason": "late"}, Refusal.EXPIRED),
+            (START, 409, {"clock_ms": 5, "reason": "room"}, Refusal.NO_ROOM),
+            (START, 409, {"clock_ms": 5, "reason": "ticket"}, Refusal.NO_TICKET),
+            (START, 409, {"clock_ms": 5, "reason": "new"}, Refusal.MALFORMED),
+            (START, 400, b"", Refusal.MALFORMED),
+            (START, 429, b"", Refusal.UNHEALTHY),
+            (START, 503, b"", Refusal.UNHEALTHY),
+            (UPKEEP, 409, {"reason": "busy"}, Refusal.BUSY),
+            (UPKEEP, 409, {"reason": "wave"}, Refusal.WRONG_WAVE),
+            (UPKEEP, 409, {"reason": "fence"}, Refusal.FENCED),
+        ]
+        for request, status, body, expected in cases:
+            answer = _decode(request, status, body).unwrap()
+            self.assertEqual(expected, answer.refusal)
+            self.assertIsInstance(answer, OrderRefused)
+
+    def test_lists_are_read_whole(self):
+        body = {
+            "clock_ms": 482113,
+            "born": 99,
+            "running": [[NAME, 2, "00bb", 41], [NAME, 3, "", 7, 120]],
+            "ended_runs": [[58, NAME, 1, "done", ""], [59, NAME, 2, "alone", "x"]],
+        }
+        reply = _decode(HOLD, 200, body).unwrap()
+        self.assertEqual((482113, 99), (reply.clock_ms, reply.born_unix_ms))
+        self.assertEqual(
+            [(2, "00bb", 41, 0.0), (3, "", 7, 120.0)],
+            [(one.run, one.checkpoint, one.percent, one.load) for one in reply.running],
+        )
+        self.assertEqual(
+            [(58, RunOutcome.DONE, ""), (59, RunOutcome.ALONE, "x")],
+            [(one.number, one.outcome, one.checkpoint) for one in reply.ended],
+        )
+
+    def test_what_cannot_be_used_is_a_typed_failure(self):
+        whole = {"clock_ms": 1, "running": [], "ended_runs": []}
+        cases = [
+            (HOLD, 421, {"clock_ms": 1}, "WrongIncarnation"),
+            (HOLD, 200, b"{", "MalformedMessage"),
+            (HOLD, 200, b"[]", "MalformedMessage"),
+            (HOLD, 200, {"clock_ms": 1}, "MalformedMessage"),
+            (HOLD, 200, whole | {"clock_ms": True}, "MalformedMessage"),
+            (HOLD, 200, whole | {"running": [["x", 1, "", 0]]}, "MalformedMessage"),
+            (HOLD, 200, whole | {"running": [[NAME]]}, "MalformedMessage"),
+            (
+                HOLD,
+                200,
+                whole | {"ended_runs": [[1, NAME, 1, "vanished", ""]]},
+                "MalformedMessage",
+            ),
+            (START, 500, b"", "UnexpectedStatus"),
+            (ADVICE, 429, b"", "UnexpectedStatus"),
+            (ADVICE, 200, {"allowed": [["i-1"]]}, "MalformedMessage"),
+        ]
+        for request, status, body, expected in cases:
+            result = _decode(request, status, body)
+            self.assertFalse(is_successful(result), (status, body))
+            self.assertEqual(expected, result.failure().type_name)
+
+    def test_advice_lists_the_tickets(self):
+        reply = _decode(ADVICE, 200, {"allowed": [["i-1", "t1"]]}).unwrap()
+        self.assertEqual((orders.Ticket("i-1", "t1"),), reply.tickets)
