Probe upstreams of unknown speed with tasks of one step

Tasks of one step that is not urgent now go to upstreams of unknown speed first, one each, and progress counts from a tenth of the work on.

--- a/tanagerpath/core/workloads/deadline_policy.py
+++ b/tanagerpath/core/workloads/deadline_policy.py
@@ -1,5 +1,6 @@
 """Policy that orders work by its objective and packs it onto fast upstreams."""
 
+from collections import Counter
 from collections.abc import Iterable
 
 import attrs
@@ -13,7 +14,7 @@
     WorkloadPolicy,
 )
 from tanagerpath.core.workloads.resources import Resources
-from tanagerpath.core.workloads.sessions import RunPhase, UpstreamSession
+from tanagerpath.core.workloads.sessions import RunPhase, RunView, UpstreamSession
 
 __all__ = ["DeadlinePolicy", "DeadlineTerms"]
 
@@ -38,16 +39,12 @@
         guarantee covers.
     max_reservations : int
         Gangs for which upstreams are kept free at the same time.
-    modest_share : float
-        Share of its objective within which work that is not urgent leaves fast
-        upstreams to others.
     """
 
     remote_patience: float = 1.0
     guaranteed_patience_s: float = 1.2
-    max_eviction_cores_s: float = 150.0
+    max_eviction_cores_s: float = 50.0
     max_reservations: int = 8
-    modest_share: float = 0.7
 
 
 @attrs.frozen(eq=False)
@@ -226,28 +223,16 @@
                 unit.spec.preferred_rack
                 and unit.spec.preferred_rack != session.record.rack
             )
-            is_modest = self._is_modest(unit, session, fleet)
-            order = round(speed * SPEED_STEPS_PER_UNIT)
             return (
                 is_remote,
                 fleet.health[session.upstream_id].is_suspect,
-                not is_modest,
-                order if is_modest else -order,
+                -round(speed * SPEED_STEPS_PER_UNIT),
                 room.find_share(session.record.capacity),
                 session.upstream_id,
             )
 
         return sorted(sessions, key=rank)
 
-    def _is_modest(
-        self, unit: PlanUnit, session: UpstreamSession, fleet: FleetView
-    ) -> bool:
-        """Return whether work that is not urgent is on time on a slow upstream."""
-        if unit.queue.priority == 0:
-            return False
-        end_s = self._find_waited_s(unit, fleet) + fleet.predict_run_s(unit, session)
-        return end_s <= self._terms.modest_share * unit.objective_s
-
     def _choose_singles(
         self,
         unit: PlanUnit,
@@ -255,16 +240,48 @@
         rooms: _Rooms,
         fleet: FleetView,
     ) -> list[UpstreamSession]:
-        chosen: list[UpstreamSession] = []
-        for session in self._order(unit, sessions, rooms, fleet):
+        ordered = [
+            session
+            for session in self._order(unit, sessions, rooms, fleet)
+            if self._may_run_on(unit, session, fleet)
+        ]
+        chosen = self._choose_probes(unit, ordered, rooms, fleet)
+        probes = Counter(session.upstream_id for session in chosen)
+        for session in ordered:
             wanted = len(unit.indexes) - len(chosen)
             if not wanted:
                 break
-            if not self._may_run_on(unit, session, fleet):
-                continue
-            chosen += [session] * rooms.count_fitting(unit, session, wanted)
+            taken = probes[session.upstream_id]
+            fitting = rooms.count_fitting(unit, session, wanted + taken) - taken
+            chosen += [session] * max(fitting, 0)
         return chosen
 
+    def _choose_probes(
+        self,
+        unit: PlanUnit,
+        sessions: list[UpstreamSession],
+        rooms: _Rooms,
+        fleet: FleetView,
+    ) -> list[UpstreamSession]:
+        """Return upstreams of unknown speed, for one task each.
+
+        Tasks of one step take about the same work, so that they tell the speeds of
+        their upstreams apart. Urgent work does not bear the risk.
+        """
+        if unit.queue.priority == 0:
+            return []
+        unknown = [
+            session
+            for session in sessions
+            if not fleet.estimates.is_speed_known(session.upstream_id)
+            and not any(self._tells_speed(view) for view in session.runs.values())
+            and rooms.count_fitting(unit, session, 1)
+        ]
+        return unknown[: len(unit.indexes)]
+
+    def _tells_speed(self, view: RunView) -> bool:
+        return not view.observed and not view.spec.gang and not view.spec.long_running
+
     def _may_run_on(
         self, unit: PlanUnit, session: UpstreamSession, fleet: FleetView
     ) -> bool:
--- a/tanagerpath/core/workloads/estimates.py
+++ b/tanagerpath/core/workloads/estimates.py
@@ -17,6 +17,8 @@
 # task about that of its step.
 UNKNOWN_SPEED_VARIANCE = 0.2
 TASK_VARIANCE = 0.05
+# A speed is known from this variance on.
+KNOWN_SPEED_VARIANCE = 0.1
 # Speeds change, so that their variance grows again with time.
 SPEED_DRIFT_PER_S = 0.004
 # Variances of a declaration and of a queue's mean before anything was measured.
@@ -180,6 +182,11 @@
         held = self._speeds.get(upstream_id)
         return 1.0 if held is None else math.exp(held.log)
 
+    def is_speed_known(self, upstream_id: str) -> bool:
+        """Return whether runs have told enough of the speed of an upstream."""
+        held = self._speeds.get(upstream_id)
+        return held is not None and held.variance < KNOWN_SPEED_VARIANCE
+
     def forget_workload(self, workload_id: str, steps: int) -> None:
         """Forget the work of an ended workload."""
         for step in range(steps):
--- a/tanagerpath/core/workloads/run_driver.py
+++ b/tanagerpath/core/workloads/run_driver.py
@@ -22,7 +22,7 @@
 # Ends that are not recorded yet keep a renewal from being worth its price.
 UNRECORDED_HOLD_INTERVAL_S = 1.0
 # From here on the progress of a run tells how long the whole of it takes.
-OBSERVED_PERCENT = 25
+OBSERVED_PERCENT = 10
 _OWN_ENDS = (RunOutcome.DONE, RunOutcome.FAILED)
 
 
--- a/tanagerpath/core/workloads/tests/test_dispatcher.py
+++ b/tanagerpath/core/workloads/tests/test_dispatcher.py
@@ -231,3 +231,37 @@
         rig.run(90)
         states = {record.final_state for record in rig.state.workloads.values()}
         self.assertNotIn(None, states, f"seed {seed}")
+
+
+class TestPlaces(testtools.TestCase):
+    def test_tasks_of_a_step_probe_upstreams_of_unknown_speed(self):
+        rig = Rig(upstreams=6)
+        rig.submit("w", _step(6), work_s=3.0)
+        rig.run(0.5)
+        loads = [len(upstream.runs) for upstream in rig.upstreams.values()]
+        self.assertEqual([1] * 6, loads)
+
+    def test_urgent_gang_goes_to_upstreams_that_have_proved_fast(self):
+        rig = Rig(upstreams=6)
+        for name in ("u0", "u1", "u2"):
+            rig.upstreams[name].speed = 0.4
+        for number in range(4):
+            rig.submit(f"scan{number}", _step(6), work_s=2.0)
+            rig.run(6)
+        rig.submit("check", _step(2, WHOLE, gang=True), queue="urgent", work_s=1.0)
+        rig.run(0.5)
+        used = {name for name, upstream in rig.upstreams.items() if upstream.runs}
+        self.assertTrue(used <= {"u3", "u4", "u5"}, used)
+
+    def test_urgent_gang_is_not_starved_by_small_tasks(self):
+        rig = Rig(upstreams=2)
+        for number in range(40):
+            rig.submit(f"scan{number}", _step(4), work_s=2.0)
+        rig.run(2)
+        # Beyond the guarantee of 16 accelerators, so that nothing is stopped for it.
+        gang = _step(2, Resources(40_000, 16_000, 8), gang=True)
+        rig.submit("first", gang, queue="urgent", work_s=1.0)
+        rig.submit("second", gang, queue="urgent", work_s=1.0)
+        rig.run(12)
+        self.assertEqual("completed", rig.find_state("second"))
+        self.assertIn("queued", {rig.find_state(f"scan{n}") for n in range(40)})
