--- a/tanagerpath/core/workloads/deadline_policy.py
+++ b/tanagerpath/core/workloads/deadline_policy.py
@@ -212,7 +212,11 @@
         return sound or suitable
 
     def _order(
-        self, unit: PlanUnit, sessions: Iterable[UpstreamSession], rooms: _Rooms, fleet
+        self,
+        unit: PlanUnit,
+        sessions: Iterable[UpstreamSession],
+        rooms: _Rooms,
+        fleet: FleetView,
     ) -> list[UpstreamSession]:
         """Return upstreams, fast ones first, and among equals the fullest."""
 
--- a/tanagerpath/core/workloads/desk.py
+++ b/tanagerpath/core/workloads/desk.py
@@ -1,5 +1,7 @@
 """How the leader answers requests about workloads, upstreams and configuration."""
 
+from collections.abc import Callable
+
 import attrs
 
 from tanagerpath.core.control.messages import AnswerRequest, RequestArrived
@@ -86,7 +88,7 @@
         state: FleetState,
         dispatcher: Dispatcher,
         leader_address: str,
-        list_addresses,
+        list_addresses: Callable[[], tuple[str, ...]],
     ) -> None:
         self._state = state
         self._dispatcher = dispatcher
--- a/tanagerpath/core/workloads/pacing.py
+++ b/tanagerpath/core/workloads/pacing.py
@@ -12,7 +12,8 @@
 # Share of the target below which the pace may rise again.
 LOW_LOAD = 0.6
 RAISE_STEP = 20
-ADJUST_INTERVAL_S = 1.0
+# Adjustments within the time for which a serving task may be over its target.
+ADJUSTMENTS = 4
 
 
 class PaceKeeper:
@@ -56,7 +57,8 @@
         filling: list[RunView],
     ) -> None:
         now_s = self._context.now_s
-        self._next_s[session.upstream_id] = now_s + ADJUST_INTERVAL_S
+        interval_s = self._context.terms.interference_s / ADJUSTMENTS
+        self._next_s[session.upstream_id] = now_s + interval_s
         load = max(view.load / view.spec.tail_target_ms for view in serving)
         for view in filling:
             percent = self._choose_pace(load, view.pace)
--- /dev/null
+++ b/tanagerpath/core/workloads/tests/fake_upstream.py
@@ -0,0 +1,180 @@
+"""A stand-in upstream in virtual time that keeps the published rules of a worker."""
+
+import attrs
+
+from tanagerpath.core.workloads.commands import RunOutcome, UpstreamRecord
+from tanagerpath.core.workloads.orders import (
+    EndedRun,
+    HoldReply,
+    HoldRequest,
+    OrderDone,
+    OrderRefused,
+    Refusal,
+    RunningTask,
+    StartRequest,
+    StopRequest,
+)
+from tanagerpath.core.workloads.resources import Resources
+from tanagerpath.core.workloads.specs import StepSpec
+
+STEP_S = 0.05
+STOP_S = 0.15
+GANG_WAIT_S = 3.0
+CAPACITY = Resources(64_000, 256_000, 8)
+MS_PER_S = 1000
+
+
+@attrs.define
+class FakeRun:
+    """A run on a stand-in upstream."""
+
+    task: object
+    run: int
+    spec: StepSpec
+    began_s: float
+    worked_s: float = 0.0
+    stops_at_s: float | None = None
+
+
+class FakeUpstream:
+    """Keeps the published rules of a worker: leases, fences, lists of ends."""
+
+    def __init__(self, rig, name, rack="r1", speed=1.0):
+        self.rig = rig
+        self.record = UpstreamRecord(
+            upstream_id=name,
+            incarnation=f"{name}@1",
+            born_unix_ms=1,
+            pool="sort",
+            address=f"10.0.0.{len(rig.upstreams) + 1}:80",
+            capacity=CAPACITY,
+            labels=("a", rack),
+            vm_id=name,
+        )
+        self.speed = speed
+        self.runs: dict[tuple, FakeRun] = {}
+        self.highest: dict[object, int] = {}
+        self.ended: list[EndedRun] = []
+        self.end_count = 0
+        self.lapsed_end = 0
+        self.fence = 0
+        self.lease_until_ms = 0
+        self.cut = False
+        self.fails_all = False
+        self.stalls = False
+        self.cut_replies = 0.0
+
+    @property
+    def clock_ms(self):
+        return int(self.rig.now_s * MS_PER_S)
+
+    @property
+    def used(self):
+        total = Resources()
+        for run in self.runs.values():
+            total = total + run.spec.reserved
+        return total
+
+    def handle(self, request):
+        token = request.fencing_token
+        if token < self.fence:
+            return OrderRefused(Refusal.FENCED, self.clock_ms)
+        self.fence = token
+        match request:
+            case HoldRequest():
+                return self._hold(request)
+            case StartRequest():
+                return self._start(request)
+            case StopRequest():
+                return self._stop(request)
+        return OrderDone(self.clock_ms)
+
+    def _hold(self, request):
+        if request.lease_until_ms is not None:
+            self.lease_until_ms = max(self.lease_until_ms, request.lease_until_ms)
+        for end in self.ended:
+            # An end counts as taken note of unless the lease lapsed in between.
+            if end.number <= request.end_cursor and end.number > self.lapsed_end:
+                self.rig.note_taken(end)
+        self.ended = [end for end in self.ended if end.number > request.end_cursor]
+        running = tuple(
+            RunningTask(run.task, run.run, self._checkpoint(run), self._percent(run))
+            for run in self.runs.values()
+        )
+        return HoldReply(
+            clock_ms=self.clock_ms, running=running, ended=tuple(self.ended)
+        )
+
+    def _percent(self, run):
+        whole_s = self.rig.work_s(run.task)
+        return min(int(run.worked_s / whole_s * 100), 100)
+
+    def _checkpoint(self, run):
+        if not run.spec.checkpointing or run.worked_s < 0.5:
+            return ""
+        return f"c{run.task.index}:{run.worked_s:.1f}"
+
+    def _start(self, request):
+        key = (request.task, request.run)
+        if key in self.runs:
+            return OrderDone(self.clock_ms)
+        if request.run <= self.highest.get(request.task, 0):
+            return OrderRefused(Refusal.SUPERSEDED, self.clock_ms)
+        if request.lease_until_ms <= self.clock_ms:
+            return OrderRefused(Refusal.EXPIRED, self.clock_ms)
+        self.lease_until_ms = max(self.lease_until_ms, request.lease_until_ms)
+        spec = self.rig.find_step(request.task)
+        self.runs[key] = FakeRun(request.task, request.run, spec, self.rig.now_s)
+        self.rig.note_start(self, request)
+        return OrderDone(self.clock_ms)
+
+    def _stop(self, request):
+        held = self.highest.get(request.task, 0)
+        self.highest[request.task] = max(held, request.run)
+        run = self.runs.get((request.task, request.run))
+        if run is not None and run.stops_at_s is None:
+            run.stops_at_s = self.rig.now_s + STOP_S
+        return OrderDone(self.clock_ms)
+
+    def end(self, run, outcome):
+        del self.runs[(run.task, run.run)]
+        held = self.highest.get(run.task, 0)
+        self.highest[run.task] = max(held, run.run)
+        self.end_count += 1
+        checkpoint = self._checkpoint(run)
+        self.ended.append(
+            EndedRun(self.end_count, run.task, run.run, outcome, checkpoint)
+        )
+        self.rig.note_end(run, outcome)
+
+    def advance(self):
+        if self.clock_ms > self.lease_until_ms:
+            self.lapsed_end = self.end_count
+        if self.runs and self.clock_ms > self.lease_until_ms:
+            for run in tuple(self.runs.values()):
+                self.end(run, RunOutcome.LAPSED)
+        for run in tuple(self.runs.values()):
+            if (run.task, run.run) in self.runs:
+                self._advance_run(run)
+
+    def _advance_run(self, run):
+        now_s = self.rig.now_s
+        if run.stops_at_s is not None:
+            if now_s >= run.stops_at_s:
+                self.end(run, RunOutcome.STOPPED)
+            return
+        if run.spec.gang and not self.rig.is_gang_whole(run):
+            if self.rig.has_gang_done(run):
+                self.end(run, RunOutcome.DONE)
+            elif self.rig.has_gang_lost(run):
+                self.end(run, RunOutcome.BROKEN)
+            elif now_s - run.began_s > GANG_WAIT_S and not run.worked_s:
+                self.end(run, RunOutcome.ALONE)
+            return
+        if self.fails_all or run.task.workload_id in self.rig.poison:
+            self.end(run, RunOutcome.FAILED)
+            return
+        if not self.stalls:
+            run.worked_s += STEP_S * self.speed
+        if run.worked_s >= self.rig.work_s(run.task):
+            self.end(run, RunOutcome.DONE)
--- a/tanagerpath/platform/control_edge.py
+++ b/tanagerpath/platform/control_edge.py
@@ -1,5 +1,7 @@
 """Calls of operators and of announcing workers."""
 
+from collections.abc import Awaitable, Callable
+
 from returns.pipeline import is_successful
 from starlette.requests import ClientDisconnect, Request
 from starlette.responses import Response
@@ -26,6 +28,9 @@
 
 __all__ = ["OperatorEdge"]
 
+_Reader = Callable[[Request], Awaitable[object]]
+_Endpoint = Callable[[Request], Awaitable[Response]]
+
 
 class OperatorEdge(ControlEdge):
     """The platform's interface of operators and workers.
@@ -57,7 +62,7 @@
             for (method, path), read in reads.items()
         ]
 
-    def _make_endpoint(self, read, leader: LeaderAsker):
+    def _make_endpoint(self, read: _Reader, leader: LeaderAsker) -> _Endpoint:
         async def take(request: Request) -> Response:
             try:
                 message = await read(request)
--- a/tanagerpath/settings/common.py
+++ b/tanagerpath/settings/common.py
@@ -5,19 +5,39 @@
     AddressType,
     ChoiceType,
     ControlAddressesType,
+    DirectoryType,
     NameType,
     NumberType,
+    WholeNumberType,
 )
 
 __all__ = [
     "AVAILABILITY_ZONE",
     "CONTROL_ADDRESSES",
+    "DATA_DIR",
     "EXCHANGE_TIMEOUT_S",
     "LISTEN",
     "LOG_LEVEL",
+    "SNAPSHOT_EVERY_ENTRIES",
+    "UPSTREAM_CONNECTIONS",
     "VM_ID",
+    "make_seconds",
 ]
 
+
+def make_seconds(
+    name: str, default: float, minimum: float, maximum: float, description: str
+) -> Setting:
+    """Declare a setting in seconds with its bounds."""
+    return Setting(
+        name=name,
+        type=NumberType(minimum, maximum),
+        unit="s",
+        default=default,
+        description=description,
+    )
+
+
 VM_ID = Setting(
     name="vm_id",
     type=NameType(),
@@ -51,3 +71,22 @@
     default="info",
     description="Lowest level of the log lines that are written.",
 )
+DATA_DIR = Setting(
+    name="data_dir",
+    type=DirectoryType(),
+    description="Directory of all files of the process; created if it is missing.",
+)
+SNAPSHOT_EVERY_ENTRIES = Setting(
+    name="snapshot_every_entries",
+    type=WholeNumberType(1, 10_000_000),
+    unit="entries",
+    default=1000,
+    description="Log entries between two snapshots.",
+)
+UPSTREAM_CONNECTIONS = Setting(
+    name="upstream_connections",
+    type=WholeNumberType(1, 60),
+    unit="connections",
+    default=8,
+    description="Connections to one upstream; an upstream takes about 60 in all.",
+)
--- a/tanagerpath/settings/control.py
+++ b/tanagerpath/settings/control.py
@@ -10,111 +10,85 @@
 from tanagerpath.settings.failures import InvalidSetting
 from tanagerpath.settings.values import (
     ControlAddress,
-    DirectoryType,
-    NumberType,
     WholeNumberType,
 )
 
 __all__ = ["ControlSettings"]
 
 
-def _seconds(
-    name: str, default: float, minimum: float, maximum: float, description: str
-) -> Setting:
-    return Setting(
-        name=name,
-        type=NumberType(minimum, maximum),
-        unit="s",
-        default=default,
-        description=description,
-    )
-
-
-_DATA_DIR = Setting(
-    name="data_dir",
-    type=DirectoryType(),
-    description="Directory of all files of the process; created if it is missing.",
-)
-_TICK_INTERVAL_S = _seconds(
+_TICK_INTERVAL_S = common.make_seconds(
     "tick_interval_s", 0.05, 0.001, 1.0, "Time between two ticks of the replica."
 )
-_HEARTBEAT_INTERVAL_S = _seconds(
+_HEARTBEAT_INTERVAL_S = common.make_seconds(
     "heartbeat_interval_s", 0.1, 0.001, 10.0, "Time between a leader's heartbeats."
 )
-_ELECTION_TIMEOUT_MIN_S = _seconds(
+_ELECTION_TIMEOUT_MIN_S = common.make_seconds(
     "election_timeout_min_s",
     0.6,
     0.01,
     60.0,
     "Shortest time without a heartbeat after which a replica stands for election.",
 )
-_ELECTION_TIMEOUT_MAX_S = _seconds(
+_ELECTION_TIMEOUT_MAX_S = common.make_seconds(
     "election_timeout_max_s", 1.2, 0.01, 120.0, "Longest such time."
 )
-_LEASE_DURATION_S = _seconds(
+_LEASE_DURATION_S = common.make_seconds(
     "lease_duration_s",
     0.5,
     0.01,
     60.0,
     "Time from sending an acknowledged heartbeat for which a leader may decide.",
 )
-_REPLACE_VOTER_AFTER_S = _seconds(
+_REPLACE_VOTER_AFTER_S = common.make_seconds(
     "replace_voter_after_s",
     60.0,
     0.1,
     86_400.0,
     "Absence after which a voter is replaced or removed.",
 )
-_SNAPSHOT_EVERY_ENTRIES = Setting(
-    name="snapshot_every_entries",
-    type=WholeNumberType(1, 10_000_000),
-    unit="entries",
-    default=1000,
-    description="Log entries between two snapshots.",
-)
-_UPSTREAM_LEASE_S = _seconds(
+_UPSTREAM_LEASE_S = common.make_seconds(
     "upstream_lease_s",
     6.0,
     0.1,
     600.0,
     "Time without renewal after which an upstream stops its tasks.",
 )
-_UPSTREAM_RENEW_INTERVAL_S = _seconds(
+_UPSTREAM_RENEW_INTERVAL_S = common.make_seconds(
     "upstream_renew_interval_s",
     1.0,
     0.01,
     60.0,
     "Time between two renewals of an upstream's lease.",
 )
-_CLOCK_MARGIN_S = _seconds(
+_CLOCK_MARGIN_S = common.make_seconds(
     "clock_margin_s",
     0.5,
     0.0,
     60.0,
     "Time added to an upstream's lease before its accelerators are reassigned.",
 )
-_START_TIMEOUT_S = _seconds(
+_START_TIMEOUT_S = common.make_seconds(
     "start_timeout_s",
     2.0,
     0.05,
     600.0,
     "Time from the record of a start within which all members must start.",
 )
-_RESERVATION_LAPSE_S = _seconds(
+_RESERVATION_LAPSE_S = common.make_seconds(
     "reservation_lapse_s",
     3.0,
     0.05,
     600.0,
     "Time after which an unused reservation on an upstream ends by itself.",
 )
-_CHECKPOINT_GRACE_S = _seconds(
+_CHECKPOINT_GRACE_S = common.make_seconds(
     "checkpoint_grace_s",
     2.0,
     0.0,
     3600.0,
     "Time that a preempted job has to save a checkpoint before it is stopped.",
 )
-_FEED_HOLD_S = _seconds(
+_FEED_HOLD_S = common.make_seconds(
     "feed_hold_s",
     0.5,
     0.01,
@@ -128,21 +102,14 @@
     default=4096,
     description="Commands that wait for their commit at the same time.",
 )
-_JOB_RETENTION_S = _seconds(
+_JOB_RETENTION_S = common.make_seconds(
     "job_retention_s",
     86_400.0,
     1.0,
     31_536_000.0,
     "Time that an ended job is kept, so that a retry with its key finds it.",
 )
-_UPSTREAM_CONNECTIONS = Setting(
-    name="upstream_connections",
-    type=WholeNumberType(1, 60),
-    unit="connections",
-    default=8,
-    description="Connections to one upstream; an upstream takes about 60 in all.",
-)
-_DRAIN_TIMEOUT_S = _seconds(
+_DRAIN_TIMEOUT_S = common.make_seconds(
     "drain_timeout_s",
     10.0,
     0.1,
@@ -177,7 +144,7 @@
     vm_id: str = declare(common.VM_ID)
     availability_zone: str = declare(common.AVAILABILITY_ZONE)
     listen: str = declare(common.LISTEN)
-    data_dir: pathlib.Path = declare(_DATA_DIR)  # noqa: RUF009 - an attrs field
+    data_dir: pathlib.Path = declare(common.DATA_DIR)  # noqa: RUF009 - an attrs field
     control_addresses: tuple[ControlAddress, ...] = declare(common.CONTROL_ADDRESSES)
     tick_interval_s: float = declare(_TICK_INTERVAL_S)
     heartbeat_interval_s: float = declare(_HEARTBEAT_INTERVAL_S)
@@ -185,7 +152,7 @@
     election_timeout_max_s: float = declare(_ELECTION_TIMEOUT_MAX_S)
     lease_duration_s: float = declare(_LEASE_DURATION_S)
     replace_voter_after_s: float = declare(_REPLACE_VOTER_AFTER_S)
-    snapshot_every_entries: int = declare(_SNAPSHOT_EVERY_ENTRIES)
+    snapshot_every_entries: int = declare(common.SNAPSHOT_EVERY_ENTRIES)
     upstream_lease_s: float = declare(_UPSTREAM_LEASE_S)
     upstream_renew_interval_s: float = declare(_UPSTREAM_RENEW_INTERVAL_S)
     clock_margin_s: float = declare(_CLOCK_MARGIN_S)
@@ -196,7 +163,7 @@
     feed_hold_s: float = declare(_FEED_HOLD_S)
     max_proposals_in_flight: int = declare(_MAX_PROPOSALS_IN_FLIGHT)
     job_retention_s: float = declare(_JOB_RETENTION_S)
-    upstream_connections: int = declare(_UPSTREAM_CONNECTIONS)
+    upstream_connections: int = declare(common.UPSTREAM_CONNECTIONS)
     drain_timeout_s: float = declare(_DRAIN_TIMEOUT_S)
     log_level: str = declare(common.LOG_LEVEL)
 
--- a/tanagerpath/settings/workloads.py
+++ b/tanagerpath/settings/workloads.py
@@ -10,28 +10,14 @@
 from tanagerpath.settings.values import (
     AddressesType,
     AddressType,
-    DirectoryType,
     FlagType,
     NumberType,
     OptionalAddressType,
-    WholeNumberType,
 )
 
 __all__ = ["WorkloadControlSettings", "WorkloadEntrySettings"]
 
 
-def _seconds(
-    name: str, default: float, minimum: float, maximum: float, description: str
-) -> Setting:
-    return Setting(
-        name=name,
-        type=NumberType(minimum, maximum),
-        unit="s",
-        default=default,
-        description=description,
-    )
-
-
 _SEEDS = Setting(
     name="seeds",
     type=AddressesType(),
@@ -47,21 +33,16 @@
     type=AddressType(),
     description="Address that the balancer asks whether the process takes calls.",
 )
-_DATA_DIR = Setting(
-    name="data_dir",
-    type=DirectoryType(),
-    description="Directory of all files of the process; created if it is missing.",
-)
 _MAY_FOUND = Setting(
     name="may_found",
     type=FlagType(),
     default=False,
     description="Whether the system starts for the first time, with empty disks.",
 )
-_MAX_LEASE_S = _seconds(
+_MAX_LEASE_S = common.make_seconds(
     "max_lease_s", 10.0, 1.0, 600.0, "Longest lease that an upstream takes."
 )
-_GANG_TIMEOUT_S = _seconds(
+_GANG_TIMEOUT_S = common.make_seconds(
     "gang_timeout_s",
     3.0,
     0.1,
@@ -74,10 +55,10 @@
     default=3.0,
     description="How many times longer a task takes away from its rack.",
 )
-_CHECKPOINT_INTERVAL_S = _seconds(
+_CHECKPOINT_INTERVAL_S = common.make_seconds(
     "checkpoint_interval_s", 1.0, 0.01, 3600.0, "Work between two checkpoints."
 )
-_INTERFERENCE_S = _seconds(
+_INTERFERENCE_S = common.make_seconds(
     "interference_s",
     4.0,
     0.1,
@@ -96,76 +77,62 @@
     default="",
     description="The platform's interface of VMs.",
 )
-_STATUS_RETENTION_S = _seconds(
+_STATUS_RETENTION_S = common.make_seconds(
     "status_retention_s",
     120.0,
     1.0,
     86_400.0,
     "Time for which the state of an ended workload is shown.",
 )
-_HEARTBEAT_INTERVAL_S = _seconds(
+_HEARTBEAT_INTERVAL_S = common.make_seconds(
     "heartbeat_interval_s", 0.2, 0.001, 10.0, "Time between a leader's heartbeats."
 )
-_ELECTION_TIMEOUT_MIN_S = _seconds(
+_ELECTION_TIMEOUT_MIN_S = common.make_seconds(
     "election_timeout_min_s",
     0.8,
     0.01,
     60.0,
     "Shortest time without a heartbeat after which a replica stands for election.",
 )
-_ELECTION_TIMEOUT_MAX_S = _seconds(
+_ELECTION_TIMEOUT_MAX_S = common.make_seconds(
     "election_timeout_max_s", 1.5, 0.01, 120.0, "Longest such time."
 )
-_LEASE_DURATION_S = _seconds(
+_LEASE_DURATION_S = common.make_seconds(
     "lease_duration_s",
     0.7,
     0.01,
     60.0,
     "Time from sending an acknowledged heartbeat for which a leader may decide.",
 )
-_SNAPSHOT_EVERY_ENTRIES = Setting(
-    name="snapshot_every_entries",
-    type=WholeNumberType(1, 10_000_000),
-    unit="entries",
-    default=1000,
-    description="Log entries between two snapshots.",
-)
-_UPSTREAM_CONNECTIONS = Setting(
-    name="upstream_connections",
-    type=WholeNumberType(1, 60),
-    unit="connections",
-    default=8,
-    description="Connections to one upstream; an upstream takes about 60 in all.",
-)
-_CONTROL_DRAIN_TIMEOUT_S = _seconds(
+_CONTROL_DRAIN_TIMEOUT_S = common.make_seconds(
     "drain_timeout_s",
     1.5,
     0.1,
     3600.0,
     "Longest time that a graceful stop waits for the transfer of leadership.",
 )
-_DRAIN_NOTICE_S = _seconds(
+_DRAIN_NOTICE_S = common.make_seconds(
     "drain_notice_s",
     2.5,
     0.0,
     600.0,
     "Time between the first failing readiness probe and the end of new connections.",
 )
-_DRAIN_TIMEOUT_S = _seconds(
+_DRAIN_TIMEOUT_S = common.make_seconds(
     "drain_timeout_s",
     2.5,
     0.1,
     3600.0,
     "Longest time that a graceful stop waits for requests in flight.",
 )
-_LEADER_TIMEOUT_S = _seconds(
+_LEADER_TIMEOUT_S = common.make_seconds(
     "leader_timeout_s",
     2.0,
     0.05,
     60.0,
     "Longest time that a request waits for the leader.",
 )
-_EXCHANGE_TIMEOUT_S = _seconds(
+_EXCHANGE_TIMEOUT_S = common.make_seconds(
     "exchange_timeout_s",
     0.7,
     0.01,
@@ -191,7 +158,7 @@
     listen: str = declare(common.LISTEN)
     public_listen: str = declare(_PUBLIC_LISTEN)
     seeds: tuple[str, ...] = declare(_SEEDS)
-    data_dir: pathlib.Path = declare(_DATA_DIR)  # noqa: RUF009 - an attrs field
+    data_dir: pathlib.Path = declare(common.DATA_DIR)  # noqa: RUF009 - an attrs field
     may_found: bool = declare(_MAY_FOUND)
     max_lease_s: float = declare(_MAX_LEASE_S)
     gang_timeout_s: float = declare(_GANG_TIMEOUT_S)
@@ -205,8 +172,8 @@
     election_timeout_min_s: float = declare(_ELECTION_TIMEOUT_MIN_S)
     election_timeout_max_s: float = declare(_ELECTION_TIMEOUT_MAX_S)
     lease_duration_s: float = declare(_LEASE_DURATION_S)
-    snapshot_every_entries: int = declare(_SNAPSHOT_EVERY_ENTRIES)
-    upstream_connections: int = declare(_UPSTREAM_CONNECTIONS)
+    snapshot_every_entries: int = declare(common.SNAPSHOT_EVERY_ENTRIES)
+    upstream_connections: int = declare(common.UPSTREAM_CONNECTIONS)
     leader_timeout_s: float = declare(_LEADER_TIMEOUT_S)
     exchange_timeout_s: float = declare(_EXCHANGE_TIMEOUT_S)
     drain_timeout_s: float = declare(_CONTROL_DRAIN_TIMEOUT_S)
