--- a/tanagerpath/core/admission/tests/test_admission.py
+++ b/tanagerpath/core/admission/tests/test_admission.py
@@ -7,6 +7,7 @@
     LeaderRoute,
     RequestLimits,
     RetryBudget,
+    SearchingRoute,
 )
 from tanagerpath.core.model import ServiceDocument
 from tanagerpath.core.protocol.internal import FeedReply
@@ -120,3 +121,32 @@
             route.note_leader("a")
             route.note_hint("a", hinted)
             self.assertIsNone(route.leader_address)
+
+
+class TestSearchingRoute(testtools.TestCase):
+    def test_all_known_processes_are_asked_in_turn_until_one_leads(self):
+        route = SearchingRoute(("a", "b"))
+        route.note_members(("b", "c"))
+        asked = {route.find_address(0.0) for _ in range(3)}
+        self.assertEqual({"a", "b", "c"}, asked)
+        route.note_leader("c")
+        self.assertEqual("c", route.find_address(0.0))
+
+    def test_hint_to_a_silent_process_is_not_followed_at_once(self):
+        route = SearchingRoute(("a", "b"))
+        route.note_leader("a")
+        route.note_silence("a", 10.0)
+        route.note_hint("b", "a")
+        self.assertEqual("b", route.find_address(10.5))
+        self.assertEqual("a", route.find_address(11.5))
+
+    def test_search_goes_on_while_all_are_silent(self):
+        route = SearchingRoute(("a", "b"))
+        route.note_silence("a", 10.0)
+        route.note_silence("b", 10.2)
+        self.assertEqual("a", route.find_address(10.3))
+
+    def test_changed_seeds_are_asked(self):
+        route = SearchingRoute(("a",))
+        route.note_seeds(("z",))
+        self.assertEqual("z", route.find_address(0.0))
--- a/tanagerpath/core/workloads/dispatch_context.py
+++ b/tanagerpath/core/workloads/dispatch_context.py
@@ -44,7 +44,7 @@
         Seconds after which a start that got no answer is taken back. Below the time
         for which the members of a gang wait for each other.
     stall_s : float
-        Seconds without progress after which a run is stopped.
+        Least seconds without progress after which a run is stopped.
     leave_delay_s : float
         Seconds after an upstream's farewell until its runs count as gone.
     plan_interval_s : float
--- a/tanagerpath/core/workloads/dispatcher.py
+++ b/tanagerpath/core/workloads/dispatcher.py
@@ -49,6 +49,8 @@
 # Before an upstream ends, a last checkpoint is taken from what can save one.
 DRAIN_SAVE_S = 0.6
 SILENCE_CHECK_INTERVAL_S = 5.0
+# Progress is told in steps of a hundredth, and a prediction may be far too short.
+STALL_SHARE = 0.15
 
 
 class Dispatcher:
@@ -342,7 +344,12 @@
         if view.pace == 0 or view.percent >= 100:
             return False
         # Only a list that arrived after the bound shows that there is no progress.
-        return session.heard_s - view.progress_s > self._context.terms.stall_s
+        silent_s = session.heard_s - view.progress_s
+        if silent_s <= self._context.terms.stall_s:
+            return False
+        return silent_s > STALL_SHARE * self._view_fleet().predict_whole_s(
+            view, session
+        )
 
     def _take_stall(self, session: UpstreamSession, view: RunView) -> None:
         context = self._context
--- a/tanagerpath/core/workloads/policy.py
+++ b/tanagerpath/core/workloads/policy.py
@@ -116,16 +116,17 @@
     def predict_left_s(self, view: RunView, session: UpstreamSession) -> float:
         """Return the seconds until a run ends by itself."""
         if view.running_since_s is None:
-            return self._predict_whole_s(view, session)
+            return self.predict_whole_s(view, session)
         worked_s = self.now_s - view.running_since_s
         gained = view.percent - max(view.first_percent, 0)
         if gained > 0 and view.progress_s > view.running_since_s:
             pace = gained / (view.progress_s - view.running_since_s)
             since_s = self.now_s - view.progress_s
             return max((100 - view.percent) / pace - since_s, MIN_RUN_S)
-        return max(self._predict_whole_s(view, session) - worked_s, MIN_RUN_S)
+        return max(self.predict_whole_s(view, session) - worked_s, MIN_RUN_S)
 
-    def _predict_whole_s(self, view: RunView, session: UpstreamSession) -> float:
+    def predict_whole_s(self, view: RunView, session: UpstreamSession) -> float:
+        """Return the seconds that a run takes from its begin to its end."""
         step = (view.task.workload_id, view.task.step)
         work_s = self.estimates.predict_work_s(
             step, view.queue, view.spec.declared_run_s
--- a/tanagerpath/core/workloads/run_driver.py
+++ b/tanagerpath/core/workloads/run_driver.py
@@ -158,6 +158,8 @@
     def pace(self, session: UpstreamSession, view: RunView, percent: int) -> None:
         """Let a run work at a share of its speed."""
         view.pace = percent
+        # A run that stood still by order has to show progress from now on only.
+        view.progress_s = self._context.now_s
         request = PaceRequest(
             task=view.task,
             run=view.run,
--- a/tanagerpath/core/workloads/tests/test_dispatcher.py
+++ b/tanagerpath/core/workloads/tests/test_dispatcher.py
@@ -265,3 +265,13 @@
         rig.run(12)
         self.assertEqual("completed", rig.find_state("second"))
         self.assertIn("queued", {rig.find_state(f"scan{n}") for n in range(40)})
+
+
+class TestLongRuns(testtools.TestCase):
+    def test_task_of_an_hour_is_not_taken_for_stalled(self):
+        rig = Rig(upstreams=1)
+        hour_s = 3600.0
+        step = StepSpec(needs=SMALL, declared_run_s=hour_s / 5)
+        rig.submit("w", step, work_s=hour_s)
+        rig.run(60)
+        self.assertEqual(1, len(rig.starts))
