Keep delayed starts from a reborn upstream

Ruled out: orders of earlier leaders (the first renewal shows the higher token) and upstreams with a new identity (the order names the old one).

The leader now stops each such run on the new incarnation first, and neither uses it nor starts the tasks elsewhere before that is answered.

--- a/tanagerpath/core/workloads/dispatcher.py
+++ b/tanagerpath/core/workloads/dispatcher.py
@@ -153,7 +153,7 @@
         if isinstance(reply, HoldReply) and not self.registry.note_incarnation(
             session, reply.born_unix_ms
         ):
-            self.registry.mark_replaced(session)
+            self.registry.mark_reborn(session)
             return
         if isinstance(reply, OrderRefused) and reply.refusal is Refusal.NO_TICKET:
             task = request.task
--- a/tanagerpath/core/workloads/registry.py
+++ b/tanagerpath/core/workloads/registry.py
@@ -10,11 +10,19 @@
 from tanagerpath.core.workloads.dispatch_context import DispatchContext
 from tanagerpath.core.workloads.records import OpenRun, WorkloadRecord
 from tanagerpath.core.workloads.requests import UpstreamReport, WithdrawalReport
-from tanagerpath.core.workloads.sessions import RunPhase, RunView, UpstreamSession
+from tanagerpath.core.workloads.sessions import (
+    RunKey,
+    RunPhase,
+    RunView,
+    UpstreamSession,
+)
 from tanagerpath.core.workloads.specs import TaskId
 
 __all__ = ["UpstreamRegistry"]
 
+# An order without an answer may be carried out this much later.
+LATE_ORDER_S = 20.0
+
 
 class UpstreamRegistry:
     """Sessions of all upstreams, and the commands that heartbeats ask for.
@@ -29,6 +37,8 @@
         self._context = context
         # Incarnations that said farewell; a delayed heartbeat must not bring one back.
         self._withdrawn: set[str] = set()
+        # Starts that departed upstreams may yet carry out under their old identity.
+        self._unanswered: dict[str, dict[RunKey, float]] = {}
         for record in context.state.upstreams.values():
             self._open(record)
         for workload in context.state.workloads.values():
@@ -155,7 +165,7 @@
             self._replace(session)
             session = None
         if session is None:
-            self._open(record)
+            self._open(record).barred = self._list_barred(record.upstream_id)
         else:
             session.record = record
         context.must_plan = True
@@ -169,17 +179,36 @@
             capacity=record.capacity.accelerators,
         )
 
+    def _list_barred(self, upstream_id: str) -> dict[RunKey, float]:
+        """Return the runs that a new incarnation has to be kept from starting.
+
+        It has the identity of the earlier one and remembers nothing, so that it would
+        carry a delayed order out.
+        """
+        now_s = self._context.now_s
+        ordered = self._unanswered.pop(upstream_id, {})
+        return {
+            key: now_s
+            for key, ordered_s in ordered.items()
+            if ordered_s >= now_s - LATE_ORDER_S
+        }
+
+    def _remember_unanswered(self, session: UpstreamSession) -> None:
+        held = self._unanswered.setdefault(session.upstream_id, {})
+        held.update(session.unanswered)
+        held.update(session.barred)
+
     def _replace(self, session: UpstreamSession) -> None:
         """Keep the runs of a replaced incarnation until their ends are recorded."""
         context = self._context
         del context.sessions[session.upstream_id]
         context.health.pop(session.upstream_id, None)
-        if not session.runs:
-            return
-        # The new incarnation answers at the address, so the old one runs nothing.
-        session.left_at_s = context.now_s - context.terms.leave_delay_s
-        name = f"{session.upstream_id}/{session.record.incarnation}"
-        context.sessions[name] = session
+        self._remember_unanswered(session)
+        if session.runs:
+            # The new incarnation answers at the address, so the old one runs nothing.
+            session.left_at_s = context.now_s - context.terms.leave_delay_s
+            name = f"{session.upstream_id}/{session.record.incarnation}"
+            context.sessions[name] = session
 
     def note_withdrawn(self, upstream_id: str, incarnation: str) -> None:
         """Follow a committed farewell."""
@@ -206,6 +235,8 @@
         ]
         for name in departed:
             session = context.sessions.pop(name)
+            if session.unanswered or session.barred:
+                self._remember_unanswered(session)
             if session.upstream_id not in context.sessions:
                 context.health.pop(session.upstream_id, None)
                 context.estimates.forget_upstream(session.upstream_id)
@@ -221,8 +252,14 @@
         known = session.record.born_unix_ms
         return not (born_unix_ms and known and born_unix_ms != known)
 
+    def mark_reborn(self, session: UpstreamSession) -> None:
+        """Note that a later incarnation answers under the identity of a session."""
+        if session.left_at_s is None:
+            session.left_at_s = self._context.now_s
+            session.awaits_successor = True
+
     def mark_replaced(self, session: UpstreamSession) -> None:
-        """Note that another incarnation answers at the address of a session."""
+        """Note that an upstream of another identity answers at an address."""
         if session.left_at_s is None:
             session.left_at_s = self._context.now_s
             for view in session.runs.values():
--- a/tanagerpath/core/workloads/run_driver.py
+++ b/tanagerpath/core/workloads/run_driver.py
@@ -14,7 +14,12 @@
     StartRequest,
     StopRequest,
 )
-from tanagerpath.core.workloads.sessions import RunPhase, RunView, UpstreamSession
+from tanagerpath.core.workloads.sessions import (
+    RunKey,
+    RunPhase,
+    RunView,
+    UpstreamSession,
+)
 
 __all__ = ["RunDriver"]
 
@@ -49,6 +54,9 @@
             return
         if session.runs and now_s >= session.find_lapse_s(self._context.terms.leases):
             self._close_lapsed(session)
+        for key, next_s in session.barred.items():
+            if now_s >= next_s:
+                self._send_bar(session, key)
         for view in tuple(session.runs.values()):
             self._drive_run(session, view)
         if not session.hold_in_flight and now_s >= session.next_hold_s:
@@ -58,10 +66,20 @@
         delay_s = self._context.terms.leave_delay_s
         if self._context.now_s < session.left_at_s + delay_s:
             return
+        if self._awaits_successor(session):
+            return
         for view in session.runs.values():
             if view.phase is not RunPhase.PROPOSED:
                 self._context.queue_end(session, view, RunOutcome.LOST)
 
+    def _awaits_successor(self, session: UpstreamSession) -> bool:
+        """Return whether delayed orders could still start runs of a session."""
+        successor = self._context.sessions.get(session.upstream_id)
+        if successor is not None and successor is not session:
+            return bool(successor.barred)
+        lapse_s = session.find_lapse_s(self._context.terms.leases)
+        return session.awaits_successor and self._context.now_s < lapse_s
+
     def _close_lapsed(self, session: UpstreamSession) -> None:
         if session.reachable and session.synced:
             return
@@ -97,6 +115,7 @@
             checkpoint=view.checkpoint,
             ticket=view.ticket,
         )
+        session.unanswered[view.key] = context.now_s
         self._send_order(session, view, request)
 
     def _choose_lease(self, session: UpstreamSession, lease_s: float) -> int:
@@ -115,6 +134,15 @@
         )
         self._send_order(session, view, request)
 
+    def _send_bar(self, session: UpstreamSession, key: RunKey) -> None:
+        """Keep a run of the earlier incarnation from starting on this one."""
+        terms = self._context.terms
+        pause_s = terms.order_timeout_s + terms.hold_retry_s
+        session.barred[key] = self._context.now_s + pause_s
+        task, run = key
+        request = StopRequest(task=task, run=run, fencing_token=self._context.term)
+        self._context.call(session, request, terms.order_timeout_s)
+
     def _send_order(
         self, session: UpstreamSession, view: RunView, request: object
     ) -> None:
@@ -217,10 +245,16 @@
         if isinstance(reply, HoldReply):
             self._take_lists(session, reply)
             return
+        if isinstance(request, StopRequest) and isinstance(reply, OrderDone):
+            session.barred.pop((request.task, request.run), None)
+            context.must_plan = True
         view = self._find_view(session, request)
         if view is None:
             return
         view.order_in_flight = False
+        if isinstance(request, StartRequest) and view.orders == 1:
+            # There is no other copy of the order that could arrive later.
+            session.unanswered.pop(view.key, None)
         match reply:
             case OrderDone():
                 self._take_done(view)
--- a/tanagerpath/core/workloads/sessions.py
+++ b/tanagerpath/core/workloads/sessions.py
@@ -197,6 +197,13 @@
         Instant at which the leader learned of it.
     is_reserved : bool
         Whether its VM is about to have its upkeep.
+    unanswered : dict of RunKey to float
+        Runs whose start was ordered without an answer, and the instant of that.
+    barred : dict of RunKey to float
+        Runs of the earlier incarnation under the same identity, and the instant of the
+        next order that keeps each from starting here.
+    awaits_successor : bool
+        Whether a later incarnation under its identity is known to live.
     """
 
     record: UpstreamRecord
@@ -218,6 +225,9 @@
     left_at_s: float | None = None
     opened_s: float = 0.0
     is_reserved: bool = False
+    unanswered: dict[RunKey, float] = attrs.Factory(dict)
+    barred: dict[RunKey, float] = attrs.Factory(dict)
+    awaits_successor: bool = False
 
     @property
     def upstream_id(self) -> str:
@@ -237,6 +247,7 @@
             and self.reachable
             and not self.record.draining
             and not self.is_reserved
+            and not self.barred
             and self.left_at_s is None
         )
 
--- /dev/null
+++ b/tanagerpath/core/workloads/tests/test_rebirth.py
@@ -0,0 +1,118 @@
+"""Guards runs on upstreams that start again under the identity that they had.
+
+The new incarnation remembers nothing, so an order that was delayed would be carried out
+a second time.
+"""
+
+import attrs
+import testtools
+
+from tanagerpath.core.workloads.requests import WithdrawalReport
+from tanagerpath.core.workloads.resources import Resources
+from tanagerpath.core.workloads.specs import StepSpec
+from tanagerpath.core.workloads.tests.rig import Rig
+
+SMALL = Resources(8_000, 16_000, 1)
+WHOLE = Resources(8_000, 16_000, 8)
+LEAVING_S = 2.5
+AWAY_S = 2.0
+
+
+class _Disturbance:
+    """Cuts, restarts and drains the upstreams of a rig while workloads arrive."""
+
+    def __init__(self, seed):
+        self.rig = Rig(upstreams=6, seed=seed)
+        self.rig.lost_replies = self.rig.late_orders = 0.05
+        self.random = self.rig.random
+        self.leaves_at_s = {}
+        self.returns_at_s = {}
+        self.sequence = 1_000_000_000
+        self.term = 1
+
+    def play(self):
+        for number in range(30):
+            self._submit(f"w{number}")
+            self.rig.run(self.random.uniform(0.1, 1.5))
+            self._disturb(self.random.choice(list(self.rig.upstreams)))
+            self._advance()
+            if self.random.random() < 0.1:
+                self.term += 1
+                self.rig.lead(self.term)
+            if self.random.random() < 0.1:
+                self.rig.cancel(f"w{self.random.randrange(number + 1)}")
+        self._heal()
+        self.rig.run(90)
+
+    def _submit(self, name):
+        gang = self.random.random() < 0.4
+        queue = self.random.choice(["urgent", "batch", "scan"])
+        step = StepSpec(
+            count=self.random.randint(1, 4),
+            needs=self.random.choice([SMALL, WHOLE]),
+            declared_run_s=1.0,
+            gang=gang,
+            checkpointing=not gang,
+            same_rack=gang and self.random.random() < 0.5,
+        )
+        steps = (step,)
+        if self.random.random() >= 0.7:
+            steps = (step, attrs.evolve(step, depends_on=(0,)))
+        self.rig.submit(name, *steps, queue=queue, work_s=self.random.uniform(0.3, 4))
+
+    def _disturb(self, name):
+        upstream = self.rig.upstreams[name]
+        draw = self.random.random()
+        if draw < 0.15:
+            upstream.cut = True
+        elif draw < 0.25:
+            upstream.runs.clear()
+            self.rig.finish_upkeep(name)
+        elif draw < 0.35:
+            self.sequence += 1
+            record = attrs.evolve(upstream.record, draining=True)
+            self.rig.report(record, sequence=self.sequence, remaining_s=2.0)
+            self.leaves_at_s[name] = self.rig.now_s + LEAVING_S
+        else:
+            upstream.cut = False
+
+    def _advance(self):
+        now_s = self.rig.now_s
+        for name, at_s in tuple(self.leaves_at_s.items()):
+            if now_s > at_s:
+                del self.leaves_at_s[name]
+                report = WithdrawalReport(name)
+                registry = self.rig.dispatcher.registry
+                for command in registry.take_withdrawal(report):
+                    self.rig.apply(command)
+                self.rig.upstreams[name].runs.clear()
+                self.rig.upstreams[name].cut = True
+                self.returns_at_s[name] = now_s + AWAY_S
+        for name, at_s in tuple(self.returns_at_s.items()):
+            if now_s > at_s:
+                del self.returns_at_s[name]
+                self.rig.finish_upkeep(name)
+
+    def _heal(self):
+        for name, upstream in self.rig.upstreams.items():
+            if name in self.leaves_at_s or name in self.returns_at_s:
+                upstream.runs.clear()
+                self.rig.finish_upkeep(name)
+            upstream.cut = upstream.stalls = False
+        self.rig.late_orders = self.rig.lost_replies = 0.0
+
+
+class TestRebirth(testtools.TestCase):
+    def play(self, seed):
+        disturbance = _Disturbance(seed)
+        disturbance.play()
+        workloads = disturbance.rig.state.workloads.values()
+        states = {record.final_state for record in workloads}
+        self.assertNotIn(None, states, f"seed {seed}")
+
+    def test_random_restarts_break_no_promise(self):
+        for seed in (*range(10), 10, 15, 19, 20):
+            self.play(seed)
+
+    def test_restarts_of_seed_39_break_no_promise(self):
+        self.play(39)
