--- a/tanagerpath/core/workloads/tests/rig.py
+++ b/tanagerpath/core/workloads/tests/rig.py
@@ -278,6 +278,7 @@
             fake.record, incarnation=f"{name}@{born}", born_unix_ms=born
         )
         fake.cut = False
+        fake.runs.clear()
         fake.highest.clear()
         fake.ended = []
         fake.fence = fake.end_count = 0
--- a/tanagerpath/core/workloads/tests/test_rebirth.py
+++ b/tanagerpath/core/workloads/tests/test_rebirth.py
@@ -111,8 +111,5 @@
         self.assertNotIn(None, states, f"seed {seed}")
 
     def test_random_restarts_break_no_promise(self):
-        for seed in (*range(10), 10, 15, 19, 20):
+        for seed in (*range(10), 10, 15, 17, 19, 20, 32, 39):
             self.play(seed)
-
-    def test_restarts_of_seed_39_break_no_promise(self):
-        self.play(39)
