Measure the pace of a run from its first known progress

Cause: the pace of a run was the progress since its first list over the time since its start. Lists come up to 1.5 s apart, so a run that was first listed at 40 hundredths counted as much slower than it was, and short runs the most.

Each run now has a baseline: its confirmed start for fresh runs, the first list for resumed runs, inherited runs and runs that were ordered twice. A gang counts from the instant at which its last member was there. Also the end of a checkpointing run tells its pace now.

--- a/tanagerpath/core/workloads/policy.py
+++ b/tanagerpath/core/workloads/policy.py
@@ -8,7 +8,12 @@
 from tanagerpath.core.workloads.estimates import RunEstimates
 from tanagerpath.core.workloads.health import UpstreamHealth
 from tanagerpath.core.workloads.records import WorkloadRecord
-from tanagerpath.core.workloads.sessions import RunView, UpstreamSession
+from tanagerpath.core.workloads.sessions import (
+    WHOLE_PERCENT,
+    ProgressMark,
+    RunView,
+    UpstreamSession,
+)
 from tanagerpath.core.workloads.specs import StepSpec, TaskId
 
 __all__ = ["Eviction", "FleetView", "Placement", "Plan", "PlanUnit", "WorkloadPolicy"]
@@ -102,13 +107,18 @@
     remote_factor: float = 3.0
     checkpoint_interval_s: float = 1.0
 
+    def predict_work_s(self, unit: PlanUnit) -> float:
+        """Return the seconds that a task of a unit takes at speed 1."""
+        return self.estimates.predict_work_s(
+            unit.step_key, unit.queue.name, unit.spec.declared_run_s
+        )
+
     def predict_run_s(self, unit: PlanUnit, session: UpstreamSession) -> float:
         """Return the seconds that a task of a unit takes on an upstream."""
         spec = unit.spec
-        work_s = self.estimates.predict_work_s(
-            unit.step_key, unit.queue.name, spec.declared_run_s
+        run_s = self.predict_work_s(unit) / self.estimates.find_speed(
+            session.upstream_id
         )
-        run_s = work_s / self.estimates.find_speed(session.upstream_id)
         if spec.preferred_rack and spec.preferred_rack != session.record.rack:
             run_s *= self.remote_factor
         return max(run_s, MIN_RUN_S)
@@ -117,13 +127,13 @@
         """Return the seconds until a run ends by itself."""
         if view.running_since_s is None:
             return self.predict_whole_s(view, session)
-        worked_s = self.now_s - view.running_since_s
-        gained = view.percent - max(view.first_percent, 0)
-        if gained > 0 and view.progress_s > view.running_since_s:
-            pace = gained / (view.progress_s - view.running_since_s)
-            since_s = self.now_s - view.progress_s
-            return max((100 - view.percent) / pace - since_s, MIN_RUN_S)
-        return max(self.predict_whole_s(view, session) - worked_s, MIN_RUN_S)
+        progress = ProgressMark(view.progress_s, view.percent)
+        whole_s = view.find_whole_s(progress)
+        if whole_s is None:
+            worked_s = self.now_s - view.running_since_s
+            return max(self.predict_whole_s(view, session) - worked_s, MIN_RUN_S)
+        left_s = whole_s * (WHOLE_PERCENT - view.percent) / WHOLE_PERCENT
+        return max(left_s - (self.now_s - view.progress_s), MIN_RUN_S)
 
     def predict_whole_s(self, view: RunView, session: UpstreamSession) -> float:
         """Return the seconds that a run takes from its begin to its end."""
--- a/tanagerpath/core/workloads/run_driver.py
+++ b/tanagerpath/core/workloads/run_driver.py
@@ -15,6 +15,8 @@
     StopRequest,
 )
 from tanagerpath.core.workloads.sessions import (
+    WHOLE_PERCENT,
+    ProgressMark,
     RunKey,
     RunPhase,
     RunView,
@@ -26,8 +28,6 @@
 MS_PER_S = 1000
 # Ends that are not recorded yet keep a renewal from being worth its price.
 UNRECORDED_HOLD_INTERVAL_S = 1.0
-# From here on the progress of a run tells how long the whole of it takes.
-OBSERVED_PERCENT = 10
 _OWN_ENDS = (RunOutcome.DONE, RunOutcome.FAILED)
 
 
@@ -268,6 +268,8 @@
             view.phase = RunPhase.RUNNING
             view.running_since_s = now_s
             view.progress_s = now_s
+            if view.orders == 1 and not view.checkpoint:
+                view.baseline = ProgressMark(now_s, 0)
 
     def _take_refusal(
         self,
@@ -339,31 +341,28 @@
         if view.running_since_s is None:
             view.running_since_s = context.now_s
             view.progress_s = context.now_s
-        if view.first_percent < 0:
-            view.first_percent = running.percent
+        if view.baseline is None:
+            # A resumed run has done work before, and one that was ordered more than
+            # once may have begun at any of the orders.
+            view.baseline = ProgressMark(context.now_s, running.percent)
         if running.percent != view.percent:
             view.percent = running.percent
             view.progress_s = context.now_s
         view.checkpoint = running.checkpoint or view.checkpoint
         view.load = running.load
-        self._observe_progress(session, view)
+        self._observe(session, view, running.percent)
 
-    def _observe_progress(self, session: UpstreamSession, view: RunView) -> None:
+    def _observe(self, session: UpstreamSession, view: RunView, percent: int) -> None:
         """Learn the run time of a run that is well under way."""
-        gained = view.percent - max(view.first_percent, 0)
-        if view.observed or view.spec.long_running or gained < OBSERVED_PERCENT:
+        if view.observed or view.spec.long_running:
             return
-        view.observed = True
-        self._observe(session, view, gained, view.progress_s)
-
-    def _observe(
-        self, session: UpstreamSession, view: RunView, gained: int, until_s: float
-    ) -> None:
         context = self._context
-        if view.running_since_s is None or until_s <= view.running_since_s:
-            return
-        run_s = (until_s - view.running_since_s) * 100 / gained
         members = self._list_members(session, view)
+        until = ProgressMark(context.now_s, percent)
+        run_s = view.find_whole_s(until, self._find_begin_s(view))
+        if run_s is None:
+            return
+        self._mark_observed(view)
         if self._is_remote(view, members):
             run_s /= context.terms.remote_factor
         context.estimates.observe(
@@ -375,23 +374,38 @@
             context.now_s,
         )
 
+    def _list_gang(self, view: RunView) -> list[tuple[UpstreamSession, RunView]]:
+        """Return the members of a run of a gang that are known."""
+        return [
+            (other, held)
+            for other in self._context.sessions.values()
+            for held in other.runs.values()
+            if held.is_same_gang(view)
+        ]
+
     def _list_members(
         self, session: UpstreamSession, view: RunView
     ) -> list[UpstreamSession]:
-        """Return the upstreams that work on a run; all of them for a gang.
-
-        The whole gang counts once: its other members need not be observed again.
-        """
+        """Return the upstreams that work on a run; all of them for a gang."""
         if not view.spec.gang:
             return [session]
-        members = []
-        for other in self._context.sessions.values():
-            for held in other.runs.values():
-                if held.is_same_gang(view):
-                    held.observed = True
-                    members.append(other)
+        members = [member for member, _ in self._list_gang(view)]
         return list(dict.fromkeys(members)) or [session]
 
+    def _find_begin_s(self, view: RunView) -> float:
+        """Return the instant at which the last member of a gang was there."""
+        if not view.spec.gang:
+            return 0.0
+        begins = (held.running_since_s for _, held in self._list_gang(view))
+        return max((one for one in begins if one is not None), default=0.0)
+
+    def _mark_observed(self, view: RunView) -> None:
+        """Let a run, and all members of its gang, count only once."""
+        view.observed = True
+        if view.spec.gang:
+            for _, held in self._list_gang(view):
+                held.observed = True
+
     def _is_remote(self, view: RunView, members: list[UpstreamSession]) -> bool:
         """Return whether a run is slowed by its distance from its data or members."""
         racks = {member.record.rack for member in members}
@@ -438,8 +452,7 @@
         health = context.find_health(session.upstream_id)
         if end.outcome is RunOutcome.DONE:
             health.note_success()
-            if not view.observed and not view.checkpoint:
-                self._observe(session, view, 100, context.now_s)
+            self._observe(session, view, WHOLE_PERCENT)
         elif end.outcome is RunOutcome.FAILED:
             workload_id = view.task.workload_id
             failed_on = context.backlog.failed_on.setdefault(workload_id, set())
--- a/tanagerpath/core/workloads/sessions.py
+++ b/tanagerpath/core/workloads/sessions.py
@@ -8,9 +8,19 @@
 from tanagerpath.core.workloads.resources import Resources
 from tanagerpath.core.workloads.specs import StepSpec, TaskId
 
-__all__ = ["LeaseTerms", "RunKey", "RunPhase", "RunView", "UpstreamSession"]
+__all__ = [
+    "LeaseTerms",
+    "ProgressMark",
+    "RunKey",
+    "RunPhase",
+    "RunView",
+    "UpstreamSession",
+]
 
 MS_PER_S = 1000.0
+WHOLE_PERCENT = 100
+# Progress is told in whole hundredths; less of it says too little of a run's pace.
+OBSERVED_PERCENT = 10
 
 RunKey = tuple[TaskId, int]
 
@@ -56,6 +66,14 @@
     INHERITED = "inherited"
 
 
+@attrs.frozen
+class ProgressMark:
+    """Share of a run's work that was done at an instant."""
+
+    at_s: float
+    percent: int
+
+
 @attrs.define(eq=False)
 class RunView:
     """A recorded run on an upstream.
@@ -84,8 +102,8 @@
         Last checkpoint seen.
     percent : int
         Share of its work that is done.
-    first_percent : int
-        `percent` when it was first listed.
+    baseline : ProgressMark or None
+        First known progress, None while it is not known.
     load : float
         Tail in milliseconds of a task that serves, else processor in use.
     pace : int
@@ -116,7 +134,7 @@
     progress_s: float = 0.0
     checkpoint: str = ""
     percent: int = 0
-    first_percent: int = -1
+    baseline: ProgressMark | None = None
     load: float = 0.0
     pace: int = 100
     order_in_flight: bool = False
@@ -147,6 +165,29 @@
         self.next_order_s = now_s
         self.must_be_listed_s = None
 
+    def find_whole_s(self, until: ProgressMark, since_s: float = 0.0) -> float | None:
+        """Return the seconds that the whole work takes at the pace up to a mark.
+
+        Parameters
+        ----------
+        until : ProgressMark
+            Last known progress.
+        since_s : float
+            Earliest instant from which it can have worked.
+
+        Returns
+        -------
+        float or None
+            None if too little progress is known to tell.
+        """
+        if self.baseline is None:
+            return None
+        gained = until.percent - self.baseline.percent
+        worked_s = until.at_s - max(self.baseline.at_s, since_s)
+        if gained < OBSERVED_PERCENT or worked_s <= 0.0:
+            return None
+        return worked_s * WHOLE_PERCENT / gained
+
     def find_unsaved_s(self, now_s: float, checkpoint_interval_s: float) -> float:
         """Return the seconds of work that would be lost if the run ended now."""
         if self.running_since_s is None:
