Hand what a leader has learned to the next one

Cause: speeds of upstreams and the run times of queues were known to one leader only.

`RecordRuns` carries what has changed since the last one, so that it costs no write of its own. Both tests of the change of leader fail without the reading of it.

--- a/tanagerpath/core/workloads/commands.py
+++ b/tanagerpath/core/workloads/commands.py
@@ -5,6 +5,7 @@
 import attrs
 
 from tanagerpath.core.workloads.configuration import Configuration
+from tanagerpath.core.workloads.learned import LearnedFleet
 from tanagerpath.core.workloads.resources import Resources
 from tanagerpath.core.workloads.specs import TaskId, WorkloadSpec
 
@@ -137,11 +138,12 @@
 
 @attrs.frozen
 class RecordRuns:
-    """Records ends and starts of runs, the ends first."""
+    """Records ends and starts of runs, the ends first, and what was learned of them."""
 
     starts: tuple[RunStart, ...] = ()
     ends: tuple[RunEnd, ...] = ()
     at_unix_s: float = 0.0
+    learned: LearnedFleet = LearnedFleet()
 
 
 @attrs.frozen
--- a/tanagerpath/core/workloads/dispatch_context.py
+++ b/tanagerpath/core/workloads/dispatch_context.py
@@ -121,7 +121,7 @@
         self.state = state
         self.term = term
         self.now = now
-        self.estimates = RunEstimates()
+        self.estimates = RunEstimates.from_learned(state.learned, now.now_s)
         self.backlog = Backlog(state, self.estimates)
         self.sessions: dict[str, UpstreamSession] = {}
         self.health: dict[str, UpstreamHealth] = {}
--- a/tanagerpath/core/workloads/dispatcher.py
+++ b/tanagerpath/core/workloads/dispatcher.py
@@ -487,6 +487,7 @@
             starts=starts,
             ends=tuple(queued.end for queued in self._recorded_ends),
             at_unix_s=context.now.unix_s,
+            learned=context.estimates.take_changes(),
         )
         self._recording = command
         context.act(Propose(command))
--- a/tanagerpath/core/workloads/estimates.py
+++ b/tanagerpath/core/workloads/estimates.py
@@ -10,6 +10,13 @@
 
 import attrs
 
+from tanagerpath.core.workloads.learned import (
+    LearnedFleet,
+    LearnedQueue,
+    LearnedSpeed,
+    Predictor,
+)
+
 __all__ = ["RunEstimates"]
 
 SHORTEST_RUN_S = 0.05
@@ -26,7 +33,6 @@
 FIRST_MEAN_VARIANCE = 4.0
 # Weight of these first variances, in measured steps.
 FIRST_WEIGHT = 2.0
-MIN_VARIANCE = 0.02
 # A single run may not move an estimate by more than this.
 MAX_DEVIATION = 2.0
 
@@ -41,40 +47,16 @@
     variance: float
 
 
-@attrs.define
-class _Predictor:
-    """How well something has foretold the work of steps."""
-
-    variance: float
-    bias: float = 0.0
-    weight: float = FIRST_WEIGHT
-
-    def learn(self, error: float) -> None:
-        """Take the difference between the work of a step and what was foretold."""
-        self.weight += 1
-        deviation = error - self.bias
-        self.bias += deviation / self.weight
-        self.variance += (deviation * deviation - self.variance) / self.weight
-        self.variance = max(self.variance, MIN_VARIANCE)
-
-
-@attrs.define
-class _QueueHistory:
-    """Work of a queue's earlier steps, and how far declarations were off."""
-
-    declaration: _Predictor
-    mean: _Predictor
-
-    def foretell(self, declared: float) -> _Estimate:
-        """Return the work of a new step from its declared logarithm."""
-        by_declaration = 1 / self.declaration.variance
-        by_mean = 1 / self.mean.variance
-        weight = by_declaration + by_mean
-        log = (
-            (declared + self.declaration.bias) * by_declaration
-            + self.mean.bias * by_mean
-        ) / weight
-        return _Estimate(log, 1 / weight)
+def _foretell(history: LearnedQueue, declared: float) -> _Estimate:
+    """Return the work of a new step from its declared logarithm."""
+    by_declaration = 1 / history.declaration.variance
+    by_mean = 1 / history.mean.variance
+    weight = by_declaration + by_mean
+    log = (
+        (declared + history.declaration.bias) * by_declaration
+        + history.mean.bias * by_mean
+    ) / weight
+    return _Estimate(log, 1 / weight)
 
 
 class RunEstimates:
@@ -84,7 +66,39 @@
         self._speeds: dict[str, _Estimate] = {}
         self._speed_read_s: dict[str, float] = {}
         self._work: dict[StepKey, _Estimate] = {}
-        self._queues: dict[str, _QueueHistory] = {}
+        self._queues: dict[str, LearnedQueue] = {}
+        self._changed_speeds: set[str] = set()
+        self._changed_queues: set[str] = set()
+
+    @classmethod
+    def from_learned(cls, learned: LearnedFleet, now_s: float) -> "RunEstimates":
+        """Build the estimates of a new leader from what earlier ones have learned.
+
+        Parameters
+        ----------
+        learned : LearnedFleet
+            All that is recorded.
+        now_s : float
+            Begin of the term on the leader's steady clock.
+        """
+        estimates = cls()
+        for speed in learned.speeds:
+            estimates._speeds[speed.upstream_id] = _Estimate(speed.log, speed.variance)
+            estimates._speed_read_s[speed.upstream_id] = now_s
+        estimates._queues = {history.queue: history for history in learned.queues}
+        return estimates
+
+    def take_changes(self) -> LearnedFleet:
+        """Return what was learned since the last call, for the log."""
+        speeds = tuple(
+            LearnedSpeed(name, self._speeds[name].log, self._speeds[name].variance)
+            for name in sorted(self._changed_speeds)
+            if name in self._speeds
+        )
+        queues = tuple(self._queues[name] for name in sorted(self._changed_queues))
+        self._changed_speeds.clear()
+        self._changed_queues.clear()
+        return LearnedFleet(speeds, queues)
 
     def observe(
         self,
@@ -126,8 +140,7 @@
         speed.log -= speed_gain * deviation
         speed.variance *= 1 - speed_gain
         self._work[step] = work
-        self._speeds[slowest] = speed
-        self._speed_read_s[slowest] = now_s
+        self._note_speed(slowest, speed, now_s)
         self._raise_members(upstream_ids, speed, now_s)
         if is_new:
             self._learn_queue(queue, declared_s, work.log)
@@ -139,31 +152,39 @@
         for upstream_id in upstream_ids:
             speed = self._find_speed(upstream_id, now_s)
             if speed.log < slowest.log:
-                self._speeds[upstream_id] = _Estimate(slowest.log, speed.variance)
-                self._speed_read_s[upstream_id] = now_s
+                speed.log = slowest.log
+                self._note_speed(upstream_id, speed, now_s)
+
+    def _note_speed(self, upstream_id: str, speed: _Estimate, now_s: float) -> None:
+        self._speeds[upstream_id] = speed
+        self._speed_read_s[upstream_id] = now_s
+        self._changed_speeds.add(upstream_id)
 
     def _learn_queue(self, queue: str, declared_s: float, log: float) -> None:
         history = self._find_history(queue, declared_s)
         declared = math.log(max(declared_s, SHORTEST_RUN_S))
-        history.declaration.learn(log - declared)
-        history.mean.learn(log)
+        self._queues[queue] = LearnedQueue(
+            queue, history.declaration.learn(log - declared), history.mean.learn(log)
+        )
+        self._changed_queues.add(queue)
 
-    def _find_history(self, queue: str, declared_s: float) -> _QueueHistory:
+    def _find_history(self, queue: str, declared_s: float) -> LearnedQueue:
         held = self._queues.get(queue)
-        if held is None:
-            declared = math.log(max(declared_s, SHORTEST_RUN_S))
-            held = self._queues[queue] = _QueueHistory(
-                _Predictor(FIRST_DECLARATION_VARIANCE),
-                _Predictor(FIRST_MEAN_VARIANCE, declared),
-            )
-        return held
+        if held is not None:
+            return held
+        declared = math.log(max(declared_s, SHORTEST_RUN_S))
+        return LearnedQueue(
+            queue,
+            Predictor(FIRST_DECLARATION_VARIANCE, 0.0, FIRST_WEIGHT),
+            Predictor(FIRST_MEAN_VARIANCE, declared, FIRST_WEIGHT),
+        )
 
     def _find_work(self, step: StepKey, queue: str, declared_s: float) -> _Estimate:
         held = self._work.get(step)
         if held is not None:
             return held
         declared = math.log(max(declared_s, SHORTEST_RUN_S))
-        return self._find_history(queue, declared_s).foretell(declared)
+        return _foretell(self._find_history(queue, declared_s), declared)
 
     def _find_speed(self, upstream_id: str, now_s: float) -> _Estimate:
         held = self._speeds.get(upstream_id)
--- a/tanagerpath/core/workloads/state.py
+++ b/tanagerpath/core/workloads/state.py
@@ -8,6 +8,11 @@
 from tanagerpath.core.workloads import commands
 from tanagerpath.core.workloads.commands import UpstreamRecord
 from tanagerpath.core.workloads.configuration import Configuration, Queue
+from tanagerpath.core.workloads.learned import (
+    LearnedFleet,
+    LearnedQueue,
+    LearnedSpeed,
+)
 from tanagerpath.core.workloads.records import (
     StoredWorkload,
     WaveRecord,
@@ -47,6 +52,7 @@
     workloads: tuple[StoredWorkload, ...] = ()
     waves: tuple[WaveRecord, ...] = ()
     known_queues: tuple[Queue, ...] = ()
+    learned: LearnedFleet = LearnedFleet()
 
 
 class FleetState:
@@ -60,6 +66,8 @@
         self.waves: dict[int, WaveRecord] = {}
         # The last terms of each queue, so that accepted work of a removed one goes on.
         self.known_queues: dict[str, Queue] = {}
+        self._speeds: dict[str, LearnedSpeed] = {}
+        self._histories: dict[str, LearnedQueue] = {}
         self._apply_by_type: dict[type, Any] = {
             commands.PutConfiguration: self._put_configuration,
             commands.AcceptWorkload: self._accept,
@@ -84,6 +92,7 @@
         }
         state.waves = {one.wave: one for one in snapshot.waves}
         state.known_queues = {one.name: one for one in snapshot.known_queues}
+        state._learn(snapshot.learned)
         return state
 
     def make_snapshot(self) -> FleetSnapshot:
@@ -95,8 +104,20 @@
             workloads=tuple(one.store() for one in self.workloads.values()),
             waves=tuple(self.waves.values()),
             known_queues=tuple(self.known_queues.values()),
+            learned=self.learned,
+        )
+
+    @property
+    def learned(self) -> LearnedFleet:
+        """All that leaders have recorded of what they learned."""
+        return LearnedFleet(
+            tuple(self._speeds.values()), tuple(self._histories.values())
         )
 
+    def _learn(self, learned: LearnedFleet) -> None:
+        self._speeds |= {one.upstream_id: one for one in learned.speeds}
+        self._histories |= {one.queue: one for one in learned.queues}
+
     def skip(self, index: int) -> None:
         """Note an entry of the log that holds no command."""
         self.applied_index = index
@@ -136,6 +157,9 @@
         self.known_queues = {
             name: queue for name, queue in self.known_queues.items() if name in needed
         }
+        self._histories = {
+            name: one for name, one in self._histories.items() if name in needed
+        }
 
     def _accept(self, command: commands.AcceptWorkload) -> Applied:
         workload_id = command.spec.workload_id
@@ -160,6 +184,7 @@
         touched = [self._record_end(end, command.at_unix_s) for end in command.ends]
         ended_ids = tuple(dict.fromkeys(filter(None, touched)))
         starts = tuple(start for start in command.starts if self._record_start(start))
+        self._learn(command.learned)
         return Applied(starts=starts, ended_ids=ended_ids)
 
     def _record_end(self, end: commands.RunEnd, at_unix_s: float) -> str:
@@ -205,6 +230,7 @@
         if held is None or held.incarnation != command.incarnation:
             return Applied(changed=False)
         del self.upstreams[command.upstream_id]
+        self._speeds.pop(command.upstream_id, None)
         return Applied()
 
     def _expire(self, command: commands.ExpireWorkloads) -> Applied:
--- a/tanagerpath/core/workloads/tests/rig.py
+++ b/tanagerpath/core/workloads/tests/rig.py
@@ -86,6 +86,11 @@
 
     # Set-up
 
+    def make_organisations(self):
+        """Return the organisations of the configuration."""
+        guaranteed = Resources(accelerators=16)
+        return (Organisation(name="couriers", api_keys=("k",), guaranteed=guaranteed),)
+
     def _put_configuration(self):
         queues = tuple(
             Queue(
@@ -106,18 +111,13 @@
                 ("advised", 2, 3.0),
             )
         )
-        guaranteed = Resources(accelerators=16)
         self.apply(
             commands.PutConfiguration(
                 Configuration(
                     version=1,
                     queues=queues,
                     pools=(Pool(name="sort"),),
-                    organisations=(
-                        Organisation(
-                            name="couriers", api_keys=("k",), guaranteed=guaranteed
-                        ),
-                    ),
+                    organisations=self.make_organisations(),
                 )
             )
         )
@@ -157,14 +157,22 @@
             self._feed(CommandRecorded(command, applied))
         return applied
 
-    def submit(self, workload_id, *steps, queue="scan", work_s=1.0, **fields):
+    def submit(
+        self,
+        workload_id,
+        *steps,
+        queue="scan",
+        work_s=1.0,
+        organisation="couriers",
+        **fields,
+    ):
         self.work[workload_id] = work_s
         spec = WorkloadSpec(workload_id=workload_id, steps=steps, **fields)
         self.apply(
             commands.AcceptWorkload(
                 spec=spec,
                 queue=queue,
-                organisation="couriers",
+                organisation=organisation,
                 accepted_at_unix_s=self.now_s,
             )
         )
--- a/tanagerpath/core/workloads/tests/test_estimates.py
+++ b/tanagerpath/core/workloads/tests/test_estimates.py
@@ -5,7 +5,12 @@
 
 import testtools
 
+from tanagerpath.core.workloads import FleetState, commands
 from tanagerpath.core.workloads.estimates import RunEstimates
+from tanagerpath.core.workloads.resources import Resources
+from tanagerpath.core.workloads.sessions import ProgressMark, RunPhase, RunView
+from tanagerpath.core.workloads.specs import StepSpec, TaskId
+from tanagerpath.core.workloads.tests.rig import Rig
 
 
 class TestEstimates(testtools.TestCase):
@@ -44,3 +49,63 @@
         before = estimates.find_speed("fast")
         estimates.observe(("fast", "slow"), ("gang", 0), "q", 1.0, 9.0, 0.0)
         self.assertEqual(before, estimates.find_speed("fast"))
+
+    def test_progress_before_the_first_list_counts(self):
+        # Lists come seconds apart: a run that is first listed at 40 hundredths has
+        # worked for them since its start.
+        rig = Rig(upstreams=0)
+        rig.add_upstream("u0", speed=1.0)
+        for number in range(12):
+            spec = StepSpec(needs=Resources(1000, 1000, 1), declared_run_s=3.0)
+            rig.submit(f"w{number}", spec, work_s=3.0)
+            rig.run(5.0)
+        speed = rig.dispatcher.context.estimates.find_speed("u0")
+        self.assertGreater(speed, 0.85)
+        self.assertLess(speed, 1.15)
+
+    def test_pace_of_a_resumed_run_counts_from_its_first_list(self):
+        view = RunView(
+            TaskId("w", 0, 0, 0), 2, StepSpec(), "q", 0, RunPhase.RUNNING, 0.0
+        )
+        view.baseline = ProgressMark(10.0, 60)
+        self.assertEqual(20.0, view.find_whole_s(ProgressMark(14.0, 80)))
+        self.assertIsNone(view.find_whole_s(ProgressMark(11.0, 65)))
+
+
+class TestChangeOfLeader(testtools.TestCase):
+    """Guards against a new leader that places gangs as if it knew no upstream."""
+
+    def _learn_on_rig(self):
+        rig = Rig(upstreams=0)
+        for number in range(4):
+            rig.add_upstream(f"u{number}", speed=0.5 if number == 0 else 1.5)
+        one_each = StepSpec(count=4, needs=Resources(1000, 1000, 1), max_per_upstream=1)
+        for number in range(6):
+            rig.submit(f"w{number}", one_each, work_s=2.0)
+            rig.run(6.0)
+        return rig
+
+    def test_new_leader_knows_the_speeds_that_the_earlier_one_has_learned(self):
+        rig = self._learn_on_rig()
+        before = rig.dispatcher.context.estimates
+        rig.lead(2)
+        after = rig.dispatcher.context.estimates
+        self.assertLess(after.find_speed("u0"), after.find_speed("u1"))
+        for name in rig.upstreams:
+            self.assertAlmostEqual(before.find_speed(name), after.find_speed(name))
+
+    def test_learned_run_times_of_a_queue_outlive_a_snapshot(self):
+        rig = self._learn_on_rig()
+        expected_s = rig.dispatcher.context.estimates.predict_work_s(
+            ("new", 0), "scan", 60.0
+        )
+        rig.state = FleetState.from_snapshot(rig.state.make_snapshot())
+        rig.lead(2)
+        estimates = rig.dispatcher.context.estimates
+        predicted_s = estimates.predict_work_s(("new", 0), "scan", 60.0)
+        self.assertAlmostEqual(expected_s, predicted_s)
+
+    def test_speed_of_an_upstream_that_left_is_forgotten(self):
+        rig = self._learn_on_rig()
+        rig.apply(commands.WithdrawUpstream("u0", "u0@1"))
+        self.assertNotIn("u0", {one.upstream_id for one in rig.state.learned.speeds})
