Keep fast upstreams for urgent work, and take them from work worth less

Cause: all work took the fastest upstreams first. Urgent gangs, whose objective is one and a half times their work, then got slow ones, where they were late from the start although they had begun at once; patient work, with three times its work, would have been in time there.

- Work that is not urgent takes the slowest upstreams on which it is in time.
- Urgent work that would be late where there is room makes room on faster upstreams, if at most twice its own work is lost.
The bound of 50 core seconds for urgent work without a guarantee becomes the same multiple; the rule that guaranteed work always gets a place stays.

--- /dev/null
+++ b/tanagerpath/benchmarks/workload_fleet.py
@@ -0,0 +1,157 @@
+"""Stand-in upstreams for replays: speeds, racks, checkpoints and failing runs."""
+
+import attrs
+
+from tanagerpath.core.workloads.commands import RunOutcome
+from tanagerpath.core.workloads.configuration import Organisation
+from tanagerpath.core.workloads.dispatch_context import DispatchTerms
+from tanagerpath.core.workloads.orders import OrderDone, StartRequest
+from tanagerpath.core.workloads.resources import Resources
+from tanagerpath.core.workloads.tests.fake_upstream import STEP_S, FakeUpstream
+from tanagerpath.core.workloads.tests.rig import Rig
+
+__all__ = ["ORGANISATIONS", "ReplayRig"]
+
+ORGANISATIONS = ("o1", "o2", "o3", "o4")
+# Share of all accelerators that is guaranteed to organisations.
+GUARANTEED_SHARE = 0.62
+
+
+class _ReplayUpstream(FakeUpstream):
+    """Resumes from checkpoints, and works slower away from data and members."""
+
+    def _start(self, request: StartRequest) -> object:
+        reply = super()._start(request)
+        run = self.runs.get((request.task, request.run))
+        if isinstance(reply, OrderDone) and run is not None:
+            self.rig.add_member(run, self)
+            if request.checkpoint and not run.worked_s:
+                saved_s = float(request.checkpoint.split(":")[1])
+                run.worked_s = saved_s - self.rig.restore_s * self.speed
+        return reply
+
+    def _checkpoint(self, run) -> str:
+        if not run.spec.checkpointing:
+            return ""
+        interval_s = self.rig.checkpoint_interval_s
+        saved_s = int(max(run.worked_s, 0.0) / interval_s) * interval_s
+        if run.stops_at_s is not None:
+            saved_s = max(run.worked_s, 0.0)
+        return f"c:{saved_s:.3f}" if saved_s else ""
+
+    def end(self, run, outcome) -> None:
+        if outcome is not RunOutcome.DONE:
+            lost_s = 0.0 if run.spec.checkpointing else max(run.worked_s, 0.0)
+            lost_s /= self.rig.find_rate(run, self)
+            self.rig.wasted_cores_s += lost_s * run.spec.needs.weighted_cores
+        self.rig.stops += outcome is RunOutcome.STOPPED
+        self.rig.remove_member(run, self)
+        super().end(run, outcome)
+
+    def _percent(self, run) -> int:
+        whole_s = self.rig.work_s(run.task)
+        return min(max(int(run.worked_s / whole_s * 100), 0), 100)
+
+    def _advance_run(self, run) -> None:
+        is_at_work = run.stops_at_s is None
+        if is_at_work and run.spec.gang:
+            is_at_work = self.rig.is_gang_whole(run)
+        before_s = run.worked_s
+        super()._advance_run(run)
+        if is_at_work and (run.task, run.run) in self.runs:
+            run.worked_s = before_s + STEP_S * self.rig.find_rate(run, self)
+            if self.rig.is_failing(run):
+                self.end(run, RunOutcome.FAILED)
+
+
+class ReplayRig(Rig):
+    """A rig whose upstreams differ, for days with many runs.
+
+    Parameters
+    ----------
+    seed : int
+        Seed of failures and delays.
+    speeds : list of float
+        Speed of each upstream.
+    capacity : Resources
+        Room of each upstream.
+    rack_size : int
+        Upstreams of a rack.
+    checkpoint_interval_s, restore_s : float
+        Work between two checkpoints, and the time to resume from one.
+    """
+
+    def __init__(
+        self, seed, speeds, capacity, rack_size, checkpoint_interval_s, restore_s
+    ) -> None:
+        self.checkpoint_interval_s = checkpoint_interval_s
+        self.restore_s = restore_s
+        self.wasted_cores_s = 0.0
+        self.stops = 0
+        self.fail_share: dict[str, float] = {}
+        self._members: dict[tuple, list] = {}
+        self._capacity = capacity
+        self._speeds = speeds
+        terms = DispatchTerms(checkpoint_interval_s=checkpoint_interval_s)
+        super().__init__(0, seed, terms)
+        for number, speed in enumerate(speeds):
+            self._add(number, number // rack_size, speed)
+
+    def _add(self, number: int, rack: int, speed: float) -> None:
+        name = f"u{number:02d}"
+        fake = _ReplayUpstream(self, name, f"r{rack}", speed)
+        fake.record = attrs.evolve(fake.record, capacity=self._capacity)
+        self.upstreams[name] = fake
+        self.register(fake.record)
+
+    def make_organisations(self) -> tuple[Organisation, ...]:
+        """Return organisations that share most of the accelerators."""
+        whole = sum(self._capacity.accelerators for _ in self._speeds)
+        each = int(whole * GUARANTEED_SHARE / len(ORGANISATIONS))
+        return tuple(
+            Organisation(
+                name=name, api_keys=(name,), guaranteed=Resources(accelerators=each)
+            )
+            for name in ORGANISATIONS
+        )
+
+    # Gangs
+
+    def _find_key(self, run) -> tuple:
+        return attrs.evolve(run.task, index=0), run.run
+
+    def add_member(self, run, upstream) -> None:
+        """Note that a member of a gang runs."""
+        members = self._members.setdefault(self._find_key(run), [])
+        if not any(held is run for held, _ in members):
+            members.append((run, upstream))
+
+    def remove_member(self, run, upstream) -> None:
+        """Note that a member of a gang has ended."""
+        key = self._find_key(run)
+        members = [one for one in self._members.get(key, ()) if one[0] is not run]
+        self._members[key] = members
+
+    def _gang_runs(self, run) -> list:
+        return [held for held, _ in self._members.get(self._find_key(run), ())]
+
+    def find_rate(self, run, upstream) -> float:
+        """Return the seconds of work that a run gets done in a second."""
+        spec = run.spec
+        members = [upstream]
+        if spec.gang:
+            held = self._members.get(self._find_key(run), ())
+            members = [other for _, other in held] or members
+        rate = min(one.speed for one in members)
+        racks = {one.record.rack for one in members}
+        is_remote = bool(spec.preferred_rack) and racks != {spec.preferred_rack}
+        if is_remote or (spec.same_rack and len(racks) > 1):
+            rate /= self.terms.remote_factor
+        return rate
+
+    def is_failing(self, run) -> bool:
+        """Draw whether a run fails in this step of time."""
+        share = self.fail_share.get(run.task.workload_id, 0.0)
+        steps = self.work_s(run.task) / STEP_S
+        members = run.spec.count if run.spec.gang else 1
+        return self.random.random() < share / steps / members
--- a/tanagerpath/core/workloads/deadline_policy.py
+++ b/tanagerpath/core/workloads/deadline_policy.py
@@ -1,5 +1,6 @@
 """Policy that orders work by its objective and packs it onto fast upstreams."""
 
+import math
 from collections import Counter
 from collections.abc import Iterable
 
@@ -34,17 +35,21 @@
         Predicted run times that a task waits for its rack before it runs elsewhere.
     guaranteed_patience_s : float
         Longest such wait of guaranteed work in seconds.
-    max_eviction_cores_s : float
-        Core seconds of work that may be lost to make room for urgent work that no
-        guarantee covers.
+    eviction_factor : float
+        Work that may be lost to make room for urgent work that no guarantee covers,
+        or that has a place where it would be late, in multiples of the urgent work.
     max_reservations : int
         Gangs for which upstreams are kept free at the same time.
+    objective_share : float
+        Share of the objective up to which a predicted end counts as in time;
+        predictions are uncertain.
     """
 
     remote_patience: float = 1.0
     guaranteed_patience_s: float = 1.2
-    max_eviction_cores_s: float = 50.0
+    eviction_factor: float = 2.0
     max_reservations: int = 8
+    objective_share: float = 0.7
 
 
 @attrs.frozen(eq=False)
@@ -150,11 +155,18 @@
         plan = Plan()
         reservations = 0
         for unit in sorted(units, key=lambda one: self._rank(one, fleet)):
+            if self._claim_faster(unit, rooms, fleet, plan):
+                plan.blocked.append(unit)
+                continue
             left = self._place(unit, rooms, fleet, plan)
             if not left:
                 continue
             plan.blocked.append(unit)
-            if unit.queue.priority == 0 and self._claim(unit, left, rooms, fleet, plan):
+            sessions = self._list_candidates(unit, rooms, fleet)
+            bound = math.inf if unit.is_guaranteed else self._find_bound(unit, fleet)
+            if unit.queue.priority == 0 and self._claim(
+                unit, left, sessions, bound, rooms, fleet, plan
+            ):
                 continue
             if unit.spec.gang and reservations < self._terms.max_reservations:
                 reservations += 1
@@ -186,19 +198,45 @@
         self, unit: PlanUnit, rooms: _Rooms, fleet: FleetView, plan: Plan
     ) -> tuple[int, ...]:
         """Place what fits; return the tasks that are left."""
-        sessions = self._list_candidates(unit, rooms, fleet)
-        if unit.spec.gang:
-            option = self._choose_option(unit, sessions, rooms, fleet)
-            if option is None:
-                return unit.indexes
-            chosen = option.sessions
-        else:
-            chosen = self._choose_singles(unit, sessions, rooms, fleet)
+        chosen = self._choose(unit, rooms, fleet)
         for index, session in zip(unit.indexes, chosen, strict=False):
             plan.placements.append(Placement(unit, index, session))
             rooms.take(unit, session)
         return unit.indexes[len(chosen) :]
 
+    def _choose(
+        self, unit: PlanUnit, rooms: _Rooms, fleet: FleetView
+    ) -> tuple[UpstreamSession, ...]:
+        """Return upstreams for as many tasks as have a place."""
+        sessions = self._list_candidates(unit, rooms, fleet)
+        if not unit.spec.gang:
+            return tuple(self._choose_singles(unit, sessions, rooms, fleet))
+        option = self._choose_option(unit, sessions, rooms, fleet)
+        return option.sessions if option else ()
+
+    def _claim_faster(
+        self, unit: PlanUnit, rooms: _Rooms, fleet: FleetView, plan: Plan
+    ) -> bool:
+        """Make room for urgent work that would be late on the upstreams with room."""
+        patience_s = self._terms.guaranteed_patience_s
+        if unit.queue.priority > 0 or self._find_waited_s(unit, fleet) > patience_s:
+            return False
+        chosen = self._choose(unit, rooms, fleet)
+        if all(self._is_in_time(unit, session, fleet) for session in chosen):
+            return False
+        sessions = [
+            session
+            for session in self._list_candidates(unit, rooms, fleet)
+            if self._is_in_time(unit, session, fleet)
+        ]
+        bound = self._find_bound(unit, fleet)
+        return self._claim(unit, unit.indexes, sessions, bound, rooms, fleet, plan)
+
+    def _find_bound(self, unit: PlanUnit, fleet: FleetView) -> float:
+        """Return the core seconds of work that may be lost to make room for a unit."""
+        own = len(unit.indexes) * unit.spec.needs.weighted_cores
+        return self._terms.eviction_factor * own * fleet.predict_work_s(unit)
+
     def _list_candidates(
         self, unit: PlanUnit, rooms: _Rooms, fleet: FleetView
     ) -> list[UpstreamSession]:
@@ -218,10 +256,18 @@
         rooms: _Rooms,
         fleet: FleetView,
     ) -> list[UpstreamSession]:
-        """Return upstreams, fast ones first, and among equals the fullest."""
+        """Return upstreams in the order in which a unit takes them.
+
+        Urgent work takes fast ones first. Other work leaves these free: it takes slow
+        ones first on which it is in time. Among equals the fullest come first.
+        """
 
         def rank(session: UpstreamSession) -> tuple:
             speed = fleet.estimates.find_speed(session.upstream_id)
+            pace = round(speed * SPEED_STEPS_PER_UNIT)
+            is_patient = unit.queue.priority > 0 and self._is_in_time(
+                unit, session, fleet
+            )
             room = rooms.find_room(session)
             is_remote = bool(
                 unit.spec.preferred_rack
@@ -230,13 +276,23 @@
             return (
                 is_remote,
                 fleet.health[session.upstream_id].is_suspect,
-                -round(speed * SPEED_STEPS_PER_UNIT),
+                not is_patient,
+                pace if is_patient else -pace,
                 room.find_share(session.record.capacity),
                 session.upstream_id,
             )
 
         return sorted(sessions, key=rank)
 
+    def _is_in_time(
+        self, unit: PlanUnit, session: UpstreamSession, fleet: FleetView
+    ) -> bool:
+        """Return whether a unit would meet its objective on an upstream."""
+        later_s = unit.left_s - fleet.predict_work_s(unit)
+        left_s = fleet.predict_run_s(unit, session) + later_s
+        bound_s = unit.objective_s * self._terms.objective_share
+        return self._find_waited_s(unit, fleet) + left_s <= bound_s
+
     def _choose_singles(
         self,
         unit: PlanUnit,
@@ -298,10 +354,7 @@
         )
 
     def _is_patience_over(self, unit: PlanUnit, fleet: FleetView) -> bool:
-        work_s = fleet.estimates.predict_work_s(
-            unit.step_key, unit.queue.name, unit.spec.declared_run_s
-        )
-        patience_s = self._terms.remote_patience * work_s
+        patience_s = self._terms.remote_patience * fleet.predict_work_s(unit)
         if unit.is_guaranteed:
             patience_s = min(patience_s, self._terms.guaranteed_patience_s)
         return self._find_waited_s(unit, fleet) > patience_s
@@ -369,6 +422,8 @@
         self,
         unit: PlanUnit,
         left: tuple[int, ...],
+        candidates: list[UpstreamSession],
+        bound: float,
         rooms: _Rooms,
         fleet: FleetView,
         plan: Plan,
@@ -376,14 +431,13 @@
         """Keep room for urgent work, and stop other runs for it, if that is cheap."""
         sessions = [
             one
-            for one in self._list_candidates(unit, rooms, fleet)
+            for one in candidates
             if not fleet.health[one.upstream_id].is_on_probation
         ]
         found = find_evictions(unit, len(left), sessions, rooms.find_room, fleet)
         if found is None:
             return False
-        bound = self._terms.max_eviction_cores_s
-        if not unit.is_guaranteed and found.lost_cores_s > bound:
+        if found.lost_cores_s > bound:
             return False
         for session, count in found.places:
             rooms.take(unit, session, count)
--- a/tanagerpath/core/workloads/tests/test_dispatcher.py
+++ b/tanagerpath/core/workloads/tests/test_dispatcher.py
@@ -1,8 +1,12 @@
 """Guards the promises on runs: once, within capacity, in order, whole gangs."""
 
+import math
+
 import attrs
 import testtools
 
+from tanagerpath.core.workloads import commands
+from tanagerpath.core.workloads.learned import LearnedFleet, LearnedSpeed
 from tanagerpath.core.workloads.resources import Resources
 from tanagerpath.core.workloads.specs import StepSpec
 from tanagerpath.core.workloads.tests.rig import Rig
@@ -11,8 +15,8 @@
 WHOLE = Resources(8_000, 16_000, 8)
 
 
-def _step(count=1, needs=SMALL, **fields):
-    return StepSpec(count=count, needs=needs, declared_run_s=1.0, **fields)
+def _step(count=1, needs=SMALL, declared_run_s=1.0, **fields):
+    return StepSpec(count=count, needs=needs, declared_run_s=declared_run_s, **fields)
 
 
 class TestRuns(testtools.TestCase):
@@ -266,6 +270,65 @@
         self.assertEqual("completed", rig.find_state("second"))
         self.assertIn("queued", {rig.find_state(f"scan{n}") for n in range(40)})
 
+    def _lead_with_known_speeds(self, speeds):
+        """Return a rig whose leader has been told the speeds of its upstreams."""
+        rig = Rig(upstreams=0)
+        for name, speed in speeds.items():
+            rig.add_upstream(name, speed=speed)
+        learned = LearnedFleet(
+            tuple(
+                LearnedSpeed(name, math.log(speed), 0.01)
+                for name, speed in speeds.items()
+            )
+        )
+        rig.apply(commands.RecordRuns(learned=learned))
+        rig.lead(2)
+        rig.run(0.5)
+        return rig
+
+    def _find_used(self, rig, workload_id):
+        return {
+            name
+            for name, upstream in rig.upstreams.items()
+            if any(task.workload_id == workload_id for task, _ in upstream.runs)
+        }
+
+    def test_patient_work_leaves_fast_upstreams_free(self):
+        rig = self._lead_with_known_speeds({"slow": 0.7, "fast": 1.7})
+        rig.submit("scan", _step(1, declared_run_s=4.0), work_s=4.0)
+        rig.run(0.5)
+        self.assertEqual({"slow"}, self._find_used(rig, "scan"))
+
+    def test_patient_work_takes_a_fast_upstream_if_it_would_be_late(self):
+        rig = self._lead_with_known_speeds({"slow": 0.4, "fast": 1.7})
+        rig.submit("scan", _step(1, declared_run_s=4.0), work_s=4.0)
+        rig.run(0.5)
+        self.assertEqual({"fast"}, self._find_used(rig, "scan"))
+
+    def test_urgent_gang_is_not_placed_where_it_is_late_beside_work_worth_less(self):
+        rig = self._lead_with_known_speeds({"slow": 0.4, "fast": 1.7})
+        # Too long for the slow upstream, so that the fast one is taken.
+        scan = _step(1, declared_run_s=4.0, checkpointing=True)
+        rig.submit("scan", scan, work_s=4.0)
+        rig.run(1.0)
+        self.assertEqual({"fast"}, self._find_used(rig, "scan"))
+        gang = _step(1, WHOLE, gang=True, declared_run_s=3.0)
+        rig.submit("check", gang, queue="urgent", work_s=3.0)
+        rig.run(1.0)
+        self.assertEqual({"fast"}, self._find_used(rig, "check"))
+        rig.run(2.5)
+        self.assertEqual("completed", rig.find_state("check"))
+
+    def test_much_work_is_not_thrown_away_for_a_short_urgent_gang(self):
+        rig = self._lead_with_known_speeds({"slow": 0.4, "fast": 1.7})
+        rig.submit("scan", _step(8, declared_run_s=30.0), work_s=30.0)
+        rig.run(10.0)
+        gang = _step(1, WHOLE, gang=True, declared_run_s=1.0)
+        rig.submit("check", gang, queue="urgent", work_s=1.0)
+        rig.run(1.5)
+        self.assertEqual({"fast"}, self._find_used(rig, "scan"))
+        self.assertEqual({"slow"}, self._find_used(rig, "check"))
+
 
 class TestLongRuns(testtools.TestCase):
     def test_task_of_an_hour_is_not_taken_for_stalled(self):
