Split rooms and reservations from the deadline policy

The ends of an upstream's runs are predicted once in a plan, and the longest run time in time once for a unit, in place of once for each gang and upstream.

--- a/tanagerpath/core/workloads/deadline_policy.py
+++ b/tanagerpath/core/workloads/deadline_policy.py
@@ -14,8 +14,9 @@
     PlanUnit,
     WorkloadPolicy,
 )
-from tanagerpath.core.workloads.resources import Resources
-from tanagerpath.core.workloads.sessions import RunPhase, RunView, UpstreamSession
+from tanagerpath.core.workloads.reservations import reserve_upstreams
+from tanagerpath.core.workloads.rooms import PlanRooms
+from tanagerpath.core.workloads.sessions import RunView, UpstreamSession
 
 __all__ = ["DeadlinePolicy", "DeadlineTerms"]
 
@@ -61,68 +62,6 @@
     sessions: tuple[UpstreamSession, ...]
 
 
-class _Rooms:
-    """Room that is left on each upstream while a plan is made."""
-
-    def __init__(self, fleet: FleetView) -> None:
-        self._fleet = fleet
-        self._rooms: dict[str, Resources] = {}
-        self._free_until_s: dict[str, float] = {}
-        self.sessions: list[UpstreamSession] = []
-        for session in fleet.sessions:
-            health = fleet.health[session.upstream_id]
-            if session.is_usable and not health.is_quarantined(fleet.now_s):
-                self._rooms[session.upstream_id] = session.room
-                self.sessions.append(session)
-        self.planned: dict[tuple[str, str, int, int], int] = {}
-
-    def find_room(self, session: UpstreamSession) -> Resources:
-        """Return the room that is left."""
-        return self._rooms[session.upstream_id]
-
-    def take(self, unit: PlanUnit, session: UpstreamSession, count: int = 1) -> None:
-        """Take room for tasks of a unit."""
-        room = self._rooms[session.upstream_id]
-        for _ in range(count):
-            room = room - unit.spec.reserved
-        self._rooms[session.upstream_id] = room
-        key = self._make_key(unit, session)
-        self.planned[key] = self.planned.get(key, 0) + count
-
-    def _make_key(
-        self, unit: PlanUnit, session: UpstreamSession
-    ) -> tuple[str, str, int, int]:
-        return (
-            session.upstream_id,
-            unit.record.workload_id,
-            unit.occurrence,
-            unit.step,
-        )
-
-    def reserve(self, session: UpstreamSession, until_s: float) -> None:
-        """Keep an upstream free of runs that would last longer than an instant."""
-        held = self._free_until_s.get(session.upstream_id, until_s)
-        self._free_until_s[session.upstream_id] = min(held, until_s)
-
-    def count_fitting(self, unit: PlanUnit, session: UpstreamSession, most: int) -> int:
-        """Return how many tasks of a unit an upstream takes now, at most `most`."""
-        until_s = self._free_until_s.get(session.upstream_id)
-        if until_s is not None:
-            run_s = self._fleet.predict_run_s(unit, session)
-            if self._fleet.now_s + run_s > until_s:
-                return 0
-        bound = unit.spec.max_per_upstream
-        if bound:
-            taken = session.count_step(unit.make_task_id(0))
-            taken += self.planned.get(self._make_key(unit, session), 0)
-            most = min(most, max(bound - taken, 0))
-        health = self._fleet.health[session.upstream_id]
-        if health.is_on_probation:
-            # One run shows whether it works again.
-            most = 0 if session.runs or unit.spec.gang else min(most, 1)
-        return unit.spec.reserved.count_in(self.find_room(session), most)
-
-
 def _is_suitable(unit: PlanUnit, session: UpstreamSession) -> bool:
     spec = unit.spec
     if session.record.pool != unit.queue.pool:
@@ -151,7 +90,7 @@
 
     def plan(self, units: list[PlanUnit], fleet: FleetView) -> Plan:
         """Return what starts and what stops now; see `WorkloadPolicy`."""
-        rooms = _Rooms(fleet)
+        rooms = PlanRooms(fleet)
         plan = Plan()
         reservations = 0
         for unit in sorted(units, key=lambda one: self._rank(one, fleet)):
@@ -170,7 +109,8 @@
                 continue
             if unit.spec.gang and reservations < self._terms.max_reservations:
                 reservations += 1
-                self._reserve(unit, rooms, fleet)
+                groups = [group for group, _ in self._list_groups(unit, sessions)]
+                reserve_upstreams(unit, groups, rooms, fleet)
         return plan
 
     def _rank(self, unit: PlanUnit, fleet: FleetView) -> tuple:
@@ -195,7 +135,7 @@
     # Placing
 
     def _place(
-        self, unit: PlanUnit, rooms: _Rooms, fleet: FleetView, plan: Plan
+        self, unit: PlanUnit, rooms: PlanRooms, fleet: FleetView, plan: Plan
     ) -> tuple[int, ...]:
         """Place what fits; return the tasks that are left."""
         chosen = self._choose(unit, rooms, fleet)
@@ -205,7 +145,7 @@
         return unit.indexes[len(chosen) :]
 
     def _choose(
-        self, unit: PlanUnit, rooms: _Rooms, fleet: FleetView
+        self, unit: PlanUnit, rooms: PlanRooms, fleet: FleetView
     ) -> tuple[UpstreamSession, ...]:
         """Return upstreams for as many tasks as have a place."""
         sessions = self._list_candidates(unit, rooms, fleet)
@@ -215,20 +155,20 @@
         return option.sessions if option else ()
 
     def _claim_faster(
-        self, unit: PlanUnit, rooms: _Rooms, fleet: FleetView, plan: Plan
+        self, unit: PlanUnit, rooms: PlanRooms, fleet: FleetView, plan: Plan
     ) -> bool:
         """Make room for urgent work that would be late on the upstreams with room."""
         patience_s = self._terms.guaranteed_patience_s
         if unit.queue.priority > 0 or self._find_waited_s(unit, fleet) > patience_s:
             return False
-        chosen = self._choose(unit, rooms, fleet)
-        if all(self._is_in_time(unit, session, fleet) for session in chosen):
+        bound_s = self._find_run_bound_s(unit, fleet)
+
+        def is_in_time(session: UpstreamSession) -> bool:
+            return fleet.predict_run_s(unit, session) <= bound_s
+
+        if all(map(is_in_time, self._choose(unit, rooms, fleet))):
             return False
-        sessions = [
-            session
-            for session in self._list_candidates(unit, rooms, fleet)
-            if self._is_in_time(unit, session, fleet)
-        ]
+        sessions = list(filter(is_in_time, self._list_candidates(unit, rooms, fleet)))
         bound = self._find_bound(unit, fleet)
         return self._claim(unit, unit.indexes, sessions, bound, rooms, fleet, plan)
 
@@ -238,7 +178,7 @@
         return self._terms.eviction_factor * own * fleet.predict_work_s(unit)
 
     def _list_candidates(
-        self, unit: PlanUnit, rooms: _Rooms, fleet: FleetView
+        self, unit: PlanUnit, rooms: PlanRooms, fleet: FleetView
     ) -> list[UpstreamSession]:
         suitable = [one for one in rooms.sessions if _is_suitable(unit, one)]
         sound = [
@@ -253,7 +193,7 @@
         self,
         unit: PlanUnit,
         sessions: Iterable[UpstreamSession],
-        rooms: _Rooms,
+        rooms: PlanRooms,
         fleet: FleetView,
     ) -> list[UpstreamSession]:
         """Return upstreams in the order in which a unit takes them.
@@ -261,12 +201,14 @@
         Urgent work takes fast ones first. Other work leaves these free: it takes slow
         ones first on which it is in time. Among equals the fullest come first.
         """
+        bound_s = self._find_run_bound_s(unit, fleet)
 
         def rank(session: UpstreamSession) -> tuple:
             speed = fleet.estimates.find_speed(session.upstream_id)
             pace = round(speed * SPEED_STEPS_PER_UNIT)
-            is_patient = unit.queue.priority > 0 and self._is_in_time(
-                unit, session, fleet
+            is_patient = (
+                unit.queue.priority > 0
+                and fleet.predict_run_s(unit, session) <= bound_s
             )
             room = rooms.find_room(session)
             is_remote = bool(
@@ -284,20 +226,17 @@
 
         return sorted(sessions, key=rank)
 
-    def _is_in_time(
-        self, unit: PlanUnit, session: UpstreamSession, fleet: FleetView
-    ) -> bool:
-        """Return whether a unit would meet its objective on an upstream."""
+    def _find_run_bound_s(self, unit: PlanUnit, fleet: FleetView) -> float:
+        """Return the longest run time with which a unit meets its objective."""
         later_s = unit.left_s - fleet.predict_work_s(unit)
-        left_s = fleet.predict_run_s(unit, session) + later_s
         bound_s = unit.objective_s * self._terms.objective_share
-        return self._find_waited_s(unit, fleet) + left_s <= bound_s
+        return bound_s - self._find_waited_s(unit, fleet) - later_s
 
     def _choose_singles(
         self,
         unit: PlanUnit,
         sessions: list[UpstreamSession],
-        rooms: _Rooms,
+        rooms: PlanRooms,
         fleet: FleetView,
     ) -> list[UpstreamSession]:
         ordered = [
@@ -320,7 +259,7 @@
         self,
         unit: PlanUnit,
         sessions: list[UpstreamSession],
-        rooms: _Rooms,
+        rooms: PlanRooms,
         fleet: FleetView,
     ) -> list[UpstreamSession]:
         """Return upstreams of unknown speed, for one task each.
@@ -363,7 +302,7 @@
         self,
         unit: PlanUnit,
         sessions: list[UpstreamSession],
-        rooms: _Rooms,
+        rooms: PlanRooms,
         fleet: FleetView,
     ) -> _Option | None:
         """Return the fastest set of upstreams that takes a whole gang."""
@@ -396,7 +335,7 @@
         unit: PlanUnit,
         group: list[UpstreamSession],
         is_spread: bool,
-        rooms: _Rooms,
+        rooms: PlanRooms,
         fleet: FleetView,
     ) -> _Option | None:
         chosen: list[UpstreamSession] = []
@@ -424,7 +363,7 @@
         left: tuple[int, ...],
         candidates: list[UpstreamSession],
         bound: float,
-        rooms: _Rooms,
+        rooms: PlanRooms,
         fleet: FleetView,
         plan: Plan,
     ) -> bool:
@@ -443,54 +382,3 @@
             rooms.take(unit, session, count)
         plan.evictions += found.evictions
         return True
-
-    def _reserve(self, unit: PlanUnit, rooms: _Rooms, fleet: FleetView) -> None:
-        """Keep the upstreams that are free soonest for a gang that does not fit yet."""
-        options = []
-        for group, _ in self._list_groups(
-            unit, self._list_candidates(unit, rooms, fleet)
-        ):
-            free = sorted(
-                (self._find_free_s(unit, session, fleet), session.upstream_id, session)
-                for session in group
-                if unit.spec.reserved.fits(session.record.capacity)
-            )
-            chosen: list[tuple[float, UpstreamSession]] = []
-            members = 0
-            for free_s, _, session in free:
-                if members >= len(unit.indexes):
-                    break
-                members += self._count_members(unit, session)
-                chosen.append((free_s, session))
-            if members >= len(unit.indexes):
-                options.append((chosen[-1][0], chosen))
-        if not options:
-            return
-        until_s, chosen = min(options, key=lambda option: option[0])
-        for _, session in chosen:
-            rooms.reserve(session, until_s)
-
-    def _count_members(self, unit: PlanUnit, session: UpstreamSession) -> int:
-        most = unit.spec.max_per_upstream or len(unit.indexes)
-        return unit.spec.reserved.count_in(session.record.capacity, most)
-
-    def _find_free_s(
-        self, unit: PlanUnit, session: UpstreamSession, fleet: FleetView
-    ) -> float:
-        """Return the instant at which an upstream has room for its members."""
-        needed = Resources()
-        for _ in range(self._count_members(unit, session)):
-            needed = needed + unit.spec.reserved
-        room = session.room
-        free_s = fleet.now_s
-        ends = sorted(
-            (fleet.predict_left_s(view, session), number, view)
-            for number, view in enumerate(session.runs.values())
-        )
-        for left_s, _, view in ends:
-            if needed.fits(room):
-                break
-            room = room + view.spec.reserved
-            if view.phase is not RunPhase.STOPPING:
-                free_s = fleet.now_s + left_s
-        return free_s
--- /dev/null
+++ b/tanagerpath/core/workloads/rooms.py
@@ -0,0 +1,88 @@
+"""Room that a plan has left on each upstream."""
+
+from tanagerpath.core.workloads.policy import FleetView, PlanUnit
+from tanagerpath.core.workloads.resources import Resources
+from tanagerpath.core.workloads.sessions import RunView, UpstreamSession
+
+__all__ = ["PlanRooms"]
+
+
+class PlanRooms:
+    """Room that is left on each upstream while a plan is made.
+
+    Parameters
+    ----------
+    fleet : FleetView
+        Upstreams at the begin of the plan.
+    """
+
+    def __init__(self, fleet: FleetView) -> None:
+        self._fleet = fleet
+        self._rooms: dict[str, Resources] = {}
+        self._free_until_s: dict[str, float] = {}
+        self._ends: dict[str, list[tuple[float, RunView]]] = {}
+        self.sessions: list[UpstreamSession] = []
+        for session in fleet.sessions:
+            health = fleet.health[session.upstream_id]
+            if session.is_usable and not health.is_quarantined(fleet.now_s):
+                self._rooms[session.upstream_id] = session.room
+                self.sessions.append(session)
+        self._planned: dict[tuple[str, str, int, int], int] = {}
+
+    def find_room(self, session: UpstreamSession) -> Resources:
+        """Return the room that is left."""
+        return self._rooms[session.upstream_id]
+
+    def take(self, unit: PlanUnit, session: UpstreamSession, count: int = 1) -> None:
+        """Take room for tasks of a unit."""
+        room = self._rooms[session.upstream_id]
+        for _ in range(count):
+            room = room - unit.spec.reserved
+        self._rooms[session.upstream_id] = room
+        key = self._make_key(unit, session)
+        self._planned[key] = self._planned.get(key, 0) + count
+
+    def _make_key(
+        self, unit: PlanUnit, session: UpstreamSession
+    ) -> tuple[str, str, int, int]:
+        return (
+            session.upstream_id,
+            unit.record.workload_id,
+            unit.occurrence,
+            unit.step,
+        )
+
+    def reserve(self, session: UpstreamSession, until_s: float) -> None:
+        """Keep an upstream free of runs that would last longer than an instant."""
+        held = self._free_until_s.get(session.upstream_id, until_s)
+        self._free_until_s[session.upstream_id] = min(held, until_s)
+
+    def count_fitting(self, unit: PlanUnit, session: UpstreamSession, most: int) -> int:
+        """Return how many tasks of a unit an upstream takes now, at most `most`."""
+        until_s = self._free_until_s.get(session.upstream_id)
+        if until_s is not None:
+            run_s = self._fleet.predict_run_s(unit, session)
+            if self._fleet.now_s + run_s > until_s:
+                return 0
+        bound = unit.spec.max_per_upstream
+        if bound:
+            taken = session.count_step(unit.make_task_id(0))
+            taken += self._planned.get(self._make_key(unit, session), 0)
+            most = min(most, max(bound - taken, 0))
+        health = self._fleet.health[session.upstream_id]
+        if health.is_on_probation:
+            # One run shows whether it works again.
+            most = 0 if session.runs or unit.spec.gang else min(most, 1)
+        return unit.spec.reserved.count_in(self.find_room(session), most)
+
+    def list_ends(self, session: UpstreamSession) -> list[tuple[float, RunView]]:
+        """Return the runs of an upstream with the seconds that each goes on."""
+        held = self._ends.get(session.upstream_id)
+        if held is None:
+            held = [
+                (self._fleet.predict_left_s(view, session), view)
+                for view in session.runs.values()
+            ]
+            held.sort(key=lambda end: end[0])
+            self._ends[session.upstream_id] = held
+        return held
