Place small work first, and bar delayed starts without waiting for an answer

Order of work. Cause: among work of one priority the earliest deadline went first, which under a burst makes everything a little late. Small work now goes first, weighed with what is left of its slack, so that large work goes first before it is late.

The pure order by size was not kept, as nothing would keep large work from starving.

Delayed starts. What stays open: a delayed start that arrives within the first 0.2 s of the new incarnation.

--- a/tanagerpath/core/workloads/deadline_policy.py
+++ b/tanagerpath/core/workloads/deadline_policy.py
@@ -102,7 +102,9 @@
                 continue
             plan.blocked.append(unit)
             sessions = self._list_candidates(unit, rooms, fleet)
-            bound = math.inf if unit.is_guaranteed else self._find_bound(unit, fleet)
+            bound = self._terms.eviction_factor * self._find_cores_s(unit, fleet)
+            if unit.is_guaranteed:
+                bound = math.inf
             if unit.queue.priority == 0 and self._claim(
                 unit, left, sessions, bound, rooms, fleet, plan
             ):
@@ -114,21 +116,32 @@
         return plan
 
     def _rank(self, unit: PlanUnit, fleet: FleetView) -> tuple:
-        """Return the place in the order: guaranteed, useful, urgent work first."""
-        end_s = fleet.unix_s - unit.begun_unix_s + unit.left_s
+        """Return the place in the order: guaranteed, useful, urgent work first.
+
+        Among these small work goes first, as callers value the first core seconds of a
+        workload most. What is left of its slack counts as well, so that large work is
+        not starved.
+        """
+        end_s = self._find_waited_s(unit, fleet) + unit.left_s
         is_late = end_s > unit.objective_s
         is_useless = end_s > LATE_MULTIPLE * unit.objective_s
-        deadline_s = unit.begun_unix_s + unit.objective_s
+        slack_share = max(1.0 - end_s / unit.objective_s, 0.0)
         return (
             not unit.is_guaranteed,
             is_useless,
             unit.queue.priority,
             is_late,
-            deadline_s,
+            slack_share * self._find_cores_s(unit, fleet),
+            unit.begun_unix_s + unit.objective_s,
             unit.step_key,
             unit.occurrence,
         )
 
+    def _find_cores_s(self, unit: PlanUnit, fleet: FleetView) -> float:
+        """Return the core seconds of work of a unit."""
+        cores = len(unit.indexes) * unit.spec.needs.weighted_cores
+        return cores * fleet.predict_work_s(unit)
+
     def _find_waited_s(self, unit: PlanUnit, fleet: FleetView) -> float:
         return max(fleet.unix_s - unit.begun_unix_s, 0.0)
 
@@ -169,14 +182,9 @@
         if all(map(is_in_time, self._choose(unit, rooms, fleet))):
             return False
         sessions = list(filter(is_in_time, self._list_candidates(unit, rooms, fleet)))
-        bound = self._find_bound(unit, fleet)
+        bound = self._terms.eviction_factor * self._find_cores_s(unit, fleet)
         return self._claim(unit, unit.indexes, sessions, bound, rooms, fleet, plan)
 
-    def _find_bound(self, unit: PlanUnit, fleet: FleetView) -> float:
-        """Return the core seconds of work that may be lost to make room for a unit."""
-        own = len(unit.indexes) * unit.spec.needs.weighted_cores
-        return self._terms.eviction_factor * own * fleet.predict_work_s(unit)
-
     def _list_candidates(
         self, unit: PlanUnit, rooms: PlanRooms, fleet: FleetView
     ) -> list[UpstreamSession]:
--- a/tanagerpath/core/workloads/run_driver.py
+++ b/tanagerpath/core/workloads/run_driver.py
@@ -28,7 +28,8 @@
 MS_PER_S = 1000
 # Ends that are not recorded yet keep a renewal from being worth its price.
 UNRECORDED_HOLD_INTERVAL_S = 1.0
-_OWN_ENDS = (RunOutcome.DONE, RunOutcome.FAILED)
+# Stops that keep an earlier incarnation's runs from starting; they harm nothing.
+BAR_INTERVAL_S = 0.2
 
 
 class RunDriver:
@@ -135,10 +136,13 @@
         self._send_order(session, view, request)
 
     def _send_bar(self, session: UpstreamSession, key: RunKey) -> None:
-        """Keep a run of the earlier incarnation from starting on this one."""
+        """Keep a run of the earlier incarnation from starting on this one.
+
+        The stop is sent again before the first one is given up: a delayed start that
+        arrives in between would be carried out.
+        """
         terms = self._context.terms
-        pause_s = terms.order_timeout_s + terms.hold_retry_s
-        session.barred[key] = self._context.now_s + pause_s
+        session.barred[key] = self._context.now_s + BAR_INTERVAL_S
         task, run = key
         request = StopRequest(task=task, run=run, fencing_token=self._context.term)
         self._context.call(session, request, terms.order_timeout_s)
--- a/tanagerpath/core/workloads/tests/test_dispatcher.py
+++ b/tanagerpath/core/workloads/tests/test_dispatcher.py
@@ -329,6 +329,31 @@
         self.assertEqual({"fast"}, self._find_used(rig, "scan"))
         self.assertEqual({"slow"}, self._find_used(rig, "check"))
 
+    def _find_first_started(self, rig, *names):
+        started = (request.task.workload_id for request in rig.starts)
+        return next(name for name in started if name in names)
+
+    def test_small_work_goes_before_large_work(self):
+        rig = Rig(upstreams=1)
+        rig.submit("running", _step(1, WHOLE), work_s=3.0)
+        rig.run(0.5)
+        rig.submit("large", _step(24, declared_run_s=4.0), work_s=4.0)
+        rig.submit("small", _step(1, declared_run_s=4.5), work_s=4.5)
+        rig.run(5.0)
+        self.assertEqual("small", self._find_first_started(rig, "large", "small"))
+
+    def test_large_work_goes_first_when_its_slack_is_used_up(self):
+        rig = Rig(upstreams=1)
+        # Another queue, so that its run time tells nothing of the work that waits.
+        blocker = _step(1, WHOLE, declared_run_s=8.0)
+        rig.submit("blocker", blocker, queue="batch", work_s=8.0)
+        rig.run(0.5)
+        rig.submit("large", _step(24, declared_run_s=4.0), work_s=4.0)
+        rig.run(7.3)
+        rig.submit("small", _step(4, declared_run_s=4.5), work_s=4.5)
+        rig.run(2.0)
+        self.assertEqual("large", self._find_first_started(rig, "large", "small"))
+
 
 class TestLongRuns(testtools.TestCase):
     def test_task_of_an_hour_is_not_taken_for_stalled(self):
