--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 SEED ?= 1
 SEEDS ?= 50
 
-.PHONY: setup lint format test demo bench-policy check-core fault-drill bench-capacity
+.PHONY: setup lint format test demo bench-policy bench-workloads check-core fault-drill bench-capacity
 
 $(VENV)/.installed: requirements.lock pyproject.toml
 	python3 -m venv $(VENV)
@@ -30,6 +30,9 @@
 bench-policy: setup
 	$(PYTHON) -m tanagerpath.benchmarks.policy --seed $(SEED)
 
+bench-workloads: setup
+	$(PYTHON) -m tanagerpath.benchmarks.workload_replay --seed $(SEED)
+
 check-core: setup
 	$(PYTHON) -m tanagerpath.benchmarks.core_check --seeds $(SEEDS)
 
--- a/tanagerpath/benchmarks/workload_replay.py
+++ b/tanagerpath/benchmarks/workload_replay.py
@@ -8,22 +8,29 @@
 
 import argparse
 import concurrent.futures
+import math
 import random
 import statistics
 
 import attrs
 
 from tanagerpath.benchmarks.workload_fleet import ORGANISATIONS, ReplayRig
+from tanagerpath.benchmarks.workload_kinds import FLEETS, Fleet, WorkloadKind
 from tanagerpath.core.workloads.resources import Resources
 from tanagerpath.core.workloads.specs import StepSpec
 
-__all__ = ["DayResult", "WorkloadKind", "replay_day"]
+__all__ = ["DayResult", "replay_day"]
 
 DAY_S = 34.0
 FINISH_S = 30.0
 WINDOW_S = 2.0
 WORST_WINDOWS = 2
+UPSTREAMS = 24
 RACK_SIZE = 8
+# Corrects the mean of a logarithmic normal distribution of spread WIDTH_SPREAD.
+WIDTH_SPREAD = 0.8
+WIDTH_MEAN = math.exp(WIDTH_SPREAD**2 / 2)
+CANCEL_AFTER_S = (1.0, 15.0)
 # A workload counts as late up to this many times its objective.
 LATE_MULTIPLE = 3.0
 BASE_SHARE = 0.3
@@ -33,83 +40,6 @@
 NEW_LEADER_S = 16.0
 
 
-@attrs.frozen(kw_only=True)
-class WorkloadKind:
-    """One kind of workload that callers submit.
-
-    Attributes
-    ----------
-    queue : str
-        Queue of the rig that it goes to.
-    rate_per_s : float
-        Mean submissions in a second.
-    width, work_s, work_spread : float
-        Mean number of tasks, mean seconds of one task, and the spread of its logarithm.
-    width_max, work_max_s : float
-        Upper bounds of both.
-    cpu_millicores, memory_mb : int
-        What a task takes.
-    accelerators : tuple of int
-        Accelerators of a task, drawn with equal chance.
-    gang, same_rack, checkpointing, cancelled, pinned : float
-        Shares of workloads that are so.
-    declared_spread : float
-        Spread of the logarithm of the declared over the true run time.
-    failing : float
-        Share of runs that fail.
-    credit, late_credit : float
-        What a workload of mean size earns in time and late.
-    factor, margin_s : float
-        Objective in multiples of the work, and what is added.
-    burst : float
-        Multiple of the rate during the burst.
-    """
-
-    queue: str
-    rate_per_s: float
-    width: float
-    width_max: int
-    work_s: float
-    work_spread: float
-    work_max_s: float
-    cpu_millicores: int
-    memory_mb: int
-    accelerators: tuple[int, ...]
-    gang: float = 0.0
-    same_rack: float = 0.0
-    checkpointing: float = 0.0
-    cancelled: float = 0.0
-    pinned: float = 0.0
-    declared_spread: float = 0.5
-    failing: float = 0.02
-    credit: float = 1.0
-    late_credit: float = 0.5
-    factor: float = 3.0
-    margin_s: float = 1.0
-    burst: float = 1.0
-
-    @property
-    def mean_cores_s(self) -> float:
-        """Core seconds of a workload of mean size."""
-        mean = Resources(
-            self.cpu_millicores,
-            0,
-            round(statistics.mean(self.accelerators)),
-        )
-        return self.width * self.work_s * mean.weighted_cores
-
-
-@attrs.frozen(kw_only=True)
-class Fleet:
-    """Upstreams of a day and the kinds of workload that it carries."""
-
-    speeds: tuple[float, ...]
-    capacity: Resources
-    kinds: tuple[WorkloadKind, ...]
-    checkpoint_interval_s: float
-    restore_s: float
-
-
 @attrs.define
 class _Submission:
     """A workload of the day and what becomes of it."""
@@ -153,6 +83,8 @@
         Core seconds of work that was thrown away.
     stops : int
         Runs that were stopped to make room.
+    unfinished : int
+        Workloads that have not ended some time after the day.
     """
 
     whole: float
@@ -161,6 +93,7 @@
     by_queue: dict[str, float]
     wasted_cores_s: float
     stops: int
+    unfinished: int
 
 
 def _find_share(submissions: list[_Submission]) -> float:
@@ -168,105 +101,6 @@
     return sum(one.earned for one in submissions) / owed if owed else 1.0
 
 
-FEW_FAST = Fleet(
-    speeds=(0.7, 0.7, 1.7),
-    capacity=Resources(128_000, 524_288, 8),
-    checkpoint_interval_s=0.5,
-    restore_s=0.25,
-    kinds=(
-        WorkloadKind(
-            queue="urgent",
-            rate_per_s=1.19,
-            width=3.0,
-            width_max=21,
-            work_s=2.5,
-            work_spread=0.5,
-            work_max_s=8.0,
-            cpu_millicores=15_000,
-            memory_mb=61_000,
-            accelerators=(1, 2, 4, 8, 8),
-            gang=1.0,
-            same_rack=0.8,
-            declared_spread=0.9,
-            credit=4.0,
-            late_credit=0.8,
-            factor=1.5,
-            margin_s=0.25,
-            burst=2.3,
-        ),
-        WorkloadKind(
-            queue="batch",
-            rate_per_s=0.251,
-            width=5.0,
-            width_max=30,
-            work_s=11.0,
-            work_spread=0.3,
-            work_max_s=11.0,
-            cpu_millicores=52_000,
-            memory_mb=210_000,
-            accelerators=(1, 2, 4, 8, 8),
-            gang=1.0,
-            same_rack=0.6,
-            checkpointing=0.45,
-            cancelled=0.05,
-            pinned=0.15,
-            declared_spread=0.9,
-            credit=3.0,
-            late_credit=1.5,
-        ),
-        WorkloadKind(
-            queue="scan",
-            rate_per_s=0.369,
-            width=16.0,
-            width_max=94,
-            work_s=6.1,
-            work_spread=0.3,
-            work_max_s=11.0,
-            cpu_millicores=11_000,
-            memory_mb=59_000,
-            accelerators=(1,),
-            checkpointing=0.45,
-            cancelled=0.15,
-            pinned=0.06,
-            margin_s=3.0,
-        ),
-    ),
-)
-FEW_SLOW = Fleet(
-    speeds=(0.55, 1.2, 1.2, 1.2),
-    capacity=Resources(64_000, 262_144, 8),
-    checkpoint_interval_s=2.0,
-    restore_s=0.6,
-    kinds=(
-        attrs.evolve(
-            FEW_FAST.kinds[0], rate_per_s=1.2, cpu_millicores=7_500, memory_mb=31_000
-        ),
-        attrs.evolve(
-            FEW_FAST.kinds[1],
-            rate_per_s=0.343,
-            width=4.0,
-            width_max=24,
-            cpu_millicores=26_000,
-            memory_mb=140_000,
-            declared_spread=0.5,
-            late_credit=0.3,
-        ),
-        attrs.evolve(
-            FEW_FAST.kinds[2],
-            rate_per_s=0.531,
-            width=12.0,
-            width_max=72,
-            cpu_millicores=5_600,
-            memory_mb=23_000,
-            failing=0.05,
-            late_credit=0.1,
-            burst=1.8,
-        ),
-    ),
-)
-FLEETS = {"few-fast": FEW_FAST, "few-slow": FEW_SLOW}
-
-
 class _Day:
     """Draws the submissions of a day and plays them on a rig."""
 
@@ -275,7 +109,9 @@
         self._fleet = fleet
         self._burst = burst
         self._load = load
-        speeds = [fleet.speeds[number % len(fleet.speeds)] for number in range(24)]
+        speeds = [
+            fleet.speeds[number % len(fleet.speeds)] for number in range(UPSTREAMS)
+        ]
         self._random.shuffle(speeds)
         self._rig = ReplayRig(
             seed,
@@ -299,22 +135,22 @@
 
     def _draw(self, kind: WorkloadKind, at_s: float) -> _Submission:
         draw = self._random
-        width = draw.lognormvariate(0.0, 0.8) * kind.width / 1.38
+        width = draw.lognormvariate(0.0, WIDTH_SPREAD) * kind.width / WIDTH_MEAN
         count = min(max(round(width), 1), kind.width_max)
         work_s = draw.lognormvariate(0.0, kind.work_spread) * kind.work_s
         work_s = min(work_s, kind.work_max_s)
         needs = Resources(
             kind.cpu_millicores, kind.memory_mb, draw.choice(kind.accelerators)
         )
-        # A gang never needs more than half of a rack-bound fleet can offer.
         is_gang = draw.random() < kind.gang
         if is_gang:
-            count = min(count, RACK_SIZE // 2 * max(8 // needs.accelerators, 1))
+            # Gangs that no healthy fleet has room for are not part of these days.
             count = min(count, self._count_room(needs) // 2)
         cores_s = count * work_s * needs.weighted_cores
         size = BASE_SHARE + (1 - BASE_SHARE) * cores_s / kind.mean_cores_s
         declared = draw.lognormvariate(0.0, kind.declared_spread)
         is_pinned = draw.random() < kind.pinned
+        rack = f"r{draw.randrange(UPSTREAMS // RACK_SIZE)}"
         spec = StepSpec(
             count=count,
             needs=needs,
@@ -322,7 +158,7 @@
             checkpointing=draw.random() < kind.checkpointing,
             gang=is_gang,
             same_rack=is_gang and draw.random() < kind.same_rack,
-            preferred_rack=f"r{draw.randrange(3)}" if is_pinned else "",
+            preferred_rack=rack if is_pinned else "",
         )
         is_cancelled = draw.random() < kind.cancelled
         return _Submission(
@@ -330,13 +166,15 @@
             at_s,
             work_s,
             kind.credit * min(size, MAX_SIZE_FACTOR),
-            at_s + draw.uniform(1.0, 15.0) if is_cancelled else None,
+            at_s + draw.uniform(*CANCEL_AFTER_S) if is_cancelled else None,
             spec,
             draw.choice(ORGANISATIONS),
         )
 
     def _count_room(self, needs: Resources) -> int:
-        return 24 * needs.count_in(self._fleet.capacity, 100)
+        """Return how many tasks a rack holds when it is empty."""
+        on_one = self._fleet.capacity.accelerators // needs.accelerators
+        return RACK_SIZE * needs.count_in(self._fleet.capacity, on_one)
 
     def play(self) -> DayResult:
         """Play the day and return its shares."""
@@ -399,6 +237,10 @@
             by_queue=by_queue,
             wasted_cores_s=self._rig.wasted_cores_s,
             stops=self._rig.stops,
+            unfinished=sum(
+                record.final_state is None
+                for record in self._rig.state.workloads.values()
+            ),
         )
 
 
