--- a/tanagerpath/core/workloads/tests/test_rebirth.py
+++ b/tanagerpath/core/workloads/tests/test_rebirth.py
@@ -7,6 +7,7 @@
 import attrs
 import testtools
 
+from tanagerpath.core.workloads.orders import StopRequest
 from tanagerpath.core.workloads.requests import WithdrawalReport
 from tanagerpath.core.workloads.resources import Resources
 from tanagerpath.core.workloads.specs import StepSpec
@@ -113,3 +114,23 @@
     def test_random_restarts_break_no_promise(self):
         for seed in (*range(10), 10, 15, 17, 19, 20, 32, 39):
             self.play(seed)
+
+    def test_lost_stop_is_sent_again_before_a_delayed_start_arrives(self):
+        # Waiting for the answer of the first stop left 0.75 s for the delayed start.
+        rig = Rig(upstreams=1)
+        rig.run(0.5)
+        rig.late_orders = 1.0
+        rig.submit("w", StepSpec(needs=SMALL, declared_run_s=1.0))
+        rig.run(0.2)
+        rig.finish_upkeep("u0")
+        stops = []
+        call = rig._call
+        rig._call = lambda one: (
+            stops.append(rig.now_s) if isinstance(one.request, StopRequest) else None,
+            call(one),
+        )
+        rig.run(1.0)
+        self.assertGreaterEqual(len(stops), 3)
+        rig.late_orders = 0.0
+        rig.run(20.0)
+        self.assertEqual("completed", rig.find_state("w"))
