Keep what was learned only of upstreams and queues that exist

Cause: a record of runs may carry the speed of an upstream that was withdrawn meanwhile; nothing would have removed it again. Found by reading; the test fails first.

--- a/tanagerpath/core/workloads/state.py
+++ b/tanagerpath/core/workloads/state.py
@@ -115,8 +115,13 @@
         )
 
     def _learn(self, learned: LearnedFleet) -> None:
-        self._speeds |= {one.upstream_id: one for one in learned.speeds}
-        self._histories |= {one.queue: one for one in learned.queues}
+        """Keep what was learned of upstreams and queues that still exist."""
+        for speed in learned.speeds:
+            if speed.upstream_id in self.upstreams:
+                self._speeds[speed.upstream_id] = speed
+        for history in learned.queues:
+            if history.queue in self.known_queues:
+                self._histories[history.queue] = history
 
     def skip(self, index: int) -> None:
         """Note an entry of the log that holds no command."""
--- a/tanagerpath/core/workloads/tests/test_estimates.py
+++ b/tanagerpath/core/workloads/tests/test_estimates.py
@@ -7,6 +7,7 @@
 
 from tanagerpath.core.workloads import FleetState, commands
 from tanagerpath.core.workloads.estimates import RunEstimates
+from tanagerpath.core.workloads.learned import LearnedFleet, LearnedSpeed
 from tanagerpath.core.workloads.resources import Resources
 from tanagerpath.core.workloads.sessions import ProgressMark, RunPhase, RunView
 from tanagerpath.core.workloads.specs import StepSpec, TaskId
@@ -109,3 +110,11 @@
         rig = self._learn_on_rig()
         rig.apply(commands.WithdrawUpstream("u0", "u0@1"))
         self.assertNotIn("u0", {one.upstream_id for one in rig.state.learned.speeds})
+
+    def test_late_news_of_an_upstream_that_left_is_not_kept(self):
+        # Nothing would ever remove it from the state again.
+        rig = self._learn_on_rig()
+        rig.apply(commands.WithdrawUpstream("u0", "u0@1"))
+        late = LearnedFleet((LearnedSpeed("u0", 0.1, 0.01),))
+        rig.apply(commands.RecordRuns(learned=late))
+        self.assertNotIn("u0", {one.upstream_id for one in rig.state.learned.speeds})
