Raise the pace of filling tasks again, and repeat orders of pace

- Paces were adjusted only where a serving task runs, so that a filling task stayed at 0 once the serving task beside it was gone.
- A new leader took the pace of inherited runs for 100, and so never raised them.
- An order of pace without an answer was not sent again, and one that is carried out late undid a later one.

While another order than the last may take effect, the last one is repeated. Four new tests fail on the code before and pass now.

--- a/tanagerpath/core/workloads/dispatcher.py
+++ b/tanagerpath/core/workloads/dispatcher.py
@@ -341,7 +341,10 @@
     def _is_stalled(self, session: UpstreamSession, view: RunView) -> bool:
         if view.phase is not RunPhase.RUNNING or view.spec.long_running:
             return False
-        if view.pace == 0 or view.percent >= 100:
+        may_stand_still = view.spec.fills and (
+            view.pace == 0 or self._context.now_s < view.pace_doubted_until_s
+        )
+        if may_stand_still or view.percent >= 100:
             return False
         # Only a list that arrived after the bound shows that there is no progress.
         silent_s = session.heard_s - view.progress_s
--- a/tanagerpath/core/workloads/pacing.py
+++ b/tanagerpath/core/workloads/pacing.py
@@ -33,13 +33,13 @@
         self._next_s: dict[str, float] = {}
 
     def keep(self) -> None:
-        """Adjust the pace on each upstream where both kinds run."""
+        """Adjust the pace on each upstream where tasks fill."""
         for session in self._context.sessions.values():
             if self._context.now_s < self._next_s.get(session.upstream_id, 0.0):
                 continue
             serving = self._list(session, is_serving=True)
             filling = self._list(session, is_serving=False)
-            if serving and filling:
+            if filling:
                 self._adjust(session, serving, filling)
 
     def _list(self, session: UpstreamSession, is_serving: bool) -> list[RunView]:
@@ -59,10 +59,12 @@
         now_s = self._context.now_s
         interval_s = self._context.terms.interference_s / ADJUSTMENTS
         self._next_s[session.upstream_id] = now_s + interval_s
-        load = max(view.load / view.spec.tail_target_ms for view in serving)
+        load = max(
+            (view.load / view.spec.tail_target_ms for view in serving), default=0.0
+        )
         for view in filling:
-            percent = self._choose_pace(load, view.pace)
-            if percent != view.pace:
+            percent = self._choose_pace(load, view.pace) if serving else FULL_PACE
+            if percent != view.pace or now_s < view.pace_doubted_until_s:
                 self._driver.pace(session, view, percent)
                 self._context.note(
                     "run paced",
--- a/tanagerpath/core/workloads/registry.py
+++ b/tanagerpath/core/workloads/registry.py
@@ -11,6 +11,7 @@
 from tanagerpath.core.workloads.records import OpenRun, WorkloadRecord
 from tanagerpath.core.workloads.requests import UpstreamReport, WithdrawalReport
 from tanagerpath.core.workloads.sessions import (
+    LATE_ORDER_S,
     RunKey,
     RunPhase,
     RunView,
@@ -20,9 +21,6 @@
 
 __all__ = ["UpstreamRegistry"]
 
-# An order without an answer may be carried out this much later.
-LATE_ORDER_S = 20.0
-
 
 class UpstreamRegistry:
     """Sessions of all upstreams, and the commands that heartbeats ask for.
@@ -80,6 +78,7 @@
             RunPhase.INHERITED,
             context.now_s,
             checkpoint=checkpoint,
+            pace_doubted_until_s=context.now_s + LATE_ORDER_S,
         )
         session = context.find_session(held.upstream_id, held.incarnation)
         if session is None:
--- a/tanagerpath/core/workloads/run_driver.py
+++ b/tanagerpath/core/workloads/run_driver.py
@@ -15,6 +15,7 @@
     StopRequest,
 )
 from tanagerpath.core.workloads.sessions import (
+    LATE_ORDER_S,
     WHOLE_PERCENT,
     ProgressMark,
     RunKey,
@@ -217,6 +218,11 @@
             session.hold_in_flight = False
             session.next_hold_s = context.now_s + context.terms.hold_retry_s
             return
+        if isinstance(request, PaceRequest):
+            paced = session.runs.get((request.task, request.run))
+            if paced is not None:
+                paced.pace_doubted_until_s = context.now_s + LATE_ORDER_S
+            return
         view = self._find_view(session, request)
         if view is not None:
             view.order_in_flight = False
--- a/tanagerpath/core/workloads/sessions.py
+++ b/tanagerpath/core/workloads/sessions.py
@@ -9,6 +9,7 @@
 from tanagerpath.core.workloads.specs import StepSpec, TaskId
 
 __all__ = [
+    "LATE_ORDER_S",
     "LeaseTerms",
     "ProgressMark",
     "RunKey",
@@ -18,6 +19,8 @@
 ]
 
 MS_PER_S = 1000.0
+# An order without an answer may be carried out this much later.
+LATE_ORDER_S = 20.0
 WHOLE_PERCENT = 100
 # Progress is told in whole hundredths; less of it says too little of a run's pace.
 OBSERVED_PERCENT = 10
@@ -108,6 +111,8 @@
         Tail in milliseconds of a task that serves, else processor in use.
     pace : int
         Share of its speed that it was last told to work at.
+    pace_doubted_until_s : float
+        Instant until which another order of pace than the last may take effect.
     order_in_flight : bool
         Whether an order for it is unanswered.
     orders : int
@@ -137,6 +142,7 @@
     baseline: ProgressMark | None = None
     load: float = 0.0
     pace: int = 100
+    pace_doubted_until_s: float = 0.0
     order_in_flight: bool = False
     orders: int = 0
     next_order_s: float = 0.0
--- a/tanagerpath/core/workloads/tests/test_pacing.py
+++ b/tanagerpath/core/workloads/tests/test_pacing.py
@@ -2,6 +2,7 @@
 
 import testtools
 
+from tanagerpath.core.workloads.orders import PaceRequest
 from tanagerpath.core.workloads.resources import Resources
 from tanagerpath.core.workloads.specs import StepSpec
 from tanagerpath.core.workloads.tests.rig import Rig
@@ -42,3 +43,55 @@
         self.upstream.tail_ms = 150.0
         self.rig.run(6)
         self.assertNotIn("serve", {name for name, _ in self.upstream.paces})
+
+    def test_pace_rises_again_once_the_serving_task_is_gone(self):
+        self.upstream.tail_ms = 150.0
+        self.rig.run(4)
+        self.rig.cancel("serve")
+        self.rig.run(4)
+        self.assertEqual(("fill", 100), self.upstream.paces[-1])
+
+    def test_new_leader_raises_the_pace_that_an_earlier_one_has_lowered(self):
+        self.upstream.tail_ms = 150.0
+        self.rig.run(4)
+        self.upstream.tail_ms = 10.0
+        self.rig.lead(2)
+        self.rig.run(12)
+        self.assertEqual(("fill", 100), self.upstream.paces[-1])
+
+    def _lose_pace_orders(self, delay_s=None):
+        """Leave pace orders without an answer; carry them out later if told to."""
+
+        def call(one):
+            if not isinstance(one.request, PaceRequest):
+                return self.rig_call(one)
+            self.rig._fail(one)
+            if delay_s is not None:
+                self.rig._later(delay_s, ("late", one, self.upstream))
+            return None
+
+        self.rig_call = self.rig._call
+        self.rig._call = call
+
+    def _answer_pace_orders(self):
+        self.rig._call = self.rig_call
+
+    def test_pace_order_without_an_answer_is_sent_again(self):
+        self.rig.run(2)
+        self._lose_pace_orders()
+        self.upstream.tail_ms = 150.0
+        self.rig.run(2)
+        self._answer_pace_orders()
+        self.rig.run(2)
+        self.assertEqual([("fill", 0)], self.upstream.paces[-1:])
+
+    def test_delayed_pace_order_does_not_outlive_a_later_one(self):
+        self.rig.run(2)
+        self._lose_pace_orders(delay_s=10.0)
+        self.upstream.tail_ms = 150.0
+        self.rig.run(2)
+        self._answer_pace_orders()
+        self.upstream.tail_ms = 10.0
+        self.rig.run(16)
+        self.assertIn(("fill", 0), self.upstream.paces)
+        self.assertEqual(("fill", 100), self.upstream.paces[-1])
