Keep the bounds of upkeep across leaders and between VMs

- A new leader counted only its own upkeeps, so that more VMs than the bound could be away at once, and an upkeep that was begun but not recorded could be joined by one of another VM.
- Whether a long-running step bears the loss was asked when an upkeep began, not when its tasks were stopped: two upkeeps that began together stopped both tasks.

Three new tests fail on the code before and pass now. The stand-in upstream now shows a long-running task as at work after its start-up, as the platform does; before, no task ever counted as at work on the rig, which hid the second fault.

--- a/tanagerpath/core/workloads/tests/fake_upstream.py
+++ b/tanagerpath/core/workloads/tests/fake_upstream.py
@@ -21,6 +21,8 @@
 STEP_S = 0.05
 STOP_S = 0.15
 GANG_WAIT_S = 3.0
+# A long-running task is at work from then on.
+STARTUP_S = 0.5
 CAPACITY = Resources(64_000, 256_000, 8)
 MS_PER_S = 1000
 
@@ -117,6 +119,8 @@
         )
 
     def _percent(self, run):
+        if run.spec.long_running:
+            return 100 if run.worked_s >= STARTUP_S else 0
         whole_s = self.rig.work_s(run.task)
         return min(int(run.worked_s / whole_s * 100), 100)
 
--- a/tanagerpath/core/workloads/tests/test_services.py
+++ b/tanagerpath/core/workloads/tests/test_services.py
@@ -86,3 +86,51 @@
         self._declare(rig, ["u0", "u1"], most_at_once=2, duration_s=20)
         rig.run(3)
         self.assertLessEqual(len(rig.upkeeps), 1)
+
+    def test_new_leader_keeps_the_bound_with_what_an_earlier_one_has_begun(self):
+        rig = Rig()
+        self._declare(rig, ["u0", "u1", "u2"], most_at_once=1, duration_s=20)
+        rig.run(1.5)
+        self.assertEqual(1, len(rig.upkeeps))
+        rig.lead(2)
+        rig.run(2.0)
+        self.assertEqual(1, len(rig.upkeeps))
+        rig.finish_upkeep(rig.upkeeps[0][1])
+        self.assertEqual(1, self._play(rig, 15))
+        self.assertTrue(rig.state.waves[1].is_completed)
+
+    def test_new_leader_asks_again_for_the_vm_whose_upkeep_was_not_recorded(self):
+        rig = Rig()
+        rig.has_lease = False
+        self._declare(rig, ["u0", "u1", "u2"], most_at_once=1, duration_s=20)
+        # The platform has begun it, and the leader is lost before it learns of that.
+        rig.upstreams["u2"].cut = True
+        rig.has_lease = True
+        rig.lead(2)
+        rig.run(2.0)
+        self.assertEqual(["u2"], [name for _, name in rig.upkeeps])
+
+    def test_upkeeps_that_began_together_take_long_running_tasks_in_turn(self):
+        rig = Rig(upstreams=4)
+        step = StepSpec(
+            count=2,
+            needs=Resources(8_000, 16_000, 8),
+            long_running=True,
+            max_unavailable=1,
+        )
+        rig.submit("w", step, work_s=1000.0)
+        rig.run(2)
+        used = [name for name, one in rig.upstreams.items() if one.runs]
+        # Both upkeeps begin while all tasks are at work, and are due at once.
+        self._declare(rig, used, most_at_once=2, duration_s=1)
+        for _ in range(100):
+            rig.run(0.05)
+            at_work = [
+                run
+                for upstream in rig.upstreams.values()
+                for run in upstream.runs.values()
+                if run.stops_at_s is None
+            ]
+            self.assertGreaterEqual(len(at_work), 1)
+        self.assertEqual(set(used), {name for _, name in rig.upkeeps})
+        self.assertEqual(0, rig.cut_by_upkeep)
--- a/tanagerpath/core/workloads/upkeep.py
+++ b/tanagerpath/core/workloads/upkeep.py
@@ -24,6 +24,8 @@
 # A VM counts as away for its upkeep until its next upstream announces itself, or, if
 # none does, for this long.
 MAX_AWAY_S = 10.0
+# A new leader hears from its upstreams first, to know which of them are away.
+SETTLE_S = 1.0
 # Share of the time for each VM within which its runs may end by themselves.
 PATIENCE_SHARE = 0.6
 
@@ -60,14 +62,16 @@
         self._context = context
         self._driver = driver
         self._holder = holder
+        self._began_s = context.now_s
         self._open: dict[tuple[int, str], _Upkeep] = {}
 
     def keep(self) -> None:
         """Begin and drive the upkeeps that are due."""
         for key in [key for key, one in self._open.items() if self._is_over(one)]:
             del self._open[key]
-        for wave in self._context.state.find_due_wave():
-            self._begin(wave)
+        if self._context.now_s >= self._began_s + SETTLE_S:
+            for wave in self._context.state.find_due_wave():
+                self._begin(wave)
         for upkeep in tuple(self._open.values()):
             if upkeep.done_s is None:
                 self._drive(upkeep)
@@ -93,11 +97,12 @@
         waiting = [
             vm_id for vm_id in wave.waiting if (wave.wave, vm_id) not in self._open
         ]
-        waiting.sort(key=self._find_load)
+        waiting.sort(key=self._rank)
         left_s = max(wave.due_at_unix_s - context.now.unix_s, 0.0)
         turns = -(-len(wave.waiting) // wave.most_at_once)
         patience_s = PATIENCE_SHARE * left_s / max(turns, 1)
         active = sum(one.wave == wave.wave for one in self._open.values())
+        active += self._count_inherited(wave)
         for vm_id in waiting[: max(wave.most_at_once - active, 0)]:
             if not self._may_be_away(vm_id):
                 continue
@@ -109,11 +114,33 @@
             if session is not None:
                 session.is_reserved = True
 
-    def _find_load(self, vm_id: str) -> float:
+    def _count_inherited(self, wave: WaveRecord) -> int:
+        """Return the VMs that may be away as an earlier leader has begun upkeeps."""
+        if self._context.now_s > self._began_s + MAX_AWAY_S:
+            return 0
+        return sum(
+            not self._is_there(vm_id)
+            for vm_id in wave.vm_ids
+            if vm_id not in wave.waiting and (wave.wave, vm_id) not in self._open
+        )
+
+    def _is_there(self, vm_id: str) -> bool:
+        session = self._find_session(vm_id)
+        return session is not None and session.synced and session.reachable
+
+    def _rank(self, vm_id: str) -> tuple[bool, float]:
+        """Return the place in the order of a wave.
+
+        VMs that don't answer come first: an earlier leader may have begun their upkeep
+        without recording it, and asking again begins no other one.
+        """
         session = self._find_session(vm_id)
         if session is None:
-            return 0.0
-        return session.used.find_share(session.record.capacity)
+            return False, 0.0
+        return (
+            self._is_there(vm_id),
+            session.used.find_share(session.record.capacity),
+        )
 
     def _may_be_away(self, vm_id: str) -> bool:
         """Return whether long-running steps bear the loss of what runs on a VM."""
@@ -146,7 +173,7 @@
         context = self._context
         session = self._find_session(upkeep.vm_id)
         if session is not None and session.runs:
-            if context.now_s >= upkeep.evict_at_s:
+            if context.now_s >= upkeep.evict_at_s and self._may_be_away(upkeep.vm_id):
                 for view in tuple(session.runs.values()):
                     self._driver.stop(session, view, "upkeep of its VM")
             return
