Take the vote from a replaced control VM before a further disk is lost

Cause: a control VM was gone for good and an empty one joined at another address. The group took it as a fourth voter, and the lost one kept its vote for 60 s. When a second disk was lost 15 s later, two of four voters were left, and no leader was found again.

The processes of the platform take the vote after 2.5 s, below the 4 s after which a replaced VM no longer counts as lost. That happens only if the quorum gets smaller by it: with three voters nothing changes for one that is away for a while.

Ruled out: the join of the new VM (it was a learner 0.01 s after its start) and the return of the wiped one, which asked to join a group that had no leader.

--- a/tanagerpath/services/workload_control.py
+++ b/tanagerpath/services/workload_control.py
@@ -60,6 +60,7 @@
         election_timeout_min_s=settings.election_timeout_min_s,
         election_timeout_max_s=settings.election_timeout_max_s,
         lease_duration_s=settings.lease_duration_s,
+        replace_voter_after_s=settings.replace_voter_after_s,
         snapshot_after_entries=settings.snapshot_every_entries,
     )
     dispatch = DispatchTerms(
--- a/tanagerpath/settings/workloads.py
+++ b/tanagerpath/settings/workloads.py
@@ -104,6 +104,13 @@
     60.0,
     "Time from sending an acknowledged heartbeat for which a leader may decide.",
 )
+_REPLACE_VOTER_AFTER_S = common.make_seconds(
+    "replace_voter_after_s",
+    2.5,
+    0.1,
+    86_400.0,
+    "Absence after which a voter loses its vote, if the quorum gets smaller by it.",
+)
 _CONTROL_DRAIN_TIMEOUT_S = common.make_seconds(
     "drain_timeout_s",
     1.5,
@@ -151,6 +158,7 @@
         Ordering("lease_duration_s", "election_timeout_min_s"),
         # Equal bounds would leave no randomness to break a split vote.
         Ordering("election_timeout_min_s", "election_timeout_max_s"),
+        Ordering("election_timeout_max_s", "replace_voter_after_s"),
     )
 
     vm_id: str = declare(common.VM_ID)
@@ -172,6 +180,7 @@
     election_timeout_min_s: float = declare(_ELECTION_TIMEOUT_MIN_S)
     election_timeout_max_s: float = declare(_ELECTION_TIMEOUT_MAX_S)
     lease_duration_s: float = declare(_LEASE_DURATION_S)
+    replace_voter_after_s: float = declare(_REPLACE_VOTER_AFTER_S)
     snapshot_every_entries: int = declare(common.SNAPSHOT_EVERY_ENTRIES)
     upstream_connections: int = declare(common.UPSTREAM_CONNECTIONS)
     leader_timeout_s: float = declare(_LEADER_TIMEOUT_S)
