Answer replicas that ask to join from an unknown address

Cause: a reply to a join request goes over a connection of its own. Connections to addresses that are neither configured nor members were closed at the end of the same step, before anything was sent.

The new test joins a replica over loopback that no settings name; it fails before.

--- a/tanagerpath/services/peers.py
+++ b/tanagerpath/services/peers.py
@@ -52,14 +52,22 @@
         self._mailbox: Mailbox[SendMessage] = Mailbox(client.address, capacity)
         self.dropped = 0
         self.failed_exchanges = 0
+        self._unsent = 0
+
+    @property
+    def is_idle(self) -> bool:
+        """Whether no message waits or is on its way."""
+        return self._unsent == 0
 
     def post(self, message: SendMessage) -> None:
         """Queue a message; drop the older half of the queue if there is no room."""
+        self._unsent += 1
         if self._mailbox.post(message) is None:
             return
         waiting = self._mailbox.take_waiting()
         kept = waiting[len(waiting) // 2 + 1 :]
         self.dropped += len(waiting) - len(kept)
+        self._unsent -= len(waiting) - len(kept)
         for newer in (*kept, message):
             self._mailbox.post(newer)
 
@@ -81,6 +89,7 @@
             encode_batch(messages),
             timeout_s=self._timeout_s,
         )
+        self._unsent -= len(messages)
         reply = result.value_or(None)
         if reply is None or reply.status not in (OK_STATUS, NO_CONTENT_STATUS):
             self.failed_exchanges += 1
@@ -131,7 +140,10 @@
             await peer.run()
 
     def retain(self, addresses: frozenset[str]) -> None:
-        """Close the tasks of all other addresses.
+        """Close the idle tasks of all other addresses.
+
+        A replica that asks to join is not a member yet: what is said to it must leave
+        before its task is closed.
 
         Parameters
         ----------
@@ -139,9 +151,14 @@
             Addresses still in use, as `Replica.peer_addresses` gives them.
         """
         for address in self.addresses - addresses:
-            del self._peers[address]
-            self._scopes.pop(address).cancel()
+            if self._peers[address].is_idle:
+                self._close(address)
+
+    def _close(self, address: str) -> None:
+        del self._peers[address]
+        self._scopes.pop(address).cancel()
 
     def close(self) -> None:
         """Close all tasks."""
-        self.retain(frozenset())
+        for address in self.addresses:
+            self._close(address)
--- a/tanagerpath/services/tests/replica_group.py
+++ b/tanagerpath/services/tests/replica_group.py
@@ -36,6 +36,13 @@
         self._tasks.start_soon(replica.server.run)
         self._tasks.start_soon(self._run, replica, self._scopes[vm_id])
 
+    def add(self, vm_id):
+        """Start a VM that the others' settings don't name."""
+        listener = bind_listener("127.0.0.1:0")
+        address = "{}:{}".format(*listener.getsockname())
+        self.vms = {**self.vms, vm_id: address}
+        self.start(vm_id, listener)
+
     async def _run(self, replica, scope):
         with scope:
             await replica.run()
--- a/tanagerpath/services/tests/test_peers.py
+++ b/tanagerpath/services/tests/test_peers.py
@@ -40,6 +40,19 @@
         for applied in anyio.run(main):
             self.assertEqual(expected, list(dict.fromkeys(applied)))
 
+    def test_a_vm_that_the_others_are_not_told_of_joins(self):
+        directory = tempfile.mkdtemp()
+        self.addCleanup(shutil.rmtree, directory)
+
+        async def main():
+            async with open_group(directory) as group:
+                await group.commit("before")
+                group.add("vm-3")
+                newcomer = group.replicas["vm-3"]
+                await group.wait_for(lambda: "before" in newcomer.applied)
+
+        anyio.run(main)
+
     def test_corrupt_directory_is_set_aside_and_the_vm_votes_again(self):
         directory = tempfile.mkdtemp()
         self.addCleanup(shutil.rmtree, directory)
