Say in the policy what it does now, and name the bound of lost work

Cause: the headers of the deadline policy still told that work is packed onto fast upstreams and ordered by objective, which have changed; the parameter `bound` told neither unit nor what it bounds. No behaviour is changed, no bound, check or assertion.

--- a/tanagerpath/core/workloads/deadline_policy.py
+++ b/tanagerpath/core/workloads/deadline_policy.py
@@ -1,4 +1,4 @@
-"""Policy that orders work by its objective and packs it onto fast upstreams."""
+"""Policy that keeps fast upstreams for urgent work and meets objectives elsewhere."""
 
 import math
 from collections import Counter
@@ -72,7 +72,7 @@
 
 
 class DeadlinePolicy(WorkloadPolicy):
-    """Places guaranteed work first, then by priority and objective.
+    """Places guaranteed work first, then by priority, size and slack.
 
     Parameters
     ----------
@@ -370,7 +370,7 @@
         unit: PlanUnit,
         left: tuple[int, ...],
         candidates: list[UpstreamSession],
-        bound: float,
+        max_lost_cores_s: float,
         rooms: PlanRooms,
         fleet: FleetView,
         plan: Plan,
@@ -384,7 +384,7 @@
         found = find_evictions(unit, len(left), sessions, rooms.find_room, fleet)
         if found is None:
             return False
-        if found.lost_cores_s > bound:
+        if found.lost_cores_s > max_lost_cores_s:
             return False
         for session, count in found.places:
             rooms.take(unit, session, count)
