Log why a run is stopped for room and who uses that room

Each stop for room now tells the claimant's cause and rank inputs, the work lost and how often the task was stopped before. A claim writes one line when it begins and one when its room is used or lapses, and one for each upstream on which another workload takes the room. Stops are counted by cause.

One stop writes one line: a run that is to end already is passed over.

--- a/tanagerpath/core/workloads/deadline_policy.py
+++ b/tanagerpath/core/workloads/deadline_policy.py
@@ -1,6 +1,5 @@
 """Policy that keeps fast upstreams for urgent work and meets objectives elsewhere."""
 
-import math
 from collections import Counter
 from collections.abc import Iterable
 
@@ -8,10 +7,12 @@
 
 from tanagerpath.core.workloads.evictions import find_evictions
 from tanagerpath.core.workloads.policy import (
+    ClaimCause,
     FleetView,
     Placement,
     Plan,
     PlanUnit,
+    RoomClaim,
     WorkloadPolicy,
 )
 from tanagerpath.core.workloads.reservations import reserve_upstreams
@@ -102,11 +103,9 @@
                 continue
             plan.blocked.append(unit)
             sessions = self._list_candidates(unit, rooms, fleet)
-            bound = self._terms.eviction_factor * self._find_cores_s(unit, fleet)
-            if unit.is_guaranteed:
-                bound = math.inf
+            cause = ClaimCause.GUARANTEED if unit.is_guaranteed else ClaimCause.NO_ROOM
             if unit.queue.priority == 0 and self._claim(
-                unit, left, sessions, bound, rooms, fleet, plan
+                unit, cause, left, sessions, rooms, fleet, plan
             ):
                 continue
             if unit.spec.gang and reservations < self._terms.max_reservations:
@@ -124,11 +123,10 @@
         """
         end_s = self._find_waited_s(unit, fleet) + unit.left_s
         is_late = end_s > unit.objective_s
-        is_useless = end_s > LATE_MULTIPLE * unit.objective_s
         slack_share = max(1.0 - end_s / unit.objective_s, 0.0)
         return (
             not unit.is_guaranteed,
-            is_useless,
+            self._is_useless(unit, fleet),
             unit.queue.priority,
             is_late,
             slack_share * self._find_cores_s(unit, fleet),
@@ -137,6 +135,11 @@
             unit.occurrence,
         )
 
+    def _is_useless(self, unit: PlanUnit, fleet: FleetView) -> bool:
+        """Return whether a unit would end too late for its caller to count it."""
+        end_s = self._find_waited_s(unit, fleet) + unit.left_s
+        return end_s > LATE_MULTIPLE * unit.objective_s
+
     def _find_cores_s(self, unit: PlanUnit, fleet: FleetView) -> float:
         """Return the core seconds of work of a unit."""
         cores = len(unit.indexes) * unit.spec.needs.weighted_cores
@@ -182,8 +185,8 @@
         if all(map(is_in_time, self._choose(unit, rooms, fleet))):
             return False
         sessions = list(filter(is_in_time, self._list_candidates(unit, rooms, fleet)))
-        bound = self._terms.eviction_factor * self._find_cores_s(unit, fleet)
-        return self._claim(unit, unit.indexes, sessions, bound, rooms, fleet, plan)
+        cause = ClaimCause.LATE
+        return self._claim(unit, cause, unit.indexes, sessions, rooms, fleet, plan)
 
     def _list_candidates(
         self, unit: PlanUnit, rooms: PlanRooms, fleet: FleetView
@@ -368,9 +371,9 @@
     def _claim(
         self,
         unit: PlanUnit,
+        cause: ClaimCause,
         left: tuple[int, ...],
         candidates: list[UpstreamSession],
-        max_lost_cores_s: float,
         rooms: PlanRooms,
         fleet: FleetView,
         plan: Plan,
@@ -384,9 +387,23 @@
         found = find_evictions(unit, len(left), sessions, rooms.find_room, fleet)
         if found is None:
             return False
-        if found.lost_cores_s > max_lost_cores_s:
+        work_cores_s = self._find_cores_s(unit, fleet)
+        if cause is not ClaimCause.GUARANTEED and (
+            found.lost_cores_s > self._terms.eviction_factor * work_cores_s
+        ):
             return False
         for session, count in found.places:
             rooms.take(unit, session, count)
         plan.evictions += found.evictions
+        plan.claims.append(
+            RoomClaim(
+                unit=unit,
+                cause=cause,
+                tasks={one.upstream_id: count for one, count in found.places},
+                is_useless=self._is_useless(unit, fleet),
+                work_cores_s=work_cores_s,
+                lost_cores_s=found.lost_cores_s,
+                victims=len(found.evictions),
+            )
+        )
         return True
--- a/tanagerpath/core/workloads/dispatcher.py
+++ b/tanagerpath/core/workloads/dispatcher.py
@@ -28,16 +28,21 @@
 )
 from tanagerpath.core.workloads.pacing import PaceKeeper
 from tanagerpath.core.workloads.policy import (
-    Eviction,
     FleetView,
     Placement,
     PlanUnit,
     WorkloadPolicy,
 )
+from tanagerpath.core.workloads.preemption import Preemption
 from tanagerpath.core.workloads.records import WorkloadState
 from tanagerpath.core.workloads.registry import UpstreamRegistry
 from tanagerpath.core.workloads.run_driver import RunDriver
-from tanagerpath.core.workloads.sessions import RunPhase, RunView, UpstreamSession
+from tanagerpath.core.workloads.sessions import (
+    RunPhase,
+    RunView,
+    StopCause,
+    UpstreamSession,
+)
 from tanagerpath.core.workloads.specs import TaskId
 from tanagerpath.core.workloads.state import Applied, FleetState
 from tanagerpath.core.workloads.upkeep import PLATFORM_ID, UpkeepKeeper
@@ -69,6 +74,7 @@
         self._policy = policy
         self.registry = UpstreamRegistry(context)
         self._driver = RunDriver(context)
+        self._preemption = Preemption(context, self._driver)
         self._pace_keeper = PaceKeeper(context, self._driver)
         self._advice = AdviceBook(context)
         self._upkeep = UpkeepKeeper(context, self._driver, f"leader-{context.term}")
@@ -211,7 +217,12 @@
                 self._take_back(start)
         for start in starts:
             if start not in recorded:
-                self._stop_gang(start.task, start.run, "a member was not recorded")
+                self._preemption.stop_gang(
+                    start.task,
+                    start.run,
+                    "a member was not recorded",
+                    StopCause.GANG_MEMBER_LOST,
+                )
 
     def _order_start(self, start: RunStart) -> None:
         context = self._context
@@ -230,7 +241,9 @@
                 )
             )
         if record.final_state is not None:
-            self._driver.stop(session, view, str(record.final_state))
+            self._driver.stop(
+                session, view, str(record.final_state), StopCause.WORKLOAD_ENDED
+            )
 
     def _take_back(self, start: RunStart) -> None:
         context = self._context
@@ -243,30 +256,17 @@
         """Stop the rest of a gang that has lost a member."""
         end = queued.end
         if end.outcome is not RunOutcome.DONE:
-            self._stop_gang(end.task, end.run, f"a member ended as {end.outcome}")
-
-    def _stop_gang(self, task: TaskId, run: int, reason: str) -> None:
-        record = self._context.state.workloads.get(task.workload_id)
-        if record is None or not record.spec.steps[task.step].gang:
-            return
-        for session, view in self._find_views(task.workload_id):
-            place = (view.task.occurrence, view.task.step, view.run)
-            if place == (task.occurrence, task.step, run):
-                self._driver.stop(session, view, reason)
-
-    def _find_views(self, workload_id: str) -> list[tuple[UpstreamSession, RunView]]:
-        return [
-            (session, view)
-            for session in self._context.sessions.values()
-            for view in session.runs.values()
-            if view.task.workload_id == workload_id
-        ]
+            reason = f"a member ended as {end.outcome}"
+            self._preemption.stop_gang(
+                end.task, end.run, reason, StopCause.GANG_MEMBER_LOST
+            )
 
     def _follow_end(self, workload_id: str) -> None:
         context = self._context
         record = context.state.workloads[workload_id]
         context.backlog.remove(workload_id)
         self._advice.forget(workload_id)
+        self._preemption.forget(workload_id)
         context.must_plan = True
         context.note(
             "workload ended",
@@ -282,8 +282,10 @@
             RecordPeriod(JobPeriod.COMPLETION, record.organisation, record.queue, age_s)
         )
         if record.final_state is not WorkloadState.COMPLETED:
-            for session, view in self._find_views(workload_id):
-                self._driver.stop(session, view, str(record.final_state))
+            for session, view in self._preemption.find_views(workload_id):
+                self._driver.stop(
+                    session, view, str(record.final_state), StopCause.WORKLOAD_ENDED
+                )
 
     def _take_rejection(self, command: commands.WorkloadCommand) -> None:
         """Take everything back that a command carried."""
@@ -327,7 +329,9 @@
                 else:
                     must_leave = left_s > DRAIN_PATIENCE * max(remaining_s, 0.0)
                 if must_leave:
-                    self._driver.stop(session, view, "its upstream leaves")
+                    self._driver.stop(
+                        session, view, "its upstream leaves", StopCause.UPSTREAM_LEAVES
+                    )
 
     def _stop_stalled(self) -> None:
         context = self._context
@@ -364,7 +368,7 @@
             context.find_health(session.upstream_id).note_failure(
                 workload_id, context.now_s
             )
-        self._driver.stop(session, view, "no progress")
+        self._driver.stop(session, view, "no progress", StopCause.NO_PROGRESS)
 
     def _forget_silent(self) -> None:
         context = self._context
@@ -394,8 +398,7 @@
         if not units:
             return ()
         plan = self._policy.plan(units, self._view_fleet())
-        for eviction in plan.evictions:
-            self._evict(eviction)
+        self._preemption.carry_out(plan)
         runs: dict[tuple[str, int, int], int] = {}
         return tuple(self._start(one, runs) for one in plan.placements)
 
@@ -411,13 +414,6 @@
             checkpoint_interval_s=context.terms.checkpoint_interval_s,
         )
 
-    def _evict(self, eviction: Eviction) -> None:
-        reason = f"room for {eviction.unit.record.workload_id}"
-        self._driver.stop(eviction.session, eviction.view, reason)
-        if eviction.view.spec.gang:
-            view = eviction.view
-            self._stop_gang(view.task, view.run, reason)
-
     def _start(
         self, placement: Placement, runs: dict[tuple[str, int, int], int]
     ) -> RunStart:
--- a/tanagerpath/core/workloads/evictions.py
+++ b/tanagerpath/core/workloads/evictions.py
@@ -26,7 +26,7 @@
 
     session: UpstreamSession
     count: int
-    victims: tuple[RunView, ...]
+    victims: tuple[tuple[float, RunView], ...]
     lost_cores_s: float
 
 
@@ -101,7 +101,7 @@
         best = min(steps, key=lambda step: step.lost_cores_s / step.count)
         plan.places.append((best.session, best.count))
         plan.evictions += [
-            Eviction(best.session, victim, unit) for victim in best.victims
+            Eviction(best.session, victim, unit, cost) for cost, victim in best.victims
         ]
         plan.lost_cores_s += best.lost_cores_s
         left -= best.count
@@ -124,10 +124,10 @@
     fitting = unit.spec.reserved.count_in(room, most)
     if fitting:
         return _Step(session, fitting, (), 0.0)
-    victims: list[RunView] = []
+    victims: list[tuple[float, RunView]] = []
     lost = 0.0
     for cost, _, view in sorted(_list_victims(unit, session, fleet)):
-        victims.append(view)
+        victims.append((cost, view))
         lost += cost
         room = room + view.spec.reserved
         fitting = unit.spec.reserved.count_in(room, most)
--- a/tanagerpath/core/workloads/policy.py
+++ b/tanagerpath/core/workloads/policy.py
@@ -1,6 +1,7 @@
 """Interface of the policy that decides which task runs where, and what it works on."""
 
 import abc
+import enum
 
 import attrs
 
@@ -16,10 +17,23 @@
 )
 from tanagerpath.core.workloads.specs import StepSpec, TaskId
 
-__all__ = ["Eviction", "FleetView", "Placement", "Plan", "PlanUnit", "WorkloadPolicy"]
+__all__ = [
+    "ClaimCause",
+    "Eviction",
+    "FleetView",
+    "Placement",
+    "Plan",
+    "PlanUnit",
+    "RoomClaim",
+    "StepPlace",
+    "WorkloadPolicy",
+]
 
 MIN_RUN_S = 0.05
 
+# Workload, occurrence and step.
+StepPlace = tuple[str, int, int]
+
 
 @attrs.frozen(kw_only=True, eq=False)
 class PlanUnit:
@@ -69,6 +83,11 @@
         """The step."""
         return self.record.spec.steps[self.step]
 
+    @property
+    def place(self) -> StepPlace:
+        """Names the occurrence of the step."""
+        return self.record.workload_id, self.occurrence, self.step
+
     @property
     def step_key(self) -> tuple[str, int]:
         """Names the step for estimates."""
@@ -155,11 +174,55 @@
 
 @attrs.frozen(eq=False)
 class Eviction:
-    """A run has to make room for a unit."""
+    """A run has to make room for a unit; `lost_cores_s` of its work are lost."""
 
     session: UpstreamSession
     view: RunView
     unit: PlanUnit
+    lost_cores_s: float = 0.0
+
+
+class ClaimCause(enum.StrEnum):
+    """Why a unit may stop other runs.
+
+    GUARANTEED: the guarantee of its organisation covers it. LATE: it would be late on
+    the upstreams that have room. NO_ROOM: it has no place at all.
+    """
+
+    GUARANTEED = "guaranteed"
+    LATE = "late"
+    NO_ROOM = "no room"
+
+
+@attrs.define(eq=False, kw_only=True)
+class RoomClaim:
+    """Upstreams on which a unit is to get room, by stopping other runs.
+
+    Attributes
+    ----------
+    unit : PlanUnit
+        The claimant.
+    cause : ClaimCause
+        Why it may stop other runs.
+    tasks : dict of str to int
+        Tasks of it that each upstream is to take.
+    is_useless : bool
+        Whether it can no longer end within the multiple of its objective that counts.
+    work_cores_s : float
+        Core seconds of its own work.
+    lost_cores_s : float
+        Core seconds of work that the stops throw away.
+    victims : int
+        Runs that are stopped.
+    """
+
+    unit: PlanUnit
+    cause: ClaimCause
+    tasks: dict[str, int]
+    is_useless: bool = False
+    work_cores_s: float = 0.0
+    lost_cores_s: float = 0.0
+    victims: int = 0
 
 
 @attrs.define(eq=False)
@@ -168,6 +231,7 @@
 
     placements: list[Placement] = attrs.Factory(list)
     evictions: list[Eviction] = attrs.Factory(list)
+    claims: list[RoomClaim] = attrs.Factory(list)
     blocked: list[PlanUnit] = attrs.Factory(list)
 
 
--- a/tanagerpath/core/workloads/run_driver.py
+++ b/tanagerpath/core/workloads/run_driver.py
@@ -1,5 +1,8 @@
 """Orders to upstreams, and what their answers say about runs."""
 
+from typing import Any
+
+from tanagerpath.core.coordination import CountEvent
 from tanagerpath.core.workloads.commands import RunOutcome
 from tanagerpath.core.workloads.dispatch_context import DispatchContext, describe_task
 from tanagerpath.core.workloads.orders import (
@@ -22,6 +25,7 @@
     RunKey,
     RunPhase,
     RunView,
+    StopCause,
     UpstreamSession,
 )
 
@@ -99,7 +103,7 @@
             return
         if view.phase is RunPhase.ORDERED and session.synced:
             if context.now_s - view.began_s > context.terms.start_patience_s:
-                self.stop(session, view, "start unanswered")
+                self.stop(session, view, "start unanswered", StopCause.START_UNANSWERED)
             else:
                 self._send_start(session, view)
         elif view.phase is RunPhase.STOPPING and view.must_be_listed_s is None:
@@ -175,10 +179,36 @@
         )
         context.call(session, request, wait_s + terms.hold_timeout_s)
 
-    def stop(self, session: UpstreamSession, view: RunView, reason: str) -> None:
-        """Make a run end."""
+    def stop(
+        self,
+        session: UpstreamSession,
+        view: RunView,
+        reason: str,
+        cause: StopCause,
+        **fields: Any,
+    ) -> bool:
+        """Make a run end.
+
+        Parameters
+        ----------
+        session : UpstreamSession
+            Where it runs.
+        view : RunView
+            The run.
+        reason : str
+            Why, with names, for the log.
+        cause : StopCause
+            Why, for the counter of stops.
+        **fields
+            Further fields of the log line.
+
+        Returns
+        -------
+        bool
+            False if it is already to end, or its start is not recorded yet.
+        """
         if view.phase in (RunPhase.STOPPING, RunPhase.PROPOSED):
-            return
+            return False
         view.stop_reason = reason
         view.enter(RunPhase.STOPPING, self._context.now_s)
         self._context.note(
@@ -188,7 +218,10 @@
             upstream=session.upstream_id,
             reason=reason,
             percent=view.percent,
+            **fields,
         )
+        self._context.act(CountEvent(f"run stopped: {cause}"))
+        return True
 
     def pace(self, session: UpstreamSession, view: RunView, percent: int) -> None:
         """Let a run work at a share of its speed."""
@@ -309,7 +342,7 @@
             )
         if view.orders > 1:
             # An earlier order without an answer may have been carried out.
-            self.stop(session, view, f"refused as {refusal}")
+            self.stop(session, view, f"refused as {refusal}", StopCause.REFUSED)
         else:
             context.queue_end(session, view, RunOutcome.NOT_STARTED)
 
@@ -437,4 +470,4 @@
             outcome = RunOutcome.STOPPED if began else RunOutcome.NOT_STARTED
             context.queue_end(session, view, outcome)
         elif view.phase is RunPhase.RUNNING:
-            self.stop(session, view, "not listed by its upstream")
+            self.stop(session, view, "not listed by its upstream", StopCause.NOT_LISTED)
--- a/tanagerpath/core/workloads/sessions.py
+++ b/tanagerpath/core/workloads/sessions.py
@@ -15,6 +15,7 @@
     "RunKey",
     "RunPhase",
     "RunView",
+    "StopCause",
     "UpstreamSession",
 ]
 
@@ -69,6 +70,20 @@
     INHERITED = "inherited"
 
 
+class StopCause(enum.StrEnum):
+    """Why a run has to end before its work is done."""
+
+    ROOM = "room"
+    NO_PROGRESS = "no progress"
+    UPSTREAM_LEAVES = "upstream leaves"
+    START_UNANSWERED = "start unanswered"
+    REFUSED = "refused"
+    NOT_LISTED = "not listed"
+    GANG_MEMBER_LOST = "gang member lost"
+    WORKLOAD_ENDED = "workload ended"
+    UPKEEP = "upkeep"
+
+
 @attrs.frozen
 class ProgressMark:
     """Share of a run's work that was done at an instant."""
@@ -286,6 +301,15 @@
         """Capacity that no recorded run takes."""
         return self.record.capacity - self.used
 
+    @property
+    def room_with_stops(self) -> Resources:
+        """Room that there is once the runs that must end have ended."""
+        room = self.room
+        for view in self.runs.values():
+            if view.phase is RunPhase.STOPPING:
+                room = room + view.spec.reserved
+        return room
+
     @property
     def is_usable(self) -> bool:
         """Whether new runs may be planned on it."""
--- a/tanagerpath/core/workloads/tests/rig.py
+++ b/tanagerpath/core/workloads/tests/rig.py
@@ -7,6 +7,7 @@
 
 from tanagerpath.core.coordination import (
     CallUpstream,
+    CountEvent,
     Instant,
     Propose,
     Ticked,
@@ -68,6 +69,7 @@
         self.has_lease = True
         self.faults: list[str] = []
         self.notes: list[NoteDecision] = []
+        self.counts: collections.Counter = collections.Counter()
         self.done_taken: set = set()
         self.failed_taken: collections.Counter = collections.Counter()
         self.starts: list[StartRequest] = []
@@ -259,6 +261,8 @@
                         self._call(effect)
                     case NoteDecision():
                         self.notes.append(effect)
+                    case CountEvent(name):
+                        self.counts[name] += 1
 
     def _later(self, delay_s, what):
         self._waiting.append((self.now_s + delay_s, next(self._numbers), what))
--- /dev/null
+++ b/tanagerpath/core/workloads/tests/test_preemption.py
@@ -0,0 +1,55 @@
+"""Guards against work that is stopped for others over and over without use."""
+
+import testtools
+
+from tanagerpath.core.workloads.resources import Resources
+from tanagerpath.core.workloads.specs import StepSpec
+from tanagerpath.core.workloads.tests.rig import Rig
+
+SMALL = Resources(8_000, 16_000, 1)
+WHOLE = Resources(8_000, 16_000, 8)
+
+
+def _step(count=1, needs=SMALL, declared_run_s=1.0, **fields):
+    return StepSpec(count=count, needs=needs, declared_run_s=declared_run_s, **fields)
+
+
+def _list_notes(rig, name):
+    return [note.fields for note in rig.notes if note.name == name]
+
+
+def _list_room_stops(rig):
+    return [
+        fields
+        for fields in _list_notes(rig, "run stopped")
+        if fields["reason"].startswith("room for")
+    ]
+
+
+class TestNotes(testtools.TestCase):
+    def _claim(self):
+        rig = Rig(upstreams=2)
+        rig.submit("scan", _step(16, checkpointing=True), work_s=20.0)
+        rig.run(2)
+        rig.submit("check", _step(1, WHOLE), queue="urgent", work_s=1.0)
+        rig.run(1.0)
+        return rig
+
+    def test_one_stop_writes_one_line_with_the_reason_of_its_claimant(self):
+        rig = self._claim()
+        stops = _list_room_stops(rig)
+        self.assertEqual(8, len({(one["task"], one["run"]) for one in stops}))
+        self.assertEqual(8, len(stops))
+        self.assertEqual({"guaranteed"}, {one["claim"] for one in stops})
+        self.assertEqual({0}, {one["stopped_before"] for one in stops})
+
+    def test_claim_tells_when_its_room_is_used(self):
+        rig = self._claim()
+        (claim,) = _list_notes(rig, "room claimed")
+        self.assertEqual(("check", 8), (claim["workload"], claim["victims"]))
+        (used,) = _list_notes(rig, "claimed room used")
+        self.assertEqual(0, used["taken_by_others"])
+
+    def test_stops_are_counted_by_their_cause(self):
+        rig = self._claim()
+        self.assertEqual(8, rig.counts["run stopped: room"])
--- a/tanagerpath/core/workloads/upkeep.py
+++ b/tanagerpath/core/workloads/upkeep.py
@@ -13,7 +13,7 @@
 )
 from tanagerpath.core.workloads.records import WaveRecord
 from tanagerpath.core.workloads.run_driver import RunDriver
-from tanagerpath.core.workloads.sessions import RunPhase, UpstreamSession
+from tanagerpath.core.workloads.sessions import RunPhase, StopCause, UpstreamSession
 
 __all__ = ["PLATFORM_ID", "UpkeepKeeper"]
 
@@ -175,7 +175,9 @@
         if session is not None and session.runs:
             if context.now_s >= upkeep.evict_at_s and self._may_be_away(upkeep.vm_id):
                 for view in tuple(session.runs.values()):
-                    self._driver.stop(session, view, "upkeep of its VM")
+                    self._driver.stop(
+                        session, view, "upkeep of its VM", StopCause.UPKEEP
+                    )
             return
         if upkeep.in_flight or context.now_s < upkeep.next_call_s:
             return
