Test that an urgent gang past its use does not keep others from ending

Batch work ranks before the gang and takes every freed upstream, and the gang stops it again because a run that has just begun costs nothing.

--- a/tanagerpath/core/workloads/tests/test_preemption.py
+++ b/tanagerpath/core/workloads/tests/test_preemption.py
@@ -53,3 +53,31 @@
     def test_stops_are_counted_by_their_cause(self):
         rig = self._claim()
         self.assertEqual(8, rig.counts["run stopped: room"])
+
+
+class TestProgress(testtools.TestCase):
+    def _play_overload(self, seconds):
+        """Return a rig on which an urgent gang beyond its guarantee has come too late.
+
+        The batch tasks fill all upstreams, more of them wait, and all that run begin
+        together, so that stopping them costs little at that moment.
+        """
+        rig = Rig(upstreams=3)
+        batch = _step(72, declared_run_s=8.0)
+        rig.submit("batch", batch, queue="batch", work_s=8.0)
+        rig.run(3.0)
+        gang = _step(3, WHOLE, gang=True)
+        rig.submit("late", gang, queue="urgent", work_s=1.0)
+        rig.run(seconds)
+        return rig
+
+    def test_work_past_use_does_not_stop_runs_that_take_the_room_again(self):
+        rig = self._play_overload(20.0)
+        stops = _list_room_stops(rig)
+        self.assertEqual([], [one for one in stops if one["claimant_useless"]])
+
+    def test_overload_ends_with_bounded_stops(self):
+        rig = self._play_overload(60.0)
+        self.assertEqual("completed", rig.find_state("batch"))
+        self.assertEqual("completed", rig.find_state("late"))
+        self.assertLessEqual(len(_list_room_stops(rig)), 72)
