Let only work that ranks first stop other runs

Urgent work beyond its guarantee and later than three times its objective was placed behind useful work of any priority, but could stop any run of a lower priority.

Such work now stops nothing, so that a unit ranks before all runs that it stops: a stopped run has a larger priority number, and the claimant is either guaranteed or still useful.

Ruled out: repeated lines for one stop (a run that is to end is passed over; each stop also writes a 'run ended' line with the same reason).

--- a/tanagerpath/core/workloads/deadline_policy.py
+++ b/tanagerpath/core/workloads/deadline_policy.py
@@ -104,7 +104,7 @@
             plan.blocked.append(unit)
             sessions = self._list_candidates(unit, rooms, fleet)
             cause = ClaimCause.GUARANTEED if unit.is_guaranteed else ClaimCause.NO_ROOM
-            if unit.queue.priority == 0 and self._claim(
+            if self._may_stop_others(unit, fleet) and self._claim(
                 unit, cause, left, sessions, rooms, fleet, plan
             ):
                 continue
@@ -175,7 +175,9 @@
     ) -> bool:
         """Make room for urgent work that would be late on the upstreams with room."""
         patience_s = self._terms.guaranteed_patience_s
-        if unit.queue.priority > 0 or self._find_waited_s(unit, fleet) > patience_s:
+        if not self._may_stop_others(unit, fleet):
+            return False
+        if self._find_waited_s(unit, fleet) > patience_s:
             return False
         bound_s = self._find_run_bound_s(unit, fleet)
 
@@ -368,6 +370,16 @@
 
     # Making room
 
+    def _may_stop_others(self, unit: PlanUnit, fleet: FleetView) -> bool:
+        """Return whether a unit ranks before all runs that it would stop.
+
+        Urgent work past its use ranks behind useful work of any priority, which would
+        take the room that was made and be stopped for it again.
+        """
+        if unit.queue.priority > 0:
+            return False
+        return unit.is_guaranteed or not self._is_useless(unit, fleet)
+
     def _claim(
         self,
         unit: PlanUnit,
