Stop runs only where the unit would then be placed

Room was made on upstreams that placing refuses: where a task of the same step already runs and max_per_upstream allows no other, on upstreams that are reserved for a gang, and away from the unit's rack before it would start there. The room stayed unused, other work took it, and the next plan stopped that again. Placing and making room now ask the same limits (PlanRooms.limit_tasks).

--- a/tanagerpath/core/workloads/deadline_policy.py
+++ b/tanagerpath/core/workloads/deadline_policy.py
@@ -5,7 +5,7 @@
 
 import attrs
 
-from tanagerpath.core.workloads.evictions import find_evictions
+from tanagerpath.core.workloads.evictions import EvictionTerms, find_evictions
 from tanagerpath.core.workloads.policy import (
     ClaimCause,
     FleetView,
@@ -396,7 +396,8 @@
             for one in candidates
             if not fleet.health[one.upstream_id].is_on_probation
         ]
-        found = find_evictions(unit, len(left), sessions, rooms.find_room, fleet)
+        terms = EvictionTerms(may_be_remote=self._is_patience_over(unit, fleet))
+        found = find_evictions(unit, len(left), sessions, rooms, fleet, terms)
         if found is None:
             return False
         work_cores_s = self._find_cores_s(unit, fleet)
--- a/tanagerpath/core/workloads/evictions.py
+++ b/tanagerpath/core/workloads/evictions.py
@@ -1,14 +1,25 @@
 """Which runs have to make room for urgent work."""
 
-from collections.abc import Callable
-
 import attrs
 
 from tanagerpath.core.workloads.policy import Eviction, FleetView, PlanUnit
-from tanagerpath.core.workloads.resources import Resources
+from tanagerpath.core.workloads.rooms import PlanRooms
 from tanagerpath.core.workloads.sessions import RunPhase, RunView, UpstreamSession
 
-__all__ = ["EvictionPlan", "find_evictions"]
+__all__ = ["EvictionPlan", "EvictionTerms", "find_evictions"]
+
+
+@attrs.frozen(kw_only=True)
+class EvictionTerms:
+    """What may be stopped for a unit.
+
+    Attributes
+    ----------
+    may_be_remote : bool
+        Whether the unit would start away from its rack or spread over racks.
+    """
+
+    may_be_remote: bool = True
 
 
 @attrs.define(eq=False)
@@ -34,8 +45,9 @@
     unit: PlanUnit,
     count: int,
     sessions: list[UpstreamSession],
-    find_room: Callable[[UpstreamSession], Resources],
+    rooms: PlanRooms,
     fleet: FleetView,
+    terms: EvictionTerms,
 ) -> EvictionPlan | None:
     """Return the cheapest way that was found to make room for a unit.
 
@@ -47,10 +59,12 @@
         Tasks of it that have no place.
     sessions : list of UpstreamSession
         Upstreams that may run it.
-    find_room : callable
-        Room of an upstream that no plan has taken.
+    rooms : PlanRooms
+        Room that the plan has left, and what keeps tasks from an upstream.
     fleet : FleetView
         Instants and terms.
+    terms : EvictionTerms
+        What may be stopped for the unit.
 
     Returns
     -------
@@ -58,10 +72,10 @@
         None if no runs that may be stopped would make enough room.
     """
     groups = _list_groups(unit, sessions)
-    plans = [_make_plan(unit, count, group, find_room, fleet) for group in groups]
+    plans = [_make_plan(unit, count, group, rooms, fleet, terms) for group in groups]
     found = [plan for plan in plans if plan is not None]
-    if not found and groups != [sessions]:
-        return _make_plan(unit, count, sessions, find_room, fleet)
+    if not found and terms.may_be_remote and groups != [sessions]:
+        return _make_plan(unit, count, sessions, rooms, fleet, terms)
     return min(found, key=lambda plan: plan.lost_cores_s, default=None)
 
 
@@ -84,8 +98,9 @@
     unit: PlanUnit,
     count: int,
     sessions: list[UpstreamSession],
-    find_room: Callable[[UpstreamSession], Resources],
+    rooms: PlanRooms,
     fleet: FleetView,
+    terms: EvictionTerms,
 ) -> EvictionPlan | None:
     plan = EvictionPlan()
     left = count
@@ -94,7 +109,7 @@
         steps = [
             step
             for session in remaining
-            if (step := _look_at(unit, left, session, find_room(session), fleet))
+            if (step := _look_at(unit, left, session, rooms, fleet, terms))
         ]
         if not steps:
             return None
@@ -113,11 +128,15 @@
     unit: PlanUnit,
     count: int,
     session: UpstreamSession,
-    room: Resources,
+    rooms: PlanRooms,
     fleet: FleetView,
+    terms: EvictionTerms,
 ) -> _Step | None:
     """Return what one upstream offers, with as few runs stopped as possible."""
-    most = min(count, unit.spec.max_per_upstream or count)
+    most = rooms.limit_tasks(unit, session, count)
+    if not most:
+        return None
+    room = rooms.find_room(session)
     for view in session.runs.values():
         if view.phase is RunPhase.STOPPING:
             room = room + view.spec.reserved
@@ -126,7 +145,7 @@
         return _Step(session, fitting, (), 0.0)
     victims: list[tuple[float, RunView]] = []
     lost = 0.0
-    for cost, _, view in sorted(_list_victims(unit, session, fleet)):
+    for cost, _, view in sorted(_list_victims(unit, session, fleet, terms)):
         victims.append((cost, view))
         lost += cost
         room = room + view.spec.reserved
@@ -137,7 +156,10 @@
 
 
 def _list_victims(
-    unit: PlanUnit, session: UpstreamSession, fleet: FleetView
+    unit: PlanUnit,
+    session: UpstreamSession,
+    fleet: FleetView,
+    terms: EvictionTerms,
 ) -> list[tuple[float, int, RunView]]:
     """Return the runs that may be stopped for a unit, with what each would lose."""
     return [
--- a/tanagerpath/core/workloads/rooms.py
+++ b/tanagerpath/core/workloads/rooms.py
@@ -59,11 +59,13 @@
 
     def count_fitting(self, unit: PlanUnit, session: UpstreamSession, most: int) -> int:
         """Return how many tasks of a unit an upstream takes now, at most `most`."""
-        until_s = self._free_until_s.get(session.upstream_id)
-        if until_s is not None:
-            run_s = self._fleet.predict_run_s(unit, session)
-            if self._fleet.now_s + run_s > until_s:
-                return 0
+        most = self.limit_tasks(unit, session, most)
+        return unit.spec.reserved.count_in(self.find_room(session), most)
+
+    def limit_tasks(self, unit: PlanUnit, session: UpstreamSession, most: int) -> int:
+        """Return how many tasks of a unit an upstream may take, whatever its room."""
+        if self._is_kept_from(unit, session):
+            return 0
         bound = unit.spec.max_per_upstream
         if bound:
             taken = session.count_step(unit.make_task_id(0))
@@ -73,7 +75,14 @@
         if health.is_on_probation:
             # One run shows whether it works again.
             most = 0 if session.runs or unit.spec.gang else min(most, 1)
-        return unit.spec.reserved.count_in(self.find_room(session), most)
+        return most
+
+    def _is_kept_from(self, unit: PlanUnit, session: UpstreamSession) -> bool:
+        """Return whether an upstream is reserved before the unit would have ended."""
+        until_s = self._free_until_s.get(session.upstream_id)
+        if until_s is None:
+            return False
+        return self._fleet.now_s + self._fleet.predict_run_s(unit, session) > until_s
 
     def list_ends(self, session: UpstreamSession) -> list[tuple[float, RunView]]:
         """Return the runs of an upstream with the seconds that each goes on."""
--- a/tanagerpath/core/workloads/tests/test_preemption.py
+++ b/tanagerpath/core/workloads/tests/test_preemption.py
@@ -81,3 +81,28 @@
         self.assertEqual("completed", rig.find_state("batch"))
         self.assertEqual("completed", rig.find_state("late"))
         self.assertLessEqual(len(_list_room_stops(rig)), 72)
+
+    def test_nothing_is_stopped_where_a_task_may_not_run_beside_its_siblings(self):
+        rig = Rig(upstreams=1)
+        half = Resources(8_000, 16_000, 4)
+        pair = _step(2, half, max_per_upstream=1, declared_run_s=5.0)
+        rig.submit("pair", pair, queue="urgent", work_s=5.0)
+        rig.run(0.5)
+        rig.submit("scan", _step(4, declared_run_s=3.0), work_s=3.0)
+        rig.run(4.0)
+        self.assertEqual("completed", rig.find_state("scan"))
+        self.assertEqual([], _list_room_stops(rig))
+
+    def test_nothing_is_stopped_on_another_rack_before_the_unit_would_start_there(self):
+        rig = Rig(upstreams=5)
+        # The only upstream of rack r1 is full of work that nothing may stop.
+        rig.submit(
+            "first", _step(1, WHOLE, preferred_rack="r1"), queue="urgent", work_s=6.0
+        )
+        rig.run(0.5)
+        rig.submit("scan", _step(32, declared_run_s=3.0), work_s=3.0)
+        rig.run(0.5)
+        pinned = _step(1, WHOLE, preferred_rack="r1", declared_run_s=4.0)
+        rig.submit("pinned", pinned, queue="urgent", work_s=4.0)
+        rig.run(0.8)
+        self.assertEqual([], _list_room_stops(rig))
