Bound how often one task is stopped for room

A run that had just begun was the cheapest to stop, so that urgent work that came in a stream stopped the same tasks each time.

Work beyond a guarantee now stops a task at most three times, and the price of a stop contains the idle time and grows with the stops before.

test_task_is_not_stopped_again_and_again_by_a_stream_of_urgent_work fails before: one task is stopped 25 times.

--- a/tanagerpath/core/workloads/deadline_policy.py
+++ b/tanagerpath/core/workloads/deadline_policy.py
@@ -24,6 +24,8 @@
 
 # Speeds this close count as equal, so that tasks are packed before they are spread.
 SPEED_STEPS_PER_UNIT = 4
+# Only guaranteed work without a place stops a task more often than this.
+MAX_STOPS = 3
 # Claims of room that work beyond a guarantee may make for one step.
 MAX_CLAIMS = 3
 
@@ -456,7 +458,10 @@
             for one in candidates
             if not fleet.health[one.upstream_id].is_on_probation
         ]
-        terms = EvictionTerms(may_be_remote=self._is_patience_over(unit, fleet))
+        terms = EvictionTerms(
+            may_be_remote=self._is_patience_over(unit, fleet),
+            max_stops=math.inf if cause is ClaimCause.GUARANTEED else MAX_STOPS,
+        )
         found = find_evictions(unit, len(left), sessions, rooms, fleet, terms)
         if found is None:
             return False
--- a/tanagerpath/core/workloads/evictions.py
+++ b/tanagerpath/core/workloads/evictions.py
@@ -1,4 +1,10 @@
-"""Which runs have to make room for urgent work."""
+"""Which runs have to make room for urgent work.
+
+A task is stopped for room at most `EvictionTerms.max_stops` times, so that it ends however
+much urgent work comes; only guaranteed work without a place has no such bound.
+"""
+
+import math
 
 import attrs
 
@@ -8,6 +14,9 @@
 
 __all__ = ["EvictionPlan", "EvictionTerms", "find_evictions"]
 
+# Room lies idle while one run is stopped and another begins.
+RESTART_S = 0.3
+
 
 @attrs.frozen(kw_only=True)
 class EvictionTerms:
@@ -17,9 +26,12 @@
     ----------
     may_be_remote : bool
         Whether the unit would start away from its rack or spread over racks.
+    max_stops : float
+        Tasks that were stopped this often for room are left alone.
     """
 
     may_be_remote: bool = True
+    max_stops: float = math.inf
 
 
 @attrs.define(eq=False)
@@ -168,11 +180,17 @@
         if view.priority > unit.queue.priority
         and view.phase in (RunPhase.RUNNING, RunPhase.ORDERED)
         and not view.spec.long_running
+        and fleet.preemption.stops[view.task] < terms.max_stops
     ]
 
 
 def _find_loss(view: RunView, fleet: FleetView) -> float:
-    """Return the core seconds that are lost; a gang ends with its first member."""
-    unsaved_s = view.find_unsaved_s(fleet.now_s, fleet.checkpoint_interval_s)
+    """Return the core seconds that are lost; a gang ends with its first member.
+
+    Each earlier stop raises the price, so that the same task is not chosen again and
+    again because it has just begun.
+    """
+    lost_s = RESTART_S + view.find_unsaved_s(fleet.now_s, fleet.checkpoint_interval_s)
+    lost_s *= 1 + fleet.preemption.stops[view.task]
     members = view.spec.count if view.spec.gang else 1
-    return unsaved_s * view.spec.needs.weighted_cores * members
+    return lost_s * view.spec.needs.weighted_cores * members
--- a/tanagerpath/core/workloads/tests/test_preemption.py
+++ b/tanagerpath/core/workloads/tests/test_preemption.py
@@ -1,7 +1,10 @@
 """Guards against work that is stopped for others over and over without use."""
 
+from collections import Counter
+
 import testtools
 
+from tanagerpath.core.workloads.deadline_policy import MAX_STOPS
 from tanagerpath.core.workloads.resources import Resources
 from tanagerpath.core.workloads.specs import StepSpec
 from tanagerpath.core.workloads.tests.rig import Rig
@@ -112,6 +115,32 @@
         rig.run(30.0)
         self.assertEqual("completed", rig.find_state("large"))
 
+    def test_task_is_not_stopped_again_and_again_by_a_stream_of_urgent_work(self):
+        rig = Rig(upstreams=1)
+        rig.submit("scan", _step(8, declared_run_s=3.0), work_s=3.0)
+        rig.run(0.5)
+        urgent = _step(1, WHOLE)
+        for number in range(25):
+            name = f"urgent{number}"
+            rig.submit(name, urgent, queue="urgent", work_s=1.0, organisation="other")
+            rig.run(1.6)
+        stops = Counter(stop["task"] for stop in _list_room_stops(rig))
+        self.assertLessEqual(max(stops.values()), MAX_STOPS)
+        self.assertEqual("completed", rig.find_state("scan"))
+
+    def test_guaranteed_work_starts_whatever_was_stopped_before(self):
+        rig = Rig(upstreams=1)
+        rig.submit("scan", _step(8, declared_run_s=9.0), work_s=9.0)
+        rig.run(0.5)
+        for number in range(6):
+            name = f"check{number}"
+            rig.submit(name, _step(1, WHOLE), queue="urgent", work_s=1.0)
+            rig.run(0.8)
+            self.assertEqual("running", rig.find_state(name))
+            rig.run(2.0)
+        rig.run(15.0)
+        self.assertEqual("completed", rig.find_state("scan"))
+
     def test_nothing_is_stopped_where_a_task_may_not_run_beside_its_siblings(self):
         rig = Rig(upstreams=1)
         half = Resources(8_000, 16_000, 4)
