--- a/tanagerpath/core/workloads/evictions.py
+++ b/tanagerpath/core/workloads/evictions.py
@@ -1,7 +1,7 @@
 """Which runs have to make room for urgent work.
 
-A task is stopped for room at most `EvictionTerms.max_stops` times, so that it ends however
-much urgent work comes; only guaranteed work without a place has no such bound.
+A task is stopped for room at most `EvictionTerms.max_stops` times, so that it ends
+however much urgent work comes; only guaranteed work without a place has no such bound.
 """
 
 import math
