--- a/tanagerpath/core/workloads/evictions.py
+++ b/tanagerpath/core/workloads/evictions.py
@@ -1,14 +1,37 @@
-"""Which runs have to make room for urgent work."""
+"""Which runs have to make room for urgent work.
 
-from collections.abc import Callable
+A task is stopped for room at most `EvictionTerms.max_stops` times, so that it ends
+however much urgent work comes; only guaranteed work without a place has no such bound.
+"""
+
+import math
 
 import attrs
 
 from tanagerpath.core.workloads.policy import Eviction, FleetView, PlanUnit
-from tanagerpath.core.workloads.resources import Resources
+from tanagerpath.core.workloads.rooms import PlanRooms
 from tanagerpath.core.workloads.sessions import RunPhase, RunView, UpstreamSession
 
-__all__ = ["EvictionPlan", "find_evictions"]
+__all__ = ["EvictionPlan", "EvictionTerms", "find_evictions"]
+
+# Room lies idle while one run is stopped and another begins.
+RESTART_S = 0.3
+
+
+@attrs.frozen(kw_only=True)
+class EvictionTerms:
+    """What may be stopped for a unit.
+
+    Attributes
+    ----------
+    may_be_remote : bool
+        Whether the unit would start away from its rack or spread over racks.
+    max_stops : float
+        Tasks that were stopped this often for room are left alone.
+    """
+
+    may_be_remote: bool = True
+    max_stops: float = math.inf
 
 
 @attrs.define(eq=False)
@@ -26,7 +49,7 @@
 
     session: UpstreamSession
     count: int
-    victims: tuple[RunView, ...]
+    victims: tuple[tuple[float, RunView], ...]
     lost_cores_s: float
 
 
@@ -34,8 +57,9 @@
     unit: PlanUnit,
     count: int,
     sessions: list[UpstreamSession],
-    find_room: Callable[[UpstreamSession], Resources],
+    rooms: PlanRooms,
     fleet: FleetView,
+    terms: EvictionTerms,
 ) -> EvictionPlan | None:
     """Return the cheapest way that was found to make room for a unit.
 
@@ -47,10 +71,12 @@
         Tasks of it that have no place.
     sessions : list of UpstreamSession
         Upstreams that may run it.
-    find_room : callable
-        Room of an upstream that no plan has taken.
+    rooms : PlanRooms
+        Room that the plan has left, and what keeps tasks from an upstream.
     fleet : FleetView
         Instants and terms.
+    terms : EvictionTerms
+        What may be stopped for the unit.
 
     Returns
     -------
@@ -58,10 +84,10 @@
         None if no runs that may be stopped would make enough room.
     """
     groups = _list_groups(unit, sessions)
-    plans = [_make_plan(unit, count, group, find_room, fleet) for group in groups]
+    plans = [_make_plan(unit, count, group, rooms, fleet, terms) for group in groups]
     found = [plan for plan in plans if plan is not None]
-    if not found and groups != [sessions]:
-        return _make_plan(unit, count, sessions, find_room, fleet)
+    if not found and terms.may_be_remote and groups != [sessions]:
+        return _make_plan(unit, count, sessions, rooms, fleet, terms)
     return min(found, key=lambda plan: plan.lost_cores_s, default=None)
 
 
@@ -84,8 +110,9 @@
     unit: PlanUnit,
     count: int,
     sessions: list[UpstreamSession],
-    find_room: Callable[[UpstreamSession], Resources],
+    rooms: PlanRooms,
     fleet: FleetView,
+    terms: EvictionTerms,
 ) -> EvictionPlan | None:
     plan = EvictionPlan()
     left = count
@@ -94,14 +121,14 @@
         steps = [
             step
             for session in remaining
-            if (step := _look_at(unit, left, session, find_room(session), fleet))
+            if (step := _look_at(unit, left, session, rooms, fleet, terms))
         ]
         if not steps:
             return None
         best = min(steps, key=lambda step: step.lost_cores_s / step.count)
         plan.places.append((best.session, best.count))
         plan.evictions += [
-            Eviction(best.session, victim, unit) for victim in best.victims
+            Eviction(best.session, victim, unit, cost) for cost, victim in best.victims
         ]
         plan.lost_cores_s += best.lost_cores_s
         left -= best.count
@@ -113,21 +140,25 @@
     unit: PlanUnit,
     count: int,
     session: UpstreamSession,
-    room: Resources,
+    rooms: PlanRooms,
     fleet: FleetView,
+    terms: EvictionTerms,
 ) -> _Step | None:
     """Return what one upstream offers, with as few runs stopped as possible."""
-    most = min(count, unit.spec.max_per_upstream or count)
+    most = rooms.limit_tasks(unit, session, count)
+    if not most:
+        return None
+    room = rooms.find_room(session)
     for view in session.runs.values():
         if view.phase is RunPhase.STOPPING:
             room = room + view.spec.reserved
     fitting = unit.spec.reserved.count_in(room, most)
     if fitting:
         return _Step(session, fitting, (), 0.0)
-    victims: list[RunView] = []
+    victims: list[tuple[float, RunView]] = []
     lost = 0.0
-    for cost, _, view in sorted(_list_victims(unit, session, fleet)):
-        victims.append(view)
+    for cost, _, view in sorted(_list_victims(unit, session, fleet, terms)):
+        victims.append((cost, view))
         lost += cost
         room = room + view.spec.reserved
         fitting = unit.spec.reserved.count_in(room, most)
@@ -137,7 +168,10 @@
 
 
 def _list_victims(
-    unit: PlanUnit, session: UpstreamSession, fleet: FleetView
+    unit: PlanUnit,
+    session: UpstreamSession,
+    fleet: FleetView,
+    terms: EvictionTerms,
 ) -> list[tuple[float, int, RunView]]:
     """Return the runs that may be stopped for a unit, with what each would lose."""
     return [
@@ -146,11 +180,17 @@
         if view.priority > unit.queue.priority
         and view.phase in (RunPhase.RUNNING, RunPhase.ORDERED)
         and not view.spec.long_running
+        and fleet.preemption.stops[view.task] < terms.max_stops
     ]
 
 
 def _find_loss(view: RunView, fleet: FleetView) -> float:
-    """Return the core seconds that are lost; a gang ends with its first member."""
-    unsaved_s = view.find_unsaved_s(fleet.now_s, fleet.checkpoint_interval_s)
+    """Return the core seconds that are lost; a gang ends with its first member.
+
+    Each earlier stop raises the price, so that the same task is not chosen again and
+    again because it has just begun.
+    """
+    lost_s = RESTART_S + view.find_unsaved_s(fleet.now_s, fleet.checkpoint_interval_s)
+    lost_s *= 1 + fleet.preemption.stops[view.task]
     members = view.spec.count if view.spec.gang else 1
-    return unsaved_s * view.spec.needs.weighted_cores * members
+    return lost_s * view.spec.needs.weighted_cores * members
--- a/tanagerpath/core/workloads/run_driver.py
+++ b/tanagerpath/core/workloads/run_driver.py
@@ -1,5 +1,8 @@
 """Orders to upstreams, and what their answers say about runs."""
 
+from typing import Any
+
+from tanagerpath.core.coordination import CountEvent
 from tanagerpath.core.workloads.commands import RunOutcome
 from tanagerpath.core.workloads.dispatch_context import DispatchContext, describe_task
 from tanagerpath.core.workloads.orders import (
@@ -14,6 +17,7 @@
     StartRequest,
     StopRequest,
 )
+from tanagerpath.core.workloads.run_observer import RunObserver
 from tanagerpath.core.workloads.sessions import (
     LATE_ORDER_S,
     WHOLE_PERCENT,
@@ -21,6 +25,7 @@
     RunKey,
     RunPhase,
     RunView,
+    StopCause,
     UpstreamSession,
 )
 
@@ -45,6 +50,7 @@
     def __init__(self, context: DispatchContext) -> None:
         self._context = context
         self._hold_sent_s: dict[str, float] = {}
+        self._observer = RunObserver(context)
 
     # Orders
 
@@ -97,7 +103,7 @@
             return
         if view.phase is RunPhase.ORDERED and session.synced:
             if context.now_s - view.began_s > context.terms.start_patience_s:
-                self.stop(session, view, "start unanswered")
+                self.stop(session, view, "start unanswered", StopCause.START_UNANSWERED)
             else:
                 self._send_start(session, view)
         elif view.phase is RunPhase.STOPPING and view.must_be_listed_s is None:
@@ -173,10 +179,36 @@
         )
         context.call(session, request, wait_s + terms.hold_timeout_s)
 
-    def stop(self, session: UpstreamSession, view: RunView, reason: str) -> None:
-        """Make a run end."""
+    def stop(
+        self,
+        session: UpstreamSession,
+        view: RunView,
+        reason: str,
+        cause: StopCause,
+        **fields: Any,
+    ) -> bool:
+        """Make a run end.
+
+        Parameters
+        ----------
+        session : UpstreamSession
+            Where it runs.
+        view : RunView
+            The run.
+        reason : str
+            Why, with names, for the log.
+        cause : StopCause
+            Why, for the counter of stops.
+        **fields
+            Further fields of the log line.
+
+        Returns
+        -------
+        bool
+            False if it is already to end, or its start is not recorded yet.
+        """
         if view.phase in (RunPhase.STOPPING, RunPhase.PROPOSED):
-            return
+            return False
         view.stop_reason = reason
         view.enter(RunPhase.STOPPING, self._context.now_s)
         self._context.note(
@@ -186,7 +218,10 @@
             upstream=session.upstream_id,
             reason=reason,
             percent=view.percent,
+            **fields,
         )
+        self._context.act(CountEvent(f"run stopped: {cause}"))
+        return True
 
     def pace(self, session: UpstreamSession, view: RunView, percent: int) -> None:
         """Let a run work at a share of its speed."""
@@ -307,7 +342,7 @@
             )
         if view.orders > 1:
             # An earlier order without an answer may have been carried out.
-            self.stop(session, view, f"refused as {refusal}")
+            self.stop(session, view, f"refused as {refusal}", StopCause.REFUSED)
         else:
             context.queue_end(session, view, RunOutcome.NOT_STARTED)
 
@@ -360,69 +395,7 @@
             view.progress_s = context.now_s
         view.checkpoint = running.checkpoint or view.checkpoint
         view.load = running.load
-        self._observe(session, view, running.percent)
-
-    def _observe(self, session: UpstreamSession, view: RunView, percent: int) -> None:
-        """Learn the run time of a run that is well under way."""
-        if view.observed or view.spec.long_running:
-            return
-        context = self._context
-        members = self._list_members(session, view)
-        until = ProgressMark(context.now_s, percent)
-        run_s = view.find_whole_s(until, self._find_begin_s(view))
-        if run_s is None:
-            return
-        self._mark_observed(view)
-        if self._is_remote(view, members):
-            run_s /= context.terms.remote_factor
-        context.estimates.observe(
-            tuple(member.upstream_id for member in members),
-            (view.task.workload_id, view.task.step),
-            view.queue,
-            view.spec.declared_run_s,
-            run_s,
-            context.now_s,
-        )
-
-    def _list_gang(self, view: RunView) -> list[tuple[UpstreamSession, RunView]]:
-        """Return the members of a run of a gang that are known."""
-        return [
-            (other, held)
-            for other in self._context.sessions.values()
-            for held in other.runs.values()
-            if held.is_same_gang(view)
-        ]
-
-    def _list_members(
-        self, session: UpstreamSession, view: RunView
-    ) -> list[UpstreamSession]:
-        """Return the upstreams that work on a run; all of them for a gang."""
-        if not view.spec.gang:
-            return [session]
-        members = [member for member, _ in self._list_gang(view)]
-        return list(dict.fromkeys(members)) or [session]
-
-    def _find_begin_s(self, view: RunView) -> float:
-        """Return the instant at which the last member of a gang was there."""
-        if not view.spec.gang:
-            return 0.0
-        begins = (held.running_since_s for _, held in self._list_gang(view))
-        return max((one for one in begins if one is not None), default=0.0)
-
-    def _mark_observed(self, view: RunView) -> None:
-        """Let a run, and all members of its gang, count only once."""
-        view.observed = True
-        if view.spec.gang:
-            for _, held in self._list_gang(view):
-                held.observed = True
-
-    def _is_remote(self, view: RunView, members: list[UpstreamSession]) -> bool:
-        """Return whether a run is slowed by its distance from its data or members."""
-        racks = {member.record.rack for member in members}
-        preferred = view.spec.preferred_rack
-        if preferred and racks != {preferred}:
-            return True
-        return view.spec.same_rack and len(racks) > 1
+        self._observer.observe(session, view, running.percent)
 
     def _stop_stray(self, session: UpstreamSession, running: RunningTask) -> None:
         """Stop a run that the state does not hold as open."""
@@ -462,7 +435,7 @@
         health = context.find_health(session.upstream_id)
         if end.outcome is RunOutcome.DONE:
             health.note_success()
-            self._observe(session, view, WHOLE_PERCENT)
+            self._observer.observe(session, view, WHOLE_PERCENT)
         elif end.outcome is RunOutcome.FAILED:
             workload_id = view.task.workload_id
             failed_on = context.backlog.failed_on.setdefault(workload_id, set())
@@ -497,4 +470,4 @@
             outcome = RunOutcome.STOPPED if began else RunOutcome.NOT_STARTED
             context.queue_end(session, view, outcome)
         elif view.phase is RunPhase.RUNNING:
-            self.stop(session, view, "not listed by its upstream")
+            self.stop(session, view, "not listed by its upstream", StopCause.NOT_LISTED)
--- /dev/null
+++ b/tanagerpath/core/workloads/tests/test_preemption.py
@@ -0,0 +1,167 @@
+"""Guards against work that is stopped for others over and over without use."""
+
+from collections import Counter
+
+import testtools
+
+from tanagerpath.core.workloads.deadline_policy import MAX_STOPS
+from tanagerpath.core.workloads.resources import Resources
+from tanagerpath.core.workloads.specs import StepSpec
+from tanagerpath.core.workloads.tests.rig import Rig
+
+SMALL = Resources(8_000, 16_000, 1)
+WHOLE = Resources(8_000, 16_000, 8)
+
+
+def _step(count=1, needs=SMALL, declared_run_s=1.0, **fields):
+    return StepSpec(count=count, needs=needs, declared_run_s=declared_run_s, **fields)
+
+
+def _list_notes(rig, name):
+    return [note.fields for note in rig.notes if note.name == name]
+
+
+def _list_room_stops(rig):
+    return [
+        fields
+        for fields in _list_notes(rig, "run stopped")
+        if fields["reason"].startswith("room for")
+    ]
+
+
+class TestNotes(testtools.TestCase):
+    def _claim(self):
+        rig = Rig(upstreams=2)
+        rig.submit("scan", _step(16, checkpointing=True), work_s=20.0)
+        rig.run(2)
+        rig.submit("check", _step(1, WHOLE), queue="urgent", work_s=1.0)
+        rig.run(1.0)
+        return rig
+
+    def test_one_stop_writes_one_line_with_the_reason_of_its_claimant(self):
+        rig = self._claim()
+        stops = _list_room_stops(rig)
+        self.assertEqual(8, len({(one["task"], one["run"]) for one in stops}))
+        self.assertEqual(8, len(stops))
+        self.assertEqual({"guaranteed"}, {one["claim"] for one in stops})
+        self.assertEqual({0}, {one["stopped_before"] for one in stops})
+
+    def test_claim_tells_when_its_room_is_used(self):
+        rig = self._claim()
+        (claim,) = _list_notes(rig, "room claimed")
+        self.assertEqual(("check", 8), (claim["workload"], claim["victims"]))
+        (used,) = _list_notes(rig, "claimed room used")
+        self.assertEqual(0, used["taken_by_others"])
+
+    def test_stops_are_counted_by_their_cause(self):
+        rig = self._claim()
+        self.assertEqual(8, rig.counts["run stopped: room"])
+
+
+class TestProgress(testtools.TestCase):
+    def _play_overload(self, seconds):
+        """Return a rig on which an urgent gang beyond its guarantee has come too late.
+
+        The batch tasks fill all upstreams, more of them wait, and all that run begin
+        together, so that stopping them costs little at that moment.
+        """
+        rig = Rig(upstreams=3)
+        batch = _step(72, declared_run_s=8.0)
+        rig.submit("batch", batch, queue="batch", work_s=8.0)
+        rig.run(3.0)
+        gang = _step(3, WHOLE, gang=True)
+        rig.submit("late", gang, queue="urgent", work_s=1.0)
+        rig.run(seconds)
+        return rig
+
+    def test_work_past_use_does_not_stop_runs_that_take_the_room_again(self):
+        rig = self._play_overload(20.0)
+        stops = _list_room_stops(rig)
+        self.assertEqual([], [one for one in stops if one["claimant_useless"]])
+
+    def test_overload_ends_with_bounded_stops(self):
+        rig = self._play_overload(60.0)
+        self.assertEqual("completed", rig.find_state("batch"))
+        self.assertEqual("completed", rig.find_state("late"))
+        self.assertLessEqual(len(_list_room_stops(rig)), 72)
+
+    def test_room_that_was_made_is_held_for_its_claimant(self):
+        rig = Rig(upstreams=3)
+        rig.submit("scan", _step(48, declared_run_s=6.0), work_s=6.0)
+        rig.run(0.6)
+        gang = _step(3, WHOLE, gang=True, declared_run_s=2.0)
+        rig.submit("gang", gang, queue="urgent", work_s=2.0, organisation="other")
+        rig.run(0.1)
+        # Ranks before the gang, as it is smaller, and would take one of its upstreams.
+        small = _step(1, WHOLE, declared_run_s=1.0)
+        rig.submit("small", small, queue="urgent", work_s=1.0, organisation="other")
+        rig.run(0.8)
+        self.assertEqual("running", rig.find_state("gang"))
+        self.assertEqual([], _list_notes(rig, "claimed room taken by another"))
+        rig.run(30.0)
+        self.assertEqual("completed", rig.find_state("small"))
+        self.assertEqual("completed", rig.find_state("scan"))
+
+    def test_guaranteed_work_uses_room_that_is_held_for_other_work(self):
+        rig = Rig(upstreams=1)
+        rig.submit("scan", _step(16, declared_run_s=6.0), work_s=6.0)
+        rig.run(0.6)
+        large = _step(1, WHOLE, declared_run_s=3.0)
+        rig.submit("large", large, queue="urgent", work_s=3.0, organisation="other")
+        rig.run(0.1)
+        rig.submit("check", _step(1, WHOLE), queue="urgent", work_s=1.0)
+        rig.run(0.8)
+        self.assertEqual("running", rig.find_state("check"))
+        rig.run(30.0)
+        self.assertEqual("completed", rig.find_state("large"))
+
+    def test_task_is_not_stopped_again_and_again_by_a_stream_of_urgent_work(self):
+        rig = Rig(upstreams=1)
+        rig.submit("scan", _step(8, declared_run_s=3.0), work_s=3.0)
+        rig.run(0.5)
+        urgent = _step(1, WHOLE)
+        for number in range(25):
+            name = f"urgent{number}"
+            rig.submit(name, urgent, queue="urgent", work_s=1.0, organisation="other")
+            rig.run(1.6)
+        stops = Counter(stop["task"] for stop in _list_room_stops(rig))
+        self.assertLessEqual(max(stops.values()), MAX_STOPS)
+        self.assertEqual("completed", rig.find_state("scan"))
+
+    def test_guaranteed_work_starts_whatever_was_stopped_before(self):
+        rig = Rig(upstreams=1)
+        rig.submit("scan", _step(8, declared_run_s=9.0), work_s=9.0)
+        rig.run(0.5)
+        for number in range(6):
+            name = f"check{number}"
+            rig.submit(name, _step(1, WHOLE), queue="urgent", work_s=1.0)
+            rig.run(0.8)
+            self.assertEqual("running", rig.find_state(name))
+            rig.run(2.0)
+        rig.run(15.0)
+        self.assertEqual("completed", rig.find_state("scan"))
+
+    def test_nothing_is_stopped_where_a_task_may_not_run_beside_its_siblings(self):
+        rig = Rig(upstreams=1)
+        half = Resources(8_000, 16_000, 4)
+        pair = _step(2, half, max_per_upstream=1, declared_run_s=5.0)
+        rig.submit("pair", pair, queue="urgent", work_s=5.0)
+        rig.run(0.5)
+        rig.submit("scan", _step(4, declared_run_s=3.0), work_s=3.0)
+        rig.run(4.0)
+        self.assertEqual("completed", rig.find_state("scan"))
+        self.assertEqual([], _list_room_stops(rig))
+
+    def test_nothing_is_stopped_on_another_rack_before_the_unit_would_start_there(self):
+        rig = Rig(upstreams=5)
+        # The only upstream of rack r1 is full of work that nothing may stop.
+        rig.submit(
+            "first", _step(1, WHOLE, preferred_rack="r1"), queue="urgent", work_s=6.0
+        )
+        rig.run(0.5)
+        rig.submit("scan", _step(32, declared_run_s=3.0), work_s=3.0)
+        rig.run(0.5)
+        pinned = _step(1, WHOLE, preferred_rack="r1", declared_run_s=4.0)
+        rig.submit("pinned", pinned, queue="urgent", work_s=4.0)
+        rig.run(0.8)
+        self.assertEqual([], _list_room_stops(rig))
