Split the ends of attempts from the coordinator

Conclusion, release and the next try of a job now stand in AttemptEnds, which returns effects as the driver does. RecordPeriod builds a period from a request in one place. No behaviour changes; the deliberate fault of the core check that cuts an answer is injected where `conclude` is looked up now.

--- a/tanagerpath/benchmarks/tests/core_faults.py
+++ b/tanagerpath/benchmarks/tests/core_faults.py
@@ -12,7 +12,7 @@
 from tanagerpath.benchmarks.core_check import CheckPlan
 from tanagerpath.core.admission import DocumentView
 from tanagerpath.core.consensus import Replica, Role
-from tanagerpath.core.coordination import attempts, coordinator, driver, fleet
+from tanagerpath.core.coordination import attempts, driver, ends, fleet
 from tanagerpath.core.coordination.registers import RetryQueue
 from tanagerpath.core.placement.guarantees import GuaranteePlan
 from tanagerpath.core.state import DocumentRecord, SystemState
@@ -89,7 +89,7 @@
     return command
 
 
-_conclude = coordinator.conclude
+_conclude = ends.conclude
 
 FAULTS = (
     DeliberateFault(
@@ -112,7 +112,7 @@
         "the end of an answer is lost",
         3,
         1,
-        coordinator,
+        ends,
         "conclude",
         _cut_answer,
     ),
--- a/tanagerpath/core/coordination/coordinator.py
+++ b/tanagerpath/core/coordination/coordinator.py
@@ -8,8 +8,9 @@
 
 from tanagerpath.core.coordination import failures
 from tanagerpath.core.coordination.attempts import Attempt, AttemptPhase
-from tanagerpath.core.coordination.conclusions import ConclusionTerms, conclude
+from tanagerpath.core.coordination.conclusions import ConclusionTerms
 from tanagerpath.core.coordination.driver import AttemptDriver, AttemptTerms
+from tanagerpath.core.coordination.ends import AttemptEnds
 from tanagerpath.core.coordination.fleet import Fleet
 from tanagerpath.core.coordination.messages import (
     CommandApplied,
@@ -31,7 +32,7 @@
 from tanagerpath.core.coordination.registers import AttemptRegister
 from tanagerpath.core.coordination.sessions import LeaseTerms, UpstreamSession
 from tanagerpath.core.coordination.strays import is_report_obsolete, list_stray_tasks
-from tanagerpath.core.model import AttemptId, JobRequest, JobState, ServiceDocument
+from tanagerpath.core.model import AttemptId, ServiceDocument
 from tanagerpath.core.placement import (
     GuaranteeCannotBeMet,
     PlaceJob,
@@ -107,6 +108,9 @@
         self._driver = AttemptDriver(term, self._fleet, scheduler, config.attempts)
         self._attempts = AttemptRegister()
         self._queue = JobQueue(state, scheduler, config.conclusions, now)
+        self._ends = AttemptEnds(
+            state, scheduler, self._attempts, self._queue, config.conclusions
+        )
         self._expire_at_s = now.now_s
         self._effects: list[Effect] = []
         self._update_guarantees()
@@ -229,7 +233,7 @@
         self._effects += self._fleet.renew_due(now)
         for attempt in self._list_attempts_to_tick(now):
             self._effects += self._driver.tick(attempt, now)
-            self._advance(attempt, now)
+            self._effects += self._ends.advance(attempt, now)
         self._effects += self._queue.tick(self._attempts, now)
         self._probe(now)
         if now.now_s >= self._expire_at_s:
@@ -290,18 +294,6 @@
         else:
             self._stop(attempt, failures.JobPreempted(), now)
 
-    def _note_period(
-        self, period: JobPeriod, request: JobRequest, elapsed_s: float
-    ) -> None:
-        self._effects.append(
-            RecordPeriod(
-                period,
-                request.organisation,
-                request.job_class,
-                max(0.0, elapsed_s),
-            )
-        )
-
     # Commands
 
     def _take_command(
@@ -326,7 +318,7 @@
             case ExpireJobs():
                 pass
             case _ if hasattr(command, "job_id"):
-                self._take_conclusion(command.job_id, now)
+                self._effects += self._ends.take_conclusion(command.job_id, now)
 
     def _take_acceptance(
         self, job_id: str, result: Result[object, Failure], now: Instant
@@ -341,7 +333,7 @@
         for attempt in self._attempts.list_on(session.upstream_id):
             for member in attempt.list_replaced(session.upstream_id, incarnation):
                 self._effects += self._driver.lose_member(attempt, member, now)
-            self._advance(attempt, now)
+            self._effects += self._ends.advance(attempt, now)
 
     def _take_start_record(
         self,
@@ -356,9 +348,11 @@
         if is_successful(result):
             record = self._state.jobs[job_id]
             elapsed_s = now.unix_s - record.accepted_at_unix_s
-            self._note_period(JobPeriod.WAITING, record.request, elapsed_s)
+            self._effects.append(
+                RecordPeriod.from_request(JobPeriod.WAITING, record.request, elapsed_s)
+            )
             self._effects += self._driver.start(attempt, now)
-            self._advance(attempt, now)
+            self._effects += self._ends.advance(attempt, now)
         else:
             attempt.record_proposed = False
             self._stop(attempt, result.failure(), now)
@@ -371,27 +365,7 @@
 
     def _stop(self, attempt: Attempt, reason: Failure, now: Instant) -> None:
         self._effects += self._driver.stop(attempt, reason, now)
-        self._advance(attempt, now)
-
-    def _take_conclusion(self, job_id: str, now: Instant) -> None:
-        record = self._state.jobs.get(job_id)
-        attempt = self._attempts.find(job_id)
-        if record is None:
-            return
-        if attempt is not None and attempt.phase is AttemptPhase.CONCLUDING:
-            self._release(attempt, now)
-        if record.state is JobState.ACCEPTED and job_id not in self._attempts.by_job:
-            self._queue.retry(job_id, now)
-        if record.state.is_final:
-            self._queue.forget(job_id)
-            elapsed_s = now.unix_s - record.accepted_at_unix_s
-            self._note_period(JobPeriod.COMPLETION, record.request, elapsed_s)
-
-    def _release(self, attempt: Attempt, now: Instant) -> None:
-        self._attempts.remove(attempt)
-        self._scheduler.record_finished(attempt.job_id, now.now_s)
-        for token in attempt.report_tokens:
-            self._effects.append(Respond(token, protocol.ReportReply(True)))
+        self._effects += self._ends.advance(attempt, now)
 
     # Upstreams
 
@@ -425,13 +399,15 @@
         was_starting = attempt.phase is AttemptPhase.STARTING
         self._effects += self._driver.take_reply(attempt, member, event.reply, now)
         self._note_start(attempt, was_starting, now)
-        self._advance(attempt, now)
+        self._effects += self._ends.advance(attempt, now)
 
     def _note_start(self, attempt: Attempt, was_starting: bool, now: Instant) -> None:
         if was_starting and attempt.phase is AttemptPhase.RUNNING:
             self._scheduler.record_started(attempt.job_id, now.now_s)
             elapsed_s = now.now_s - attempt.recorded_at_s
-            self._note_period(JobPeriod.START, attempt.request, elapsed_s)
+            self._effects.append(
+                RecordPeriod.from_request(JobPeriod.START, attempt.request, elapsed_s)
+            )
 
     def _compare_tasks(
         self,
@@ -450,7 +426,7 @@
                 self._effects += self._driver.compare_tasks(
                     attempt, member, phase, asked_at_s, now
                 )
-            self._advance(attempt, now)
+            self._effects += self._ends.advance(attempt, now)
         self._stop_strays(upstream_id, reply)
 
     def _stop_strays(self, upstream_id: str, reply: protocol.RenewReply) -> None:
@@ -500,7 +476,7 @@
         was_starting = attempt.phase is AttemptPhase.STARTING
         self._effects += self._driver.take_report(attempt, member, report, now)
         self._note_start(attempt, was_starting, now)
-        self._advance(attempt, now)
+        self._effects += self._ends.advance(attempt, now)
         if attempt.phase is AttemptPhase.CONCLUDING:
             attempt.report_tokens.append(token)
         else:
@@ -513,46 +489,3 @@
         name = "late_report" if obsolete else "crossed_report"
         self._effects.append(CountEvent(name))
         self._effects.append(Respond(token, protocol.ReportReply(obsolete)))
-
-    # Ends of attempts
-
-    def _advance(self, attempt: Attempt, now: Instant) -> None:
-        """Conclude an attempt that is answered or stopped everywhere."""
-        if attempt.phase is AttemptPhase.CONCLUDING:
-            return
-        if attempt.is_answered and attempt.recorded:
-            self._conclude(attempt, now)
-        elif attempt.phase is AttemptPhase.STOPPING and attempt.all_gone:
-            if attempt.recorded:
-                self._conclude(attempt, now)
-            elif not attempt.record_proposed:
-                self._drop_unrecorded(attempt, now)
-
-    def _drop_unrecorded(self, attempt: Attempt, now: Instant) -> None:
-        """Forget an attempt of which no start was ever sent."""
-        self._release(attempt, now)
-        job_id = attempt.job_id
-        self._queue.count_failed_start(job_id, refuted=False)
-        record = self._state.jobs.get(job_id)
-        if record is not None and record.state is JobState.ACCEPTED:
-            self._queue.retry(job_id, now)
-
-    def _conclude(self, attempt: Attempt, now: Instant) -> None:
-        record = self._state.jobs.get(attempt.job_id)
-        if record is None:
-            self._release(attempt, now)
-            return
-        preempted = isinstance(attempt.reason, failures.JobPreempted)
-        if attempt.all_refuted and not attempt.is_answered and not preempted:
-            self._queue.count_failed_start(attempt.job_id, refuted=True)
-        attempt.phase = AttemptPhase.CONCLUDING
-        document = self._state.documents.get(record.request.service)
-        command = conclude(
-            attempt,
-            record,
-            document.document if document else None,
-            self._queue.find_refuted_starts(attempt.job_id),
-            self._config.conclusions,
-            now,
-        )
-        self._effects.append(Propose(command))
--- a/tanagerpath/core/coordination/messages.py
+++ b/tanagerpath/core/coordination/messages.py
@@ -5,7 +5,7 @@
 import attrs
 from returns.result import Result
 
-from tanagerpath.core.model import JobClass
+from tanagerpath.core.model import JobClass, JobRequest
 from tanagerpath.core.protocol import upstreams as protocol
 from tanagerpath.core.state import Command
 from tanagerpath.errors import Failure
@@ -165,6 +165,13 @@
     job_class: JobClass | str
     elapsed_s: float
 
+    @classmethod
+    def from_request(
+        cls, period: JobPeriod, request: JobRequest, elapsed_s: float
+    ) -> "RecordPeriod":
+        """Return a period of a job; a clock that went back counts as 0 s."""
+        return cls(period, request.organisation, request.job_class, max(0.0, elapsed_s))
+
 
 @attrs.frozen
 class CountEvent:
