--- a/tanagerpath/cli/jobs.py
+++ b/tanagerpath/cli/jobs.py
@@ -234,23 +234,35 @@
     return f"job {reply.job_id} will be cancelled once all members are stopped"
 
 
-class CancelCommand(ClientCommand):
-    """`tanagerpath cancel`."""
-
-    name = "cancel"
-    summary = "cancel a job"
+class JobCommand(ClientCommand):
+    """A command about one job, which its argument names."""
 
     def add_arguments(self, parser: argparse.ArgumentParser) -> None:
         """Declare the job."""
         super().add_arguments(parser)
         parser.add_argument("job", metavar="JOB", help="job id")
-        parser.add_argument("--json", action="store_true", help="print the reply")
 
     def prepare(
         self, arguments: argparse.Namespace
     ) -> Result[argparse.Namespace, Failure]:
         """Check the job id."""
-        return _check_job_id(arguments)
+        if arguments.job and arguments.job.isascii() and arguments.job.isprintable():
+            return Success(arguments)
+        return ResultFailure(
+            InvalidArgument(field="JOB", value=arguments.job, expected="a job id")
+        )
+
+
+class CancelCommand(JobCommand):
+    """`tanagerpath cancel`."""
+
+    name = "cancel"
+    summary = "cancel a job"
+
+    def add_arguments(self, parser: argparse.ArgumentParser) -> None:
+        """Declare the job and the form of the output."""
+        super().add_arguments(parser)
+        parser.add_argument("--json", action="store_true", help="print the reply")
 
     async def execute(
         self, client: EntryClient, prepared: argparse.Namespace
@@ -266,23 +278,12 @@
         return outcome.map(lambda reply: _render_cancel(reply, prepared.json))
 
 
-class ExplainCommand(ClientCommand):
+class ExplainCommand(JobCommand):
     """`tanagerpath explain`."""
 
     name = "explain"
     summary = "say why a job waits, where it runs or how it ended"
 
-    def add_arguments(self, parser: argparse.ArgumentParser) -> None:
-        """Declare the job."""
-        super().add_arguments(parser)
-        parser.add_argument("job", metavar="JOB", help="job id")
-
-    def prepare(
-        self, arguments: argparse.Namespace
-    ) -> Result[argparse.Namespace, Failure]:
-        """Check the job id."""
-        return _check_job_id(arguments)
-
     async def execute(
         self, client: EntryClient, prepared: argparse.Namespace
     ) -> Result[str, Failure]:
@@ -295,13 +296,3 @@
         )
         outcome = await client.ask(request)
         return outcome.map(lambda reply: reply.explanation)
-
-
-def _check_job_id(
-    arguments: argparse.Namespace,
-) -> Result[argparse.Namespace, Failure]:
-    if arguments.job and arguments.job.isascii() and arguments.job.isprintable():
-        return Success(arguments)
-    return ResultFailure(
-        InvalidArgument(field="JOB", value=arguments.job, expected="a job id")
-    )
