--- a/tanagerpath/cli/failures.py
+++ b/tanagerpath/cli/failures.py
@@ -5,7 +5,7 @@
 import attrs
 
 from tanagerpath.core.protocol.callers import ErrorBody
-from tanagerpath.errors import Failure
+from tanagerpath.errors import Failure, WrongField
 
 __all__ = [
     "AnswerNotReady",
@@ -19,23 +19,8 @@
 
 
 @attrs.frozen(kw_only=True)
-class InvalidArgument(Failure):
-    """An argument of a command cannot be used.
-
-    Attributes
-    ----------
-    field : str
-        Name of the argument.
-    value : str
-        The offending value.
-    expected : str
-        What was expected.
-    """
-
-    not_run: bool = True
-    field: str
-    value: str
-    expected: str
+class InvalidArgument(WrongField):
+    """An argument of a command cannot be used."""
 
     @property
     def message(self) -> str:
--- a/tanagerpath/codecs/text.py
+++ b/tanagerpath/codecs/text.py
@@ -17,7 +17,7 @@
 from returns.result import Failure as ResultFailure
 from returns.result import Result, Success
 
-from tanagerpath.errors import Failure
+from tanagerpath.errors import WrongField
 
 __all__ = [
     "MalformedMessage",
@@ -34,29 +34,17 @@
 
 
 @attrs.frozen(kw_only=True)
-class MalformedMessage(Failure):
-    """A text is not a message of the expected type.
+class MalformedMessage(WrongField):
+    """A text is not a message of the expected type."""
 
-    Attributes
-    ----------
-    field : str
-        Path of the offending field, empty for the whole text.
-    value : str
-        The offending value, shortened.
-    expected : str
-        What was expected.
-    """
-
-    not_run: bool = True
     field: str = ""
     value: str = ""
     expected: str = ""
 
     @property
-    def message(self) -> str:
-        """One line for people."""
-        place = f"field {self.field!r}" if self.field else "message"
-        return f"{place}: got {self.value}, expected {self.expected}"
+    def place(self) -> str:
+        """The field as a message names it."""
+        return f"field {self.field!r}" if self.field else "message"
 
 
 def _make_converter() -> cattrs.Converter:
--- a/tanagerpath/core/model/checks.py
+++ b/tanagerpath/core/model/checks.py
@@ -20,7 +20,7 @@
     require_name,
     require_text,
 )
-from tanagerpath.errors import Failure
+from tanagerpath.errors import Failure, WrongField
 
 __all__ = ["InvalidDocument", "InvalidJob", "check_document", "check_job"]
 
@@ -33,44 +33,23 @@
 
 
 @attrs.frozen(kw_only=True)
-class InvalidDocument(Failure):
-    """A document breaks a rule and is refused as a whole.
-
-    Attributes
-    ----------
-    field : str
-        Path of the offending field, empty for the whole document.
-    value : str
-        The offending value.
-    expected : str
-        What was expected.
-    """
-
-    not_run: bool = True
-    field: str
-    value: str
-    expected: str
+class InvalidDocument(WrongField):
+    """A document breaks a rule and is refused as a whole."""
 
     @property
-    def message(self) -> str:
-        """One line for people."""
-        place = f"document field {self.field!r}" if self.field else "document"
-        return f"{place}: got {self.value}, expected {self.expected}"
+    def place(self) -> str:
+        """The field as a message names it."""
+        return f"document field {self.field!r}" if self.field else "document"
 
 
 @attrs.frozen(kw_only=True)
-class InvalidJob(Failure):
-    """A job breaks a rule; fields as in `InvalidDocument`."""
-
-    not_run: bool = True
-    field: str
-    value: str
-    expected: str
+class InvalidJob(WrongField):
+    """A job breaks a rule."""
 
     @property
-    def message(self) -> str:
-        """One line for people."""
-        return f"job field {self.field!r}: got {self.value}, expected {self.expected}"
+    def place(self) -> str:
+        """The field as a message names it."""
+        return f"job field {self.field!r}"
 
 
 def check_document(document: ServiceDocument) -> Result[ServiceDocument, Failure]:
--- a/tanagerpath/core/protocol/checks.py
+++ b/tanagerpath/core/protocol/checks.py
@@ -16,7 +16,7 @@
     require_text,
 )
 from tanagerpath.core.protocol.upstreams import Announcement
-from tanagerpath.errors import Failure
+from tanagerpath.errors import Failure, WrongField
 
 __all__ = ["InvalidAnnouncement", "check_announcement"]
 
@@ -28,31 +28,13 @@
 
 
 @attrs.frozen(kw_only=True)
-class InvalidAnnouncement(Failure):
-    """An announcement breaks a rule; the upstream is not registered.
-
-    Attributes
-    ----------
-    field : str
-        Path of the offending field.
-    value : str
-        The offending value.
-    expected : str
-        What was expected.
-    """
-
-    not_run: bool = True
-    field: str
-    value: str
-    expected: str
+class InvalidAnnouncement(WrongField):
+    """An announcement breaks a rule; the upstream is not registered."""
 
     @property
-    def message(self) -> str:
-        """One line for people."""
-        return (
-            f"announcement field {self.field!r}: got {self.value}, "
-            f"expected {self.expected}"
-        )
+    def place(self) -> str:
+        """The field as a message names it."""
+        return f"announcement field {self.field!r}"
 
 
 def check_announcement(announcement: Announcement) -> Result[Announcement, Failure]:
--- a/tanagerpath/errors.py
+++ b/tanagerpath/errors.py
@@ -7,7 +7,7 @@
 
 import attrs
 
-__all__ = ["Failure", "FailureError"]
+__all__ = ["Failure", "FailureError", "WrongField"]
 
 
 @attrs.frozen(kw_only=True)
@@ -36,6 +36,36 @@
         return self.type_name
 
 
+@attrs.frozen(kw_only=True)
+class WrongField(Failure):
+    """Base of failures that name one field and the value that it cannot take.
+
+    Attributes
+    ----------
+    field : str
+        Path of the offending field, empty for the whole object.
+    value : str
+        The offending value.
+    expected : str
+        What was expected.
+    """
+
+    not_run: bool = True
+    field: str
+    value: str
+    expected: str
+
+    @property
+    def place(self) -> str:
+        """The field as a message names it."""
+        return f"field {self.field!r}"
+
+    @property
+    def message(self) -> str:
+        """One line for people."""
+        return f"{self.place}: got {self.value}, expected {self.expected}"
+
+
 class FailureError(Exception):
     """Carries a `Failure` through code that raises.
 
