Name in their headers what the modules of gang jobs serve

Since workloads have processes of their own, an entry or a control process of gang jobs is one of two kinds, and the link to the leader also serves control processes.

--- a/tanagerpath/services/entry.py
+++ b/tanagerpath/services/entry.py
@@ -1,4 +1,4 @@
-"""The entry process: front for callers, operators and upstreams."""
+"""The entry process of gang jobs: front for callers, operators and upstreams."""
 
 import anyio
 from anyio.abc import TaskGroup
--- a/tanagerpath/services/leader_link.py
+++ b/tanagerpath/services/leader_link.py
@@ -1,4 +1,4 @@
-"""Task of an entry that owns the connections to the control processes."""
+"""Task that owns the connections of a process to the leader."""
 
 from typing import Any
 
--- a/tanagerpath/services/messages.py
+++ b/tanagerpath/services/messages.py
@@ -1,4 +1,4 @@
-"""Messages to the task that owns an entry's state."""
+"""Messages to the task that owns the state of an entry of gang jobs."""
 
 import attrs
 
--- a/tanagerpath/settings/control.py
+++ b/tanagerpath/settings/control.py
@@ -1,4 +1,4 @@
-"""Settings of a control process."""
+"""Settings of a control process of gang jobs."""
 
 import pathlib
 
--- a/tanagerpath/settings/entry.py
+++ b/tanagerpath/settings/entry.py
@@ -1,4 +1,4 @@
-"""Settings of an entry process."""
+"""Settings of an entry process of gang jobs."""
 
 import attrs
 
