Find free ports in one place, below those of outgoing connections

Four places looked for free ports, three of them in the range from which the system takes the ports of outgoing connections; the drill has seen such a port taken before its process had started. All use emulator/addresses.py now.

--- a/tanagerpath/benchmarks/capacity_processes.py
+++ b/tanagerpath/benchmarks/capacity_processes.py
@@ -32,6 +32,7 @@
     InternalRequest,
 )
 from tanagerpath.core.state import make_job_id
+from tanagerpath.emulator.addresses import find_free_addresses, find_free_ports
 from tanagerpath.services.leader_link import JOB_PROTOCOL
 
 __all__ = ["Child", "EntryProbe", "LeaderProbe"]
@@ -51,12 +52,6 @@
 CALLER_WAIT_S = 120.0
 
 
-def _find_free_port() -> int:
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return probe.getsockname()[1]
-
-
 def _wait_until(is_true: Callable[[], bool], what: str) -> None:
     limit_s = time.monotonic() + START_LIMIT_S
     while not is_true():
@@ -181,7 +176,7 @@
         self._number = size
         self._leader = _StandInLeader()
         self._opened.callback(self._leader.server.stop)
-        self._port = _find_free_port()
+        self._port = find_free_ports(1)[0]
         self._entry = _start_entry(self._port, self._leader.server.address)
         self._opened.callback(self._entry.stop)
         _wait_until(lambda: _get(self._port, "/readyz")[0] == 200, "readiness")
@@ -274,8 +269,8 @@
     def prepare(self, size: int) -> None:
         """Start all processes and wait until each upstream takes work."""
         directory = self._opened.enter_context(tempfile.TemporaryDirectory())
-        self._port = _find_free_port()
-        address = f"127.0.0.1:{_find_free_port()}"
+        self._port = find_free_ports(1)[0]
+        address = find_free_addresses(1)[0]
         self._control = self._start(
             [
                 "tanagerpath",
--- a/tanagerpath/emulator/deployment.py
+++ b/tanagerpath/emulator/deployment.py
@@ -1,38 +1,16 @@
 """Places and command lines of the processes of a deployment on loopback."""
 
 import pathlib
-import random
-import socket
 import sys
 from collections.abc import Mapping
 
 import attrs
 
-__all__ = ["Deployment", "ProcessPlan", "UpstreamGroup", "find_free_addresses"]
+from tanagerpath.emulator.addresses import find_free_addresses
+
+__all__ = ["Deployment", "ProcessPlan", "UpstreamGroup"]
 
 SERVICE = "demo"
-# Below the range from which Linux takes the ports of outgoing connections (32768 on);
-# a port from that range was taken by one before its process had started.
-FIRST_PORT = 20_000
-LAST_PORT = 32_000
-
-
-def find_free_addresses(count: int) -> list[str]:
-    """Return loopback addresses whose ports were free a moment ago."""
-    ports: list[int] = []
-    while len(ports) < count:
-        port = random.randrange(FIRST_PORT, LAST_PORT)
-        if port not in ports and _is_free(port):
-            ports.append(port)
-    return [f"127.0.0.1:{port}" for port in ports]
-
-
-def _is_free(port: int) -> bool:
-    try:
-        socket.create_server(("127.0.0.1", port)).close()
-    except OSError:
-        return False
-    return True
 
 
 @attrs.frozen
--- a/tanagerpath/emulator/drill_messages.py
+++ b/tanagerpath/emulator/drill_messages.py
@@ -9,13 +9,13 @@
 from tanagerpath.codecs import encode_json
 from tanagerpath.core.model import JobClass, OrganisationTerms, ServiceDocument
 from tanagerpath.core.protocol.callers import DocumentReply, DocumentRequest, JobReply
+from tanagerpath.emulator.addresses import find_free_addresses
 from tanagerpath.emulator.caller import CallerClient
 from tanagerpath.emulator.cluster import Cluster, make_document
 from tanagerpath.emulator.deployment import (
     SERVICE,
     Deployment,
     UpstreamGroup,
-    find_free_addresses,
 )
 from tanagerpath.emulator.drill_case import DrillCase
 from tanagerpath.emulator.faults import Faults, ReportFaultKind
--- a/tanagerpath/platform/tests/processes.py
+++ b/tanagerpath/platform/tests/processes.py
@@ -3,7 +3,6 @@
 import json
 import os
 import pathlib
-import socket
 import subprocess
 import sys
 import threading
@@ -16,6 +15,7 @@
 from starlette.responses import JSONResponse
 from starlette.routing import Route
 
+from tanagerpath.emulator.addresses import find_free_ports
 from tanagerpath.runtime.server import HttpServer, bind_listener
 
 # Generous, because CI also runs beside busy processes.
@@ -24,17 +24,6 @@
 POLL_S = 0.05
 
 
-def find_ports(count):
-    """Return free ports of loopback."""
-    sockets = [socket.socket() for _ in range(count)]
-    for one in sockets:
-        one.bind(("127.0.0.1", 0))
-    ports = [one.getsockname()[1] for one in sockets]
-    for one in sockets:
-        one.close()
-    return ports
-
-
 def _read(reply):
     text = reply.read()
     is_json = reply.headers.get_content_type() == "application/json"
@@ -77,7 +66,7 @@
 
     def __init__(self, folder: pathlib.Path) -> None:
         self.folder = folder
-        first, front, ready, control = find_ports(4)
+        first, front, ready, control = find_free_ports(4)
         self.front = f"http://127.0.0.1:{front}"
         self.readiness = f"http://127.0.0.1:{ready}/readyz"
         self.control = f"http://127.0.0.1:{control}"
@@ -126,7 +115,7 @@
     """Speaks the published interface of a worker; each run is done after `RUN_S`."""
 
     def __init__(self) -> None:
-        self.port = find_ports(1)[0]
+        self.port = find_free_ports(1)[0]
         self.started_s = time.monotonic()
         self.runs: dict[tuple[str, int], float] = {}
         self.starts: list[str] = []
--- a/tanagerpath/services/tests/loopback.py
+++ b/tanagerpath/services/tests/loopback.py
@@ -5,12 +5,12 @@
 import json
 import pathlib
 import shutil
-import socket
 import tempfile
 import time
 
 import anyio.from_thread
 
+from tanagerpath.emulator.addresses import find_free_addresses
 from tanagerpath.emulator.upstream import UpstreamsApplication, make_parser
 from tanagerpath.services.control_application import ControlApplication
 from tanagerpath.services.entry import EntryApplication
@@ -19,12 +19,6 @@
 READY_LIMIT_S = 10.0
 
 
-def find_free_port():
-    with socket.socket() as listener:
-        listener.bind(("127.0.0.1", 0))
-        return listener.getsockname()[1]
-
-
 class LoopbackSystem:
     """One control process, `entries` entry processes and `upstreams` upstreams."""
 
@@ -38,7 +32,7 @@
     ):
         self._folder = None
         self._closing = contextlib.ExitStack()
-        address = f"127.0.0.1:{find_free_port()}"
+        address = find_free_addresses(1)[0]
         self._common = {
             "availability_zone": "a",
             "control_addresses": (ControlAddress("c1", address),),
@@ -122,10 +116,9 @@
         )
 
     def _start_entry(self, vm_id):
-        port = find_free_port()
         settings = EntrySettings(
             vm_id=vm_id,
-            listen=f"127.0.0.1:{port}",
+            listen=find_free_addresses(1)[0],
             staleness_bound_s=self._staleness_bound_s,
             drain_notice_s=0.0,
             drain_timeout_s=1.2,
