--- a/tanagerpath/cli/servers.py
+++ b/tanagerpath/cli/servers.py
@@ -3,7 +3,7 @@
 import abc
 import argparse
 import errno
-from collections.abc import Iterator, Mapping
+from collections.abc import Mapping
 from typing import Any
 
 import anyio
@@ -12,7 +12,7 @@
 
 from tanagerpath.cli.arguments import EXIT_WRONG_INPUT
 from tanagerpath.cli.command import EXIT_DONE, Command, write_failure
-from tanagerpath.errors import Failure, FailureError
+from tanagerpath.errors import Failure, FailureError, list_leaves
 from tanagerpath.observability import configure_logs
 from tanagerpath.runtime import Application
 from tanagerpath.settings import (
@@ -66,7 +66,7 @@
 
 def _report_end(error: Exception, settings: Any) -> int:
     """Write one line for a failure to start; raise anything else again."""
-    first, *others = _list_leaves(error)
+    first, *others = list_leaves(error)
     if isinstance(first, FailureError):
         write_failure(first.failure)
         return EXIT_START_FAILED
@@ -97,14 +97,6 @@
     return None
 
 
-def _list_leaves(error: BaseException) -> Iterator[BaseException]:
-    if not isinstance(error, BaseExceptionGroup):
-        yield error
-        return
-    for part in error.exceptions:
-        yield from _list_leaves(part)
-
-
 class EntryCommand(ServerCommand):
     """`tanagerpath entry`."""
 
--- a/tanagerpath/emulator/drill_case.py
+++ b/tanagerpath/emulator/drill_case.py
@@ -14,6 +14,7 @@
 from tanagerpath.emulator.journal import JournalLine, read_journals
 from tanagerpath.emulator.load import LoadOptions, LoadTask, judge_load
 from tanagerpath.emulator.load_plan import DEFAULT_MIX, JobKind, LoadReport
+from tanagerpath.errors import list_leaves
 
 __all__ = ["CaseResult", "DrillCase", "run_case"]
 
@@ -124,7 +125,7 @@
         try:
             await _run_bounded(case, folder, report)
         except* ClusterNotReady as group:
-            case.faults += [str(error) for error in _list_leaves(group)]
+            case.faults += [str(error) for error in list_leaves(group)]
         except* Exception as group:
             case.faults.append("".join(traceback.format_exception(group)))
     if scope.cancelled_caught:
@@ -168,11 +169,3 @@
             case.judge(report[0])
             await case.check(cluster, report[0])
         tasks.cancel_scope.cancel()
-
-
-def _list_leaves(group: BaseExceptionGroup) -> list[BaseException]:
-    leaves: list[BaseException] = []
-    for error in group.exceptions:
-        nested = isinstance(error, BaseExceptionGroup)
-        leaves += _list_leaves(error) if nested else [error]
-    return leaves
--- a/tanagerpath/errors.py
+++ b/tanagerpath/errors.py
@@ -5,9 +5,11 @@
 them wrapped in `FailureError`.
 """
 
+from collections.abc import Iterator
+
 import attrs
 
-__all__ = ["Failure", "FailureError", "WrongField"]
+__all__ = ["Failure", "FailureError", "WrongField", "list_leaves"]
 
 
 @attrs.frozen(kw_only=True)
@@ -78,3 +80,12 @@
     def __init__(self, failure: Failure) -> None:
         super().__init__(failure.message)
         self.failure = failure
+
+
+def list_leaves(error: BaseException) -> Iterator[BaseException]:
+    """Return the errors of a group and of the groups in it, or the error itself."""
+    if not isinstance(error, BaseExceptionGroup):
+        yield error
+        return
+    for part in error.exceptions:
+        yield from list_leaves(part)
