Log each change of the replication group's membership

What operators saw: no line told who votes.

The replica now returns notes, which the control task writes as log lines: "membership proposed" with its reason, "membership committed", "learner waits for a vote" (once for each new reason) and "vote changed". The core stays without output. No decision is changed.

--- a/tanagerpath/core/consensus/__init__.py
+++ b/tanagerpath/core/consensus/__init__.py
@@ -41,12 +41,22 @@
     VoteReply,
     VoteRequest,
 )
+from tanagerpath.core.consensus.notes import (
+    ChangeReason,
+    MembershipCommitted,
+    MembershipNote,
+    MembershipProposed,
+    PromotionDelay,
+    PromotionDelayed,
+    VoteChanged,
+)
 from tanagerpath.core.consensus.replica import Replica
 
 __all__ = [
     "Action",
     "AppendReply",
     "AppendRequest",
+    "ChangeReason",
     "CommandProposed",
     "CommittedEntry",
     "DeliverCommitted",
@@ -60,9 +70,14 @@
     "Member",
     "MemberRole",
     "Membership",
+    "MembershipCommitted",
+    "MembershipNote",
+    "MembershipProposed",
     "MessageReceived",
     "NotLeader",
     "PersistState",
+    "PromotionDelay",
+    "PromotionDelayed",
     "ProposalRejected",
     "ProposalUncertain",
     "Replica",
@@ -83,6 +98,7 @@
     "Tick",
     "TimeoutNow",
     "TransferRequested",
+    "VoteChanged",
     "VoteReply",
     "VoteRequest",
 ]
--- a/tanagerpath/core/consensus/changes.py
+++ b/tanagerpath/core/consensus/changes.py
@@ -11,6 +11,12 @@
     find_quorum_size,
 )
 from tanagerpath.core.consensus.messages import JoinRequest
+from tanagerpath.core.consensus.notes import (
+    ChangeReason,
+    MembershipProposed,
+    PromotionDelay,
+    PromotionDelayed,
+)
 from tanagerpath.core.consensus.replication import Replicator
 
 __all__ = ["MIN_VOTERS", "MembershipChanges"]
@@ -34,6 +40,15 @@
         return request.challenge == self.text and now_s < self.expires_s
 
 
+@attrs.frozen
+class _Change:
+    """Next membership, and why and for which member it differs from that in force."""
+
+    membership: Membership
+    reason: ChangeReason
+    replica_id: str
+
+
 class MembershipChanges:
     """Admits, promotes, demotes and removes members, one voter at a time.
 
@@ -59,6 +74,7 @@
         self._replicator = replicator
         self._joining: dict[str, Member] = {}
         self._challenges: dict[str, _Challenge] = {}
+        self._delays: dict[str, PromotionDelay] = {}
 
     def request_join(self, request: JoinRequest) -> str:
         """Note a replica that asks to be a member.
@@ -103,32 +119,68 @@
 
     def tick(self) -> None:
         """Append the next change that is due, if one may be made now."""
+        if self._find_obstacle() is None:
+            change = (
+                self._admit()
+                or self._promote()
+                or self._retire_older()
+                or self._demote()
+                or self._remove()
+            )
+            if change is not None:
+                self._propose(change)
+        self._report_delays()
+
+    def _propose(self, change: _Change) -> None:
         context = self._context
-        if not self._may_change():
-            return
-        changed = (
-            self._admit()
-            or self._promote()
-            or self._retire_older()
-            or self._demote()
-            or self._remove()
+        membership = change.membership
+        self._leadership.change_membership(membership)
+        context.act(
+            MembershipProposed(
+                context.log.membership_index,
+                change.reason,
+                change.replica_id,
+                membership.voters,
+                membership.learners,
+            )
         )
-        if changed is not None and changed != context.membership:
-            self._leadership.change_membership(changed)
 
-    def _may_change(self) -> bool:
+    def _find_obstacle(self) -> PromotionDelay | None:
+        """Return why no change may be made now, if there is a reason."""
         context = self._context
-        return (
-            self._leadership.has_lease(context.now_s)
-            and context.log.membership_index <= context.commit_index
-        )
+        if context.log.membership_index > context.commit_index:
+            return PromotionDelay.CHANGE_NOT_COMMITTED
+        if not self._leadership.has_lease(context.now_s):
+            return PromotionDelay.NO_LEASE
+        return None
+
+    def _report_delays(self) -> None:
+        """Report why each learner waits, if the reason is new."""
+        context = self._context
+        delays = {
+            replica_id: self._find_delay(replica_id)
+            for replica_id in context.membership.learners
+        }
+        for replica_id, delay in delays.items():
+            if delay is None or self._delays.get(replica_id) is delay:
+                continue
+            progress = self._replicator.progress.get(replica_id)
+            match_index = progress.match_index if progress else 0
+            context.act(
+                PromotionDelayed(replica_id, delay, match_index, context.commit_index)
+            )
+        self._delays = {
+            replica_id: delay
+            for replica_id, delay in delays.items()
+            if delay is not None
+        }
 
-    def _admit(self) -> Membership | None:
+    def _admit(self) -> _Change | None:
         while self._joining:
             member = self._joining.popitem()[1]
             changed = self._add(member)
             if changed is not None and changed != self._context.membership:
-                return changed
+                return _Change(changed, ChangeReason.JOINED, member.replica_id)
         return None
 
     def _add(self, member: Member) -> Membership | None:
@@ -161,32 +213,42 @@
         silence_s = context.now_s - self._replicator.find_contact_s(replica_id)
         return silence_s < context.config.election_timeout_min_s
 
-    def _promote(self) -> Membership | None:
+    def _promote(self) -> _Change | None:
         membership = self._context.membership
-        if len(membership.voters) >= self._context.config.max_voters:
-            return None
-        for member in membership.members:
-            if self._may_promote(member):
-                return membership.with_role(member.replica_id, MemberRole.VOTER)
+        for replica_id in membership.learners:
+            if self._find_delay(replica_id) is None:
+                changed = membership.with_role(replica_id, MemberRole.VOTER)
+                return _Change(changed, ChangeReason.PROMOTED, replica_id)
         return None
 
-    def _may_promote(self, member: Member) -> bool:
+    def _find_delay(self, replica_id: str) -> PromotionDelay | None:
+        """Return why a learner gets no vote now, None if it may get one."""
         context = self._context
-        progress = self._replicator.progress.get(member.replica_id)
-        if member.role is not MemberRole.LEARNER or progress is None:
-            return False
-        others = context.membership.find_on_vm(member.vm_id)
-        caught_up = progress.match_index >= context.commit_index
-        return len(others) == 1 and caught_up and self._is_active(member.replica_id)
+        membership = context.membership
+        progress = self._replicator.progress.get(replica_id)
+        member = membership.find(replica_id)
+        if progress is None or member is None:
+            return PromotionDelay.NOT_TRACKED
+        if len(membership.voters) >= context.config.max_voters:
+            return PromotionDelay.NO_PLACE
+        if len(membership.find_on_vm(member.vm_id)) > 1:
+            return PromotionDelay.OLDER_IDENTITY
+        if not self._is_active(replica_id):
+            return PromotionDelay.SILENT
+        if progress.match_index < context.commit_index:
+            return PromotionDelay.LAGS
+        return self._find_obstacle()
 
-    def _retire_older(self) -> Membership | None:
+    def _retire_older(self) -> _Change | None:
         """Retire a voter whose newer identity had to wait as a learner."""
         membership = self._context.membership
         for member in membership.members:
             on_vm = membership.find_on_vm(member.vm_id)
             is_older = len(on_vm) > 1 and member.role is MemberRole.VOTER
             if is_older and self._may_lose(member.replica_id):
-                return membership.retire(member.replica_id)
+                changed = membership.retire(member.replica_id)
+                reason = ChangeReason.REPLACED_IDENTITY
+                return _Change(changed, reason, member.replica_id)
         return None
 
     def _is_away(self, replica_id: str) -> bool:
@@ -196,7 +258,7 @@
         silence_s = context.now_s - self._replicator.find_contact_s(replica_id)
         return silence_s > context.config.replace_voter_after_s
 
-    def _demote(self) -> Membership | None:
+    def _demote(self) -> _Change | None:
         """Take the vote from a voter that is away; it stays as a learner.
 
         Only if the quorum gets smaller once all that are away have lost their vote.
@@ -210,15 +272,17 @@
             return None
         for voter in away:
             if self._may_lose(voter):
-                return membership.with_role(voter, MemberRole.LEARNER)
+                changed = membership.with_role(voter, MemberRole.LEARNER)
+                return _Change(changed, ChangeReason.VOTER_AWAY, voter)
         return None
 
-    def _remove(self) -> Membership | None:
+    def _remove(self) -> _Change | None:
         """Remove a learner that is away and whose VM is not configured any more."""
         membership = self._context.membership
         for member in membership.members:
             gone = member.vm_id not in self._context.config.vms
             is_learner = member.role is MemberRole.LEARNER
             if gone and is_learner and self._is_away(member.replica_id):
-                return membership.without(member.replica_id)
+                changed = membership.without(member.replica_id)
+                return _Change(changed, ChangeReason.LEARNER_GONE, member.replica_id)
         return None
--- a/tanagerpath/core/consensus/context.py
+++ b/tanagerpath/core/consensus/context.py
@@ -22,6 +22,7 @@
 from tanagerpath.core.consensus.log import ReplicatedLog
 from tanagerpath.core.consensus.membership import Membership
 from tanagerpath.core.consensus.messages import ReplicaMessage
+from tanagerpath.core.consensus.notes import MembershipCommitted, VoteChanged
 
 __all__ = ["FOUNDING_TERM", "ReplicaContext"]
 
@@ -69,6 +70,7 @@
         self._actions: list[Action] = []
         self._reported: ReportRole | None = None
         self.replica_id = restored.replica_id or self._create_identity()
+        self._reported_vote = self.is_voter
 
     def _create_identity(self) -> str:
         replica_id = (
@@ -176,6 +178,8 @@
             return
         entries = self.log.read(self.commit_index + 1, index)
         self.commit_index = index
+        if self.role is Role.LEADER:
+            self._report_committed(entries)
         self.act(
             DeliverCommitted(
                 tuple(
@@ -186,6 +190,16 @@
         )
         self._request_snapshot()
 
+    def _report_committed(self, entries: tuple[LogEntry, ...]) -> None:
+        for entry in entries:
+            membership = entry.membership
+            if membership is not None:
+                self.act(
+                    MembershipCommitted(
+                        entry.index, membership.voters, membership.learners
+                    )
+                )
+
     def _request_snapshot(self) -> None:
         taken = self.log.snapshot.last_index if self.log.snapshot else 0
         since = max(taken, self._requested_snapshot_at)
@@ -240,12 +254,18 @@
 
     def take_actions(self) -> list[Action]:
         """Return the actions of the current step, with the write first."""
-        report = ReportRole(self.role, self.term, self.leader_id)
-        if report != self._reported:
-            self._reported = report
-            self.act(report)
+        self._report_changes()
         actions, self._actions = self._actions, []
         write = self.journal.take_write(self.term, self.voted_for)
         if write is not None:
             actions.insert(0, write)
         return actions + self.journal.take_released()
+
+    def _report_changes(self) -> None:
+        report = ReportRole(self.role, self.term, self.leader_id)
+        if report != self._reported:
+            self._reported = report
+            self.act(report)
+        if self.is_voter != self._reported_vote:
+            self._reported_vote = self.is_voter
+            self.act(VoteChanged(self.is_voter, self.log.membership_index))
--- a/tanagerpath/core/consensus/events.py
+++ b/tanagerpath/core/consensus/events.py
@@ -9,6 +9,7 @@
 import attrs
 
 from tanagerpath.core.consensus.membership import Membership
+from tanagerpath.core.consensus.notes import MembershipNote
 from tanagerpath.errors import Failure
 
 __all__ = [
@@ -293,5 +294,6 @@
     | RestoreSnapshot
     | RequestSnapshot
     | ReportRole
+    | MembershipNote
     | ProposalRejected
 )
--- a/tanagerpath/core/consensus/membership.py
+++ b/tanagerpath/core/consensus/membership.py
@@ -73,6 +73,15 @@
             if member.role is MemberRole.VOTER
         )
 
+    @property
+    def learners(self) -> tuple[str, ...]:
+        """Identities of all members without a vote."""
+        return tuple(
+            member.replica_id
+            for member in self.members
+            if member.role is MemberRole.LEARNER
+        )
+
     @property
     def quorum(self) -> int:
         """Number of voters that decide."""
--- /dev/null
+++ b/tanagerpath/core/consensus/notes.py
@@ -0,0 +1,104 @@
+"""What a replica reports about its group, for people who read the log."""
+
+import enum
+
+import attrs
+
+__all__ = [
+    "ChangeReason",
+    "MembershipCommitted",
+    "MembershipNote",
+    "MembershipProposed",
+    "PromotionDelay",
+    "PromotionDelayed",
+    "VoteChanged",
+]
+
+
+class ChangeReason(enum.StrEnum):
+    """Why a leader changes the membership."""
+
+    JOINED = "joined"
+    PROMOTED = "promoted"
+    REPLACED_IDENTITY = "replaced_identity"
+    VOTER_AWAY = "voter_away"
+    LEARNER_GONE = "learner_gone"
+
+
+class PromotionDelay(enum.StrEnum):
+    """Why a learner doesn't get a vote yet."""
+
+    NOT_TRACKED = "not_tracked"
+    SILENT = "silent"
+    LAGS = "lags"
+    OLDER_IDENTITY = "older_identity"
+    NO_PLACE = "no_place"
+    CHANGE_NOT_COMMITTED = "change_not_committed"
+    NO_LEASE = "no_lease"
+
+
+@attrs.frozen
+class MembershipProposed:
+    """The leader has appended a membership, which is in force at once.
+
+    Attributes
+    ----------
+    index : int
+        Index of the log entry.
+    reason : ChangeReason
+        Why the leader changes the membership.
+    replica_id : str
+        Member that the change concerns.
+    voters, learners : tuple of str
+        Identities from this entry on.
+    """
+
+    index: int
+    reason: ChangeReason
+    replica_id: str
+    voters: tuple[str, ...]
+    learners: tuple[str, ...]
+
+
+@attrs.frozen
+class MembershipCommitted:
+    """The leader has committed the membership of a log entry."""
+
+    index: int
+    voters: tuple[str, ...]
+    learners: tuple[str, ...]
+
+
+@attrs.frozen
+class PromotionDelayed:
+    """The leader keeps a learner without a vote; reported once for each reason.
+
+    Attributes
+    ----------
+    replica_id : str
+        The learner.
+    delay : PromotionDelay
+        Why it waits.
+    match_index : int
+        Last index known to be on the learner's disk.
+    commit_index : int
+        Last committed index.
+    """
+
+    replica_id: str
+    delay: PromotionDelay
+    match_index: int
+    commit_index: int
+
+
+@attrs.frozen
+class VoteChanged:
+    """The reporting replica has got or lost its vote by the entry at `index`."""
+
+    is_voter: bool
+    index: int
+
+
+MembershipNote = (
+    MembershipProposed | MembershipCommitted | PromotionDelayed | VoteChanged
+)
--- /dev/null
+++ b/tanagerpath/core/consensus/tests/test_notes.py
@@ -0,0 +1,77 @@
+"""Guards against membership changes that leave no trace for operators."""
+
+import testtools
+
+from tanagerpath.core.consensus import (
+    ChangeReason,
+    MembershipCommitted,
+    MembershipProposed,
+    PromotionDelay,
+    PromotionDelayed,
+    VoteChanged,
+)
+from tanagerpath.core.consensus.harness import StepObserver
+from tanagerpath.core.consensus.tests.scenarios import (
+    commit,
+    find_followers,
+    open_group,
+)
+
+
+class _Recorder(StepObserver):
+    def __init__(self):
+        self.actions = []
+
+    def record_step(self, vm, event, actions):
+        self.actions += actions
+
+    def record_failure(self, vm, failure):
+        raise AssertionError(failure.message)
+
+    def record_emptied(self, vm, lost):
+        pass
+
+    def find(self, kind):
+        return [action for action in self.actions if isinstance(action, kind)]
+
+
+class TestMembershipNotes(testtools.TestCase):
+    def test_replacement_of_an_identity_is_reported_step_by_step(self):
+        group, _ = open_group(1)
+        recorder = _Recorder()
+        group.observers.append(recorder)
+        vm = find_followers(group)[0]
+        old_id = vm.replica.replica_id
+        commit(group, 30)
+        group.empty_disk(vm.vm_id)
+        group.start(vm.vm_id)
+        self.assertTrue(group.run_until(group.is_settled, 20.0))
+        new_id = vm.replica.replica_id
+        proposed = recorder.find(MembershipProposed)
+        steps = [(note.reason, note.replica_id) for note in proposed]
+        self.assertIn((ChangeReason.PROMOTED, new_id), steps)
+        self.assertNotIn(old_id, proposed[-1].voters)
+        committed = [note.index for note in recorder.find(MembershipCommitted)]
+        self.assertEqual([note.index for note in proposed], committed)
+        self.assertTrue(recorder.find(VoteChanged)[-1].is_voter)
+
+    def test_a_learner_that_waits_is_reported_once_for_each_reason(self):
+        group, _ = open_group(1)
+        recorder = _Recorder()
+        group.observers.append(recorder)
+        vm = find_followers(group)[0]
+        group.empty_disk(vm.vm_id)
+        group.start(vm.vm_id)
+        new_id = vm.replica.replica_id
+        self.assertTrue(
+            group.run_until(lambda: recorder.find(MembershipProposed), 20.0)
+        )
+        group.isolate(vm.vm_id)
+        group.run_for(10.0)
+        delays = [
+            note.delay
+            for note in recorder.find(PromotionDelayed)
+            if note.replica_id == new_id
+        ]
+        self.assertEqual(PromotionDelay.SILENT, delays[-1])
+        self.assertEqual(1, delays.count(PromotionDelay.SILENT))
--- a/tanagerpath/core/control/messages.py
+++ b/tanagerpath/core/control/messages.py
@@ -57,6 +57,7 @@
     consensus.SendMessage
     | consensus.PersistState
     | consensus.ReportRole
+    | consensus.MembershipNote
     | AnswerRequest
     | CallUpstream
     | RecordPeriod
--- /dev/null
+++ b/tanagerpath/services/membership_log.py
@@ -0,0 +1,37 @@
+"""Log lines about the members of the replication group."""
+
+from structlog.typing import FilteringBoundLogger
+
+from tanagerpath.core import consensus
+
+__all__ = ["log_membership_note"]
+
+
+def log_membership_note(
+    log: FilteringBoundLogger, note: consensus.MembershipNote
+) -> None:
+    """Write one line for what a replica reports about its group."""
+    match note:
+        case consensus.MembershipProposed(index, reason, replica_id, voters, learners):
+            log.info(
+                "membership proposed",
+                index=index,
+                reason=str(reason),
+                replica=replica_id,
+                voters=voters,
+                learners=learners,
+            )
+        case consensus.MembershipCommitted(index, voters, learners):
+            log.info(
+                "membership committed", index=index, voters=voters, learners=learners
+            )
+        case consensus.PromotionDelayed(replica_id, delay, match_index, commit_index):
+            log.info(
+                "learner waits for a vote",
+                replica=replica_id,
+                reason=str(delay),
+                match_index=match_index,
+                commit_index=commit_index,
+            )
+        case consensus.VoteChanged(is_voter, index):
+            log.info("vote changed", is_voter=is_voter, index=index)
--- a/tanagerpath/services/replica_task.py
+++ b/tanagerpath/services/replica_task.py
@@ -27,6 +27,7 @@
     ReturnPathClosed,
 )
 from tanagerpath.services.links import LinkSet
+from tanagerpath.services.membership_log import log_membership_note
 from tanagerpath.services.peers import PeerSet
 from tanagerpath.services.return_paths import ReturnPaths
 
@@ -152,6 +153,13 @@
                 self._log.info(
                     "role changed", role=str(role), term=term, leader=leader_id
                 )
+            case (
+                consensus.MembershipProposed()
+                | consensus.MembershipCommitted()
+                | consensus.PromotionDelayed()
+                | consensus.VoteChanged()
+            ):
+                log_membership_note(self._log, action)
             case _:
                 self._take_note(action)
 
