Give an admitted learner time to answer before it counts as gone

The successor of a replaced VM never got a vote, the lost VM kept its vote, and the next loss of a disk left no quorum.

Cause: a member that has not answered yet counted as heard at the start of the leadership. A leader that had led for longer than replace_voter_after_s (2.5 s) took a learner that it had just admitted for gone, and, because the settings don't name a successor's address, removed it at the next tick, 0.2 s later, before the first heartbeat to it could be answered. The learner asked again every 3.4 s with the same end. The contact now counts from the admission.

It is no matter of luck: each replacement later than 2.5 s after an election failed.

Test: a_disk_may_be_lost_soon_after_a_vm_was_replaced now also waits 3 and 30 s before the replacement, and asks for the vote within 2.5 s of the successor's start.

--- a/tanagerpath/core/consensus/replication.py
+++ b/tanagerpath/core/consensus/replication.py
@@ -42,6 +42,8 @@
         First character of it that the member lacks.
     chunk_sent_s : float
         Instant at which a chunk was last sent.
+    tracked_s : float
+        Instant from which the leader counts the member as its own.
     """
 
     next_index: int
@@ -52,6 +54,7 @@
     snapshot: Snapshot | None = None
     snapshot_offset: int = 0
     chunk_sent_s: float = -math.inf
+    tracked_s: float = -math.inf
 
 
 class Replicator:
@@ -79,21 +82,29 @@
         context = self._context
         known = self.progress
         self.progress = {
-            member.replica_id: known.get(member.replica_id)
-            or Progress(next_index=context.log.last_index + 1)
+            member.replica_id: known.get(member.replica_id) or self._make_progress()
             for member in context.membership.members
             if member.replica_id != context.replica_id
         }
 
+    def _make_progress(self) -> Progress:
+        context = self._context
+        last_index = context.log.last_index
+        return Progress(
+            next_index=last_index + 1,
+            tracked_s=context.now_s,
+        )
+
     def find_contact_s(self, replica_id: str) -> float:
         """Return the latest sending instant that a member is known to have answered.
 
-        The start of the leadership counts as one, so that members get time to answer.
+        The start of the leadership, or the admission in its course, counts as one, so
+        that members get time to answer.
         """
         progress = self.progress.get(replica_id)
         if progress is None:
             return self._started_s
-        return max(self._started_s, progress.acknowledged_s)
+        return max(progress.tracked_s, progress.acknowledged_s)
 
     def find_quorum_contact_s(self, count_start: bool) -> float:
         """Return the latest instant since which a quorum of voters has answered.
--- a/tanagerpath/services/tests/test_replaced_vm.py
+++ b/tanagerpath/services/tests/test_replaced_vm.py
@@ -8,11 +8,15 @@
 from tanagerpath.services.workload_control import make_node_config
 from tanagerpath.settings import WorkloadControlSettings
 
-ADDRESSES = tuple(f"10.0.0.{number}:7000" for number in range(1, 5))
+ADDRESSES = tuple(f"10.0.0.{number}:7000" for number in range(1, 6))
 SEEDS = ADDRESSES[:3]
 # The platform counts a VM as lost until this long after its successor has started.
 CATCH_UP_S = 4.0
 RECOVERY_S = 12.0
+# A leader that has led for long knows nothing of a member that it has just admitted.
+LEADERSHIP_AGES_S = (0.0, 3.0, 30.0)
+# Well below `CATCH_UP_S`, so that the next loss meets a whole group.
+VOTE_LIMIT_S = 2.5
 
 
 def _make_replica_config(address):
@@ -30,18 +34,35 @@
 
 
 class TestReplacedVm(testtools.TestCase):
-    def play(self, seed):
+    def open_group(self, seed):
         configs = [_make_replica_config(address) for address in ADDRESSES]
         group = SimulatedGroup(seed, configs)
         monitor = InvariantMonitor.attach(group)
-        first, second, gone, successor = (config.vm_id for config in configs)
-        for vm_id in (first, second, gone):
-            group.start(vm_id)
+        for config in configs[:3]:
+            group.start(config.vm_id)
         self.assertTrue(commit(group, 3), f"seed {seed}")
+        return group, monitor, [config.vm_id for config in configs]
+
+    def replace(self, group, gone, successor):
+        """Replace a VM; return whether its successor has got a vote in time."""
         group.crash(gone)
         group.run_for(1.0)
         group.start(successor)
-        group.run_for(CATCH_UP_S)
+        self.successor_started_s = group.now_s
+        return group.run_until(lambda: self.is_voter(group, successor), VOTE_LIMIT_S)
+
+    def is_voter(self, group, vm_id):
+        leader = group.find_leader()
+        replica = group.vms[vm_id].replica
+        return leader is not None and replica.replica_id in leader.replica.voters
+
+    def play(self, seed, leadership_age_s):
+        group, monitor, vm_ids = self.open_group(seed)
+        second, gone, successor = vm_ids[1:4]
+        group.run_for(leadership_age_s)
+        voted = self.replace(group, gone, successor)
+        self.assertTrue(voted, f"seed {seed}, led for {leadership_age_s} s")
+        group.run_for(self.successor_started_s + CATCH_UP_S - group.now_s)
         group.empty_disk(second)
         group.run_for(1.0)
         group.start(second)
@@ -49,5 +70,7 @@
         self.assertEqual([], monitor.violations, f"seed {seed}")
 
     def test_a_disk_may_be_lost_soon_after_a_vm_was_replaced(self):
+        """A leader older than `replace_voter_after_s` once removed its new learner."""
         for seed in range(10):
-            self.play(seed)
+            for leadership_age_s in LEADERSHIP_AGES_S:
+                self.play(seed, leadership_age_s)
