Promote a learner that holds what the log held a moment ago

Cause: a learner counted as caught up only if it held the commit index at the instant of a tick. While commands are committed all the time, its answers are always a little behind, so that the promotion depended on a pause. Catching up now goes in rounds: a round asks for what the log held when it began, and a learner gets its vote once a round took no longer than an election timeout.

--- a/tanagerpath/core/consensus/changes.py
+++ b/tanagerpath/core/consensus/changes.py
@@ -235,7 +235,7 @@
             return PromotionDelay.OLDER_IDENTITY
         if not self._is_active(replica_id):
             return PromotionDelay.SILENT
-        if progress.match_index < context.commit_index:
+        if not self._replicator.has_caught_up(replica_id):
             return PromotionDelay.LAGS
         return self._find_obstacle()
 
--- a/tanagerpath/core/consensus/replication.py
+++ b/tanagerpath/core/consensus/replication.py
@@ -44,6 +44,12 @@
         Instant at which a chunk was last sent.
     tracked_s : float
         Instant from which the leader counts the member as its own.
+    round_end_index : int
+        Last index of the log when the current round of catching up began.
+    round_started_s : float
+        Instant at which the current round began.
+    has_finished_round : bool
+        Whether the last round took no longer than an election timeout.
     """
 
     next_index: int
@@ -55,6 +61,21 @@
     snapshot_offset: int = 0
     chunk_sent_s: float = -math.inf
     tracked_s: float = -math.inf
+    round_end_index: int = 0
+    round_started_s: float = -math.inf
+    has_finished_round: bool = False
+
+    def record_round(self, last_index: int, now_s: float, longest_s: float) -> None:
+        """Begin the next round if the member holds all that the current one asks for.
+
+        A member is compared with what the log held when the round began, because the
+        commit index may move with each command.
+        """
+        if self.match_index < self.round_end_index:
+            return
+        self.has_finished_round = now_s - self.round_started_s <= longest_s
+        self.round_end_index = last_index
+        self.round_started_s = now_s
 
 
 class Replicator:
@@ -93,8 +114,18 @@
         return Progress(
             next_index=last_index + 1,
             tracked_s=context.now_s,
+            round_end_index=last_index,
+            round_started_s=context.now_s,
         )
 
+    def has_caught_up(self, replica_id: str) -> bool:
+        """Return whether a member holds what the log held an election timeout ago."""
+        progress = self.progress.get(replica_id)
+        if progress is None or not progress.has_finished_round:
+            return False
+        round_s = self._context.now_s - progress.round_started_s
+        return round_s <= self._context.config.election_timeout_min_s
+
     def find_contact_s(self, replica_id: str) -> float:
         """Return the latest sending instant that a member is known to have answered.
 
@@ -235,6 +266,11 @@
             self._accept(progress, reply)
         else:
             self._back_off(sender, progress, reply)
+        progress.record_round(
+            self._context.log.last_index,
+            self._context.now_s,
+            self._context.config.election_timeout_min_s,
+        )
         self._replicate(sender, progress)
 
     def _accept(self, progress: Progress, reply: AppendReply) -> None:
--- a/tanagerpath/services/tests/test_replaced_vm.py
+++ b/tanagerpath/services/tests/test_replaced_vm.py
@@ -17,6 +17,7 @@
 LEADERSHIP_AGES_S = (0.0, 3.0, 30.0)
 # Well below `CATCH_UP_S`, so that the next loss meets a whole group.
 VOTE_LIMIT_S = 2.5
+COMMAND_INTERVAL_S = 0.002
 
 
 def _make_replica_config(address):
@@ -74,3 +75,18 @@
         for seed in range(10):
             for leadership_age_s in LEADERSHIP_AGES_S:
                 self.play(seed, leadership_age_s)
+
+    def test_successor_gets_a_vote_while_the_commit_index_moves(self):
+        """A learner is compared with a commit index that each command moves."""
+        for seed in range(3):
+            group, monitor, vm_ids = self.open_group(seed)
+            self._keep_proposing(group)
+            group.run_for(5.0)
+            self.assertTrue(self.replace(group, vm_ids[2], vm_ids[3]), f"seed {seed}")
+            self.assertEqual([], monitor.violations, f"seed {seed}")
+
+    def _keep_proposing(self, group):
+        leader = group.find_leader()
+        if leader is not None:
+            group.propose(leader.vm_id, f"command-{group.steps}")
+        group.schedule(COMMAND_INTERVAL_S, lambda: self._keep_proposing(group))
