Answer a leader that neither the log nor the settings name

Cause: a replica without a log knows addresses from its settings only. Once a replaced VM leads, a second successor that joins had no address for its answers to heartbeats: they were dropped, and it stayed a silent learner for ever. It now notes the addresses that come with the answers to its join requests, the leader's among them.

--- a/tanagerpath/core/consensus/context.py
+++ b/tanagerpath/core/consensus/context.py
@@ -29,6 +29,8 @@
 # Term of the founding entry; the first election stands for the next one.
 FOUNDING_TERM = 1
 IDENTITY_BITS = 64
+# Far more than the members of a group; identities of lost disks are not kept for ever.
+MAX_REPORTED_ADDRESSES = 64
 
 
 class ReplicaContext:
@@ -66,6 +68,7 @@
         self.last_leader_contact_s = 0.0
         self.election_deadline_s = 0.0
         self.proposals: dict[int, int] = {}
+        self._reported_addresses: dict[str, str] = {}
         self._requested_snapshot_at = 0
         self._actions: list[Action] = []
         self._reported: ReportRole | None = None
@@ -246,10 +249,22 @@
         group_id = "" if self.pristine else self.group_id
         self.journal.hold(SendMessage("", message, address, self.replica_id, group_id))
 
+    def note_address(self, replica_id: str, address: str) -> None:
+        """Note where a replica is that may be in no membership that is held here.
+
+        A replica without a log has to answer a leader that its settings don't name.
+        """
+        if replica_id not in self._reported_addresses:
+            if len(self._reported_addresses) >= MAX_REPORTED_ADDRESSES:
+                self._reported_addresses.clear()
+            self._reported_addresses[replica_id] = address
+
     def _find_address(self, receiver: str) -> str:
         member = self.membership.find(receiver)
         if member is not None:
             return member.address
+        if receiver in self._reported_addresses:
+            return self._reported_addresses[receiver]
         return self.config.vms.get(receiver.rpartition(".")[0], "")
 
     def take_actions(self) -> list[Action]:
--- a/tanagerpath/core/consensus/formation.py
+++ b/tanagerpath/core/consensus/formation.py
@@ -158,6 +158,7 @@
         self._reports[reply.vm_id] = _Report(
             reply.replica_id, reply.address, reply.formed, self._context.now_s
         )
+        self._context.note_address(reply.replica_id, reply.address)
         if reply.challenge:
             request = self._make_request(reply.challenge)
             self._context.send_to_address(reply.address, request)
--- a/tanagerpath/services/tests/test_replaced_vm.py
+++ b/tanagerpath/services/tests/test_replaced_vm.py
@@ -90,3 +90,17 @@
         if leader is not None:
             group.propose(leader.vm_id, f"command-{group.steps}")
         group.schedule(COMMAND_INTERVAL_S, lambda: self._keep_proposing(group))
+
+    def test_successor_joins_a_leader_that_its_settings_do_not_name(self):
+        """Answers of a replica without a log once had no address to go to."""
+        for seed in range(3):
+            group, monitor, vm_ids = self.open_group(seed)
+            second, gone, successor, last = vm_ids[1:]
+            self.assertTrue(self.replace(group, gone, successor), f"seed {seed}")
+            while group.find_leader() is not group.vms[successor]:
+                group.request_transfer(group.find_leader().vm_id)
+                group.run_for(1.0)
+                group.run_until(group.find_leader, 5.0)
+            group.run_for(5.0)
+            self.assertTrue(self.replace(group, second, last), f"seed {seed}")
+            self.assertEqual([], monitor.violations, f"seed {seed}")
