--- a/tanagerpath/core/consensus/context.py
+++ b/tanagerpath/core/consensus/context.py
@@ -22,12 +22,15 @@
 from tanagerpath.core.consensus.log import ReplicatedLog
 from tanagerpath.core.consensus.membership import Membership
 from tanagerpath.core.consensus.messages import ReplicaMessage
+from tanagerpath.core.consensus.notes import MembershipCommitted, VoteChanged
 
 __all__ = ["FOUNDING_TERM", "ReplicaContext"]
 
 # Term of the founding entry; the first election stands for the next one.
 FOUNDING_TERM = 1
 IDENTITY_BITS = 64
+# Far more than the members of a group; identities of lost disks are not kept for ever.
+MAX_REPORTED_ADDRESSES = 64
 
 
 class ReplicaContext:
@@ -65,10 +68,12 @@
         self.last_leader_contact_s = 0.0
         self.election_deadline_s = 0.0
         self.proposals: dict[int, int] = {}
+        self._reported_addresses: dict[str, str] = {}
         self._requested_snapshot_at = 0
         self._actions: list[Action] = []
         self._reported: ReportRole | None = None
         self.replica_id = restored.replica_id or self._create_identity()
+        self._reported_vote = self.is_voter
 
     def _create_identity(self) -> str:
         replica_id = (
@@ -176,6 +181,8 @@
             return
         entries = self.log.read(self.commit_index + 1, index)
         self.commit_index = index
+        if self.role is Role.LEADER:
+            self._report_committed(entries)
         self.act(
             DeliverCommitted(
                 tuple(
@@ -186,6 +193,16 @@
         )
         self._request_snapshot()
 
+    def _report_committed(self, entries: tuple[LogEntry, ...]) -> None:
+        for entry in entries:
+            membership = entry.membership
+            if membership is not None:
+                self.act(
+                    MembershipCommitted(
+                        entry.index, membership.voters, membership.learners
+                    )
+                )
+
     def _request_snapshot(self) -> None:
         taken = self.log.snapshot.last_index if self.log.snapshot else 0
         since = max(taken, self._requested_snapshot_at)
@@ -232,20 +249,38 @@
         group_id = "" if self.pristine else self.group_id
         self.journal.hold(SendMessage("", message, address, self.replica_id, group_id))
 
+    def note_address(self, replica_id: str, address: str) -> None:
+        """Note where a replica is that may be in no membership that is held here.
+
+        A replica without a log has to answer a leader that its settings don't name.
+        """
+        if replica_id not in self._reported_addresses:
+            if len(self._reported_addresses) >= MAX_REPORTED_ADDRESSES:
+                self._reported_addresses.clear()
+            self._reported_addresses[replica_id] = address
+
     def _find_address(self, receiver: str) -> str:
         member = self.membership.find(receiver)
         if member is not None:
             return member.address
+        if receiver in self._reported_addresses:
+            return self._reported_addresses[receiver]
         return self.config.vms.get(receiver.rpartition(".")[0], "")
 
     def take_actions(self) -> list[Action]:
         """Return the actions of the current step, with the write first."""
-        report = ReportRole(self.role, self.term, self.leader_id)
-        if report != self._reported:
-            self._reported = report
-            self.act(report)
+        self._report_changes()
         actions, self._actions = self._actions, []
         write = self.journal.take_write(self.term, self.voted_for)
         if write is not None:
             actions.insert(0, write)
         return actions + self.journal.take_released()
+
+    def _report_changes(self) -> None:
+        report = ReportRole(self.role, self.term, self.leader_id)
+        if report != self._reported:
+            self._reported = report
+            self.act(report)
+        if self.is_voter != self._reported_vote:
+            self._reported_vote = self.is_voter
+            self.act(VoteChanged(self.is_voter, self.log.membership_index))
