Give up the lead while the own disk takes no writes

The replica takes a new event, StorageLost; the next StorageSynced ends it.

- a leader hands over to the most advanced voter, and steps down after the election timeout if the target did not take over.
It takes no proposals.
It keeps the lead only while the other voters that answer are no quorum: nobody could be elected, and an election would delay the first commit after the disk takes writes again.
Its commits are unaffected: it never counted entries that it had not synced.
- any other replica neither stands for election nor answers requests for its vote, because it can store neither.

A leader whose disk stalls is treated the same. It could commit through the others, but every commit would then need all of them, and one further loss would stop decisions; a hand-over costs a message and an election.

--- a/tanagerpath/core/consensus/elections.py
+++ b/tanagerpath/core/consensus/elections.py
@@ -15,6 +15,9 @@
     of the process counts as such a contact, because a restarted replica does not know
     whom it has just answered.
 
+    A replica whose disk takes no writes neither stands nor answers requests for its
+    vote, because it could store neither the term nor the vote.
+
     Parameters
     ----------
     context : ReplicaContext
@@ -31,9 +34,19 @@
         context = self._context
         if context.role is Role.LEADER or not context.is_voter:
             return
-        if context.now_s >= context.election_deadline_s:
+        if context.now_s < context.election_deadline_s:
+            return
+        if context.journal.storage_lost:
+            context.restart_election_timeout()
+        else:
             self._start_pre_vote()
 
+    def withdraw(self) -> None:
+        """Stop standing for election."""
+        context = self._context
+        if context.role in (Role.PRE_CANDIDATE, Role.CANDIDATE):
+            context.become_follower(context.term, None)
+
     def _start_pre_vote(self) -> None:
         context = self._context
         context.role = Role.PRE_CANDIDATE
@@ -63,6 +76,8 @@
     def handle_vote_request(self, sender: str, request: VoteRequest) -> None:
         """Vote for the sender or refuse; see the class for when a vote is refused."""
         context = self._context
+        if context.journal.storage_lost:
+            return
         if not request.transfer and self._has_leader():
             self._answer(sender, request, granted=False)
             return
@@ -125,5 +140,6 @@
         """Stand for election because the leader hands over."""
         context = self._context
         from_leader = sender == context.leader_id and request.term == context.term
-        if from_leader and context.role is Role.FOLLOWER:
+        may_stand = context.role is Role.FOLLOWER and not context.journal.storage_lost
+        if from_leader and may_stand:
             self._start_election(transfer=True)
--- a/tanagerpath/core/consensus/events.py
+++ b/tanagerpath/core/consensus/events.py
@@ -31,6 +31,7 @@
     "SendMessage",
     "Snapshot",
     "SnapshotProvided",
+    "StorageLost",
     "StorageSynced",
     "Tick",
     "TransferRequested",
@@ -157,6 +158,11 @@
     sequence: int
 
 
+@attrs.frozen
+class StorageLost:
+    """Writes are refused or do not end; the next `StorageSynced` says that they do."""
+
+
 @attrs.frozen
 class SnapshotProvided:
     """The state machine encoded its state after `last_index`."""
@@ -175,6 +181,7 @@
     | MessageReceived
     | CommandProposed
     | StorageSynced
+    | StorageLost
     | SnapshotProvided
     | TransferRequested
 )
--- a/tanagerpath/core/consensus/harness.py
+++ b/tanagerpath/core/consensus/harness.py
@@ -28,6 +28,7 @@
     SendMessage,
     Snapshot,
     SnapshotProvided,
+    StorageLost,
     StorageSynced,
     Tick,
     TransferRequested,
@@ -219,6 +220,17 @@
         for observer in self.observers:
             observer.record_emptied(vm, lost)
 
+    def refuse_writes(self, vm_id: str) -> None:
+        """Let a disk take no more writes; a sync that has begun still ends."""
+        self.vms[vm_id].disk.refusing = True
+
+    def accept_writes(self, vm_id: str) -> None:
+        """Let a disk take writes again, first those that wait."""
+        vm = self.vms[vm_id]
+        if vm.disk.refusing:
+            vm.disk.refusing = False
+            self._begin_sync(vm, vm.starts)
+
     def freeze(self, vm_id: str) -> None:
         """Stop a process for a while; its messages wait and its clock goes on."""
         self.vms[vm_id].frozen = True
@@ -252,6 +264,7 @@
         self.faults = NetworkFaults()
         for vm_id in self.vms:
             self.thaw(vm_id)
+            self.accept_writes(vm_id)
         self.start_all()
 
     def propose(self, vm_id: str, payload: str) -> int:
@@ -344,6 +357,12 @@
         if vm.disk.begin_sync():
             delay_s = self.random.uniform(MIN_SYNC_S, MAX_SYNC_S)
             self.schedule(delay_s, lambda: self._end_sync(vm, start))
+        elif vm.disk.refusing:
+            self.schedule(MIN_SYNC_S, lambda: self._report_loss(vm, start))
+
+    def _report_loss(self, vm: SimulatedVm, start: int) -> None:
+        if vm.disk.refusing:
+            self._deliver(vm, start, StorageLost())
 
     def _end_sync(self, vm: SimulatedVm, start: int) -> None:
         if vm.replica is None or vm.starts != start:
--- a/tanagerpath/core/consensus/journal.py
+++ b/tanagerpath/core/consensus/journal.py
@@ -31,6 +31,9 @@
 class Journal:
     """Collects the writes of one step and holds messages until they are synced.
 
+    While the disk takes no writes, messages that would wait for it are dropped: they
+    may be lost like any other, and their number would grow for as long as that lasts.
+
     Parameters
     ----------
     last_index : int
@@ -41,6 +44,7 @@
         self.sequence = 0
         self.synced_sequence = 0
         self.synced_index = last_index
+        self.storage_lost = False
         self._last_index = last_index
         self._hard_state_sequence = 0
         self._unsynced: list[_Write] = []
@@ -94,7 +98,10 @@
 
     def hold(self, message: SendMessage) -> None:
         """Queue a message until the term, vote and identity it shows are synced."""
-        self._held.append(_HeldMessage(self._hard_state_sequence, message))
+        sequence = self._hard_state_sequence
+        if self.storage_lost and sequence > self.synced_sequence:
+            return
+        self._held.append(_HeldMessage(sequence, message))
 
     def drop_held(self) -> None:
         """Forget messages of an earlier term."""
@@ -118,8 +125,14 @@
         self._clear()
         return write
 
+    def record_loss(self) -> None:
+        """Note that the disk takes no writes until the next sync is reported."""
+        self.storage_lost = True
+        self.drop_held()
+
     def record_sync(self, sequence: int) -> None:
         """Note that all writes up to `sequence` are on disk."""
+        self.storage_lost = False
         self.synced_sequence = max(self.synced_sequence, sequence)
         while self._unsynced and self._unsynced[0].sequence <= sequence:
             write = self._unsynced.pop(0)
--- a/tanagerpath/core/consensus/leadership.py
+++ b/tanagerpath/core/consensus/leadership.py
@@ -82,8 +82,9 @@
         return now_s < confirmed_s + context.config.lease_duration_s
 
     def propose(self, event: CommandProposed) -> None:
-        """Append a command."""
-        if self._transfer_target is not None:
+        """Append a command, unless another replica is to lead or the disk is full."""
+        storage_lost = self._context.journal.storage_lost
+        if self._transfer_target is not None or storage_lost:
             self._context.reject_proposal(event.proposal_id)
             return
         index = self._append(EntryKind.COMMAND, event.payload)
@@ -103,6 +104,8 @@
         if self._find_silence_s() > timeout_s:
             context.become_follower(context.term, None)
             return
+        if context.journal.storage_lost:
+            self.give_up()
         self._check_transfer()
         if context.role is Role.LEADER and context.now_s >= self._next_heartbeat_s:
             self._next_heartbeat_s = context.now_s + context.config.heartbeat_interval_s
@@ -116,12 +119,10 @@
     def request_transfer(self) -> None:
         """Choose the most advanced voter that answers as the next leader."""
         context = self._context
-        progress = self._replicator.progress
-        recent_s = context.now_s - context.config.election_timeout_min_s
         candidates = [
-            (progress[voter].match_index, voter)
+            (self._replicator.progress[voter].match_index, voter)
             for voter in context.membership.voters
-            if voter in progress and progress[voter].acknowledged_s >= recent_s
+            if self._answers(voter)
         ]
         if not candidates or self._transfer_target is not None:
             return
@@ -130,6 +131,27 @@
         self._transfer_deadline_s = context.now_s + timeout_s
         self._send_hand_over()
 
+    def give_up(self) -> None:
+        """Hand over because the own disk takes no writes.
+
+        The lead is kept while the other voters that answer are no quorum: none of them
+        could be elected, and an election would only delay the first commit once the
+        disk takes writes again.
+        """
+        context = self._context
+        others = [
+            voter
+            for voter in context.membership.voters
+            if voter != context.replica_id and self._answers(voter)
+        ]
+        if context.membership.has_quorum(others):
+            self.request_transfer()
+
+    def _answers(self, voter: str) -> bool:
+        progress = self._replicator.progress.get(voter)
+        recent_s = self._context.now_s - self._context.config.election_timeout_min_s
+        return progress is not None and progress.acknowledged_s >= recent_s
+
     def _send_hand_over(self) -> None:
         target = self._transfer_target
         progress = self._replicator.progress.get(target or "")
@@ -143,7 +165,7 @@
         context = self._context
         if context.now_s < self._transfer_deadline_s:
             return
-        if self._handed_over:
+        if self._handed_over or context.journal.storage_lost:
             context.become_follower(context.term, None)
         self._clear_transfer()
 
--- a/tanagerpath/core/consensus/replica.py
+++ b/tanagerpath/core/consensus/replica.py
@@ -15,6 +15,7 @@
     RestoreSnapshot,
     Role,
     SnapshotProvided,
+    StorageLost,
     StorageSynced,
     Tick,
     TransferRequested,
@@ -75,6 +76,7 @@
             MessageReceived: self._handle_message,
             CommandProposed: self._handle_proposal,
             StorageSynced: self._handle_sync,
+            StorageLost: self._handle_loss,
             SnapshotProvided: self._handle_snapshot,
             TransferRequested: self._handle_transfer,
         }
@@ -238,6 +240,13 @@
         else:
             self._following.record_sync()
 
+    def _handle_loss(self, event: StorageLost) -> None:
+        self._context.journal.record_loss()
+        if self._context.role is Role.LEADER:
+            self._leadership.give_up()
+        else:
+            self._elections.withdraw()
+
     def _handle_snapshot(self, event: SnapshotProvided) -> None:
         self._context.store_own_snapshot(event.last_index, event.payload)
 
--- a/tanagerpath/core/consensus/simulated.py
+++ b/tanagerpath/core/consensus/simulated.py
@@ -146,11 +146,14 @@
         Content that survives a crash.
     visible : DiskContent
         Content with the writes that are not synced yet.
+    refusing : bool
+        Whether no sync begins, as on a full disk.
     """
 
     def __init__(self) -> None:
         self._waiting: list[PersistState] = []
         self._syncing = 0
+        self.refusing = False
         self.empty()
 
     def empty(self) -> None:
@@ -167,7 +170,9 @@
         return self._syncing == 0
 
     def begin_sync(self) -> bool:
-        """Start a sync of all queued writes; return False if there are none."""
+        """Start a sync of all queued writes; return False if none can begin."""
+        if self.refusing:
+            return False
         self._syncing = len(self._waiting)
         return self._syncing > 0
 
--- a/tanagerpath/core/control/messages.py
+++ b/tanagerpath/core/control/messages.py
@@ -47,6 +47,7 @@
 ControlEvent = (
     consensus.MessageReceived
     | consensus.StorageSynced
+    | consensus.StorageLost
     | RequestArrived
     | HandOverRequested
     | UpstreamReplied
--- a/tanagerpath/core/control/replicated.py
+++ b/tanagerpath/core/control/replicated.py
@@ -100,7 +100,11 @@
 
     def _take(self, event: ControlEvent) -> None:
         match event:
-            case consensus.MessageReceived() | consensus.StorageSynced():
+            case (
+                consensus.MessageReceived()
+                | consensus.StorageSynced()
+                | consensus.StorageLost()
+            ):
                 self._step_replica(event)
             case HandOverRequested(token):
                 if self._replica.voters == (self._replica.replica_id,):
