--- a/tanagerpath/core/consensus/events.py
+++ b/tanagerpath/core/consensus/events.py
@@ -32,6 +32,7 @@
     "SendMessage",
     "Snapshot",
     "SnapshotProvided",
+    "StorageLost",
     "StorageSynced",
     "Tick",
     "TransferRequested",
@@ -158,6 +159,11 @@
     sequence: int
 
 
+@attrs.frozen
+class StorageLost:
+    """Writes are refused or do not end; the next `StorageSynced` says that they do."""
+
+
 @attrs.frozen
 class SnapshotProvided:
     """The state machine encoded its state after `last_index`."""
@@ -176,6 +182,7 @@
     | MessageReceived
     | CommandProposed
     | StorageSynced
+    | StorageLost
     | SnapshotProvided
     | TransferRequested
 )
