Answer requests that are cut before their body is whole in one place

Cause: only one of five routes that read a body expected ClientDisconnect. The server task takes it for all routes now.

Test: test_request_cut_before_its_body_is_whole_logs_no_traceback fails without the change (ClientDisconnect in the log) and passes with it.

--- a/tanagerpath/runtime/server.py
+++ b/tanagerpath/runtime/server.py
@@ -7,7 +7,7 @@
 import anyio
 import uvicorn
 from starlette.applications import Starlette
-from starlette.requests import Request
+from starlette.requests import ClientDisconnect, Request
 from starlette.responses import Response
 from starlette.routing import BaseRoute
 from starlette.types import ASGIApp, Message, Receive, Scope, Send
@@ -17,6 +17,7 @@
 __all__ = ["ErrorHandler", "HttpServer", "bind_listener"]
 
 LISTEN_BACKLOG = 2048
+BAD_REQUEST_STATUS = 400
 
 ErrorHandler = Callable[[Request, Exception], Awaitable[Response]]
 
@@ -48,6 +49,11 @@
     return listener
 
 
+async def _drop_cut_request(request: Request, error: Exception) -> Response:
+    """End a request whose client left before its body was whole; nobody reads this."""
+    return Response(status_code=BAD_REQUEST_STATUS)
+
+
 class _Server(uvicorn.Server):
     @contextlib.contextmanager
     def capture_signals(self) -> Iterator[None]:
@@ -101,7 +107,8 @@
         error_handlers: Mapping[int, ErrorHandler] | None = None,
     ) -> None:
         self._listener = listener
-        application = Starlette(routes=routes, exception_handlers=error_handlers)
+        handlers = {ClientDisconnect: _drop_cut_request, **(error_handlers or {})}
+        application = Starlette(routes=routes, exception_handlers=handlers)
         application.router.redirect_slashes = False
         self._application = _ClosingApplication(application)
         config = uvicorn.Config(
--- a/tanagerpath/services/replica_routes.py
+++ b/tanagerpath/services/replica_routes.py
@@ -2,7 +2,7 @@
 
 import anyio
 from returns.pipeline import is_successful
-from starlette.requests import ClientDisconnect, Request
+from starlette.requests import Request
 from starlette.responses import PlainTextResponse, Response
 from starlette.routing import BaseRoute, Route
 
@@ -57,12 +57,7 @@
         ]
 
     async def _take_consensus(self, request: Request) -> Response:
-        try:
-            body = await request.body()
-        except ClientDisconnect:
-            # The peer died in the middle of its request; nobody reads the reply.
-            return Response(status_code=400)
-        batch = decode_batch(body)
+        batch = decode_batch(await request.body())
         if not is_successful(batch):
             return PlainTextResponse(batch.failure().message + "\n", 400)
         messages = tuple(batch.unwrap())
