Plan in a tenth of the time on fleets with many upstreams

Each unit that waits sorted all upstreams, also when none had room, and for a unit with a preferred rack each upstream asked all others whether that rack could be used. A plan for 200 upstreams and some 230 waiting units took 813 ms of processor time (32 plans on the rig, no profiler).

A plan now remembers sizes of tasks that no upstream has room for, drops upstreams without room before it sorts, looks racks up, predicts the work of a step once, and weighs each upstream once for a claim. The same plans take 68 ms.

--- a/tanagerpath/core/workloads/deadline_policy.py
+++ b/tanagerpath/core/workloads/deadline_policy.py
@@ -184,7 +184,13 @@
         self, unit: PlanUnit, rooms: PlanRooms, fleet: FleetView
     ) -> tuple[UpstreamSession, ...]:
         """Return upstreams for as many tasks as have a place."""
-        sessions = self._list_candidates(unit, rooms, fleet)
+        if rooms.is_full_for(unit.spec.reserved):
+            return ()
+        sessions = [
+            session
+            for session in self._list_candidates(unit, rooms, fleet)
+            if rooms.count_fitting(unit, session, 1)
+        ]
         if not unit.spec.gang:
             return tuple(self._choose_singles(unit, sessions, rooms, fleet))
         option = self._choose_option(unit, sessions, rooms, fleet)
@@ -275,7 +281,7 @@
         ordered = [
             session
             for session in self._order(unit, sessions, rooms, fleet)
-            if self._may_run_on(unit, session, fleet)
+            if self._may_run_on(unit, session, rooms, fleet)
         ]
         chosen = self._choose_probes(unit, ordered, rooms, fleet)
         probes = Counter(session.upstream_id for session in chosen)
@@ -315,15 +321,17 @@
         return not view.observed and not view.spec.gang and not view.spec.long_running
 
     def _may_run_on(
-        self, unit: PlanUnit, session: UpstreamSession, fleet: FleetView
+        self,
+        unit: PlanUnit,
+        session: UpstreamSession,
+        rooms: PlanRooms,
+        fleet: FleetView,
     ) -> bool:
         """Return whether waiting for the rack with the data is no longer better."""
         rack = unit.spec.preferred_rack
         if not rack or rack == session.record.rack:
             return True
-        return self._is_patience_over(unit, fleet) or not any(
-            one.is_usable and one.record.rack == rack for one in fleet.sessions
-        )
+        return self._is_patience_over(unit, fleet) or not rooms.has_rack(rack)
 
     def _is_patience_over(self, unit: PlanUnit, fleet: FleetView) -> bool:
         patience_s = self._terms.remote_patience * fleet.predict_work_s(unit)
--- a/tanagerpath/core/workloads/evictions.py
+++ b/tanagerpath/core/workloads/evictions.py
@@ -116,23 +116,23 @@
 ) -> EvictionPlan | None:
     plan = EvictionPlan()
     left = count
-    remaining = list(sessions)
+    steps = [
+        step
+        for session in sessions
+        if (step := _look_at(unit, count, session, rooms, fleet, terms))
+    ]
     while left:
-        steps = [
-            step
-            for session in remaining
-            if (step := _look_at(unit, left, session, rooms, fleet, terms))
-        ]
         if not steps:
             return None
-        best = min(steps, key=lambda step: step.lost_cores_s / step.count)
-        plan.places.append((best.session, best.count))
+        best = min(steps, key=lambda step: step.lost_cores_s / min(step.count, left))
+        taken = min(best.count, left)
+        plan.places.append((best.session, taken))
         plan.evictions += [
             Eviction(best.session, victim, unit, cost) for cost, victim in best.victims
         ]
         plan.lost_cores_s += best.lost_cores_s
-        left -= best.count
-        remaining.remove(best.session)
+        left -= taken
+        steps.remove(best)
     return plan
 
 
--- a/tanagerpath/core/workloads/policy.py
+++ b/tanagerpath/core/workloads/policy.py
@@ -194,6 +194,7 @@
     remote_factor: float = 3.0
     checkpoint_interval_s: float = 1.0
     preemption: PreemptionHistory = attrs.Factory(PreemptionHistory)
+    _work_s: dict[tuple[str, int], float] = attrs.field(factory=dict, init=False)
 
     def find_waited_s(self, unit: PlanUnit) -> float:
         """Return the seconds since the instant from which the caller counts."""
@@ -211,9 +212,12 @@
 
     def predict_work_s(self, unit: PlanUnit) -> float:
         """Return the seconds that a task of a unit takes at speed 1."""
-        return self.estimates.predict_work_s(
-            unit.step_key, unit.queue.name, unit.spec.declared_run_s
-        )
+        work_s = self._work_s.get(unit.step_key)
+        if work_s is None:
+            work_s = self._work_s[unit.step_key] = self.estimates.predict_work_s(
+                unit.step_key, unit.queue.name, unit.spec.declared_run_s
+            )
+        return work_s
 
     def predict_run_s(self, unit: PlanUnit, session: UpstreamSession) -> float:
         """Return the seconds that a task of a unit takes on an upstream."""
--- a/tanagerpath/core/workloads/rooms.py
+++ b/tanagerpath/core/workloads/rooms.py
@@ -22,12 +22,14 @@
         self._free_until_s: dict[str, float] = {}
         self._ends: dict[str, list[tuple[float, RunView]]] = {}
         self.sessions: list[UpstreamSession] = []
+        self._racks = {one.record.rack for one in fleet.sessions if one.is_usable}
         for session in fleet.sessions:
             health = fleet.health[session.upstream_id]
             if session.is_usable and not health.is_quarantined(fleet.now_s):
                 self._rooms[session.upstream_id] = session.room
                 self.sessions.append(session)
         self._planned: dict[tuple[str, StepPlace], int] = {}
+        self._full_for: set[Resources] = set()
         self._held: dict[StepPlace, dict[str, int]] = {}
         self._claimed: set[tuple[str, StepPlace]] = set()
 
@@ -35,6 +37,22 @@
         """Return the room that is left."""
         return self._rooms[session.upstream_id]
 
+    def has_rack(self, rack: str) -> bool:
+        """Return whether a rack has an upstream that can be used."""
+        return rack in self._racks
+
+    def is_full_for(self, needed: Resources) -> bool:
+        """Return whether no upstream has room for a task.
+
+        Plans of a busy fleet ask this for each unit that waits. Room only shrinks
+        while a plan is made, but for a release, so that a yes is remembered.
+        """
+        if needed not in self._full_for:
+            if any(needed.fits(room) for room in self._rooms.values()):
+                return False
+            self._full_for.add(needed)
+        return True
+
     def take(self, unit: PlanUnit, session: UpstreamSession, count: int = 1) -> None:
         """Take room for tasks of a unit."""
         room = self._rooms[session.upstream_id]
@@ -69,6 +87,7 @@
 
     def release(self, unit: PlanUnit) -> None:
         """Give the room that is held for a unit back, to place the unit itself."""
+        self._full_for.clear()
         for upstream_id, count in self._held.pop(unit.place, {}).items():
             for _ in range(count):
                 self._rooms[upstream_id] += unit.spec.reserved
@@ -80,8 +99,10 @@
 
     def count_fitting(self, unit: PlanUnit, session: UpstreamSession, most: int) -> int:
         """Return how many tasks of a unit an upstream takes now, at most `most`."""
-        most = self.limit_tasks(unit, session, most)
-        return unit.spec.reserved.count_in(self.find_room(session), most)
+        room = self.find_room(session)
+        if not unit.spec.reserved.fits(room):
+            return 0
+        return unit.spec.reserved.count_in(room, self.limit_tasks(unit, session, most))
 
     def limit_tasks(self, unit: PlanUnit, session: UpstreamSession, most: int) -> int:
         """Return how many tasks of a unit an upstream may take, whatever its room."""
