Leave an upstream alone for a second after it refuses a start

A start that an upstream refused (no room, order expired, order malformed) was planned again at once on the same upstream, which often has the most room by the leader's count. On the rig one task was ordered and refused 101 times in 5 s, and four tasks with a second, sound upstream beside it did not end in 3 s. Both tests fail before the change. Refusals that concern one task only (superseded, no ticket) are left as they are.

--- a/tanagerpath/core/workloads/preemption.py
+++ b/tanagerpath/core/workloads/preemption.py
@@ -90,6 +90,8 @@
                 return False
             if context.find_health(upstream_id).is_quarantined(context.now_s):
                 return False
+            if context.now_s < session.refused_until_s:
+                return False
         return True
 
     def carry_out(self, plan: Plan) -> None:
--- a/tanagerpath/core/workloads/rooms.py
+++ b/tanagerpath/core/workloads/rooms.py
@@ -25,7 +25,11 @@
         self._racks = {one.record.rack for one in fleet.sessions if one.is_usable}
         for session in fleet.sessions:
             health = fleet.health[session.upstream_id]
-            if session.is_usable and not health.is_quarantined(fleet.now_s):
+            is_left_alone = (
+                health.is_quarantined(fleet.now_s)
+                or fleet.now_s < session.refused_until_s
+            )
+            if session.is_usable and not is_left_alone:
                 self._rooms[session.upstream_id] = session.room
                 self.sessions.append(session)
         self._planned: dict[tuple[str, StepPlace], int] = {}
--- a/tanagerpath/core/workloads/run_driver.py
+++ b/tanagerpath/core/workloads/run_driver.py
@@ -36,6 +36,10 @@
 UNRECORDED_HOLD_INTERVAL_S = 1.0
 # Stops that keep an earlier incarnation's runs from starting; they harm nothing.
 BAR_INTERVAL_S = 0.2
+# A start that was refused would be refused again at once.
+REFUSAL_PAUSE_S = 1.0
+# They tell nothing of how the upstream would answer for another task.
+_REFUSALS_OF_ONE_TASK = frozenset({Refusal.SUPERSEDED, Refusal.NO_TICKET})
 
 
 class RunDriver:
@@ -336,6 +340,8 @@
             # A malformed or late stop would never succeed; the lists decide.
             view.must_be_listed_s = context.now_s
             return
+        if refusal not in _REFUSALS_OF_ONE_TASK:
+            session.refused_until_s = context.now_s + REFUSAL_PAUSE_S
         if refusal is Refusal.UNHEALTHY:
             context.find_health(session.upstream_id).note_failure(
                 view.task.workload_id, context.now_s
--- a/tanagerpath/core/workloads/sessions.py
+++ b/tanagerpath/core/workloads/sessions.py
@@ -257,6 +257,8 @@
         Instant at which it said that it ends.
     opened_s : float
         Instant at which the leader learned of it.
+    refused_until_s : float
+        Instant until which no start is sent, after it refused one.
     is_reserved : bool
         Whether its VM is about to have its upkeep.
     unanswered : dict of RunKey to float
@@ -286,6 +288,7 @@
     next_hold_s: float = 0.0
     left_at_s: float | None = None
     opened_s: float = 0.0
+    refused_until_s: float = 0.0
     is_reserved: bool = False
     unanswered: dict[RunKey, float] = attrs.Factory(dict)
     barred: dict[RunKey, float] = attrs.Factory(dict)
--- a/tanagerpath/core/workloads/tests/fake_upstream.py
+++ b/tanagerpath/core/workloads/tests/fake_upstream.py
@@ -67,6 +67,8 @@
         self.cut = False
         self.fails_all = False
         self.stalls = False
+        self.refuses: Refusal | None = None
+        self.refused = 0
         self.cut_replies = 0.0
 
     @property
@@ -131,6 +133,9 @@
 
     def _start(self, request):
         key = (request.task, request.run)
+        if self.refuses is not None:
+            self.refused += 1
+            return OrderRefused(self.refuses, self.clock_ms)
         if key in self.runs:
             return OrderDone(self.clock_ms)
         if request.run <= self.highest.get(request.task, 0):
--- a/tanagerpath/core/workloads/tests/test_preemption.py
+++ b/tanagerpath/core/workloads/tests/test_preemption.py
@@ -5,6 +5,7 @@
 import testtools
 
 from tanagerpath.core.workloads.deadline_policy import MAX_STOPS
+from tanagerpath.core.workloads.orders import Refusal
 from tanagerpath.core.workloads.resources import Resources
 from tanagerpath.core.workloads.specs import StepSpec
 from tanagerpath.core.workloads.tests.rig import Rig
@@ -165,3 +166,23 @@
         rig.submit("pinned", pinned, queue="urgent", work_s=4.0)
         rig.run(0.8)
         self.assertEqual([], _list_room_stops(rig))
+
+
+class TestRetries(testtools.TestCase):
+    def test_refused_start_is_not_repeated_at_once_on_the_same_upstream(self):
+        for refusal in (Refusal.NO_ROOM, Refusal.EXPIRED, Refusal.MALFORMED):
+            rig = Rig(upstreams=1)
+            rig.upstreams["u0"].refuses = refusal
+            rig.submit("w", _step(1))
+            rig.run(5.0)
+            self.assertLessEqual(rig.upstreams["u0"].refused, 6, refusal)
+            rig.upstreams["u0"].refuses = None
+            rig.run(5.0)
+            self.assertEqual("completed", rig.find_state("w"))
+
+    def test_refused_start_goes_to_another_upstream(self):
+        rig = Rig(upstreams=2)
+        rig.upstreams["u0"].refuses = Refusal.NO_ROOM
+        rig.submit("w", _step(4))
+        rig.run(3.0)
+        self.assertEqual("completed", rig.find_state("w"))
