Wait for room on a full disk instead of ending the control process

Cause: LogFiles could not be written again after an error, because a refused write may leave a part of a frame, and after a failed sync nothing is known of the pages. Ruled out: a limit of the process itself (the error is ENOSPC from os.write in the log segment, on the one VM whose disk was full).

StorageTask now keeps what was refused, tells the replica (StorageLost), tries again with pauses of 0.05 s to 1 s, and reports StorageSynced when all of it is on disk. A write that has not ended in 1 s is reported the same way.

At start, the data directory is opened in `prepare`, which waits for errors that pass (no room, no descriptors, a directory that an earlier process still holds) and ends at SIGTERM; a wrong path still ends the process.

Before: the same write through the former StorageTask with os.write refusing: "ended: FailureError cannot write to ...: [Errno 28] No space left on device".

--- a/tanagerpath/runtime/__init__.py
+++ b/tanagerpath/runtime/__init__.py
@@ -2,24 +2,22 @@
 
 from tanagerpath.runtime.application import Application
 from tanagerpath.runtime.clock import Clock, SystemClock
+from tanagerpath.runtime.logfiles import set_aside_corrupt
 from tanagerpath.runtime.mailbox import Mailbox, MailboxFull, Reply
-from tanagerpath.runtime.storage import (
-    CorruptLog,
-    StorageFailed,
-    StorageTask,
-    load_state,
-    set_aside_corrupt,
-)
+from tanagerpath.runtime.opening import DirectoryOpener, OpenedDirectory
+from tanagerpath.runtime.storage import StorageTask
+from tanagerpath.runtime.stored_state import CorruptLog, load_state
 from tanagerpath.runtime.tasks import Task
 
 __all__ = [
     "Application",
     "Clock",
     "CorruptLog",
+    "DirectoryOpener",
     "Mailbox",
     "MailboxFull",
+    "OpenedDirectory",
     "Reply",
-    "StorageFailed",
     "StorageTask",
     "SystemClock",
     "Task",
--- a/tanagerpath/runtime/application.py
+++ b/tanagerpath/runtime/application.py
@@ -12,13 +12,18 @@
 class Application(abc.ABC):
     """Owns all tasks of a process and ends them in order.
 
-    `run` calls the hook `start`, then waits for SIGTERM, SIGINT or `request_stop`,
-    then calls `drain` and `close`, and cancels what is left. SIGHUP calls `reload`.
+    `run` calls the hooks `prepare` and `start`, then waits for SIGTERM, SIGINT or
+    `request_stop`, then calls `drain` and `close`, and cancels what is left. SIGHUP
+    calls `reload`.
     """
 
     def __init__(self) -> None:
         self._stop_requested = anyio.Event()
 
+    async def prepare(self) -> None:
+        """Wait for what `start` needs; cancelled if a stop is requested."""
+        return None
+
     @abc.abstractmethod
     async def start(self, tasks: TaskGroup) -> None:
         """Open files and sockets and start the tasks in `tasks`."""
@@ -52,12 +57,27 @@
             if handle_signals:
                 # A signal that arrives during the start must not end the process.
                 await tasks.start(self._watch_signals)
-            await self.start(tasks)
-            await self._stop_requested.wait()
-            await self.drain()
-            await self.close()
+            if await self._is_prepared():
+                await self.start(tasks)
+                await self._stop_requested.wait()
+                await self.drain()
+                await self.close()
             tasks.cancel_scope.cancel()
 
+    async def _is_prepared(self) -> bool:
+        """Return whether `prepare` ended before a stop was requested."""
+        prepared = False
+        async with anyio.create_task_group() as waiting:
+            waiting.start_soon(self._cancel_at_stop, waiting.cancel_scope)
+            await self.prepare()
+            prepared = True
+            waiting.cancel_scope.cancel()
+        return prepared
+
+    async def _cancel_at_stop(self, scope: anyio.CancelScope) -> None:
+        await self._stop_requested.wait()
+        scope.cancel()
+
     async def _watch_signals(self, task_status: TaskStatus[None]) -> None:
         with anyio.open_signal_receiver(
             signal.SIGTERM, signal.SIGINT, signal.SIGHUP
--- /dev/null
+++ b/tanagerpath/runtime/files.py
@@ -0,0 +1,117 @@
+"""Operations on files that a disk may refuse."""
+
+import abc
+import contextlib
+import os
+import pathlib
+import shutil
+
+__all__ = ["FileOperations", "SystemFiles"]
+
+
+class FileOperations(abc.ABC):
+    """All changes that the storage makes to a disk; each may raise `OSError`."""
+
+    @abc.abstractmethod
+    def make_directory(self, directory: pathlib.Path) -> None:
+        """Make a directory and its parents, unless it is there."""
+
+    @abc.abstractmethod
+    def sync_directory(self, directory: pathlib.Path) -> None:
+        """Make the names in a directory durable."""
+
+    @abc.abstractmethod
+    def open(self, path: pathlib.Path, replace: bool = False) -> int:
+        """Open a file to append to it, empty if `replace`; return the descriptor."""
+
+    @abc.abstractmethod
+    def write(self, descriptor: int, data: memoryview) -> int:
+        """Write at the end and return how many bytes were taken."""
+
+    @abc.abstractmethod
+    def sync(self, descriptor: int) -> None:
+        """Make the content of a file durable."""
+
+    @abc.abstractmethod
+    def truncate(self, descriptor: int, size: int) -> None:
+        """Cut a file to a size in bytes."""
+
+    @abc.abstractmethod
+    def rename(self, path: pathlib.Path, target: pathlib.Path) -> None:
+        """Give a file another name, in place of the file that has it."""
+
+    @abc.abstractmethod
+    def remove(self, path: pathlib.Path) -> None:
+        """Remove a file, or a directory with all that it holds."""
+
+    def close(self, descriptor: int) -> None:
+        """Close a file."""
+        os.close(descriptor)
+
+    def append(self, descriptor: int, data: bytes) -> None:
+        """Write all bytes; some may be in the file if it fails."""
+        view = memoryview(data)
+        while view:
+            view = view[self.write(descriptor, view) :]
+
+    def write_whole(
+        self, path: pathlib.Path, temporary: pathlib.Path, data: bytes
+    ) -> None:
+        """Replace a file so that a crash leaves either the old or the new content."""
+        try:
+            descriptor = self.open(temporary, replace=True)
+            try:
+                self.append(descriptor, data)
+                self.sync(descriptor)
+            finally:
+                self.close(descriptor)
+            self.rename(temporary, path)
+        except OSError:
+            with contextlib.suppress(OSError):
+                self.remove(temporary)
+            raise
+        self.sync_directory(path.parent)
+
+
+class SystemFiles(FileOperations):
+    """Files of the operating system."""
+
+    def make_directory(self, directory: pathlib.Path) -> None:
+        """See the base class."""
+        directory.mkdir(parents=True, exist_ok=True)
+
+    def sync_directory(self, directory: pathlib.Path) -> None:
+        """See the base class."""
+        descriptor = os.open(directory, os.O_RDONLY)
+        try:
+            os.fsync(descriptor)
+        finally:
+            os.close(descriptor)
+
+    def open(self, path: pathlib.Path, replace: bool = False) -> int:
+        """See the base class."""
+        flags = os.O_WRONLY | os.O_CREAT | os.O_APPEND
+        return os.open(path, flags | (os.O_TRUNC if replace else 0), 0o644)
+
+    def write(self, descriptor: int, data: memoryview) -> int:
+        """See the base class."""
+        return os.write(descriptor, data)
+
+    def sync(self, descriptor: int) -> None:
+        """See the base class."""
+        os.fdatasync(descriptor)
+
+    def truncate(self, descriptor: int, size: int) -> None:
+        """See the base class."""
+        os.ftruncate(descriptor, size)
+
+    def rename(self, path: pathlib.Path, target: pathlib.Path) -> None:
+        """See the base class."""
+        path.rename(target)
+
+    def remove(self, path: pathlib.Path) -> None:
+        """See the base class."""
+        if path.is_dir():
+            shutil.rmtree(path)
+        else:
+            path.unlink(missing_ok=True)
--- a/tanagerpath/runtime/storage.py
+++ b/tanagerpath/runtime/storage.py
@@ -1,5 +1,6 @@
 """Task that owns the files of a replica."""
 
+import errno
 import pathlib
 from typing import Any
 
@@ -7,71 +8,101 @@
 import anyio.to_thread
 import attrs
 
-from tanagerpath.core.consensus import PersistState, RestoredState, StorageSynced
-from tanagerpath.errors import Failure, FailureError
-from tanagerpath.runtime.logfiles import (
-    CorruptLog,
-    LogFiles,
-    load_state,
-    set_aside_corrupt,
+from tanagerpath.core.consensus import (
+    PersistState,
+    RestoredState,
+    StorageLost,
+    StorageSynced,
 )
+from tanagerpath.observability.logs import get_logger
+from tanagerpath.runtime.logfiles import LogFiles
 from tanagerpath.runtime.mailbox import Mailbox
+from tanagerpath.runtime.pauses import GrowingPause
 from tanagerpath.runtime.tasks import Task
 
-__all__ = [
-    "CorruptLog",
-    "StorageFailed",
-    "StorageTask",
-    "load_state",
-    "set_aside_corrupt",
-]
+__all__ = ["StorageTask", "StorageTerms"]
 
 # Long enough for the owner to take messages, short against the election timeout.
 FULL_MAILBOX_RETRY_S = 0.005
 
 
 @attrs.frozen(kw_only=True)
-class StorageFailed(Failure):
-    """A write or sync failed; what reached the disk is unknown, so the process ends.
+class StorageTerms:
+    """Times of a storage task.
 
     Attributes
     ----------
-    directory : str
-        Data directory.
-    detail : str
-        Error of the operating system.
+    stall_s : float
+        Seconds without an end of a write after which the storage counts as lost. A
+        snapshot with its new segment takes five syncs, 0.6 s on a disk that is 30 times
+        slower than one with 4 ms a sync; such a disk still serves.
+    first_pause_s, longest_pause_s : float
+        Range in seconds of the growing pauses between attempts at a refused write.
     """
 
-    directory: str
-    detail: str
+    stall_s: float = 1.0
+    first_pause_s: float = 0.05
+    longest_pause_s: float = 1.0
 
-    @property
-    def message(self) -> str:
-        """One line for people."""
-        return f"cannot write to {self.directory}: {self.detail}"
+
+@attrs.define
+class _Loss:
+    """Time in which the disk takes no writes.
+
+    Attributes
+    ----------
+    began_s : float
+        Instant on the clock of the event loop.
+    refused : int
+        Attempts that failed.
+    waiting_bytes : int
+        Payloads that wait.
+    """
+
+    began_s: float
+    refused: int = 0
+    waiting_bytes: int = 0
+
+
+def _count_bytes(writes: list[PersistState]) -> int:
+    """Return the size of all payloads; the rest of a write is small."""
+    entries = sum(len(entry.payload) for write in writes for entry in write.entries)
+    snapshots = [write.snapshot for write in writes if write.snapshot is not None]
+    return entries + sum(len(snapshot.payload) for snapshot in snapshots)
 
 
 class StorageTask(Task):
     """Writes what waits in its mailbox with one sync, and reports it to the owner.
 
-    Writing and syncing run in a worker thread, so the event loop goes on meanwhile.
+    Writing and syncing run in a worker thread, so the event loop goes on meanwhile. A
+    refused write is tried again until the disk takes it; the owner gets `StorageLost`
+    first, and `StorageSynced` once everything is on disk.
 
     Parameters
     ----------
     files : LogFiles
         Files of the data directory.
     directory : pathlib.Path
-        The data directory, for failures.
+        The data directory, for the log.
     owner : Mailbox
-        Gets `StorageSynced`.
+        Gets `StorageSynced` and `StorageLost`.
+    terms : StorageTerms
+        Times.
     """
 
     def __init__(
-        self, files: LogFiles, directory: pathlib.Path, owner: Mailbox[Any]
+        self,
+        files: LogFiles,
+        directory: pathlib.Path,
+        owner: Mailbox[Any],
+        terms: StorageTerms | None = None,
     ) -> None:
         self._files = files
         self._directory = directory
         self._owner = owner
+        self._terms = terms or StorageTerms()
+        self._loss: _Loss | None = None
+        self._log = get_logger("storage")
         self.mailbox: Mailbox[PersistState] = Mailbox("storage")
 
     @classmethod
@@ -82,13 +113,7 @@
         return cls(LogFiles(directory, restored), directory, owner)
 
     async def run(self) -> None:
-        """Write until cancelled.
-
-        Raises
-        ------
-        FailureError
-            With `StorageFailed`; the process must end.
-        """
+        """Write until cancelled."""
         try:
             while True:
                 await self._write_waiting()
@@ -98,14 +123,68 @@
     async def _write_waiting(self) -> None:
         first = await self.mailbox.receive()
         writes = [first, *self.mailbox.take_waiting()]
-        try:
-            await anyio.to_thread.run_sync(self._files.write, writes)
-        except OSError as error:
-            failure = StorageFailed(directory=str(self._directory), detail=str(error))
-            raise FailureError(failure) from error
-        await self._report(StorageSynced(writes[-1].sequence))
-
-    async def _report(self, synced: StorageSynced) -> None:
+        sequence = writes[-1].sequence
+        pause = GrowingPause(self._terms.first_pause_s, self._terms.longest_pause_s)
+        while not await self._attempt(writes):
+            await anyio.sleep(pause.take_s())
+            writes = self.mailbox.take_waiting()
+            if writes:
+                sequence = writes[-1].sequence
+        self._note_regained()
+        await self._report(StorageSynced(sequence))
+
+    async def _attempt(self, writes: list[PersistState]) -> bool:
+        """Write once; return whether everything that was accepted is on disk."""
+        if self._loss is not None:
+            self._loss.waiting_bytes += _count_bytes(writes)
+        refusal: OSError | None = None
+        async with anyio.create_task_group() as watch:
+            watch.start_soon(self._watch_stall, writes)
+            try:
+                await anyio.to_thread.run_sync(self._files.write, writes)
+            except OSError as error:
+                refusal = error
+            watch.cancel_scope.cancel()
+        if refusal is None:
+            return True
+        await self._note_lost(self._describe(refusal), writes)
+        self._loss.refused += 1
+        return False
+
+    def _describe(self, error: OSError) -> str:
+        name = errno.errorcode.get(error.errno or 0, type(error).__name__)
+        return f"{name}: {error.strerror}"
+
+    async def _watch_stall(self, writes: list[PersistState]) -> None:
+        stall_s = self._terms.stall_s
+        await anyio.sleep(stall_s)
+        await self._note_lost(f"a write has not ended in {stall_s:g} s", writes)
+
+    async def _note_lost(self, reason: str, writes: list[PersistState]) -> None:
+        if self._loss is not None:
+            return
+        self._loss = _Loss(anyio.current_time(), 0, _count_bytes(writes))
+        self._log.error(
+            "storage lost",
+            directory=str(self._directory),
+            reason=reason,
+            waiting_bytes=self._loss.waiting_bytes,
+        )
+        await self._report(StorageLost())
+
+    def _note_regained(self) -> None:
+        if self._loss is None:
+            return
+        self._log.info(
+            "storage regained",
+            directory=str(self._directory),
+            lost_s=round(anyio.current_time() - self._loss.began_s, 3),
+            refused_attempts=self._loss.refused,
+            written_bytes=self._loss.waiting_bytes,
+        )
+        self._loss = None
+
+    async def _report(self, event: StorageSynced | StorageLost) -> None:
         """Tell the owner; a lost report would stop commits until the next write."""
-        while self._owner.post(synced) is not None:
+        while self._owner.post(event) is not None:
             await anyio.sleep(FULL_MAILBOX_RETRY_S)
--- a/tanagerpath/services/replica_application.py
+++ b/tanagerpath/services/replica_application.py
@@ -6,15 +6,22 @@
 
 import anyio
 from anyio.abc import TaskGroup
-from returns.pipeline import is_successful
 from starlette.routing import BaseRoute
 
 from tanagerpath.core.consensus import RestoredState
 from tanagerpath.core.control import ReplicatedNode
 from tanagerpath.observability.logs import get_logger
-from tanagerpath.runtime import Application, Clock, Mailbox, Reply, SystemClock
+from tanagerpath.runtime import (
+    Application,
+    Clock,
+    DirectoryOpener,
+    Mailbox,
+    OpenedDirectory,
+    Reply,
+    StorageTask,
+    SystemClock,
+)
 from tanagerpath.runtime.server import HttpServer, bind_listener
-from tanagerpath.runtime.storage import StorageTask, load_state, set_aside_corrupt
 from tanagerpath.services.control_messages import HandOver
 from tanagerpath.services.leader_link import LeaderProtocol
 from tanagerpath.services.peers import PeerSet
@@ -63,6 +70,7 @@
         self._clock = clock or SystemClock()
         self._log = get_logger("control")
         self._mailbox: Mailbox = Mailbox("control", MAX_WAITING_MESSAGES)
+        self._opened: OpenedDirectory | None = None
         self._server: HttpServer | None = None
 
     @abc.abstractmethod
@@ -81,18 +89,16 @@
         """Return further routes for other processes of the system."""
         return []
 
+    async def prepare(self) -> None:
+        """Open the data directory as soon as its disk lets it."""
+        self._opened = await DirectoryOpener(self._data_dir, self._log).open()
+
     async def start(self, tasks: TaskGroup) -> None:
-        """Read the data directory, bind the socket and start all tasks."""
-        restored = load_state(self._data_dir)
-        if not is_successful(restored):
-            self._log.error("data is corrupt", reason=restored.failure().message)
-            set_aside_corrupt(self._data_dir)
-            restored = load_state(self._data_dir)
+        """Bind the socket and start all tasks."""
+        restored, files = self._opened.restored, self._opened.files
         # Two replicas must never draw the same identity.
-        node = self._make_node(restored.unwrap(), random.SystemRandom())
-        storage = StorageTask.from_directory(
-            self._data_dir, restored.unwrap(), self._mailbox
-        )
+        node = self._make_node(restored, random.SystemRandom())
+        storage = StorageTask(files, self._data_dir, self._mailbox)
         control = self._make_task(node, storage.mailbox, PeerSet(tasks, self._mailbox))
         routes = ReplicaRoutes(self._mailbox, self._protocol, control.metrics)
         self._server = HttpServer(
