--- a/tanagerpath/observability/metrics.py
+++ b/tanagerpath/observability/metrics.py
@@ -95,8 +95,28 @@
     def __init__(self, max_organisations: int = MAX_ORGANISATIONS) -> None:
         self._organisations = BoundedLabels(max_organisations)
         self._times: dict[str, dict[_Labels, _TimeSeries]] = {}
+        self._plain_times: dict[str, _TimeSeries] = {}
         self._families: dict[str, _Family] = {}
 
+    def observe_time(self, name: str, elapsed_s: float) -> None:
+        """Add one measured time that belongs to no job.
+
+        Parameters
+        ----------
+        name : str
+            Name without the prefix "tanagerpath_" and the suffix "_seconds".
+        elapsed_s : float
+            Seconds; a value that is negative or not finite counts as 0.
+
+        Raises
+        ------
+        ValueError
+            If the name has other characters than a-z, 0-9 and "_".
+        """
+        _check_name(name)
+        series = self._plain_times.setdefault(name, _TimeSeries())
+        series.record(elapsed_s if 0 <= elapsed_s < math.inf else 0.0)
+
     def observe(
         self, name: str, elapsed_s: float, organisation: str, job_class: str
     ) -> None:
@@ -209,6 +229,10 @@
             yield f"# TYPE {name} summary"
             for labels, one in sorted(series.items()):
                 yield from one.render(name, labels)
+        for base, one in sorted(self._plain_times.items()):
+            name = f"tanagerpath_{base}_seconds"
+            yield f"# TYPE {name} summary"
+            yield from one.render(name, ())
 
     def _render_families(self) -> Iterator[str]:
         for base, family in sorted(self._families.items()):
--- a/tanagerpath/runtime/storage.py
+++ b/tanagerpath/runtime/storage.py
@@ -15,6 +15,7 @@
     StorageSynced,
 )
 from tanagerpath.observability.logs import get_logger
+from tanagerpath.observability.metrics import MetricsRegistry
 from tanagerpath.runtime.logfiles import LogFiles
 from tanagerpath.runtime.mailbox import Mailbox
 from tanagerpath.runtime.pauses import GrowingPause
@@ -38,11 +39,17 @@
         slower than one with 4 ms a sync; such a disk still serves.
     first_pause_s, longest_pause_s : float
         Range in seconds of the growing pauses between attempts at a refused write.
+    slow_s : float
+        Seconds of a write from which on it is logged; one heartbeat interval.
+    slow_line_interval_s : float
+        Least seconds between two such lines.
     """
 
     stall_s: float = 1.0
     first_pause_s: float = 0.05
     longest_pause_s: float = 1.0
+    slow_s: float = 0.1
+    slow_line_interval_s: float = 10.0
 
 
 @attrs.define
@@ -86,8 +93,10 @@
         The data directory, for the log.
     owner : Mailbox
         Gets `StorageSynced` and `StorageLost`.
-    terms : StorageTerms
+    terms : StorageTerms, optional
         Times.
+    metrics : MetricsRegistry, optional
+        Takes the time of each write and counts refused ones.
     """
 
     def __init__(
@@ -96,12 +105,17 @@
         directory: pathlib.Path,
         owner: Mailbox[Any],
         terms: StorageTerms | None = None,
+        metrics: MetricsRegistry | None = None,
     ) -> None:
         self._files = files
         self._directory = directory
         self._owner = owner
         self._terms = terms or StorageTerms()
+        self._metrics = metrics or MetricsRegistry()
         self._loss: _Loss | None = None
+        self._slow_writes = 0
+        self._next_slow_line_s = 0.0
+        self._snapshot_waits = False
         self._log = get_logger("storage")
         self.mailbox: Mailbox[PersistState] = Mailbox("storage")
 
@@ -138,6 +152,7 @@
         if self._loss is not None:
             self._loss.waiting_bytes += _count_bytes(writes)
         refusal: OSError | None = None
+        started_s = anyio.current_time()
         async with anyio.create_task_group() as watch:
             watch.start_soon(self._watch_stall, writes)
             try:
@@ -146,14 +161,35 @@
                 refusal = error
             watch.cancel_scope.cancel()
         if refusal is None:
+            self._note_written(anyio.current_time() - started_s)
             return True
-        await self._note_lost(self._describe(refusal), writes)
+        self._metrics.count("storage_refused_writes", error=self._name(refusal))
+        reason = f"{self._name(refusal)}: {refusal.strerror}"
+        await self._note_lost(reason, writes)
         self._loss.refused += 1
         return False
 
-    def _describe(self, error: OSError) -> str:
-        name = errno.errorcode.get(error.errno or 0, type(error).__name__)
-        return f"{name}: {error.strerror}"
+    def _name(self, error: OSError) -> str:
+        return errno.errorcode.get(error.errno or 0, type(error).__name__)
+
+    def _note_written(self, elapsed_s: float) -> None:
+        self._metrics.observe_time("storage_sync", elapsed_s)
+        if self._files.snapshot_waits and not self._snapshot_waits:
+            self._log.warning("snapshot put off", directory=str(self._directory))
+        self._snapshot_waits = self._files.snapshot_waits
+        if elapsed_s < self._terms.slow_s:
+            return
+        self._slow_writes += 1
+        now_s = anyio.current_time()
+        if now_s >= self._next_slow_line_s:
+            self._next_slow_line_s = now_s + self._terms.slow_line_interval_s
+            self._log.warning(
+                "slow sync",
+                directory=str(self._directory),
+                elapsed_s=round(elapsed_s, 3),
+                since_last_line=self._slow_writes,
+            )
+            self._slow_writes = 0
 
     async def _watch_stall(self, writes: list[PersistState]) -> None:
         stall_s = self._terms.stall_s
--- a/tanagerpath/runtime/tests/test_refused_writes.py
+++ b/tanagerpath/runtime/tests/test_refused_writes.py
@@ -6,6 +6,7 @@
 import tempfile
 
 import anyio
+import attrs
 import structlog
 import testtools
 
@@ -19,6 +20,7 @@
     StorageLost,
     StorageSynced,
 )
+from tanagerpath.observability.metrics import MetricsRegistry
 from tanagerpath.runtime.logfiles import LogFiles, set_aside_corrupt
 from tanagerpath.runtime.mailbox import Mailbox
 from tanagerpath.runtime.opening import DirectoryOpener
@@ -26,7 +28,9 @@
 from tanagerpath.runtime.stored_state import load_state
 from tanagerpath.runtime.tests.faulty_files import NO_ROOM, FaultyFiles
 
-FAST = StorageTerms(stall_s=0.05, first_pause_s=0.001, longest_pause_s=0.01)
+FAST = StorageTerms(
+    stall_s=0.05, first_pause_s=0.001, longest_pause_s=0.01, slow_s=60.0
+)
 
 
 def _make_write(sequence, first, last, term=1, **fields):
@@ -201,10 +205,13 @@
 
 
 class TestStorageTask(_DirectoryCase):
+    terms = FAST
+
     def _run(self, steps):
         """Run a task beside steps that get it and the mailbox of its owner."""
         owner = Mailbox("owner")
-        task = StorageTask(self.open(), self.directory, owner, FAST)
+        self.metrics = MetricsRegistry()
+        task = StorageTask(self.open(), self.directory, owner, self.terms, self.metrics)
 
         async def main():
             with anyio.fail_after(20):
@@ -252,6 +259,10 @@
         self.assertIn(errno.errorcode[error], lines[0]["reason"])
         self.assertEqual(len("command-2-1"), lines[0]["waiting_bytes"])
         self.assertEqual(2 * len("command-2-1"), lines[1]["written_bytes"])
+        counted = dict(self.metrics.list_counts("storage_refused_writes"))
+        self.assertEqual(
+            {errno.errorcode[error]: lines[1]["refused_attempts"]}, counted
+        )
 
     def test_stalled_disk_is_reported_and_goes_on(self):
         async def steps(task, owner):
@@ -266,6 +277,34 @@
             [line["event"] for line in self._run(steps)],
         )
 
+    def test_slow_disk_writes_few_lines_and_is_measured(self):
+        """A line for each write of a slow disk would fill the log."""
+        self.terms = attrs.evolve(FAST, stall_s=5.0, slow_s=0.0)
+
+        async def steps(task, owner):
+            for number in range(1, 21):
+                task.mailbox.post(_make_write(number, number, number, replica_id="a"))
+                self.assertEqual(StorageSynced(number), await self._receive(owner))
+
+        lines = self._run(steps)
+        self.assertEqual(["slow sync"], [line["event"] for line in lines])
+        text = self.metrics.render()
+        self.assertIn("tanagerpath_storage_sync_seconds_count 20\n", text)
+
+    def test_snapshot_that_is_put_off_is_logged_once(self):
+        async def steps(task, owner):
+            task.mailbox.post(_make_write(1, 1, 20, replica_id="a"))
+            await self._receive(owner)
+            self.disk.refuse(errno.ENOSPC, "open")
+            snapshot = _make_snapshot(10)
+            task.mailbox.post(PersistState(2, 1, None, snapshot=snapshot))
+            self.assertEqual(StorageSynced(2), await self._receive(owner))
+            task.mailbox.post(_make_write(3, 21, 21))
+            self.assertEqual(StorageSynced(3), await self._receive(owner))
+
+        lines = self._run(steps)
+        self.assertEqual(["snapshot put off"], [line["event"] for line in lines])
+
 
 class TestStart(_DirectoryCase):
     async def _wait_for_refusals(self, count):
--- a/tanagerpath/services/replica_application.py
+++ b/tanagerpath/services/replica_application.py
@@ -11,6 +11,7 @@
 from tanagerpath.core.consensus import RestoredState
 from tanagerpath.core.control import ReplicatedNode
 from tanagerpath.observability.logs import get_logger
+from tanagerpath.observability.metrics import MetricsRegistry
 from tanagerpath.runtime import (
     Application,
     Clock,
@@ -98,9 +99,12 @@
         restored, files = self._opened.restored, self._opened.files
         # Two replicas must never draw the same identity.
         node = self._make_node(restored, random.SystemRandom())
-        storage = StorageTask(files, self._data_dir, self._mailbox)
+        metrics = MetricsRegistry()
+        storage = StorageTask(files, self._data_dir, self._mailbox, metrics=metrics)
         control = self._make_task(node, storage.mailbox, PeerSet(tasks, self._mailbox))
-        routes = ReplicaRoutes(self._mailbox, self._protocol, control.metrics)
+        routes = ReplicaRoutes(
+            self._mailbox, self._protocol, (control.metrics, metrics)
+        )
         self._server = HttpServer(
             bind_listener(self._listen), routes.list_routes() + self._list_own_routes()
         )
--- a/tanagerpath/services/replica_routes.py
+++ b/tanagerpath/services/replica_routes.py
@@ -1,5 +1,7 @@
 """HTTP routes of a control process for other processes of the system."""
 
+from collections.abc import Iterable
+
 import anyio
 from returns.pipeline import is_successful
 from starlette.requests import ClientDisconnect, Request
@@ -36,16 +38,19 @@
         Mailbox of the task that owns the node.
     protocol : LeaderProtocol
         Requests that entries send.
-    metrics : MetricsRegistry
-        Metrics of the process.
+    metrics : iterable of MetricsRegistry
+        Metrics of the tasks of the process.
     """
 
     def __init__(
-        self, mailbox: Mailbox, protocol: LeaderProtocol, metrics: MetricsRegistry
+        self,
+        mailbox: Mailbox,
+        protocol: LeaderProtocol,
+        metrics: Iterable[MetricsRegistry],
     ) -> None:
         self._mailbox = mailbox
         self._protocol = protocol
-        self._metrics = metrics
+        self._metrics = tuple(metrics)
 
     def list_routes(self) -> list[BaseRoute]:
         """Return all routes."""
@@ -96,4 +101,6 @@
         return PlainTextResponse("ok\n")
 
     async def _show_metrics(self, request: Request) -> Response:
-        return PlainTextResponse(self._metrics.render())
+        return PlainTextResponse(
+            "".join(registry.render() for registry in self._metrics)
+        )
