Treat an address that cannot exist as one that does not answer

An upstream that announced a port above 65535 was recorded, and the first call to it raised ValueError ("Port out of range 0-65535") in the control process. The exception left the task group of the link and ended the process; since the record is replicated, each next leader would have ended the same way.

HttpClient now answers ConnectFailed for each exchange with such an address, and the adapter refuses a heartbeat whose port is not between 1 and 65535. Before, both tests failed: "ValueError: Port out of range 0-65535" in test_client.py, and status 200 instead of 400 in test_edges.py.

--- a/tanagerpath/platform/reports.py
+++ b/tanagerpath/platform/reports.py
@@ -11,6 +11,7 @@
 
 _READY = "ready"
 _DRAINING = "draining"
+HIGHEST_PORT = 65535
 
 
 def read_report(upstream_id: str, fields: Fields) -> UpstreamReport:
@@ -64,7 +65,10 @@
 def _read_address(fields: Fields) -> str:
     address = fields.read_text("address")
     host, _, port = address.rpartition(":")
-    if not host or not port.isascii() or not port.isdigit():
+    is_number = (
+        port.isascii() and port.isdigit() and len(port) <= len(str(HIGHEST_PORT))
+    )
+    if not host or not is_number or not 0 < int(port) <= HIGHEST_PORT:
         raise FailureError(
             MalformedMessage(field="address", value=repr(address), expected="ip:port")
         )
--- a/tanagerpath/platform/tests/test_edges.py
+++ b/tanagerpath/platform/tests/test_edges.py
@@ -232,6 +232,8 @@
             BEAT | {"seq": "4"},
             BEAT | {"born": 1.5},
             BEAT | {"address": "nowhere"},
+            BEAT | {"address": "10.128.0.9:0"},
+            BEAT | {"address": "10.128.0.9:99999"},
             BEAT | {"capacity": [1]},
             BEAT | {"labels": [1]},
             {key: value for key, value in BEAT.items() if key != "service"},
--- a/tanagerpath/runtime/client.py
+++ b/tanagerpath/runtime/client.py
@@ -78,6 +78,16 @@
     body: bytes
 
 
+def _find_origin(address: str) -> httpcore.Origin | None:
+    """Return where to connect to, None if there can be no such address."""
+    try:
+        origin = httpcore.URL(f"http://{address}/").origin
+        port = int(address.rpartition(":")[2])
+    except (TypeError, ValueError):
+        return None
+    return origin if origin.port == port else None
+
+
 class HttpClient:
     """Exchanges requests with one address over kept connections.
 
@@ -90,15 +100,15 @@
     Parameters
     ----------
     address : str
-        "ip:port".
+        "ip:port". Others announce addresses, so a wrong one is no error here: each
+        exchange with it ends with `ConnectFailed`.
     max_connections : int
         Most connections open at the same time.
     """
 
     def __init__(self, address: str, max_connections: int = 4) -> None:
-        host, _, port = address.rpartition(":")
         self.address = address
-        self._origin = httpcore.Origin(b"http", host.encode(), int(port))
+        self._origin = _find_origin(address)
         self._slots = anyio.Semaphore(max_connections)
         self._idle: list[httpcore.AsyncHTTPConnection] = []
 
@@ -125,6 +135,8 @@
         Result
             `HttpReply`, or `ConnectFailed`, `ExchangeTimedOut` or `ExchangeCut`.
         """
+        if self._origin is None:
+            return ResultFailure(ConnectFailed(address=self.address))
         try:
             with anyio.fail_after(timeout_s):
                 async with self._slots:
--- a/tanagerpath/runtime/tests/test_client.py
+++ b/tanagerpath/runtime/tests/test_client.py
@@ -104,3 +104,20 @@
         listener = bind_listener("127.0.0.1:0")
         self.addCleanup(listener.close)
         self.assertEqual(socket.IPPROTO_TCP, listener.proto)
+
+
+class TestWrongAddress(testtools.TestCase):
+    def test_address_that_cannot_exist_fails_like_one_that_is_silent(self):
+        """One announced by an upstream once ended each control process in turn."""
+        for address in (
+            "127.0.0.1:99999",
+            "127.0.0.1:0",
+            "127.0.0.1:-1",
+            "nowhere",
+            "nowhere:",
+            "[::1:80",
+            "\u00fc.example:80",
+            "",
+        ):
+            result = anyio.run(HttpClient(address).exchange, "POST", "/")
+            self.assertEqual(ConnectFailed(address=address), result.failure())
