Add a fault soak of the control processes as real processes

The soak injects seeded, overlapping faults within the tolerated losses and judges what callers see through the public interface; the last fault wipes as many disks as are tolerated and kills all other control processes.

Which fault comes when, and what a reply may show, are decided without input or output (soak_faults.py, soak_plan.py, soak_promises.py); the platform's names stay in the adapter.

--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 SEED ?= 1
 SEEDS ?= 50
 
-.PHONY: setup lint format test demo bench-policy bench-workloads check-core fault-drill bench-capacity
+.PHONY: setup lint format test demo bench-policy bench-workloads check-core fault-drill soak bench-capacity
 
 $(VENV)/.installed: requirements.lock pyproject.toml
 	python3 -m venv $(VENV)
@@ -39,5 +39,8 @@
 fault-drill: setup
 	$(PYTHON) -m tanagerpath.emulator.drill
 
+soak: setup
+	$(PYTHON) -m tanagerpath.emulator.soak --seeds $(SEEDS) --first $(SEED)
+
 bench-capacity: setup
 	$(PYTHON) -m tanagerpath.benchmarks.capacity
--- a/tanagerpath/emulator/__init__.py
+++ b/tanagerpath/emulator/__init__.py
@@ -1,7 +1,7 @@
-"""Stand-in upstreams, load tool, silent proxy, demo and fault drill.
+"""Stand-in upstreams, load tool, silent proxy, demo, fault drill and fault soak.
 
-The modules that are commands (`upstream`, `load`, `demo`, `drill`) are not imported
-here, because ``python -m`` would load them twice.
+The modules that are commands (`upstream`, `load`, `demo`, `drill`, `soak`) are not
+imported here, because ``python -m`` would load them twice.
 """
 
 from tanagerpath.emulator.caller import CallerClient, Outcome
--- a/tanagerpath/emulator/deployment.py
+++ b/tanagerpath/emulator/deployment.py
@@ -15,10 +15,11 @@
 
 @attrs.frozen
 class ProcessPlan:
-    """Name and command line of a process."""
+    """Name, command line and further environment variables of a process."""
 
     name: str
     arguments: tuple[str, ...]
+    environment: Mapping[str, str] = attrs.field(factory=dict)
 
 
 @attrs.frozen
--- a/tanagerpath/emulator/processes.py
+++ b/tanagerpath/emulator/processes.py
@@ -1,5 +1,6 @@
-"""Processes that the demo and the fault drill start, and end by their id."""
+"""Processes that demo, drill and soak start, and end by their id."""
 
+import os
 import pathlib
 import signal
 import subprocess
@@ -36,6 +37,7 @@
         with self.find_log(plan.name).open("ab") as log:
             self._children[plan.name] = subprocess.Popen(
                 plan.arguments,
+                env=os.environ | plan.environment,
                 stdin=subprocess.DEVNULL,
                 stdout=log,
                 stderr=subprocess.STDOUT,
@@ -46,6 +48,18 @@
         child = self._children.get(name)
         return child is not None and child.poll() is None
 
+    def find_exit_status(self, name: str) -> int | None:
+        """Return the exit status of a process that was started, None while it runs."""
+        return self._children[name].poll()
+
+    def terminate(self, name: str) -> None:
+        """Ask a process to end."""
+        self._children[name].terminate()
+
+    def reload(self, name: str) -> None:
+        """Tell a process that its settings have changed."""
+        self._children[name].send_signal(signal.SIGHUP)
+
     def kill(self, name: str) -> None:
         """Kill a process at once."""
         self._children[name].kill()
--- /dev/null
+++ b/tanagerpath/emulator/soak.py
@@ -0,0 +1,329 @@
+"""Fault soak: overlapping faults of real control processes from a seed, over loopback.
+
+Each seed starts a deployment of its own, stores configurations and hands in workloads
+through the public interface, and ends with a fault that takes as many disks as the
+settings say must be borne. Nothing that was acknowledged may be gone or shown older.
+The last line is JSON with the counts over all seeds and the seeds that failed.
+"""
+
+import argparse
+import json
+import pathlib
+import random
+import shutil
+import sys
+import tempfile
+
+import anyio
+import attrs
+from anyio.abc import TaskGroup
+
+from tanagerpath.emulator.soak_clients import (
+    CallerTask,
+    ControlsMoved,
+    JudgeTask,
+    OperatorTask,
+    ReaderTask,
+    UnservedQuery,
+    WaitForAcknowledgement,
+)
+from tanagerpath.emulator.soak_faults import FaultSequence, FaultStep
+from tanagerpath.emulator.soak_interface import SoakInterface
+from tanagerpath.emulator.soak_plan import Layout, SoakPlan
+from tanagerpath.emulator.soak_site import ProcessNotReady, SoakSite
+from tanagerpath.errors import list_leaves
+from tanagerpath.runtime import Reply
+
+__all__ = ["SoakResult", "SoakTerms", "main", "run_seed"]
+
+# A first start has no stated bound; processes take seconds to start beside other load.
+START_LIMIT_S = 30.0
+SEED_LIMIT_S = 180.0
+POLL_INTERVAL_S = 0.05
+
+
+@attrs.frozen
+class SoakTerms:
+    """Bounds that the platform states; the defaults are those of its deployments.
+
+    Attributes
+    ----------
+    catch_up_s : float
+        Time in seconds for which a VM that is back still counts as lost.
+    recovery_s : float
+        Time in seconds within which requests are served once all VMs are back.
+    """
+
+    catch_up_s: float = 4.0
+    recovery_s: float = 12.0
+
+
+@attrs.frozen
+class SoakResult:
+    """Outcome of one seed.
+
+    Attributes
+    ----------
+    seed : int
+        The seed.
+    layout : Layout
+        Size of the deployment.
+    broken : tuple of str
+        What went wrong; empty if the seed passed.
+    recovered_s : tuple of float
+        Seconds until all requests were served again, after each series, each loss of
+        power and the last fault.
+    version : int
+        Last acknowledged version.
+    workloads : int
+        Accepted workloads.
+    duration_s : float
+        Seconds for the whole seed.
+    """
+
+    seed: int
+    layout: Layout
+    broken: tuple[str, ...]
+    recovered_s: tuple[float, ...]
+    version: int
+    workloads: int
+    duration_s: float
+
+
+class ServiceNotBack(Exception):
+    """Requests were not served within the stated time."""
+
+
+class _SoakRun:
+    """Plays one plan and follows the processes with readers."""
+
+    def __init__(
+        self,
+        plan: SoakPlan,
+        interface: SoakInterface,
+        folder: pathlib.Path,
+        terms: SoakTerms,
+    ) -> None:
+        self._plan = plan
+        self._terms = terms
+        self._interface = interface
+        source = random.Random(plan.seed)
+        self.site = SoakSite(plan.layout, interface, folder, source)
+        self.judge = JudgeTask()
+        judge = self.judge.mailbox
+        self._operator = OperatorTask(interface, judge, random.Random(plan.seed))
+        self._caller = CallerTask(
+            interface, judge, self.site.entry_address, random.Random(plan.seed)
+        )
+        self._readers: dict[str, anyio.CancelScope] = {}
+        self.broken: list[str] = []
+        self.recovered_s: list[float] = []
+
+    async def play(self) -> None:
+        """Start the processes, inflict all faults, and check what is left."""
+        try:
+            await self.site.start_all()
+            async with anyio.create_task_group() as tasks:
+                await self._play_faults(tasks)
+                tasks.cancel_scope.cancel()
+        except* (ProcessNotReady, ServiceNotBack) as group:
+            self.broken += [str(error) for error in list_leaves(group)]
+        finally:
+            self.site.note_ended()
+            self.site.end_all()
+
+    async def _play_faults(self, tasks: TaskGroup) -> None:
+        tasks.start_soon(self.judge.run)
+        async with anyio.create_task_group() as clients:
+            self._follow_processes(clients)
+            clients.start_soon(self._operator.run)
+            clients.start_soon(self._caller.run)
+            await self._await_service(START_LIMIT_S)
+            await anyio.sleep(self._terms.catch_up_s)
+            for steps, power_lost in zip(
+                self._plan.series, self._plan.power_losses, strict=True
+            ):
+                await self._play_series(steps, clients)
+                if power_lost:
+                    await self._lose(self._plan.layout.vm_ids, (), 0.0, clients)
+                    await anyio.sleep(self._terms.catch_up_s)
+            final = self._plan.final
+            self._operator.mailbox.post(WaitForAcknowledgement(acknowledged := Reply()))
+            if (
+                await acknowledged.receive(
+                    anyio.current_time() + self._terms.recovery_s
+                )
+                is None
+            ):
+                raise ServiceNotBack("no acknowledgement before the last fault")
+            await self._lose(
+                self._plan.layout.vm_ids, final.wiped, final.down_s, clients
+            )
+            clients.cancel_scope.cancel()
+        unclear = await self._caller.check_all()
+        if unclear:
+            self.broken.append(f"no clear reply about {len(unclear)} workloads")
+
+    async def _play_series(
+        self, steps: tuple[FaultStep, ...], clients: TaskGroup
+    ) -> None:
+        tolerated = self._plan.layout.tolerated_losses
+        sequence = FaultSequence(
+            steps, tolerated, self._terms.catch_up_s, anyio.current_time()
+        )
+        async with anyio.create_task_group() as ends:
+            while not sequence.is_over(anyio.current_time()):
+                now_s = anyio.current_time()
+                while (step := sequence.begin_due(now_s)) is not None:
+                    step.fault.begin(self.site, step.vm_id)
+                while (step := sequence.end_due(now_s)) is not None:
+                    ends.start_soon(self._end_step, step, sequence, clients)
+                self.site.note_ended()
+                await anyio.sleep(POLL_INTERVAL_S)
+        await self._await_service(self._terms.recovery_s)
+
+    async def _end_step(
+        self, step: FaultStep, sequence: FaultSequence, clients: TaskGroup
+    ) -> None:
+        await step.fault.end(self.site, step.vm_id)
+        sequence.note_back(step.vm_id, anyio.current_time())
+        self._follow_processes(clients)
+
+    async def _lose(
+        self,
+        vm_ids: tuple[str, ...],
+        wiped: tuple[str, ...],
+        down_s: float,
+        clients: TaskGroup,
+    ) -> None:
+        """Kill processes at once, remove the data of some, and start all again."""
+        for vm_id in vm_ids:
+            self.site.kill(vm_id)
+        for vm_id in wiped:
+            self.site.wipe(vm_id)
+        await anyio.sleep(down_s)
+        async with anyio.create_task_group() as starts:
+            for vm_id in vm_ids:
+                starts.start_soon(self.site.start, vm_id)
+        self._follow_processes(clients)
+        await self._await_service(self._terms.recovery_s)
+
+    def _follow_processes(self, clients: TaskGroup) -> None:
+        """Read from the processes that run now, and tell the operator of them."""
+        processes = self.site.list_processes()
+        for name in self._readers.keys() - processes.keys():
+            self._readers.pop(name).cancel()
+        for name, address in processes.items():
+            if name not in self._readers:
+                scope = self._readers[name] = anyio.CancelScope()
+                clients.start_soon(self._read, scope, name, address)
+        self._operator.mailbox.post(ControlsMoved(tuple(processes.values())))
+
+    async def _read(self, scope: anyio.CancelScope, name: str, address: str) -> None:
+        with scope:
+            judge = self.judge.mailbox
+            await ReaderTask(self._interface, judge, name, address).run()
+
+    async def _await_service(self, limit_s: float) -> None:
+        """Wait until every kind of request is served, and note the time it took."""
+        began_s = anyio.current_time()
+        processes = tuple(self.site.list_processes())
+        while True:
+            self.judge.mailbox.post(UnservedQuery(began_s, processes, reply := Reply()))
+            unserved = await reply.receive()
+            elapsed_s = anyio.current_time() - began_s
+            if not unserved:
+                self.recovered_s.append(round(elapsed_s, 2))
+                return
+            if elapsed_s > limit_s:
+                raise ServiceNotBack(
+                    f"not served within {limit_s} s: {', '.join(unserved)}"
+                )
+            await anyio.sleep(POLL_INTERVAL_S)
+
+
+async def run_seed(
+    plan: SoakPlan,
+    interface: SoakInterface,
+    folder: pathlib.Path,
+    terms: SoakTerms = SoakTerms(),
+) -> SoakResult:
+    """Play one plan in an empty folder, within a bounded time."""
+    began_s = anyio.current_time()
+    run = _SoakRun(plan, interface, folder, terms)
+    with anyio.move_on_after(SEED_LIMIT_S) as scope:
+        await run.play()
+    if scope.cancelled_caught:
+        run.broken.append(f"not done within {SEED_LIMIT_S} s")
+    promises = run.judge.promises
+    return SoakResult(
+        plan.seed,
+        plan.layout,
+        (*promises.broken, *run.site.faults, *run.broken),
+        tuple(run.recovered_s),
+        promises.acknowledged_version,
+        promises.accepted_count,
+        round(anyio.current_time() - began_s, 1),
+    )
+
+
+def _run_one(plan: SoakPlan, interface: SoakInterface) -> SoakResult:
+    """Play a plan; the logs of a seed that failed are kept."""
+    folder = pathlib.Path(tempfile.mkdtemp(prefix=f"tanagerpath-soak-{plan.seed}-"))
+    result = anyio.run(run_seed, plan, interface, folder)
+    verdict = "FAILED" if result.broken else "passed"
+    print(
+        f"seed {plan.seed}: {verdict} in {result.duration_s} s, "
+        f"{plan.layout.controls} control processes, "
+        f"{plan.layout.tolerated_losses} losses, version {result.version}, "
+        f"{result.workloads} workloads, recovered in {list(result.recovered_s)} s",
+        flush=True,
+    )
+    for text in result.broken:
+        print(f"  {text}", flush=True)
+    if result.broken:
+        print(f"  logs: {folder}", flush=True)
+    else:
+        shutil.rmtree(folder)
+    return result
+
+
+def make_parser() -> argparse.ArgumentParser:
+    """Return the parser of the command line."""
+    parser = argparse.ArgumentParser(
+        prog="python -m tanagerpath.emulator.soak", description=__doc__
+    )
+    add = parser.add_argument
+    add("--seeds", type=int, default=3, help="number of seeds")
+    add("--first", type=int, default=0, help="first seed")
+    add("--controls", type=int, help="control processes, with --losses")
+    add("--losses", type=int, help="losses that must be borne, with --controls")
+    return parser
+
+
+def main(arguments: list[str] | None = None) -> int:
+    """Play the seeds one after the other; the exit status is 0 if all passed."""
+    from tanagerpath.platform.soak_interface import PlatformInterface
+
+    flags = make_parser().parse_args(arguments)
+    layout = Layout(flags.controls, flags.losses) if flags.controls else None
+    results = [
+        _run_one(SoakPlan.from_seed(seed, layout), PlatformInterface())
+        for seed in range(flags.first, flags.first + flags.seeds)
+    ]
+    failed = [result.seed for result in results if result.broken]
+    summary = {
+        "seeds": len(results),
+        "passed": len(results) - len(failed),
+        "workloads": sum(result.workloads for result in results),
+        "slowest_recovery_s": max(
+            (one for result in results for one in result.recovered_s), default=None
+        ),
+        "failed_seeds": failed,
+    }
+    print(json.dumps(summary))
+    return 1 if failed else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/tanagerpath/emulator/soak_clients.py
@@ -0,0 +1,277 @@
+"""Operator, callers and readers of the soak; each task owns its connections."""
+
+import random
+
+import anyio
+import attrs
+from returns.pipeline import is_successful
+
+from tanagerpath.emulator.soak_interface import SoakInterface
+from tanagerpath.emulator.soak_promises import (
+    ConfigurationAcknowledged,
+    ConfigurationShown,
+    Promises,
+    Shown,
+    WorkloadAccepted,
+    WorkloadRefused,
+    WorkloadShown,
+)
+from tanagerpath.runtime import Mailbox, Reply, Task
+from tanagerpath.runtime.client import HttpClient, HttpReply, HttpRequest
+
+__all__ = [
+    "CallerTask",
+    "ControlsMoved",
+    "JudgeTask",
+    "OperatorTask",
+    "ReaderTask",
+    "UnservedQuery",
+    "WaitForAcknowledgement",
+]
+
+EXCHANGE_TIMEOUT_S = 1.0
+CALL_TIMEOUT_S = 3.0
+PAUSE_S = 0.1
+CHANGE_PAUSE_S = 0.2
+MAX_VERSION_STEP = 3
+SUBMIT_TRIES = 10
+SUBMIT_SHARE = 0.5
+CANCEL_SHARE = 0.1
+
+
+@attrs.frozen
+class ControlsMoved:
+    """The control processes listen at these addresses."""
+
+    addresses: tuple[str, ...]
+
+
+@attrs.frozen(eq=False)
+class WaitForAcknowledgement:
+    """`reply` gets the version of the next acknowledged change."""
+
+    reply: Reply[int]
+
+
+@attrs.frozen(eq=False)
+class UnservedQuery:
+    """`reply` gets the requests that were not served since `since_s`."""
+
+    since_s: float
+    processes: tuple[str, ...]
+    reply: Reply[list[str]]
+
+
+class JudgeTask(Task):
+    """Owns the promises and takes what the other tasks saw."""
+
+    def __init__(self) -> None:
+        self.mailbox: Mailbox = Mailbox("judge")
+        self.promises = Promises()
+
+    async def run(self) -> None:
+        """Handle messages until cancelled."""
+        while True:
+            message = await self.mailbox.receive()
+            if isinstance(message, UnservedQuery):
+                unserved = self.promises.list_unserved(
+                    message.since_s, message.processes
+                )
+                message.reply.send(unserved)
+            else:
+                self.promises.handle(message)
+
+
+async def _ask(
+    client: HttpClient, request: HttpRequest, timeout_s: float
+) -> HttpReply | None:
+    result = await client.send(request, timeout_s=timeout_s)
+    return result.unwrap() if is_successful(result) else None
+
+
+class OperatorTask(Task):
+    """Stores one version after the other; each is sent until it is acknowledged.
+
+    Parameters
+    ----------
+    interface : SoakInterface
+        Form of the requests.
+    judge : Mailbox
+        Gets each acknowledgement.
+    source : random.Random
+        Draws the steps between versions.
+    """
+
+    def __init__(
+        self, interface: SoakInterface, judge: Mailbox, source: random.Random
+    ) -> None:
+        self._interface = interface
+        self._judge = judge
+        self._source = source
+        self._addresses: tuple[str, ...] = ()
+        self._clients: dict[str, HttpClient] = {}
+        self._index = 0
+        self._waiting: list[Reply[int]] = []
+        self.mailbox: Mailbox = Mailbox("operator")
+
+    async def run(self) -> None:
+        """Store versions until cancelled."""
+        version = 0
+        while True:
+            version += self._source.randint(1, MAX_VERSION_STEP)
+            while not await self._store(version):
+                self._index += 1
+                await anyio.sleep(PAUSE_S)
+            await anyio.sleep(CHANGE_PAUSE_S)
+
+    async def _store(self, version: int) -> bool:
+        self._take_messages()
+        if not self._addresses:
+            return False
+        address = self._addresses[self._index % len(self._addresses)]
+        client = self._clients.setdefault(address, HttpClient(address, 1))
+        request = self._interface.change_configuration(version)
+        began_s = anyio.current_time()
+        reply = await _ask(client, request, EXCHANGE_TIMEOUT_S)
+        if reply is None or not self._interface.is_accepted(reply):
+            return False
+        ended_s = anyio.current_time()
+        self._judge.post(ConfigurationAcknowledged(version, began_s, ended_s))
+        self._take_messages()
+        for waiting in self._waiting:
+            waiting.send(version)
+        self._waiting.clear()
+        return True
+
+    def _take_messages(self) -> None:
+        for message in self.mailbox.take_waiting():
+            match message:
+                case ControlsMoved(addresses):
+                    self._addresses = addresses
+                case WaitForAcknowledgement(reply):
+                    self._waiting.append(reply)
+
+
+class ReaderTask(Task):
+    """Reads the configuration from one process over one connection.
+
+    Parameters
+    ----------
+    interface : SoakInterface
+        Form of the requests.
+    judge : Mailbox
+        Gets what is shown.
+    process : str
+        Name of the process.
+    address : str
+        Where it listens.
+    """
+
+    def __init__(
+        self, interface: SoakInterface, judge: Mailbox, process: str, address: str
+    ) -> None:
+        self._interface = interface
+        self._judge = judge
+        self._process = process
+        self._client = HttpClient(address, 1)
+
+    async def run(self) -> None:
+        """Read until cancelled."""
+        request = self._interface.ask_configuration()
+        while True:
+            began_s = anyio.current_time()
+            reply = await _ask(self._client, request, EXCHANGE_TIMEOUT_S)
+            if reply is not None:
+                self._note(reply, began_s)
+            await anyio.sleep(PAUSE_S)
+
+    def _note(self, reply: HttpReply, began_s: float) -> None:
+        shown = self._interface.read_configuration(reply)
+        if shown is not None:
+            ended_s = anyio.current_time()
+            event = ConfigurationShown(self._process, *shown, began_s, ended_s)
+            self._judge.post(event)
+
+
+class CallerTask(Task):
+    """Hands in workloads through the entry, asks for them and cancels some.
+
+    Parameters
+    ----------
+    interface : SoakInterface
+        Form of the requests.
+    judge : Mailbox
+        Gets what the caller saw.
+    address : str
+        Address of the entry.
+    source : random.Random
+        Draws identities and requests.
+    """
+
+    def __init__(
+        self,
+        interface: SoakInterface,
+        judge: Mailbox,
+        address: str,
+        source: random.Random,
+    ) -> None:
+        self._interface = interface
+        self._judge = judge
+        self._source = source
+        self._client = HttpClient(address, 1)
+        self._accepted: list[str] = []
+        self._refused: list[str] = []
+
+    async def run(self) -> None:
+        """Send requests until cancelled."""
+        while True:
+            draw = self._source.random()
+            if draw < SUBMIT_SHARE or not self._accepted:
+                await self._submit()
+            elif draw < SUBMIT_SHARE + CANCEL_SHARE:
+                workload_id = self._source.choice(self._accepted)
+                await self._exchange(workload_id, self._interface.cancel(workload_id))
+            else:
+                await self._show(self._source.choice(self._accepted))
+            await anyio.sleep(PAUSE_S)
+
+    async def check_all(self) -> list[str]:
+        """Ask for every workload once; return those without a clear reply."""
+        return [
+            workload_id
+            for workload_id in (*self._accepted, *self._refused)
+            if await self._show(workload_id) is Shown.UNCLEAR
+        ]
+
+    async def _show(self, workload_id: str) -> Shown:
+        request = self._interface.ask_workload(workload_id)
+        return await self._exchange(workload_id, request)
+
+    async def _exchange(self, workload_id: str, request: HttpRequest) -> Shown:
+        began_s = anyio.current_time()
+        reply = await _ask(self._client, request, CALL_TIMEOUT_S)
+        if reply is None:
+            return Shown.UNCLEAR
+        shown = self._interface.read_workload(reply)
+        ended_s = anyio.current_time()
+        self._judge.post(WorkloadShown(workload_id, shown, began_s, ended_s))
+        return shown
+
+    async def _submit(self) -> None:
+        """Send a workload until the reply is clear, as often as a caller would."""
+        workload_id = f"{self._source.getrandbits(64):016x}"
+        request = self._interface.submit(workload_id)
+        for number in range(SUBMIT_TRIES):
+            began_s = anyio.current_time()
+            reply = await _ask(self._client, request, CALL_TIMEOUT_S)
+            if reply is not None and self._interface.is_accepted(reply):
+                ended_s = anyio.current_time()
+                self._judge.post(WorkloadAccepted(workload_id, began_s, ended_s))
+                self._accepted.append(workload_id)
+                return
+            if reply is not None and self._interface.is_refused(reply):
+                if number == 0:
+                    self._judge.post(WorkloadRefused(workload_id))
+                    self._refused.append(workload_id)
+                return
+            await anyio.sleep(PAUSE_S)
--- /dev/null
+++ b/tanagerpath/platform/soak_interface.py
@@ -0,0 +1,140 @@
+"""Settings, requests and replies of the platform, for the fault soak."""
+
+import json
+import pathlib
+import sys
+
+from tanagerpath.emulator.deployment import ProcessPlan
+from tanagerpath.emulator.soak_interface import SoakInterface, SoakVm
+from tanagerpath.emulator.soak_promises import Shown
+from tanagerpath.platform.settings_file import CONFIG_VARIABLE
+from tanagerpath.runtime.client import HttpReply, HttpRequest
+
+__all__ = ["PlatformInterface"]
+
+FRONT_PORT = 8521
+READINESS_PORT = 8523
+CONTROL_PORT = 8526
+INTERNAL_PORTS = [7000, 7015]
+HOST = "soak.example"
+PREFIX = "/q/"
+KEY = "k1"
+_CALLER_HEADERS = (
+    (b"host", HOST.encode()),
+    (b"x-api-key", KEY.encode()),
+    (b"x-deadline-ms", b"3000"),
+)
+_WORKLOAD = {"spec": "soak", "steps": [{"count": 1, "cpu": 500}]}
+# What a caller may be told of a workload that is not there: not authorised, no such
+# queue, or no such workload.
+_MISSING = (401, 404, 410)
+_REFUSED = (429, 503)
+
+
+class PlatformInterface(SoakInterface):
+    """The platform's interface of settings, operators and callers."""
+
+    def write_settings(
+        self,
+        vm: SoakVm,
+        seeds: tuple[SoakVm, ...],
+        may_found: bool,
+        tolerated_losses: int,
+    ) -> str:
+        """Return the settings file of a process."""
+        listen = {
+            "front": f"{vm.ip}:{FRONT_PORT}",
+            "readiness": f"{vm.ip}:{READINESS_PORT}",
+            "control": f"{vm.ip}:{CONTROL_PORT}",
+        }
+        settings = {
+            "node_name": vm.vm_id,
+            "ip": vm.ip,
+            "zone": vm.availability_zone,
+            "listen": listen,
+            "internal_ports": INTERNAL_PORTS,
+            "seeds": [f"{seed.ip}:{CONTROL_PORT}" for seed in seeds],
+            "bootstrap": may_found,
+            "data_dir": str(vm.folder),
+            "fault_tolerance": {
+                "machines": tolerated_losses,
+                "zones": 0,
+                "regions": 0,
+            },
+            "bounds": {"hold_max_ms": 10_000, "checkpoint_s": 0.5, "status_s": 600},
+        }
+        return json.dumps(settings)
+
+    def plan_process(self, vm: SoakVm, settings: pathlib.Path) -> ProcessPlan:
+        """Return how the process of a VM is started."""
+        command = (sys.executable, "-m", "tanagerpath.platform", vm.role)
+        return ProcessPlan(vm.vm_id, command, {CONFIG_VARIABLE: str(settings)})
+
+    def find_address(self, vm: SoakVm) -> str:
+        """Return the address for operators, or for callers of an entry."""
+        port = CONTROL_PORT if vm.role == "control" else FRONT_PORT
+        return f"{vm.ip}:{port}"
+
+    def change_configuration(self, version: int) -> HttpRequest:
+        """Return the request that stores a version."""
+        body = json.dumps(_make_configuration(version)).encode()
+        return HttpRequest("PUT", "/config", body)
+
+    def ask_configuration(self) -> HttpRequest:
+        """Return the request that reads the configuration."""
+        return HttpRequest("GET", "/config")
+
+    def read_configuration(self, reply: HttpReply) -> tuple[int, bool] | None:
+        """Return version and whether the content is whole, None if none is shown."""
+        if reply.status != 200:
+            return None
+        shown = json.loads(reply.body)
+        return shown["version"], shown == _make_configuration(shown["version"])
+
+    def submit(self, workload_id: str) -> HttpRequest:
+        """Return the request that hands a workload in."""
+        body = json.dumps(_WORKLOAD).encode()
+        return HttpRequest("POST", PREFIX + workload_id, body, _CALLER_HEADERS)
+
+    def cancel(self, workload_id: str) -> HttpRequest:
+        """Return the request that cancels a workload."""
+        return HttpRequest("DELETE", PREFIX + workload_id, b"", _CALLER_HEADERS)
+
+    def ask_workload(self, workload_id: str) -> HttpRequest:
+        """Return the request for the state of a workload."""
+        return HttpRequest("GET", PREFIX + workload_id, b"", _CALLER_HEADERS)
+
+    def read_workload(self, reply: HttpReply) -> Shown:
+        """Return what a reply shows of a workload."""
+        if reply.status in _MISSING:
+            return Shown.MISSING
+        if reply.status != 200:
+            return Shown.UNCLEAR
+        is_cancelled = json.loads(reply.body)["state"] == "cancelled"
+        return Shown.CANCELLED if is_cancelled else Shown.OPEN
+
+    def is_accepted(self, reply: HttpReply) -> bool:
+        """Whether a change or a workload is acknowledged."""
+        return 200 <= reply.status < 300
+
+    def is_refused(self, reply: HttpReply) -> bool:
+        """Whether a workload is refused and never runs."""
+        return reply.status in _REFUSED
+
+
+def _make_configuration(version: int) -> dict:
+    route = {
+        "name": "r",
+        "host": HOST,
+        "path_prefix": PREFIX,
+        "timeout_ms": 2000 + version,
+        "service": "sorter",
+        "max_attempts": 2,
+    }
+    return {
+        "version": version,
+        "routes": [route],
+        "services": [{"name": "sorter"}],
+        "limits": {},
+        "tenants": [{"name": "t", "api_keys": [KEY]}],
+    }
--- /dev/null
+++ b/tanagerpath/platform/tests/test_soak.py
@@ -0,0 +1,34 @@
+"""Guards acknowledged state against lost disks, on real control processes."""
+
+import pathlib
+import tempfile
+
+import anyio
+import testtools
+
+from tanagerpath.emulator.soak import SoakTerms, run_seed
+from tanagerpath.emulator.soak_plan import Layout, SoakPlan
+from tanagerpath.platform.soak_interface import PlatformInterface
+
+
+class TestSoak(testtools.TestCase):
+    def play(self, plan, terms):
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        return anyio.run(
+            run_seed, plan, PlatformInterface(), pathlib.Path(folder.name), terms
+        )
+
+    def test_nothing_acknowledged_is_lost_with_two_disks_of_five(self):
+        """Guards against acknowledgements that fewer disks hold than must be borne."""
+        plan = SoakPlan.from_seed(1, Layout(5, 2), series_count=1, steps_count=3)
+        result = self.play(plan, SoakTerms())
+        self.assertEqual((), result.broken)
+        self.assertTrue(result.version > 10 and result.workloads > 10, result)
+
+    def test_three_control_processes_do_not_bear_the_loss_of_two_disks(self):
+        """Guards against a soak that can't fail."""
+        plan = SoakPlan.from_seed(1, Layout(3, 2), series_count=0)
+        # Short bounds, because the service never comes back.
+        result = self.play(plan, SoakTerms(catch_up_s=1.0, recovery_s=4.0))
+        self.assertIn("not served within 4.0 s", " ".join(result.broken))
