Let the number and the places of voters follow the tolerated losses

The settings say that two VMs with a disk may be lost at once; three replicas voted, one for each zone, so that two lost disks left one voter of three and no quorum.

Cause: the voters were those that the deploy file starts and the settings name. Now the settings' tolerance decides: 2f + 1 replicas vote (more if whole zones or regions are to be borne), spread over the zones (fault domains; regions where the settings say that regions may be lost). All other replicas are learners. A voter that is away for replace_voter_after_s is replaced by a learner that has caught up: the learner gets its vote first, and then the voter loses its own, each a single step. The first step leaves a quorum after the loss of f disks of 2f + 2, and the disk of the replaced voter counts until the second. Without a learner it keeps its vote: fewer voters would bear fewer lost disks. A domain without voters gets one from a fuller domain while all voters answer. The last leader counts as silent since it was heard, so that it is replaced as soon as any other voter. Without a tolerance (the control command) the group grows to five and shrinks as before, and a voter that is away is replaced there too.

New checks: no membership drops a voter that may come back below 2f + 1; disks are lost as tolerated at any moment, also while all others lose power (disk_losses.py); groups of 3 to 8 VMs in 1 to 5 domains.

The start of a process is unchanged; the deploy file follows.

--- a/tanagerpath/codecs/replication.py
+++ b/tanagerpath/codecs/replication.py
@@ -44,6 +44,7 @@
     receiver: str
     group_id: str
     message: dict[str, Any]
+    sender_address: str = ""
 
 
 @attrs.frozen
@@ -86,6 +87,7 @@
             "receiver": message.receiver,
             "group_id": message.group_id,
             "message": encode_value(message.message, ReplicaMessage),
+            "sender_address": message.sender_address,
         }
         for message in messages
     ]
@@ -115,7 +117,11 @@
             return message
         events.append(
             MessageReceived(
-                envelope.sender, message.unwrap(), envelope.receiver, envelope.group_id
+                envelope.sender,
+                message.unwrap(),
+                envelope.receiver,
+                envelope.group_id,
+                envelope.sender_address,
             )
         )
     return Success(events)
--- a/tanagerpath/core/consensus/__init__.py
+++ b/tanagerpath/core/consensus/__init__.py
@@ -51,6 +51,7 @@
     VoteChanged,
 )
 from tanagerpath.core.consensus.replica import Replica
+from tanagerpath.core.consensus.voters import LossTolerance
 
 __all__ = [
     "Action",
@@ -67,6 +68,7 @@
     "JoinRequest",
     "LogDiverged",
     "LogEntry",
+    "LossTolerance",
     "Member",
     "MemberRole",
     "Membership",
--- a/tanagerpath/core/consensus/config.py
+++ b/tanagerpath/core/consensus/config.py
@@ -3,6 +3,8 @@
 import attrs
 
 from tanagerpath.core.consensus.events import LogEntry, Snapshot
+from tanagerpath.core.consensus.membership import Membership
+from tanagerpath.core.consensus.voters import LossTolerance
 
 __all__ = ["ReplicaConfig", "RestoredState"]
 
@@ -28,7 +30,7 @@
         lease. Below `election_timeout_min_s`, so that it ends before a quorum votes
         for another leader; the difference covers clocks of different speed.
     replace_voter_after_s : float
-        Seconds without contact after which a voter loses its vote.
+        Seconds without contact after which a voter is replaced.
     may_found : bool
         Whether this VM may found a group; false where it can't be known that all
         configured VMs have empty directories because they are new.
@@ -36,8 +38,13 @@
         Seconds between join requests of a replica that has no leader.
     empty_report_validity_s : float
         Seconds for which a report of an empty directory counts for the formation.
+    fault_domain : str
+        Name that all replicas share which may be lost together.
+    tolerated_losses : LossTolerance or None
+        Losses that decide how many replicas vote; None for up to `max_voters`, and
+        fewer while some of them are away.
     max_voters : int
-        Most voters of the group.
+        Most voters of the group, if no tolerated losses are set.
     max_batch_entries, max_batch_chars : int
         Bounds of one append message.
     max_batches_in_flight : int
@@ -61,6 +68,8 @@
     may_found: bool = True
     join_interval_s: float = 0.25
     empty_report_validity_s: float = 2.0
+    fault_domain: str = ""
+    tolerated_losses: LossTolerance | None = None
     max_voters: int = 5
     max_batch_entries: int = 256
     max_batch_chars: int = 262144
@@ -77,6 +86,13 @@
                 f"election_timeout_min_s {self.election_timeout_min_s}"
             )
 
+    def find_voter_target(self, membership: Membership) -> int:
+        """Return how many of the members are to vote, if there are as many."""
+        if self.tolerated_losses is None:
+            return self.max_voters
+        domains = {member.fault_domain for member in membership.members}
+        return self.tolerated_losses.find_voter_count(len(domains))
+
 
 @attrs.frozen(kw_only=True)
 class RestoredState:
--- a/tanagerpath/core/consensus/context.py
+++ b/tanagerpath/core/consensus/context.py
@@ -66,6 +66,7 @@
         self.commit_index = self.log.base_index
         self.now_s = 0.0
         self.last_leader_contact_s = 0.0
+        self.last_leader_id: str | None = None
         self.election_deadline_s = 0.0
         self.proposals: dict[int, int] = {}
         self._reported_addresses: dict[str, str] = {}
@@ -116,9 +117,10 @@
         known_until_s = self.last_leader_contact_s + self.config.election_timeout_min_s
         return self.now_s < known_until_s
 
-    def record_leader_contact(self) -> None:
+    def record_leader_contact(self, leader_id: str | None = None) -> None:
         """Start the election timeout anew."""
         self.last_leader_contact_s = self.now_s
+        self.last_leader_id = leader_id
         self.restart_election_timeout()
 
     def restart_election_timeout(self) -> None:
@@ -237,9 +239,7 @@
     def send(self, receiver: str, message: ReplicaMessage, address: str = "") -> None:
         """Send a message once the term, the vote and the identity are synced."""
         address = address or self._find_address(receiver)
-        self.journal.hold(
-            SendMessage(receiver, message, address, self.replica_id, self.group_id)
-        )
+        self._hold(receiver, message, address, self.group_id)
 
     def send_to_address(self, address: str, message: ReplicaMessage) -> None:
         """Send a message to whichever replica is at an address.
@@ -247,17 +247,29 @@
         A pristine replica shows no group, because it may still join any.
         """
         group_id = "" if self.pristine else self.group_id
-        self.journal.hold(SendMessage("", message, address, self.replica_id, group_id))
+        self._hold("", message, address, group_id)
+
+    def _hold(
+        self, receiver: str, message: ReplicaMessage, address: str, group_id: str
+    ) -> None:
+        own_address = self.config.address
+        self.journal.hold(
+            SendMessage(
+                receiver, message, address, self.replica_id, group_id, own_address
+            )
+        )
 
     def note_address(self, replica_id: str, address: str) -> None:
         """Note where a replica is that may be in no membership that is held here.
 
-        A replica without a log has to answer a leader that its settings don't name.
+        A replica whose log is short or empty has to answer a leader or a candidate
+        that neither its log nor its settings name.
         """
-        if replica_id not in self._reported_addresses:
-            if len(self._reported_addresses) >= MAX_REPORTED_ADDRESSES:
-                self._reported_addresses.clear()
-            self._reported_addresses[replica_id] = address
+        if not address or self._reported_addresses.get(replica_id) == address:
+            return
+        if len(self._reported_addresses) >= MAX_REPORTED_ADDRESSES:
+            self._reported_addresses.clear()
+        self._reported_addresses[replica_id] = address
 
     def _find_address(self, receiver: str) -> str:
         member = self.membership.find(receiver)
--- a/tanagerpath/core/consensus/events.py
+++ b/tanagerpath/core/consensus/events.py
@@ -135,12 +135,15 @@
         Identity that the message is for; empty if the sender knows only the address.
     group_id : str
         Group of the sender, empty if it has none.
+    sender_address : str
+        "ip:port" at which the sender takes answers, empty if it is not known.
     """
 
     sender: str
     message: object
     receiver: str = ""
     group_id: str = ""
+    sender_address: str = ""
 
 
 @attrs.frozen
@@ -197,6 +200,8 @@
         Identity of the sending replica.
     group_id : str
         Group of the sender, empty if it has none.
+    sender_address : str
+        "ip:port" at which the sender takes answers.
     """
 
     receiver: str
@@ -204,6 +209,7 @@
     address: str = ""
     sender: str = ""
     group_id: str = ""
+    sender_address: str = ""
 
 
 @attrs.frozen
--- a/tanagerpath/core/consensus/following.py
+++ b/tanagerpath/core/consensus/following.py
@@ -60,7 +60,7 @@
         if context.role is Role.LEADER and term == context.term:
             return False
         context.become_follower(term, sender)
-        context.record_leader_contact()
+        context.record_leader_contact(sender)
         if self._verified_term != term:
             self._forget_leader()
             self._verified_term = term
--- a/tanagerpath/core/consensus/formation.py
+++ b/tanagerpath/core/consensus/formation.py
@@ -14,6 +14,8 @@
 __all__ = ["Formation"]
 
 GROUP_ID_BITS = 64
+# The leader and its next successors are enough to ask.
+MAX_OTHER_MEMBERS = 4
 
 
 @attrs.frozen
@@ -22,6 +24,7 @@
 
     replica_id: str
     address: str
+    fault_domain: str
     formed: bool
     received_s: float
 
@@ -42,6 +45,7 @@
         self._context = context
         self._reports: dict[str, _Report] = {}
         self._next_request_s = 0.0
+        self._other_members: list[str] = []
 
     @property
     def next_request_s(self) -> float:
@@ -70,14 +74,27 @@
 
     def _request_join(self) -> None:
         context = self._context
-        for vm_id, address in context.config.vms.items():
-            if vm_id != context.config.vm_id:
+        named = context.config.vms.values()
+        for address in dict.fromkeys((*named, *self._other_members)):
+            if address != context.config.address:
                 context.send_to_address(address, self._make_request())
 
+    def note_member(self, address: str) -> None:
+        """Note where a member of a group is that took this replica for an earlier one.
+
+        The settings may name only VMs that have lost their disks as well.
+        """
+        if address and address not in self._other_members:
+            self._other_members = [*self._other_members, address][-MAX_OTHER_MEMBERS:]
+
     def _make_request(self, challenge: str = "") -> JoinRequest:
         config = self._context.config
         return JoinRequest(
-            self._context.replica_id, config.vm_id, config.address, challenge
+            self._context.replica_id,
+            config.vm_id,
+            config.address,
+            challenge,
+            config.fault_domain,
         )
 
     def _may_found(self) -> bool:
@@ -100,26 +117,32 @@
 
     def _found(self) -> None:
         context = self._context
-        known = {
-            vm_id: (report.replica_id, report.address)
-            for vm_id, report in self._reports.items()
-            if vm_id in context.config.vms
-        }
-        known[context.config.vm_id] = (context.replica_id, context.config.address)
-        members = tuple(
-            Member(*known[vm_id][:1], vm_id, known[vm_id][1], self._choose_role(place))
-            for place, vm_id in enumerate(sorted(known))
-        )
         group_id = f"{context.random.getrandbits(GROUP_ID_BITS):016x}"
-        membership = Membership(group_id, members)
+        membership = self._give_votes(Membership(group_id, self._list_founders()))
         self._store(LogEntry(1, FOUNDING_TERM, EntryKind.MEMBERSHIP, "", membership))
-        for member in members:
+        for member in membership.members:
             if member.replica_id != context.replica_id:
                 self._propose(member.replica_id)
 
-    def _choose_role(self, place: int) -> MemberRole:
-        is_voter = place < self._context.config.max_voters
-        return MemberRole.VOTER if is_voter else MemberRole.LEARNER
+    def _list_founders(self) -> tuple[Member, ...]:
+        context = self._context
+        config = context.config
+        role = MemberRole.LEARNER
+        founders = [
+            Member(report.replica_id, vm_id, report.address, role, report.fault_domain)
+            for vm_id, report in self._reports.items()
+            if vm_id in config.vms and vm_id != config.vm_id
+        ]
+        own = Member(
+            context.replica_id, config.vm_id, config.address, role, config.fault_domain
+        )
+        return tuple(sorted((own, *founders), key=lambda member: member.vm_id))
+
+    def _give_votes(self, membership: Membership) -> Membership:
+        target = self._context.config.find_voter_target(membership)
+        for member in membership.members[:target]:
+            membership = membership.with_role(member.replica_id, MemberRole.VOTER)
+        return membership
 
     def _store(self, entry: LogEntry) -> None:
         context = self._context
@@ -148,6 +171,7 @@
             context.config.address,
             context.formed,
             challenge,
+            context.config.fault_domain,
         )
         context.send(request.replica_id, reply, request.address)
         if not group_id and context.membership.find(request.replica_id) is not None:
@@ -156,9 +180,12 @@
     def handle_reply(self, reply: JoinReply) -> None:
         """Note the report of a configured VM."""
         self._reports[reply.vm_id] = _Report(
-            reply.replica_id, reply.address, reply.formed, self._context.now_s
+            reply.replica_id,
+            reply.address,
+            reply.fault_domain,
+            reply.formed,
+            self._context.now_s,
         )
-        self._context.note_address(reply.replica_id, reply.address)
         if reply.challenge:
             request = self._make_request(reply.challenge)
             self._context.send_to_address(reply.address, request)
--- a/tanagerpath/core/consensus/harness.py
+++ b/tanagerpath/core/consensus/harness.py
@@ -9,6 +9,7 @@
 import heapq
 import random
 from collections.abc import Callable, Iterable
+from typing import Any
 
 import attrs
 
@@ -32,6 +33,7 @@
     Tick,
     TransferRequested,
 )
+from tanagerpath.core.consensus.membership import Membership
 from tanagerpath.core.consensus.replica import Replica
 from tanagerpath.core.consensus.simulated import (
     DiskContent,
@@ -147,13 +149,39 @@
         seed: int,
         vm_count: int = 3,
         replica_factory: ReplicaFactory = Replica.from_config,
-        **settings: float,
+        founder_count: int | None = None,
+        domain_count: int = 1,
+        **settings: Any,
     ) -> "SimulatedGroup":
-        """Build a group of `vm_count` VMs with the given `ReplicaConfig` settings."""
+        """Build a group of VMs with the given `ReplicaConfig` settings.
+
+        Parameters
+        ----------
+        seed : int
+            Seed of all decisions.
+        vm_count : int
+            Number of VMs.
+        replica_factory : callable
+            Builds a replica.
+        founder_count : int, optional
+            VMs that the settings name; all by default.
+        domain_count : int
+            Fault domains, over which the VMs are spread in turn.
+        **settings
+            Further settings of each replica.
+        """
         vms = {f"vm-{n}": f"10.0.0.{n}:7000" for n in range(1, vm_count + 1)}
+        named = dict(list(vms.items())[:founder_count])
         configs = [
-            ReplicaConfig(vm_id=vm_id, address=address, vms=vms, **settings)
-            for vm_id, address in vms.items()
+            ReplicaConfig(
+                vm_id=vm_id,
+                address=address,
+                vms={**named, vm_id: address},
+                may_found=vm_id in named,
+                fault_domain=f"domain-{place % domain_count}",
+                **settings,
+            )
+            for place, (vm_id, address) in enumerate(vms.items())
         ]
         return cls(seed, configs, replica_factory)
 
@@ -211,9 +239,15 @@
         vm.disk.crash(self.random)
 
     def empty_disk(self, vm_id: str) -> None:
-        """Kill the process and lose the disk."""
+        """Kill the process and lose the disk.
+
+        If the settings don't name all VMs, the later start says that the system is not
+        new.
+        """
         self.crash(vm_id)
         vm = self.vms[vm_id]
+        if len(vm.config.vms) < len(self.vms):
+            vm.config = attrs.evolve(vm.config, may_found=False)
         lost = vm.disk.durable
         vm.disk.empty()
         for observer in self.observers:
@@ -281,18 +315,39 @@
         return vm.replica.has_lease(vm.clock.read_s(self.now_s))
 
     def is_settled(self) -> bool:
-        """Return whether all VMs are voters and have applied all that is committed."""
+        """Return whether the group is whole.
+
+        All VMs are members and have applied all that is committed, and as many of them
+        as the settings ask for are voters.
+        """
         leader = self.find_leader()
         if leader is None or leader.replica is None:
             return False
-        replicas = [vm.replica for vm in self.vms.values() if vm.replica is not None]
-        return len(replicas) == len(self.vms) and all(
-            replica.replica_id in leader.replica.voters
-            and replica.commit_index == leader.replica.last_index
-            and replica.role in (Role.LEADER, Role.FOLLOWER)
-            for replica in replicas
+        membership = leader.replica.membership
+        target = leader.config.find_voter_target(membership)
+        if len(membership.voters) != min(target, len(self.vms)):
+            return False
+        replicas = {
+            vm.replica.replica_id: vm.replica
+            for vm in self.vms.values()
+            if vm.replica is not None
+        }
+        return (
+            len(replicas) == len(self.vms)
+            and set(membership.voters) <= set(replicas)
+            and all(
+                membership.find(replica_id) is not None
+                and replica.commit_index == leader.replica.last_index
+                and self._knows_role(membership, replica)
+                for replica_id, replica in replicas.items()
+            )
         )
 
+    def _knows_role(self, membership: Membership, replica: Replica) -> bool:
+        if membership.is_voter(replica.replica_id):
+            return replica.role in (Role.LEADER, Role.FOLLOWER)
+        return replica.role is Role.LEARNER
+
     def _deliver(self, vm: SimulatedVm, start: int, event: Event) -> None:
         if vm.replica is None or vm.starts != start:
             return
@@ -357,7 +412,11 @@
         if receiver is None or (vm.vm_id, receiver.vm_id) in self.cuts:
             return
         event = MessageReceived(
-            action.sender, action.message, action.receiver, action.group_id
+            action.sender,
+            action.message,
+            action.receiver,
+            action.group_id,
+            action.sender_address,
         )
         for delay_s in self.faults.draw_delays(self.random):
             self.schedule(
--- a/tanagerpath/core/consensus/invariants.py
+++ b/tanagerpath/core/consensus/invariants.py
@@ -140,10 +140,22 @@
             self._report("one voter on a VM", vm, f"{on_vms} at {entry.index}")
         if len(voters) < 2 <= len(self._group.vms):
             self._report("at least two voters", vm, f"{voters} at {entry.index}")
+        self._check_tolerance(vm, entry)
         before = self._find_voters_before(vm, entry)
         if before is not None and len(voters ^ before) > 1:
             self._report("one voter at a time", vm, f"{before} to {voters}")
 
+    def _check_tolerance(self, vm: SimulatedVm, entry: LogEntry) -> None:
+        """Check that no voter that may come back is dropped below the tolerance."""
+        tolerated = vm.config.tolerated_losses
+        before = self._find_voters_before(vm, entry)
+        if tolerated is None or before is None or entry.membership is None:
+            return
+        voters = set(entry.membership.voters)
+        dropped = before - voters - set(self._lost)
+        if dropped and len(voters) < 2 * tolerated.vms + 1:
+            self._report("enough voters for the losses", vm, f"{dropped}: {voters}")
+
     def _count_voters(self, membership: Membership, vm_id: str) -> int:
         members = membership.find_on_vm(vm_id)
         return sum(membership.is_voter(member.replica_id) for member in members)
--- a/tanagerpath/core/consensus/membership.py
+++ b/tanagerpath/core/consensus/membership.py
@@ -38,12 +38,15 @@
         "ip:port" at which it takes messages.
     role : MemberRole
         Voter or learner.
+    fault_domain : str
+        Name that all members share which may be lost together; empty if none is known.
     """
 
     replica_id: str
     vm_id: str
     address: str
     role: MemberRole
+    fault_domain: str = ""
 
 
 @attrs.frozen
--- a/tanagerpath/core/consensus/messages.py
+++ b/tanagerpath/core/consensus/messages.py
@@ -146,13 +146,14 @@
     """A replica without a leader asks to be a member.
 
     `challenge` repeats the one of the leader's `JoinReply`; it is empty in the first
-    request.
+    request. The other fields are those of `Member`.
     """
 
     replica_id: str
     vm_id: str
     address: str
     challenge: str = ""
+    fault_domain: str = ""
 
 
 @attrs.frozen
@@ -161,7 +162,7 @@
 
     Attributes
     ----------
-    replica_id, vm_id, address : str
+    replica_id, vm_id, address, fault_domain : str
         Identity and place of the sender.
     formed : bool
         False if the sender's directory is empty.
@@ -175,6 +176,7 @@
     address: str
     formed: bool
     challenge: str = ""
+    fault_domain: str = ""
 
 
 @attrs.frozen
--- a/tanagerpath/core/consensus/notes.py
+++ b/tanagerpath/core/consensus/notes.py
@@ -22,6 +22,7 @@
     PROMOTED = "promoted"
     REPLACED_IDENTITY = "replaced_identity"
     VOTER_AWAY = "voter_away"
+    SPREAD = "spread"
     LEARNER_GONE = "learner_gone"
 
 
--- a/tanagerpath/core/consensus/replica.py
+++ b/tanagerpath/core/consensus/replica.py
@@ -247,10 +247,12 @@
 
     def _handle_message(self, event: MessageReceived) -> None:
         message = event.message
+        self._context.note_address(event.sender, event.sender_address)
         if isinstance(message, JoinRequest):
             self._handle_join(event, message)
         elif event.receiver != self._context.replica_id:
-            return  # meant for an earlier identity of this VM
+            # Meant for an earlier identity of this VM, whose group is to be joined.
+            self._formation.note_member(event.sender_address)
         elif isinstance(message, JoinReply):
             self._formation.handle_reply(message)
         elif isinstance(message, FoundingProposal):
--- a/tanagerpath/core/consensus/replication.py
+++ b/tanagerpath/core/consensus/replication.py
@@ -97,6 +97,17 @@
         self._started_s = self._context.now_s
         self.progress = {}
         self.follow_membership()
+        self._count_silence_of_last_leader()
+
+    def _count_silence_of_last_leader(self) -> None:
+        """Count the last leader as silent since it was heard, not since the election.
+
+        It is replaced as soon as any other voter that was lost at the same instant.
+        """
+        context = self._context
+        progress = self.progress.get(context.last_leader_id or "")
+        if progress is not None:
+            progress.tracked_s = context.last_leader_contact_s
 
     def follow_membership(self) -> None:
         """Track exactly the members in force."""
@@ -130,7 +141,7 @@
         """Return the latest sending instant that a member is known to have answered.
 
         The start of the leadership, or the admission in its course, counts as one, so
-        that members get time to answer.
+        that members get time to answer. The last leader gets none.
         """
         progress = self.progress.get(replica_id)
         if progress is None:
@@ -151,7 +162,7 @@
             if voter == context.replica_id:
                 instants.append(context.now_s)
             elif count_start:
-                instants.append(self.find_contact_s(voter))
+                instants.append(max(self._started_s, self.find_contact_s(voter)))
             elif voter in self.progress:
                 instants.append(self.progress[voter].acknowledged_s)
         instants.sort(reverse=True)
--- a/tanagerpath/core/consensus/schedule.py
+++ b/tanagerpath/core/consensus/schedule.py
@@ -2,6 +2,7 @@
 
 import attrs
 
+from tanagerpath.core.consensus.disk_losses import DiskLosses, OneOfWholeGroup
 from tanagerpath.core.consensus.harness import SimulatedGroup, SimulatedVm
 from tanagerpath.core.consensus.simulated import NetworkFaults
 
@@ -23,16 +24,17 @@
 class FaultSchedule:
     """Brings seeded faults and commands into a group.
 
-    A disk is emptied only while all VMs are voters that hold everything committed,
-    because the loss of a quorum of disks may lose commands by design.
-
     Parameters
     ----------
     group : SimulatedGroup
         The group; its random source decides.
+    disk_losses : DiskLosses
+        Which disks may be emptied, because the loss of a quorum of disks may lose
+        commands by design.
     """
 
     group: SimulatedGroup
+    disk_losses: DiskLosses = attrs.field(factory=OneOfWholeGroup)
     active: bool = False
     commands: int = 0
     emptied: int = 0
@@ -102,7 +104,7 @@
             self._isolate,
             self._cut,
             self._spoil_network,
-            self._empty_disk,
+            self._empty_disks,
             self._transfer,
         )
         vm = self._choose_vm()
@@ -165,23 +167,16 @@
         if leader is not None:
             self.group.request_transfer(leader.vm_id)
 
+    def _empty_disks(self, vm: SimulatedVm) -> None:
+        losing = self.disk_losses.choose(self.group, vm)
+        for lost in losing:
+            self._empty_disk(lost)
+        if losing and self.disk_losses.take_power(self.group):
+            for other in self.group.vms.values():
+                self._crash(other)
+
     def _empty_disk(self, vm: SimulatedVm) -> None:
-        if not self._may_lose_disk():
-            return
         self.emptied += 1
         self.group.empty_disk(vm.vm_id)
         away_s = self._draw_absence_s()
         self.group.schedule(away_s, lambda: self.group.start(vm.vm_id))
-
-    def _may_lose_disk(self) -> bool:
-        leader = self.group.find_leader()
-        if leader is None or leader.replica is None:
-            return False
-        # The membership in force may not be committed yet, so the whole log counts.
-        last_index = leader.replica.last_index
-        voters = leader.replica.voters
-        return all(
-            vm.disk.durable.replica_id in voters
-            and vm.disk.durable.last_index >= last_index
-            for vm in self.group.vms.values()
-        )
--- a/tanagerpath/core/consensus/tests/faulty.py
+++ b/tanagerpath/core/consensus/tests/faulty.py
@@ -5,13 +5,14 @@
 
 import attrs
 
-from tanagerpath.core.consensus.changes import MembershipChanges
+from tanagerpath.core.consensus.changes import Change, MembershipChanges
 from tanagerpath.core.consensus.context import ReplicaContext
 from tanagerpath.core.consensus.elections import Elections
 from tanagerpath.core.consensus.following import Following
 from tanagerpath.core.consensus.journal import Journal
 from tanagerpath.core.consensus.leadership import Leadership
 from tanagerpath.core.consensus.membership import MemberRole
+from tanagerpath.core.consensus.notes import ChangeReason
 from tanagerpath.core.consensus.replica import Replica
 from tanagerpath.core.consensus.replication import Replicator
 
@@ -204,6 +205,22 @@
     changes_class = _LoneChanges
 
 
+class _ShrinkingChanges(MembershipChanges):
+    def _shrink(self):
+        for voter in self._context.membership.voters:
+            if self._is_away(voter) and self._may_lose(voter):
+                membership = self._context.membership
+                changed = membership.with_role(voter, MemberRole.LEARNER)
+                return Change(changed, ChangeReason.VOTER_AWAY, voter)
+        return None
+
+
+class ShrinksBelowTolerance(Replica):
+    """Takes the vote from each voter that is away, whatever the tolerance."""
+
+    changes_class = _ShrinkingChanges
+
+
 class KeepsIdentityOfVm(Replica):
     """Draws the same identity again after its disk was emptied."""
 
--- a/tanagerpath/core/consensus/tests/scenarios.py
+++ b/tanagerpath/core/consensus/tests/scenarios.py
@@ -1,6 +1,6 @@
 """Directed schedules that random faults reach too rarely."""
 
-from tanagerpath.core.consensus import Replica, Role
+from tanagerpath.core.consensus import LossTolerance, Replica, Role
 from tanagerpath.core.consensus.harness import SimulatedGroup
 from tanagerpath.core.consensus.invariants import InvariantMonitor
 from tanagerpath.core.consensus.simulated import NetworkFaults
@@ -122,6 +122,15 @@
     return monitor
 
 
+def run_long_absence(seed, factory):
+    """A voter of three stays away although the loss of a disk is to be borne."""
+    tolerance = LossTolerance(vms=1)
+    group, monitor = open_group(seed, factory=factory, tolerated_losses=tolerance)
+    group.crash(find_followers(group)[0].vm_id)
+    group.run_for(10.0)
+    return monitor
+
+
 def run_formation(seed):
     """Found a group while messages are late, processes crash and one disk is lost.
 
--- a/tanagerpath/core/consensus/tests/test_faults.py
+++ b/tanagerpath/core/consensus/tests/test_faults.py
@@ -65,6 +65,11 @@
         "at least two voters",
         scenarios.run_loss_of_one_of_two,
     ),
+    (
+        faulty.ShrinksBelowTolerance,
+        "enough voters for the losses",
+        scenarios.run_long_absence,
+    ),
 ]
 
 
--- /dev/null
+++ b/tanagerpath/core/consensus/tests/test_tolerance.py
@@ -0,0 +1,174 @@
+"""Guards groups whose settings say which losses they have to bear at once."""
+
+import testtools
+
+from tanagerpath.core.consensus import LossTolerance
+from tanagerpath.core.consensus.disk_losses import ToleratedDisks
+from tanagerpath.core.consensus.harness import SimulatedGroup
+from tanagerpath.core.consensus.invariants import InvariantMonitor
+from tanagerpath.core.consensus.schedule import FaultSchedule
+from tanagerpath.core.consensus.tests.scenarios import (
+    SETTINGS,
+    commit,
+    cut_between,
+    find_followers,
+)
+
+TWO = LossTolerance(vms=2)
+SEEDS = (1, 2, 3)
+# Traffic begins 12 s after the start at the earliest.
+FULL_GROUP_LIMIT_S = 6.0
+# A VM counts as lost for 4 s after its return.
+CATCH_UP_S = 4.0
+RECOVERY_S = 12.0
+REPLACE_AFTER_S = 2.5
+# VMs, tolerated VMs and fault domains; with fewer disks than 2f + 1, and one domain.
+SHAPES = ((3, 1, 3), (6, 2, 3), (8, 2, 4), (4, 1, 1), (6, 1, 3), (7, 3, 2), (5, 2, 5))
+# Each of the last ones once left a group without a quorum: a voter with a short log
+# that could not answer, and named VMs that had all lost their disks.
+SCHEDULE_SEEDS = (*range(7), 125, 123)
+SCHEDULE_S = 40.0
+
+
+def open_group(seed, vm_count=6, tolerance=TWO, domain_count=3):
+    """Return a monitored group that three named VMs found."""
+    settings = SETTINGS | {"replace_voter_after_s": REPLACE_AFTER_S}
+    group = SimulatedGroup.from_seed(
+        seed,
+        vm_count,
+        founder_count=3,
+        domain_count=domain_count,
+        tolerated_losses=tolerance,
+        **settings,
+    )
+    monitor = InvariantMonitor.attach(group)
+    group.start_all()
+    return group, monitor
+
+
+def list_voters(group):
+    """Return the VMs of the voters by fault domain."""
+    membership = group.find_leader().replica.membership
+    found = {}
+    for member in membership.members:
+        if membership.is_voter(member.replica_id):
+            found.setdefault(member.fault_domain, []).append(member.vm_id)
+    return found
+
+
+class TestToleratedLosses(testtools.TestCase):
+    def open_whole(self, seed, **shape):
+        group, monitor = open_group(seed, **shape)
+        self.assertTrue(group.run_until(group.is_settled, FULL_GROUP_LIMIT_S), seed)
+        self.assertTrue(commit(group, 3))
+        return group, monitor
+
+    def assert_goes_on(self, group, monitor, seed):
+        self.assertTrue(commit(group, 3, RECOVERY_S), f"seed {seed}")
+        self.assertEqual([], monitor.violations, f"seed {seed}")
+
+    def test_a_group_of_three_founders_grows_to_all_voters_before_traffic(self):
+        """Three voters of six VMs once stayed three where two losses are borne."""
+        for seed in SEEDS:
+            group, _ = self.open_whole(seed)
+            sizes = sorted(map(len, list_voters(group).values()))
+            self.assertEqual([1, 2, 2], sizes)
+            group, _ = self.open_whole(seed, vm_count=8, domain_count=4)
+            sizes = sorted(map(len, list_voters(group).values()))
+            self.assertEqual([1, 1, 1, 2], sizes)
+
+    def test_two_disks_are_lost_while_all_others_lose_power(self):
+        for seed in SEEDS:
+            group, monitor = self.open_whole(seed)
+            leader = group.find_leader()
+            lost = (leader, find_followers(group)[seed])
+            for vm in group.vms.values():
+                (group.empty_disk if vm in lost else group.crash)(vm.vm_id)
+            group.run_for(3.0)
+            group.start_all()
+            self.assert_goes_on(group, monitor, seed)
+            self.assertTrue(group.run_until(group.is_settled, RECOVERY_S))
+
+    def test_disks_are_lost_one_after_the_other(self):
+        for seed in SEEDS:
+            group, monitor = self.open_whole(seed)
+            for vm_id in (*group.vms, *group.vms):
+                group.empty_disk(vm_id)
+                group.start(vm_id)
+                group.run_for(CATCH_UP_S)
+                self.assert_goes_on(group, monitor, seed)
+
+    def test_a_voter_that_stays_away_is_replaced_before_two_further_losses(self):
+        for seed in SEEDS:
+            group, monitor = self.open_whole(seed)
+            (away,) = next(vms for vms in list_voters(group).values() if len(vms) == 1)
+            group.crash(away)
+            group.run_for(REPLACE_AFTER_S + 2.5)
+            voters = [vm for vms in list_voters(group).values() for vm in vms]
+            self.assertNotIn(away, voters, f"seed {seed}")
+            self.assertEqual(5, len(voters), f"seed {seed}")
+            followers = [vm for vm in find_followers(group) if vm.vm_id in voters]
+            for vm in followers[:2]:
+                group.crash(vm.vm_id)
+            self.assert_goes_on(group, monitor, seed)
+
+    def test_a_rolling_restart_changes_no_vote(self):
+        for seed in SEEDS:
+            group, monitor = self.open_whole(seed)
+            before = list_voters(group)
+            for vm_id in group.vms:
+                group.crash(vm_id)
+                group.run_for(1.5)
+                group.start(vm_id)
+                self.assertTrue(commit(group, 1, RECOVERY_S))
+                group.run_for(1.0)
+            self.assertEqual(before, list_voters(group), f"seed {seed}")
+            self.assert_goes_on(group, monitor, seed)
+
+    def test_a_split_in_two_halves_loses_nothing(self):
+        for seed in SEEDS:
+            for shape in ({}, {"vm_count": 8, "domain_count": 4}):
+                group, monitor = self.open_whole(seed, **shape)
+                vms = list(group.vms.values())
+                group.random.shuffle(vms)
+                half = len(vms) // 2
+                for one in vms[:half]:
+                    for other in vms[half:]:
+                        cut_between(group, one, other)
+                group.run_for(6.0)
+                group.cuts.clear()
+                self.assert_goes_on(group, monitor, seed)
+                self.assertTrue(group.run_until(group.is_settled, RECOVERY_S))
+
+    def test_fewer_disks_than_voters_are_all_voters(self):
+        for vm_count in (3, 4):
+            group, monitor = self.open_whole(1, vm_count=vm_count, domain_count=1)
+            self.assertEqual(vm_count, len(group.find_leader().replica.voters))
+            group.crash(find_followers(group)[0].vm_id)
+            group.run_for(2 * REPLACE_AFTER_S)
+            self.assertEqual(vm_count, len(group.find_leader().replica.voters))
+            self.assert_goes_on(group, monitor, 1)
+
+
+class TestSeededLosses(testtools.TestCase):
+    def test_tolerated_disks_are_lost_at_any_moment(self):
+        emptied = 0
+        for seed in SCHEDULE_SEEDS:
+            vm_count, vms, domain_count = SHAPES[seed % len(SHAPES)]
+            tolerance = LossTolerance(vms=vms)
+            group = SimulatedGroup.from_seed(
+                seed,
+                vm_count,
+                founder_count=3,
+                domain_count=domain_count,
+                tolerated_losses=tolerance,
+                **SETTINGS,
+            )
+            monitor = InvariantMonitor.attach(group)
+            schedule = FaultSchedule(group, ToleratedDisks(tolerance))
+            schedule.run(SCHEDULE_S)
+            whole = schedule.settle()
+            self.assertEqual([], monitor.violations, f"seed {seed}")
+            self.assertTrue(whole, f"seed {seed} does not become whole")
+            emptied += schedule.emptied
+        self.assertGreater(emptied, len(SCHEDULE_SEEDS))
--- a/tanagerpath/platform/settings_file.py
+++ b/tanagerpath/platform/settings_file.py
@@ -20,6 +20,11 @@
 # Places in the range of ports between nodes, the same on every VM.
 CONTROL_PORT_PLACE = 0
 ENTRY_PORT_PLACE = 1
+# The replacement is to vote well before its VM stops counting as lost. The bounds are
+# above the longest election timeout, and short enough for the losses that follow.
+REPLACEMENT_SHARE = 0.6
+MIN_REPLACE_VOTER_AFTER_S = 1.6
+MAX_REPLACE_VOTER_AFTER_S = 2.5
 
 
 class SettingsFile(SettingsSource):
@@ -124,6 +129,15 @@
         "data_dir": fields.read_text("data_dir"),
         "may_found": "true" if fields.read_flag("bootstrap", False) else "false",
     }
+    given |= _list_tolerance(fields)
+    if bounds.has("catch_up_s"):
+        replace_after_s = REPLACEMENT_SHARE * bounds.read_number("catch_up_s")
+        given["replace_voter_after_s"] = str(
+            min(
+                max(replace_after_s, MIN_REPLACE_VOTER_AFTER_S),
+                MAX_REPLACE_VOTER_AFTER_S,
+            )
+        )
     platform = fields.read_optional("cloud_api")
     if platform is not None and platform.has("address"):
         given["platform_address"] = platform.read_text("address")
@@ -146,3 +160,21 @@
         if bounds.has(bound):
             given[name] = str(bounds.read_number(bound))
     return given
+
+
+def _list_tolerance(fields: Fields) -> dict[str, str]:
+    """Return what may be lost at once, and which VMs are lost together.
+
+    A region that may be lost as a whole holds the availability zones of it.
+    """
+    given = {"fault_domain": fields.read_text("zone")}
+    tolerated = fields.read_optional("fault_tolerance")
+    if tolerated is None:
+        return given
+    regions = tolerated.read_whole("regions", 0)
+    domains = max(regions, tolerated.read_whole("zones", 0))
+    if regions:
+        given["fault_domain"] = fields.read_text("region")
+    given["tolerated_vms"] = str(max(1, tolerated.read_whole("machines", 1)))
+    given["tolerated_fault_domains"] = str(domains)
+    return given
--- a/tanagerpath/services/workload_control.py
+++ b/tanagerpath/services/workload_control.py
@@ -8,7 +8,12 @@
 
 from tanagerpath.codecs.state import JsonFleetCodec
 from tanagerpath.core.admission import SearchingRoute
-from tanagerpath.core.consensus import Replica, ReplicaConfig, RestoredState
+from tanagerpath.core.consensus import (
+    LossTolerance,
+    Replica,
+    ReplicaConfig,
+    RestoredState,
+)
 from tanagerpath.core.control import ControlAction, ReplicatedNode
 from tanagerpath.core.coordination import RecordPeriod
 from tanagerpath.core.workloads import (
@@ -62,6 +67,11 @@
         lease_duration_s=settings.lease_duration_s,
         replace_voter_after_s=settings.replace_voter_after_s,
         snapshot_after_entries=settings.snapshot_every_entries,
+        fault_domain=settings.fault_domain,
+        tolerated_losses=LossTolerance(
+            vms=settings.tolerated_vms,
+            fault_domains=settings.tolerated_fault_domains,
+        ),
     )
     dispatch = DispatchTerms(
         leases=LeaseTerms(lease_s=settings.max_lease_s * LEASE_SHARE),
--- a/tanagerpath/settings/workloads.py
+++ b/tanagerpath/settings/workloads.py
@@ -11,8 +11,10 @@
     AddressesType,
     AddressType,
     FlagType,
+    NameType,
     NumberType,
     OptionalAddressType,
+    WholeNumberType,
 )
 
 __all__ = ["WorkloadControlSettings", "WorkloadEntrySettings"]
@@ -109,7 +111,25 @@
     2.5,
     0.1,
     86_400.0,
-    "Absence after which a voter loses its vote, if the quorum gets smaller by it.",
+    "Absence after which another control process gets the vote of a voter.",
+)
+_TOLERATED_VMS = Setting(
+    name="tolerated_vms",
+    type=WholeNumberType(1, 100),
+    default=1,
+    description="VMs with a disk that may be lost at once; twice as many and one vote.",
+)
+_TOLERATED_FAULT_DOMAINS = Setting(
+    name="tolerated_fault_domains",
+    type=WholeNumberType(0, 100),
+    default=0,
+    description="Whole fault domains that may be lost at once.",
+)
+_FAULT_DOMAIN = Setting(
+    name="fault_domain",
+    type=NameType(),
+    default="default",
+    description="Name that all VMs share which may be lost together.",
 )
 _CONTROL_DRAIN_TIMEOUT_S = common.make_seconds(
     "drain_timeout_s",
@@ -181,6 +201,9 @@
     election_timeout_max_s: float = declare(_ELECTION_TIMEOUT_MAX_S)
     lease_duration_s: float = declare(_LEASE_DURATION_S)
     replace_voter_after_s: float = declare(_REPLACE_VOTER_AFTER_S)
+    tolerated_vms: int = declare(_TOLERATED_VMS)
+    tolerated_fault_domains: int = declare(_TOLERATED_FAULT_DOMAINS)
+    fault_domain: str = declare(_FAULT_DOMAIN)
     snapshot_every_entries: int = declare(common.SNAPSHOT_EVERY_ENTRIES)
     upstream_connections: int = declare(common.UPSTREAM_CONNECTIONS)
     leader_timeout_s: float = declare(_LEADER_TIMEOUT_S)
