Run a control process on VMs without a disk, and two in each zone

With count = 2 in the deploy file the second control process of a zone ended at each start on sites with one disk a zone: 'field data_dir: got None, expected a string'.

A control process without a disk now serves the control port, passes calls on to the leader, and holds no replica. It answers a request to join with holds_replica = false and passes it on to the leader, so that a deployment may name it as a seed: the formation leaves it out, and the first named VM with a disk founds the group. It keeps no poll: it looks for the leader when it is asked.

--- a/tanagerpath/core/consensus/__init__.py
+++ b/tanagerpath/core/consensus/__init__.py
@@ -50,6 +50,7 @@
     PromotionDelayed,
     VoteChanged,
 )
+from tanagerpath.core.consensus.relaying import Relay
 from tanagerpath.core.consensus.replica import Replica
 from tanagerpath.core.consensus.voters import LossTolerance
 
@@ -82,6 +83,7 @@
     "PromotionDelayed",
     "ProposalRejected",
     "ProposalUncertain",
+    "Relay",
     "Replica",
     "ReplicaConfig",
     "ReplicaMessage",
--- a/tanagerpath/core/consensus/changes.py
+++ b/tanagerpath/core/consensus/changes.py
@@ -162,10 +162,8 @@
 
     def _is_active(self, member: Member) -> bool:
         context = self._context
-        if member.replica_id == context.replica_id:
-            return True
-        contact_s = self._replicator.find_contact_s(member.replica_id)
-        return context.now_s - contact_s < context.config.election_timeout_min_s
+        silence_s = self._find_silence_s(member.replica_id)
+        return silence_s < context.config.election_timeout_min_s
 
     def _make_plan(self) -> VoterPlan:
         context = self._context
@@ -219,11 +217,14 @@
         return None
 
     def _is_away(self, replica_id: str) -> bool:
+        limit_s = self._context.config.replace_voter_after_s
+        return self._find_silence_s(replica_id) > limit_s
+
+    def _find_silence_s(self, replica_id: str) -> float:
         context = self._context
         if replica_id == context.replica_id:
-            return False
-        silence_s = context.now_s - self._replicator.find_contact_s(replica_id)
-        return silence_s > context.config.replace_voter_after_s
+            return 0.0
+        return context.now_s - self._replicator.find_contact_s(replica_id)
 
     def _demote(self) -> Change | None:
         """Take the vote from the voter that another one has replaced."""
@@ -259,12 +260,15 @@
         return None
 
     def _remove(self) -> Change | None:
-        """Remove a learner that is away and whose VM is not configured any more."""
+        """Remove a learner that is gone and that the settings don't name."""
         membership = self._context.membership
+        config = self._context.config
         for member in membership.members:
-            gone = member.vm_id not in self._context.config.vms
+            is_named = member.vm_id in config.vms
             is_learner = member.role is MemberRole.LEARNER
-            if gone and is_learner and self._is_away(member.replica_id):
+            silence_s = self._find_silence_s(member.replica_id)
+            is_gone = silence_s > config.remove_learner_after_s
+            if is_learner and is_gone and not is_named:
                 changed = membership.without(member.replica_id)
                 return Change(changed, ChangeReason.LEARNER_GONE, member.replica_id)
         return None
--- a/tanagerpath/core/consensus/config.py
+++ b/tanagerpath/core/consensus/config.py
@@ -31,6 +31,10 @@
         for another leader; the difference covers clocks of different speed.
     replace_voter_after_s : float
         Seconds without contact after which a voter is replaced.
+    remove_learner_after_s : float
+        Seconds without contact after which a learner is removed that the settings don't
+        name. Long, because a learner that comes back is heard at once, and one that was
+        removed has to notice it and to join again.
     may_found : bool
         Whether this VM may found a group; false where it can't be known that all
         configured VMs have empty directories because they are new.
@@ -65,6 +69,7 @@
     election_timeout_max_s: float = 1.2
     lease_duration_s: float = 0.5
     replace_voter_after_s: float = 60.0
+    remove_learner_after_s: float = 60.0
     may_found: bool = True
     join_interval_s: float = 0.25
     empty_report_validity_s: float = 2.0
--- a/tanagerpath/core/consensus/formation.py
+++ b/tanagerpath/core/consensus/formation.py
@@ -46,6 +46,7 @@
         self._reports: dict[str, _Report] = {}
         self._next_request_s = 0.0
         self._other_members: list[str] = []
+        self._relays: set[str] = set()
 
     @property
     def next_request_s(self) -> float:
@@ -99,14 +100,13 @@
 
     def _may_found(self) -> bool:
         context = self._context
-        vms = context.config.vms
-        if not context.config.may_found:
+        config = context.config
+        if not config.may_found or not context.pristine:
             return False
-        if context.config.vm_id != min(vms) or not context.pristine:
+        others = set(config.vms) - self._relays - {config.vm_id}
+        if any(vm_id < config.vm_id for vm_id in others):
             return False
-        return all(
-            self._is_empty(vm_id) for vm_id in vms if vm_id != context.config.vm_id
-        )
+        return all(self._is_empty(vm_id) for vm_id in others)
 
     def _is_empty(self, vm_id: str) -> bool:
         report = self._reports.get(vm_id)
@@ -179,6 +179,10 @@
 
     def handle_reply(self, reply: JoinReply) -> None:
         """Note the report of a configured VM."""
+        if not reply.holds_replica:
+            # A VM without a disk stays one, so that the report doesn't expire.
+            self._relays.add(reply.vm_id)
+            return
         self._reports[reply.vm_id] = _Report(
             reply.replica_id,
             reply.address,
--- a/tanagerpath/core/consensus/messages.py
+++ b/tanagerpath/core/consensus/messages.py
@@ -166,6 +166,8 @@
         Identity and place of the sender.
     formed : bool
         False if the sender's directory is empty.
+    holds_replica : bool
+        False if the sender has no disk and can never be a member.
     challenge : str
         Random text of a leader. A request that repeats it was sent by a replica that is
         alive, so a delayed request of a lost identity cannot replace a newer one.
@@ -177,6 +179,7 @@
     formed: bool
     challenge: str = ""
     fault_domain: str = ""
+    holds_replica: bool = True
 
 
 @attrs.frozen
--- a/tanagerpath/core/consensus/tests/test_tolerance.py
+++ b/tanagerpath/core/consensus/tests/test_tolerance.py
@@ -30,9 +30,9 @@
 SCHEDULE_S = 40.0
 
 
-def open_group(seed, vm_count=6, tolerance=TWO, domain_count=3):
+def open_group(seed, vm_count=6, tolerance=TWO, domain_count=3, **settings):
     """Return a monitored group that three named VMs found."""
-    settings = SETTINGS | {"replace_voter_after_s": REPLACE_AFTER_S}
+    settings = SETTINGS | {"replace_voter_after_s": REPLACE_AFTER_S} | settings
     group = SimulatedGroup.from_seed(
         seed,
         vm_count,
@@ -112,6 +112,31 @@
                 group.crash(vm.vm_id)
             self.assert_goes_on(group, monitor, seed)
 
+    def test_a_replaced_voter_is_heard_at_once_when_it_returns(self):
+        """It was once removed with its vote, and joined again 3 s after its return."""
+        for seed in SEEDS:
+            group, monitor = self.open_whole(seed)
+            away = find_followers(group)[0]
+            group.crash(away.vm_id)
+            group.run_for(2 * REPLACE_AFTER_S)
+            self.assertTrue(commit(group, 3))
+            group.start(away.vm_id)
+            self.assertTrue(group.run_until(group.is_settled, 1.0), f"seed {seed}")
+            self.assertEqual([], monitor.violations, f"seed {seed}")
+
+    def test_a_learner_that_stays_away_is_removed_in_the_end(self):
+        group, _ = self.open_whole(1, remove_learner_after_s=4.0)
+        (gone,) = group.find_leader().replica.membership.learners
+        vm = next(vm for vm in group.vms.values() if vm.replica.replica_id == gone)
+        vm_id = vm.vm_id
+        group.crash(vm_id)
+        group.run_for(3.5)
+        self.assertIn(gone, group.find_leader().replica.membership.learners)
+        group.run_for(1.5)
+        self.assertEqual((), group.find_leader().replica.membership.learners)
+        group.start(vm_id)
+        self.assertTrue(group.run_until(group.is_settled, RECOVERY_S))
+
     def test_a_rolling_restart_changes_no_vote(self):
         for seed in SEEDS:
             group, monitor = self.open_whole(seed)
--- a/tanagerpath/platform/__main__.py
+++ b/tanagerpath/platform/__main__.py
@@ -17,7 +17,11 @@
 from tanagerpath.platform.orders import WorkerCodec
 from tanagerpath.platform.settings_file import SettingsFile
 from tanagerpath.runtime import Application
-from tanagerpath.settings import WorkloadControlSettings, WorkloadEntrySettings
+from tanagerpath.settings import (
+    WorkloadControlSettings,
+    WorkloadEntrySettings,
+    WorkloadRelaySettings,
+)
 
 __all__ = ["main"]
 
@@ -45,6 +49,14 @@
     )
 
 
+def _make_relay(settings: WorkloadRelaySettings, source: SettingsFile) -> Application:
+    from tanagerpath.services.workload_relay import WorkloadRelayApplication
+
+    public_port = settings.public_listen.rpartition(":")[2]
+    edge = OperatorEdge(public_port, settings.leader_timeout_s)
+    return WorkloadRelayApplication.from_settings(settings, edge, source)
+
+
 def main() -> int:
     """Run the process that the first argument names."""
     # The default action of SIGHUP ends a process that is still starting.
@@ -56,6 +68,9 @@
     if role == "entry":
         settings = settings_file.read_entry(os.environ)
         make = _make_entry
+    elif not settings_file.has_disk().value_or(True):
+        settings = settings_file.read_relay(os.environ)
+        make = _make_relay
     else:
         settings = settings_file.read_control(os.environ)
         make = _make_control
--- a/tanagerpath/platform/settings_file.py
+++ b/tanagerpath/platform/settings_file.py
@@ -11,7 +11,11 @@
 from tanagerpath.errors import Failure, FailureError
 from tanagerpath.platform.fields import Fields, read_object
 from tanagerpath.services.edges import SettingsSource
-from tanagerpath.settings import WorkloadControlSettings, WorkloadEntrySettings
+from tanagerpath.settings import (
+    WorkloadControlSettings,
+    WorkloadEntrySettings,
+    WorkloadRelaySettings,
+)
 
 __all__ = ["CONFIG_VARIABLE", "SettingsFile"]
 
@@ -81,6 +85,23 @@
             return ResultFailure(error.failure)
         return WorkloadControlSettings.from_given(given, environment)
 
+    def has_disk(self) -> Result[bool, Failure]:
+        """Return whether this VM has a disk, or what is wrong with the settings."""
+        try:
+            return Success(self._read().has("data_dir"))
+        except FailureError as error:
+            return ResultFailure(error.failure)
+
+    def read_relay(
+        self, environment: Mapping[str, str]
+    ) -> Result[WorkloadRelaySettings, Failure]:
+        """Read the settings of a control process on a VM without a disk."""
+        try:
+            given = _list_relay(self._read())
+        except FailureError as error:
+            return ResultFailure(error.failure)
+        return WorkloadRelaySettings.from_given(given, environment)
+
     def read_entry(
         self, environment: Mapping[str, str]
     ) -> Result[WorkloadEntrySettings, Failure]:
@@ -122,10 +143,15 @@
     }
 
 
+def _list_relay(fields: Fields) -> dict[str, str]:
+    return _list_shared(fields, CONTROL_PORT_PLACE) | {
+        "public_listen": fields.read_fields("listen").read_text("control"),
+    }
+
+
 def _list_control(fields: Fields) -> dict[str, str]:
     bounds = fields.read_fields("bounds")
-    given = _list_shared(fields, CONTROL_PORT_PLACE) | {
-        "public_listen": fields.read_fields("listen").read_text("control"),
+    given = _list_relay(fields) | {
         "data_dir": fields.read_text("data_dir"),
         "may_found": "true" if fields.read_flag("bootstrap", False) else "false",
     }
--- a/tanagerpath/platform/tests/test_processes.py
+++ b/tanagerpath/platform/tests/test_processes.py
@@ -1,5 +1,6 @@
 """Guards the whole path on real processes: served, reloaded, killed and stopped."""
 
+import json
 import pathlib
 import signal
 import subprocess
@@ -80,6 +81,38 @@
         self.assertIn("listen.control", errors)
 
 
+class TestControlProcessWithoutDisk(ProcessCase):
+    """Guards VMs that have no disk: their control process once ended at its start."""
+
+    def open_relay(self):
+        """Return a VM at another address with the same ports, and without a disk."""
+        folder = self.deployment.folder / "relay"
+        folder.mkdir()
+        relay = Deployment(folder)
+        self.addCleanup(relay.stop)
+        given = json.dumps(self.deployment.settings).replace("127.0.0.1", "127.0.0.2")
+        relay.settings = json.loads(given)
+        del relay.settings["data_dir"]
+        # Both are named, the one without a disk first.
+        seed = self.deployment.settings["seeds"][0]
+        seeds = [seed.replace("127.0.0.1", "127.0.0.2"), seed]
+        relay.settings["seeds"] = self.deployment.settings["seeds"] = seeds
+        return relay
+
+    def test_it_passes_calls_on_and_takes_no_part_in_the_group(self):
+        relay = self.open_relay()
+        process = relay.start("control")
+        self.deployment.start("control")
+        url = self.deployment.control.replace("127.0.0.1", "127.0.0.2") + "/config"
+        wait_for(lambda: exchange("PUT", url, CONFIG)[0] == 200)
+        own_url = f"{self.deployment.control}/config"
+        self.assertEqual((200, CONFIG), exchange("GET", own_url))
+        self.assertEqual((200, CONFIG), exchange("GET", url))
+        self.assertIsNone(process.poll())
+        process.send_signal(signal.SIGTERM)
+        self.assertEqual(0, process.wait(STOP_TIMEOUT_S))
+
+
 class TestWholePath(ProcessCase):
     def call(self, method, path, body=None, **headers):
         url = f"{self.deployment.front}{path}"
--- /dev/null
+++ b/tanagerpath/services/workload_relay.py
@@ -0,0 +1,259 @@
+"""The control process of workloads on a VM without a disk."""
+
+from collections.abc import Sequence
+
+import anyio
+from anyio.abc import TaskGroup
+from returns.pipeline import is_successful
+from starlette.requests import ClientDisconnect, Request
+from starlette.responses import PlainTextResponse, Response
+from starlette.routing import BaseRoute, Route
+
+from tanagerpath.codecs import encode_json
+from tanagerpath.codecs.replication import decode_batch, encode_batch
+from tanagerpath.core.admission import SearchingRoute
+from tanagerpath.core.consensus import MessageReceived, Relay, SendMessage
+from tanagerpath.core.protocol.internal import NotLeaderReply
+from tanagerpath.core.workloads.requests import LeaderQuery, LeaderReply
+from tanagerpath.observability.logs import get_logger
+from tanagerpath.observability.metrics import MetricsRegistry
+from tanagerpath.runtime import Application, Mailbox, Task
+from tanagerpath.runtime.client import HttpClient
+from tanagerpath.runtime.server import HttpServer, bind_listener
+from tanagerpath.services.edges import ControlEdge, RemoteLeader, SettingsSource
+from tanagerpath.services.leader_link import LeaderLink
+from tanagerpath.services.peers import CONSENSUS_PATH
+from tanagerpath.services.settings_watch import SettingsWatch
+from tanagerpath.services.workload_protocol import WORKLOAD_PROTOCOL, make_leader_link
+from tanagerpath.settings import WorkloadRelaySettings
+
+__all__ = ["JoinForwarder", "RelayRoutes", "WorkloadRelayApplication"]
+
+# Requests to join are repeated; more than these are copies.
+MAX_WAITING_REQUESTS = 64
+LEADER_TIMEOUT_S = 1.0
+
+
+class JoinForwarder(Task):
+    """Looks for the leader when it is asked for, and passes requests to join on to it.
+
+    Parameters
+    ----------
+    relay : Relay
+        Decides what is passed on.
+    link : LeaderLink
+        Finds the leader.
+    route : SearchingRoute
+        Gets the control processes that the leader names.
+    exchange_timeout_s : float
+        Time for an exchange with the leader.
+    """
+
+    def __init__(
+        self,
+        relay: Relay,
+        link: LeaderLink,
+        route: SearchingRoute,
+        exchange_timeout_s: float,
+    ) -> None:
+        self._relay = relay
+        self._link = link
+        self._route = route
+        self._exchange_timeout_s = exchange_timeout_s
+        self.mailbox: Mailbox[tuple[MessageReceived, ...]] = Mailbox(
+            "join forwarder", MAX_WAITING_REQUESTS
+        )
+
+    async def run(self) -> None:
+        """Forward until cancelled."""
+        while True:
+            batches = [await self.mailbox.receive(), *self.mailbox.take_waiting()]
+            leader_address = await self._find_leader()
+            if leader_address is None:
+                continue
+            messages = [
+                message
+                for batch in batches
+                for received in batch or ()
+                if (message := self._relay.forward(received, leader_address))
+            ]
+            if messages:
+                await self._send(leader_address, messages)
+
+    async def _find_leader(self) -> str | None:
+        deadline_s = anyio.current_time() + LEADER_TIMEOUT_S
+        result = await self._link.call(LeaderQuery(), deadline_s)
+        reply = result.unwrap() if is_successful(result) else None
+        if not isinstance(reply, LeaderReply):
+            return None
+        self._route.note_members(reply.control_addresses)
+        return reply.leader_address
+
+    async def _send(self, address: str, messages: Sequence[SendMessage]) -> None:
+        client = HttpClient(address, max_connections=1)
+        try:
+            await client.exchange(
+                "POST",
+                CONSENSUS_PATH,
+                encode_batch(messages),
+                timeout_s=self._exchange_timeout_s,
+            )
+        finally:
+            with anyio.CancelScope(shield=True):
+                await client.close()
+
+
+class RelayRoutes:
+    """HTTP routes of a control process without a replica for other processes.
+
+    Parameters
+    ----------
+    relay : Relay
+        Answers replicas.
+    forwarder : Mailbox
+        Mailbox of the `JoinForwarder`.
+    route : SearchingRoute
+        Knows the leader.
+    metrics : MetricsRegistry
+        Metrics of the process.
+    """
+
+    def __init__(
+        self,
+        relay: Relay,
+        forwarder: Mailbox[tuple[MessageReceived, ...]],
+        route: SearchingRoute,
+        metrics: MetricsRegistry,
+    ) -> None:
+        self._relay = relay
+        self._forwarder = forwarder
+        self._route = route
+        self._metrics = metrics
+
+    def list_routes(self) -> list[BaseRoute]:
+        """Return all routes."""
+        return [
+            Route(CONSENSUS_PATH, self._take_consensus, methods=["POST"]),
+            Route(WORKLOAD_PROTOCOL.path, self._name_leader, methods=["POST"]),
+            Route("/healthz", self._show_health, methods=["GET"]),
+            Route("/metrics", self._show_metrics, methods=["GET"]),
+        ]
+
+    async def _take_consensus(self, request: Request) -> Response:
+        try:
+            batch = decode_batch(await request.body())
+        except ClientDisconnect:
+            return Response(status_code=400)
+        if not is_successful(batch):
+            return PlainTextResponse(batch.failure().message + "\n", 400)
+        received = tuple(batch.unwrap())
+        answers = [answer for one in received if (answer := self._relay.answer(one))]
+        if not answers:
+            return Response(status_code=204)
+        self._forwarder.post(received)
+        return Response(encode_batch(answers), media_type="application/json")
+
+    async def _name_leader(self, request: Request) -> Response:
+        await request.body()
+        address = self._route.leader_address
+        if address is None:
+            self._forwarder.post(())
+        reply = NotLeaderReply(leader_address=address or "")
+        text = encode_json(reply, WORKLOAD_PROTOCOL.reply_type)
+        return Response(text, media_type="application/json")
+
+    async def _show_health(self, request: Request) -> Response:
+        return PlainTextResponse("ok\n")
+
+    async def _show_metrics(self, request: Request) -> Response:
+        return PlainTextResponse(self._metrics.render())
+
+
+class WorkloadRelayApplication(Application):
+    """All tasks of a control process without a replica.
+
+    It serves operators and upstreams, and passes their calls on to the leader.
+
+    Parameters
+    ----------
+    settings : WorkloadRelaySettings
+        Settings of the process.
+    edge : ControlEdge
+        Translates the calls of operators and upstreams.
+    source : SettingsSource
+        Settings that may change.
+    """
+
+    def __init__(
+        self, settings: WorkloadRelaySettings, edge: ControlEdge, source: SettingsSource
+    ) -> None:
+        super().__init__()
+        self._settings = settings
+        self._edge = edge
+        self._log = get_logger("control")
+        self._metrics = MetricsRegistry()
+        self._route = SearchingRoute(self._list_others(settings.seeds))
+        self._link = make_leader_link(self._route, settings.exchange_timeout_s)
+        self._watch = SettingsWatch(source, self._note_seeds, self._log)
+        vm_id = settings.listen.rpartition(":")[0]
+        self._relay = Relay(vm_id, settings.listen)
+        self._forwarder = JoinForwarder(
+            self._relay, self._link, self._route, settings.exchange_timeout_s
+        )
+        self._servers: list[HttpServer] = []
+
+    @classmethod
+    def from_settings(
+        cls,
+        settings: WorkloadRelaySettings,
+        edge: ControlEdge,
+        source: SettingsSource,
+    ) -> "WorkloadRelayApplication":
+        """Build the application of a process."""
+        return cls(settings, edge, source)
+
+    def _list_others(self, seeds: tuple[str, ...]) -> tuple[str, ...]:
+        """Return the control processes to ask: this one never leads."""
+        return tuple(seed for seed in seeds if seed != self._settings.listen)
+
+    def _note_seeds(self, seeds: tuple[str, ...]) -> None:
+        self._route.note_seeds(self._list_others(seeds))
+
+    async def start(self, tasks: TaskGroup) -> None:
+        """Bind the sockets and start all tasks."""
+        settings = self._settings
+        routes = RelayRoutes(
+            self._relay, self._forwarder.mailbox, self._route, self._metrics
+        )
+        leader = RemoteLeader(self._link)
+        listed = {
+            settings.listen: routes.list_routes(),
+            settings.public_listen: self._edge.list_routes(leader),
+        }
+        for address, address_routes in listed.items():
+            server = HttpServer(bind_listener(address), address_routes)
+            self._servers.append(server)
+            tasks.start_soon(server.run)
+        tasks.start_soon(self._link.run)
+        tasks.start_soon(self._forwarder.run)
+        tasks.start_soon(self._watch.run)
+        self._log.info(
+            "started without a replica",
+            address=settings.listen,
+            availability_zone=settings.availability_zone,
+            seeds=list(settings.seeds),
+        )
+
+    async def reload(self) -> None:
+        """Take changed settings."""
+        self._watch.reload("SIGHUP")
+
+    async def drain(self) -> None:
+        """Finish the exchanges in flight."""
+        for server in self._servers:
+            server.close_kept_connections()
+        with anyio.move_on_after(self._settings.drain_timeout_s):
+            async with anyio.create_task_group() as stops:
+                for server in self._servers:
+                    stops.start_soon(server.stop)
+        self._log.info("stopped")
--- a/tanagerpath/settings/__init__.py
+++ b/tanagerpath/settings/__init__.py
@@ -10,6 +10,7 @@
 from tanagerpath.settings.workloads import (
     WorkloadControlSettings,
     WorkloadEntrySettings,
+    WorkloadRelaySettings,
 )
 
 __all__ = [
@@ -22,6 +23,7 @@
     "Setting",
     "WorkloadControlSettings",
     "WorkloadEntrySettings",
+    "WorkloadRelaySettings",
     "add_flags",
     "list_settings",
 ]
--- a/tanagerpath/settings/reference.py
+++ b/tanagerpath/settings/reference.py
@@ -7,6 +7,7 @@
 from tanagerpath.settings.workloads import (
     WorkloadControlSettings,
     WorkloadEntrySettings,
+    WorkloadRelaySettings,
 )
 
 __all__ = ["render_reference"]
@@ -28,6 +29,7 @@
     ("Client commands", ClientSettings),
     ("Entry process for workloads", WorkloadEntrySettings),
     ("Control process for workloads", WorkloadControlSettings),
+    ("Control process for workloads without a disk", WorkloadRelaySettings),
 )
 
 
--- a/tanagerpath/settings/workloads.py
+++ b/tanagerpath/settings/workloads.py
@@ -17,7 +17,11 @@
     WholeNumberType,
 )
 
-__all__ = ["WorkloadControlSettings", "WorkloadEntrySettings"]
+__all__ = [
+    "WorkloadControlSettings",
+    "WorkloadEntrySettings",
+    "WorkloadRelaySettings",
+]
 
 
 _SEEDS = Setting(
@@ -212,6 +216,21 @@
     log_level: str = declare(common.LOG_LEVEL)
 
 
+@attrs.frozen(kw_only=True)
+class WorkloadRelaySettings(SettingsBase):
+    """Settings of a control process without a disk; docs/settings.md has each one."""
+
+    vm_id: str = declare(common.VM_ID)
+    availability_zone: str = declare(common.AVAILABILITY_ZONE)
+    listen: str = declare(common.LISTEN)
+    public_listen: str = declare(_PUBLIC_LISTEN)
+    seeds: tuple[str, ...] = declare(_SEEDS)
+    leader_timeout_s: float = declare(_LEADER_TIMEOUT_S)
+    exchange_timeout_s: float = declare(_EXCHANGE_TIMEOUT_S)
+    drain_timeout_s: float = declare(_CONTROL_DRAIN_TIMEOUT_S)
+    log_level: str = declare(common.LOG_LEVEL)
+
+
 @attrs.frozen(kw_only=True)
 class WorkloadEntrySettings(SettingsBase):
     """Settings of an entry process for workloads; docs/settings.md has each one."""
