--- a/tanagerpath/core/consensus/__init__.py
+++ b/tanagerpath/core/consensus/__init__.py
@@ -51,7 +51,9 @@
     PromotionDelayed,
     VoteChanged,
 )
+from tanagerpath.core.consensus.relaying import Relay
 from tanagerpath.core.consensus.replica import Replica
+from tanagerpath.core.consensus.voters import LossTolerance
 
 __all__ = [
     "Action",
@@ -68,6 +70,7 @@
     "JoinRequest",
     "LogDiverged",
     "LogEntry",
+    "LossTolerance",
     "Member",
     "MemberRole",
     "Membership",
@@ -81,6 +84,7 @@
     "PromotionDelayed",
     "ProposalRejected",
     "ProposalUncertain",
+    "Relay",
     "Replica",
     "ReplicaConfig",
     "ReplicaMessage",
--- a/tanagerpath/core/consensus/messages.py
+++ b/tanagerpath/core/consensus/messages.py
@@ -146,13 +146,14 @@
     """A replica without a leader asks to be a member.
 
     `challenge` repeats the one of the leader's `JoinReply`; it is empty in the first
-    request.
+    request. The other fields are those of `Member`.
     """
 
     replica_id: str
     vm_id: str
     address: str
     challenge: str = ""
+    fault_domain: str = ""
 
 
 @attrs.frozen
@@ -161,10 +162,12 @@
 
     Attributes
     ----------
-    replica_id, vm_id, address : str
+    replica_id, vm_id, address, fault_domain : str
         Identity and place of the sender.
     formed : bool
         False if the sender's directory is empty.
+    holds_replica : bool
+        False if the sender has no disk and can never be a member.
     challenge : str
         Random text of a leader. A request that repeats it was sent by a replica that is
         alive, so a delayed request of a lost identity cannot replace a newer one.
@@ -175,6 +178,8 @@
     address: str
     formed: bool
     challenge: str = ""
+    fault_domain: str = ""
+    holds_replica: bool = True
 
 
 @attrs.frozen
