Name in the soak's report what was not recovered from

"not served within 12 s" did not tell a series from the last fault. Kills of all processes are also named as such: the system keeps what they wrote, so they are no loss of power.

--- a/tanagerpath/emulator/soak.py
+++ b/tanagerpath/emulator/soak.py
@@ -71,8 +71,8 @@
     broken : tuple of str
         What went wrong; empty if the seed passed.
     recovered_s : tuple of float
-        Seconds until all requests were served again, after each series, each loss of
-        power and the last fault.
+        Seconds until all requests were served again, after each series, each kill of
+        all processes and the last fault.
     version : int
         Last acknowledged version.
     workloads : int
@@ -138,14 +138,16 @@
             self._follow_processes(clients)
             clients.start_soon(self._operator.run)
             clients.start_soon(self._caller.run)
-            await self._await_service(START_LIMIT_S)
+            await self._await_service("the start", START_LIMIT_S)
             await anyio.sleep(self._terms.catch_up_s)
-            for steps, power_lost in zip(
-                self._plan.series, self._plan.power_losses, strict=True
+            for steps, kills_all in zip(
+                self._plan.series, self._plan.kills_all, strict=True
             ):
                 await self._play_series(steps, clients)
-                if power_lost:
-                    await self._lose(self._plan.layout.vm_ids, (), 0.0, clients)
+                await self._await_service("a series", self._terms.recovery_s)
+                if kills_all:
+                    await self._lose((), 0.0, clients)
+                    await self._await_service("the kill", self._terms.recovery_s)
                     await anyio.sleep(self._terms.catch_up_s)
             final = self._plan.final
             self._operator.mailbox.post(WaitForAcknowledgement(acknowledged := Reply()))
@@ -156,9 +158,8 @@
                 is None
             ):
                 raise ServiceNotBack("no acknowledgement before the last fault")
-            await self._lose(
-                self._plan.layout.vm_ids, final.wiped, final.down_s, clients
-            )
+            await self._lose(final.wiped, final.down_s, clients)
+            await self._await_service("the last fault", self._terms.recovery_s)
             clients.cancel_scope.cancel()
         unclear = await self._caller.check_all()
         if unclear:
@@ -180,7 +181,6 @@
                     ends.start_soon(self._end_step, step, sequence, clients)
                 self.site.note_ended()
                 await anyio.sleep(POLL_INTERVAL_S)
-        await self._await_service(self._terms.recovery_s)
 
     async def _end_step(
         self, step: FaultStep, sequence: FaultSequence, clients: TaskGroup
@@ -191,12 +191,12 @@
 
     async def _lose(
         self,
-        vm_ids: tuple[str, ...],
         wiped: tuple[str, ...],
         down_s: float,
         clients: TaskGroup,
     ) -> None:
-        """Kill processes at once, remove the data of some, and start all again."""
+        """Kill all control processes, remove the data of some, and start all again."""
+        vm_ids = self._plan.layout.vm_ids
         for vm_id in vm_ids:
             self.site.kill(vm_id)
         for vm_id in wiped:
@@ -206,7 +206,6 @@
             for vm_id in vm_ids:
                 starts.start_soon(self.site.start, vm_id)
         self._follow_processes(clients)
-        await self._await_service(self._terms.recovery_s)
 
     def _follow_processes(self, clients: TaskGroup) -> None:
         """Read from the processes that run now, and tell the operator of them."""
@@ -224,7 +223,7 @@
             judge = self.judge.mailbox
             await ReaderTask(self._interface, judge, name, address).run()
 
-    async def _await_service(self, limit_s: float) -> None:
+    async def _await_service(self, cause: str, limit_s: float) -> None:
         """Wait until every kind of request is served, and note the time it took."""
         began_s = anyio.current_time()
         processes = tuple(self.site.list_processes())
@@ -237,7 +236,7 @@
                 return
             if elapsed_s > limit_s:
                 raise ServiceNotBack(
-                    f"not served within {limit_s} s: {', '.join(unserved)}"
+                    f"not served within {limit_s} s of {cause}: {', '.join(unserved)}"
                 )
             await anyio.sleep(POLL_INTERVAL_S)
 
--- a/tanagerpath/emulator/soak_plan.py
+++ b/tanagerpath/emulator/soak_plan.py
@@ -11,7 +11,7 @@
 PAUSE_MAX_S = 2.0
 DURATION_MIN_S = 0.2
 DURATION_MAX_S = 3.0
-POWER_LOSS_SHARE = 0.3
+KILL_ALL_SHARE = 0.3
 
 
 @attrs.frozen
@@ -58,7 +58,7 @@
         Size of the deployment.
     series : tuple of tuple of FaultStep
         Faults that overlap; service is checked after each series.
-    power_losses : tuple of bool
+    kills_all : tuple of bool
         For each series, whether all control processes are killed after it.
     final : FinalFault
         The last fault.
@@ -67,7 +67,7 @@
     seed: int
     layout: Layout
     series: tuple[tuple[FaultStep, ...], ...]
-    power_losses: tuple[bool, ...]
+    kills_all: tuple[bool, ...]
     final: FinalFault
 
     @classmethod
@@ -97,10 +97,10 @@
             tuple(_draw_step(source, layout) for _ in range(steps_count))
             for _ in range(series_count)
         )
-        power_losses = tuple(source.random() < POWER_LOSS_SHARE for _ in series)
+        kills_all = tuple(source.random() < KILL_ALL_SHARE for _ in series)
         wiped = tuple(source.sample(layout.vm_ids, layout.tolerated_losses))
         final = FinalFault(wiped, _draw_duration_s(source))
-        return cls(seed, layout, series, power_losses, final)
+        return cls(seed, layout, series, kills_all, final)
 
 
 def _draw_step(source: random.Random, layout: Layout) -> FaultStep:
--- a/tanagerpath/platform/tests/test_soak.py
+++ b/tanagerpath/platform/tests/test_soak.py
@@ -31,4 +31,6 @@
         plan = SoakPlan.from_seed(1, Layout(3, 2), series_count=0)
         # Short bounds, because the service never comes back.
         result = self.play(plan, SoakTerms(catch_up_s=1.0, recovery_s=4.0))
-        self.assertIn("not served within 4.0 s", " ".join(result.broken))
+        self.assertIn(
+            "not served within 4.0 s of the last fault", " ".join(result.broken)
+        )
