--- a/tanagerpath/core/consensus/invariants.py
+++ b/tanagerpath/core/consensus/invariants.py
@@ -147,7 +147,7 @@
 
     def _check_tolerance(self, vm: SimulatedVm, entry: LogEntry) -> None:
         """Check that no voter that may come back is dropped below the tolerance."""
-        tolerated = vm.config.tolerated_losses
+        tolerated = vm.replica.tolerated_losses if vm.replica else None
         before = self._find_voters_before(vm, entry)
         if tolerated is None or before is None or entry.membership is None:
             return
--- a/tanagerpath/core/consensus/replica.py
+++ b/tanagerpath/core/consensus/replica.py
@@ -37,6 +37,7 @@
     VoteRequest,
 )
 from tanagerpath.core.consensus.replication import Replicator
+from tanagerpath.core.consensus.voters import LossTolerance
 
 __all__ = ["Replica"]
 
@@ -146,6 +147,11 @@
         """Identities of the voters in force."""
         return self._context.membership.voters
 
+    @property
+    def tolerated_losses(self) -> LossTolerance | None:
+        """Losses that decide how many replicas vote."""
+        return self._context.config.tolerated_losses
+
     @property
     def commit_index(self) -> int:
         """Last index known to be committed."""
