Make room where urgent work is in time, if that is cheap

Work without any place made room on the cheapest upstreams, whatever their speed. While claims were made anew in each plan, a second claim for a faster place followed as soon as a slow one got free, and the first stops were wasted.

Room is now made first on the upstreams on which the unit is in time, if at most twice its own work is lost there, and only then anywhere. The test fails before: the gang is on the slow upstream.

--- a/tanagerpath/core/workloads/deadline_policy.py
+++ b/tanagerpath/core/workloads/deadline_policy.py
@@ -130,6 +130,9 @@
         if not self._may_stop_others(unit, fleet):
             return False
         sessions = self._list_candidates(unit, rooms, fleet)
+        in_time = self._list_in_time(unit, sessions, fleet)
+        if self._claim(unit, ClaimCause.LATE, left, in_time, rooms, fleet, plan):
+            return True
         cause = ClaimCause.GUARANTEED if unit.is_guaranteed else ClaimCause.NO_ROOM
         return self._claim(unit, cause, left, sessions, rooms, fleet, plan)
 
@@ -205,17 +208,21 @@
             return False
         if fleet.find_waited_s(unit) > patience_s:
             return False
-        bound_s = self._find_run_bound_s(unit, fleet)
-
-        def is_in_time(session: UpstreamSession) -> bool:
-            return fleet.predict_run_s(unit, session) <= bound_s
-
-        if all(map(is_in_time, self._choose(unit, rooms, fleet))):
+        chosen = self._choose(unit, rooms, fleet)
+        if len(self._list_in_time(unit, chosen, fleet)) == len(chosen):
             return False
-        sessions = list(filter(is_in_time, self._list_candidates(unit, rooms, fleet)))
+        candidates = self._list_candidates(unit, rooms, fleet)
+        sessions = self._list_in_time(unit, candidates, fleet)
         cause = ClaimCause.LATE
         return self._claim(unit, cause, unit.indexes, sessions, rooms, fleet, plan)
 
+    def _list_in_time(
+        self, unit: PlanUnit, sessions: Iterable[UpstreamSession], fleet: FleetView
+    ) -> list[UpstreamSession]:
+        """Return the upstreams on which a unit meets its objective."""
+        bound_s = self._find_run_bound_s(unit, fleet)
+        return [one for one in sessions if fleet.predict_run_s(unit, one) <= bound_s]
+
     def _list_candidates(
         self, unit: PlanUnit, rooms: PlanRooms, fleet: FleetView
     ) -> list[UpstreamSession]:
--- a/tanagerpath/core/workloads/tests/test_preemption.py
+++ b/tanagerpath/core/workloads/tests/test_preemption.py
@@ -1,11 +1,14 @@
 """Guards against work that is stopped for others over and over without use."""
 
+import math
 from collections import Counter
 
 import testtools
 
+from tanagerpath.core.workloads import commands
 from tanagerpath.core.workloads.deadline_policy import MAX_STOPS
 from tanagerpath.core.workloads.dispatch_context import DispatchTerms
+from tanagerpath.core.workloads.learned import LearnedFleet, LearnedSpeed
 from tanagerpath.core.workloads.orders import Refusal
 from tanagerpath.core.workloads.resources import Resources
 from tanagerpath.core.workloads.specs import StepSpec
@@ -117,6 +120,26 @@
         rig.run(30.0)
         self.assertEqual("completed", rig.find_state("large"))
 
+    def test_guaranteed_work_is_given_room_where_it_is_in_time(self):
+        rig = Rig(upstreams=0)
+        speeds = {"slow": 0.4, "fast": 1.7}
+        for name, speed in speeds.items():
+            rig.add_upstream(name, speed=speed)
+        learned = tuple(
+            LearnedSpeed(name, math.log(speed), 0.01) for name, speed in speeds.items()
+        )
+        rig.apply(commands.RecordRuns(learned=LearnedFleet(learned)))
+        rig.lead(2)
+        rig.run(0.5)
+        rig.submit("scan", _step(16, declared_run_s=9.0), work_s=9.0)
+        rig.run(0.5)
+        gang = _step(1, WHOLE, gang=True, declared_run_s=3.0)
+        rig.submit("check", gang, queue="urgent", work_s=3.0)
+        rig.run(2.8)
+        self.assertEqual("completed", rig.find_state("check"))
+        stopped_on = {stop["upstream"] for stop in _list_room_stops(rig)}
+        self.assertEqual({"fast"}, stopped_on)
+
     def test_task_is_not_stopped_again_and_again_by_a_stream_of_urgent_work(self):
         rig = Rig(upstreams=1)
         rig.submit("scan", _step(8, declared_run_s=3.0), work_s=3.0)
