Read the settings again for a second before a start fails on them

A process that starts while its settings file is written anew in its place finds it missing or cut, ends with status 2 and counts as one that ended by itself. While it runs, the file is read again at the next change; at the start nothing did.

The first test needs a second read: a single one returned the failure in all three cases.

--- a/tanagerpath/platform/__main__.py
+++ b/tanagerpath/platform/__main__.py
@@ -15,7 +15,7 @@
 from tanagerpath.platform.control_edge import OperatorEdge
 from tanagerpath.platform.entry_edge import CallerEdge
 from tanagerpath.platform.orders import WorkerCodec
-from tanagerpath.platform.settings_file import SettingsFile
+from tanagerpath.platform.settings_file import SettingsFile, read_settled
 from tanagerpath.runtime import Application
 from tanagerpath.settings import WorkloadControlSettings, WorkloadEntrySettings
 
@@ -54,11 +54,10 @@
     role = parser.parse_args().role
     settings_file = SettingsFile.from_environment(os.environ)
     if role == "entry":
-        settings = settings_file.read_entry(os.environ)
-        make = _make_entry
+        read, make = settings_file.read_entry, _make_entry
     else:
-        settings = settings_file.read_control(os.environ)
-        make = _make_control
+        read, make = settings_file.read_control, _make_control
+    settings = read_settled(lambda: read(os.environ))
     if not is_successful(settings):
         write_failure(settings.failure())
         return EXIT_WRONG_INPUT
--- a/tanagerpath/platform/settings_file.py
+++ b/tanagerpath/platform/settings_file.py
@@ -2,8 +2,11 @@
 
 import os
 import pathlib
-from collections.abc import Mapping
+import time
+from collections.abc import Callable, Mapping
+from typing import TypeVar
 
+from returns.pipeline import is_successful
 from returns.result import Failure as ResultFailure
 from returns.result import Result, Success
 
@@ -13,13 +16,45 @@
 from tanagerpath.services.edges import SettingsSource
 from tanagerpath.settings import WorkloadControlSettings, WorkloadEntrySettings
 
-__all__ = ["CONFIG_VARIABLE", "SettingsFile"]
+__all__ = ["CONFIG_VARIABLE", "SettingsFile", "read_settled"]
 
 CONFIG_VARIABLE = "TANAGERPATH_CONFIG"
 MS_PER_S = 1000.0
 # Places in the range of ports between nodes, the same on every VM.
 CONTROL_PORT_PLACE = 0
 ENTRY_PORT_PLACE = 1
+# A file that is written anew in its place is missing or cut for a moment.
+SETTLE_S = 1.0
+SETTLE_RETRY_S = 0.05
+
+T = TypeVar("T")
+
+
+def read_settled(
+    read: Callable[[], Result[T, Failure]], patience_s: float = SETTLE_S
+) -> Result[T, Failure]:
+    """Read settings until they are right, for a short time.
+
+    A process that starts while its settings are written would end otherwise.
+
+    Parameters
+    ----------
+    read : callable
+        Reads the settings.
+    patience_s : float
+        Seconds after which wrong settings are returned as such.
+
+    Returns
+    -------
+    Result
+        The settings, or what was wrong at the last attempt.
+    """
+    deadline_s = time.monotonic() + patience_s
+    settings = read()
+    while not is_successful(settings) and time.monotonic() < deadline_s:
+        time.sleep(SETTLE_RETRY_S)
+        settings = read()
+    return settings
 
 
 class SettingsFile(SettingsSource):
--- /dev/null
+++ b/tanagerpath/platform/tests/test_settings_file.py
@@ -0,0 +1,42 @@
+"""Guards against a process that ends because its settings are just being written."""
+
+import pathlib
+import tempfile
+import threading
+
+import testtools
+from returns.pipeline import is_successful
+
+from tanagerpath.platform.settings_file import (
+    CONFIG_VARIABLE,
+    SettingsFile,
+    read_settled,
+)
+
+TEXT = '{"seeds": ["10.0.0.1:80"], "internal_ports": [7620, 7629]}'
+
+
+class TestReadSettled(testtools.TestCase):
+    def setUp(self):
+        super().setUp()
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.path = pathlib.Path(folder.name, "settings.json")
+        self.source = SettingsFile.from_environment({CONFIG_VARIABLE: str(self.path)})
+
+    def test_file_that_is_missing_or_cut_for_a_moment_is_read_when_it_is_whole(self):
+        for before in (None, "", TEXT[:20]):
+            self.path.unlink(missing_ok=True)
+            if before is not None:
+                self.path.write_text(before)
+            writer = threading.Timer(0.1, self.path.write_text, [TEXT])
+            writer.start()
+            settings = read_settled(self.source.read_seeds, patience_s=20.0)
+            writer.join()
+            self.assertEqual(("10.0.0.1:7620",), settings.unwrap(), before)
+
+    def test_settings_that_stay_wrong_are_returned_as_such(self):
+        self.path.write_text("{}")
+        settings = read_settled(self.source.read_seeds, patience_s=0.1)
+        self.assertFalse(is_successful(settings))
+        self.assertIn("internal_ports", settings.failure().message)
