--- a/tanagerpath/runtime/logfiles.py
+++ b/tanagerpath/runtime/logfiles.py
@@ -32,6 +32,7 @@
     find_number,
     find_segments,
     load_state,
+    read_segments,
 )
 
 __all__ = ["DirectoryInUse", "LogFiles", "set_aside_corrupt"]
@@ -161,6 +162,7 @@
         with contextlib.ExitStack() as opened:
             self._lock = self._take_lock(restored)
             opened.callback(os.close, self._lock)
+            self._segment_needed = self._leads_elsewhere(restored)
             self._remove_temporary()
             paths = find_segments(directory)
             self._number = find_number(paths[-1]) if paths else 1
@@ -184,6 +186,15 @@
             raise FailureError(DirectoryInUse(directory=str(self._directory)))
         return lock
 
+    def _leads_elsewhere(self, restored: RestoredState) -> bool:
+        """Return whether the segments hold other entries than those in force.
+
+        After a crash between a snapshot and its new segment, an entry appended to the
+        old one would leave a gap, and the log would be refused at the next start.
+        """
+        stored = read_segments(self._directory).unwrap()
+        return stored.entries != list(restored.entries)
+
     def _remove_temporary(self) -> None:
         for path in self._directory.glob(f"*{TEMPORARY_SUFFIX}"):
             self._operations.remove(path)
--- a/tanagerpath/runtime/stored_state.py
+++ b/tanagerpath/runtime/stored_state.py
@@ -24,6 +24,7 @@
     "find_number",
     "find_segments",
     "load_state",
+    "read_segments",
 ]
 
 SEGMENT_PREFIX = "log-"
@@ -107,7 +108,7 @@
     snapshot = _read_snapshot(directory / SNAPSHOT_NAME)
     if isinstance(snapshot, ResultFailure):
         return snapshot
-    content = _read_segments(directory)
+    content = read_segments(directory)
     if isinstance(content, ResultFailure):
         return content
     return _combine(directory, snapshot.unwrap(), content.unwrap())
@@ -166,7 +167,8 @@
     return int(path.name.removeprefix(SEGMENT_PREFIX))
 
 
-def _read_segments(directory: pathlib.Path) -> Result[LogContent, CorruptLog]:
+def read_segments(directory: pathlib.Path) -> Result[LogContent, CorruptLog]:
+    """Read the segments of a data directory alone, with what a snapshot covers."""
     content = LogContent()
     paths = find_segments(directory)
     for path in paths:
--- a/tanagerpath/runtime/tests/test_storage.py
+++ b/tanagerpath/runtime/tests/test_storage.py
@@ -119,6 +119,9 @@
         self.find_segment().write_bytes(old)
         state = self.load()
         self.assertEqual((10, ()), (state.snapshot.last_index, state.entries))
+        # An entry appended to the old log once made the directory corrupt.
+        self.write(_make_write(3, 11, 12, term=5))
+        self.assertEqual([11, 12], [entry.index for entry in self.load().entries])
 
     def test_crash_between_an_own_snapshot_and_the_new_segment(self):
         """Entries after the snapshot were acknowledged and must stay."""
