--- a/tanagerpath/platform/__main__.py
+++ b/tanagerpath/platform/__main__.py
@@ -15,7 +15,7 @@
 from tanagerpath.platform.control_edge import OperatorEdge
 from tanagerpath.platform.entry_edge import CallerEdge
 from tanagerpath.platform.orders import WorkerCodec
-from tanagerpath.platform.settings_file import SettingsFile
+from tanagerpath.platform.settings_file import SettingsFile, read_settled
 from tanagerpath.runtime import Application
 from tanagerpath.settings import (
     WorkloadControlSettings,
@@ -66,14 +66,12 @@
     role = parser.parse_args().role
     settings_file = SettingsFile.from_environment(os.environ)
     if role == "entry":
-        settings = settings_file.read_entry(os.environ)
-        make = _make_entry
-    elif not settings_file.has_disk().value_or(True):
-        settings = settings_file.read_relay(os.environ)
-        make = _make_relay
+        read, make = settings_file.read_entry, _make_entry
+    elif not read_settled(settings_file.has_disk).value_or(True):
+        read, make = settings_file.read_relay, _make_relay
     else:
-        settings = settings_file.read_control(os.environ)
-        make = _make_control
+        read, make = settings_file.read_control, _make_control
+    settings = read_settled(lambda: read(os.environ))
     if not is_successful(settings):
         write_failure(settings.failure())
         return EXIT_WRONG_INPUT
--- a/tanagerpath/platform/settings_file.py
+++ b/tanagerpath/platform/settings_file.py
@@ -2,8 +2,11 @@
 
 import os
 import pathlib
-from collections.abc import Mapping
+import time
+from collections.abc import Callable, Mapping
+from typing import TypeVar
 
+from returns.pipeline import is_successful
 from returns.result import Failure as ResultFailure
 from returns.result import Result, Success
 
@@ -17,7 +20,7 @@
     WorkloadRelaySettings,
 )
 
-__all__ = ["CONFIG_VARIABLE", "SettingsFile"]
+__all__ = ["CONFIG_VARIABLE", "SettingsFile", "read_settled"]
 
 CONFIG_VARIABLE = "TANAGERPATH_CONFIG"
 MS_PER_S = 1000.0
@@ -29,6 +32,38 @@
 REPLACEMENT_SHARE = 0.6
 MIN_REPLACE_VOTER_AFTER_S = 1.6
 MAX_REPLACE_VOTER_AFTER_S = 2.5
+# A file that is written anew in its place is missing or cut for a moment.
+SETTLE_S = 1.0
+SETTLE_RETRY_S = 0.05
+
+T = TypeVar("T")
+
+
+def read_settled(
+    read: Callable[[], Result[T, Failure]], patience_s: float = SETTLE_S
+) -> Result[T, Failure]:
+    """Read settings until they are right, for a short time.
+
+    A process that starts while its settings are written would end otherwise.
+
+    Parameters
+    ----------
+    read : callable
+        Reads the settings.
+    patience_s : float
+        Seconds after which wrong settings are returned as such.
+
+    Returns
+    -------
+    Result
+        The settings, or what was wrong at the last attempt.
+    """
+    deadline_s = time.monotonic() + patience_s
+    settings = read()
+    while not is_successful(settings) and time.monotonic() < deadline_s:
+        time.sleep(SETTLE_RETRY_S)
+        settings = read()
+    return settings
 
 
 class SettingsFile(SettingsSource):
