--- a/tanagerpath/emulator/soak.py
+++ b/tanagerpath/emulator/soak.py
@@ -21,6 +21,7 @@
 from tanagerpath.emulator.soak_clients import (
     CallerTask,
     ControlsMoved,
+    DiskProbeTask,
     JudgeTask,
     OperatorTask,
     ReaderTask,
@@ -77,6 +78,9 @@
         Last acknowledged version.
     workloads : int
         Accepted workloads.
+    slowest_sync_s : float
+        Longest time in seconds that the machine's disk took for a sync of the soak's
+        own; above a second, a late recovery may be due to the machine.
     duration_s : float
         Seconds for the whole seed.
     """
@@ -87,6 +91,7 @@
     recovered_s: tuple[float, ...]
     version: int
     workloads: int
+    slowest_sync_s: float
     duration_s: float
 
 
@@ -115,6 +120,7 @@
         self._caller = CallerTask(
             interface, judge, self.site.entry_address, random.Random(plan.seed)
         )
+        self.probe = DiskProbeTask(folder)
         self._readers: dict[str, anyio.CancelScope] = {}
         self.broken: list[str] = []
         self.recovered_s: list[float] = []
@@ -134,6 +140,7 @@
 
     async def _play_faults(self, tasks: TaskGroup) -> None:
         tasks.start_soon(self.judge.run)
+        tasks.start_soon(self.probe.run)
         async with anyio.create_task_group() as clients:
             self._follow_processes(clients)
             clients.start_soon(self._operator.run)
@@ -262,6 +269,7 @@
         tuple(run.recovered_s),
         promises.acknowledged_version,
         promises.accepted_count,
+        round(run.probe.slowest_s, 2),
         round(anyio.current_time() - began_s, 1),
     )
 
@@ -275,7 +283,8 @@
         f"seed {plan.seed}: {verdict} in {result.duration_s} s, "
         f"{plan.layout.controls} control processes, "
         f"{plan.layout.tolerated_losses} losses, version {result.version}, "
-        f"{result.workloads} workloads, recovered in {list(result.recovered_s)} s",
+        f"{result.workloads} workloads, recovered in {list(result.recovered_s)} s, "
+        f"slowest sync {result.slowest_sync_s} s",
         flush=True,
     )
     for text in result.broken:
--- a/tanagerpath/emulator/soak_clients.py
+++ b/tanagerpath/emulator/soak_clients.py
@@ -1,8 +1,11 @@
 """Operator, callers and readers of the soak; each task owns its connections."""
 
+import os
+import pathlib
 import random
 
 import anyio
+import anyio.to_thread
 import attrs
 from returns.pipeline import is_successful
 
@@ -22,6 +25,7 @@
 __all__ = [
     "CallerTask",
     "ControlsMoved",
+    "DiskProbeTask",
     "JudgeTask",
     "OperatorTask",
     "ReaderTask",
@@ -32,9 +36,10 @@
 EXCHANGE_TIMEOUT_S = 1.0
 CALL_TIMEOUT_S = 3.0
 PAUSE_S = 0.1
+PROBE_PAUSE_S = 0.5
 CHANGE_PAUSE_S = 0.2
 MAX_VERSION_STEP = 3
-SUBMIT_TRIES = 10
+TRIES = 10
 SUBMIT_SHARE = 0.5
 CANCEL_SHARE = 0.1
 
@@ -82,6 +87,40 @@
                 self.promises.handle(message)
 
 
+class DiskProbeTask(Task):
+    """Measures how long the machine's disk takes to sync a small file.
+
+    A failed seed whose slowest sync took seconds says little about the processes: they
+    wait for the same disk.
+
+    Parameters
+    ----------
+    folder : pathlib.Path
+        Folder on the disk of the processes.
+    """
+
+    def __init__(self, folder: pathlib.Path) -> None:
+        self._path = folder / "probe"
+        self.slowest_s = 0.0
+
+    async def run(self) -> None:
+        """Sync a file at intervals until cancelled."""
+        while True:
+            began_s = anyio.current_time()
+            try:
+                await anyio.to_thread.run_sync(self._sync)
+            finally:
+                elapsed_s = anyio.current_time() - began_s
+                self.slowest_s = max(self.slowest_s, elapsed_s)
+            await anyio.sleep(PROBE_PAUSE_S)
+
+    def _sync(self) -> None:
+        with self._path.open("wb") as file:
+            file.write(b"probe")
+            file.flush()
+            os.fsync(file.fileno())
+
+
 async def _ask(
     client: HttpClient, request: HttpRequest, timeout_s: float
 ) -> HttpReply | None:
@@ -236,12 +275,17 @@
             await anyio.sleep(PAUSE_S)
 
     async def check_all(self) -> list[str]:
-        """Ask for every workload once; return those without a clear reply."""
-        return [
-            workload_id
-            for workload_id in (*self._accepted, *self._refused)
-            if await self._show(workload_id) is Shown.UNCLEAR
-        ]
+        """Ask for every workload until its reply is clear; return those that have none.
+
+        Like a caller's own program, this repeats a request without a clear reply.
+        """
+        left = [*self._accepted, *self._refused]
+        for _ in range(TRIES):
+            left = [one for one in left if await self._show(one) is Shown.UNCLEAR]
+            if not left:
+                break
+            await anyio.sleep(PAUSE_S)
+        return left
 
     async def _show(self, workload_id: str) -> Shown:
         request = self._interface.ask_workload(workload_id)
@@ -261,7 +305,7 @@
         """Send a workload until the reply is clear, as often as a caller would."""
         workload_id = f"{self._source.getrandbits(64):016x}"
         request = self._interface.submit(workload_id)
-        for number in range(SUBMIT_TRIES):
+        for number in range(TRIES):
             began_s = anyio.current_time()
             reply = await _ask(self._client, request, CALL_TIMEOUT_S)
             if reply is not None and self._interface.is_accepted(reply):
