Keep the times of a stop within the grace time of the settings

The times of a stop (entry 2.5 s and 2.5 s, control process 1.5 s for each of its steps) fit the 6 s of the deployments at hand; where a process is killed earlier they would outlast it, and requests in flight would end without an answer. They are now shares of the grace time, and at most what they were.

Tests: a_stop_ends_within_the_grace_time (5 s of 2 s before), and the translation of the tolerance and of the time for a replacement.

--- a/tanagerpath/platform/settings_file.py
+++ b/tanagerpath/platform/settings_file.py
@@ -29,6 +29,12 @@
 REPLACEMENT_SHARE = 0.6
 MIN_REPLACE_VOTER_AFTER_S = 1.6
 MAX_REPLACE_VOTER_AFTER_S = 2.5
+# A process is killed at the end of its grace time. An entry leaves the balancer, then
+# finishes its requests; a control process hands over, then stops its two servers.
+ENTRY_DRAIN_SHARE = 0.42
+MAX_ENTRY_DRAIN_S = 2.5
+CONTROL_DRAIN_SHARE = 0.25
+MAX_CONTROL_DRAIN_S = 1.5
 
 
 class SettingsFile(SettingsSource):
@@ -137,16 +143,32 @@
 
 def _list_entry(fields: Fields) -> dict[str, str]:
     listen = fields.read_fields("listen")
-    return _list_shared(fields, ENTRY_PORT_PLACE) | {
+    given = _list_shared(fields, ENTRY_PORT_PLACE) | {
         "public_listen": listen.read_text("front"),
         "readiness_listen": listen.read_text("readiness"),
     }
+    bounds = fields.read_optional("bounds")
+    if bounds is not None and bounds.has("grace_s"):
+        drain_s = _limit(bounds, "grace_s", ENTRY_DRAIN_SHARE, MAX_ENTRY_DRAIN_S)
+        given |= {"drain_notice_s": drain_s, "drain_timeout_s": drain_s}
+    return given
+
+
+def _limit(bounds: Fields, name: str, share: float, maximum: float) -> str:
+    """Return a share of a bound in seconds, at most `maximum`."""
+    return str(min(share * bounds.read_number(name), maximum))
 
 
 def _list_relay(fields: Fields) -> dict[str, str]:
-    return _list_shared(fields, CONTROL_PORT_PLACE) | {
+    given = _list_shared(fields, CONTROL_PORT_PLACE) | {
         "public_listen": fields.read_fields("listen").read_text("control"),
     }
+    bounds = fields.read_optional("bounds")
+    if bounds is not None and bounds.has("grace_s"):
+        given["drain_timeout_s"] = _limit(
+            bounds, "grace_s", CONTROL_DRAIN_SHARE, MAX_CONTROL_DRAIN_S
+        )
+    return given
 
 
 def _list_control(fields: Fields) -> dict[str, str]:
--- /dev/null
+++ b/tanagerpath/platform/tests/test_settings_file.py
@@ -0,0 +1,77 @@
+"""Guards against sizes and times that don't follow the settings of a deployment."""
+
+import json
+import pathlib
+import tempfile
+
+import testtools
+
+from tanagerpath.core.consensus import LossTolerance
+from tanagerpath.platform.settings_file import SettingsFile
+from tanagerpath.services.workload_control import make_node_config
+
+SETTINGS = {
+    "node_name": "frontend-a-1",
+    "ip": "10.1.0.1",
+    "zone": "a",
+    "region": "north",
+    "listen": {
+        "front": "10.1.0.1:8521",
+        "readiness": "10.1.0.1:8523",
+        "control": "10.1.0.1:8526",
+    },
+    "internal_ports": [7000, 7015],
+    "seeds": ["10.1.0.1:8526"],
+    "data_dir": "/data/control",
+}
+
+
+class TestSettingsFile(testtools.TestCase):
+    def write(self, **changed):
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        path = pathlib.Path(folder.name) / "local.json"
+        path.write_text(json.dumps(SETTINGS | {"bounds": {}} | changed))
+        return SettingsFile(path)
+
+    def read_replica(self, **changed):
+        settings = self.write(**changed).read_control({}).unwrap()
+        return make_node_config(settings).replica
+
+    def read_tolerance(self, **tolerated):
+        replica = self.read_replica(fault_tolerance=tolerated)
+        return replica.tolerated_losses, replica.fault_domain
+
+    def test_the_tolerance_decides_on_the_voters(self):
+        """Three voters once bore one loss where the settings ask for two."""
+        two = LossTolerance(vms=2)
+        self.assertEqual(
+            (two, "a"), self.read_tolerance(machines=2, zones=0, regions=0)
+        )
+        zone = LossTolerance(vms=1, fault_domains=1)
+        self.assertEqual((zone, "a"), self.read_tolerance(machines=1, zones=1))
+        self.assertEqual((zone, "north"), self.read_tolerance(machines=0, regions=1))
+        self.assertEqual(LossTolerance(), self.read_replica().tolerated_losses)
+
+    def test_a_voter_is_replaced_well_before_it_stops_counting_as_lost(self):
+        for catch_up_s in (3, 4, 6, 20):
+            replica = self.read_replica(bounds={"catch_up_s": catch_up_s})
+            self.assertLess(replica.replace_voter_after_s, 0.7 * catch_up_s)
+            longest_s = replica.election_timeout_max_s
+            self.assertGreater(replica.replace_voter_after_s, longest_s)
+
+    def test_a_stop_ends_within_the_grace_time(self):
+        """Fixed times of 5 s in all would outlast a shorter grace time."""
+        for grace_s in (2, 4, 6, 20):
+            source = self.write(bounds={"grace_s": grace_s})
+            entry = source.read_entry({}).unwrap()
+            drain_s = entry.drain_notice_s + entry.drain_timeout_s
+            self.assertLess(drain_s, 0.9 * grace_s)
+            control = source.read_control({}).unwrap()
+            self.assertLess(3 * control.drain_timeout_s, 0.9 * grace_s)
+
+    def test_a_vm_without_a_disk_has_settings_of_its_own(self):
+        source = self.write(data_dir=None)
+        self.assertFalse(source.has_disk().unwrap())
+        self.assertEqual("10.1.0.1:7000", source.read_relay({}).unwrap().listen)
+        self.assertTrue(self.write().has_disk().unwrap())
