--- a/tanagerpath/platform/__main__.py
+++ b/tanagerpath/platform/__main__.py
@@ -15,8 +15,9 @@
 from tanagerpath.platform.control_edge import OperatorEdge
 from tanagerpath.platform.entry_edge import CallerEdge
 from tanagerpath.platform.orders import WorkerCodec
-from tanagerpath.platform.settings_file import SettingsFile, read_settled
+from tanagerpath.platform.settings_file import SettingsFile
 from tanagerpath.runtime import Application
+from tanagerpath.services.settled_settings import read_settled
 from tanagerpath.settings import (
     WorkloadControlSettings,
     WorkloadEntrySettings,
--- a/tanagerpath/platform/settings_file.py
+++ b/tanagerpath/platform/settings_file.py
@@ -2,11 +2,8 @@
 
 import os
 import pathlib
-import time
-from collections.abc import Callable, Mapping
-from typing import TypeVar
+from collections.abc import Mapping
 
-from returns.pipeline import is_successful
 from returns.result import Failure as ResultFailure
 from returns.result import Result, Success
 
@@ -19,51 +16,19 @@
     WorkloadEntrySettings,
     WorkloadRelaySettings,
 )
+from tanagerpath.settings.bounds import (
+    choose_control_drain_s,
+    choose_entry_drain_s,
+    choose_replace_voter_after_s,
+)
 
-__all__ = ["CONFIG_VARIABLE", "SettingsFile", "read_settled"]
+__all__ = ["CONFIG_VARIABLE", "SettingsFile"]
 
 CONFIG_VARIABLE = "TANAGERPATH_CONFIG"
 MS_PER_S = 1000.0
 # Places in the range of ports between nodes, the same on every VM.
 CONTROL_PORT_PLACE = 0
 ENTRY_PORT_PLACE = 1
-# The replacement is to vote well before its VM stops counting as lost. The bounds are
-# above the longest election timeout, and short enough for the losses that follow.
-REPLACEMENT_SHARE = 0.6
-MIN_REPLACE_VOTER_AFTER_S = 1.6
-MAX_REPLACE_VOTER_AFTER_S = 2.5
-# A file that is written anew in its place is missing or cut for a moment.
-SETTLE_S = 1.0
-SETTLE_RETRY_S = 0.05
-
-T = TypeVar("T")
-
-
-def read_settled(
-    read: Callable[[], Result[T, Failure]], patience_s: float = SETTLE_S
-) -> Result[T, Failure]:
-    """Read settings until they are right, for a short time.
-
-    A process that starts while its settings are written would end otherwise.
-
-    Parameters
-    ----------
-    read : callable
-        Reads the settings.
-    patience_s : float
-        Seconds after which wrong settings are returned as such.
-
-    Returns
-    -------
-    Result
-        The settings, or what was wrong at the last attempt.
-    """
-    deadline_s = time.monotonic() + patience_s
-    settings = read()
-    while not is_successful(settings) and time.monotonic() < deadline_s:
-        time.sleep(SETTLE_RETRY_S)
-        settings = read()
-    return settings
 
 
 class SettingsFile(SettingsSource):
@@ -172,16 +137,26 @@
 
 def _list_entry(fields: Fields) -> dict[str, str]:
     listen = fields.read_fields("listen")
-    return _list_shared(fields, ENTRY_PORT_PLACE) | {
+    given = _list_shared(fields, ENTRY_PORT_PLACE) | {
         "public_listen": listen.read_text("front"),
         "readiness_listen": listen.read_text("readiness"),
     }
+    bounds = fields.read_optional("bounds")
+    if bounds is not None and bounds.has("grace_s"):
+        drain_s = str(choose_entry_drain_s(bounds.read_number("grace_s")))
+        given |= {"drain_notice_s": drain_s, "drain_timeout_s": drain_s}
+    return given
 
 
 def _list_relay(fields: Fields) -> dict[str, str]:
-    return _list_shared(fields, CONTROL_PORT_PLACE) | {
+    given = _list_shared(fields, CONTROL_PORT_PLACE) | {
         "public_listen": fields.read_fields("listen").read_text("control"),
     }
+    bounds = fields.read_optional("bounds")
+    if bounds is not None and bounds.has("grace_s"):
+        drain_s = choose_control_drain_s(bounds.read_number("grace_s"))
+        given["drain_timeout_s"] = str(drain_s)
+    return given
 
 
 def _list_control(fields: Fields) -> dict[str, str]:
@@ -192,13 +167,8 @@
     }
     given |= _list_tolerance(fields)
     if bounds.has("catch_up_s"):
-        replace_after_s = REPLACEMENT_SHARE * bounds.read_number("catch_up_s")
-        given["replace_voter_after_s"] = str(
-            min(
-                max(replace_after_s, MIN_REPLACE_VOTER_AFTER_S),
-                MAX_REPLACE_VOTER_AFTER_S,
-            )
-        )
+        absence_s = choose_replace_voter_after_s(bounds.read_number("catch_up_s"))
+        given["replace_voter_after_s"] = str(absence_s)
     platform = fields.read_optional("cloud_api")
     if platform is not None and platform.has("address"):
         given["platform_address"] = platform.read_text("address")
