--- a/tanagerpath/core/workloads/tests/test_preemption.py
+++ b/tanagerpath/core/workloads/tests/test_preemption.py
@@ -5,6 +5,8 @@
 import testtools
 
 from tanagerpath.core.workloads.deadline_policy import MAX_STOPS
+from tanagerpath.core.workloads.dispatch_context import DispatchTerms
+from tanagerpath.core.workloads.orders import Refusal
 from tanagerpath.core.workloads.resources import Resources
 from tanagerpath.core.workloads.specs import StepSpec
 from tanagerpath.core.workloads.tests.rig import Rig
@@ -165,3 +167,38 @@
         rig.submit("pinned", pinned, queue="urgent", work_s=4.0)
         rig.run(0.8)
         self.assertEqual([], _list_room_stops(rig))
+
+
+class TestPlans(testtools.TestCase):
+    def test_plans_of_a_large_fleet_leave_time_for_other_events(self):
+        # Four units on two upstreams: the next plan is due after 0.8 s.
+        rig = Rig(upstreams=2, terms=DispatchTerms(plan_cost_s=0.1))
+        rig.run(0.5)
+        rig.has_lease = False
+        for number in range(4):
+            rig.submit(f"w{number}", _step(1, WHOLE), work_s=0.1)
+        rig.has_lease = True
+        rig.run(0.6)
+        self.assertEqual(2, len(rig.starts))
+        rig.run(1.0)
+        self.assertEqual(4, len(rig.starts))
+
+
+class TestRetries(testtools.TestCase):
+    def test_refused_start_is_not_repeated_at_once_on_the_same_upstream(self):
+        for refusal in (Refusal.NO_ROOM, Refusal.EXPIRED, Refusal.MALFORMED):
+            rig = Rig(upstreams=1)
+            rig.upstreams["u0"].refuses = refusal
+            rig.submit("w", _step(1))
+            rig.run(5.0)
+            self.assertLessEqual(rig.upstreams["u0"].refused, 6, refusal)
+            rig.upstreams["u0"].refuses = None
+            rig.run(5.0)
+            self.assertEqual("completed", rig.find_state("w"))
+
+    def test_refused_start_goes_to_another_upstream(self):
+        rig = Rig(upstreams=2)
+        rig.upstreams["u0"].refuses = Refusal.NO_ROOM
+        rig.submit("w", _step(4))
+        rig.run(3.0)
+        self.assertEqual("completed", rig.find_state("w"))
--- a/tanagerpath/services/replica_routes.py
+++ b/tanagerpath/services/replica_routes.py
@@ -1,8 +1,10 @@
 """HTTP routes of a control process for other processes of the system."""
 
+from collections.abc import Iterable
+
 import anyio
 from returns.pipeline import is_successful
-from starlette.requests import ClientDisconnect, Request
+from starlette.requests import Request
 from starlette.responses import PlainTextResponse, Response
 from starlette.routing import BaseRoute, Route
 
@@ -36,16 +38,19 @@
         Mailbox of the task that owns the node.
     protocol : LeaderProtocol
         Requests that entries send.
-    metrics : MetricsRegistry
-        Metrics of the process.
+    metrics : iterable of MetricsRegistry
+        Metrics of the tasks of the process.
     """
 
     def __init__(
-        self, mailbox: Mailbox, protocol: LeaderProtocol, metrics: MetricsRegistry
+        self,
+        mailbox: Mailbox,
+        protocol: LeaderProtocol,
+        metrics: Iterable[MetricsRegistry],
     ) -> None:
         self._mailbox = mailbox
         self._protocol = protocol
-        self._metrics = metrics
+        self._metrics = tuple(metrics)
 
     def list_routes(self) -> list[BaseRoute]:
         """Return all routes."""
@@ -57,12 +62,7 @@
         ]
 
     async def _take_consensus(self, request: Request) -> Response:
-        try:
-            body = await request.body()
-        except ClientDisconnect:
-            # The peer died in the middle of its request; nobody reads the reply.
-            return Response(status_code=400)
-        batch = decode_batch(body)
+        batch = decode_batch(await request.body())
         if not is_successful(batch):
             return PlainTextResponse(batch.failure().message + "\n", 400)
         messages = tuple(batch.unwrap())
@@ -96,4 +96,6 @@
         return PlainTextResponse("ok\n")
 
     async def _show_metrics(self, request: Request) -> Response:
-        return PlainTextResponse(self._metrics.render())
+        return PlainTextResponse(
+            "".join(registry.render() for registry in self._metrics)
+        )
