--- a/tanagerpath/core/consensus/replica.py
+++ b/tanagerpath/core/consensus/replica.py
@@ -38,6 +38,7 @@
     VoteRequest,
 )
 from tanagerpath.core.consensus.replication import Replicator
+from tanagerpath.core.consensus.voters import LossTolerance
 
 __all__ = ["Replica"]
 
@@ -148,6 +149,11 @@
         """Identities of the voters in force."""
         return self._context.membership.voters
 
+    @property
+    def tolerated_losses(self) -> LossTolerance | None:
+        """Losses that decide how many replicas vote."""
+        return self._context.config.tolerated_losses
+
     @property
     def commit_index(self) -> int:
         """Last index known to be committed."""
@@ -256,10 +262,12 @@
 
     def _handle_message(self, event: MessageReceived) -> None:
         message = event.message
+        self._context.note_address(event.sender, event.sender_address)
         if isinstance(message, JoinRequest):
             self._handle_join(event, message)
         elif event.receiver != self._context.replica_id:
-            return  # meant for an earlier identity of this VM
+            # Meant for an earlier identity of this VM, whose group is to be joined.
+            self._formation.note_member(event.sender_address)
         elif isinstance(message, JoinReply):
             self._formation.handle_reply(message)
         elif isinstance(message, FoundingProposal):
