Count the stops of a gang for all its members together

A stop for room ends all members of a gang, but a member whose end was on its way was not counted, so that members could differ and one be stopped beyond the bound through another. Found by reading; no play showed it.

--- a/tanagerpath/core/workloads/preemption.py
+++ b/tanagerpath/core/workloads/preemption.py
@@ -196,10 +196,17 @@
             "claimant_cores_s": round(claim.work_cores_s, 1),
             "lost_cores_s": round(eviction.lost_cores_s, 1),
         }
-        self._stop_for_room(eviction.session, view, reason, fields)
+        if not self._stop_for_room(eviction.session, view, reason, fields):
+            return
+        tasks = [view.task]
         if view.spec.gang:
             for session, member in self._list_gang(view.task, view.run):
                 self._stop_for_room(session, member, reason, fields)
+            tasks = [attrs.evolve(view.task, index=n) for n in range(view.spec.count)]
+        # All members of a gang count the same stops, so that none exceeds the bound.
+        stops = self.history.stops[view.task] + 1
+        for task in tasks:
+            self.history.stops[task] = stops
 
     def _stop_for_room(
         self,
@@ -207,17 +214,15 @@
         view: RunView,
         reason: str,
         fields: dict[str, object],
-    ) -> None:
-        stopped_before = self.history.stops[view.task]
-        if self._driver.stop(
+    ) -> bool:
+        return self._driver.stop(
             session,
             view,
             reason,
             StopCause.ROOM,
-            stopped_before=stopped_before,
+            stopped_before=self.history.stops[view.task],
             **fields,
-        ):
-            self.history.stops[view.task] = stopped_before + 1
+        )
 
     def stop_gang(self, task: TaskId, run: int, reason: str, cause: StopCause) -> None:
         """Stop all members of a run of a gang; does nothing for other tasks."""
--- a/tanagerpath/core/workloads/tests/test_preemption.py
+++ b/tanagerpath/core/workloads/tests/test_preemption.py
@@ -153,6 +153,18 @@
         self.assertLessEqual(max(stops.values()), MAX_STOPS)
         self.assertEqual("completed", rig.find_state("scan"))
 
+    def test_stop_of_a_gang_counts_once_for_each_member(self):
+        rig = Rig(upstreams=2)
+        gang = _step(2, WHOLE, gang=True, declared_run_s=9.0)
+        rig.submit("gang", gang, queue="batch", work_s=9.0)
+        rig.run(1.0)
+        for number in range(2):
+            urgent = _step(1, WHOLE)
+            rig.submit(f"check{number}", urgent, queue="urgent", work_s=1.0)
+            rig.run(3.0)
+        before = [stop["stopped_before"] for stop in _list_room_stops(rig)]
+        self.assertEqual([0, 0, 1, 1], before)
+
     def test_guaranteed_work_starts_whatever_was_stopped_before(self):
         rig = Rig(upstreams=1)
         rig.submit("scan", _step(8, declared_run_s=9.0), work_s=9.0)
