Tell in test_processes why a process ended before its line came

Suspected: a port that was taken meanwhile. The test now fails at once, with the status and the error output.

--- a/tanagerpath/platform/tests/test_processes.py
+++ b/tanagerpath/platform/tests/test_processes.py
@@ -61,11 +61,16 @@
             line = process.stdout.readline()
             if text in line:
                 return line
+            if not line:
+                raise AssertionError(
+                    f"ended with {process.wait()} before a line with {text!r}: "
+                    f"{process.stderr.read()}"
+                )
         raise AssertionError(f"no line with {text!r}")
 
     def test_each_role_reloads_and_then_stops(self):
         for role in ("control", "entry"):
-            process = self.deployment.start(role, subprocess.PIPE)
+            process = self.deployment.start(role, subprocess.PIPE, subprocess.PIPE)
             self.wait_for_line(process, "started")
             process.send_signal(signal.SIGHUP)
             self.wait_for_line(process, "settings reloaded")
