--- a/tanagerpath/core/workloads/__init__.py
+++ b/tanagerpath/core/workloads/__init__.py
@@ -5,7 +5,8 @@
 takes an end into account once it is recorded.
 """
 
-from tanagerpath.core.workloads.deadline_policy import DeadlinePolicy, DeadlineTerms
+from tanagerpath.core.workloads.deadline_policy import DeadlinePolicy
+from tanagerpath.core.workloads.deadline_terms import DeadlineTerms
 from tanagerpath.core.workloads.dispatch_context import DispatchTerms
 from tanagerpath.core.workloads.dispatcher import Dispatcher
 from tanagerpath.core.workloads.events import NoteDecision
--- a/tanagerpath/core/workloads/deadline_policy.py
+++ b/tanagerpath/core/workloads/deadline_policy.py
@@ -6,6 +6,7 @@
 
 import attrs
 
+from tanagerpath.core.workloads.deadline_terms import DeadlineTerms
 from tanagerpath.core.workloads.evictions import EvictionTerms, find_evictions
 from tanagerpath.core.workloads.policy import (
     ClaimCause,
@@ -20,7 +21,7 @@
 from tanagerpath.core.workloads.rooms import PlanRooms
 from tanagerpath.core.workloads.sessions import RunView, UpstreamSession
 
-__all__ = ["DeadlinePolicy", "DeadlineTerms"]
+__all__ = ["DeadlinePolicy"]
 
 # Speeds this close count as equal, so that tasks are packed before they are spread.
 SPEED_STEPS_PER_UNIT = 4
@@ -30,33 +31,6 @@
 MAX_CLAIMS = 3
 
 
-@attrs.frozen(kw_only=True)
-class DeadlineTerms:
-    """Settings of the policy.
-
-    Attributes
-    ----------
-    remote_patience : float
-        Predicted run times that a task waits for its rack before it runs elsewhere.
-    guaranteed_patience_s : float
-        Longest such wait of guaranteed work in seconds.
-    eviction_factor : float
-        Work that may be lost to make room for urgent work that no guarantee covers,
-        or that has a place where it would be late, in multiples of the urgent work.
-    max_reservations : int
-        Gangs for which upstreams are kept free at the same time.
-    objective_share : float
-        Share of the objective up to which a predicted end counts as in time;
-        predictions are uncertain.
-    """
-
-    remote_patience: float = 1.0
-    guaranteed_patience_s: float = 1.2
-    eviction_factor: float = 2.0
-    max_reservations: int = 8
-    objective_share: float = 0.7
-
-
 @attrs.frozen(eq=False)
 class _Option:
     """Upstreams for all members of a gang, with the predicted run time."""
