Bound the stops for guaranteed work that no upstream takes

Where upstreams refuse the start, the work claimed room on the next one again and again.

Run: rig with six upstreams, 48 tasks of 9 s and one guaranteed task that takes a whole upstream and is refused: 1,304 stops in 60 s, 136 of one task, and the other work never ended. Now at most 4 stops of one task, and it ends.

The place of a step is a type (StepPlace) now instead of a bare tuple.

test_guaranteed_work_that_no_upstream_takes_does_not_stop_others_for_ever fails without the change: 136 not less than or equal to 4.

--- a/tanagerpath/core/workloads/dispatch_context.py
+++ b/tanagerpath/core/workloads/dispatch_context.py
@@ -10,6 +10,7 @@
 from tanagerpath.core.workloads.estimates import RunEstimates
 from tanagerpath.core.workloads.events import NoteDecision
 from tanagerpath.core.workloads.health import HealthTerms, UpstreamHealth
+from tanagerpath.core.workloads.refusals import RefusalPauses
 from tanagerpath.core.workloads.sessions import (
     LeaseTerms,
     RunKey,
@@ -128,6 +129,7 @@
         self.now = now
         self.estimates = RunEstimates.from_learned(state.learned, now.now_s)
         self.backlog = Backlog(state, self.estimates)
+        self.refusals = RefusalPauses()
         self.sessions: dict[str, UpstreamSession] = {}
         self.health: dict[str, UpstreamHealth] = {}
         self.ends: list[QueuedEnd] = []
--- a/tanagerpath/core/workloads/dispatcher.py
+++ b/tanagerpath/core/workloads/dispatcher.py
@@ -43,7 +43,7 @@
     StopCause,
     UpstreamSession,
 )
-from tanagerpath.core.workloads.specs import TaskId
+from tanagerpath.core.workloads.specs import StepPlace, TaskId
 from tanagerpath.core.workloads.state import Applied, FleetState
 from tanagerpath.core.workloads.upkeep import PLATFORM_ID, UpkeepKeeper
 
@@ -268,6 +268,7 @@
         context.backlog.remove(workload_id)
         self._advice.forget(workload_id)
         self._preemption.forget(workload_id)
+        context.refusals.forget(workload_id)
         context.must_plan = True
         context.note(
             "workload ended",
@@ -397,7 +398,7 @@
         self._next_plan_s = context.now_s + context.terms.plan_interval_s
         for session in context.sessions.values():
             context.find_health(session.upstream_id)
-        units = self._advice.equip(context.backlog.list_units(context.now.unix_s))
+        units = self._advice.equip(self._list_units())
         self._preemption.close_lapsed(units)
         if not units:
             return ()
@@ -405,9 +406,18 @@
         self._resting_until_s = context.now_s + context.terms.plan_cost_s * pairs
         plan = self._policy.plan(units, self._view_fleet())
         self._preemption.carry_out(plan)
-        runs: dict[tuple[str, int, int], int] = {}
+        runs: dict[StepPlace, int] = {}
         return tuple(self._start(one, runs) for one in plan.placements)
 
+    def _list_units(self) -> list[PlanUnit]:
+        """Return what waits, without steps that pause after refused starts."""
+        context = self._context
+        return [
+            unit
+            for unit in context.backlog.list_units(context.now.unix_s)
+            if not context.refusals.is_paused(unit.place, context.now_s)
+        ]
+
     def _view_fleet(self) -> FleetView:
         context = self._context
         return FleetView(
@@ -421,9 +431,7 @@
             preemption=self._preemption.history,
         )
 
-    def _start(
-        self, placement: Placement, runs: dict[tuple[str, int, int], int]
-    ) -> RunStart:
+    def _start(self, placement: Placement, runs: dict[StepPlace, int]) -> RunStart:
         context = self._context
         unit, session = placement.unit, placement.session
         task = unit.make_task_id(placement.index)
@@ -458,12 +466,12 @@
         return RunStart(task, run, record.upstream_id, record.incarnation)
 
     def _choose_run(
-        self, unit: PlanUnit, task: TaskId, runs: dict[tuple[str, int, int], int]
+        self, unit: PlanUnit, task: TaskId, runs: dict[StepPlace, int]
     ) -> int:
         """Return the number of a new run; all members of a gang share one."""
         if not unit.spec.gang:
             return unit.record.find_task(task).last_run + 1
-        place = (unit.record.workload_id, unit.occurrence, unit.step)
+        place = unit.place
         if place not in runs:
             runs[place] = 1 + max(
                 unit.record.find_task(unit.make_task_id(index)).last_run
--- a/tanagerpath/core/workloads/policy.py
+++ b/tanagerpath/core/workloads/policy.py
@@ -16,7 +16,7 @@
     RunView,
     UpstreamSession,
 )
-from tanagerpath.core.workloads.specs import StepSpec, TaskId
+from tanagerpath.core.workloads.specs import StepPlace, StepSpec, TaskId
 
 __all__ = [
     "ClaimCause",
@@ -27,7 +27,6 @@
     "PlanUnit",
     "PreemptionHistory",
     "RoomClaim",
-    "StepPlace",
     "WorkloadPolicy",
 ]
 
@@ -35,9 +34,6 @@
 # A caller counts a workload as late up to this many times its objective.
 LATE_MULTIPLE = 3.0
 
-# Workload, occurrence and step.
-StepPlace = tuple[str, int, int]
-
 
 @attrs.frozen(kw_only=True, eq=False)
 class PlanUnit:
@@ -90,7 +86,7 @@
     @property
     def place(self) -> StepPlace:
         """Names the occurrence of the step."""
-        return self.record.workload_id, self.occurrence, self.step
+        return StepPlace(self.record.workload_id, self.occurrence, self.step)
 
     @property
     def step_key(self) -> tuple[str, int]:
@@ -151,10 +147,10 @@
 
     Attributes
     ----------
-    open_claims : dict of tuple to RoomClaim
-        Claims whose units have not begun, by workload, occurrence and step.
+    open_claims : dict of StepPlace to RoomClaim
+        Claims whose units have not begun.
     claims : Counter
-        Claims that were made, by workload, occurrence and step.
+        Claims that were made for each occurrence of a step.
     stops : Counter
         How often a task was stopped for room.
     """
--- a/tanagerpath/core/workloads/preemption.py
+++ b/tanagerpath/core/workloads/preemption.py
@@ -10,12 +10,11 @@
     PlanUnit,
     PreemptionHistory,
     RoomClaim,
-    StepPlace,
 )
 from tanagerpath.core.workloads.resources import Resources
 from tanagerpath.core.workloads.run_driver import RunDriver
 from tanagerpath.core.workloads.sessions import RunView, StopCause, UpstreamSession
-from tanagerpath.core.workloads.specs import TaskId
+from tanagerpath.core.workloads.specs import StepPlace, TaskId
 
 __all__ = ["Preemption"]
 
@@ -90,7 +89,7 @@
                 return False
             if context.find_health(upstream_id).is_quarantined(context.now_s):
                 return False
-            if context.now_s < session.refused_until_s:
+            if session.refuses(claim.unit.spec.reserved, context.now_s):
                 return False
         return True
 
@@ -108,7 +107,7 @@
         history = self.history
         for task in [one for one in history.stops if one.workload_id == workload_id]:
             del history.stops[task]
-        for place in [one for one in history.claims if one[0] == workload_id]:
+        for place in [one for one in history.claims if one.workload_id == workload_id]:
             del history.claims[place]
 
     # Claims
@@ -173,8 +172,8 @@
         del self.history.open_claims[place]
         self._context.note(
             name,
-            workload=place[0],
-            step=place[2],
+            workload=place.workload_id,
+            step=place.step,
             cause=str(held.claim.cause),
             reason=reason,
             claimed_s=round(self._context.now_s - held.made_s, 3),
@@ -235,11 +234,10 @@
     def _list_gang(
         self, task: TaskId, run: int
     ) -> list[tuple[UpstreamSession, RunView]]:
-        place = (task.occurrence, task.step, run)
         return [
             (session, view)
             for session, view in self.find_views(task.workload_id)
-            if (view.task.occurrence, view.task.step, view.run) == place
+            if view.task.place == task.place and view.run == run
         ]
 
     def find_views(self, workload_id: str) -> list[tuple[UpstreamSession, RunView]]:
--- a/tanagerpath/core/workloads/rooms.py
+++ b/tanagerpath/core/workloads/rooms.py
@@ -1,8 +1,9 @@
 """Room that a plan has left on each upstream."""
 
-from tanagerpath.core.workloads.policy import FleetView, PlanUnit, RoomClaim, StepPlace
+from tanagerpath.core.workloads.policy import FleetView, PlanUnit, RoomClaim
 from tanagerpath.core.workloads.resources import Resources
 from tanagerpath.core.workloads.sessions import RunView, UpstreamSession
+from tanagerpath.core.workloads.specs import StepPlace
 
 __all__ = ["PlanRooms"]
 
@@ -25,11 +26,7 @@
         self._racks = {one.record.rack for one in fleet.sessions if one.is_usable}
         for session in fleet.sessions:
             health = fleet.health[session.upstream_id]
-            is_left_alone = (
-                health.is_quarantined(fleet.now_s)
-                or fleet.now_s < session.refused_until_s
-            )
-            if session.is_usable and not is_left_alone:
+            if session.is_usable and not health.is_quarantined(fleet.now_s):
                 self._rooms[session.upstream_id] = session.room
                 self.sessions.append(session)
         self._planned: dict[tuple[str, StepPlace], int] = {}
@@ -112,6 +109,8 @@
         """Return how many tasks of a unit an upstream may take, whatever its room."""
         if self._is_kept_from(unit, session):
             return 0
+        if session.refuses(unit.spec.reserved, self._fleet.now_s):
+            return 0
         bound = unit.spec.max_per_upstream
         if bound:
             taken = session.count_step(unit.make_task_id(0))
--- a/tanagerpath/core/workloads/run_driver.py
+++ b/tanagerpath/core/workloads/run_driver.py
@@ -17,6 +17,7 @@
     StartRequest,
     StopRequest,
 )
+from tanagerpath.core.workloads.resources import Resources
 from tanagerpath.core.workloads.run_observer import RunObserver
 from tanagerpath.core.workloads.sessions import (
     LATE_ORDER_S,
@@ -316,6 +317,7 @@
         now_s = self._context.now_s
         view.must_be_listed_s = now_s
         if view.phase is RunPhase.ORDERED:
+            self._context.refusals.note_start(view.task.place)
             view.phase = RunPhase.RUNNING
             view.running_since_s = now_s
             view.progress_s = now_s
@@ -343,7 +345,11 @@
             view.must_be_listed_s = context.now_s
             return
         if refusal not in _REFUSALS_OF_ONE_TASK:
-            session.refused_until_s = context.now_s + REFUSAL_PAUSE_S
+            is_unhealthy = refusal is Refusal.UNHEALTHY
+            needs = Resources() if is_unhealthy else view.spec.reserved
+            until_s = context.now_s + REFUSAL_PAUSE_S
+            session.note_refusal(needs, context.now_s, until_s)
+            context.refusals.note_refusal(view.task.place, context.now_s)
         if refusal is Refusal.UNHEALTHY:
             context.find_health(session.upstream_id).note_failure(
                 view.task.workload_id, context.now_s
--- a/tanagerpath/core/workloads/sessions.py
+++ b/tanagerpath/core/workloads/sessions.py
@@ -258,7 +258,10 @@
     opened_s : float
         Instant at which the leader learned of it.
     refused_until_s : float
-        Instant until which no start is sent, after it refused one.
+        Instant until which no start of `refused_needs` or more is sent, after it
+        refused one.
+    refused_needs : Resources
+        Resources of the smallest task that it has refused.
     is_reserved : bool
         Whether its VM is about to have its upkeep.
     unanswered : dict of RunKey to float
@@ -289,6 +292,7 @@
     left_at_s: float | None = None
     opened_s: float = 0.0
     refused_until_s: float = 0.0
+    refused_needs: Resources = Resources()
     is_reserved: bool = False
     unanswered: dict[RunKey, float] = attrs.Factory(dict)
     barred: dict[RunKey, float] = attrs.Factory(dict)
@@ -325,6 +329,24 @@
             and self.left_at_s is None
         )
 
+    def note_refusal(self, needs: Resources, now_s: float, until_s: float) -> None:
+        """Note that a start of a task was refused.
+
+        Parameters
+        ----------
+        needs : Resources
+            Resources of the task; none if every start would be refused.
+        now_s, until_s : float
+            Instants between which no task of this size or more is tried.
+        """
+        if not self.refuses(needs, now_s):
+            self.refused_needs = needs
+        self.refused_until_s = until_s
+
+    def refuses(self, needs: Resources, now_s: float) -> bool:
+        """Return whether a start of a task would be refused as a lately tried one."""
+        return now_s < self.refused_until_s and self.refused_needs.fits(needs)
+
     def add_run(self, view: RunView) -> None:
         """Take a run into account."""
         self.runs[view.key] = view
--- a/tanagerpath/core/workloads/specs.py
+++ b/tanagerpath/core/workloads/specs.py
@@ -30,6 +30,20 @@
     step: int
     index: int
 
+    @property
+    def place(self) -> "StepPlace":
+        """The occurrence of the step that the task belongs to."""
+        return StepPlace(self.workload_id, self.occurrence, self.step)
+
+
+@attrs.frozen
+class StepPlace:
+    """Names one occurrence of a step of a workload."""
+
+    workload_id: str
+    occurrence: int
+    step: int
+
 
 @attrs.frozen(kw_only=True)
 class StepSpec:
--- a/tanagerpath/core/workloads/tests/fake_upstream.py
+++ b/tanagerpath/core/workloads/tests/fake_upstream.py
@@ -68,6 +68,7 @@
         self.fails_all = False
         self.stalls = False
         self.refuses: Refusal | None = None
+        self.refused_workload: str | None = None
         self.refused = 0
         self.cut_replies = 0.0
 
@@ -133,7 +134,8 @@
 
     def _start(self, request):
         key = (request.task, request.run)
-        if self.refuses is not None:
+        is_refused = self.refused_workload in (None, request.task.workload_id)
+        if self.refuses is not None and is_refused:
             self.refused += 1
             return OrderRefused(self.refuses, self.clock_ms)
         if key in self.runs:
--- a/tanagerpath/core/workloads/tests/test_preemption.py
+++ b/tanagerpath/core/workloads/tests/test_preemption.py
@@ -16,6 +16,8 @@
 
 SMALL = Resources(8_000, 16_000, 1)
 WHOLE = Resources(8_000, 16_000, 8)
+# Three claims at once, then one after each pause, spread over six upstreams.
+MAX_STOPS_BY_REFUSED_WORK = 4
 
 
 def _step(count=1, needs=SMALL, declared_run_s=1.0, **fields):
@@ -237,3 +239,18 @@
         rig.submit("w", _step(4))
         rig.run(3.0)
         self.assertEqual("completed", rig.find_state("w"))
+
+    def test_guaranteed_work_that_no_upstream_takes_does_not_stop_others_for_ever(self):
+        """Each refused start led to a claim on the next upstream, without a bound."""
+        for refusal in (Refusal.NO_ROOM, Refusal.EXPIRED, Refusal.MALFORMED):
+            rig = Rig(upstreams=6)
+            for upstream in rig.upstreams.values():
+                upstream.refused_workload = "check"
+                upstream.refuses = refusal
+            rig.submit("scan", _step(48, declared_run_s=9.0), work_s=9.0)
+            rig.run(0.5)
+            rig.submit("check", _step(1, WHOLE), queue="urgent", work_s=1.0)
+            rig.run(60.0)
+            stops = Counter(stop["task"] for stop in _list_room_stops(rig))
+            self.assertLessEqual(max(stops.values()), MAX_STOPS_BY_REFUSED_WORK)
+            self.assertEqual("completed", rig.find_state("scan"), refusal)
