Ask a leader that answers again at once, and follow newer hints

Cause: the leader's answer did not clear its mark as silent, and a hint counted only from the process that was named.

--- a/tanagerpath/core/admission/routing.py
+++ b/tanagerpath/core/admission/routing.py
@@ -34,7 +34,8 @@
 
     def note_hint(self, asked: str, hinted: str) -> None:
         """Note that a process is not the leader and which one it named."""
-        if self.leader_address in (None, asked):
+        is_newer = bool(hinted) and not self.is_confirmed
+        if is_newer or self.leader_address in (None, asked):
             self.leader_address = hinted if hinted and hinted != asked else None
             self.is_confirmed = False
 
@@ -115,6 +116,11 @@
         # All were silent: the one that has been so for longest is asked first.
         return min(addresses, key=self._silent_until_s.get, default=None)
 
+    def note_leader(self, address: str) -> None:
+        """Note that a process answered as the leader."""
+        super().note_leader(address)
+        self._silent_until_s.pop(address, None)
+
     def _is_silent(self, address: str, now_s: float) -> bool:
         return now_s < self._silent_until_s.get(address, 0.0)
 
--- a/tanagerpath/core/admission/tests/test_admission.py
+++ b/tanagerpath/core/admission/tests/test_admission.py
@@ -140,6 +140,23 @@
         self.assertEqual("b", route.find_address(10.5))
         self.assertEqual("a", route.find_address(11.5))
 
+    def test_leader_that_answers_again_is_asked_at_once(self):
+        """One lost reply once kept all calls away from the leader for a second."""
+        route = SearchingRoute(("a", "b"))
+        route.note_leader("a")
+        route.note_silence("a", 10.0)
+        route.note_leader("a")
+        self.assertEqual("a", route.find_address(10.1))
+
+    def test_hint_replaces_a_silent_process_that_was_named_before(self):
+        """A new leader that is no seed was once not asked for a second."""
+        route = SearchingRoute(("a", "b"))
+        route.note_leader("a")
+        route.note_silence("a", 10.0)
+        route.note_hint("b", "a")
+        route.note_hint("b", "c")
+        self.assertEqual("c", route.find_address(10.1))
+
     def test_search_goes_on_while_all_are_silent(self):
         route = SearchingRoute(("a", "b"))
         route.note_silence("a", 10.0)
