--- a/tanagerpath/core/consensus/changes.py
+++ b/tanagerpath/core/consensus/changes.py
@@ -185,13 +185,25 @@
 
     def _promote(self) -> Change | None:
         replica_id = self._make_plan().choose_promotion()
-        if replica_id is None:
+        if replica_id is None or not self._proves_its_disk(replica_id):
             return None
         changed = self._context.membership.with_role(replica_id, MemberRole.VOTER)
         if not changed.has_quorum(self._list_active()):
             return None
         return Change(changed, ChangeReason.PROMOTED, replica_id)
 
+    def _proves_its_disk(self, replica_id: str) -> bool:
+        """Return whether a learner has stored an entry lately, else send it one.
+
+        Where nothing was written for a while, a learner with a full disk looks as if
+        it had caught up, and its vote would be needed for the next commit.
+        """
+        if self._replicator.has_stored_lately(replica_id):
+            return True
+        if self._replicator.holds_whole_log(replica_id):
+            self._leadership.append_empty()
+        return False
+
     def _find_unfitness(self, replica_id: str) -> PromotionDelay | None:
         """Return why a learner could not vote now, None if it could."""
         membership = self._context.membership
--- a/tanagerpath/core/consensus/leadership.py
+++ b/tanagerpath/core/consensus/leadership.py
@@ -91,6 +91,11 @@
         self._context.proposals[index] = event.proposal_id
         self._replicator.replicate_all()
 
+    def append_empty(self) -> None:
+        """Append an entry that changes nothing, to see who stores it."""
+        self._append(EntryKind.NO_OPERATION)
+        self._replicator.replicate_all()
+
     def change_membership(self, membership: Membership) -> None:
         """Append a membership, which is in force at once."""
         self._append(EntryKind.MEMBERSHIP, membership=membership)
--- a/tanagerpath/core/consensus/replication.py
+++ b/tanagerpath/core/consensus/replication.py
@@ -42,6 +42,8 @@
         First character of it that the member lacks.
     chunk_sent_s : float
         Instant at which a chunk was last sent.
+    stored_s : float
+        Instant at which the member was last known to store an entry.
     tracked_s : float
         Instant from which the leader counts the member as its own.
     round_end_index : int
@@ -60,6 +62,7 @@
     snapshot: Snapshot | None = None
     snapshot_offset: int = 0
     chunk_sent_s: float = -math.inf
+    stored_s: float = -math.inf
     tracked_s: float = -math.inf
     round_end_index: int = 0
     round_started_s: float = -math.inf
@@ -137,6 +140,20 @@
         round_s = self._context.now_s - progress.round_started_s
         return round_s <= self._context.config.election_timeout_min_s
 
+    def has_stored_lately(self, replica_id: str) -> bool:
+        """Return whether a member has stored an entry within an election timeout."""
+        progress = self.progress.get(replica_id)
+        if progress is None:
+            return False
+        idle_s = self._context.now_s - progress.stored_s
+        return idle_s <= self._context.config.election_timeout_min_s
+
+    def holds_whole_log(self, replica_id: str) -> bool:
+        """Return whether a member is known to hold every entry of the log."""
+        progress = self.progress.get(replica_id)
+        last_index = self._context.log.last_index
+        return progress is not None and progress.match_index >= last_index
+
     def find_contact_s(self, replica_id: str) -> float:
         """Return the latest sending instant that a member is known to have answered.
 
@@ -286,7 +303,9 @@
 
     def _accept(self, progress: Progress, reply: AppendReply) -> None:
         match_index = min(reply.match_index, self._context.log.last_index)
-        progress.match_index = max(progress.match_index, match_index)
+        if match_index > progress.match_index:
+            progress.match_index = match_index
+            progress.stored_s = self._context.now_s
         progress.in_flight = [
             index for index in progress.in_flight if index > progress.match_index
         ]
--- a/tanagerpath/core/consensus/tests/test_tolerance.py
+++ b/tanagerpath/core/consensus/tests/test_tolerance.py
@@ -157,6 +157,22 @@
                 self.assert_goes_on(group, monitor, seed)
                 self.assertTrue(group.run_until(group.is_settled, RECOVERY_S))
 
+    def test_a_learner_with_a_full_disk_does_not_stop_the_group(self):
+        """Its vote was once needed for a commit, as it had nothing to write before."""
+        for seed in SEEDS:
+            group, monitor = self.open_whole(
+                seed, vm_count=4, tolerance=LossTolerance(vms=1)
+            )
+            (learner,) = group.find_leader().replica.membership.learners
+            (full,) = [
+                vm for vm in group.vms.values() if vm.replica.replica_id == learner
+            ]
+            group.refuse_writes(full.vm_id)
+            lost = next(vm for vm in find_followers(group) if vm is not full)
+            group.crash(lost.vm_id)
+            group.run_for(REPLACE_AFTER_S + 1.5)
+            self.assert_goes_on(group, monitor, seed)
+
     def test_fewer_disks_than_voters_are_all_voters(self):
         for vm_count in (3, 4):
             group, monitor = self.open_whole(1, vm_count=vm_count, domain_count=1)
