Search for the leader with requests of the link's own

After a time without a leader that outlasts the deadline of calls, under a steady stream of 200 calls a second, no call was answered any more: turns to search went to the oldest calls, which asked the healthy leader with a few milliseconds left, timed out, and marked it as silent for a second.

The link now has tasks of its own that look for the leader with a LeaderQuery and the whole exchange timeout while calls wait; calls only wait. A process counts as silent only after a whole exchange timeout, or if it can't be reached.

--- a/tanagerpath/services/leader_link.py
+++ b/tanagerpath/services/leader_link.py
@@ -45,11 +45,14 @@
         Target of the exchanges.
     request_type, reply_type : union
         Messages; the replies include `NotLeaderReply`.
+    search_request : object, optional
+        Request that only asks for the leader; None where another task finds it.
     """
 
     path: str
     request_type: Any
     reply_type: Any
+    search_request: object = None
 
 
 JOB_PROTOCOL = LeaderProtocol("/internal/v1/request", InternalRequest, InternalReply)
@@ -92,13 +95,10 @@
         Reply of the leader, None if there is none.
     uncertain : Failure or None
         Why the request may have taken effect all the same.
-    may_repeat : bool
-        Whether the request may be sent again.
     """
 
     reply: object = None
     uncertain: Failure | None = None
-    may_repeat: bool = True
 
 
 class LeaderLink(Task):
@@ -107,9 +107,10 @@
     All internal requests are idempotent: jobs by their key, workloads by their
     identity, documents by their revision, the others by their content.
 
-    While the leader is not known, `MAX_SEARCHES` of the waiting calls look for it and
-    the others wait for what these find. If each call searched, a time without a leader
-    would load the control processes so much that the next election came late.
+    While the leader is not known, calls wait for tasks that look for it. If each call
+    searched, a time without a leader would load the control processes so much that the
+    next election came late; and calls whose deadline is near would take a leader for
+    silent that had no time to answer.
 
     Parameters
     ----------
@@ -139,8 +140,8 @@
         self._exchange_timeout_s = exchange_timeout_s
         self._budget = budget
         self._retry_pause_s = retry_pause_s
-        self._search_pause_s = retry_pause_s
-        self._searches = anyio.Semaphore(MAX_SEARCHES)
+        self._waiting = 0
+        self._search_wanted = anyio.Event()
         self._clients: dict[str, HttpClient] = {}
         self._leader_known = anyio.Event()
         self.mailbox: Mailbox[LeaderCall | LeaderFound] = Mailbox(
@@ -173,11 +174,13 @@
         """Carry out calls until cancelled."""
         try:
             async with anyio.create_task_group() as calls:
+                if self._protocol.search_request is not None:
+                    for _ in range(MAX_SEARCHES):
+                        calls.start_soon(self._search)
                 while True:
                     match await self.mailbox.receive():
                         case LeaderFound(address):
-                            self._route.note_leader(address)
-                            self._leader_known.set()
+                            self._note_leader(address)
                         case LeaderCall() as call:
                             self._budget.note_request()
                             calls.start_soon(self._carry_out, call)
@@ -190,100 +193,97 @@
         body = encode_json(call.request, self._protocol.request_type).encode()
         uncertain: Failure | None = None
         while anyio.current_time() < call.deadline_s:
-            if self._route.is_confirmed:
-                ended = await self._ask_leader(call, body)
-            else:
-                ended = await self._search_leader(call, body)
+            address = self._find_address()
+            if address is None:
+                await self._wait_for_leader(call.deadline_s)
+                continue
+            left_s = call.deadline_s - anyio.current_time()
+            ended = await self._ask(address, body, left_s)
             if ended.reply is not None:
                 call.reply.send(Success(ended.reply))
                 return
             uncertain = ended.uncertain or uncertain
-            if not ended.may_repeat:
+            if ended.uncertain is not None and not self._budget.take_retry():
                 break
+            await anyio.sleep(self._retry_pause_s)
         if uncertain is None:
             call.reply.send(ResultFailure(NoLeader()))
         else:
             failure = OutcomeUncertain(detail=uncertain.message)
             call.reply.send(ResultFailure(failure))
 
-    async def _ask_leader(self, call: LeaderCall, body: bytes) -> _Exchange:
-        ended = await self._ask_next(call, body)
-        if ended.reply is None and ended.may_repeat:
-            await anyio.sleep(self._retry_pause_s)
-        return ended
-
-    async def _search_leader(self, call: LeaderCall, body: bytes) -> _Exchange:
-        """Look for the leader when it is this call's turn."""
-        if not await self._take_search_turn(call.deadline_s):
-            return _Exchange()
-        try:
-            if self._route.is_confirmed:
-                return _Exchange()
-            ended = await self._ask_next(call, body)
-            if ended.reply is None and ended.may_repeat:
-                await self._pause_search(call.deadline_s)
-            return ended
-        finally:
-            self._searches.release()
-
-    async def _take_search_turn(self, deadline_s: float) -> bool:
-        with anyio.CancelScope(deadline=deadline_s):
-            await self._searches.acquire()
-            return True
-        return False
-
-    async def _pause_search(self, deadline_s: float) -> None:
-        """Wait before the next search; a named leader is asked without delay."""
-        if self._route.leader_address is not None:
-            pause_s = self._retry_pause_s
-        else:
-            pause_s = self._search_pause_s
-            self._search_pause_s = min(2 * pause_s, LONGEST_SEARCH_PAUSE_S)
-        left_s = deadline_s - anyio.current_time()
-        await anyio.sleep(min(pause_s, max(left_s, 0.0)))
-
-    async def _ask_next(self, call: LeaderCall, body: bytes) -> _Exchange:
-        """Send a request to the process that the route names, and note the outcome."""
-        address = self._route.find_address(anyio.current_time())
-        if address is None:
-            await self._wait_for_leader(call.deadline_s)
-            return _Exchange()
-        result = await self._exchange(address, body, call.deadline_s)
+    def _find_address(self) -> str | None:
+        """Return the process that a call may ask, None if it has to wait."""
+        is_searched = self._protocol.search_request is not None
+        if is_searched and not self._route.is_confirmed:
+            return None
+        return self._route.find_address(anyio.current_time())
+
+    async def _ask(self, address: str, body: bytes, left_s: float) -> _Exchange:
+        """Send a request to a process, and note the outcome."""
+        timeout_s = min(self._exchange_timeout_s, left_s)
+        result = await self._exchange(address, body, timeout_s)
         if is_successful(result):
             return self._take_reply(address, result.unwrap())
-        self._route.note_silence(address, anyio.current_time())
-        if isinstance(result.failure(), ConnectFailed):
-            return _Exchange()
-        may_repeat = self._budget.take_retry()
-        return _Exchange(uncertain=result.failure(), may_repeat=may_repeat)
+        failure = result.failure()
+        is_unreachable = isinstance(failure, ConnectFailed)
+        # A process that got less time than an exchange takes is not known to be silent.
+        if is_unreachable or timeout_s == self._exchange_timeout_s:
+            self._route.note_silence(address, anyio.current_time())
+        return _Exchange(uncertain=None if is_unreachable else failure)
 
     def _take_reply(self, address: str, reply: object) -> _Exchange:
         if not isinstance(reply, NotLeaderReply):
-            self._route.note_leader(address)
-            self._search_pause_s = self._retry_pause_s
+            self._note_leader(address)
             return _Exchange(reply=reply)
         self._route.note_hint(address, reply.leader_address)
         return _Exchange(uncertain=ProposalUncertain() if reply.may_commit else None)
 
+    def _note_leader(self, address: str) -> None:
+        self._route.note_leader(address)
+        self._leader_known.set()
+
+    async def _search(self) -> None:
+        """Look for the leader while calls wait for one; runs until cancelled."""
+        body = encode_json(
+            self._protocol.search_request, self._protocol.request_type
+        ).encode()
+        pause_s = self._retry_pause_s
+        while True:
+            if self._route.is_confirmed or not self._waiting:
+                pause_s = self._retry_pause_s
+                self._search_wanted = anyio.Event()
+                await self._search_wanted.wait()
+                continue
+            address = self._route.find_address(anyio.current_time())
+            if address is not None:
+                await self._ask(address, body, self._exchange_timeout_s)
+            if self._route.is_confirmed:
+                continue
+            is_named = self._route.leader_address is not None
+            await anyio.sleep(self._retry_pause_s if is_named else pause_s)
+            pause_s = min(2 * pause_s, LONGEST_SEARCH_PAUSE_S)
+
     async def _wait_for_leader(self, deadline_s: float) -> None:
         if self._leader_known.is_set():
             self._leader_known = anyio.Event()
-        with anyio.CancelScope(deadline=deadline_s):
-            await self._leader_known.wait()
+        self._waiting += 1
+        self._search_wanted.set()
+        try:
+            with anyio.CancelScope(deadline=deadline_s):
+                await self._leader_known.wait()
+        finally:
+            self._waiting -= 1
 
     async def _exchange(
-        self, address: str, body: bytes, deadline_s: float
+        self, address: str, body: bytes, timeout_s: float
     ) -> Result[Any, Failure]:
         client = self._clients.get(address)
         if client is None:
             client = HttpClient(address, CONNECTIONS_PER_CONTROL)
             self._clients[address] = client
-        left_s = deadline_s - anyio.current_time()
         result = await client.exchange(
-            "POST",
-            self._protocol.path,
-            body,
-            timeout_s=min(self._exchange_timeout_s, left_s),
+            "POST", self._protocol.path, body, timeout_s=timeout_s
         )
         if not is_successful(result):
             return result
--- a/tanagerpath/services/tests/test_leader_link.py
+++ b/tanagerpath/services/tests/test_leader_link.py
@@ -19,12 +19,17 @@
 # Three searches at a time, with pauses that grow to 0.2 s.
 MAX_REQUESTS_IN_2_S = 60
 ANSWER_WITHIN_S = 1.0
+# A stream of calls whose deadlines pass while there is no leader.
+STREAM_INTERVAL_S = 0.005
+STREAM_TIMEOUT_S = 1.0
+NO_LEADER_S = 2.5
 
 
 class _Control:
     """A control process that leads only when told to."""
 
-    def __init__(self):
+    def __init__(self, answer_s=0.0):
+        self.answer_s = answer_s
         self.leads = False
         self.requests = 0
         self.server = HttpServer(
@@ -34,6 +39,7 @@
 
     async def _answer(self, request: Request) -> Response:
         self.requests += 1
+        await anyio.sleep(self.answer_s)
         reply = LeaderReply(self.server.address) if self.leads else NotLeaderReply()
         return Response(encode_json(reply, WORKLOAD_PROTOCOL.reply_type))
 
@@ -88,3 +94,34 @@
         result, elapsed_s = anyio.run(main)
         self.assertFalse(is_successful(result))
         self.assertLess(elapsed_s, 1.0)
+
+    def test_stream_of_calls_finds_the_leader_after_a_time_without_one(self):
+        """Only calls with too little time left for an answer once got to search."""
+
+        async def main():
+            control = _Control(answer_s=0.03)
+            link = make_leader_link(SearchingRoute((control.server.address,)), 0.7)
+            answered = []
+
+            async def call():
+                until_s = anyio.current_time() + STREAM_TIMEOUT_S
+                if is_successful(await link.call(LeaderQuery(), until_s)):
+                    answered.append(anyio.current_time())
+
+            async def stream(tasks):
+                while True:
+                    tasks.start_soon(call)
+                    await anyio.sleep(STREAM_INTERVAL_S)
+
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(control.server.run)
+                tasks.start_soon(link.run)
+                tasks.start_soon(stream, tasks)
+                await anyio.sleep(NO_LEADER_S)
+                control.leads = True
+                await anyio.sleep(3 * ANSWER_WITHIN_S)
+                answers = len(answered)
+                tasks.cancel_scope.cancel()
+            return answers
+
+        self.assertGreater(anyio.run(main), 0)
--- a/tanagerpath/services/workload_protocol.py
+++ b/tanagerpath/services/workload_protocol.py
@@ -3,7 +3,11 @@
 from tanagerpath.core.admission import RetryBudget, SearchingRoute
 from tanagerpath.core.protocol.callers import ErrorBody
 from tanagerpath.core.protocol.internal import NotLeaderReply
-from tanagerpath.core.workloads.requests import WorkloadRequest, WorkloadResponse
+from tanagerpath.core.workloads.requests import (
+    LeaderQuery,
+    WorkloadRequest,
+    WorkloadResponse,
+)
 from tanagerpath.services.leader_link import LeaderLink, LeaderProtocol
 
 __all__ = ["WORKLOAD_PROTOCOL", "make_leader_link"]
@@ -12,6 +16,7 @@
     "/internal/v1/workloads",
     WorkloadRequest,
     WorkloadResponse | NotLeaderReply | ErrorBody,
+    LeaderQuery(),
 )
 # Share of the requests that may be repeated after an exchange without a reply.
 RETRY_BUDGET_RATIO = 0.5
