Keep all searches for the leader awake, and count budgets as before

A reply that a request may be committed took a token of the retry budget since then; it doesn't again.

test_silent_processes_are_asked_at_the_same_time fails before (no leader found within 4 s with two silent processes and an exchange timeout of 2 s).

--- a/tanagerpath/services/leader_link.py
+++ b/tanagerpath/services/leader_link.py
@@ -95,10 +95,13 @@
         Reply of the leader, None if there is none.
     uncertain : Failure or None
         Why the request may have taken effect all the same.
+    is_cut : bool
+        Whether a connection ended or timed out before the reply.
     """
 
     reply: object = None
     uncertain: Failure | None = None
+    is_cut: bool = False
 
 
 class LeaderLink(Task):
@@ -203,7 +206,7 @@
                 call.reply.send(Success(ended.reply))
                 return
             uncertain = ended.uncertain or uncertain
-            if ended.uncertain is not None and not self._budget.take_retry():
+            if ended.is_cut and not self._budget.take_retry():
                 break
             await anyio.sleep(self._retry_pause_s)
         if uncertain is None:
@@ -230,7 +233,7 @@
         # A process that got less time than an exchange takes is not known to be silent.
         if is_unreachable or timeout_s == self._exchange_timeout_s:
             self._route.note_silence(address, anyio.current_time())
-        return _Exchange(uncertain=None if is_unreachable else failure)
+        return _Exchange() if is_unreachable else _Exchange(None, failure, True)
 
     def _take_reply(self, address: str, reply: object) -> _Exchange:
         if not isinstance(reply, NotLeaderReply):
@@ -252,7 +255,8 @@
         while True:
             if self._route.is_confirmed or not self._waiting:
                 pause_s = self._retry_pause_s
-                self._search_wanted = anyio.Event()
+                if self._search_wanted.is_set():
+                    self._search_wanted = anyio.Event()
                 await self._search_wanted.wait()
                 continue
             address = self._route.find_address(anyio.current_time())
--- a/tanagerpath/services/tests/test_leader_link.py
+++ b/tanagerpath/services/tests/test_leader_link.py
@@ -125,3 +125,31 @@
             return answers
 
         self.assertGreater(anyio.run(main), 0)
+
+    def test_silent_processes_are_asked_at_the_same_time(self):
+        """One search after the other would wait for an exchange timeout at each."""
+
+        async def main():
+            control = _Control()
+            control.leads = True
+            silent = [bind_listener("127.0.0.1:0") for _ in range(2)]
+            for listener in silent:
+                listener.listen()
+            addresses = [f"127.0.0.1:{one.getsockname()[1]}" for one in silent]
+            seeds = (*addresses, control.server.address)
+            link = make_leader_link(SearchingRoute(seeds), 2.0)
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(control.server.run)
+                tasks.start_soon(link.run)
+                await anyio.sleep(0.2)
+                begun_s = anyio.current_time()
+                result = await link.call(LeaderQuery(), begun_s + CALL_TIMEOUT_S)
+                elapsed_s = anyio.current_time() - begun_s
+                tasks.cancel_scope.cancel()
+            for listener in silent:
+                listener.close()
+            return result, elapsed_s
+
+        result, elapsed_s = anyio.run(main)
+        self.assertTrue(is_successful(result))
+        self.assertLess(elapsed_s, ANSWER_WITHIN_S)
--- a/tanagerpath/services/workload_relay.py
+++ b/tanagerpath/services/workload_relay.py
@@ -5,7 +5,7 @@
 import anyio
 from anyio.abc import TaskGroup
 from returns.pipeline import is_successful
-from starlette.requests import ClientDisconnect, Request
+from starlette.requests import Request
 from starlette.responses import PlainTextResponse, Response
 from starlette.routing import BaseRoute, Route
 
@@ -140,10 +140,7 @@
         ]
 
     async def _take_consensus(self, request: Request) -> Response:
-        try:
-            batch = decode_batch(await request.body())
-        except ClientDisconnect:
-            return Response(status_code=400)
+        batch = decode_batch(await request.body())
         if not is_successful(batch):
             return PlainTextResponse(batch.failure().message + "\n", 400)
         received = tuple(batch.unwrap())
