Keep no upstream free for a gang that waits for a long-running task

Room that a long-running task takes counted as room that comes soon, so that a gang which needs it kept idle upstreams from other work for good.

--- a/tanagerpath/core/workloads/reservations.py
+++ b/tanagerpath/core/workloads/reservations.py
@@ -1,5 +1,7 @@
 """Which upstreams are kept free for a gang that does not fit yet."""
 
+import math
+
 from tanagerpath.core.workloads.policy import FleetView, PlanUnit
 from tanagerpath.core.workloads.resources import Resources
 from tanagerpath.core.workloads.rooms import PlanRooms
@@ -41,7 +43,7 @@
                 break
             members += _count_members(unit, session)
             chosen.append((free_s, session))
-        if members >= len(unit.indexes):
+        if members >= len(unit.indexes) and chosen[-1][0] < math.inf:
             options.append((chosen[-1][0], chosen))
     if not options:
         return
@@ -58,7 +60,11 @@
 def _find_free_s(
     unit: PlanUnit, session: UpstreamSession, rooms: PlanRooms, fleet: FleetView
 ) -> float:
-    """Return the instant at which an upstream has room for its members."""
+    """Return the instant at which an upstream has room for its members.
+
+    Runs that last end by no date, so that no other work may wait for their room: it is
+    infinite then.
+    """
     needed = Resources()
     for _ in range(_count_members(unit, session)):
         needed = needed + unit.spec.reserved
@@ -67,7 +73,10 @@
     for left_s, view in rooms.list_ends(session):
         if needed.fits(room):
             break
+        is_stopping = view.phase is RunPhase.STOPPING
+        if view.spec.long_running and not is_stopping:
+            continue
         room = room + view.spec.reserved
-        if view.phase is not RunPhase.STOPPING:
+        if not is_stopping:
             free_s = fleet.now_s + left_s
-    return free_s
+    return free_s if needed.fits(room) else math.inf
--- a/tanagerpath/core/workloads/tests/test_preemption.py
+++ b/tanagerpath/core/workloads/tests/test_preemption.py
@@ -180,6 +180,23 @@
         rig.run(15.0)
         self.assertEqual("completed", rig.find_state("scan"))
 
+    def test_gang_that_waits_for_a_long_running_task_does_not_stop_other_work(self):
+        """Upstreams were once kept free for a gang as if a long-running task ended."""
+        rig = Rig(upstreams=4)
+        serving = _step(1, long_running=True)
+        rig.submit("serve", serving, queue="batch", work_s=999.0)
+        rig.run(1.0)
+        gang = _step(4, WHOLE, gang=True, declared_run_s=3.0)
+        rig.submit("gang", gang, queue="batch", work_s=3.0)
+        rig.run(0.5)
+        names = [f"scan{number}" for number in range(30)]
+        for name in names:
+            rig.submit(name, _step(4, declared_run_s=2.0), work_s=2.0)
+            rig.run(1.0)
+        rig.run(20.0)
+        states = Counter(map(rig.find_state, names))
+        self.assertEqual({"completed": 30}, dict(states))
+
     def test_nothing_is_stopped_where_a_task_may_not_run_beside_its_siblings(self):
         rig = Rig(upstreams=1)
         half = Resources(8_000, 16_000, 4)
