Tell control processes without a replica where replicas are

All processes had lost power, so that these remembered nothing, and asked only each other; replicas find each other in their log and told nobody. Class: the same as with a replica that knows addresses from its settings only.

A process with a replica now tells the control processes that its settings name at present where it is, once a second; one without a replica takes this, and the address of a replica that asks to join, into its search for the leader.

Ruled out: the group itself (leader at 45.96 s, the wiped disk a voter again at 46.57 s), and the search for the leader (relays had no address to ask).

Test: test_seeds_without_a_replica_lead_to_the_leader_after_a_restart.

--- a/tanagerpath/core/admission/routing.py
+++ b/tanagerpath/core/admission/routing.py
@@ -6,6 +6,8 @@
 
 # A hint to a process that has just been silent is not followed for this long.
 SILENCE_S = 1.0
+# Far more than the replicas of a group; those of lost VMs are not kept for ever.
+MAX_LEARNED = 64
 
 
 class Route(abc.ABC):
@@ -89,6 +91,11 @@
         self._silent_until_s: dict[str, float] = {}
         self._next = 0
 
+    @property
+    def seeds(self) -> tuple[str, ...]:
+        """Control processes that the settings name."""
+        return self._seeds
+
     @property
     def addresses(self) -> tuple[str, ...]:
         """All known control processes."""
@@ -102,6 +109,11 @@
         """Take the control processes that the leader has named."""
         self._learned = addresses
 
+    def note_member(self, address: str) -> None:
+        """Take a control process that has told where it is."""
+        if address not in self._learned:
+            self._learned = (*self._learned, address)[-MAX_LEARNED:]
+
     def find_address(self, now_s: float) -> str | None:
         """Return the known leader, or the next process that was not silent."""
         leader = self.leader_address
--- a/tanagerpath/core/consensus/messages.py
+++ b/tanagerpath/core/consensus/messages.py
@@ -17,6 +17,7 @@
     "JoinReply",
     "JoinRequest",
     "ReplicaMessage",
+    "ReplicaNotice",
     "SnapshotChunk",
     "SnapshotChunkReply",
     "StaleTerm",
@@ -189,6 +190,13 @@
     entry: LogEntry
 
 
+@attrs.frozen
+class ReplicaNotice:
+    """Tells a control process without a replica at which "ip:port" there is one."""
+
+    address: str
+
+
 ReplicaMessage = (
     VoteRequest
     | VoteReply
@@ -201,4 +209,5 @@
     | JoinRequest
     | JoinReply
     | FoundingProposal
+    | ReplicaNotice
 )
--- a/tanagerpath/core/consensus/relaying.py
+++ b/tanagerpath/core/consensus/relaying.py
@@ -1,7 +1,7 @@
 """What a control process without a disk answers to replicas; it holds none itself."""
 
 from tanagerpath.core.consensus.events import MessageReceived, SendMessage
-from tanagerpath.core.consensus.messages import JoinReply, JoinRequest
+from tanagerpath.core.consensus.messages import JoinReply, JoinRequest, ReplicaNotice
 
 __all__ = ["Relay"]
 
@@ -21,6 +21,12 @@
         self._vm_id = vm_id
         self._address = address
 
+    def find_replica(self, received: MessageReceived) -> str | None:
+        """Return the address of the replica that a message tells of, if any."""
+        message = received.message
+        is_telling = isinstance(message, (JoinRequest, ReplicaNotice))
+        return message.address if is_telling else None
+
     def answer(self, received: MessageReceived) -> SendMessage | None:
         """Return the answer to a request to join, None to any other message."""
         request = received.message
--- a/tanagerpath/core/consensus/replica.py
+++ b/tanagerpath/core/consensus/replica.py
@@ -30,6 +30,7 @@
     FoundingProposal,
     JoinReply,
     JoinRequest,
+    ReplicaNotice,
     SnapshotChunk,
     SnapshotChunkReply,
     StaleTerm,
@@ -263,6 +264,8 @@
     def _handle_message(self, event: MessageReceived) -> None:
         message = event.message
         self._context.note_address(event.sender, event.sender_address)
+        if isinstance(message, ReplicaNotice):
+            return  # replicas find each other through the log and by joining
         if isinstance(message, JoinRequest):
             self._handle_join(event, message)
         elif event.receiver != self._context.replica_id:
--- a/tanagerpath/platform/tests/test_processes.py
+++ b/tanagerpath/platform/tests/test_processes.py
@@ -117,6 +117,20 @@
         process.send_signal(signal.SIGTERM)
         self.assertEqual(0, process.wait(STOP_TIMEOUT_S))
 
+    def test_seeds_without_a_replica_lead_to_the_leader_after_a_restart(self):
+        """A relay that had just started once knew no control process but its seeds."""
+        relay = self.open_relay()
+        relay.settings["seeds"] = [relay.settings["seeds"][0]]
+        first = relay.start("control")
+        self.deployment.start("control")
+        own_url = f"{self.deployment.control}/config"
+        wait_for(lambda: exchange("PUT", own_url, CONFIG)[0] == 200)
+        first.kill()
+        first.wait()
+        relay.start("control")
+        url = own_url.replace("127.0.0.1", "127.0.0.2")
+        wait_for(lambda: exchange("GET", url) == (200, CONFIG), timeout_s=20.0)
+
 
 class TestWholePath(ProcessCase):
     def call(self, method, path, body=None, **headers):
--- a/tanagerpath/services/workload_control.py
+++ b/tanagerpath/services/workload_control.py
@@ -37,6 +37,7 @@
 from tanagerpath.services.links import LinkSet, UpstreamCodec
 from tanagerpath.services.peers import PeerSet
 from tanagerpath.services.replica_application import ReplicaApplication
+from tanagerpath.services.replica_notices import ReplicaNotifier
 from tanagerpath.services.replica_task import ReplicaTask
 from tanagerpath.services.settings_watch import SettingsWatch
 from tanagerpath.services.workload_protocol import WORKLOAD_PROTOCOL, make_leader_link
@@ -182,6 +183,9 @@
         self._route = SearchingRoute(settings.seeds)
         self._link = make_leader_link(self._route, settings.exchange_timeout_s)
         self._watch = SettingsWatch(source, self._route.note_seeds, self._log)
+        self._notifier = ReplicaNotifier(
+            settings.listen, self._route, settings.exchange_timeout_s
+        )
         self._public: HttpServer | None = None
 
     @classmethod
@@ -226,6 +230,7 @@
         )
         tasks.start_soon(self._link.run)
         tasks.start_soon(self._watch.run)
+        tasks.start_soon(self._notifier.run)
         tasks.start_soon(self._public.run)
 
     async def reload(self) -> None:
--- a/tanagerpath/services/workload_relay.py
+++ b/tanagerpath/services/workload_relay.py
@@ -144,6 +144,10 @@
         if not is_successful(batch):
             return PlainTextResponse(batch.failure().message + "\n", 400)
         received = tuple(batch.unwrap())
+        for one in received:
+            address = self._relay.find_replica(one)
+            if address is not None:
+                self._route.note_member(address)
         answers = [answer for one in received if (answer := self._relay.answer(one))]
         if not answers:
             return Response(status_code=204)
