--- a/tanagerpath/core/workloads/tests/fake_upstream.py
+++ b/tanagerpath/core/workloads/tests/fake_upstream.py
@@ -70,6 +70,7 @@
         self.refusal: Refusal | None = None
         self.refused_workload: str | None = None
         self.refused_count = 0
+        self.refused_orders: dict[type, Refusal] = {}
         self.cut_replies = 0.0
 
     @property
@@ -84,6 +85,9 @@
         return total
 
     def handle(self, request):
+        if type(request) in self.refused_orders:
+            self.refused_count += 1
+            return OrderRefused(self.refused_orders[type(request)], self.clock_ms)
         token = request.fencing_token
         if token < self.highest_token:
             return OrderRefused(Refusal.FENCED, self.clock_ms)
--- a/tanagerpath/core/workloads/tests/rig.py
+++ b/tanagerpath/core/workloads/tests/rig.py
@@ -35,8 +35,11 @@
 from tanagerpath.core.workloads.orders import (
     AdviceReply,
     AdviceRequest,
+    HoldReply,
     HoldRequest,
     OrderDone,
+    OrderRefused,
+    Refusal,
     StartRequest,
     Ticket,
     UpkeepRequest,
@@ -74,6 +77,8 @@
         self.acknowledged_failures: collections.Counter = collections.Counter()
         self.starts: list[StartRequest] = []
         self.allowed_upstreams: set[str] = set()
+        self.advice_refusal: Refusal | None = None
+        self.unix_offset_s = 0.0
         self.upkeeps: list[tuple[float, str]] = []
         self.runs_ended_by_upkeep = 0
         self._scheduled: list[tuple[float, int, object]] = []
@@ -150,7 +155,7 @@
 
     @property
     def instant(self):
-        return Instant(self.now_s, self.now_s, self.has_lease)
+        return Instant(self.now_s, self.now_s + self.unix_offset_s, self.has_lease)
 
     def apply(self, command):
         self.index += 1
@@ -213,6 +218,21 @@
 
     # Invariants
 
+    def measure_start(self, workload_id, limit_s=12.0):
+        """Run until all tasks of the first step have started; return the seconds."""
+        began_s = self.now_s
+        count = self.state.workloads[workload_id].spec.steps[0].count
+        while self.now_s - began_s < limit_s:
+            started = {
+                start.task
+                for start in self.starts
+                if start.task.workload_id == workload_id
+            }
+            if len(started) >= count:
+                return self.now_s - began_s
+            self.run(STEP_S)
+        return limit_s
+
     def record_start(self, upstream, request):
         self.starts.append(request)
         task = request.task
@@ -273,7 +293,9 @@
 
     def _call_service(self, call):
         """Answer for the advice service and for the platform."""
-        if isinstance(call.request, AdviceRequest):
+        if isinstance(call.request, AdviceRequest) and self.advice_refusal:
+            reply = OrderRefused(self.advice_refusal)
+        elif isinstance(call.request, AdviceRequest):
             allowed = [
                 one
                 for one in call.request.upstream_ids
@@ -323,7 +345,7 @@
             self._fail(call)
             return
         delay_s = STEP_S
-        if is_hold and not reply.ended:
+        if is_hold and isinstance(reply, HoldReply) and not reply.ended:
             delay_s += call.request.wait_ms / MS_PER_S * self.random.random()
             reply = None
         self._schedule(delay_s, ("reply", call, reply))
