Log why urgent work waits and what the guarantee covers

Waiting urgent work is now reported once a second and whenever the reason or the cover changes, with the use of the guarantee and the state of the fleet; so is its start, and a late start of guaranteed work is counted. Lines on single tasks have a rate limit of their own. The bound of the platform is a setting.

No decision changes.

--- a/tanagerpath/core/workloads/backlog.py
+++ b/tanagerpath/core/workloads/backlog.py
@@ -70,17 +70,24 @@
             record.queue == queue and not record.tasks for record in self.list_records()
         )
 
-    def list_units(self, unix_s: float) -> list[PlanUnit]:
-        """Return the units that are ready to start at a time in UTC seconds."""
-        guaranteed = self._find_guaranteed()
+    def list_units(self, unix_s: float, covered: frozenset[str]) -> list[PlanUnit]:
+        """Return the units that are ready to start.
+
+        Parameters
+        ----------
+        unix_s : float
+            Current time in UTC seconds.
+        covered : frozenset of str
+            Workloads that the guarantees of their organisations cover.
+        """
         return [
             unit
             for record in self.list_records()
-            for unit in self._list_units_of(record, unix_s, guaranteed)
+            for unit in self._list_units_of(record, unix_s, covered)
         ]
 
     def _list_units_of(
-        self, record: WorkloadRecord, unix_s: float, guaranteed: set[str]
+        self, record: WorkloadRecord, unix_s: float, covered: frozenset[str]
     ) -> Iterator[PlanUnit]:
         queue = self.state.find_queue(record.queue)
         if queue is None:
@@ -100,7 +107,7 @@
                         step,
                         indexes,
                         critical_paths,
-                        guaranteed,
+                        covered,
                     )
 
     def _list_waiting(
@@ -136,7 +143,7 @@
         step: int,
         indexes: tuple[int, ...],
         critical_paths: list[float],
-        guaranteed: set[str],
+        covered: frozenset[str],
     ) -> PlanUnit:
         first = TaskId(record.workload_id, occurrence, step, indexes[0])
         failures = record.count_failures(first)
@@ -155,7 +162,7 @@
             ),
             objective_s=objective_s,
             critical_path_s=critical_paths[step],
-            is_guaranteed=record.workload_id in guaranteed,
+            is_guaranteed=record.workload_id in covered,
             avoided=frozenset(self.failed_on.get(record.workload_id, ())),
             is_last_attempt=not spec.long_running
             and failures > 0
@@ -180,29 +187,3 @@
                 )
                 paths[earlier] = max(paths[earlier], own_s + paths[number])
         return paths
-
-    def _find_guaranteed(self) -> set[str]:
-        """Return the workloads that the guarantee of their organisation covers.
-
-        It covers workloads of priority 0 in the order of their acceptance, each if its
-        largest step fits into the accelerators that earlier ones leave.
-        """
-        configuration = self.state.configuration
-        if configuration is None:
-            return set()
-        unused = {
-            organisation.name: organisation.guaranteed.accelerators
-            for organisation in configuration.organisations
-        }
-        covered: set[str] = set()
-        for record in self.list_records():
-            queue = self.state.find_queue(record.queue)
-            if queue is None or queue.priority != 0:
-                continue
-            needed = max(
-                step.count * step.needs.accelerators for step in record.spec.steps
-            )
-            if needed <= unused.get(record.organisation, 0):
-                unused[record.organisation] -= needed
-                covered.add(record.workload_id)
-        return covered
--- /dev/null
+++ b/tanagerpath/core/workloads/coverage.py
@@ -0,0 +1,95 @@
+"""Which workloads the guarantees of their organisations cover."""
+
+from collections.abc import Iterable
+
+import attrs
+
+from tanagerpath.core.workloads.records import WorkloadRecord
+from tanagerpath.core.workloads.state import FleetState
+
+__all__ = ["GuaranteeCoverage", "GuaranteeShare", "count_needed"]
+
+
+def count_needed(record: WorkloadRecord) -> int:
+    """Return the accelerators of the largest step of a workload."""
+    return max(step.count * step.needs.accelerators for step in record.spec.steps)
+
+
+@attrs.define
+class GuaranteeShare:
+    """Use of the guarantee of one organisation, in accelerators.
+
+    Attributes
+    ----------
+    guaranteed : int
+        What its configuration guarantees.
+    covered : int
+        Needs of the unfinished workloads that the guarantee covers.
+    requested : int
+        Needs of all its unfinished workloads of priority 0.
+    """
+
+    guaranteed: int = 0
+    covered: int = 0
+    requested: int = 0
+
+
+class GuaranteeCoverage:
+    """Covers workloads of priority 0 in the order of their acceptance.
+
+    A workload is covered if its largest step fits into the accelerators that earlier
+    ones leave of the guarantee.
+
+    Parameters
+    ----------
+    state : FleetState
+        Replicated state.
+    """
+
+    def __init__(self, state: FleetState) -> None:
+        self._state = state
+        self._shares: dict[str, GuaranteeShare] = {}
+        self.covered: frozenset[str] = frozenset()
+
+    def update(self, records: Iterable[WorkloadRecord]) -> frozenset[str]:
+        """Decide anew which workloads are covered.
+
+        Parameters
+        ----------
+        records : iterable of WorkloadRecord
+            Unfinished workloads in the order of their acceptance.
+
+        Returns
+        -------
+        frozenset of str
+            Waiting and running workloads that have gained or lost their cover.
+        """
+        configuration = self._state.configuration
+        organisations = configuration.organisations if configuration else ()
+        self._shares = {
+            one.name: GuaranteeShare(one.guaranteed.accelerators)
+            for one in organisations
+        }
+        urgent = [record for record in records if self._is_urgent(record)]
+        covered = {record.workload_id for record in urgent if self._try_cover(record)}
+        unfinished = {record.workload_id for record in urgent}
+        changed = (self.covered ^ covered) & unfinished
+        self.covered = frozenset(covered)
+        return frozenset(changed)
+
+    def find_share(self, organisation: str) -> GuaranteeShare:
+        """Return the use of the guarantee of an organisation."""
+        return self._shares.get(organisation) or GuaranteeShare()
+
+    def _is_urgent(self, record: WorkloadRecord) -> bool:
+        queue = self._state.find_queue(record.queue)
+        return queue is not None and queue.priority == 0
+
+    def _try_cover(self, record: WorkloadRecord) -> bool:
+        share = self._shares.setdefault(record.organisation, GuaranteeShare())
+        needed = count_needed(record)
+        share.requested += needed
+        if share.covered + needed > share.guaranteed:
+            return False
+        share.covered += needed
+        return True
--- a/tanagerpath/core/workloads/dispatch_context.py
+++ b/tanagerpath/core/workloads/dispatch_context.py
@@ -7,6 +7,7 @@
 from tanagerpath.core.coordination import CallUpstream, CountEvent, Effect, Instant
 from tanagerpath.core.workloads.backlog import Backlog
 from tanagerpath.core.workloads.commands import RunEnd, RunOutcome
+from tanagerpath.core.workloads.coverage import GuaranteeCoverage
 from tanagerpath.core.workloads.estimates import RunEstimates
 from tanagerpath.core.workloads.events import LogDecision
 from tanagerpath.core.workloads.health import HealthTerms, UpstreamHealth
@@ -64,6 +65,9 @@
         Seconds of work between two checkpoints.
     interference_s : float
         Seconds for which a serving task may exceed its latency target.
+    guaranteed_start_s : float
+        Seconds after the acceptance of a workload within which all tasks of its first
+        step must have begun if the guarantee of its organisation covers it.
     silent_after_s : float
         Seconds without a heartbeat or reply after which an upstream is withdrawn.
     advice_address, platform_address : str
@@ -86,6 +90,7 @@
     remote_factor: float = 3.0
     checkpoint_interval_s: float = 1.0
     interference_s: float = 4.0
+    guaranteed_start_s: float = 2.7
     silent_after_s: float = 30.0
     advice_address: str = ""
     platform_address: str = ""
@@ -129,6 +134,7 @@
         self.now = now
         self.estimates = RunEstimates.from_learned(state.learned, now.now_s)
         self.backlog = Backlog(state, self.estimates)
+        self.coverage = GuaranteeCoverage(state)
         self.start_backoff = StartBackoff()
         self.sessions: dict[str, UpstreamSession] = {}
         self.health: dict[str, UpstreamHealth] = {}
@@ -156,6 +162,12 @@
         self.add_effect(LogDecision(name, fields))
         self.add_effect(CountEvent(name))
 
+    def log_task_decision(self, name: str, task: TaskId, **fields: Any) -> None:
+        """Write a decision on one task to the log and count it."""
+        fields = {"task": describe_task(task), **fields}
+        self.add_effect(LogDecision(name, fields, is_about_task=True))
+        self.add_effect(CountEvent(name))
+
     def call(self, session: UpstreamSession, request: object, timeout_s: float) -> None:
         """Send an order to an upstream."""
         record = session.record
@@ -199,9 +211,9 @@
         self._ending.add(view.key)
         end = RunEnd(view.task, view.run, outcome, checkpoint or view.checkpoint)
         self.ends.append(QueuedEnd(end, session, number))
-        self.log_decision(
+        self.log_task_decision(
             "run ended",
-            task=describe_task(view.task),
+            view.task,
             run=view.run,
             upstream=session.upstream_id,
             outcome=str(outcome),
--- a/tanagerpath/core/workloads/dispatcher.py
+++ b/tanagerpath/core/workloads/dispatcher.py
@@ -17,7 +17,6 @@
     DispatchContext,
     DispatchTerms,
     QueuedEnd,
-    describe_task,
 )
 from tanagerpath.core.workloads.events import CommandRecorded, CommandRejected
 from tanagerpath.core.workloads.orders import (
@@ -30,6 +29,7 @@
 from tanagerpath.core.workloads.policy import (
     FleetView,
     Placement,
+    Plan,
     PlanUnit,
     WorkloadPolicy,
 )
@@ -46,6 +46,7 @@
 from tanagerpath.core.workloads.specs import StepKey, TaskId
 from tanagerpath.core.workloads.state import Applied, FleetState
 from tanagerpath.core.workloads.upkeep import PLATFORM_ID, UpkeepController
+from tanagerpath.core.workloads.wait_reports import WaitReporter
 
 __all__ = ["Dispatcher"]
 
@@ -78,6 +79,7 @@
         self._preemption = Preemption(context, self._driver)
         self._pace_controller = PaceController(context, self._driver)
         self._advice = TicketCache(context)
+        self._wait_reporter = WaitReporter(context)
         self._upkeep = UpkeepController(context, self._driver, f"leader-{context.term}")
         self._services = {ADVICE_ID: self._advice, PLATFORM_ID: self._upkeep}
         self._pending_record: commands.RecordRuns | None = None
@@ -405,9 +407,11 @@
         self._next_plan_s = context.now_s + context.terms.plan_interval_s
         for session in context.sessions.values():
             context.find_health(session.upstream_id)
-        units = self._advice.attach_tickets(self._list_units())
+        waiting = self._list_waiting()
+        units = self._advice.attach_tickets(self._filter_backoff(waiting))
         self._preemption.close_lapsed(units)
         if not units:
+            self._report_waits(waiting, units, Plan())
             return ()
         pairs = len(units) * len(context.sessions)
         self._planning_paused_until_s = (
@@ -415,18 +419,57 @@
         )
         plan = self._policy.plan(units, self._view_fleet())
         self._preemption.execute(plan)
+        self._report_waits(waiting, units, plan)
         runs: dict[StepKey, int] = {}
         return tuple(self._start(placement, runs) for placement in plan.placements)
 
-    def _list_units(self) -> list[PlanUnit]:
-        """Return the waiting units whose step is not in backoff."""
+    def _list_waiting(self) -> list[PlanUnit]:
+        """Return all waiting units, after the update of what guarantees cover."""
+        context = self._context
+        changed = context.coverage.update(context.backlog.list_records())
+        self._wait_reporter.report_coverage(changed)
+        return context.backlog.list_units(context.now.unix_s, context.coverage.covered)
+
+    def _filter_backoff(self, units: list[PlanUnit]) -> list[PlanUnit]:
+        """Return the units whose step is not in backoff."""
         context = self._context
         return [
             unit
-            for unit in context.backlog.list_units(context.now.unix_s)
+            for unit in units
             if not context.start_backoff.must_wait(unit.step_key, context.now_s)
         ]
 
+    def _report_waits(
+        self, waiting: list[PlanUnit], ready: list[PlanUnit], plan: Plan
+    ) -> None:
+        """Report the urgent units that start with a plan, and why others wait."""
+        blocked = {unit.step_key for unit in plan.blocked}
+        ready_keys = {unit.step_key for unit in ready}
+        started = {
+            placement.unit.step_key: placement.unit
+            for placement in plan.placements
+            if placement.unit.step_key not in blocked
+        }
+        for unit in started.values():
+            self._wait_reporter.report_start(unit)
+        claims = self._preemption.history.open_claims
+        reasons: dict[StepKey, tuple[PlanUnit, str]] = {}
+        for unit in waiting:
+            if unit.step_key in started:
+                continue
+            if unit.step_key in claims:
+                reason = "claimed capacity is not free yet"
+            elif unit.step_key in ready_keys:
+                reason = "no capacity"
+            elif self._context.start_backoff.must_wait(
+                unit.step_key, self._context.now_s
+            ):
+                reason = "backoff after refused starts"
+            else:
+                reason = "no tickets"
+            reasons[unit.step_key] = (unit, reason)
+        self._wait_reporter.report_waits(reasons)
+
     def _view_fleet(self) -> FleetView:
         context = self._context
         return FleetView(
@@ -459,9 +502,9 @@
         )
         session.add_run(view)
         context.backlog.planned.add(task)
-        context.log_decision(
+        context.log_task_decision(
             "task placed",
-            task=describe_task(task),
+            task,
             run=run,
             upstream=session.upstream_id,
             heard_age_s=round(context.now_s - session.last_contact_s, 3),
--- a/tanagerpath/core/workloads/events.py
+++ b/tanagerpath/core/workloads/events.py
@@ -37,7 +37,19 @@
 
 @attrs.frozen
 class LogDecision:
-    """Writes a decision to the log: its message and its fields."""
+    """Writes a decision to the log.
+
+    Attributes
+    ----------
+    name : str
+        Message of the line.
+    fields : dict of str to object
+        Fields of the line.
+    is_about_task : bool
+        Whether it is about a single task. There are many of these lines, so they
+        have a rate limit of their own.
+    """
 
     name: str
     fields: dict[str, Any]
+    is_about_task: bool = False
--- a/tanagerpath/core/workloads/pacing.py
+++ b/tanagerpath/core/workloads/pacing.py
@@ -68,9 +68,9 @@
             percent = self._choose_pace(load, view.pace) if serving else FULL_PACE
             if percent != view.pace or now_s < view.pace_uncertain_until_s:
                 self._driver.pace(session, view, percent)
-                self._context.log_decision(
+                self._context.log_task_decision(
                     "run paced",
-                    task=f"{view.task.workload_id}.{view.task.index}",
+                    view.task,
                     run=view.run,
                     upstream=session.upstream_id,
                     percent=percent,
--- a/tanagerpath/core/workloads/run_driver.py
+++ b/tanagerpath/core/workloads/run_driver.py
@@ -4,7 +4,7 @@
 
 from tanagerpath.core.coordination import CountEvent
 from tanagerpath.core.workloads.commands import RunOutcome
-from tanagerpath.core.workloads.dispatch_context import DispatchContext, describe_task
+from tanagerpath.core.workloads.dispatch_context import DispatchContext
 from tanagerpath.core.workloads.orders import (
     EndedRun,
     HoldReply,
@@ -220,9 +220,9 @@
             return False
         view.stop_reason = reason
         view.enter(RunPhase.STOPPING, self._context.now_s)
-        self._context.log_decision(
+        self._context.log_task_decision(
             "run stopped",
-            task=describe_task(view.task),
+            view.task,
             run=view.run,
             upstream=session.upstream_id,
             reason=reason,
@@ -334,9 +334,9 @@
         refusal: Refusal,
     ) -> None:
         context = self._context
-        context.log_decision(
+        context.log_task_decision(
             "order refused",
-            task=describe_task(view.task),
+            view.task,
             run=view.run,
             upstream=session.upstream_id,
             order=type(request).__name__,
@@ -416,9 +416,9 @@
     def _stop_stray(self, session: UpstreamSession, running: RunningTask) -> None:
         """Stop a run that is not open in the state."""
         context = self._context
-        context.log_decision(
+        context.log_task_decision(
             "stray run stopped",
-            task=describe_task(running.task),
+            running.task,
             run=running.run,
             upstream=session.upstream_id,
         )
--- a/tanagerpath/core/workloads/sessions.py
+++ b/tanagerpath/core/workloads/sessions.py
@@ -110,6 +110,8 @@
         Current phase.
     began_s : float
         Time at which it was planned, committed or taken over.
+    entered_s : float
+        Time at which its phase began.
     running_since_s : float or None
         Time since which the upstream is known to run it.
     expect_listed_after_s : float or None
@@ -150,6 +152,7 @@
     priority: int
     phase: RunPhase
     began_s: float
+    entered_s: float = 0.0
     running_since_s: float | None = None
     expect_listed_after_s: float | None = None
     progress_s: float = 0.0
@@ -183,6 +186,7 @@
     def enter(self, phase: RunPhase, now_s: float) -> None:
         """Enter a phase, and reset the orders."""
         self.phase = phase
+        self.entered_s = now_s
         self.orders = 0
         self.next_order_s = now_s
         self.expect_listed_after_s = None
--- a/tanagerpath/platform/settings_file.py
+++ b/tanagerpath/platform/settings_file.py
@@ -178,6 +178,7 @@
         "max_lease_s": "hold_max_ms",
         "gang_timeout_s": "gang_timeout_ms",
         "interference_s": "interference_ms",
+        "guaranteed_start_s": "reclaim_ms",
     }
     for name, bound in milliseconds.items():
         if bounds.has(bound):
--- a/tanagerpath/platform/tests/test_settings_file.py
+++ b/tanagerpath/platform/tests/test_settings_file.py
@@ -60,6 +60,12 @@
             longest_s = replica.election_timeout_max_s
             self.assertGreater(replica.replace_voter_after_s, longest_s)
 
+    def test_the_bound_of_guaranteed_starts_follows_the_settings(self):
+        for bound_ms in (700, 2_700):
+            settings = self.write(bounds={"reclaim_ms": bound_ms}).read_control({})
+            dispatch = make_node_config(settings.unwrap()).dispatch
+            self.assertEqual(bound_ms / 1_000, dispatch.guaranteed_start_s)
+
     def test_a_stop_ends_within_the_grace_time(self):
         """Guards against fixed times, 5 s in total, that exceed a short grace time."""
         for grace_s in (2, 4, 6, 20):
--- a/tanagerpath/services/workload_control.py
+++ b/tanagerpath/services/workload_control.py
@@ -80,6 +80,7 @@
         remote_factor=settings.remote_factor,
         checkpoint_interval_s=settings.checkpoint_interval_s,
         interference_s=settings.interference_s,
+        guaranteed_start_s=settings.guaranteed_start_s,
         retention_s=settings.status_retention_s + RETENTION_MARGIN_S,
         advice_address=settings.advice_address,
         platform_address=settings.platform_address,
@@ -126,6 +127,7 @@
         self._max_connections = max_connections
         self._exchange_timeout_s = exchange_timeout_s
         self._decisions = DecisionLog(self._log, self._metrics)
+        self._task_decisions = DecisionLog(self._log, self._metrics)
 
     def _make_links(self, tasks: TaskGroup) -> LinkSet:
         return LinkSet(
@@ -138,8 +140,9 @@
 
     def _execute_node_action(self, action: ControlAction) -> None:
         match action:
-            case LogDecision(name, fields):
-                self._decisions.write(name, fields)
+            case LogDecision(name, fields, is_about_task):
+                log = self._task_decisions if is_about_task else self._decisions
+                log.write(name, fields)
             case RecordPeriod(period, organisation, queue, elapsed_s):
                 self._metrics.observe(str(period), elapsed_s, organisation, str(queue))
 
--- a/tanagerpath/settings/workloads.py
+++ b/tanagerpath/settings/workloads.py
@@ -71,6 +71,13 @@
     600.0,
     "Time for which a serving task may be over its target.",
 )
+_GUARANTEED_START_S = common.make_seconds(
+    "guaranteed_start_s",
+    2.7,
+    0.1,
+    600.0,
+    "Time after its acceptance within which work that a guarantee covers begins.",
+)
 _ADVICE_ADDRESS = Setting(
     name="advice_address",
     type=OptionalAddressType(),
@@ -197,6 +204,7 @@
     remote_factor: float = declare(_REMOTE_FACTOR)
     checkpoint_interval_s: float = declare(_CHECKPOINT_INTERVAL_S)
     interference_s: float = declare(_INTERFERENCE_S)
+    guaranteed_start_s: float = declare(_GUARANTEED_START_S)
     advice_address: str = declare(_ADVICE_ADDRESS)
     platform_address: str = declare(_PLATFORM_ADDRESS)
     status_retention_s: float = declare(_STATUS_RETENTION_S)
