--- a/tanagerpath/core/workloads/run_driver.py
+++ b/tanagerpath/core/workloads/run_driver.py
@@ -6,21 +6,18 @@
 from tanagerpath.core.workloads.commands import RunOutcome
 from tanagerpath.core.workloads.dispatch_context import DispatchContext
 from tanagerpath.core.workloads.orders import (
-    EndedRun,
     HoldReply,
     HoldRequest,
     OrderDone,
     OrderRefused,
     PaceRequest,
     Refusal,
-    RunningTask,
     StartRequest,
     StopRequest,
 )
 from tanagerpath.core.workloads.resources import Resources
-from tanagerpath.core.workloads.run_observer import RunObserver
+from tanagerpath.core.workloads.run_lists import RunLists, RunStopper
 from tanagerpath.core.workloads.sessions import (
-    COMPLETED_PERCENT,
     MAX_ORDER_DELAY_S,
     ProgressSample,
     RunKey,
@@ -43,7 +40,7 @@
 _TASK_REFUSALS = frozenset({Refusal.SUPERSEDED, Refusal.NO_TICKET})
 
 
-class RunDriver:
+class RunDriver(RunStopper):
     """Sends starts, stops and lease renewals, and handles the replies.
 
     Parameters
@@ -55,7 +52,7 @@
     def __init__(self, context: DispatchContext) -> None:
         self._context = context
         self._hold_sent_s: dict[str, float] = {}
-        self._observer = RunObserver(context)
+        self._lists = RunLists(context, self)
 
     # Orders
 
@@ -196,26 +193,7 @@
         cause: StopCause,
         **fields: Any,
     ) -> bool:
-        """Order the stop of a run.
-
-        Parameters
-        ----------
-        session : UpstreamSession
-            Where it runs.
-        view : RunView
-            The run.
-        reason : str
-            Reason for the log.
-        cause : StopCause
-            Label of the counter of stops.
-        **fields
-            Further fields of the log line.
-
-        Returns
-        -------
-        bool
-            False if it is being stopped already, or its start is not recorded yet.
-        """
+        """Order the stop of a run; see `RunStopper`."""
         if view.phase in (RunPhase.STOPPING, RunPhase.PROPOSED):
             return False
         view.stop_reason = reason
@@ -297,7 +275,7 @@
         session.last_contact_s = context.now_s
         session.note_clock(reply.clock_ms, context.now_s)
         if isinstance(reply, HoldReply):
-            self._handle_lists(session, reply)
+            self._handle_renewed(session, reply)
             return
         if isinstance(request, StopRequest) and isinstance(reply, OrderDone):
             session.fenced_runs.pop((request.task, request.run), None)
@@ -315,6 +293,15 @@
             case OrderRefused(refusal):
                 self._handle_refusal(session, view, request, refusal)
 
+    def _handle_renewed(self, session: UpstreamSession, reply: HoldReply) -> None:
+        context = self._context
+        sent_s = self._hold_sent_s.get(session.upstream_id, context.now_s)
+        session.hold_in_flight = False
+        session.next_hold_s = context.now_s
+        self._lists.handle(session, reply, sent_s)
+        if session.listed_end > session.recorded_end:
+            session.next_hold_s = context.now_s + UNRECORDED_HOLD_INTERVAL_S
+
     def _handle_done(self, view: RunView) -> None:
         now_s = self._context.now_s
         view.expect_listed_after_s = now_s
@@ -361,131 +348,3 @@
             self.stop(session, view, f"refused as {refusal}", StopCause.REFUSED)
         else:
             context.queue_end(session, view, RunOutcome.NOT_STARTED)
-
-    # Lists
-
-    def _handle_lists(self, session: UpstreamSession, reply: HoldReply) -> None:
-        context = self._context
-        sent_s = self._hold_sent_s.get(session.upstream_id, context.now_s)
-        session.hold_in_flight = False
-        session.next_hold_s = context.now_s
-        listed = {(task.task, task.run) for task in reply.running}
-        ended = {(end.task, end.run) for end in reply.ended}
-        for running in reply.running:
-            self._update_running(session, running)
-        for end in sorted(reply.ended, key=lambda one: one.number):
-            self._handle_listed_end(session, end)
-        for view in tuple(session.runs.values()):
-            if view.key not in listed and view.key not in ended:
-                self._handle_unlisted(session, view, sent_s)
-        if not session.synced:
-            session.synced = True
-            context.must_plan = True
-            context.log_decision(
-                "upstream taken over",
-                upstream=session.upstream_id,
-                running=len(listed),
-                ended=len(ended),
-                room=session.free.accelerators,
-            )
-        if session.listed_end > session.recorded_end:
-            session.next_hold_s = context.now_s + UNRECORDED_HOLD_INTERVAL_S
-
-    def _update_running(self, session: UpstreamSession, running: RunningTask) -> None:
-        context = self._context
-        view = session.runs.get((running.task, running.run))
-        if view is None:
-            self._stop_stray(session, running)
-            return
-        if view.phase in (RunPhase.ORDERED, RunPhase.INHERITED):
-            view.phase = RunPhase.RUNNING
-        if view.running_since_s is None:
-            view.running_since_s = context.now_s
-            view.progress_s = context.now_s
-        if view.baseline is None:
-            # A resumed run has done work before, and one whose start was sent more
-            # than once may have begun at any of the copies.
-            view.baseline = ProgressSample(context.now_s, running.percent)
-        if running.percent != view.percent:
-            view.percent = running.percent
-            view.progress_s = context.now_s
-        view.checkpoint = running.checkpoint or view.checkpoint
-        view.load = running.load
-        self._observer.observe(session, view, running.percent)
-
-    def _stop_stray(self, session: UpstreamSession, running: RunningTask) -> None:
-        """Stop a run that is not open in the state."""
-        context = self._context
-        context.log_task_decision(
-            "stray run stopped",
-            running.task,
-            run=running.run,
-            upstream=session.upstream_id,
-        )
-        request = StopRequest(
-            task=running.task, run=running.run, fencing_token=context.term
-        )
-        context.call(session, request, context.terms.order_timeout_s)
-
-    def _handle_listed_end(self, session: UpstreamSession, end: EndedRun) -> None:
-        if end.number <= session.listed_end:
-            return
-        session.listed_end = end.number
-        view = session.runs.get((end.task, end.run))
-        if view is None or self._context.is_ending(view.key):
-            # The state does not need this end, so it is acknowledged at once.
-            if not self._has_unrecorded_ends(session):
-                session.recorded_end = end.number
-            return
-        self._learn_from_end(session, view, end)
-        self._context.queue_end(
-            session, view, end.outcome, end.checkpoint, number=end.number
-        )
-
-    def _has_unrecorded_ends(self, session: UpstreamSession) -> bool:
-        return any(self._context.is_ending(key) for key in session.runs)
-
-    def _learn_from_end(
-        self, session: UpstreamSession, view: RunView, end: EndedRun
-    ) -> None:
-        """Update the health of the upstream and the estimates from the end of a run."""
-        context = self._context
-        health = context.find_health(session.upstream_id)
-        if end.outcome is RunOutcome.DONE:
-            health.note_success()
-            self._observer.observe(session, view, COMPLETED_PERCENT)
-        elif end.outcome is RunOutcome.FAILED:
-            workload_id = view.task.workload_id
-            failed_on = context.backlog.failed_on.setdefault(workload_id, set())
-            failed_on.add(session.upstream_id)
-            if health.note_failure(workload_id, context.now_s):
-                self._log_quarantine(session, health.failed_workloads)
-
-    def _log_quarantine(
-        self, session: UpstreamSession, failed_workloads: dict[str, int]
-    ) -> None:
-        self._context.log_decision(
-            "upstream quarantined",
-            upstream=session.upstream_id,
-            failed_workloads=sorted(failed_workloads),
-        )
-
-    def _handle_unlisted(
-        self, session: UpstreamSession, view: RunView, sent_s: float
-    ) -> None:
-        """Handle a run that an upstream lists neither as running nor as ended."""
-        context = self._context
-        if context.is_ending(view.key):
-            return
-        if view.phase is RunPhase.INHERITED:
-            # The renewal's token makes the upstream refuse orders of earlier leaders.
-            context.queue_end(session, view, RunOutcome.NOT_STARTED)
-            return
-        if view.expect_listed_after_s is None or sent_s <= view.expect_listed_after_s:
-            return
-        if view.phase is RunPhase.STOPPING:
-            began = view.running_since_s is not None
-            outcome = RunOutcome.STOPPED if began else RunOutcome.NOT_STARTED
-            context.queue_end(session, view, outcome)
-        elif view.phase is RunPhase.RUNNING:
-            self.stop(session, view, "not listed by its upstream", StopCause.NOT_LISTED)
--- /dev/null
+++ b/tanagerpath/core/workloads/run_lists.py
@@ -0,0 +1,214 @@
+"""Changes to runs that follow from the lists of their upstreams."""
+
+import abc
+from typing import Any
+
+from tanagerpath.core.workloads.commands import RunOutcome
+from tanagerpath.core.workloads.dispatch_context import DispatchContext
+from tanagerpath.core.workloads.orders import (
+    EndedRun,
+    HoldReply,
+    RunningTask,
+    StopRequest,
+)
+from tanagerpath.core.workloads.run_observer import RunObserver
+from tanagerpath.core.workloads.sessions import (
+    COMPLETED_PERCENT,
+    ProgressSample,
+    RunPhase,
+    RunView,
+    StopCause,
+    UpstreamSession,
+)
+
+__all__ = ["RunLists", "RunStopper"]
+
+
+class RunStopper(abc.ABC):
+    """Orders the stop of runs."""
+
+    @abc.abstractmethod
+    def stop(
+        self,
+        session: UpstreamSession,
+        view: RunView,
+        reason: str,
+        cause: StopCause,
+        **fields: Any,
+    ) -> bool:
+        """Order the stop of a run.
+
+        Parameters
+        ----------
+        session : UpstreamSession
+            Where it runs.
+        view : RunView
+            The run.
+        reason : str
+            Reason for the log.
+        cause : StopCause
+            Label of the counter of stops.
+        **fields
+            Further fields of the log line.
+
+        Returns
+        -------
+        bool
+            False if it is being stopped already, or its start is not recorded yet.
+        """
+
+
+class RunLists:
+    """Compares the lists of upstreams with the recorded runs.
+
+    Parameters
+    ----------
+    context : DispatchContext
+        Shared state of the term.
+    stopper : RunStopper
+        Stops runs that should be listed and are not.
+    """
+
+    def __init__(self, context: DispatchContext, stopper: RunStopper) -> None:
+        self._context = context
+        self._stopper = stopper
+        self._observer = RunObserver(context)
+
+    def handle(
+        self, session: UpstreamSession, reply: HoldReply, requested_s: float
+    ) -> None:
+        """Update the runs of an upstream from its lists.
+
+        Parameters
+        ----------
+        session : UpstreamSession
+            The upstream.
+        reply : HoldReply
+            Its lists.
+        requested_s : float
+            Time at which they were requested.
+        """
+        context = self._context
+        listed = {(task.task, task.run) for task in reply.running}
+        ended = {(end.task, end.run) for end in reply.ended}
+        for running in reply.running:
+            self._update_running(session, running)
+        for end in sorted(reply.ended, key=lambda one: one.number):
+            self._handle_listed_end(session, end)
+        for view in tuple(session.runs.values()):
+            if view.key not in listed and view.key not in ended:
+                self._handle_unlisted(session, view, requested_s)
+        if not session.synced:
+            session.synced = True
+            context.must_plan = True
+            context.log_decision(
+                "upstream taken over",
+                upstream=session.upstream_id,
+                running=len(listed),
+                ended=len(ended),
+                room=session.free.accelerators,
+            )
+
+    def _update_running(self, session: UpstreamSession, running: RunningTask) -> None:
+        context = self._context
+        view = session.runs.get((running.task, running.run))
+        if view is None:
+            self._stop_stray(session, running)
+            return
+        if view.phase in (RunPhase.ORDERED, RunPhase.INHERITED):
+            view.phase = RunPhase.RUNNING
+        if view.running_since_s is None:
+            view.running_since_s = context.now_s
+            view.progress_s = context.now_s
+        if view.baseline is None:
+            # A resumed run has done work before, and one whose start was sent more
+            # than once may have begun at any of the copies.
+            view.baseline = ProgressSample(context.now_s, running.percent)
+        if running.percent != view.percent:
+            view.percent = running.percent
+            view.progress_s = context.now_s
+        view.checkpoint = running.checkpoint or view.checkpoint
+        view.load = running.load
+        self._observer.observe(session, view, running.percent)
+
+    def _stop_stray(self, session: UpstreamSession, running: RunningTask) -> None:
+        """Stop a run that is not open in the state."""
+        context = self._context
+        context.log_task_decision(
+            "stray run stopped",
+            running.task,
+            run=running.run,
+            upstream=session.upstream_id,
+        )
+        request = StopRequest(
+            task=running.task, run=running.run, fencing_token=context.term
+        )
+        context.call(session, request, context.terms.order_timeout_s)
+
+    def _handle_listed_end(self, session: UpstreamSession, end: EndedRun) -> None:
+        if end.number <= session.listed_end:
+            return
+        session.listed_end = end.number
+        view = session.runs.get((end.task, end.run))
+        if view is None or self._context.is_ending(view.key):
+            # The state does not need this end, so it is acknowledged at once.
+            if not self._has_unrecorded_ends(session):
+                session.recorded_end = end.number
+            return
+        self._learn_from_end(session, view, end)
+        self._context.queue_end(
+            session, view, end.outcome, end.checkpoint, number=end.number
+        )
+
+    def _has_unrecorded_ends(self, session: UpstreamSession) -> bool:
+        return any(self._context.is_ending(key) for key in session.runs)
+
+    def _learn_from_end(
+        self, session: UpstreamSession, view: RunView, end: EndedRun
+    ) -> None:
+        """Update the health of the upstream and the estimates from the end of a run."""
+        context = self._context
+        health = context.find_health(session.upstream_id)
+        if end.outcome is RunOutcome.DONE:
+            health.note_success()
+            self._observer.observe(session, view, COMPLETED_PERCENT)
+        elif end.outcome is RunOutcome.FAILED:
+            workload_id = view.task.workload_id
+            failed_on = context.backlog.failed_on.setdefault(workload_id, set())
+            failed_on.add(session.upstream_id)
+            if health.note_failure(workload_id, context.now_s):
+                self._log_quarantine(session, health.failed_workloads)
+
+    def _log_quarantine(
+        self, session: UpstreamSession, failed_workloads: dict[str, int]
+    ) -> None:
+        self._context.log_decision(
+            "upstream quarantined",
+            upstream=session.upstream_id,
+            failed_workloads=sorted(failed_workloads),
+        )
+
+    def _handle_unlisted(
+        self, session: UpstreamSession, view: RunView, requested_s: float
+    ) -> None:
+        """Handle a run that an upstream lists neither as running nor as ended."""
+        context = self._context
+        if context.is_ending(view.key):
+            return
+        if view.phase is RunPhase.INHERITED:
+            # The renewal's token makes the upstream refuse orders of earlier leaders.
+            context.queue_end(session, view, RunOutcome.NOT_STARTED)
+            return
+        if (
+            view.expect_listed_after_s is None
+            or requested_s <= view.expect_listed_after_s
+        ):
+            return
+        if view.phase is RunPhase.STOPPING:
+            began = view.running_since_s is not None
+            outcome = RunOutcome.STOPPED if began else RunOutcome.NOT_STARTED
+            context.queue_end(session, view, outcome)
+        elif view.phase is RunPhase.RUNNING:
+            self._stopper.stop(
+                session, view, "not listed by its upstream", StopCause.NOT_LISTED
+            )
