Claim no capacity of runs that do not stop

What callers saw: guaranteed gangs that waited up to 17.5 s while the leader made one claim after the other for them.

Cause: a claim counted on every run in the phase STOPPING, however long ago its stop was ordered or refused. Such a claim has no run to stop, is the cheapest, and so was made again and again on the same upstreams; each held its unit for a second.

Evidence: in grey-over 102 claims of guaranteed work lapsed, most of them without a victim. Ruled out: capacity taken by others, as the lines say taken_by_others=0.

Change: a stopping run counts as about to end for a second after its stop and not after a refusal. A claim whose capacity is no longer about to be free lapses at once, so that the unit can be placed elsewhere.

--- a/tanagerpath/core/workloads/evictions.py
+++ b/tanagerpath/core/workloads/evictions.py
@@ -154,7 +154,7 @@
         return None
     free = free_capacity.find_free(session)
     for view in session.runs.values():
-        if view.phase is RunPhase.STOPPING:
+        if view.ends_soon(fleet.now_s):
             free = free + view.spec.reserved
     fitting = unit.spec.reserved.count_in(free, limit)
     if fitting:
--- a/tanagerpath/core/workloads/preemption.py
+++ b/tanagerpath/core/workloads/preemption.py
@@ -80,6 +80,8 @@
                 self._close(step_key, "claimed room lapsed", "too late")
             elif not self._is_usable(open_claim.claim):
                 self._close(step_key, "claimed room lapsed", "upstream not usable")
+            elif not self._is_expected(open_claim.claim):
+                self._close(step_key, "claimed room lapsed", "capacity not freed")
 
     def _is_usable(self, claim: CapacityClaim) -> bool:
         context = self._context
@@ -93,6 +95,19 @@
                 return False
         return True
 
+    def _is_expected(self, claim: CapacityClaim) -> bool:
+        """Return whether the claimed capacity is free or about to be."""
+        context = self._context
+        needed = claim.unit.spec.reserved
+        return all(
+            needed.count_in(
+                context.sessions[upstream_id].find_free_after_stops(context.now_s),
+                tasks,
+            )
+            >= tasks
+            for upstream_id, tasks in claim.tasks.items()
+        )
+
     def execute(self, plan: Plan) -> None:
         """Carry out the evictions of a plan, and track its claims."""
         self._track_placements(plan)
@@ -147,7 +162,9 @@
         for placement in plan.placements:
             unit, session = placement.unit, placement.session
             upstream_id = session.upstream_id
-            free = free_by_upstream.get(upstream_id, session.free_after_stops)
+            free = free_by_upstream.get(upstream_id)
+            if free is None:
+                free = session.find_free_after_stops(self._context.now_s)
             free_by_upstream[upstream_id] = free = free - unit.spec.reserved
             own = self._open.get(unit.step_key)
             if own is not None and unit.step_key not in blocked:
--- a/tanagerpath/core/workloads/reservations.py
+++ b/tanagerpath/core/workloads/reservations.py
@@ -80,10 +80,12 @@
     for remaining_s, view in free_capacity.list_run_ends(session):
         if needed.fits(free):
             break
-        is_stopping = view.phase is RunPhase.STOPPING
-        if view.spec.long_running and not is_stopping:
+        ends_soon = view.ends_soon(fleet.now_s)
+        if not ends_soon and (
+            view.spec.long_running or view.phase is RunPhase.STOPPING
+        ):
             continue
         free = free + view.spec.reserved
-        if not is_stopping:
+        if not ends_soon:
             free_s = fleet.now_s + remaining_s
     return free_s if needed.fits(free) else math.inf
--- a/tanagerpath/core/workloads/run_driver.py
+++ b/tanagerpath/core/workloads/run_driver.py
@@ -19,6 +19,7 @@
 from tanagerpath.core.workloads.run_lists import RunLists, RunStopper
 from tanagerpath.core.workloads.sessions import (
     MAX_ORDER_DELAY_S,
+    MAX_STOP_S,
     ProgressSample,
     RunKey,
     RunPhase,
@@ -36,8 +37,6 @@
 BLOCKING_STOP_INTERVAL_S = 0.2
 # A start that is repeated at once would be refused again.
 REFUSAL_BACKOFF_S = 1.0
-# A stop takes 0.1 to 0.4 s; one that takes this long is ordered again.
-STOP_REPEAT_S = 1.0
 # Refusals that concern one task only; the upstream may accept other tasks.
 _TASK_REFUSALS = frozenset({Refusal.SUPERSEDED, Refusal.NO_TICKET})
 
@@ -355,7 +354,8 @@
         now_s = self._context.now_s
         view.expect_listed_after_s = now_s
         if view.phase is RunPhase.STOPPING:
-            view.next_order_s = now_s + STOP_REPEAT_S
+            view.next_order_s = now_s + MAX_STOP_S
+            view.is_stop_refused = False
         if view.phase is RunPhase.ORDERED:
             self._context.start_backoff.note_start(view.task.step_key)
             view.phase = RunPhase.RUNNING
@@ -372,13 +372,15 @@
         A refused stop has had no effect, so a delayed start may still be carried out.
         """
         now_s = self._context.now_s
+        view.is_stop_refused = True
+        self._context.must_plan = True
         ordered_s = session.unanswered_starts.get(view.key)
         view.expect_listed_after_s = now_s
         if ordered_s is not None:
             latest_start_s = ordered_s + MAX_ORDER_DELAY_S
             view.expect_listed_after_s = max(now_s, latest_start_s)
         is_passing = refusal is Refusal.UNHEALTHY
-        delay_s = self._context.terms.hold_retry_s if is_passing else STOP_REPEAT_S
+        delay_s = self._context.terms.hold_retry_s if is_passing else MAX_STOP_S
         view.next_order_s = now_s + delay_s
 
     def _handle_refusal(
--- a/tanagerpath/core/workloads/sessions.py
+++ b/tanagerpath/core/workloads/sessions.py
@@ -11,6 +11,7 @@
 
 __all__ = [
     "MAX_ORDER_DELAY_S",
+    "MAX_STOP_S",
     "LeaseTerms",
     "ProgressSample",
     "RunKey",
@@ -23,6 +24,9 @@
 MS_PER_S = 1000.0
 # An unanswered order may still be carried out this much later.
 MAX_ORDER_DELAY_S = 20.0
+# A stop takes 0.1 to 0.4 s. One that takes longer was refused or lost, and its run may
+# go on for as long as its lease.
+MAX_STOP_S = 1.0
 COMPLETED_PERCENT = 100
 # Progress is reported in whole percent; a speed measured over less is inaccurate.
 MIN_OBSERVED_PERCENT = 10
@@ -141,6 +145,8 @@
         Earliest time of the next order.
     stop_reason : str
         Why it is stopped.
+    is_stop_refused : bool
+        Whether the last reply to a stop was a refusal.
     ticket : str
         Ticket that permits the upstream to run it.
     observed : bool
@@ -168,6 +174,7 @@
     orders: int = 0
     next_order_s: float = 0.0
     stop_reason: str = ""
+    is_stop_refused: bool = False
     ticket: str = ""
     observed: bool = False
 
@@ -176,6 +183,12 @@
         """Identity of the run."""
         return self.task, self.run
 
+    def ends_soon(self, now_s: float) -> bool:
+        """Return whether a stop is expected to free its capacity shortly."""
+        if self.phase is not RunPhase.STOPPING or self.is_stop_refused:
+            return False
+        return now_s < self.entered_s + MAX_STOP_S
+
     def is_same_gang(self, other: "RunView") -> bool:
         """Return whether another run is a member of the same gang run."""
         return (
@@ -190,6 +203,7 @@
         self.phase = phase
         self.entered_s = now_s
         self.orders = 0
+        self.is_stop_refused = False
         self.next_order_s = now_s
         self.expect_listed_after_s = None
 
@@ -323,12 +337,11 @@
         """Capacity that no recorded run reserves."""
         return self.record.capacity - self.used
 
-    @property
-    def free_after_stops(self) -> Resources:
-        """Free capacity once the stopping runs have ended."""
+    def find_free_after_stops(self, now_s: float) -> Resources:
+        """Return the free capacity once the runs that end soon have ended."""
         free = self.free
         for view in self.runs.values():
-            if view.phase is RunPhase.STOPPING:
+            if view.ends_soon(now_s):
                 free = free + view.spec.reserved
         return free
 
