Bound the waits that refused and failed starts cause

What callers saw: guaranteed gangs that did not begin although the upstreams accepted work again (on the rig 6.6 s after 5 s of refusals, and never where gangs of others had been refused).

Cause: each refused member of a gang doubled the backoff of its step, up to 8 s. A refusal as unhealthy counted as a failed run, so that two of them put the upstream into quarantine, and after it on probation until a run of a single task succeeded there. Gangs got no start on probation, and where all work comes in gangs nothing ever tests such an upstream. Class: a wait without regard to the bound of the work, and a state without a way out.

Evidence: the rig, all eight upstreams on probation for good. Ruled out: missing capacity, as all upstreams were idle.

Change: a refusal as unhealthy delays the next start on that upstream by 1 s, then 2 s, and lowers its rank until it accepts one. A refused gang run counts once for the backoff, and guaranteed work may use free capacity during it, but preempts nothing. Guaranteed work that finds no other place may use upstreams on probation.

test_guaranteed_gang_starts_once_refused_starts_are_accepted and test_guaranteed_gang_starts_after_all_upstreams_have_refused_others failed before and pass now.

--- a/tanagerpath/core/workloads/deadline_policy.py
+++ b/tanagerpath/core/workloads/deadline_policy.py
@@ -98,19 +98,36 @@
             plan.blocked.append(unit)
             return True
         left = self._place(unit, free_capacity, fleet, plan)
+        if not left:
+            return True
+        rest = attrs.evolve(unit, indexes=left)
+        if self._claim_for(rest, free_capacity, fleet, plan):
+            plan.blocked.append(unit)
+            return True
+        if not unit.is_guaranteed:
+            plan.blocked.append(unit)
+            return False
+        # An upstream that may fail the work is better than none within the bound.
+        free_capacity.allow_probation(unit)
+        left = self._place(rest, free_capacity, fleet, plan)
         if not left:
             return True
         plan.blocked.append(unit)
+        rest = attrs.evolve(unit, indexes=left)
+        return self._claim_for(rest, free_capacity, fleet, plan)
+
+    def _claim_for(
+        self, unit: PlanUnit, free_capacity: FreeCapacity, fleet: FleetView, plan: Plan
+    ) -> bool:
+        """Claim capacity for work that does not fit; return False if it can't."""
         if not self._may_preempt(unit, fleet):
             return False
         sessions = self._list_candidates(unit, free_capacity, fleet)
         on_time = self._filter_on_time(unit, sessions, fleet)
-        if self._claim(
-            unit, ClaimCause.LATE, left, on_time, free_capacity, fleet, plan
-        ):
+        if self._claim(unit, ClaimCause.LATE, on_time, free_capacity, fleet, plan):
             return True
         cause = ClaimCause.GUARANTEED if unit.is_guaranteed else ClaimCause.NO_ROOM
-        return self._claim(unit, cause, left, sessions, free_capacity, fleet, plan)
+        return self._claim(unit, cause, sessions, free_capacity, fleet, plan)
 
     def _reserve(
         self, unit: PlanUnit, free_capacity: FreeCapacity, fleet: FleetView
@@ -194,9 +211,7 @@
         candidates = self._list_candidates(unit, free_capacity, fleet)
         sessions = self._filter_on_time(unit, candidates, fleet)
         cause = ClaimCause.LATE
-        return self._claim(
-            unit, cause, unit.indexes, sessions, free_capacity, fleet, plan
-        )
+        return self._claim(unit, cause, sessions, free_capacity, fleet, plan)
 
     def _filter_on_time(
         self, unit: PlanUnit, sessions: Iterable[UpstreamSession], fleet: FleetView
@@ -217,6 +232,11 @@
         ]
         return healthy or suitable
 
+    def _is_suspect(self, session: UpstreamSession, fleet: FleetView) -> bool:
+        """Return whether the last run there failed or the last start was refused."""
+        health = fleet.health[session.upstream_id]
+        return health.is_suspect or session.refused_all_count > 0
+
     def _order(
         self,
         unit: PlanUnit,
@@ -245,7 +265,7 @@
             )
             return (
                 is_remote,
-                fleet.health[session.upstream_id].is_suspect,
+                self._is_suspect(session, fleet),
                 not prefers_slow,
                 speed_step if prefers_slow else -speed_step,
                 free.find_dominant_share(session.record.capacity),
@@ -399,7 +419,7 @@
         placed = Counter(
             placement.session.upstream_id
             for placement in plan.placements
-            if placement.unit is unit
+            if placement.unit.step_key == unit.step_key
         )
         free_capacity.hold(claim, placed, len(unit.indexes) - placed.total())
 
@@ -413,6 +433,8 @@
     ) -> None:
         """Place a unit, but not on upstreams slower than all claimed ones."""
         free_capacity.release(unit)
+        if unit.is_guaranteed:
+            free_capacity.allow_probation(unit)
         run_times_s = (
             fleet.predict_run_s(unit, session)
             for session in free_capacity.sessions
@@ -434,7 +456,7 @@
         which would take the freed capacity and be preempted again. Work beyond a
         guarantee that has made `MAX_CLAIMS` claims has to wait for free capacity.
         """
-        if unit.queue.priority > 0:
+        if unit.queue.priority > 0 or not unit.may_claim:
             return False
         if unit.is_guaranteed:
             return True
@@ -445,23 +467,19 @@
         self,
         unit: PlanUnit,
         cause: ClaimCause,
-        left: tuple[int, ...],
         candidates: list[UpstreamSession],
         free_capacity: FreeCapacity,
         fleet: FleetView,
         plan: Plan,
     ) -> bool:
         """Claim capacity for urgent work unless preemption would lose too much work."""
-        sessions = [
-            one
-            for one in candidates
-            if not fleet.health[one.upstream_id].is_on_probation
-        ]
+        sessions = [one for one in candidates if free_capacity.is_proven_for(unit, one)]
         terms = EvictionTerms(
             may_be_remote=self._is_locality_wait_over(unit, fleet),
             max_stops=math.inf if cause is ClaimCause.GUARANTEED else MAX_STOPS,
         )
-        found = find_evictions(unit, len(left), sessions, free_capacity, fleet, terms)
+        count = len(unit.indexes)
+        found = find_evictions(unit, count, sessions, free_capacity, fleet, terms)
         if found is None:
             return False
         work_cores_s = fleet.predict_cores_s(unit)
--- a/tanagerpath/core/workloads/dispatcher.py
+++ b/tanagerpath/core/workloads/dispatcher.py
@@ -1,5 +1,7 @@
 """Decisions of the leader on workloads: which runs start, stop and are recorded."""
 
+import attrs
+
 from tanagerpath.core.coordination import (
     Effect,
     Instant,
@@ -431,13 +433,21 @@
         return context.backlog.list_units(context.now.unix_s, context.coverage.covered)
 
     def _filter_backoff(self, units: list[PlanUnit]) -> list[PlanUnit]:
-        """Return the units whose step is not in backoff."""
-        context = self._context
-        return [
-            unit
-            for unit in units
-            if not context.start_backoff.must_wait(unit.step_key, context.now_s)
-        ]
+        """Return the units that may start now.
+
+        During its backoff guaranteed work may use free capacity but preempts nothing;
+        other work waits.
+        """
+        ready = []
+        for unit in units:
+            if not self._is_backing_off(unit):
+                ready.append(unit)
+            elif unit.is_guaranteed:
+                ready.append(attrs.evolve(unit, may_claim=False))
+        return ready
+
+    def _is_backing_off(self, unit: PlanUnit) -> bool:
+        return self._context.start_backoff.must_wait(unit.step_key, self._context.now_s)
 
     def _report_waits(
         self, waiting: list[PlanUnit], ready: list[PlanUnit], plan: Plan
@@ -459,12 +469,10 @@
                 continue
             if unit.step_key in claims:
                 reason = "claimed capacity is not free yet"
+            elif self._is_backing_off(unit):
+                reason = "backoff after refused starts"
             elif unit.step_key in ready_keys:
                 reason = "no capacity"
-            elif self._context.start_backoff.must_wait(
-                unit.step_key, self._context.now_s
-            ):
-                reason = "backoff after refused starts"
             else:
                 reason = "no tickets"
             reasons[unit.step_key] = (unit, reason)
--- a/tanagerpath/core/workloads/free_capacity.py
+++ b/tanagerpath/core/workloads/free_capacity.py
@@ -32,6 +32,7 @@
         self._planned: dict[tuple[str, StepKey], int] = {}
         self._full_for: set[Resources] = set()
         self._held: dict[StepKey, dict[str, int]] = {}
+        self._may_probe: set[StepKey] = set()
         self._claimed: set[tuple[str, StepKey]] = set()
 
     def find_free(self, session: UpstreamSession) -> Resources:
@@ -118,12 +119,22 @@
             taken = session.count_step_runs(unit.make_task_id(0))
             taken += self._planned.get((session.upstream_id, unit.step_key), 0)
             limit = min(limit, max(bound - taken, 0))
-        health = self._fleet.health[session.upstream_id]
-        if health.is_on_probation:
+        if not self.is_proven_for(unit, session):
             # A single run tests whether the upstream works again.
             limit = 0 if session.runs or unit.spec.gang else min(limit, 1)
         return limit
 
+    def allow_probation(self, unit: PlanUnit) -> None:
+        """Let a unit use upstreams on probation like others."""
+        self._may_probe.add(unit.step_key)
+        self._full_for.clear()
+
+    def is_proven_for(self, unit: PlanUnit, session: UpstreamSession) -> bool:
+        """Return whether a unit may use an upstream without a prior test."""
+        if unit.step_key in self._may_probe:
+            return True
+        return not self._fleet.health[session.upstream_id].is_on_probation
+
     def _conflicts_with_reservation(
         self, unit: PlanUnit, session: UpstreamSession
     ) -> bool:
--- a/tanagerpath/core/workloads/policy.py
+++ b/tanagerpath/core/workloads/policy.py
@@ -63,6 +63,8 @@
         Whether one more failure ends the workload.
     tickets : dict of str to str or None
         Tickets by upstream; None if no ticket is needed.
+    may_claim : bool
+        Whether it may preempt other runs.
     """
 
     record: WorkloadRecord
@@ -77,6 +79,7 @@
     avoided: frozenset[str] = frozenset()
     is_last_attempt: bool = False
     tickets: dict[str, str] | None = None
+    may_claim: bool = True
 
     @property
     def spec(self) -> StepSpec:
--- a/tanagerpath/core/workloads/resources.py
+++ b/tanagerpath/core/workloads/resources.py
@@ -40,6 +40,11 @@
             self.accelerators - other.accelerators,
         )
 
+    @property
+    def is_any(self) -> bool:
+        """Whether any amount is above 0."""
+        return self != _NONE
+
     def fits(self, available: "Resources") -> bool:
         """Return whether this fits into `available`."""
         return (
@@ -77,3 +82,6 @@
     def weighted_cores(self) -> float:
         """Cores, with each accelerator counted as `ACCELERATOR_CORES`."""
         return self.cpu_millicores / 1000 + self.accelerators * ACCELERATOR_CORES
+
+
+_NONE = Resources()
--- a/tanagerpath/core/workloads/run_driver.py
+++ b/tanagerpath/core/workloads/run_driver.py
@@ -15,11 +15,11 @@
     StartRequest,
     StopRequest,
 )
-from tanagerpath.core.workloads.resources import Resources
 from tanagerpath.core.workloads.run_lists import RunLists, RunStopper
 from tanagerpath.core.workloads.sessions import (
     MAX_ORDER_DELAY_S,
     MAX_STOP_S,
+    REFUSAL_BACKOFF_S,
     ProgressSample,
     RunKey,
     RunPhase,
@@ -35,8 +35,6 @@
 UNRECORDED_HOLD_INTERVAL_S = 1.0
 # Interval of the harmless stops that keep runs of an earlier incarnation from starting.
 BLOCKING_STOP_INTERVAL_S = 0.2
-# A start that is repeated at once would be refused again.
-REFUSAL_BACKOFF_S = 1.0
 # Refusals that concern one task only; the upstream may accept other tasks.
 _TASK_REFUSALS = frozenset({Refusal.SUPERSEDED, Refusal.NO_TICKET})
 
@@ -306,7 +304,7 @@
             session.unanswered_starts.pop(view.key, None)
         match reply:
             case OrderDone():
-                self._handle_done(view)
+                self._handle_done(session, view)
             case OrderRefused(refusal):
                 self._handle_refusal(session, view, request, refusal)
 
@@ -350,7 +348,7 @@
         if session.listed_end > session.recorded_end:
             session.next_hold_s = context.now_s + UNRECORDED_HOLD_INTERVAL_S
 
-    def _handle_done(self, view: RunView) -> None:
+    def _handle_done(self, session: UpstreamSession, view: RunView) -> None:
         now_s = self._context.now_s
         view.expect_listed_after_s = now_s
         if view.phase is RunPhase.STOPPING:
@@ -358,6 +356,7 @@
             view.is_stop_refused = False
         if view.phase is RunPhase.ORDERED:
             self._context.start_backoff.note_start(view.task.step_key)
+            session.refused_all_count = 0
             view.phase = RunPhase.RUNNING
             view.running_since_s = now_s
             view.progress_s = now_s
@@ -402,16 +401,12 @@
         if view.phase is RunPhase.STOPPING:
             self._handle_refused_stop(session, view, refusal)
             return
-        if refusal not in _TASK_REFUSALS:
-            is_unhealthy = refusal is Refusal.UNHEALTHY
-            needs = Resources() if is_unhealthy else view.spec.reserved
-            until_s = context.now_s + REFUSAL_BACKOFF_S
-            session.note_refusal(needs, context.now_s, until_s)
-            context.start_backoff.note_refusal(view.task.step_key, context.now_s)
         if refusal is Refusal.UNHEALTHY:
-            context.find_health(session.upstream_id).note_failure(
-                view.task.workload_id, context.now_s
-            )
+            session.note_unhealthy(context.now_s)
+        elif refusal not in _TASK_REFUSALS:
+            until_s = context.now_s + REFUSAL_BACKOFF_S
+            session.note_refusal(view.spec.reserved, context.now_s, until_s)
+            context.start_backoff.note_refusal(view, context.now_s)
         if view.orders > 1:
             # An earlier copy without a reply may have been carried out.
             self.stop(session, view, f"refused as {refusal}", StopCause.REFUSED)
--- a/tanagerpath/core/workloads/sessions.py
+++ b/tanagerpath/core/workloads/sessions.py
@@ -12,6 +12,7 @@
 __all__ = [
     "MAX_ORDER_DELAY_S",
     "MAX_STOP_S",
+    "REFUSAL_BACKOFF_S",
     "LeaseTerms",
     "ProgressSample",
     "RunKey",
@@ -27,6 +28,10 @@
 # A stop takes 0.1 to 0.4 s. One that takes longer was refused or lost, and its run may
 # go on for as long as its lease.
 MAX_STOP_S = 1.0
+# A start that is repeated at once would be refused again.
+REFUSAL_BACKOFF_S = 1.0
+# Below the bound of guaranteed starts, so that an upstream that has recovered is used.
+MAX_REFUSAL_BACKOFF_S = 2.0
 COMPLETED_PERCENT = 100
 # Progress is reported in whole percent; a speed measured over less is inaccurate.
 MIN_OBSERVED_PERCENT = 10
@@ -288,6 +293,9 @@
         Time until which no start of `refused_needs` or more is sent.
     refused_needs : Resources
         Resources of the smallest task that it has refused.
+    refused_all_count : int
+        Starts that it has refused as unhealthy, in a row and each after the wait for
+        the one before.
     is_cordoned : bool
         Whether it gets no new runs, as the upkeep of its VM is near.
     unanswered_starts : dict of RunKey to float
@@ -322,6 +330,7 @@
     opened_s: float = 0.0
     refused_until_s: float = 0.0
     refused_needs: Resources = Resources()
+    refused_all_count: int = 0
     is_cordoned: bool = False
     unanswered_starts: dict[RunKey, float] = attrs.Factory(dict)
     fenced_runs: dict[RunKey, float] = attrs.Factory(dict)
@@ -372,6 +381,19 @@
             self.refused_needs = needs
         self.refused_until_s = until_s
 
+    def note_unhealthy(self, now_s: float) -> None:
+        """Record a start that was refused for the state of the upstream.
+
+        No start is tried for a time that doubles with each refusal in a row.
+        """
+        if now_s < self.refused_until_s and not self.refused_needs.is_any:
+            return
+        delay_s = REFUSAL_BACKOFF_S * 2.0**self.refused_all_count
+        self.refused_all_count += 1
+        self.note_refusal(
+            Resources(), now_s, now_s + min(delay_s, MAX_REFUSAL_BACKOFF_S)
+        )
+
     def would_refuse(self, needs: Resources, now_s: float) -> bool:
         """Return whether a start is expected to be refused, like a recent one."""
         return now_s < self.refused_until_s and self.refused_needs.fits(needs)
--- a/tanagerpath/core/workloads/start_backoff.py
+++ b/tanagerpath/core/workloads/start_backoff.py
@@ -2,6 +2,7 @@
 
 import attrs
 
+from tanagerpath.core.workloads.sessions import RunView
 from tanagerpath.core.workloads.specs import StepKey
 
 __all__ = ["StartBackoff"]
@@ -17,6 +18,7 @@
     """Consecutive refused starts, and the instant until which the step waits."""
 
     count: int = 0
+    last_run: int = 0
     until_s: float = 0.0
 
 
@@ -30,9 +32,15 @@
     def __init__(self) -> None:
         self._backoffs: dict[StepKey, _StepBackoff] = {}
 
-    def note_refusal(self, step_key: StepKey, now_s: float) -> None:
-        """Count a refused start of a step; delay the next one after too many."""
-        backoff = self._backoffs.setdefault(step_key, _StepBackoff())
+    def note_refusal(self, view: RunView, now_s: float) -> None:
+        """Count a refused start of a step; delay the next one after too many.
+
+        The members of a gang run are refused together and count once.
+        """
+        backoff = self._backoffs.setdefault(view.task.step_key, _StepBackoff())
+        if view.spec.gang and view.run == backoff.last_run:
+            return
+        backoff.last_run = view.run
         backoff.count += 1
         if backoff.count > IMMEDIATE_RETRIES and now_s >= backoff.until_s:
             doublings = backoff.count - IMMEDIATE_RETRIES - 1
