Let guaranteed work reclaim its capacity from all work beyond guarantees

Cause: two rules decided who may be preempted. A guarantee covers a workload whatever runs on its capacity, but a run was preempted only if its priority was lower and it was not long-running. An upstream also offered only the first preemption that frees capacity for one task, so that a gang that needed several tasks there found none. Class: a promise that one rule makes and another one does not enforce.

Ruled out: late claims; no claim was made at all.

Change: one rule. Work that reclaims its guarantee may preempt every run that no guarantee covers; runs of lower priority come first, and serving tasks keep their availability. Covered work is never preempted and ranks before what it preempts, so preemptions can't go round in a circle; to keep that true when workloads end, a workload stays covered until its end or until the guarantee is lowered. An upstream makes further offers after the first.

--- a/tanagerpath/core/workloads/coverage.py
+++ b/tanagerpath/core/workloads/coverage.py
@@ -38,7 +38,9 @@
     """Covers workloads of priority 0 in the order of their acceptance.
 
     A workload is covered if its largest step fits into the accelerators that earlier
-    ones leave of the guarantee.
+    ones leave of the guarantee. It stays covered until it ends or the guarantee is
+    lowered; otherwise covered work could be preempted for a larger workload that fits
+    once an earlier one has ended.
 
     Parameters
     ----------
@@ -71,7 +73,8 @@
             for one in organisations
         }
         urgent = [record for record in records if self._is_urgent(record)]
-        covered = {record.workload_id for record in urgent if self._try_cover(record)}
+        by_cover = sorted(urgent, key=lambda one: one.workload_id not in self.covered)
+        covered = {record.workload_id for record in by_cover if self._try_cover(record)}
         unfinished = {record.workload_id for record in urgent}
         changed = (self.covered ^ covered) & unfinished
         self.covered = frozenset(covered)
--- a/tanagerpath/core/workloads/deadline_policy.py
+++ b/tanagerpath/core/workloads/deadline_policy.py
@@ -25,8 +25,6 @@
 
 # Rounds speeds, so that tasks are packed on similar upstreams before they spread.
 SPEED_STEPS_PER_UNIT = 4
-# Only guaranteed work that fits nowhere preempts a task more often than this.
-MAX_STOPS = 3
 # Claims that work beyond a guarantee may make for one occurrence of a step.
 MAX_CLAIMS = 3
 
@@ -476,7 +474,7 @@
         sessions = [one for one in candidates if free_capacity.is_proven_for(unit, one)]
         terms = EvictionTerms(
             may_be_remote=self._is_locality_wait_over(unit, fleet),
-            max_stops=math.inf if cause is ClaimCause.GUARANTEED else MAX_STOPS,
+            reclaims=cause is ClaimCause.GUARANTEED,
         )
         count = len(unit.indexes)
         found = find_evictions(unit, count, sessions, free_capacity, fleet, terms)
@@ -487,14 +485,16 @@
             found.lost_cores_s > self._terms.eviction_factor * work_cores_s
         ):
             return False
-        for session, count in found.allocations:
-            free_capacity.take(unit, session, count)
+        for session in sessions:
+            if found.allocations[session.upstream_id]:
+                count = found.allocations[session.upstream_id]
+                free_capacity.take(unit, session, count)
         plan.evictions += found.evictions
         plan.claims.append(
             CapacityClaim(
                 unit=unit,
                 cause=cause,
-                tasks={one.upstream_id: count for one, count in found.allocations},
+                tasks=dict(found.allocations),
                 misses_hard_deadline=fleet.misses_hard_deadline(unit),
                 work_cores_s=work_cores_s,
                 lost_cores_s=found.lost_cores_s,
--- a/tanagerpath/core/workloads/dispatcher.py
+++ b/tanagerpath/core/workloads/dispatcher.py
@@ -489,6 +489,7 @@
             remote_factor=context.terms.remote_factor,
             checkpoint_interval_s=context.terms.checkpoint_interval_s,
             preemption=self._preemption.history,
+            covered=context.coverage.covered,
         )
 
     def _start(self, placement: Placement, runs: dict[StepKey, int]) -> RunStart:
--- a/tanagerpath/core/workloads/evictions.py
+++ b/tanagerpath/core/workloads/evictions.py
@@ -1,10 +1,13 @@
 """Choice of the runs that are preempted for urgent work.
 
-A task is preempted at most `EvictionTerms.max_stops` times, so that it completes
-however much urgent work arrives; only guaranteed work that fits nowhere has no limit.
+Work that reclaims its guarantee may preempt every run that no guarantee covers, since
+others only borrow that capacity. Preemptions do not go round in a circle: covered work
+is never preempted, and ranks before all work that it preempts. Other urgent work
+preempts only lower priorities, and each task at most `MAX_STOPS` times.
 """
 
-import math
+from collections import Counter
+from collections.abc import Iterator
 
 import attrs
 
@@ -12,7 +15,10 @@
 from tanagerpath.core.workloads.policy import Eviction, FleetView, PlanUnit
 from tanagerpath.core.workloads.sessions import RunPhase, RunView, UpstreamSession
 
-__all__ = ["EvictionPlan", "EvictionTerms", "find_evictions"]
+__all__ = ["MAX_STOPS", "EvictionPlan", "EvictionTerms", "find_evictions"]
+
+# Only work that reclaims its guarantee preempts a task more often than this.
+MAX_STOPS = 3
 
 # Capacity is idle for this long while one run stops and another starts.
 RESTART_S = 0.3
@@ -26,31 +32,80 @@
     ----------
     may_be_remote : bool
         Whether the unit may start outside its rack or spread over racks.
-    max_stops : float
-        Number of preemptions after which a task is no longer preempted.
+    reclaims : bool
+        Whether the unit reclaims the guarantee of its organisation.
     """
 
     may_be_remote: bool = True
-    max_stops: float = math.inf
+    reclaims: bool = False
 
 
 @attrs.define(eq=False)
 class EvictionPlan:
-    """Upstreams for all tasks of a unit, and the runs to preempt there."""
+    """Upstreams for all tasks of a unit, and the runs to preempt there.
+
+    Attributes
+    ----------
+    allocations : Counter of str
+        Number of tasks by upstream.
+    evictions : list of Eviction
+        The runs.
+    has_sensitive : bool
+        Whether one of them is urgent or long-running.
+    lost_cores_s : float
+        Core seconds of work that they lose.
+    """
 
-    allocations: list[tuple[UpstreamSession, int]] = attrs.Factory(list)
+    allocations: Counter[str] = attrs.Factory(Counter)
     evictions: list[Eviction] = attrs.Factory(list)
+    has_sensitive: bool = False
     lost_cores_s: float = 0.0
 
+    @property
+    def rank(self) -> tuple[bool, float]:
+        """Sort key; plans that spare urgent and long-running work come first."""
+        return self.has_sensitive, self.lost_cores_s
+
+    def add(self, unit: PlanUnit, offer: "_UpstreamOffer", tasks: int) -> None:
+        """Accept an offer for some tasks of a unit."""
+        self.allocations[offer.session.upstream_id] += tasks
+        self.evictions += [
+            Eviction(offer.session, victim.view, unit, victim.lost_cores_s)
+            for victim in offer.victims
+        ]
+        self.has_sensitive = self.has_sensitive or offer.has_sensitive
+        self.lost_cores_s += offer.lost_cores_s
+
+
+@attrs.frozen(order=True)
+class _Victim:
+    """A run that may be preempted, in the order of preference."""
+
+    is_sensitive: bool
+    lost_cores_s: float
+    number: int
+    view: RunView = attrs.field(order=False)
+
 
 @attrs.frozen(eq=False)
 class _UpstreamOffer:
-    """Tasks that fit on one upstream once `victims` are preempted."""
+    """Further tasks that fit on one upstream once `victims` are preempted."""
 
     session: UpstreamSession
     count: int
-    victims: tuple[tuple[float, RunView], ...]
-    lost_cores_s: float
+    victims: tuple[_Victim, ...] = ()
+
+    @property
+    def lost_cores_s(self) -> float:
+        return sum(victim.lost_cores_s for victim in self.victims)
+
+    @property
+    def has_sensitive(self) -> bool:
+        return any(victim.is_sensitive for victim in self.victims)
+
+    def rank(self, wanted: int) -> tuple[bool, float]:
+        """Return the sort key of the offer for a number of tasks."""
+        return self.has_sensitive, self.lost_cores_s / min(self.count, wanted)
 
 
 def find_evictions(
@@ -90,7 +145,7 @@
     found = [plan for plan in plans if plan is not None]
     if not found and terms.may_be_remote and groups != [sessions]:
         return _make_plan(unit, count, sessions, free_capacity, fleet, terms)
-    return min(found, key=lambda plan: plan.lost_cores_s, default=None)
+    return min(found, key=lambda plan: plan.rank, default=None)
 
 
 def _list_groups(
@@ -118,57 +173,56 @@
 ) -> EvictionPlan | None:
     plan = EvictionPlan()
     left = count
-    offers = [
-        offer
+    sequences = [
+        _list_offers(unit, count, session, free_capacity, fleet, terms)
         for session in sessions
-        if (offer := _make_offer(unit, count, session, free_capacity, fleet, terms))
     ]
+    heads = [(offer, later) for later in sequences if (offer := next(later, None))]
     while left:
-        if not offers:
+        if not heads:
             return None
-        best = min(
-            offers, key=lambda offer: offer.lost_cores_s / min(offer.count, left)
-        )
+        head = min(heads, key=lambda one: one[0].rank(left))
+        heads.remove(head)
+        best, later = head
         taken = min(best.count, left)
-        plan.allocations.append((best.session, taken))
-        plan.evictions += [
-            Eviction(best.session, victim, unit, cost) for cost, victim in best.victims
-        ]
-        plan.lost_cores_s += best.lost_cores_s
+        plan.add(unit, best, taken)
         left -= taken
-        offers.remove(best)
+        following = next(later, None)
+        if following is not None:
+            heads.append((following, later))
     return plan
 
 
-def _make_offer(
+def _list_offers(
     unit: PlanUnit,
     count: int,
     session: UpstreamSession,
     free_capacity: FreeCapacity,
     fleet: FleetView,
     terms: EvictionTerms,
-) -> _UpstreamOffer | None:
-    """Return the offer of one upstream that needs the fewest evictions."""
+) -> Iterator[_UpstreamOffer]:
+    """Return the offers of one upstream, each in addition to those before it."""
     limit = free_capacity.limit_tasks(unit, session, count)
     if not limit:
-        return None
+        return
     free = free_capacity.find_free(session)
     for view in session.runs.values():
         if view.ends_soon(fleet.now_s):
             free = free + view.spec.reserved
-    fitting = unit.spec.reserved.count_in(free, limit)
-    if fitting:
-        return _UpstreamOffer(session, fitting, (), 0.0)
-    victims: list[tuple[float, RunView]] = []
-    lost = 0.0
-    for cost, _, view in sorted(_list_victims(unit, session, fleet, terms)):
-        victims.append((cost, view))
-        lost += cost
-        free = free + view.spec.reserved
+    offered = unit.spec.reserved.count_in(free, limit)
+    if offered:
+        yield _UpstreamOffer(session, offered)
+    victims: list[_Victim] = []
+    for victim in sorted(_list_victims(unit, session, fleet, terms)):
+        if offered >= limit:
+            return
+        victims.append(victim)
+        free = free + victim.view.spec.reserved
         fitting = unit.spec.reserved.count_in(free, limit)
-        if fitting:
-            return _UpstreamOffer(session, fitting, tuple(victims), lost)
-    return None
+        if fitting > offered:
+            yield _UpstreamOffer(session, fitting - offered, tuple(victims))
+            offered = fitting
+            victims = []
 
 
 def _list_victims(
@@ -176,18 +230,35 @@
     session: UpstreamSession,
     fleet: FleetView,
     terms: EvictionTerms,
-) -> list[tuple[float, int, RunView]]:
+) -> list[_Victim]:
     """Return the permitted runs with the core seconds that each would lose."""
     return [
-        (_estimate_loss(view, fleet), number, view)
+        _Victim(
+            view.spec.long_running or view.priority <= unit.queue.priority,
+            _estimate_loss(view, fleet),
+            number,
+            view,
+        )
         for number, view in enumerate(session.runs.values())
-        if view.priority > unit.queue.priority
-        and view.phase in (RunPhase.RUNNING, RunPhase.ORDERED)
-        and not view.spec.long_running
-        and fleet.preemption.stops[view.task] < terms.max_stops
+        if view.phase in (RunPhase.RUNNING, RunPhase.ORDERED)
+        and _may_preempt(unit, view, fleet, terms)
     ]
 
 
+def _may_preempt(
+    unit: PlanUnit, view: RunView, fleet: FleetView, terms: EvictionTerms
+) -> bool:
+    """Return whether a unit may preempt a run."""
+    if terms.reclaims:
+        is_covered = view.task.workload_id in fleet.covered
+        return not is_covered and view.key not in fleet.protected_runs
+    return (
+        view.priority > unit.queue.priority
+        and not view.spec.long_running
+        and fleet.preemption.stops[view.task] < MAX_STOPS
+    )
+
+
 def _estimate_loss(view: RunView, fleet: FleetView) -> float:
     """Return the cost of a preemption in core seconds; a gang stops as a whole.
 
--- a/tanagerpath/core/workloads/policy.py
+++ b/tanagerpath/core/workloads/policy.py
@@ -2,10 +2,12 @@
 
 import abc
 import enum
+import functools
 from collections import Counter
 
 import attrs
 
+from tanagerpath.core.workloads.availability import list_protected_runs
 from tanagerpath.core.workloads.configuration import Queue
 from tanagerpath.core.workloads.estimates import RunEstimates
 from tanagerpath.core.workloads.health import UpstreamHealth
@@ -13,6 +15,7 @@
 from tanagerpath.core.workloads.sessions import (
     COMPLETED_PERCENT,
     ProgressSample,
+    RunKey,
     RunView,
     UpstreamSession,
 )
@@ -183,6 +186,8 @@
         Seconds of work between checkpoints.
     preemption : PreemptionHistory
         Preemptions so far and open claims.
+    covered : frozenset of str
+        Workloads that the guarantees of their organisations cover.
     """
 
     now_s: float
@@ -193,8 +198,14 @@
     remote_factor: float = 3.0
     checkpoint_interval_s: float = 1.0
     preemption: PreemptionHistory = attrs.Factory(PreemptionHistory)
+    covered: frozenset[str] = frozenset()
     _work_s: dict[tuple[str, int], float] = attrs.field(factory=dict, init=False)
 
+    @functools.cached_property
+    def protected_runs(self) -> frozenset[RunKey]:
+        """Runs that must not be stopped; see `list_protected_runs`."""
+        return list_protected_runs(self.sessions)
+
     def find_waited_s(self, unit: PlanUnit) -> float:
         """Return the seconds since the arrival of a unit."""
         return max(self.unix_s - unit.arrival_unix_s, 0.0)
--- a/tanagerpath/core/workloads/tests/test_preemption.py
+++ b/tanagerpath/core/workloads/tests/test_preemption.py
@@ -6,8 +6,8 @@
 import testtools
 
 from tanagerpath.core.workloads import commands
-from tanagerpath.core.workloads.deadline_policy import MAX_STOPS
 from tanagerpath.core.workloads.dispatch_context import DispatchTerms
+from tanagerpath.core.workloads.evictions import MAX_STOPS
 from tanagerpath.core.workloads.learned import LearnedFleet, LearnedSpeed
 from tanagerpath.core.workloads.orders import Refusal
 from tanagerpath.core.workloads.resources import Resources
--- a/tanagerpath/core/workloads/upkeep.py
+++ b/tanagerpath/core/workloads/upkeep.py
@@ -3,6 +3,7 @@
 import attrs
 
 from tanagerpath.core.coordination import CallUpstream, Propose
+from tanagerpath.core.workloads.availability import count_unavailable
 from tanagerpath.core.workloads.commands import RecordUpkeep
 from tanagerpath.core.workloads.dispatch_context import DispatchContext
 from tanagerpath.core.workloads.orders import (
@@ -13,7 +14,7 @@
 )
 from tanagerpath.core.workloads.records import WaveRecord
 from tanagerpath.core.workloads.run_driver import RunDriver
-from tanagerpath.core.workloads.sessions import RunPhase, StopCause, UpstreamSession
+from tanagerpath.core.workloads.sessions import StopCause, UpstreamSession
 
 __all__ = ["PLATFORM_ID", "UpkeepController"]
 
@@ -150,25 +151,14 @@
         for view in session.runs.values():
             if not view.spec.long_running:
                 continue
-            step_key = (view.task.workload_id, view.task.occurrence, view.task.step)
-            unavailable = self._count_unavailable(step_key, view.spec.count)
+            unavailable = count_unavailable(
+                self._context.sessions.values(), view.task.step_key, view.spec.count
+            )
             here = session.count_step_runs(view.task)
             if unavailable + here > max(view.spec.max_unavailable, 1):
                 return False
         return True
 
-    def _count_unavailable(self, step_key: tuple[str, int, int], count: int) -> int:
-        """Return the number of tasks of a long-running step that are not ready."""
-        ready = {
-            view.task
-            for session in self._context.sessions.values()
-            for view in session.runs.values()
-            if (view.task.workload_id, view.task.occurrence, view.task.step) == step_key
-            and view.phase is RunPhase.RUNNING
-            and view.percent >= 100
-        }
-        return count - len(ready)
-
     def _drive(self, upkeep: _Upkeep) -> None:
         context = self._context
         session = self._find_session(upkeep.vm_id)
