Do not put off the end of a run with each repeated stop

A run that is neither listed as running nor as ended counts as ended if the list was requested after the reply to its stop. Stops are repeated each second, renewals wait up to 1.5 s, and each reply moved the time forward, so that no list was ever requested late enough.

Change: the time of the first accepted stop counts. test_repeated_stops_do_not_put_off_the_end_of_a_run_that_never_started failed before and passes now.

--- a/tanagerpath/core/workloads/run_driver.py
+++ b/tanagerpath/core/workloads/run_driver.py
@@ -350,7 +350,11 @@
 
     def _handle_done(self, session: UpstreamSession, view: RunView) -> None:
         now_s = self._context.now_s
-        view.expect_listed_after_s = now_s
+        # The reply to a repeated order must not put off the time of the first one.
+        earliest_s = view.expect_listed_after_s
+        view.expect_listed_after_s = (
+            now_s if earliest_s is None else min(earliest_s, now_s)
+        )
         if view.phase is RunPhase.STOPPING:
             view.next_order_s = now_s + MAX_STOP_S
             view.is_stop_refused = False
--- a/tanagerpath/core/workloads/tests/test_refused_orders.py
+++ b/tanagerpath/core/workloads/tests/test_refused_orders.py
@@ -69,6 +69,18 @@
         rig.submit("check", _step(1, WHOLE), queue="urgent")
         self.assertLess(rig.measure_start("check"), GUARANTEED_START_S)
 
+    def test_repeated_stops_do_not_put_off_the_end_of_a_run_that_never_started(self):
+        rig = Rig()
+        # Each renewal waits for its full time, longer than the interval of stops.
+        rig.random.random = lambda: 0.99
+        rig.late_order_rate = 1.0
+        rig.submit("scan", _step(1))
+        rig.run(0.2)
+        rig.cancel("scan")
+        rig.late_order_rate = 0.0
+        rig.run(5.0)
+        self.assertEqual(0, _count_open_runs(rig))
+
     def test_delayed_start_after_a_refused_stop_does_not_run_twice(self):
         rig = Rig(upstreams=2)
         rig.late_order_rate = 1.0
