Tie the waits of guaranteed work to the bound of its start

What callers saw: guaranteed gangs that waited 1.45 s for a rack without upstreams, and 3.85 s if the time of day was set back by 2.5 s.

Cause: waits were constants of their own (1.2 s for locality, 1 s a claim), whose sum with the interval of plans is above the bound of 2.7 s, and were measured in UTC since the acceptance. A rack that can't hold a gang was waited for all the same. Class: a duration that no deadline bounds, measured on a clock that steps.

Change: waits of guaranteed work for a better place and for a claim are shares of the bound, which comes from the settings. The arrival is kept on the monotonic clock from the first time a unit is listed. Work does not wait for a rack that can't hold it even when empty.

--- a/tanagerpath/core/workloads/backlog.py
+++ b/tanagerpath/core/workloads/backlog.py
@@ -4,6 +4,7 @@
 
 import attrs
 
+from tanagerpath.core.coordination import Instant
 from tanagerpath.core.workloads.configuration import Queue
 from tanagerpath.core.workloads.estimates import RunEstimates
 from tanagerpath.core.workloads.policy import PlanUnit
@@ -35,6 +36,7 @@
     planned: set[TaskId] = attrs.Factory(set)
     failed_on: dict[str, set[str]] = attrs.Factory(dict)
     _unfinished: dict[str, None] = attrs.Factory(dict)
+    _arrivals: dict[str, dict[int, float]] = attrs.Factory(dict)
 
     def __attrs_post_init__(self) -> None:
         """Collect the unfinished workloads of the state."""
@@ -53,6 +55,7 @@
         """Remove a workload that has reached its final state."""
         self._unfinished.pop(workload_id, None)
         self.failed_on.pop(workload_id, None)
+        self._arrivals.pop(workload_id, None)
         record = self.state.workloads.get(workload_id)
         if record is not None:
             self.estimates.forget_workload(workload_id, len(record.spec.steps))
@@ -70,24 +73,24 @@
             record.queue == queue and not record.tasks for record in self.list_records()
         )
 
-    def list_units(self, unix_s: float, covered: frozenset[str]) -> list[PlanUnit]:
+    def list_units(self, now: Instant, covered: frozenset[str]) -> list[PlanUnit]:
         """Return the units that are ready to start.
 
         Parameters
         ----------
-        unix_s : float
-            Current time in UTC seconds.
+        now : Instant
+            Reading of the clocks.
         covered : frozenset of str
             Workloads that the guarantees of their organisations cover.
         """
         return [
             unit
             for record in self.list_records()
-            for unit in self._list_units_of(record, unix_s, covered)
+            for unit in self._list_units_of(record, now, covered)
         ]
 
     def _list_units_of(
-        self, record: WorkloadRecord, unix_s: float, covered: frozenset[str]
+        self, record: WorkloadRecord, now: Instant, covered: frozenset[str]
     ) -> Iterator[PlanUnit]:
         queue = self.state.find_queue(record.queue)
         if queue is None:
@@ -95,7 +98,7 @@
         critical_paths = self._find_critical_paths(record, queue)
         for occurrence in record.spec.occurrences:
             due_s = record.spec.find_due_unix_s(occurrence)
-            if due_s > unix_s:
+            if due_s > now.unix_s:
                 return
             for step in range(len(record.spec.steps)):
                 indexes = self._list_waiting(record, occurrence, step)
@@ -108,6 +111,7 @@
                         indexes,
                         critical_paths,
                         covered,
+                        self._find_arrival_s(record, occurrence, now),
                     )
 
     def _list_waiting(
@@ -144,6 +148,7 @@
         indexes: tuple[int, ...],
         critical_paths: list[float],
         covered: frozenset[str],
+        arrival_s: float,
     ) -> PlanUnit:
         first = TaskId(record.workload_id, occurrence, step, indexes[0])
         failures = record.count_failures(first)
@@ -157,9 +162,7 @@
             occurrence=occurrence,
             step=step,
             indexes=indexes,
-            arrival_unix_s=max(
-                record.accepted_at_unix_s, record.spec.find_due_unix_s(occurrence)
-            ),
+            arrival_s=arrival_s,
             objective_s=objective_s,
             critical_path_s=critical_paths[step],
             is_guaranteed=record.workload_id in covered,
@@ -169,6 +172,22 @@
             and failures >= queue.max_attempts - 1,
         )
 
+    def _find_arrival_s(
+        self, record: WorkloadRecord, occurrence: int, now: Instant
+    ) -> float:
+        """Return the monotonic time at which an occurrence was accepted or became due.
+
+        It is fixed when the occurrence is first listed, so that later steps of the time
+        of day change no wait.
+        """
+        arrivals = self._arrivals.setdefault(record.workload_id, {})
+        if occurrence not in arrivals:
+            due_unix_s = record.spec.find_due_unix_s(occurrence)
+            arrival_unix_s = max(record.accepted_at_unix_s, due_unix_s)
+            age_s = max(now.unix_s - arrival_unix_s, 0.0)
+            arrivals[occurrence] = now.now_s - age_s
+        return arrivals[occurrence]
+
     def _find_critical_paths(self, record: WorkloadRecord, queue: Queue) -> list[float]:
         """Return by step the seconds of the longest chain of steps from there."""
         steps = record.spec.steps
--- a/tanagerpath/core/workloads/deadline_policy.py
+++ b/tanagerpath/core/workloads/deadline_policy.py
@@ -150,7 +150,7 @@
             unit.queue.priority,
             is_late,
             slack_share * fleet.predict_cores_s(unit),
-            unit.arrival_unix_s + unit.objective_s,
+            unit.arrival_s + unit.objective_s,
             unit.estimate_key,
             unit.occurrence,
         )
@@ -198,10 +198,9 @@
         self, unit: PlanUnit, free_capacity: FreeCapacity, fleet: FleetView, plan: Plan
     ) -> bool:
         """Preempt for urgent work that would be late on the free upstreams."""
-        max_wait_s = self._terms.guaranteed_locality_wait_s
         if not self._may_preempt(unit, fleet):
             return False
-        if fleet.find_waited_s(unit) > max_wait_s:
+        if fleet.find_waited_s(unit) > self._find_optional_wait_s(fleet):
             return False
         chosen = self._choose(unit, free_capacity, fleet)
         if len(self._filter_on_time(unit, chosen, fleet)) == len(chosen):
@@ -338,15 +337,23 @@
         rack = unit.spec.preferred_rack
         if not rack or rack == session.record.rack:
             return True
-        return self._is_locality_wait_over(unit, fleet) or not free_capacity.has_rack(
-            rack
-        )
+        return self._may_be_remote(unit, free_capacity, fleet)
 
-    def _is_locality_wait_over(self, unit: PlanUnit, fleet: FleetView) -> bool:
+    def _may_be_remote(
+        self, unit: PlanUnit, free_capacity: FreeCapacity, fleet: FleetView
+    ) -> bool:
+        """Return whether a unit may run away from its data or spread over racks."""
         max_wait_s = self._terms.locality_wait_factor * fleet.predict_work_s(unit)
         if unit.is_guaranteed:
-            max_wait_s = min(max_wait_s, self._terms.guaranteed_locality_wait_s)
-        return fleet.find_waited_s(unit) > max_wait_s
+            max_wait_s = min(max_wait_s, self._find_optional_wait_s(fleet))
+        if fleet.find_waited_s(unit) > max_wait_s:
+            return True
+        candidates = self._list_candidates(unit, free_capacity, fleet)
+        return not free_capacity.can_be_local(unit, candidates)
+
+    def _find_optional_wait_s(self, fleet: FleetView) -> float:
+        """Return how long work may wait for a better place than a free one."""
+        return self._terms.optional_wait_share * fleet.guaranteed_start_s
 
     def _choose_for_gang(
         self,
@@ -364,7 +371,7 @@
         if not options:
             return None
         best = min(options, key=lambda option: option.run_s)
-        if best.is_remote and not self._is_locality_wait_over(unit, fleet):
+        if best.is_remote and not self._may_be_remote(unit, free_capacity, fleet):
             return None
         return best
 
@@ -473,7 +480,7 @@
         """Claim capacity for urgent work unless preemption would lose too much work."""
         sessions = [one for one in candidates if free_capacity.is_proven_for(unit, one)]
         terms = EvictionTerms(
-            may_be_remote=self._is_locality_wait_over(unit, fleet),
+            may_be_remote=self._may_be_remote(unit, free_capacity, fleet),
             reclaims=cause is ClaimCause.GUARANTEED,
         )
         count = len(unit.indexes)
--- a/tanagerpath/core/workloads/deadline_terms.py
+++ b/tanagerpath/core/workloads/deadline_terms.py
@@ -13,9 +13,10 @@
     ----------
     locality_wait_factor : float
         Longest wait of a task for its preferred rack, in predicted run times.
-    guaranteed_locality_wait_s : float
+    optional_wait_share : float
         Limit of that wait for guaranteed work, and longest time after the arrival of
-        urgent work in which it preempts runs on faster upstreams.
+        urgent work in which it preempts runs on faster upstreams. Both are shares of
+        the time within which guaranteed work must begin.
     eviction_factor : float
         Largest loss of work by preemption for urgent work that no guarantee covers
         or that fits elsewhere but late, in multiples of the urgent work.
@@ -27,7 +28,7 @@
     """
 
     locality_wait_factor: float = 1.0
-    guaranteed_locality_wait_s: float = 1.2
+    optional_wait_share: float = 0.3
     eviction_factor: float = 2.0
     max_reservations: int = 8
     objective_share: float = 0.7
--- a/tanagerpath/core/workloads/dispatcher.py
+++ b/tanagerpath/core/workloads/dispatcher.py
@@ -430,7 +430,7 @@
         context = self._context
         changed = context.coverage.update(context.backlog.list_records())
         self._wait_reporter.report_coverage(changed)
-        return context.backlog.list_units(context.now.unix_s, context.coverage.covered)
+        return context.backlog.list_units(context.now, context.coverage.covered)
 
     def _filter_backoff(self, units: list[PlanUnit]) -> list[PlanUnit]:
         """Return the units that may start now.
@@ -482,7 +482,6 @@
         context = self._context
         return FleetView(
             now_s=context.now_s,
-            unix_s=context.now.unix_s,
             sessions=tuple(context.sessions.values()),
             health=context.health,
             estimates=context.estimates,
@@ -490,6 +489,7 @@
             checkpoint_interval_s=context.terms.checkpoint_interval_s,
             preemption=self._preemption.history,
             covered=context.coverage.covered,
+            guaranteed_start_s=context.terms.guaranteed_start_s,
         )
 
     def _start(self, placement: Placement, runs: dict[StepKey, int]) -> RunStart:
@@ -518,7 +518,7 @@
             upstream=session.upstream_id,
             heard_age_s=round(context.now_s - session.last_contact_s, 3),
             speed=round(context.estimates.find_speed(session.upstream_id), 2),
-            waited_s=round(context.now.unix_s - unit.arrival_unix_s, 3),
+            waited_s=round(context.now_s - unit.arrival_s, 3),
             objective_s=round(unit.objective_s, 2),
             guaranteed=unit.is_guaranteed,
             failures=unit.record.count_failures(task),
--- a/tanagerpath/core/workloads/free_capacity.py
+++ b/tanagerpath/core/workloads/free_capacity.py
@@ -1,5 +1,7 @@
 """Free capacity of the upstreams while a plan is made."""
 
+from collections import Counter
+
 from tanagerpath.core.workloads.policy import CapacityClaim, FleetView, PlanUnit
 from tanagerpath.core.workloads.resources import Resources
 from tanagerpath.core.workloads.sessions import RunView, UpstreamSession
@@ -23,7 +25,6 @@
         self._reserved_from_s: dict[str, float] = {}
         self._run_ends: dict[str, list[tuple[float, RunView]]] = {}
         self.sessions: list[UpstreamSession] = []
-        self._racks = {one.record.rack for one in fleet.sessions if one.is_usable}
         for session in fleet.sessions:
             health = fleet.health[session.upstream_id]
             if session.is_usable and not health.is_quarantined(fleet.now_s):
@@ -39,9 +40,25 @@
         """Return the free capacity of an upstream."""
         return self._free[session.upstream_id]
 
-    def has_rack(self, rack: str) -> bool:
-        """Return whether a rack has a usable upstream."""
-        return rack in self._racks
+    def can_be_local(self, unit: PlanUnit, sessions: list[UpstreamSession]) -> bool:
+        """Return whether a unit would fit near its data, or in one rack, if all ended.
+
+        Parameters
+        ----------
+        unit : PlanUnit
+            The unit.
+        sessions : list of UpstreamSession
+            Upstreams that may run it.
+        """
+        limit = unit.spec.max_per_upstream or len(unit.indexes)
+        by_rack: Counter[str] = Counter()
+        for session in sessions:
+            capacity = session.record.capacity
+            by_rack[session.record.rack] += unit.spec.reserved.count_in(capacity, limit)
+        needed = len(unit.indexes) if unit.spec.gang else 1
+        if unit.spec.preferred_rack:
+            return by_rack[unit.spec.preferred_rack] >= needed
+        return max(by_rack.values(), default=0) >= needed
 
     def is_full_for(self, needed: Resources) -> bool:
         """Return whether a task fits on no upstream.
--- a/tanagerpath/core/workloads/policy.py
+++ b/tanagerpath/core/workloads/policy.py
@@ -3,6 +3,7 @@
 import abc
 import enum
 import functools
+import math
 from collections import Counter
 
 import attrs
@@ -52,8 +53,8 @@
         Occurrence and step that the tasks belong to.
     indexes : tuple of int
         The waiting tasks; all tasks of the step for a gang.
-    arrival_unix_s : float
-        Time in UTC seconds from which the objective counts.
+    arrival_s : float
+        Time on the leader's monotonic clock from which the objective counts.
     objective_s : float
         Seconds after the arrival within which the workload is on time.
     critical_path_s : float
@@ -75,7 +76,7 @@
     occurrence: int
     step: int
     indexes: tuple[int, ...]
-    arrival_unix_s: float
+    arrival_s: float
     objective_s: float
     critical_path_s: float
     is_guaranteed: bool = False
@@ -172,8 +173,8 @@
 
     Attributes
     ----------
-    now_s, unix_s : float
-        Current time on the leader's monotonic clock and in UTC seconds.
+    now_s : float
+        Current time on the leader's monotonic clock.
     sessions : tuple of UpstreamSession
         All known upstreams.
     health : dict of str to UpstreamHealth
@@ -188,10 +189,11 @@
         Preemptions so far and open claims.
     covered : frozenset of str
         Workloads that the guarantees of their organisations cover.
+    guaranteed_start_s : float
+        Seconds after its arrival within which a covered workload must have begun.
     """
 
     now_s: float
-    unix_s: float
     sessions: tuple[UpstreamSession, ...]
     health: dict[str, UpstreamHealth]
     estimates: RunEstimates
@@ -199,6 +201,7 @@
     checkpoint_interval_s: float = 1.0
     preemption: PreemptionHistory = attrs.Factory(PreemptionHistory)
     covered: frozenset[str] = frozenset()
+    guaranteed_start_s: float = math.inf
     _work_s: dict[tuple[str, int], float] = attrs.field(factory=dict, init=False)
 
     @functools.cached_property
@@ -208,7 +211,7 @@
 
     def find_waited_s(self, unit: PlanUnit) -> float:
         """Return the seconds since the arrival of a unit."""
-        return max(self.unix_s - unit.arrival_unix_s, 0.0)
+        return max(self.now_s - unit.arrival_s, 0.0)
 
     def misses_hard_deadline(self, unit: PlanUnit) -> bool:
         """Return whether a unit would end too late for its caller to count it."""
--- a/tanagerpath/core/workloads/preemption.py
+++ b/tanagerpath/core/workloads/preemption.py
@@ -20,6 +20,9 @@
 
 # A stop takes 0.1 to 0.4 s. A claim that is not met by then is made elsewhere.
 CLAIM_TIMEOUT_S = 1.0
+# Share of the time for a guaranteed start that one claim may take, so that a wait for a
+# better place and two claims fit into it.
+GUARANTEED_CLAIM_SHARE = 0.3
 
 
 @attrs.define(eq=False)
@@ -131,7 +134,11 @@
 
     def _open_claim(self, claim: CapacityClaim) -> None:
         step_key, now_s = claim.unit.step_key, self._context.now_s
-        self._open[step_key] = _OpenClaim(claim, now_s, now_s + CLAIM_TIMEOUT_S)
+        timeout_s = CLAIM_TIMEOUT_S
+        if claim.unit.is_guaranteed:
+            bound_s = self._context.terms.guaranteed_start_s
+            timeout_s = min(timeout_s, GUARANTEED_CLAIM_SHARE * bound_s)
+        self._open[step_key] = _OpenClaim(claim, now_s, now_s + timeout_s)
         self.history.open_claims[step_key] = claim
         self.history.claims[step_key] += 1
         self._log_claim(claim)
@@ -148,7 +155,7 @@
             claims=self.history.claims[unit.step_key],
             priority=unit.queue.priority,
             useless=claim.misses_hard_deadline,
-            waited_s=round(self._context.now.unix_s - unit.arrival_unix_s, 3),
+            waited_s=round(self._context.now_s - unit.arrival_s, 3),
             objective_s=round(unit.objective_s, 2),
             work_cores_s=round(claim.work_cores_s, 1),
             lost_cores_s=round(claim.lost_cores_s, 1),
@@ -211,9 +218,7 @@
         fields = {
             "claim": str(claim.cause),
             "claimant_useless": claim.misses_hard_deadline,
-            "claimant_waited_s": round(
-                self._context.now.unix_s - unit.arrival_unix_s, 3
-            ),
+            "claimant_waited_s": round(self._context.now_s - unit.arrival_s, 3),
             "claimant_objective_s": round(unit.objective_s, 2),
             "claimant_cores_s": round(claim.work_cores_s, 1),
             "lost_cores_s": round(eviction.lost_cores_s, 1),
--- a/tanagerpath/core/workloads/wait_reports.py
+++ b/tanagerpath/core/workloads/wait_reports.py
@@ -96,7 +96,7 @@
             reason=reason,
             covered=unit.is_guaranteed,
             tasks=len(unit.indexes),
-            waited_s=round(context.now.unix_s - unit.arrival_unix_s, 3),
+            waited_s=round(context.now_s - unit.arrival_s, 3),
             **self._describe_share(unit.record),
             **self._describe_fleet(unit),
         )
@@ -131,7 +131,7 @@
         if unit.queue.priority > 0:
             return
         context = self._context
-        waited_s = context.now.unix_s - unit.arrival_unix_s
+        waited_s = context.now_s - unit.arrival_s
         is_late = unit.is_guaranteed and waited_s > context.terms.guaranteed_start_s
         context.log_decision(
             "guaranteed work began late" if is_late else "urgent work began",
