--- a/tanagerpath/core/workloads/dispatcher.py
+++ b/tanagerpath/core/workloads/dispatcher.py
@@ -1,7 +1,5 @@
 """Decisions of the leader on workloads: which runs start, stop and are recorded."""
 
-import attrs
-
 from tanagerpath.core.coordination import (
     Effect,
     Instant,
@@ -28,11 +26,8 @@
     WrongIncarnation,
 )
 from tanagerpath.core.workloads.pacing import PaceController
+from tanagerpath.core.workloads.planner import StartPlanner
 from tanagerpath.core.workloads.policy import (
-    FleetView,
-    Placement,
-    Plan,
-    PlanUnit,
     WorkloadPolicy,
 )
 from tanagerpath.core.workloads.preemption import Preemption
@@ -45,10 +40,8 @@
     StopCause,
     UpstreamSession,
 )
-from tanagerpath.core.workloads.specs import StepKey, TaskId
 from tanagerpath.core.workloads.state import Applied, FleetState
 from tanagerpath.core.workloads.upkeep import PLATFORM_ID, UpkeepController
-from tanagerpath.core.workloads.wait_reports import WaitReporter
 
 __all__ = ["Dispatcher"]
 
@@ -75,19 +68,16 @@
 
     def __init__(self, context: DispatchContext, policy: WorkloadPolicy) -> None:
         self._context = context
-        self._policy = policy
         self.registry = UpstreamRegistry(context)
         self._driver = RunDriver(context)
         self._preemption = Preemption(context, self._driver)
         self._pace_controller = PaceController(context, self._driver)
         self._advice = TicketCache(context)
-        self._wait_reporter = WaitReporter(context)
+        self._planner = StartPlanner(context, policy, self._preemption, self._advice)
         self._upkeep = UpkeepController(context, self._driver, f"leader-{context.term}")
         self._services = {ADVICE_ID: self._advice, PLATFORM_ID: self._upkeep}
         self._pending_record: commands.RecordRuns | None = None
         self._pending_ends: list[QueuedEnd] = []
-        self._next_plan_s = 0.0
-        self._planning_paused_until_s = 0.0
         self._next_silence_check_s = context.now_s + SILENCE_CHECK_INTERVAL_S
 
     @classmethod
@@ -320,7 +310,7 @@
         self._upkeep.advance()
         self._propose_removals()
         if self._pending_record is None:
-            self._record(self._plan())
+            self._record(self._planner.plan())
         self.registry.drop_departed()
 
     def _evacuate_draining(self) -> None:
@@ -330,7 +320,7 @@
             if session.remaining_until_s is None or session.departed_at_s is not None:
                 continue
             remaining_s = session.remaining_until_s - context.now_s
-            fleet = self._view_fleet()
+            fleet = self._planner.view_fleet()
             for view in tuple(session.runs.values()):
                 if view.phase is not RunPhase.RUNNING:
                     continue
@@ -367,7 +357,7 @@
         silent_s = session.last_contact_s - view.progress_s
         if silent_s <= self._context.terms.stall_timeout_s:
             return False
-        return silent_s > STALL_FRACTION * self._view_fleet().predict_total_s(
+        return silent_s > STALL_FRACTION * self._planner.view_fleet().predict_total_s(
             view, session
         )
 
@@ -397,161 +387,6 @@
         ):
             context.add_effect(Propose(commands.ExpireWorkloads(expired)))
 
-    # Planning
-
-    def _plan(self) -> tuple[RunStart, ...]:
-        context = self._context
-        if context.now_s < self._planning_paused_until_s:
-            return ()
-        if not context.must_plan and context.now_s < self._next_plan_s:
-            return ()
-        context.must_plan = False
-        self._next_plan_s = context.now_s + context.terms.plan_interval_s
-        for session in context.sessions.values():
-            context.find_health(session.upstream_id)
-        waiting = self._list_waiting()
-        units = self._advice.attach_tickets(self._filter_backoff(waiting))
-        self._preemption.close_lapsed(units)
-        if not units:
-            self._report_waits(waiting, units, Plan())
-            return ()
-        pairs = len(units) * len(context.sessions)
-        self._planning_paused_until_s = (
-            context.now_s + context.terms.plan_cost_s * pairs
-        )
-        plan = self._policy.plan(units, self._view_fleet())
-        self._preemption.execute(plan)
-        self._report_waits(waiting, units, plan)
-        runs: dict[StepKey, int] = {}
-        return tuple(self._start(placement, runs) for placement in plan.placements)
-
-    def _list_waiting(self) -> list[PlanUnit]:
-        """Return all waiting units, after the update of what guarantees cover."""
-        context = self._context
-        changed = context.coverage.update(context.backlog.list_records())
-        self._wait_reporter.report_coverage(changed)
-        return context.backlog.list_units(context.now, context.coverage.covered)
-
-    def _filter_backoff(self, units: list[PlanUnit]) -> list[PlanUnit]:
-        """Return the units that may start now.
-
-        During its backoff guaranteed work may use free capacity but preempts nothing;
-        other work waits.
-        """
-        ready = []
-        for unit in units:
-            if not self._is_backing_off(unit):
-                ready.append(unit)
-            elif unit.is_guaranteed:
-                ready.append(attrs.evolve(unit, may_claim=False))
-        return ready
-
-    def _is_backing_off(self, unit: PlanUnit) -> bool:
-        return self._context.start_backoff.must_wait(unit.step_key, self._context.now_s)
-
-    def _report_waits(
-        self, waiting: list[PlanUnit], ready: list[PlanUnit], plan: Plan
-    ) -> None:
-        """Report the urgent units that start with a plan, and why others wait."""
-        blocked = {unit.step_key for unit in plan.blocked}
-        ready_keys = {unit.step_key for unit in ready}
-        started = {
-            placement.unit.step_key: placement.unit
-            for placement in plan.placements
-            if placement.unit.step_key not in blocked
-        }
-        for unit in started.values():
-            self._wait_reporter.report_start(unit)
-        claims = self._preemption.history.open_claims
-        reasons: dict[StepKey, tuple[PlanUnit, str]] = {}
-        for unit in waiting:
-            if unit.step_key in started:
-                continue
-            if unit.step_key in claims:
-                reason = "claimed capacity is not free yet"
-            elif self._is_backing_off(unit):
-                reason = "backoff after refused starts"
-            elif unit.step_key in ready_keys:
-                reason = "no capacity"
-            else:
-                reason = "no tickets"
-            reasons[unit.step_key] = (unit, reason)
-        self._wait_reporter.report_waits(reasons)
-
-    def _view_fleet(self) -> FleetView:
-        context = self._context
-        return FleetView(
-            now_s=context.now_s,
-            sessions=tuple(context.sessions.values()),
-            health=context.health,
-            estimates=context.estimates,
-            remote_factor=context.terms.remote_factor,
-            checkpoint_interval_s=context.terms.checkpoint_interval_s,
-            preemption=self._preemption.history,
-            covered=context.coverage.covered,
-            guaranteed_start_s=context.terms.guaranteed_start_s,
-        )
-
-    def _start(self, placement: Placement, runs: dict[StepKey, int]) -> RunStart:
-        context = self._context
-        unit, session = placement.unit, placement.session
-        task = unit.make_task_id(placement.index)
-        run = self._choose_run(unit, task, runs)
-        task_record = unit.record.find_task(task)
-        view = RunView(
-            task,
-            run,
-            unit.spec,
-            unit.queue.name,
-            unit.queue.priority,
-            RunPhase.PROPOSED,
-            context.now_s,
-            checkpoint=self._find_checkpoint(unit, task_record.checkpoint),
-            ticket=(unit.tickets or {}).get(session.upstream_id, ""),
-        )
-        session.add_run(view)
-        context.backlog.planned.add(task)
-        context.log_task_decision(
-            "task placed",
-            task,
-            run=run,
-            upstream=session.upstream_id,
-            heard_age_s=round(context.now_s - session.last_contact_s, 3),
-            speed=round(context.estimates.find_speed(session.upstream_id), 2),
-            waited_s=round(context.now_s - unit.arrival_s, 3),
-            objective_s=round(unit.objective_s, 2),
-            guaranteed=unit.is_guaranteed,
-            failures=unit.record.count_failures(task),
-        )
-        record = session.record
-        return RunStart(task, run, record.upstream_id, record.incarnation)
-
-    def _choose_run(
-        self, unit: PlanUnit, task: TaskId, runs: dict[StepKey, int]
-    ) -> int:
-        """Return the number of a new run; all members of a gang share one."""
-        if not unit.spec.gang:
-            return unit.record.find_task(task).last_run + 1
-        step_key = unit.step_key
-        if step_key not in runs:
-            runs[step_key] = 1 + max(
-                unit.record.find_task(unit.make_task_id(index)).last_run
-                for index in range(unit.spec.count)
-            )
-        return runs[step_key]
-
-    def _find_checkpoint(self, unit: PlanUnit, own: str) -> str:
-        """Return the checkpoint to resume from; a gang resumes from any member's."""
-        if not unit.spec.checkpointing:
-            return ""
-        if not unit.spec.gang:
-            return own
-        saved = (
-            unit.record.find_task(unit.make_task_id(index)).checkpoint
-            for index in range(unit.spec.count)
-        )
-        return next((checkpoint for checkpoint in saved if checkpoint), "")
-
     def _record(self, starts: tuple[RunStart, ...]) -> None:
         """Propose all queued ends and the starts in one command."""
         context = self._context
--- /dev/null
+++ b/tanagerpath/core/workloads/planner.py
@@ -0,0 +1,209 @@
+"""Plans of a leader: which waiting tasks start, and why others wait."""
+
+import attrs
+
+from tanagerpath.core.workloads.advice import TicketCache
+from tanagerpath.core.workloads.commands import RunStart
+from tanagerpath.core.workloads.dispatch_context import DispatchContext
+from tanagerpath.core.workloads.policy import (
+    FleetView,
+    Placement,
+    Plan,
+    PlanUnit,
+    WorkloadPolicy,
+)
+from tanagerpath.core.workloads.preemption import Preemption
+from tanagerpath.core.workloads.sessions import RunPhase, RunView
+from tanagerpath.core.workloads.specs import StepKey, TaskId
+from tanagerpath.core.workloads.wait_reports import WaitReporter
+
+__all__ = ["StartPlanner"]
+
+
+class StartPlanner:
+    """Applies the policy to the waiting work.
+
+    Parameters
+    ----------
+    context : DispatchContext
+        Shared state of the term.
+    policy : WorkloadPolicy
+        Chooses upstreams for tasks, and runs to preempt.
+    preemption : Preemption
+        Carries out the preemptions and tracks the claims.
+    advice : TicketCache
+        Attaches the tickets that units need.
+    """
+
+    def __init__(
+        self,
+        context: DispatchContext,
+        policy: WorkloadPolicy,
+        preemption: Preemption,
+        advice: TicketCache,
+    ) -> None:
+        self._context = context
+        self._policy = policy
+        self._preemption = preemption
+        self._advice = advice
+        self._wait_reporter = WaitReporter(context)
+        self._next_plan_s = 0.0
+        self._planning_paused_until_s = 0.0
+
+    def plan(self) -> tuple[RunStart, ...]:
+        """Return the starts to record now, and carry out the preemptions for others.
+
+        Returns nothing while the next plan is not due.
+        """
+        context = self._context
+        if context.now_s < self._planning_paused_until_s:
+            return ()
+        if not context.must_plan and context.now_s < self._next_plan_s:
+            return ()
+        context.must_plan = False
+        self._next_plan_s = context.now_s + context.terms.plan_interval_s
+        for session in context.sessions.values():
+            context.find_health(session.upstream_id)
+        waiting = self._list_waiting()
+        units = self._advice.attach_tickets(self._filter_backoff(waiting))
+        self._preemption.close_lapsed(units)
+        if not units:
+            self._report_waits(waiting, units, Plan())
+            return ()
+        pairs = len(units) * len(context.sessions)
+        self._planning_paused_until_s = (
+            context.now_s + context.terms.plan_cost_s * pairs
+        )
+        plan = self._policy.plan(units, self.view_fleet())
+        self._preemption.execute(plan)
+        self._report_waits(waiting, units, plan)
+        runs: dict[StepKey, int] = {}
+        return tuple(self._start(placement, runs) for placement in plan.placements)
+
+    def _list_waiting(self) -> list[PlanUnit]:
+        """Return all waiting units, after the update of what guarantees cover."""
+        context = self._context
+        changed = context.coverage.update(context.backlog.list_records())
+        self._wait_reporter.report_coverage(changed)
+        return context.backlog.list_units(context.now, context.coverage.covered)
+
+    def _filter_backoff(self, units: list[PlanUnit]) -> list[PlanUnit]:
+        """Return the units that may start now.
+
+        During its backoff guaranteed work may use free capacity but preempts nothing;
+        other work waits.
+        """
+        ready = []
+        for unit in units:
+            if not self._is_backing_off(unit):
+                ready.append(unit)
+            elif unit.is_guaranteed:
+                ready.append(attrs.evolve(unit, may_claim=False))
+        return ready
+
+    def _is_backing_off(self, unit: PlanUnit) -> bool:
+        return self._context.start_backoff.must_wait(unit.step_key, self._context.now_s)
+
+    def _report_waits(
+        self, waiting: list[PlanUnit], ready: list[PlanUnit], plan: Plan
+    ) -> None:
+        """Report the urgent units that start with a plan, and why others wait."""
+        blocked = {unit.step_key for unit in plan.blocked}
+        ready_keys = {unit.step_key for unit in ready}
+        started = {
+            placement.unit.step_key: placement.unit
+            for placement in plan.placements
+            if placement.unit.step_key not in blocked
+        }
+        for unit in started.values():
+            self._wait_reporter.report_start(unit)
+        claims = self._preemption.history.open_claims
+        reasons: dict[StepKey, tuple[PlanUnit, str]] = {}
+        for unit in waiting:
+            if unit.step_key in started:
+                continue
+            if unit.step_key in claims:
+                reason = "claimed capacity is not free yet"
+            elif self._is_backing_off(unit):
+                reason = "backoff after refused starts"
+            elif unit.step_key in ready_keys:
+                reason = "no capacity"
+            else:
+                reason = "no tickets"
+            reasons[unit.step_key] = (unit, reason)
+        self._wait_reporter.report_waits(reasons)
+
+    def view_fleet(self) -> FleetView:
+        """Return the current input of the policy."""
+        context = self._context
+        return FleetView(
+            now_s=context.now_s,
+            sessions=tuple(context.sessions.values()),
+            health=context.health,
+            estimates=context.estimates,
+            remote_factor=context.terms.remote_factor,
+            checkpoint_interval_s=context.terms.checkpoint_interval_s,
+            preemption=self._preemption.history,
+            covered=context.coverage.covered,
+            guaranteed_start_s=context.terms.guaranteed_start_s,
+        )
+
+    def _start(self, placement: Placement, runs: dict[StepKey, int]) -> RunStart:
+        context = self._context
+        unit, session = placement.unit, placement.session
+        task = unit.make_task_id(placement.index)
+        run = self._choose_run(unit, task, runs)
+        task_record = unit.record.find_task(task)
+        view = RunView(
+            task,
+            run,
+            unit.spec,
+            unit.queue.name,
+            unit.queue.priority,
+            RunPhase.PROPOSED,
+            context.now_s,
+            checkpoint=self._find_checkpoint(unit, task_record.checkpoint),
+            ticket=(unit.tickets or {}).get(session.upstream_id, ""),
+        )
+        session.add_run(view)
+        context.backlog.planned.add(task)
+        context.log_task_decision(
+            "task placed",
+            task,
+            run=run,
+            upstream=session.upstream_id,
+            heard_age_s=round(context.now_s - session.last_contact_s, 3),
+            speed=round(context.estimates.find_speed(session.upstream_id), 2),
+            waited_s=round(context.now_s - unit.arrival_s, 3),
+            objective_s=round(unit.objective_s, 2),
+            guaranteed=unit.is_guaranteed,
+            failures=unit.record.count_failures(task),
+        )
+        record = session.record
+        return RunStart(task, run, record.upstream_id, record.incarnation)
+
+    def _choose_run(
+        self, unit: PlanUnit, task: TaskId, runs: dict[StepKey, int]
+    ) -> int:
+        """Return the number of a new run; all members of a gang share one."""
+        if not unit.spec.gang:
+            return unit.record.find_task(task).last_run + 1
+        step_key = unit.step_key
+        if step_key not in runs:
+            runs[step_key] = 1 + max(
+                unit.record.find_task(unit.make_task_id(index)).last_run
+                for index in range(unit.spec.count)
+            )
+        return runs[step_key]
+
+    def _find_checkpoint(self, unit: PlanUnit, own: str) -> str:
+        """Return the checkpoint to resume from; a gang resumes from any member's."""
+        if not unit.spec.checkpointing:
+            return ""
+        if not unit.spec.gang:
+            return own
+        saved = (
+            unit.record.find_task(unit.make_task_id(index)).checkpoint
+            for index in range(unit.spec.count)
+        )
+        return next((checkpoint for checkpoint in saved if checkpoint), "")
