--- a/tanagerpath/core/workloads/deadline_policy.py
+++ b/tanagerpath/core/workloads/deadline_policy.py
@@ -19,34 +19,15 @@
     WorkloadPolicy,
 )
 from tanagerpath.core.workloads.reservations import reserve_upstreams
-from tanagerpath.core.workloads.sessions import RunView, UpstreamSession
+from tanagerpath.core.workloads.sessions import UpstreamSession
+from tanagerpath.core.workloads.upstream_choice import UpstreamChooser
 
 __all__ = ["DeadlinePolicy"]
 
-# Rounds speeds, so that tasks are packed on similar upstreams before they spread.
-SPEED_STEPS_PER_UNIT = 4
 # Claims that work beyond a guarantee may make for one occurrence of a step.
 MAX_CLAIMS = 3
 
 
-@attrs.frozen(eq=False)
-class _GangPlacement:
-    """Upstreams for all members of a gang, and the predicted run time there."""
-
-    run_s: float
-    is_remote: bool
-    sessions: tuple[UpstreamSession, ...]
-
-
-def _is_suitable(unit: PlanUnit, session: UpstreamSession) -> bool:
-    spec = unit.spec
-    if session.record.pool != unit.queue.pool:
-        return False
-    if spec.required_label and spec.required_label not in session.record.labels:
-        return False
-    return unit.tickets is None or session.upstream_id in unit.tickets
-
-
 class DeadlinePolicy(WorkloadPolicy):
     """Places guaranteed work first, then by priority, size and slack.
 
@@ -66,7 +47,7 @@
 
     def plan(self, units: list[PlanUnit], fleet: FleetView) -> Plan:
         """Return the starts and preemptions of this moment; see `WorkloadPolicy`."""
-        free_capacity = FreeCapacity(fleet)
+        chooser = UpstreamChooser(self._terms, fleet, FreeCapacity(fleet))
         plan = Plan()
         reservations = 0
         ranked = sorted(units, key=lambda one: self._rank(one, fleet))
@@ -75,64 +56,60 @@
         for group in (guaranteed, others):
             # Guaranteed work may use capacity that is claimed for other work.
             for unit in group:
-                self._hold_claimed(unit, free_capacity, fleet, plan)
+                self._hold_claimed(unit, chooser, plan)
             for unit in group:
-                if self._place_or_claim(unit, free_capacity, fleet, plan):
+                if self._place_or_claim(unit, chooser, plan):
                     continue
                 if unit.spec.gang and reservations < self._terms.max_reservations:
                     reservations += 1
-                    self._reserve(unit, free_capacity, fleet)
+                    self._reserve(unit, chooser)
         return plan
 
     def _place_or_claim(
-        self, unit: PlanUnit, free_capacity: FreeCapacity, fleet: FleetView, plan: Plan
+        self, unit: PlanUnit, chooser: UpstreamChooser, plan: Plan
     ) -> bool:
         """Place a unit or claim capacity; return False if neither is possible."""
-        claim = fleet.preemption.open_claims.get(unit.step_key)
+        claim = chooser.fleet.preemption.open_claims.get(unit.step_key)
         if claim is not None:
-            self._place_claimed(unit, claim, free_capacity, fleet, plan)
+            self._place_claimed(unit, claim, chooser, plan)
             return True
-        if self._claim_faster(unit, free_capacity, fleet, plan):
+        if self._claim_faster(unit, chooser, plan):
             plan.blocked.append(unit)
             return True
-        left = self._place(unit, free_capacity, fleet, plan)
+        left = self._place(unit, chooser, plan)
         if not left:
             return True
         rest = attrs.evolve(unit, indexes=left)
-        if self._claim_for(rest, free_capacity, fleet, plan):
+        if self._claim_for(rest, chooser, plan):
             plan.blocked.append(unit)
             return True
         if not unit.is_guaranteed:
             plan.blocked.append(unit)
             return False
         # An upstream that may fail the work is better than none within the bound.
-        free_capacity.allow_probation(unit)
-        left = self._place(rest, free_capacity, fleet, plan)
+        chooser.free_capacity.allow_probation(unit)
+        left = self._place(rest, chooser, plan)
         if not left:
             return True
         plan.blocked.append(unit)
         rest = attrs.evolve(unit, indexes=left)
-        return self._claim_for(rest, free_capacity, fleet, plan)
+        return self._claim_for(rest, chooser, plan)
 
-    def _claim_for(
-        self, unit: PlanUnit, free_capacity: FreeCapacity, fleet: FleetView, plan: Plan
-    ) -> bool:
+    def _claim_for(self, unit: PlanUnit, chooser: UpstreamChooser, plan: Plan) -> bool:
         """Claim capacity for work that does not fit; return False if it can't."""
-        if not self._may_preempt(unit, fleet):
+        if not self._may_preempt(unit, chooser.fleet):
             return False
-        sessions = self._list_candidates(unit, free_capacity, fleet)
-        on_time = self._filter_on_time(unit, sessions, fleet)
-        if self._claim(unit, ClaimCause.LATE, on_time, free_capacity, fleet, plan):
+        sessions = chooser.list_candidates(unit)
+        on_time = chooser.filter_on_time(unit, sessions)
+        if self._claim(unit, ClaimCause.LATE, on_time, chooser, plan):
             return True
         cause = ClaimCause.GUARANTEED if unit.is_guaranteed else ClaimCause.NO_ROOM
-        return self._claim(unit, cause, sessions, free_capacity, fleet, plan)
+        return self._claim(unit, cause, sessions, chooser, plan)
 
-    def _reserve(
-        self, unit: PlanUnit, free_capacity: FreeCapacity, fleet: FleetView
-    ) -> None:
-        sessions = self._list_candidates(unit, free_capacity, fleet)
-        groups = [group for group, _ in self._list_groups(unit, sessions)]
-        reserve_upstreams(unit, groups, free_capacity, fleet)
+    def _reserve(self, unit: PlanUnit, chooser: UpstreamChooser) -> None:
+        sessions = chooser.list_candidates(unit)
+        groups = [group for group, _ in chooser.list_groups(unit, sessions)]
+        reserve_upstreams(unit, groups, chooser.free_capacity, chooser.fleet)
 
     def _rank(self, unit: PlanUnit, fleet: FleetView) -> tuple:
         """Return the sort key: guarantee, then hard deadline, then priority.
@@ -158,12 +135,10 @@
     # Placement
 
     def _place(
-        self, unit: PlanUnit, free_capacity: FreeCapacity, fleet: FleetView, plan: Plan
+        self, unit: PlanUnit, chooser: UpstreamChooser, plan: Plan
     ) -> tuple[int, ...]:
         """Place the tasks that fit; return the others."""
-        return self._start(
-            unit, self._choose(unit, free_capacity, fleet), free_capacity, plan
-        )
+        return self._start(unit, chooser.choose(unit), chooser.free_capacity, plan)
 
     def _start(
         self,
@@ -178,247 +153,29 @@
             free_capacity.take(unit, session)
         return unit.indexes[len(chosen) :]
 
-    def _choose(
-        self, unit: PlanUnit, free_capacity: FreeCapacity, fleet: FleetView
-    ) -> tuple[UpstreamSession, ...]:
-        """Return an upstream for each task that fits now."""
-        if free_capacity.is_full_for(unit.spec.reserved):
-            return ()
-        sessions = [
-            session
-            for session in self._list_candidates(unit, free_capacity, fleet)
-            if free_capacity.count_fitting(unit, session, 1)
-        ]
-        if not unit.spec.gang:
-            return tuple(self._choose_independent(unit, sessions, free_capacity, fleet))
-        option = self._choose_for_gang(unit, sessions, free_capacity, fleet)
-        return option.sessions if option else ()
-
     def _claim_faster(
-        self, unit: PlanUnit, free_capacity: FreeCapacity, fleet: FleetView, plan: Plan
+        self, unit: PlanUnit, chooser: UpstreamChooser, plan: Plan
     ) -> bool:
         """Preempt for urgent work that would be late on the free upstreams."""
-        if not self._may_preempt(unit, fleet):
+        if not self._may_preempt(unit, chooser.fleet):
             return False
-        if fleet.find_waited_s(unit) > self._find_optional_wait_s(fleet):
+        if chooser.fleet.find_waited_s(unit) > chooser.find_optional_wait_s():
             return False
-        chosen = self._choose(unit, free_capacity, fleet)
-        if len(self._filter_on_time(unit, chosen, fleet)) == len(chosen):
+        chosen = chooser.choose(unit)
+        if len(chooser.filter_on_time(unit, chosen)) == len(chosen):
             return False
-        candidates = self._list_candidates(unit, free_capacity, fleet)
-        sessions = self._filter_on_time(unit, candidates, fleet)
+        candidates = chooser.list_candidates(unit)
+        sessions = chooser.filter_on_time(unit, candidates)
         cause = ClaimCause.LATE
-        return self._claim(unit, cause, sessions, free_capacity, fleet, plan)
-
-    def _filter_on_time(
-        self, unit: PlanUnit, sessions: Iterable[UpstreamSession], fleet: FleetView
-    ) -> list[UpstreamSession]:
-        """Return the upstreams on which a unit meets its objective."""
-        max_run_s = self._find_max_run_s(unit, fleet)
-        return [one for one in sessions if fleet.predict_run_s(unit, one) <= max_run_s]
-
-    def _list_candidates(
-        self, unit: PlanUnit, free_capacity: FreeCapacity, fleet: FleetView
-    ) -> list[UpstreamSession]:
-        suitable = [one for one in free_capacity.sessions if _is_suitable(unit, one)]
-        healthy = [
-            one
-            for one in suitable
-            if one.upstream_id not in unit.avoided
-            and not (unit.is_last_attempt and fleet.health[one.upstream_id].is_suspect)
-        ]
-        return healthy or suitable
-
-    def _is_suspect(self, session: UpstreamSession, fleet: FleetView) -> bool:
-        """Return whether the last run there failed or the last start was refused."""
-        health = fleet.health[session.upstream_id]
-        return health.is_suspect or session.refused_all_count > 0
-
-    def _order(
-        self,
-        unit: PlanUnit,
-        sessions: Iterable[UpstreamSession],
-        free_capacity: FreeCapacity,
-        fleet: FleetView,
-    ) -> list[UpstreamSession]:
-        """Sort upstreams by preference of a unit.
-
-        Urgent work prefers fast ones. Other work leaves these free and prefers the
-        slowest on which it is on time. Ties go to the fullest upstream.
-        """
-        max_run_s = self._find_max_run_s(unit, fleet)
-
-        def rank(session: UpstreamSession) -> tuple:
-            speed = fleet.estimates.find_speed(session.upstream_id)
-            speed_step = round(speed * SPEED_STEPS_PER_UNIT)
-            prefers_slow = (
-                unit.queue.priority > 0
-                and fleet.predict_run_s(unit, session) <= max_run_s
-            )
-            free = free_capacity.find_free(session)
-            is_remote = bool(
-                unit.spec.preferred_rack
-                and unit.spec.preferred_rack != session.record.rack
-            )
-            return (
-                is_remote,
-                self._is_suspect(session, fleet),
-                not prefers_slow,
-                speed_step if prefers_slow else -speed_step,
-                free.find_dominant_share(session.record.capacity),
-                session.upstream_id,
-            )
-
-        return sorted(sessions, key=rank)
-
-    def _find_max_run_s(self, unit: PlanUnit, fleet: FleetView) -> float:
-        """Return the longest run time with which a unit meets its objective."""
-        later_s = unit.critical_path_s - fleet.predict_work_s(unit)
-        target_s = unit.objective_s * self._terms.objective_share
-        return target_s - fleet.find_waited_s(unit) - later_s
-
-    def _choose_independent(
-        self,
-        unit: PlanUnit,
-        sessions: list[UpstreamSession],
-        free_capacity: FreeCapacity,
-        fleet: FleetView,
-    ) -> list[UpstreamSession]:
-        ordered = [
-            session
-            for session in self._order(unit, sessions, free_capacity, fleet)
-            if self._is_locality_acceptable(unit, session, free_capacity, fleet)
-        ]
-        chosen = self._choose_probes(unit, ordered, free_capacity, fleet)
-        probes = Counter(session.upstream_id for session in chosen)
-        for session in ordered:
-            wanted = len(unit.indexes) - len(chosen)
-            if not wanted:
-                break
-            taken = probes[session.upstream_id]
-            fitting = free_capacity.count_fitting(unit, session, wanted + taken) - taken
-            chosen += [session] * max(fitting, 0)
-        return chosen
-
-    def _choose_probes(
-        self,
-        unit: PlanUnit,
-        sessions: list[UpstreamSession],
-        free_capacity: FreeCapacity,
-        fleet: FleetView,
-    ) -> list[UpstreamSession]:
-        """Return upstreams of unknown speed, for one task each.
-
-        Tasks of one step need similar work, so their run times show the relative speeds
-        of their upstreams. Urgent work takes no part, as a probe may be slow.
-        """
-        if unit.queue.priority == 0:
-            return []
-        unknown = [
-            session
-            for session in sessions
-            if not fleet.estimates.is_speed_known(session.upstream_id)
-            and not any(self._measures_speed(view) for view in session.runs.values())
-            and free_capacity.count_fitting(unit, session, 1)
-        ]
-        return unknown[: len(unit.indexes)]
-
-    def _measures_speed(self, view: RunView) -> bool:
-        return not view.observed and not view.spec.gang and not view.spec.long_running
-
-    def _is_locality_acceptable(
-        self,
-        unit: PlanUnit,
-        session: UpstreamSession,
-        free_capacity: FreeCapacity,
-        fleet: FleetView,
-    ) -> bool:
-        """Return whether an upstream is near the data, or waiting for one is over."""
-        rack = unit.spec.preferred_rack
-        if not rack or rack == session.record.rack:
-            return True
-        return self._may_be_remote(unit, free_capacity, fleet)
-
-    def _may_be_remote(
-        self, unit: PlanUnit, free_capacity: FreeCapacity, fleet: FleetView
-    ) -> bool:
-        """Return whether a unit may run away from its data or spread over racks."""
-        max_wait_s = self._terms.locality_wait_factor * fleet.predict_work_s(unit)
-        if unit.is_guaranteed:
-            max_wait_s = min(max_wait_s, self._find_optional_wait_s(fleet))
-        if fleet.find_waited_s(unit) > max_wait_s:
-            return True
-        candidates = self._list_candidates(unit, free_capacity, fleet)
-        return not free_capacity.can_be_local(unit, candidates)
-
-    def _find_optional_wait_s(self, fleet: FleetView) -> float:
-        """Return how long work may wait for a better place than a free one."""
-        return self._terms.optional_wait_share * fleet.guaranteed_start_s
-
-    def _choose_for_gang(
-        self,
-        unit: PlanUnit,
-        sessions: list[UpstreamSession],
-        free_capacity: FreeCapacity,
-        fleet: FleetView,
-    ) -> _GangPlacement | None:
-        """Return the fastest set of upstreams that fits a whole gang."""
-        options = [
-            option
-            for group, is_spread in self._list_groups(unit, sessions)
-            if (option := self._fit_gang(unit, group, is_spread, free_capacity, fleet))
-        ]
-        if not options:
-            return None
-        best = min(options, key=lambda option: option.run_s)
-        if best.is_remote and not self._may_be_remote(unit, free_capacity, fleet):
-            return None
-        return best
-
-    def _list_groups(
-        self, unit: PlanUnit, sessions: list[UpstreamSession]
-    ) -> list[tuple[list[UpstreamSession], bool]]:
-        """Return candidate sets of upstreams, and whether each may span racks."""
-        if not (unit.spec.same_rack or unit.spec.preferred_rack):
-            return [(sessions, False)]
-        by_rack: dict[str, list[UpstreamSession]] = {}
-        for session in sessions:
-            by_rack.setdefault(session.record.rack, []).append(session)
-        groups = [(group, False) for group in by_rack.values()]
-        return [*groups, (sessions, unit.spec.same_rack)]
-
-    def _fit_gang(
-        self,
-        unit: PlanUnit,
-        group: list[UpstreamSession],
-        is_spread: bool,
-        free_capacity: FreeCapacity,
-        fleet: FleetView,
-    ) -> _GangPlacement | None:
-        chosen: list[UpstreamSession] = []
-        for session in self._order(unit, group, free_capacity, fleet):
-            wanted = len(unit.indexes) - len(chosen)
-            if not wanted:
-                break
-            chosen += [session] * free_capacity.count_fitting(unit, session, wanted)
-        if len(chosen) < len(unit.indexes):
-            return None
-        run_s = max(fleet.predict_run_s(unit, session) for session in chosen)
-        racks = {session.record.rack for session in chosen}
-        is_spread = is_spread and len(racks) > 1
-        if is_spread:
-            run_s *= fleet.remote_factor
-        preferred = unit.spec.preferred_rack
-        is_remote = is_spread or bool(preferred and racks != {preferred})
-        return _GangPlacement(run_s, is_remote, tuple(chosen))
+        return self._claim(unit, cause, sessions, chooser, plan)
 
     # Preemption
 
     def _hold_claimed(
-        self, unit: PlanUnit, free_capacity: FreeCapacity, fleet: FleetView, plan: Plan
+        self, unit: PlanUnit, chooser: UpstreamChooser, plan: Plan
     ) -> None:
         """Withhold the capacity that is claimed for a unit from other units."""
-        claim = fleet.preemption.open_claims.get(unit.step_key)
+        claim = chooser.fleet.preemption.open_claims.get(unit.step_key)
         if claim is None:
             return
         placed = Counter(
@@ -426,33 +183,34 @@
             for placement in plan.placements
             if placement.unit.step_key == unit.step_key
         )
-        free_capacity.hold(claim, placed, len(unit.indexes) - placed.total())
+        chooser.free_capacity.hold(claim, placed, len(unit.indexes) - placed.total())
 
     def _place_claimed(
         self,
         unit: PlanUnit,
         claim: CapacityClaim,
-        free_capacity: FreeCapacity,
-        fleet: FleetView,
+        chooser: UpstreamChooser,
         plan: Plan,
     ) -> None:
         """Place a unit, but not on upstreams slower than all claimed ones."""
-        free_capacity.release(unit)
+        chooser.free_capacity.release(unit)
         if unit.is_guaranteed:
-            free_capacity.allow_probation(unit)
+            chooser.free_capacity.allow_probation(unit)
         run_times_s = (
-            fleet.predict_run_s(unit, session)
-            for session in free_capacity.sessions
+            chooser.fleet.predict_run_s(unit, session)
+            for session in chooser.free_capacity.sessions
             if session.upstream_id in claim.tasks
         )
         slowest_s = max(run_times_s, default=math.inf)
-        chosen = self._choose(unit, free_capacity, fleet)
-        kept = [one for one in chosen if fleet.predict_run_s(unit, one) <= slowest_s]
+        chosen = chooser.choose(unit)
+        kept = [
+            one for one in chosen if chooser.fleet.predict_run_s(unit, one) <= slowest_s
+        ]
         if unit.spec.gang and len(kept) < len(unit.indexes):
             kept = []
-        if self._start(unit, kept, free_capacity, plan):
+        if self._start(unit, kept, chooser.free_capacity, plan):
             plan.blocked.append(unit)
-            self._hold_claimed(unit, free_capacity, fleet, plan)
+            self._hold_claimed(unit, chooser, plan)
 
     def _may_preempt(self, unit: PlanUnit, fleet: FleetView) -> bool:
         """Return whether a unit may preempt runs of lower priority.
@@ -473,21 +231,24 @@
         unit: PlanUnit,
         cause: ClaimCause,
         candidates: list[UpstreamSession],
-        free_capacity: FreeCapacity,
-        fleet: FleetView,
+        chooser: UpstreamChooser,
         plan: Plan,
     ) -> bool:
         """Claim capacity for urgent work unless preemption would lose too much work."""
-        sessions = [one for one in candidates if free_capacity.is_proven_for(unit, one)]
+        sessions = [
+            one for one in candidates if chooser.free_capacity.is_proven_for(unit, one)
+        ]
         terms = EvictionTerms(
-            may_be_remote=self._may_be_remote(unit, free_capacity, fleet),
+            may_be_remote=chooser.may_be_remote(unit),
             reclaims=cause is ClaimCause.GUARANTEED,
         )
         count = len(unit.indexes)
-        found = find_evictions(unit, count, sessions, free_capacity, fleet, terms)
+        found = find_evictions(
+            unit, count, sessions, chooser.free_capacity, chooser.fleet, terms
+        )
         if found is None:
             return False
-        work_cores_s = fleet.predict_cores_s(unit)
+        work_cores_s = chooser.fleet.predict_cores_s(unit)
         if cause is not ClaimCause.GUARANTEED and (
             found.lost_cores_s > self._terms.eviction_factor * work_cores_s
         ):
@@ -495,14 +256,14 @@
         for session in sessions:
             if found.allocations[session.upstream_id]:
                 count = found.allocations[session.upstream_id]
-                free_capacity.take(unit, session, count)
+                chooser.free_capacity.take(unit, session, count)
         plan.evictions += found.evictions
         plan.claims.append(
             CapacityClaim(
                 unit=unit,
                 cause=cause,
                 tasks=dict(found.allocations),
-                misses_hard_deadline=fleet.misses_hard_deadline(unit),
+                misses_hard_deadline=chooser.fleet.misses_hard_deadline(unit),
                 work_cores_s=work_cores_s,
                 lost_cores_s=found.lost_cores_s,
                 victims=len(found.evictions),
