Ask the advice service about each upstream in turn

What callers would see: a workload of a queue with advice that never begins.

Cause: the decision on an upstream does not change, yet each call named the same 30 upstreams until one of them was allowed, and tickets for too few upstreams for a gang were never added to. Class: a wait for an answer that can't come.

Change: a round of calls names each suitable upstream once, tickets of several calls add up, and calls go on until the allowed upstreams would hold all tasks. Both new tests of test_services.py failed before and pass now.

--- a/tanagerpath/core/workloads/advice.py
+++ b/tanagerpath/core/workloads/advice.py
@@ -27,13 +27,32 @@
 _TicketKey = tuple[str, int, int]
 
 
+@attrs.frozen
+class _HeldTicket:
+    """A ticket for one incarnation of an upstream."""
+
+    text: str
+    incarnation: str
+    valid_until_s: float
+
+
 @attrs.define
 class _Tickets:
-    """Tickets and the open call for one step of one occurrence."""
+    """Tickets and the open call for one step of one occurrence.
+
+    Attributes
+    ----------
+    by_upstream : dict of str to _HeldTicket
+        The tickets.
+    asked : dict of str to str
+        Incarnations, by upstream, that the calls of this round named. The decision on
+        an upstream does not change, so each round asks about every one once.
+    call_expires_s, next_call_s : float
+        Time until which a reply is awaited, and earliest time of the next call.
+    """
 
-    by_upstream: dict[str, str] = attrs.Factory(dict)
-    incarnations: dict[str, str] = attrs.Factory(dict)
-    valid_until_s: float = 0.0
+    by_upstream: dict[str, _HeldTicket] = attrs.Factory(dict)
+    asked: dict[str, str] = attrs.Factory(dict)
     call_expires_s: float = 0.0
     next_call_s: float = 0.0
 
@@ -61,8 +80,8 @@
             tickets = self._find_valid(unit)
             if tickets:
                 ready.append(attrs.evolve(unit, tickets=tickets))
-            else:
-                self._request_tickets(unit)
+            if not self._is_enough(unit, tickets):
+                self._request_tickets(unit, tickets)
         return ready
 
     def _find_key(self, unit: PlanUnit) -> _TicketKey:
@@ -70,18 +89,27 @@
 
     def _find_valid(self, unit: PlanUnit) -> dict[str, str]:
         held = self._steps.get(self._find_key(unit))
-        if held is None or self._context.now_s >= held.valid_until_s:
+        if held is None:
             return {}
-        sessions = self._context.sessions
         return {
-            upstream_id: text
-            for upstream_id, text in held.by_upstream.items()
-            if upstream_id in sessions
-            and sessions[upstream_id].record.incarnation
-            == held.incarnations.get(upstream_id)
+            upstream_id: ticket.text
+            for upstream_id, ticket in held.by_upstream.items()
+            if self._context.now_s < ticket.valid_until_s
+            and self._context.find_session(upstream_id, ticket.incarnation)
         }
 
-    def _request_tickets(self, unit: PlanUnit) -> None:
+    def _is_enough(self, unit: PlanUnit, tickets: dict[str, str]) -> bool:
+        """Return whether the upstreams with tickets would hold all tasks if idle."""
+        limit = unit.spec.max_per_upstream or len(unit.indexes)
+        capacity = sum(
+            unit.spec.reserved.count_in(
+                self._context.sessions[upstream_id].record.capacity, limit
+            )
+            for upstream_id in tickets
+        )
+        return capacity >= len(unit.indexes)
+
+    def _request_tickets(self, unit: PlanUnit, tickets: dict[str, str]) -> None:
         context = self._context
         held = self._steps.setdefault(self._find_key(unit), _Tickets())
         now_s = context.now_s
@@ -90,13 +118,15 @@
             return
         if in_flight >= MAX_CALLS_IN_FLIGHT:
             return
-        chosen = self._choose_upstreams(unit)
+        chosen = self._choose_upstreams(unit, held, tickets)
         if not chosen:
+            # The round has asked about all upstreams.
+            held.asked.clear()
+            held.next_call_s = now_s + RETRY_INTERVAL_S
             return
-        held.incarnations = {
-            upstream_id: context.sessions[upstream_id].record.incarnation
-            for upstream_id in chosen
-        }
+        for upstream_id in chosen:
+            record = context.sessions[upstream_id].record
+            held.asked[upstream_id] = record.incarnation
         workload_id, occurrence, step = self._find_key(unit)
         request = AdviceRequest(
             workload_id=workload_id,
@@ -111,13 +141,21 @@
         address = context.terms.advice_address
         context.add_effect(CallUpstream(ADVICE_ID, "", address, request, timeout_s))
 
-    def _choose_upstreams(self, unit: PlanUnit) -> tuple[str, ...]:
-        """Return suitable upstreams, those near the data and with capacity first."""
+    def _choose_upstreams(
+        self, unit: PlanUnit, held: _Tickets, tickets: dict[str, str]
+    ) -> tuple[str, ...]:
+        """Return suitable upstreams without a ticket that this round has not named.
+
+        Those that were allowed before come first, then those near the data and with
+        capacity.
+        """
         spec = unit.spec
         suitable = [
             session
             for session in self._context.sessions.values()
             if session.is_usable
+            and session.upstream_id not in tickets
+            and held.asked.get(session.upstream_id) != session.record.incarnation
             and session.record.pool == unit.queue.pool
             and spec.reserved.fits(session.record.capacity)
             and (
@@ -126,6 +164,7 @@
         ]
         suitable.sort(
             key=lambda session: (
+                session.upstream_id not in held.by_upstream,
                 bool(spec.preferred_rack)
                 and session.record.rack != spec.preferred_rack,
                 not spec.reserved.fits(session.free),
@@ -147,11 +186,15 @@
         queue = context.state.find_queue(record.queue) if record else None
         if held is None or queue is None or queue.advice is None:
             return
-        held.by_upstream = {one.upstream_id: one.text for one in reply.tickets}
-        validity_s = queue.advice.validity_s * VALIDITY_SHARE
-        held.valid_until_s = context.now_s + validity_s
-        if not held.by_upstream:
-            held.next_call_s = context.now_s + RETRY_INTERVAL_S
+        valid_until_s = context.now_s + queue.advice.validity_s * VALIDITY_SHARE
+        for ticket in reply.tickets:
+            held.by_upstream[ticket.upstream_id] = _HeldTicket(
+                ticket.text, held.asked.get(ticket.upstream_id, ""), valid_until_s
+            )
+        # Once their tickets have expired, these are named again in the same round.
+        for upstream_id in request.upstream_ids:
+            if upstream_id in held.by_upstream:
+                held.asked.pop(upstream_id, None)
         context.must_plan = True
         context.log_decision(
             "advice taken",
@@ -165,6 +208,8 @@
         """Schedule a retry for a step."""
         held = self._finish_call(request)
         if held is not None:
+            for upstream_id in request.upstream_ids:
+                held.asked.pop(upstream_id, None)
             held.next_call_s = self._context.now_s + RETRY_INTERVAL_S
         self._context.log_decision(
             "advice failed", workload=request.workload_id, reason=reason
@@ -181,7 +226,7 @@
         """Drop the tickets of a step after one was refused."""
         held = self._steps.get((workload_id, occurrence, step))
         if held is not None:
-            held.valid_until_s = 0.0
+            held.by_upstream.clear()
 
     def forget(self, workload_id: str) -> None:
         """Delete the tickets of an ended workload."""
--- a/tanagerpath/core/workloads/tests/test_services.py
+++ b/tanagerpath/core/workloads/tests/test_services.py
@@ -1,13 +1,17 @@
 """Guards the protocols with external services: placement advice and VM upkeep."""
 
+import attrs
 import testtools
 
+from tanagerpath.core.workloads.advice import MAX_UPSTREAMS_PER_CALL
 from tanagerpath.core.workloads.commands import DeclareWave
 from tanagerpath.core.workloads.resources import Resources
 from tanagerpath.core.workloads.specs import StepSpec
 from tanagerpath.core.workloads.tests.rig import Rig
 
 SMALL = Resources(8_000, 16_000, 1)
+WHOLE = Resources(8_000, 16_000, 8)
+STEP = StepSpec(needs=SMALL, declared_run_s=1.0)
 UPKEEP_S = 2.0
 
 
@@ -29,6 +33,24 @@
         rig.run(3)
         self.assertEqual("completed", rig.find_state("w"))
 
+    def test_upstreams_that_were_not_asked_about_are_asked_about_next(self):
+        """The service's decision does not change, so asking again was in vain."""
+        rig = Rig(upstreams=2 * MAX_UPSTREAMS_PER_CALL)
+        asked_last = sorted(rig.upstreams)[-1]
+        rig.allowed_upstreams = {asked_last}
+        rig.submit("w", STEP, queue="advised", work_s=1.0)
+        rig.run(5.0)
+        self.assertEqual("completed", rig.find_state("w"))
+
+    def test_more_upstreams_are_asked_about_until_a_gang_fits(self):
+        rig = Rig(upstreams=2 * MAX_UPSTREAMS_PER_CALL)
+        names = sorted(rig.upstreams)
+        rig.allowed_upstreams = {names[0], names[-1]}
+        gang = attrs.evolve(STEP, count=2, gang=True, needs=WHOLE)
+        rig.submit("w", gang, queue="advised", work_s=1.0)
+        rig.run(5.0)
+        self.assertEqual("completed", rig.find_state("w"))
+
 
 class TestUpkeep(testtools.TestCase):
     def _declare(self, rig, names, most_at_once, duration_s):
