Send a renewal of the job dispatcher again if its result is lost

A result that is dropped because the mailbox of the control task is full left the upstream lost for the rest of the term. The flag is a deadline now.

test_renewal_whose_result_is_lost_is_sent_again failed before and passes now; all tests of core/coordination pass.

--- a/tanagerpath/core/coordination/fleet.py
+++ b/tanagerpath/core/coordination/fleet.py
@@ -137,7 +137,7 @@
 
     def mark_renewal_failed(self, session: UpstreamSession) -> None:
         """Mark the renewal in flight as failed."""
-        session.renewal_in_flight = False
+        session.renewal_expires_at_s = 0.0
 
     def mark_leaving(self, upstream_id: str, now: Instant) -> None:
         """Mark an upstream as leaving, so that it gets no new work."""
@@ -149,8 +149,8 @@
         calls: list[CallUpstream] = []
         for session in self._sessions.values():
             self._update_condition(session.upstream_id, now)
-            due = session.next_renew_at_s <= now.now_s
-            if due and not session.renewal_in_flight and now.has_lease:
+            due_at_s = max(session.next_renew_at_s, session.renewal_expires_at_s)
+            if due_at_s <= now.now_s and now.has_lease:
                 calls.append(session.begin_renewal(self._term, now.now_s, self._config))
         return calls
 
--- a/tanagerpath/core/coordination/sessions.py
+++ b/tanagerpath/core/coordination/sessions.py
@@ -52,7 +52,7 @@
     basis_received_at_s: float | None = None
     replied_at_s: float | None = None
     leaving: bool = False
-    renewal_in_flight: bool = False
+    renewal_expires_at_s: float = 0.0
     renewal_sent_at_s: float = 0.0
 
     @property
@@ -84,7 +84,8 @@
         self, term: int, now_s: float, config: LeaseConfig
     ) -> CallUpstream:
         """Return the next renewal and extend the lease that it may grant."""
-        self.renewal_in_flight = True
+        # The result of the call can be lost on its way here.
+        self.renewal_expires_at_s = now_s + config.unreachable_after_s
         self.renewal_sent_at_s = now_s
         self.next_renew_at_s = now_s + config.renew_interval_s
         if self.basis_received_at_s is not None:
@@ -104,7 +105,7 @@
     def handle_reply(self, reply: RenewReply, now_s: float) -> bool:
         """Process the reply to a renewal; return True if it was the first one."""
         first = self.replied_at_s is None
-        self.renewal_in_flight = False
+        self.renewal_expires_at_s = 0.0
         self.replied_at_s = now_s
         self.leaving = self.leaving or reply.leaving
         self.basis_clock_ms = reply.clock_ms
--- a/tanagerpath/core/coordination/tests/rig.py
+++ b/tanagerpath/core/coordination/tests/rig.py
@@ -93,6 +93,7 @@
         self.accelerators = accelerators
         self.responses = {}
         self.calls = []
+        self.loses_results = False
         self.counts = []
         self.term = 0
         self.coordinator = None
@@ -143,6 +144,8 @@
 
     def _call(self, call):
         self.calls.append(call)
+        if self.loses_results:
+            return []
         upstream = self.upstreams[call.upstream_id]
         if upstream.silent:
             failure = ExchangeTimedOut(address=call.address)
--- a/tanagerpath/core/coordination/tests/test_coordinator.py
+++ b/tanagerpath/core/coordination/tests/test_coordinator.py
@@ -206,6 +206,16 @@
         self.assertEqual(sorted(basis), basis)
         self.assertGreater(basis[-1], 0)
 
+    def test_renewal_whose_result_is_lost_is_sent_again(self):
+        rig = Rig(upstreams=1)
+        rig.loses_results = True
+        rig.run_for(2.0)
+        rig.loses_results = False
+        rig.run_for(5.0)
+        job_id = rig.submit()
+        rig.run_for(1.0)
+        self.assertEqual(JobState.START_RECORDED, rig.record(job_id).state)
+
     def test_no_renewal_without_the_leaders_lease(self):
         rig = Rig(upstreams=1)
         before = len(list_requests(rig, protocol.RenewRequest))
