Test random refusals, losses and failures on the rig

Orders of all kinds are refused, lost or answered without a result on random upstreams, upstreams fail all runs, leaders change and the time of day steps; afterwards guaranteed work must begin within 2.7 s and everything must end.

--- a/tanagerpath/core/workloads/tests/rig.py
+++ b/tanagerpath/core/workloads/tests/rig.py
@@ -68,6 +68,8 @@
         self.work: dict[str, float] = {}
         self.failing_workloads: set[str] = set()
         self.reply_loss_rate = 0.0
+        # Share of the calls without any result, as if the mailbox of the task was full.
+        self.result_loss_rate = 0.0
         self.late_order_rate = 0.0
         self.has_lease = True
         self.violations: list[str] = []
@@ -341,6 +343,8 @@
             self._schedule(delay_s, ("late", call, upstream))
             return
         reply = upstream.handle(call.request)
+        if self.result_loss_rate and self.random.random() < self.result_loss_rate:
+            return
         if self.random.random() < self.reply_loss_rate:
             self._fail(call)
             return
