Use the terms of the field in the benchmarks

The replay had a copy of HARD_DEADLINE_FACTOR. The row stray_share_of_free of the policy benchmark is now fragmented_free_share; names of measured lines stay.

--- a/tanagerpath/benchmarks/capacity.py
+++ b/tanagerpath/benchmarks/capacity.py
@@ -25,7 +25,7 @@
 from tanagerpath.benchmarks.capacity_consensus import ConsensusProbe
 from tanagerpath.benchmarks.capacity_core import CoordinatorProbe, GangProbe
 from tanagerpath.benchmarks.capacity_placement import (
-    LaneProbe,
+    EquivalenceClassProbe,
     PlacementProbe,
     ShortPlanProbe,
 )
@@ -49,7 +49,7 @@
         CoordinatorProbe(seed=seed),
         GangProbe(),
         PlacementProbe(seed=seed),
-        LaneProbe(),
+        EquivalenceClassProbe(),
         ShortPlanProbe(),
         StateProbe(),
         DocumentProbe(),
@@ -70,7 +70,7 @@
         CoordinatorProbe((15, 25), seed),
         GangProbe((16, 32)),
         PlacementProbe((15, 25), seed),
-        LaneProbe((5, 10)),
+        EquivalenceClassProbe((5, 10)),
         ShortPlanProbe((2, 4)),
         StateProbe((5, 10)),
         DocumentProbe((5, 10)),
--- a/tanagerpath/benchmarks/capacity_core.py
+++ b/tanagerpath/benchmarks/capacity_core.py
@@ -46,7 +46,7 @@
             "coordinator.memory_queue",
             "B",
             "queued job",
-            "jobs of 6 in 20 lanes, beyond the running work and the state",
+            "jobs of 6 in 20 equivalence classes, beyond running work and state",
         ),
     )
 
--- a/tanagerpath/benchmarks/capacity_load.py
+++ b/tanagerpath/benchmarks/capacity_load.py
@@ -56,7 +56,7 @@
     "time_calls",
 ]
 
-WORKERS_PER_RACK = 8
+UPSTREAMS_PER_RACK = 8
 ORGANISATIONS = tuple(f"team-{number:02d}" for number in range(10))
 PAYLOAD_BYTES = 200
 ANSWER = "y" * 200
@@ -66,7 +66,7 @@
 QUEUED_PER_UPSTREAM = 2
 BUSY_LOAD = (
     "every accelerator taken by 4 jobs of 2 on each upstream, 2 jobs of 6 queued for "
-    "each upstream in 20 lanes, 10 organisations with a guarantee of 8 each"
+    "each upstream in 20 equivalence classes, 10 organisations with a guarantee of 8"
 )
 _OPAQUE = (type, ModuleType, FunctionType, BuiltinFunctionType)
 
@@ -105,7 +105,7 @@
 
 def make_announcement(index: int, zones: int = 3) -> protocol.Announcement:
     """Return the announcement of the stand-in upstream with a number."""
-    rack, position = divmod(index, WORKERS_PER_RACK)
+    rack, position = divmod(index, UPSTREAMS_PER_RACK)
     location = UpstreamLocation(f"zone-{rack % zones}", rack // zones, position)
     capacity = UpstreamCapacity(f"worker-{index:05d}", location, services=(SERVICE,))
     address = f"10.{index // 62500}.{index // 250 % 250}.{index % 250}:7000"
--- a/tanagerpath/benchmarks/capacity_placement.py
+++ b/tanagerpath/benchmarks/capacity_placement.py
@@ -22,13 +22,13 @@
     UpstreamCondition,
 )
 
-__all__ = ["LaneProbe", "PlacementProbe", "ShortPlanProbe"]
+__all__ = ["EquivalenceClassProbe", "PlacementProbe", "ShortPlanProbe"]
 
 FLEET_SIZES = (25, 250, 2500)
 SAMPLES = 20
 LOSSES = 5
 GUARANTEED = 10
-LANE_UPSTREAMS = 250
+CLASS_UPSTREAMS = 250
 
 
 def _make_scheduler(upstreams: int, organisations: int) -> GuaranteeScheduler:
@@ -155,15 +155,15 @@
         return elapsed_s / LOSSES
 
 
-class LaneProbe(Probe):
+class EquivalenceClassProbe(Probe):
     """How `decide` grows with the number of different kinds of waiting jobs."""
 
     specs = (
         LineSpec(
             "placement.decide_lanes",
             "s",
-            "lane",
-            "250 upstreams full with jobs of 2; one blocked job of 8 in each lane",
+            "equivalence class",
+            "250 upstreams full with jobs of 2; one blocked job of 8 of each class",
         ),
     )
 
@@ -171,9 +171,9 @@
         self.sizes = sizes
 
     def prepare(self, size: int) -> None:
-        """Queue one job of each lane on a full fleet."""
-        self._scheduler = _make_scheduler(LANE_UPSTREAMS, max(GUARANTEED, size))
-        for number in range(LANE_UPSTREAMS * RUNNING_PER_UPSTREAM):
+        """Queue one job of each equivalence class on a full fleet."""
+        self._scheduler = _make_scheduler(CLASS_UPSTREAMS, max(GUARANTEED, size))
+        for number in range(CLASS_UPSTREAMS * RUNNING_PER_UPSTREAM):
             _submit(self._scheduler, number, 2)
         self._scheduler.decide(0.0)
         for number in range(size):
--- a/tanagerpath/benchmarks/invariant.py
+++ b/tanagerpath/benchmarks/invariant.py
@@ -42,18 +42,20 @@
         Shapes by organisation.
     """
     upstreams = sorted(usable, key=lambda each: _place(each))
-    firm: dict[Cell, JobRequest] = {}
+    non_preemptible: dict[Cell, JobRequest] = {}
     for run in held:
         if not run.request.preemptible:
             for index in range(run.first, run.first + run.count):
-                firm[(run.upstream_id, index)] = run.request
+                non_preemptible[(run.upstream_id, index)] = run.request
     options = []
     for organisation, shapes in guarantees.items():
         for shape in shapes:
             found = [
                 cells
                 for cells in _list_runs(upstreams, shape)
-                if all(_may_take(firm.get(cell), organisation) for cell in cells)
+                if all(
+                    _may_take(non_preemptible.get(cell), organisation) for cell in cells
+                )
             ]
             options += [found] * shape.count
     options.sort(key=len)
--- a/tanagerpath/benchmarks/ledger.py
+++ b/tanagerpath/benchmarks/ledger.py
@@ -19,9 +19,9 @@
 class Ledger:
     """Mirror of the hardware; integrates fragmentation over time.
 
-    Fragmentation is the share of all accelerator time that is stray while a gang
-    waits that its quota would let start. A free accelerator is stray if another one
-    of its upstream is held, so that no gang can use it.
+    Fragmentation is the share of all accelerator time that is fragmented while a gang
+    waits that its quota would let start. A free accelerator is fragmented if another
+    one of its upstream is held, so that no gang can use it.
     """
 
     _trace: Trace
@@ -30,7 +30,7 @@
     _placed: dict[str, tuple[JobRequest, Assignment]] = attrs.field(factory=dict)
     _waiting_gangs: dict[str, JobRequest] = attrs.field(factory=dict)
     usage: dict[str, int] = attrs.field(factory=dict)
-    stray_s: float = 0.0
+    fragmented_s: float = 0.0
     free_while_waiting_s: float = 0.0
     used_s: float = 0.0
     total_s: float = 0.0
@@ -97,7 +97,7 @@
         self.total_s += step_s * total
         self.used_s += step_s * used
         if any(map(self._is_startable, self._waiting_gangs.values())):
-            self.stray_s += step_s * self._count_stray()
+            self.fragmented_s += step_s * self._count_fragmented()
             self.free_while_waiting_s += step_s * (total - used)
 
     def is_guarantee_kept(self) -> bool:
@@ -120,13 +120,13 @@
             mask.bit_count() for mask in self._held.get(upstream_id, {}).values()
         )
 
-    def _count_stray(self) -> int:
-        stray = 0
+    def _count_fragmented(self) -> int:
+        fragmented = 0
         for name, upstream in self._usable.items():
             held = self._count_held(name)
             if held:
-                stray += upstream.accelerators - held
-        return stray
+                fragmented += upstream.accelerators - held
+        return fragmented
 
     def _check_adjacency(self, request: JobRequest, assignment: Assignment) -> None:
         if assignment.accelerators < request.accelerators:
--- a/tanagerpath/benchmarks/policy.py
+++ b/tanagerpath/benchmarks/policy.py
@@ -43,7 +43,7 @@
     completion_mean_s: float
     large_wait_p99_s: float
     fragmentation: float
-    stray_share_of_free: float
+    fragmented_free_share: float
     utilisation: float
     urgent_start_p99_s: float
     reclaim_max_s: float
@@ -66,8 +66,9 @@
             completion_p99_s=_find_percentile(completions, 0.99),
             completion_mean_s=math.fsum(completions) / max(len(completions), 1),
             large_wait_p99_s=_find_percentile(_list_large_waits(answered), 0.99),
-            fragmentation=ledger.stray_s / ledger.total_s,
-            stray_share_of_free=ledger.stray_s / max(ledger.free_while_waiting_s, 1.0),
+            fragmentation=ledger.fragmented_s / ledger.total_s,
+            fragmented_free_share=ledger.fragmented_s
+            / max(ledger.free_while_waiting_s, 1.0),
             utilisation=ledger.used_s / ledger.total_s,
             urgent_start_p99_s=_find_percentile(_list_urgent_starts(records), 0.99),
             reclaim_max_s=max(_list_reclaims(records), default=0.0),
--- a/tanagerpath/benchmarks/traces.py
+++ b/tanagerpath/benchmarks/traces.py
@@ -39,7 +39,7 @@
         Guaranteed shapes by organisation.
     gang_sizes : tuple of int
         Sizes of large gangs; repeated sizes are more frequent.
-    gangs, checks, batch, patient, firm : int
+    gangs, checks, batch, patient, non_preemptible : int
         Jobs over the trace: large gangs, quick checks, batch, patient work with a
         deadline, and work that may not be preempted.
     """
@@ -54,7 +54,7 @@
     checks: int
     batch: int
     patient: int
-    firm: int
+    non_preemptible: int
     span_s: float = 48 * HOUR_S
 
 
@@ -74,7 +74,7 @@
         checks=2400,
         batch=1100,
         patient=350,
-        firm=70,
+        non_preemptible=70,
     ),
     Deployment(
         name="conductia",
@@ -91,7 +91,7 @@
         checks=1500,
         batch=1000,
         patient=250,
-        firm=60,
+        non_preemptible=60,
     ),
 )
 
@@ -163,7 +163,7 @@
         self._add_batch()
         self._add_patient()
         self._add_gangs()
-        self._add_firm()
+        self._add_non_preemptible()
         self._add_claims()
         self._add_impossible()
         self._cancel_waves()
@@ -233,8 +233,8 @@
                 checkpointable=True,
             )
 
-    def _add_firm(self) -> None:
-        for at_s in self._draw_instants(self._deployment.firm, bursts=2):
+    def _add_non_preemptible(self) -> None:
+        for at_s in self._draw_instants(self._deployment.non_preemptible, bursts=2):
             self._add(
                 at_s,
                 "actuate",
--- a/tanagerpath/benchmarks/workload_replay.py
+++ b/tanagerpath/benchmarks/workload_replay.py
@@ -16,6 +16,7 @@
 
 from tanagerpath.benchmarks.workload_fleet import ORGANISATIONS, ReplayRig
 from tanagerpath.benchmarks.workload_kinds import FLEETS, Fleet, WorkloadKind
+from tanagerpath.core.workloads.policy import HARD_DEADLINE_FACTOR
 from tanagerpath.core.workloads.resources import Resources
 from tanagerpath.core.workloads.specs import StepSpec
 
@@ -31,8 +32,6 @@
 WIDTH_SPREAD = 0.8
 WIDTH_MEAN = math.exp(WIDTH_SPREAD**2 / 2)
 CANCEL_AFTER_S = (1.0, 15.0)
-# A workload counts as late up to this many times its objective.
-LATE_MULTIPLE = 3.0
 BASE_SHARE = 0.3
 MAX_SIZE_FACTOR = 4.0
 BURST_BEGIN_S = 8.0
@@ -64,7 +63,7 @@
         took_s = self.ended_s - self.at_s
         if took_s <= self.objective_s:
             return self.credit
-        if took_s <= LATE_MULTIPLE * self.objective_s:
+        if took_s <= HARD_DEADLINE_FACTOR * self.objective_s:
             return self.credit * self.kind.late_credit / self.kind.credit
         return 0.0
 
