--- a/tanagerpath/core/workloads/planner.py
+++ b/tanagerpath/core/workloads/planner.py
@@ -117,21 +117,21 @@
         }
         for unit in started.values():
             self._wait_reporter.report_start(unit)
-        claims = self._preemption.history.open_claims
-        reasons: dict[StepKey, tuple[PlanUnit, str]] = {}
-        for unit in waiting:
-            if unit.step_key in started:
-                continue
-            if unit.step_key in claims:
-                reason = "claimed capacity is not free yet"
-            elif self._is_backing_off(unit):
-                reason = "backoff after refused starts"
-            elif unit.step_key in ready_keys:
-                reason = "no capacity"
-            else:
-                reason = "no tickets"
-            reasons[unit.step_key] = (unit, reason)
-        self._wait_reporter.report_waits(reasons)
+        self._wait_reporter.report_waits(
+            {
+                unit.step_key: (unit, self._explain_wait(unit, ready_keys))
+                for unit in waiting
+                if unit.step_key not in started
+            }
+        )
+
+    def _explain_wait(self, unit: PlanUnit, ready_keys: set[StepKey]) -> str:
+        """Return the reason for the log why a unit waits after a plan."""
+        if unit.step_key in self._preemption.history.open_claims:
+            return "claimed capacity is not free yet"
+        if self._is_backing_off(unit):
+            return "backoff after refused starts"
+        return "no capacity" if unit.step_key in ready_keys else "no tickets"
 
     def view_fleet(self) -> FleetView:
         """Return the current input of the policy."""
