Count no restart as a late start of guaranteed work

Only a first start can be late, and the line says how many runs there were before. test_a_restart_is_not_a_late_start failed before.

--- a/tanagerpath/core/workloads/tests/test_wait_reports.py
+++ b/tanagerpath/core/workloads/tests/test_wait_reports.py
@@ -46,6 +46,17 @@
         rig.run(1.0)
         self.assertEqual(1, rig.counts["guaranteed work began late"])
 
+    def test_a_restart_is_not_a_late_start(self):
+        rig = Rig(upstreams=2)
+        rig.submit("check", _step(1), queue="urgent", work_s=9.0)
+        rig.run(4.0)
+        for upstream in rig.upstreams.values():
+            upstream.fails_all = bool(upstream.runs)
+        rig.run(2.0)
+        reports = _list_fields(rig, "urgent work began")
+        self.assertEqual([0, 1], [one["runs_before"] for one in reports])
+        self.assertEqual(0, rig.counts["guaranteed work began late"])
+
     def test_change_of_the_cover_is_reported_with_what_is_held(self):
         rig = Rig()
         rig.submit("large", _step(2, WHOLE), queue="urgent", work_s=2.0)
--- a/tanagerpath/core/workloads/wait_reports.py
+++ b/tanagerpath/core/workloads/wait_reports.py
@@ -127,12 +127,20 @@
         }
 
     def report_start(self, unit: PlanUnit) -> None:
-        """Log that all waiting tasks of an urgent unit were placed."""
+        """Log that all waiting tasks of an urgent unit were placed.
+
+        Only a first start can be late: a run that ended early says nothing of the wait.
+        """
         if unit.queue.priority > 0:
             return
         context = self._context
         waited_s = context.now_s - unit.arrival_s
-        is_late = unit.is_guaranteed and waited_s > context.terms.guaranteed_start_s
+        runs_before = max(
+            unit.record.find_task(unit.make_task_id(index)).last_run
+            for index in unit.indexes
+        )
+        is_covered_start = unit.is_guaranteed and not runs_before
+        is_late = is_covered_start and waited_s > context.terms.guaranteed_start_s
         context.log_decision(
             "guaranteed work began late" if is_late else "urgent work began",
             workload=unit.record.workload_id,
@@ -140,6 +148,7 @@
             organisation=unit.record.organisation,
             covered=unit.is_guaranteed,
             tasks=len(unit.indexes),
+            runs_before=runs_before,
             waited_s=round(waited_s, 3),
             bound_s=context.terms.guaranteed_start_s,
         )
