--- a/tanagerpath/core/workloads/wait_reports.py
+++ b/tanagerpath/core/workloads/wait_reports.py
@@ -129,7 +129,8 @@
     def report_start(self, unit: PlanUnit) -> None:
         """Log that all waiting tasks of an urgent unit were placed.
 
-        Only a first start can be late: a run that ended early says nothing of the wait.
+        Only the first start of the first step can be late; after it, runs that end early
+        and earlier steps take their time.
         """
         if unit.queue.priority > 0:
             return
@@ -139,8 +140,9 @@
             unit.record.find_task(unit.make_task_id(index)).last_run
             for index in unit.indexes
         )
-        is_covered_start = unit.is_guaranteed and not runs_before
-        is_late = is_covered_start and waited_s > context.terms.guaranteed_start_s
+        is_first = unit.step == 0 and not runs_before
+        is_beyond = waited_s > context.terms.guaranteed_start_s
+        is_late = unit.is_guaranteed and is_first and is_beyond
         context.log_decision(
             "guaranteed work began late" if is_late else "urgent work began",
             workload=unit.record.workload_id,
