--- a/tanagerpath/core/workloads/wait_reports.py
+++ b/tanagerpath/core/workloads/wait_reports.py
@@ -129,8 +129,8 @@
     def report_start(self, unit: PlanUnit) -> None:
         """Log that all waiting tasks of an urgent unit were placed.
 
-        Only the first start of the first step can be late; after it, runs that end early
-        and earlier steps take their time.
+        Only the first start of the first step can be late. Later ones also wait for
+        runs that end early and for earlier steps.
         """
         if unit.queue.priority > 0:
             return
