Bound the powers of two in backoffs

A start that is refused again and again raised the exponent of its delay without a limit, and 2.0 ** 1024 raises OverflowError: after 2.3 hours of refusals at 8 s the process of each leader would end. The delays stay as they are. test_backoffs_of_many_refusals_do_not_overflow failed before.

--- a/tanagerpath/core/workloads/sessions.py
+++ b/tanagerpath/core/workloads/sessions.py
@@ -31,7 +31,7 @@
 # A start that is repeated at once would be refused again.
 REFUSAL_BACKOFF_S = 1.0
 # Below the bound of guaranteed starts, so that an upstream that has recovered is used.
-MAX_REFUSAL_BACKOFF_S = 2.0
+REPEATED_REFUSAL_BACKOFF_S = 2.0
 COMPLETED_PERCENT = 100
 # Progress is reported in whole percent; a speed measured over less is inaccurate.
 MIN_OBSERVED_PERCENT = 10
@@ -384,15 +384,15 @@
     def note_unhealthy(self, now_s: float) -> None:
         """Record a start that was refused for the state of the upstream.
 
-        No start is tried for a time that doubles with each refusal in a row.
+        No start is tried for `REFUSAL_BACKOFF_S`, and after further refusals in a row
+        for `REPEATED_REFUSAL_BACKOFF_S`.
         """
         if now_s < self.refused_until_s and not self.refused_needs.is_any:
             return
-        delay_s = REFUSAL_BACKOFF_S * 2.0**self.refused_all_count
+        is_repeated = self.refused_all_count > 0
+        delay_s = REPEATED_REFUSAL_BACKOFF_S if is_repeated else REFUSAL_BACKOFF_S
         self.refused_all_count += 1
-        self.note_refusal(
-            Resources(), now_s, now_s + min(delay_s, MAX_REFUSAL_BACKOFF_S)
-        )
+        self.note_refusal(Resources(), now_s, now_s + delay_s)
 
     def would_refuse(self, needs: Resources, now_s: float) -> bool:
         """Return whether a start is expected to be refused, like a recent one."""
--- a/tanagerpath/core/workloads/start_backoff.py
+++ b/tanagerpath/core/workloads/start_backoff.py
@@ -11,6 +11,8 @@
 IMMEDIATE_RETRIES = 3
 INITIAL_BACKOFF_S = 1.0
 MAX_BACKOFF_S = 8.0
+# Keeps the power of two within the range of a float.
+MAX_DOUBLINGS = 16
 
 
 @attrs.define
@@ -43,7 +45,7 @@
         backoff.last_run = view.run
         backoff.count += 1
         if backoff.count > IMMEDIATE_RETRIES and now_s >= backoff.until_s:
-            doublings = backoff.count - IMMEDIATE_RETRIES - 1
+            doublings = min(backoff.count - IMMEDIATE_RETRIES - 1, MAX_DOUBLINGS)
             delay_s = min(INITIAL_BACKOFF_S * 2.0**doublings, MAX_BACKOFF_S)
             backoff.until_s = now_s + delay_s
 
--- a/tanagerpath/core/workloads/tests/test_refused_orders.py
+++ b/tanagerpath/core/workloads/tests/test_refused_orders.py
@@ -10,7 +10,9 @@
     StopRequest,
 )
 from tanagerpath.core.workloads.resources import Resources
-from tanagerpath.core.workloads.specs import StepSpec
+from tanagerpath.core.workloads.sessions import RunPhase, RunView
+from tanagerpath.core.workloads.specs import StepSpec, TaskId
+from tanagerpath.core.workloads.start_backoff import StartBackoff
 from tanagerpath.core.workloads.tests.rig import Rig
 
 SMALL = Resources(8_000, 16_000, 1)
@@ -144,6 +146,19 @@
 
 
 class TestStarts(testtools.TestCase):
+    def test_backoffs_of_many_refusals_do_not_overflow(self):
+        """A power of two that grew with each refusal ended the leader after hours."""
+        session = Rig(upstreams=1).dispatcher.context.sessions["u0"]
+        view = RunView(
+            TaskId("w", 0, 0, 0), 1, _step(), "urgent", 0, RunPhase.ORDERED, 0.0
+        )
+        backoff = StartBackoff()
+        for number in range(2_000):
+            session.note_unhealthy(number * 10.0)
+            backoff.note_refusal(view, number * 10.0)
+        self.assertLess(session.refused_until_s, 2_000 * 10.0)
+        self.assertFalse(backoff.must_wait(view.task.step_key, 2_000 * 10.0))
+
     def test_guaranteed_gang_starts_once_refused_starts_are_accepted(self):
         for refused_s in (0.5, 1.0, 2.0, 3.0, 5.0, 9.0):
             rig = Rig(upstreams=8)
