Block delayed starts on every later incarnation of an upstream

Cause: an upstream that restarts under its identity has lost its state, so delayed starts of its earlier incarnations are blocked by stops. Once such a stop was answered, the start was forgotten, and an incarnation that started later, within the 20 s for which an order may be delayed, carried it out.

Change: the unanswered starts, with the times of their orders, are handed on to each later incarnation until they can no longer arrive.

--- a/tanagerpath/core/workloads/registry.py
+++ b/tanagerpath/core/workloads/registry.py
@@ -178,9 +178,7 @@
             self._replace_session(session)
             session = None
         if session is None:
-            self._open_session(record).fenced_runs = self._list_fenced(
-                record.upstream_id
-            )
+            self._fence_delayed_starts(self._open_session(record))
         else:
             session.record = record
         context.must_plan = True
@@ -194,24 +192,24 @@
             capacity=record.capacity.accelerators,
         )
 
-    def _list_fenced(self, upstream_id: str) -> dict[RunKey, float]:
-        """Return the runs that a new incarnation must not start.
+    def _fence_delayed_starts(self, session: UpstreamSession) -> None:
+        """Keep delayed starts of earlier incarnations from taking effect on a new one.
 
-        It has the identity of the earlier one but not its state, so it would carry out
-        a delayed order.
+        It has their identity but not their state, so it would carry out a delayed
+        order. The next incarnation has to be kept from it too.
         """
         now_s = self._context.now_s
-        ordered = self._unanswered.pop(upstream_id, {})
-        return {
-            key: now_s
+        ordered = self._unanswered.pop(session.upstream_id, {})
+        session.unanswered_starts = {
+            key: ordered_s
             for key, ordered_s in ordered.items()
             if ordered_s >= now_s - MAX_ORDER_DELAY_S
         }
+        session.fenced_runs = dict.fromkeys(session.unanswered_starts, now_s)
 
     def _remember_unanswered(self, session: UpstreamSession) -> None:
         unanswered = self._unanswered.setdefault(session.upstream_id, {})
         unanswered.update(session.unanswered_starts)
-        unanswered.update(session.fenced_runs)
 
     def _replace_session(self, session: UpstreamSession) -> None:
         """Keep the session of a replaced incarnation until its runs are ended."""
@@ -250,7 +248,7 @@
         ]
         for name in departed:
             session = context.sessions.pop(name)
-            if session.unanswered_starts or session.fenced_runs:
+            if session.unanswered_starts:
                 self._remember_unanswered(session)
             if session.upstream_id not in context.sessions:
                 context.health.pop(session.upstream_id, None)
--- a/tanagerpath/core/workloads/sessions.py
+++ b/tanagerpath/core/workloads/sessions.py
@@ -299,7 +299,8 @@
     is_cordoned : bool
         Whether it gets no new runs, as the upkeep of its VM is near.
     unanswered_starts : dict of RunKey to float
-        Runs with an unanswered start order, and the time of that order.
+        Runs with an unanswered start order to this or an earlier incarnation, and the
+        time of that order.
     fenced_runs : dict of RunKey to float
         Runs of an earlier incarnation that delayed orders could start here, and the
         time of the next stop order that prevents it.
--- a/tanagerpath/core/workloads/tests/test_restarts.py
+++ b/tanagerpath/core/workloads/tests/test_restarts.py
@@ -135,6 +135,23 @@
         rig.run(20.0)
         self.assertEqual("completed", rig.find_state("w"))
 
+    def test_delayed_start_is_blocked_after_repeated_restarts_too(self):
+        # The stop on an earlier incarnation was answered, and a later one, which does
+        # not know of it, carried the delayed start out.
+        rig = Rig(upstreams=1)
+        rig.run(0.5)
+        rig.late_order_rate = 1.0
+        rig.submit("w", StepSpec(needs=SMALL, declared_run_s=1.0))
+        rig.run(0.2)
+        rig.late_order_rate = 0.0
+        for _ in range(3):
+            rig.restart_upstream("u0")
+            rig.run(0.5)
+        blocked = [run for _, run in rig.upstreams["u0"].highest_ended_run.items()]
+        self.assertEqual([1], blocked)
+        rig.run(20.0)
+        self.assertEqual("completed", rig.find_state("w"))
+
 
 class TestBirths(testtools.TestCase):
     def test_heartbeat_born_in_the_far_future_does_not_block_its_upstream(self):
