Check only the upstreams that an event concerns

Cause: for each reply, tick and recorded command the leader checked all runs of all upstreams for due orders, stalled runs and paces.

Change: upstreams whose session has changed are checked at once, all others with the tick of 0.1 s, so that a deadline passes at most a tick late, as before in a calm moment. Stops that a plan causes are sent with the plan; they waited for the next event. A session that is removed gets no orders any more.

--- a/tanagerpath/core/workloads/dispatch_context.py
+++ b/tanagerpath/core/workloads/dispatch_context.py
@@ -144,6 +144,7 @@
         self.ends: list[QueuedEnd] = []
         self._ending: set[RunKey] = set()
         self.must_plan = True
+        self._touched: dict[UpstreamSession, None] = {}
         self._effects: list[Effect] = []
 
     @property
@@ -160,6 +161,22 @@
         effects, self._effects = self._effects, []
         return effects
 
+    def touch(self, session: UpstreamSession) -> None:
+        """Mark a session as changed, so that its due orders are sent at once."""
+        self._touched[session] = None
+
+    def remove_session(self, name: str) -> UpstreamSession:
+        """Remove and return a session; nothing is sent for it any more."""
+        session = self.sessions.pop(name)
+        self._touched.pop(session, None)
+        return session
+
+    def take_touched(self) -> tuple[UpstreamSession, ...]:
+        """Return the sessions that have changed since the last call, and clear them."""
+        touched = tuple(self._touched)
+        self._touched.clear()
+        return touched
+
     def log_decision(self, name: str, **fields: Any) -> None:
         """Write a decision to the log and count it."""
         self.add_effect(LogDecision(name, fields))
@@ -241,6 +258,7 @@
         """Forget a run whose end is recorded."""
         self._ending.discard(key)
         session.remove_run(key)
+        self.touch(session)
         self.must_plan = True
 
     def requeue_end(self, queued: QueuedEnd) -> None:
--- a/tanagerpath/core/workloads/dispatcher.py
+++ b/tanagerpath/core/workloads/dispatcher.py
@@ -79,6 +79,7 @@
         self._pending_record: commands.RecordRuns | None = None
         self._pending_ends: list[QueuedEnd] = []
         self._next_silence_check_s = context.now_s + SILENCE_CHECK_INTERVAL_S
+        self._must_drive_all = True
 
     @classmethod
     def from_state(
@@ -123,7 +124,7 @@
     def _handle_event(self, event: object) -> None:
         match event:
             case Ticked():
-                pass
+                self._must_drive_all = True
             case CommandRecorded(command, applied):
                 self._handle_committed(command, applied)
             case CommandRejected(command):
@@ -144,6 +145,7 @@
                 session = self._context.find_session(upstream_id, incarnation)
                 if session is None:
                     return
+                self._context.touch(session)
                 if isinstance(failure, WrongIncarnation):
                     self.registry.mark_replaced(session)
                 else:
@@ -152,6 +154,7 @@
     def _handle_reply(
         self, session: UpstreamSession, request: object, reply: object
     ) -> None:
+        self._context.touch(session)
         if isinstance(reply, HoldReply) and not self.registry.is_same_incarnation(
             session, reply.born_unix_ms
         ):
@@ -232,6 +235,7 @@
             return
         view.began_s = context.now_s
         view.enter(RunPhase.ORDERED, context.now_s)
+        context.touch(session)
         record = context.state.workloads[start.task.workload_id]
         if start.task.index == 0 and start.run == 1:
             waited_s = context.now.unix_s - record.accepted_at_unix_s
@@ -302,21 +306,39 @@
 
     def _drive(self) -> None:
         context = self._context
-        self._evacuate_draining()
-        self._stop_stalled()
-        for session in tuple(context.sessions.values()):
-            self._driver.drive(session)
-        self._pace_controller.adjust()
+        self._drive_upstreams(self._list_due())
         self._upkeep.advance()
         self._propose_removals()
         if self._pending_record is None:
             self._record(self._planner.plan())
+            # The stops of this plan must not wait for the next event.
+            self._drive_upstreams(context.take_touched())
         self.registry.drop_departed()
 
-    def _evacuate_draining(self) -> None:
+    def _list_due(self) -> tuple[UpstreamSession, ...]:
+        """Return the sessions on which an order may be due.
+
+        Deadlines of all sessions are checked with each tick. Between two ticks only
+        sessions that have changed are checked, so that the cost of a reply does not
+        grow with the number of upstreams.
+        """
+        touched = self._context.take_touched()
+        if not self._must_drive_all:
+            return touched
+        self._must_drive_all = False
+        return tuple(self._context.sessions.values())
+
+    def _drive_upstreams(self, sessions: tuple[UpstreamSession, ...]) -> None:
+        self._evacuate_draining(sessions)
+        self._stop_stalled(sessions)
+        for session in sessions:
+            self._driver.drive(session)
+        self._pace_controller.adjust(sessions)
+
+    def _evacuate_draining(self, sessions: tuple[UpstreamSession, ...]) -> None:
         """Stop runs that would not finish before their draining upstream ends."""
         context = self._context
-        for session in context.sessions.values():
+        for session in sessions:
             if session.remaining_until_s is None or session.departed_at_s is not None:
                 continue
             remaining_s = session.remaining_until_s - context.now_s
@@ -336,9 +358,8 @@
                         session, view, "its upstream leaves", StopCause.UPSTREAM_LEAVES
                     )
 
-    def _stop_stalled(self) -> None:
-        context = self._context
-        for session in context.sessions.values():
+    def _stop_stalled(self, sessions: tuple[UpstreamSession, ...]) -> None:
+        for session in sessions:
             if not session.reachable or not session.synced:
                 continue
             for view in tuple(session.runs.values()):
--- a/tanagerpath/core/workloads/pacing.py
+++ b/tanagerpath/core/workloads/pacing.py
@@ -1,5 +1,7 @@
 """Throttling of best-effort tasks that slow down serving ones."""
 
+from collections.abc import Iterable
+
 from tanagerpath.core.workloads.dispatch_context import DispatchContext
 from tanagerpath.core.workloads.run_driver import RunDriver
 from tanagerpath.core.workloads.sessions import RunPhase, RunView, UpstreamSession
@@ -32,9 +34,9 @@
         self._driver = driver
         self._next_s: dict[str, float] = {}
 
-    def adjust(self) -> None:
-        """Adjust the pace of best-effort tasks on each upstream."""
-        for session in self._context.sessions.values():
+    def adjust(self, sessions: Iterable[UpstreamSession]) -> None:
+        """Adjust the pace of best-effort tasks on some upstreams."""
+        for session in sessions:
             if self._context.now_s < self._next_s.get(session.upstream_id, 0.0):
                 continue
             serving = self._list_running(session, is_serving=True)
--- a/tanagerpath/core/workloads/registry.py
+++ b/tanagerpath/core/workloads/registry.py
@@ -55,6 +55,7 @@
             record, lease_expiry_s, last_contact_s=context.now_s, opened_s=context.now_s
         )
         context.sessions[record.upstream_id] = session
+        context.touch(session)
         context.must_plan = True
         return session
 
@@ -214,7 +215,7 @@
     def _replace_session(self, session: UpstreamSession) -> None:
         """Keep the session of a replaced incarnation until its runs are ended."""
         context = self._context
-        del context.sessions[session.upstream_id]
+        context.remove_session(session.upstream_id)
         context.health.pop(session.upstream_id, None)
         self._remember_unanswered(session)
         if session.runs:
@@ -230,6 +231,7 @@
         if session is None:
             return
         session.departed_at_s = context.now_s
+        context.touch(session)
         context.must_plan = True
         context.log_decision(
             "upstream left",
@@ -247,7 +249,7 @@
             if session.departed_at_s is not None and not session.runs
         ]
         for name in departed:
-            session = context.sessions.pop(name)
+            session = context.remove_session(name)
             if session.unanswered_starts:
                 self._remember_unanswered(session)
             if session.upstream_id not in context.sessions:
--- a/tanagerpath/core/workloads/run_driver.py
+++ b/tanagerpath/core/workloads/run_driver.py
@@ -202,6 +202,7 @@
             return False
         view.stop_reason = reason
         view.enter(RunPhase.STOPPING, self._context.now_s)
+        self._context.touch(session)
         self._context.log_task_decision(
             "run stopped",
             view.task,
