Look silent upstreams up in the platform's list of VMs

Cause: an upstream that leaves without a word is known to be gone only when its lease has expired, as it may be cut off and run on.

Change: if an upstream with runs does not reply, the leader reads the platform's list of VMs. A VM that is down, has another upstream, or is missing in two whole lists in a row proves that nothing runs there: the upstream is withdrawn through the log. An upstream whose VM is up keeps its runs until their lease expires. A list that was requested before the last message of an upstream, or that has entries that can't be read, proves nothing.

Ruled out: shorter leases (they would end all work in each outage of control).

--- a/tanagerpath/core/workloads/dispatcher.py
+++ b/tanagerpath/core/workloads/dispatcher.py
@@ -42,6 +42,7 @@
 )
 from tanagerpath.core.workloads.state import Applied, FleetState
 from tanagerpath.core.workloads.upkeep import PLATFORM_ID, UpkeepController
+from tanagerpath.core.workloads.vm_watch import VM_LIST_ID, VmWatch
 
 __all__ = ["Dispatcher"]
 
@@ -75,7 +76,12 @@
         self._advice = TicketCache(context)
         self._planner = StartPlanner(context, policy, self._preemption, self._advice)
         self._upkeep = UpkeepController(context, self._driver, f"leader-{context.term}")
-        self._services = {ADVICE_ID: self._advice, PLATFORM_ID: self._upkeep}
+        self._vm_watch = VmWatch(context)
+        self._services = {
+            ADVICE_ID: self._advice,
+            PLATFORM_ID: self._upkeep,
+            VM_LIST_ID: self._vm_watch,
+        }
         self._pending_record: commands.RecordRuns | None = None
         self._pending_ends: list[QueuedEnd] = []
         self._next_silence_check_s = context.now_s + SILENCE_CHECK_INTERVAL_S
@@ -308,6 +314,7 @@
         context = self._context
         self._drive_upstreams(self._list_due())
         self._upkeep.advance()
+        self._vm_watch.advance()
         self._propose_removals()
         if self._pending_record is None:
             self._record(self._planner.plan())
--- a/tanagerpath/core/workloads/orders.py
+++ b/tanagerpath/core/workloads/orders.py
@@ -23,6 +23,9 @@
     "StopRequest",
     "Ticket",
     "UpkeepRequest",
+    "VmListReply",
+    "VmListRequest",
+    "VmStatus",
     "WrongIncarnation",
 ]
 
@@ -220,3 +223,48 @@
     wave: int
     holder: str
     fencing_token: int
+
+
+@attrs.frozen(kw_only=True)
+class VmListRequest:
+    """Asks the platform for a page of its list of VMs; the first one has no token."""
+
+    page_token: str = ""
+
+
+@attrs.frozen(kw_only=True)
+class VmStatus:
+    """What the platform says of a VM.
+
+    Attributes
+    ----------
+    vm_id : str
+        The VM.
+    upstream_id : str
+        Identity of the upstream on it, empty for none.
+    is_up : bool
+        Whether the VM is up; on others nothing runs.
+    """
+
+    vm_id: str
+    upstream_id: str
+    is_up: bool
+
+
+@attrs.frozen(kw_only=True)
+class VmListReply:
+    """A page of the platform's list of VMs.
+
+    Attributes
+    ----------
+    vms : tuple of VmStatus
+        The VMs.
+    next_token : str
+        Token of the next page, empty on the last one.
+    is_whole : bool
+        Whether all entries of the page could be read.
+    """
+
+    vms: tuple[VmStatus, ...] = ()
+    next_token: str = ""
+    is_whole: bool = True
--- a/tanagerpath/core/workloads/tests/rig.py
+++ b/tanagerpath/core/workloads/tests/rig.py
@@ -43,6 +43,9 @@
     StartRequest,
     Ticket,
     UpkeepRequest,
+    VmListReply,
+    VmListRequest,
+    VmStatus,
 )
 from tanagerpath.core.workloads.resources import Resources
 from tanagerpath.core.workloads.specs import WorkloadSpec
@@ -82,6 +85,12 @@
         self.advice_refusal: Refusal | None = None
         self.unix_offset_s = 0.0
         self.upkeeps: list[tuple[float, str]] = []
+        self.vm_page_size = 2
+        self.vm_lists = 0
+        self.vms_down: set[str] = set()
+        self.unlisted_vms: set[str] = set()
+        self.is_vm_list_whole = True
+        self.vm_owners: dict[str, str] = {}
         self.runs_ended_by_upkeep = 0
         self._scheduled: list[tuple[float, int, object]] = []
         self._sequence = iter(range(1_000_000))
@@ -304,6 +313,8 @@
                 if one in self.allowed_upstreams
             ]
             reply = AdviceReply(tuple(Ticket(one, f"t-{one}") for one in allowed))
+        elif isinstance(call.request, VmListRequest):
+            reply = self._list_vms(int(call.request.page_token or 0))
         else:
             self.upkeeps.append((self.now_s, call.request.vm_id))
             fake = self.upstreams[call.request.vm_id]
@@ -314,6 +325,25 @@
         event = UpstreamReplied(call.upstream_id, "", call.request, reply)
         self._schedule(STEP_S, ("event", event, None))
 
+    def _list_vms(self, first):
+        self.vm_lists += not first
+        names = sorted(self.upstreams)
+        page = names[first : first + self.vm_page_size]
+        following = first + len(page)
+        return VmListReply(
+            vms=tuple(
+                VmStatus(
+                    vm_id=name,
+                    upstream_id=self.vm_owners.get(name, name),
+                    is_up=name not in self.vms_down,
+                )
+                for name in page
+                if name not in self.unlisted_vms
+            ),
+            next_token=str(following) if following < len(names) else "",
+            is_whole=self.is_vm_list_whole,
+        )
+
     def restart_upstream(self, name):
         """Restart an upstream as a new incarnation that has lost all state."""
         fake = self.upstreams[name]
@@ -329,7 +359,7 @@
         self.report(fake.record)
 
     def _call(self, call):
-        if isinstance(call.request, AdviceRequest | UpkeepRequest):
+        if isinstance(call.request, AdviceRequest | UpkeepRequest | VmListRequest):
             self._call_service(call)
             return
         upstream = self.upstreams.get(call.upstream_id)
--- a/tanagerpath/platform/orders.py
+++ b/tanagerpath/platform/orders.py
@@ -1,6 +1,7 @@
 """Encoding of orders to workers and other services of the platform."""
 
 import json
+import urllib.parse
 from typing import Any
 
 from returns.result import Failure as ResultFailure
@@ -24,6 +25,9 @@
     StopRequest,
     Ticket,
     UpkeepRequest,
+    VmListReply,
+    VmListRequest,
+    VmStatus,
     WrongIncarnation,
 )
 from tanagerpath.errors import Failure, FailureError
@@ -62,6 +66,7 @@
 _REFUSED = 409
 _WRONG_INCARNATION = 421
 _UNHEALTHY = (429, 503)
+_VM_IS_UP = "up"
 
 
 def _write_hold(request: HoldRequest) -> tuple[str, dict[str, Any]]:
@@ -114,6 +119,13 @@
     return "/machine-upkeep", {"machine": request.vm_id, "wave": request.wave}
 
 
+def _write_vm_list_path(request: VmListRequest) -> str:
+    if not request.page_token:
+        return "/machines"
+    query = urllib.parse.urlencode({"page_token": request.page_token})
+    return f"/machines?{query}"
+
+
 _WRITERS = {
     AdviceRequest: _write_advice,
     UpkeepRequest: _write_upkeep,
@@ -179,6 +191,27 @@
     return AdviceReply(tuple(tickets))
 
 
+def _read_vm_list(fields: Fields) -> VmListReply:
+    vms = tuple(map(_read_vm, fields.read_list("machines")))
+    return VmListReply(
+        vms=tuple(vm for vm in vms if vm is not None),
+        next_token=fields.read_text("next_token") if fields.has("next_token") else "",
+        is_whole=None not in vms,
+    )
+
+
+def _read_vm(entry: Any) -> VmStatus | None:
+    """Return what an entry says of a VM, None if it can't be read."""
+    match entry:
+        case {"machine": str(vm_id), "state": str(state), **others}:
+            upstream_id = others.get("id") or ""
+            if is_text(upstream_id):
+                return VmStatus(
+                    vm_id=vm_id, upstream_id=upstream_id, is_up=state == _VM_IS_UP
+                )
+    return None
+
+
 def _list_headers(call: CallUpstream) -> tuple[tuple[bytes, bytes], ...]:
     match call.request:
         case UpkeepRequest(holder=holder, fencing_token=token):
@@ -186,13 +219,13 @@
                 (b"x-duty-holder", holder.encode()),
                 (b"x-fencing-token", str(token).encode()),
             )
-        case AdviceRequest():
+        case AdviceRequest() | VmListRequest():
             return ()
     return ((b"x-expected-instance", call.upstream_id.encode()),)
 
 
 def _is_to_worker(call: CallUpstream) -> bool:
-    return not isinstance(call.request, AdviceRequest | UpkeepRequest)
+    return not isinstance(call.request, AdviceRequest | UpkeepRequest | VmListRequest)
 
 
 class WorkerCodec(UpstreamCodec):
@@ -200,6 +233,8 @@
 
     def encode(self, call: CallUpstream) -> HttpRequest:
         """Return the HTTP request for a call."""
+        if isinstance(call.request, VmListRequest):
+            return HttpRequest("GET", _write_vm_list_path(call.request))
         path, body = _WRITERS[type(call.request)](call.request)
         headers = _list_headers(call)
         text = json.dumps(body, separators=(",", ":")).encode()
@@ -211,10 +246,10 @@
             return ResultFailure(WrongIncarnation(upstream_id=call.upstream_id))
         if reply.status in _UNHEALTHY and _is_to_worker(call):
             return Success(OrderRefused(Refusal.UNHEALTHY))
-        is_advice = isinstance(call.request, AdviceRequest)
-        if reply.status == _MALFORMED and not is_advice:
+        is_question = isinstance(call.request, AdviceRequest | VmListRequest)
+        if reply.status == _MALFORMED and not is_question:
             return Success(OrderRefused(Refusal.MALFORMED))
-        if reply.status not in ((_OK,) if is_advice else (_OK, _REFUSED)):
+        if reply.status not in ((_OK,) if is_question else (_OK, _REFUSED)):
             return ResultFailure(
                 UnexpectedStatus(address=call.address, status=reply.status)
             )
@@ -235,4 +270,6 @@
             return _read_hold_reply(fields)
         if isinstance(call.request, AdviceRequest):
             return _read_advice(fields)
+        if isinstance(call.request, VmListRequest):
+            return _read_vm_list(fields)
         return OrderDone(clock_ms, fields.read_integer("born", 0))
--- a/tanagerpath/platform/tests/test_orders.py
+++ b/tanagerpath/platform/tests/test_orders.py
@@ -25,6 +25,7 @@
 ADVICE = orders.AdviceRequest(
     workload_id="5c0e7a21d94b36f8", occurrence=0, step=1, upstream_ids=("i-1",)
 )
+VM_LIST = orders.VmListRequest()
 UPKEEP = orders.UpkeepRequest(vm_id="m-1", wave=3, holder="leader-7", fencing_token=7)
 
 
@@ -83,6 +84,12 @@
         self.assertEqual(b"leader-7", headers[b"x-duty-holder"])
         self.assertEqual(b"7", headers[b"x-fencing-token"])
 
+    def test_pages_of_the_list_of_vms_are_asked_for_by_their_token(self):
+        first = WorkerCodec().encode(_call(VM_LIST))
+        later = WorkerCodec().encode(_call(orders.VmListRequest(page_token="a&b")))
+        self.assertEqual(("GET", "/machines"), (first.method, first.path))
+        self.assertEqual("/machines?page_token=a%26b", later.path)
+
 
 class TestAnswers(testtools.TestCase):
     def test_refusals_by_status_and_reason(self):
@@ -141,6 +148,10 @@
             ),
             (START, 500, b"", "UnexpectedStatus"),
             (ADVICE, 429, b"", "UnexpectedStatus"),
+            (VM_LIST, 429, b"", "UnexpectedStatus"),
+            (VM_LIST, 409, b"{}", "UnexpectedStatus"),
+            (VM_LIST, 200, {}, "MalformedMessage"),
+            (VM_LIST, 200, {"machines": [], "next_token": 5}, "MalformedMessage"),
             (ADVICE, 200, {"allowed": [["i-1"]]}, "MalformedMessage"),
         ]
         for request, status, body, expected in cases:
@@ -151,3 +162,14 @@
     def test_advice_lists_the_tickets(self):
         reply = _decode(ADVICE, 200, {"allowed": [["i-1", "t1"]]}).unwrap()
         self.assertEqual((orders.Ticket("i-1", "t1"),), reply.tickets)
+
+    def test_list_of_vms_tells_which_are_up_and_whether_it_is_whole(self):
+        vm = {"machine": "m-1", "state": "up", "id": "i-1"}
+        reply = _decode(VM_LIST, 200, {"machines": [vm], "next_token": None}).unwrap()
+        status = orders.VmStatus(vm_id="m-1", upstream_id="i-1", is_up=True)
+        self.assertEqual(orders.VmListReply(vms=(status,)), reply)
+        down = {"machine": "m-2", "state": "down", "id": None}
+        body = {"machines": [down, {"machine": 3}], "next_token": "t"}
+        status = orders.VmStatus(vm_id="m-2", upstream_id="", is_up=False)
+        expected = orders.VmListReply(vms=(status,), next_token="t", is_whole=False)
+        self.assertEqual(expected, _decode(VM_LIST, 200, body).unwrap())
