--- a/tanagerpath/cli/main.py
+++ b/tanagerpath/cli/main.py
@@ -7,6 +7,7 @@
 from tanagerpath.cli.arguments import OneLineParser
 from tanagerpath.cli.command import Command
 from tanagerpath.cli.documents import ApplyCommand
+from tanagerpath.cli.guarantees import GuaranteesCommand
 from tanagerpath.cli.jobs import CancelCommand, ExplainCommand, SubmitCommand
 from tanagerpath.cli.servers import ControlCommand, EntryCommand
 from tanagerpath.cli.status import StatusCommand
@@ -32,6 +33,7 @@
         CancelCommand(),
         ExplainCommand(),
         StoryCommand(),
+        GuaranteesCommand(),
     ]
 
 
--- a/tanagerpath/core/workloads/coverage.py
+++ b/tanagerpath/core/workloads/coverage.py
@@ -1,5 +1,6 @@
 """Which workloads the guarantees of their organisations cover."""
 
+import math
 from collections.abc import Iterable
 
 import attrs
@@ -51,15 +52,18 @@
     def __init__(self, state: FleetState) -> None:
         self._state = state
         self._shares: dict[str, GuaranteeShare] = {}
+        self._covered_since_s: dict[str, float] | None = None
         self.covered: frozenset[str] = frozenset()
 
-    def update(self, records: Iterable[WorkloadRecord]) -> frozenset[str]:
+    def update(self, records: Iterable[WorkloadRecord], now_s: float) -> frozenset[str]:
         """Decide anew which workloads are covered.
 
         Parameters
         ----------
         records : iterable of WorkloadRecord
             Unfinished workloads in the order of their acceptance.
+        now_s : float
+            Time on the leader's monotonic clock.
 
         Returns
         -------
@@ -78,8 +82,29 @@
         unfinished = {record.workload_id for record in urgent}
         changed = (self.covered ^ covered) & unfinished
         self.covered = frozenset(covered)
+        self._note_since(now_s)
         return frozenset(changed)
 
+    def _note_since(self, now_s: float) -> None:
+        # What the first update of a term covers may have been covered since its
+        # acceptance by an earlier leader.
+        is_first = self._covered_since_s is None
+        known = self._covered_since_s or {}
+        default_s = -math.inf if is_first else now_s
+        self._covered_since_s = {
+            workload_id: known.get(workload_id, default_s)
+            for workload_id in self.covered
+        }
+
+    def find_covered_s(self, workload_id: str, now_s: float) -> float:
+        """Return the seconds for which a guarantee has covered a workload.
+
+        It is 0 for work that is not covered, and infinite if the cover may have been
+        there before this term.
+        """
+        since_s = (self._covered_since_s or {}).get(workload_id, now_s)
+        return now_s - since_s
+
     def find_share(self, organisation: str) -> GuaranteeShare:
         """Return the use of the guarantee of an organisation."""
         return self._shares.get(organisation) or GuaranteeShare()
--- a/tanagerpath/core/workloads/planner.py
+++ b/tanagerpath/core/workloads/planner.py
@@ -83,7 +83,7 @@
     def _list_waiting(self) -> list[PlanUnit]:
         """Return all waiting units, after the update of what guarantees cover."""
         context = self._context
-        changed = context.coverage.update(context.backlog.list_records())
+        changed = context.coverage.update(context.backlog.list_records(), context.now_s)
         self._wait_reporter.report_coverage(changed)
         return context.backlog.list_units(context.now, context.coverage.covered)
 
--- a/tanagerpath/core/workloads/tests/test_wait_reports.py
+++ b/tanagerpath/core/workloads/tests/test_wait_reports.py
@@ -46,6 +46,31 @@
         rig.run(1.0)
         self.assertEqual(1, rig.counts["guaranteed work began late"])
 
+    def test_bound_counts_from_the_cover_of_a_guarantee(self):
+        # Work that was covered 18 s after its acceptance, when its organisation no
+        # longer asked for more than its guarantee, was logged as late.
+        rig = Rig(upstreams=4)
+        rig.submit("first", _step(2, WHOLE, gang=True), queue="urgent", work_s=6.0)
+        rig.submit("other", _step(2, WHOLE, gang=True), queue="urgent", work_s=8.0)
+        rig.run(0.5)
+        rig.submit("check", _step(2, WHOLE, gang=True), queue="urgent")
+        rig.run(9.0)
+        reports = _list_fields(rig, "urgent work began")
+        check = next(one for one in reports if one["workload"] == "check")
+        self.assertGreater(check["waited_s"], 5.0)
+        self.assertLess(check["covered_s"], 1.0)
+        self.assertEqual(0, rig.counts["guaranteed work began late"])
+
+    def test_cover_of_an_earlier_term_counts_since_the_acceptance(self):
+        rig = Rig(upstreams=0)
+        rig.submit("check", _step(1), queue="urgent")
+        rig.run(2.5)
+        rig.start_term(2)
+        rig.run(1.0)
+        rig.add_upstream("u0")
+        rig.run(1.0)
+        self.assertEqual(1, rig.counts["guaranteed work began late"])
+
     def test_a_restart_is_not_a_late_start(self):
         rig = Rig(upstreams=2)
         rig.submit("check", _step(1), queue="urgent", work_s=9.0)
--- a/tanagerpath/core/workloads/wait_reports.py
+++ b/tanagerpath/core/workloads/wait_reports.py
@@ -97,6 +97,8 @@
             covered=unit.is_guaranteed,
             tasks=len(unit.indexes),
             waited_s=round(context.now_s - unit.arrival_s, 3),
+            covered_s=self._find_covered_s(unit),
+            bound_s=context.terms.guaranteed_start_s,
             **self._describe_share(unit.record),
             **self._describe_fleet(unit),
         )
@@ -130,7 +132,9 @@
         """Log that all waiting tasks of an urgent unit were placed.
 
         Only the first start of the first step can be late. Later ones also wait for
-        runs that end early and for earlier steps.
+        runs that end early and for earlier steps. The bound counts from the moment at
+        which the guarantee covers the work: an organisation that asks for more than its
+        guarantee has no promise for the rest.
         """
         if unit.queue.priority > 0:
             return
@@ -141,7 +145,8 @@
             for index in unit.indexes
         )
         is_first = unit.step == 0 and not runs_before
-        is_beyond = waited_s > context.terms.guaranteed_start_s
+        covered_s = self._find_covered_s(unit)
+        is_beyond = covered_s > context.terms.guaranteed_start_s
         is_late = unit.is_guaranteed and is_first and is_beyond
         context.log_decision(
             "guaranteed work began late" if is_late else "urgent work began",
@@ -152,5 +157,14 @@
             tasks=len(unit.indexes),
             runs_before=runs_before,
             waited_s=round(waited_s, 3),
+            covered_s=covered_s,
             bound_s=context.terms.guaranteed_start_s,
         )
+
+    def _find_covered_s(self, unit: PlanUnit) -> float:
+        """Return for how many seconds of its wait a guarantee has covered a unit."""
+        context = self._context
+        covered_s = context.coverage.find_covered_s(
+            unit.record.workload_id, context.now_s
+        )
+        return round(min(covered_s, context.now_s - unit.arrival_s), 3)
