Let a leader on a slow VM hand its leadership over

It kept the leadership until 7.25 s, as it still answered in time for the consensus, while ends of runs waited 1.3 s for their record and renewals timed out.

Cause: only silence of more than an election timeout ends a leadership.

A leader that was elected by a transfer does not hand over for 10 s, so that load does not pass the leadership on and on.

Ruled out: choosing the target by its last reply.

--- a/tanagerpath/core/consensus/context.py
+++ b/tanagerpath/core/consensus/context.py
@@ -65,6 +65,8 @@
         self.voted_for = restored.voted_for
         self.role = Role.LEARNER
         self.leader_id: str | None = None
+        # Whether the last election of this replica was a transfer of leadership.
+        self.was_transferred = False
         self.group_id = self.log.membership.group_id
         self.commit_index = self.log.base_index
         self.now_s = 0.0
--- a/tanagerpath/core/consensus/elections.py
+++ b/tanagerpath/core/consensus/elections.py
@@ -60,6 +60,7 @@
         context.enter_term(context.term + 1, context.replica_id)
         context.role = Role.CANDIDATE
         context.leader_id = None
+        context.was_transferred = transfer
         self._votes_granted = set()
         self._vote_sequence = context.journal.next_sequence
         self._request_votes(context.term, pre_vote=False, transfer=transfer)
--- a/tanagerpath/core/consensus/replica.py
+++ b/tanagerpath/core/consensus/replica.py
@@ -135,6 +135,11 @@
         """Identity of the leader, None if it is not known."""
         return self._context.leader_id
 
+    @property
+    def was_transferred(self) -> bool:
+        """Whether its last election was a transfer of leadership."""
+        return self._context.was_transferred
+
     @property
     def group_id(self) -> str:
         """Identity of the group, empty before one is founded or joined."""
--- a/tanagerpath/core/control/__init__.py
+++ b/tanagerpath/core/control/__init__.py
@@ -11,6 +11,7 @@
         "messages": [
             "ControlAction",
             "ControlEvent",
+            "LeaderLate",
             "LeadershipTransferRequested",
             "RequestArrived",
             "SendReply",
--- a/tanagerpath/core/control/messages.py
+++ b/tanagerpath/core/control/messages.py
@@ -15,6 +15,7 @@
 __all__ = [
     "ControlAction",
     "ControlEvent",
+    "LeaderLate",
     "LeadershipTransferRequested",
     "RequestArrived",
     "SendReply",
@@ -36,6 +37,14 @@
     token: int
 
 
+@attrs.frozen
+class LeaderLate:
+    """The leader hands over, as its ticks were late by `lateness_s` in sum."""
+
+    term: int
+    lateness_s: float
+
+
 @attrs.frozen
 class SendReply:
     """Answer the exchange of a token; None answers a leadership transfer."""
@@ -59,6 +68,7 @@
     | consensus.PersistState
     | consensus.ReportRole
     | consensus.MembershipReport
+    | LeaderLate
     | SendReply
     | CallUpstream
     | RecordPeriod
--- a/tanagerpath/core/control/replicated.py
+++ b/tanagerpath/core/control/replicated.py
@@ -4,9 +4,11 @@
 
 from tanagerpath.core import consensus
 from tanagerpath.core.control.codec import StateCodec
+from tanagerpath.core.control.lateness import LatenessMonitor
 from tanagerpath.core.control.messages import (
     ControlAction,
     ControlEvent,
+    LeaderLate,
     LeadershipTransferRequested,
     SendReply,
 )
@@ -16,6 +18,10 @@
 
 __all__ = ["ReplicatedNode"]
 
+# Time between two transfers of a late leader. A leader that is late from its load must
+# not pass the leadership on and on.
+LATE_TRANSFER_INTERVAL_S = 10.0
+
 
 class ReplicatedNode(abc.ABC):
     """Replica, proposals and leader terms; subclasses hold the state.
@@ -42,6 +48,8 @@
         self._proposals = ProposalRegistry()
         self._transfer_tokens: list[int] = []
         self._led_term: int | None = None
+        self._lateness = LatenessMonitor()
+        self._next_late_transfer_s = 0.0
         self._next_tick_s = 0.0
         self._now_s = 0.0
         self._now_unix_s = 0.0
@@ -88,12 +96,32 @@
             self._step_replica(consensus.Tick())
         self._update_leadership()
         if now_s >= self._next_tick_s:
+            self._transfer_if_late()
             self._next_tick_s = now_s + self._tick_interval_s
             self._tick()
         self._decide()
         actions, self._actions = self._actions, []
         return actions
 
+    def _transfer_if_late(self) -> None:
+        """Transfer leadership if this process is too slow to lead."""
+        if self._led_term is None:
+            return
+        now_s = self._now_s
+        self._lateness.note_tick(self._next_tick_s, now_s)
+        if now_s < self._next_late_transfer_s or not self._lateness.is_late(now_s):
+            return
+        self._next_late_transfer_s = now_s + LATE_TRANSFER_INTERVAL_S
+        lateness_s = self._lateness.find_lateness_s()
+        self._actions.append(LeaderLate(self._led_term, lateness_s))
+        self._step_replica(consensus.TransferRequested())
+
+    def _note_term_began(self) -> None:
+        self._lateness.reset(self._now_s)
+        self._next_late_transfer_s = 0.0
+        if self._replica.was_transferred:
+            self._next_late_transfer_s = self._now_s + LATE_TRANSFER_INTERVAL_S
+
     def _read_instant(self) -> Instant:
         has_lease = self._replica.has_lease(self._now_s)
         return Instant(self._now_s, self._now_unix_s, has_lease)
@@ -179,6 +207,7 @@
         if leads and self._led_term is None and now.has_lease:
             self._begin_term(self._replica.term, now)
             self._led_term = self._replica.term
+            self._note_term_began()
         if not leads and self._replica.leader_id is not None:
             for token in self._transfer_tokens:
                 self._answer(token, None)
--- a/tanagerpath/services/replica_task.py
+++ b/tanagerpath/services/replica_task.py
@@ -11,6 +11,7 @@
 from tanagerpath.core.control import (
     ControlAction,
     ControlEvent,
+    LeaderLate,
     LeadershipTransferRequested,
     ReplicatedNode,
     RequestArrived,
@@ -153,6 +154,12 @@
                 self._log.info(
                     "role changed", role=str(role), term=term, leader=leader_id
                 )
+            case LeaderLate(term, lateness_s):
+                self._log.warning(
+                    "leader is late, leadership is transferred",
+                    term=term,
+                    lateness_s=round(lateness_s, 3),
+                )
             case (
                 consensus.MembershipProposed()
                 | consensus.MembershipCommitted()
