Predict when an upstream is free once for all gangs of a shape

Change: the prediction is kept while a plan is made; runs and their predicted ends do not change meanwhile.

--- a/tanagerpath/core/workloads/free_capacity.py
+++ b/tanagerpath/core/workloads/free_capacity.py
@@ -17,6 +17,14 @@
     ----------
     fleet : FleetView
         Upstreams before the plan.
+
+    Attributes
+    ----------
+    sessions : list of UpstreamSession
+        Upstreams that may get new runs.
+    free_times_s : dict of (str, Resources) to float
+        Times from which upstreams have some capacity free, for reservations: runs and
+        their predicted ends do not change while a plan is made.
     """
 
     def __init__(self, fleet: FleetView) -> None:
@@ -24,6 +32,7 @@
         self._free: dict[str, Resources] = {}
         self._reserved_from_s: dict[str, float] = {}
         self._run_ends: dict[str, list[tuple[float, RunView]]] = {}
+        self.free_times_s: dict[tuple[str, Resources], float] = {}
         self.sessions: list[UpstreamSession] = []
         for session in fleet.sessions:
             health = fleet.health[session.upstream_id]
--- a/tanagerpath/core/workloads/reservations.py
+++ b/tanagerpath/core/workloads/reservations.py
@@ -75,6 +75,20 @@
     needed = Resources()
     for _ in range(_count_members(unit, session)):
         needed = needed + unit.spec.reserved
+    found = free_capacity.free_times_s.get((session.upstream_id, needed))
+    if found is None:
+        found = _predict_free_s(needed, session, free_capacity, fleet)
+        free_capacity.free_times_s[session.upstream_id, needed] = found
+    return found
+
+
+def _predict_free_s(
+    needed: Resources,
+    session: UpstreamSession,
+    free_capacity: FreeCapacity,
+    fleet: FleetView,
+) -> float:
+    """Return the time from which an upstream has some capacity free."""
     free = session.free
     free_s = fleet.now_s
     for remaining_s, view in free_capacity.list_run_ends(session):
--- a/tanagerpath/core/workloads/tests/test_dispatch_cost.py
+++ b/tanagerpath/core/workloads/tests/test_dispatch_cost.py
@@ -3,6 +3,7 @@
 import testtools
 
 from tanagerpath.core.coordination import Ticked, UpstreamReplied
+from tanagerpath.core.workloads.free_capacity import FreeCapacity
 from tanagerpath.core.workloads.orders import HoldReply, HoldRequest
 from tanagerpath.core.workloads.resources import Resources
 from tanagerpath.core.workloads.run_driver import RunDriver
@@ -46,6 +47,31 @@
         self.assertEqual(UPSTREAMS, len(set(self.driven)))
 
 
+class TestReservations(testtools.TestCase):
+    def test_gangs_of_one_shape_look_at_each_upstream_once(self):
+        # Each of up to 8 gangs walked over the runs of all upstreams: with 264
+        # upstreams, a quarter of the time of the decisions.
+        walked = []
+        list_run_ends = FreeCapacity.list_run_ends
+
+        def record_walk(free_capacity, session):
+            walked.append((free_capacity, session.upstream_id))
+            return list_run_ends(free_capacity, session)
+
+        self.patch(FreeCapacity, "list_run_ends", record_walk)
+        rig = Rig(upstreams=6)
+        whole = Resources(8_000, 16_000, 8)
+        step = StepSpec(count=6, needs=whole, declared_run_s=9.0)
+        rig.submit("low", step, work_s=9.0)
+        rig.run(1.0)
+        gang = StepSpec(count=3, needs=whole, declared_run_s=2.0, gang=True)
+        for number in range(3):
+            rig.submit(f"gang{number}", gang, queue="batch")
+        rig.run(1.0)
+        self.assertNotEqual([], walked)
+        self.assertEqual(len(set(walked)), len(walked))
+
+
 class TestStops(testtools.TestCase):
     def test_stop_of_a_plan_is_sent_with_the_plan(self):
         # The stops of preempted runs were sent with the next event or tick only.
