--- a/tanagerpath/core/workloads/dispatch_context.py
+++ b/tanagerpath/core/workloads/dispatch_context.py
@@ -11,6 +11,7 @@
 from tanagerpath.core.workloads.estimates import RunEstimates
 from tanagerpath.core.workloads.events import LogDecision
 from tanagerpath.core.workloads.health import HealthTerms, UpstreamHealth
+from tanagerpath.core.workloads.run_index import RunIndex
 from tanagerpath.core.workloads.sessions import (
     LeaseTerms,
     RunKey,
@@ -140,6 +141,7 @@
         self.coverage = GuaranteeCoverage(state)
         self.start_backoff = StartBackoff()
         self.sessions: dict[str, UpstreamSession] = {}
+        self.run_index = RunIndex()
         self.health: dict[str, UpstreamHealth] = {}
         self.ends: list[QueuedEnd] = []
         self._ending: set[RunKey] = set()
@@ -257,7 +259,7 @@
     def close_run(self, session: UpstreamSession, key: RunKey) -> None:
         """Forget a run whose end is recorded."""
         self._ending.discard(key)
-        session.remove_run(key)
+        self.run_index.remove(session, key)
         self.touch(session)
         self.must_plan = True
 
--- a/tanagerpath/core/workloads/dispatcher.py
+++ b/tanagerpath/core/workloads/dispatcher.py
@@ -259,7 +259,7 @@
         context = self._context
         session = context.find_session(start.upstream_id, start.incarnation)
         if session is not None:
-            session.remove_run((start.task, start.run))
+            context.run_index.remove(session, (start.task, start.run))
         context.must_plan = True
 
     def _handle_run_end(self, queued: QueuedEnd) -> None:
@@ -293,7 +293,7 @@
             RecordPeriod(JobPeriod.COMPLETION, record.organisation, record.queue, age_s)
         )
         if record.final_state is not WorkloadState.COMPLETED:
-            for session, view in self._preemption.find_views(workload_id):
+            for session, view in context.run_index.list_runs(workload_id):
                 self._driver.stop(
                     session, view, str(record.final_state), StopCause.WORKLOAD_ENDED
                 )
--- a/tanagerpath/core/workloads/planner.py
+++ b/tanagerpath/core/workloads/planner.py
@@ -165,7 +165,7 @@
             checkpoint=self._find_checkpoint(unit, task_record.checkpoint),
             ticket=(unit.tickets or {}).get(session.upstream_id, ""),
         )
-        session.add_run(view)
+        context.run_index.add(session, view)
         context.backlog.planned.add(task)
         context.log_task_decision(
             "task placed",
--- a/tanagerpath/core/workloads/preemption.py
+++ b/tanagerpath/core/workloads/preemption.py
@@ -227,7 +227,9 @@
             return
         tasks = [view.task]
         if view.spec.gang:
-            for session, member in self._list_gang(view.task, view.run):
+            for session, member in self._context.run_index.list_gang(
+                view.task, view.run
+            ):
                 self._stop_for_claim(session, member, reason, fields)
             tasks = [attrs.evolve(view.task, index=n) for n in range(view.spec.count)]
         # All members of a gang share one count, so that none exceeds the limit.
@@ -256,23 +258,5 @@
         record = self._context.state.workloads.get(task.workload_id)
         if record is None or not record.spec.steps[task.step].gang:
             return
-        for session, view in self._list_gang(task, run):
+        for session, view in self._context.run_index.list_gang(task, run):
             self._driver.stop(session, view, reason, cause)
-
-    def _list_gang(
-        self, task: TaskId, run: int
-    ) -> list[tuple[UpstreamSession, RunView]]:
-        return [
-            (session, view)
-            for session, view in self.find_views(task.workload_id)
-            if view.task.step_key == task.step_key and view.run == run
-        ]
-
-    def find_views(self, workload_id: str) -> list[tuple[UpstreamSession, RunView]]:
-        """Return the open runs of a workload with their upstreams."""
-        return [
-            (session, view)
-            for session in self._context.sessions.values()
-            for view in session.runs.values()
-            if view.task.workload_id == workload_id
-        ]
--- a/tanagerpath/core/workloads/registry.py
+++ b/tanagerpath/core/workloads/registry.py
@@ -88,7 +88,7 @@
         session = context.find_session(open_run.upstream_id, open_run.incarnation)
         if session is None:
             session = self._open_departed_session(open_run)
-        session.add_run(view)
+        context.run_index.add(session, view)
         if workload.final_state is not None:
             view.enter(RunPhase.STOPPING, context.now_s)
 
--- a/tanagerpath/core/workloads/run_observer.py
+++ b/tanagerpath/core/workloads/run_observer.py
@@ -1,6 +1,7 @@
 """Measures run times from the progress of runs, for the estimates."""
 
 from tanagerpath.core.workloads.dispatch_context import DispatchContext
+from tanagerpath.core.workloads.run_index import IndexedRun
 from tanagerpath.core.workloads.sessions import (
     ProgressSample,
     RunView,
@@ -44,14 +45,8 @@
             context.now_s,
         )
 
-    def _list_gang(self, view: RunView) -> list[tuple[UpstreamSession, RunView]]:
-        """Return the known members of a gang run."""
-        return [
-            (other, member_view)
-            for other in self._context.sessions.values()
-            for member_view in other.runs.values()
-            if member_view.is_same_gang(view)
-        ]
+    def _list_gang(self, view: RunView) -> list[IndexedRun]:
+        return self._context.run_index.list_gang(view.task, view.run)
 
     def _list_members(
         self, session: UpstreamSession, view: RunView
--- a/tanagerpath/core/workloads/sessions.py
+++ b/tanagerpath/core/workloads/sessions.py
@@ -194,15 +194,6 @@
             return False
         return now_s < self.entered_s + MAX_STOP_S
 
-    def is_same_gang(self, other: "RunView") -> bool:
-        """Return whether another run is a member of the same gang run."""
-        return (
-            self.run == other.run
-            and self.task.workload_id == other.task.workload_id
-            and self.task.occurrence == other.task.occurrence
-            and self.task.step == other.task.step
-        )
-
     def enter(self, phase: RunPhase, now_s: float) -> None:
         """Enter a phase, and reset the orders."""
         self.phase = phase
--- a/tanagerpath/core/workloads/tests/test_dispatch_cost.py
+++ b/tanagerpath/core/workloads/tests/test_dispatch_cost.py
@@ -7,6 +7,7 @@
 from tanagerpath.core.workloads.orders import HoldReply, HoldRequest
 from tanagerpath.core.workloads.resources import Resources
 from tanagerpath.core.workloads.run_driver import RunDriver
+from tanagerpath.core.workloads.run_observer import RunObserver
 from tanagerpath.core.workloads.specs import StepSpec
 from tanagerpath.core.workloads.tests.rig import Rig
 
@@ -47,6 +48,44 @@
         self.assertEqual(UPSTREAMS, len(set(self.driven)))
 
 
+class _CountedSessions(dict):
+    """Sessions that count the walks over all of them."""
+
+    walks = 0
+
+    def values(self):
+        self.walks += 1
+        return super().values()
+
+
+class TestGangs(testtools.TestCase):
+    def test_progress_of_a_gang_causes_no_look_at_other_upstreams(self):
+        # Each list with a member of a gang walked over the runs of all upstreams.
+        rig = Rig(upstreams=6)
+        rig.run(0.5)
+        step = StepSpec(count=3, needs=Resources(8_000, 16_000, 8), gang=True)
+        rig.submit("gang", step, work_s=9.0)
+        rig.run(1.0)
+        context = rig.dispatcher.context
+        context.sessions = _CountedSessions(context.sessions)
+        session, view = context.run_index.list_runs("gang")[0]
+        RunObserver(context).observe(session, view, 50)
+        self.assertEqual(0, context.sessions.walks)
+        self.assertTrue(view.observed)
+
+    def test_index_holds_the_open_runs_and_nothing_else(self):
+        rig = Rig(upstreams=2)
+        rig.submit("w", StepSpec(count=4, needs=Resources(8_000, 16_000, 1)))
+        rig.run(0.5)
+        index = rig.dispatcher.context.run_index
+        self.assertEqual(4, len(index.list_runs("w")))
+        rig.start_term(2)
+        index = rig.dispatcher.context.run_index
+        self.assertEqual(4, len(index.list_runs("w")))
+        rig.run(3.0)
+        self.assertEqual([], index.list_runs("w"))
+
+
 class TestReservations(testtools.TestCase):
     def test_gangs_of_one_shape_look_at_each_upstream_once(self):
         # Each of up to 8 gangs walked over the runs of all upstreams: with 264
