--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 SEED ?= 1
 SEEDS ?= 50
 
-.PHONY: setup lint format test demo bench-policy bench-workloads check-core fault-drill soak bench-capacity
+.PHONY: setup lint format test demo bench-policy bench-workloads bench-takeover check-core fault-drill soak bench-capacity
 
 $(VENV)/.installed: requirements.lock pyproject.toml
 	python3 -m venv $(VENV)
@@ -33,6 +33,9 @@
 bench-workloads: setup
 	$(PYTHON) -m tanagerpath.benchmarks.workload_replay --seed $(SEED)
 
+bench-takeover: setup
+	$(PYTHON) -m tanagerpath.benchmarks.takeover
+
 check-core: setup
 	$(PYTHON) -m tanagerpath.benchmarks.core_check --seeds $(SEEDS)
 
