Count the work that inherited runs have done before a preemption

Cause: the loss of a preemption was the time since this leader knew of the run. A new leader took all runs for fresh ones, so those near their end were as cheap as those that had just begun, and the limit on the loss let claims pass.

Change: the loss is at least the predicted run time times the reported progress.

--- a/tanagerpath/core/workloads/evictions.py
+++ b/tanagerpath/core/workloads/evictions.py
@@ -13,7 +13,12 @@
 
 from tanagerpath.core.workloads.free_capacity import FreeCapacity
 from tanagerpath.core.workloads.policy import Eviction, FleetView, PlanUnit
-from tanagerpath.core.workloads.sessions import RunPhase, RunView, UpstreamSession
+from tanagerpath.core.workloads.sessions import (
+    COMPLETED_PERCENT,
+    RunPhase,
+    RunView,
+    UpstreamSession,
+)
 
 __all__ = ["MAX_STOPS", "EvictionPlan", "EvictionTerms", "find_evictions"]
 
@@ -235,7 +240,7 @@
     return [
         _Victim(
             view.spec.long_running or view.priority <= unit.queue.priority,
-            _estimate_loss(view, fleet),
+            _estimate_loss(view, session, fleet),
             number,
             view,
         )
@@ -259,13 +264,16 @@
     )
 
 
-def _estimate_loss(view: RunView, fleet: FleetView) -> float:
+def _estimate_loss(view: RunView, session: UpstreamSession, fleet: FleetView) -> float:
     """Return the cost of a preemption in core seconds; a gang stops as a whole.
 
     Each earlier preemption raises the cost. Otherwise a task that has just restarted
     would always be the cheapest victim.
     """
-    lost_s = RESTART_S + view.find_unsaved_s(fleet.now_s, fleet.checkpoint_interval_s)
+    done_s = fleet.predict_total_s(view, session) * view.percent / COMPLETED_PERCENT
+    lost_s = RESTART_S + view.find_unsaved_s(
+        fleet.now_s, fleet.checkpoint_interval_s, done_s
+    )
     lost_s *= 1 + fleet.preemption.stops[view.task]
     members = view.spec.count if view.spec.gang else 1
     return lost_s * view.spec.needs.weighted_cores * members
--- a/tanagerpath/core/workloads/sessions.py
+++ b/tanagerpath/core/workloads/sessions.py
@@ -228,11 +228,24 @@
             return None
         return worked_s * COMPLETED_PERCENT / gained
 
-    def find_unsaved_s(self, now_s: float, checkpoint_interval_s: float) -> float:
-        """Return the seconds of work that would be lost if the run stopped now."""
-        if self.running_since_s is None:
-            return 0.0
-        worked_s = max(now_s - self.running_since_s, 0.0)
+    def find_unsaved_s(
+        self, now_s: float, checkpoint_interval_s: float, done_s: float
+    ) -> float:
+        """Return the seconds of work that would be lost if the run stopped now.
+
+        Parameters
+        ----------
+        now_s : float
+            Current time.
+        checkpoint_interval_s : float
+            Seconds of work between two checkpoints.
+        done_s : float
+            Seconds of work by its progress. A run that an earlier leader began has
+            worked for longer than this leader knows of it.
+        """
+        worked_s = done_s
+        if self.running_since_s is not None:
+            worked_s = max(now_s - self.running_since_s, done_s)
         if self.spec.checkpointing:
             return min(worked_s, checkpoint_interval_s)
         return worked_s
--- a/tanagerpath/core/workloads/tests/test_preemption.py
+++ b/tanagerpath/core/workloads/tests/test_preemption.py
@@ -36,6 +36,23 @@
     ]
 
 
+class TestVictims(testtools.TestCase):
+    def test_new_leader_counts_the_work_of_inherited_runs(self):
+        # A new leader took all runs for fresh ones and stopped those near their end:
+        # 3 s after a change of leader, runs at 72 to 100 percent.
+        rig = Rig(upstreams=2)
+        rig.submit("old", _step(1, WHOLE, declared_run_s=9.0), work_s=9.0)
+        rig.run(6.0)
+        rig.submit("fresh", _step(1, WHOLE, declared_run_s=9.0), work_s=9.0)
+        rig.run(1.0)
+        rig.start_term(2)
+        rig.run(0.3)
+        rig.submit("check", _step(1, WHOLE), queue="urgent", work_s=1.0)
+        rig.run(0.5)
+        (stop,) = _list_preemptions(rig)
+        self.assertEqual("fresh.0.0.0", stop["task"])
+
+
 class TestDecisionLog(testtools.TestCase):
     def _preempt_for_guaranteed_work(self):
         rig = Rig(upstreams=2)
