Do not wake idle HTTP servers ten times a second

Cause: the main loop of uvicorn ticks ten times a second to update a date header and a count of requests, both unused here. An entry has three servers, so that it woke up 30 times a second.

Change: the loop waits for the request to stop.

--- a/tanagerpath/runtime/server.py
+++ b/tanagerpath/runtime/server.py
@@ -55,6 +55,24 @@
 
 
 class _SignalFreeServer(uvicorn.Server):
+    def __init__(self, config: uvicorn.Config) -> None:
+        super().__init__(config)
+        self._exit_requested = anyio.Event()
+
+    def request_exit(self) -> None:
+        """Stop accepting connections, and end `serve` after the open requests."""
+        self.should_exit = True
+        self._exit_requested.set()
+
+    async def main_loop(self) -> None:
+        """Wait for the end without the ten ticks a second of the library.
+
+        They update the date header and count requests, both of which are unused here,
+        and cost an idle process most of its processor time.
+        """
+        await self.on_tick(0)
+        await self._exit_requested.wait()
+
     @contextlib.contextmanager
     def capture_signals(self) -> Iterator[None]:
         """Leave signal handling to `Application`."""
@@ -149,5 +167,5 @@
 
     async def stop(self) -> None:
         """Stop accepting connections, and wait for the requests in flight."""
-        self._server.should_exit = True
+        self._server.request_exit()
         await self._stopped.wait()
--- a/tanagerpath/runtime/tests/test_server.py
+++ b/tanagerpath/runtime/tests/test_server.py
@@ -4,6 +4,7 @@
 
 import anyio
 import testtools
+import uvicorn
 from starlette.requests import Request
 from starlette.responses import Response
 from starlette.routing import Route
@@ -48,3 +49,22 @@
         self.addCleanup(logger.removeHandler, collector)
         anyio.run(main)
         self.assertEqual([], [one for one in collector.records if one.exc_info])
+
+    def test_idle_server_does_not_wake_up(self):
+        # Three servers a process woke it 30 times a second.
+        ticks = []
+
+        async def count_tick(server, counter):
+            ticks.append(counter)
+            return server.should_exit
+
+        async def main():
+            server = HttpServer(bind_listener("127.0.0.1:0"), [])
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(server.run)
+                await anyio.sleep(0.6)
+                await server.stop()
+
+        self.patch(uvicorn.Server, "on_tick", count_tick)
+        anyio.run(main)
+        self.assertEqual(1, len(ticks))
