Refuse odd settings instead of ending the process

Cause: an empty list of internal ports raised IndexError, and a data directory with a name that the file system refuses raised OSError.

Change: both are refused with a clear line, and the settings in force are kept.

--- a/tanagerpath/platform/settings_file.py
+++ b/tanagerpath/platform/settings_file.py
@@ -26,6 +26,7 @@
 
 CONFIG_VARIABLE = "TANAGERPATH_CONFIG"
 MS_PER_S = 1000.0
+MAX_PORT = 65_535
 # Offsets in the range of internal ports, the same on every VM.
 CONTROL_PORT_OFFSET = 0
 ENTRY_PORT_OFFSET = 1
@@ -115,7 +116,16 @@
 
 def _find_port(fields: Fields, offset: int) -> int:
     """Return an internal port; the settings hold the first and the last one."""
-    return fields.read_integers("internal_ports")[0] + offset
+    ports = fields.read_integers("internal_ports")
+    if not ports or not 0 < ports[0] <= MAX_PORT - offset:
+        raise FailureError(
+            MalformedMessage(
+                field="internal_ports",
+                value=repr(ports)[:80],
+                expected="the first and the last port",
+            )
+        )
+    return ports[0] + offset
 
 
 def _list_seeds(fields: Fields) -> tuple[str, ...]:
--- a/tanagerpath/platform/tests/test_settings_file.py
+++ b/tanagerpath/platform/tests/test_settings_file.py
@@ -5,6 +5,7 @@
 import tempfile
 
 import testtools
+from returns.result import Result
 
 from tanagerpath.core.consensus import LossTolerance
 from tanagerpath.platform.settings_file import SettingsFile
@@ -26,6 +27,25 @@
 }
 
 
+ODD_VALUES = (
+    None,
+    [],
+    {},
+    "",
+    "x",
+    -1,
+    0.5,
+    True,
+    [None],
+    [[]],
+    [-1],
+    ["x"],
+    {"x": None},
+    "9" * 400,
+    10**400,
+)
+
+
 class TestSettingsFile(testtools.TestCase):
     def write(self, **changed):
         folder = tempfile.TemporaryDirectory()
@@ -81,3 +101,18 @@
         self.assertFalse(source.has_disk().unwrap())
         self.assertEqual("10.1.0.1:7000", source.read_relay({}).unwrap().listen)
         self.assertTrue(self.write().has_disk().unwrap())
+
+    def test_odd_values_are_refused_and_end_no_process(self):
+        # An empty list of ports ended each process that read its settings again.
+        bounds = ("hold_max_ms", "grace_s", "catch_up_s", "reclaim_ms", "status_s")
+        changes = [
+            {name: odd}
+            for name in (*SETTINGS, "bounds", "fault_tolerance", "cloud_api", "advice")
+            for odd in ODD_VALUES
+        ]
+        changes += [{"bounds": {name: odd}} for name in bounds for odd in ODD_VALUES]
+        for changed in changes:
+            source = self.write(**changed)
+            for read in (source.read_control, source.read_relay, source.read_entry):
+                self.assertIsInstance(read({}), Result, changed)
+            self.assertIsInstance(source.read_seeds(), Result, changed)
--- a/tanagerpath/settings/values.py
+++ b/tanagerpath/settings/values.py
@@ -175,7 +175,11 @@
 
     def allows(self, value: Any) -> bool:
         """Return whether the path is a directory or does not exist yet."""
-        return not value.exists() or value.is_dir()
+        try:
+            return not value.exists() or value.is_dir()
+        except OSError:
+            # The file system refuses the name, such as one that is too long.
+            return False
 
 
 @attrs.frozen
