--- a/tanagerpath/core/workloads/dispatcher.py
+++ b/tanagerpath/core/workloads/dispatcher.py
@@ -410,7 +410,9 @@
             context.add_effect(Propose(command))
         expired = context.now.unix_s - context.terms.retention_s
         if any(
-            record.final_state is not None and record.ended_at_unix_s < expired
+            record.final_state is not None
+            and not record.open_count
+            and record.ended_at_unix_s < expired
             for record in context.state.workloads.values()
         ):
             context.add_effect(Propose(commands.ExpireWorkloads(expired)))
--- a/tanagerpath/core/workloads/tests/test_dispatch_cost.py
+++ b/tanagerpath/core/workloads/tests/test_dispatch_cost.py
@@ -3,6 +3,8 @@
 import testtools
 
 from tanagerpath.core.coordination import Ticked, UpstreamReplied
+from tanagerpath.core.workloads import DispatchTerms
+from tanagerpath.core.workloads.commands import ExpireWorkloads
 from tanagerpath.core.workloads.free_capacity import FreeCapacity
 from tanagerpath.core.workloads.orders import HoldReply, HoldRequest
 from tanagerpath.core.workloads.resources import Resources
@@ -123,3 +125,27 @@
             rig.run(0.05)
         stopping = rig.upstreams["u0"].runs.values()
         self.assertEqual([True], [run.stops_at_s is not None for run in stopping])
+
+
+class TestExpiry(testtools.TestCase):
+    def test_ended_workload_with_an_open_run_is_not_expired_in_vain(self):
+        # Its record can't be dropped before the run has ended, and a command was
+        # proposed every 5 s without effect.
+        rig = Rig(upstreams=1, terms=DispatchTerms(retention_s=1.0))
+        rig.submit("w", StepSpec(needs=Resources(8_000, 16_000, 1)), work_s=30.0)
+        rig.run(1.0)
+        expiries = []
+        apply = rig.state.apply
+
+        def record_expiry(index, command):
+            applied = apply(index, command)
+            if isinstance(command, ExpireWorkloads):
+                expiries.append(applied.changed)
+            return applied
+
+        self.patch(rig.state, "apply", record_expiry)
+        rig.upstreams["u0"].unreachable = True
+        rig.cancel("w")
+        rig.run(30.0)
+        self.assertEqual([True], expiries)
+        self.assertEqual({}, rig.state.workloads)
