Join the servers of a process, and remove code without a use

The entry and the control process without a disk started and stopped their servers with the same lines. No change of behaviour.

--- a/tanagerpath/core/state/failures.py
+++ b/tanagerpath/core/state/failures.py
@@ -18,8 +18,6 @@
     "UnknownService",
 ]
 
-QUEUE_RETRY_AFTER_S = 5.0
-
 
 @attrs.frozen(kw_only=True)
 class UnknownService(Failure):
--- a/tanagerpath/core/workloads/events.py
+++ b/tanagerpath/core/workloads/events.py
@@ -7,7 +7,7 @@
 from tanagerpath.core.workloads.commands import WorkloadCommand
 from tanagerpath.core.workloads.state import Applied
 
-__all__ = ["CommandRecorded", "CommandRejected", "HeartbeatArrived", "LogDecision"]
+__all__ = ["CommandRecorded", "CommandRejected", "LogDecision"]
 
 
 @attrs.frozen
@@ -25,16 +25,6 @@
     command: WorkloadCommand
 
 
-@attrs.frozen
-class HeartbeatArrived:
-    """A heartbeat that does not change the replicated state."""
-
-    upstream_id: str
-    sequence: int
-    clock_ms: int | None
-    remaining_s: float | None
-
-
 @attrs.frozen
 class LogDecision:
     """Writes a decision to the log.
--- a/tanagerpath/core/workloads/health.py
+++ b/tanagerpath/core/workloads/health.py
@@ -32,13 +32,11 @@
     terms: HealthTerms
     failed_workloads: dict[str, int] = attrs.Factory(dict)
     quarantined_until_s: float = 0.0
-    proven: bool = False
 
     def note_success(self) -> None:
         """Record a successful run."""
         self.failed_workloads.clear()
         self.quarantined_until_s = 0.0
-        self.proven = True
 
     def note_failure(self, workload_id: str, now_s: float) -> bool:
         """Record a failed or stalled run; return whether a quarantine starts."""
--- a/tanagerpath/core/workloads/tests/fake_upstream.py
+++ b/tanagerpath/core/workloads/tests/fake_upstream.py
@@ -71,7 +71,6 @@
         self.refused_workload: str | None = None
         self.refused_count = 0
         self.refused_orders: dict[type, Refusal] = {}
-        self.cut_replies = 0.0
 
     @property
     def clock_ms(self):
--- a/tanagerpath/runtime/server.py
+++ b/tanagerpath/runtime/server.py
@@ -6,6 +6,7 @@
 
 import anyio
 import uvicorn
+from anyio.abc import TaskGroup
 from starlette.applications import Starlette
 from starlette.requests import ClientDisconnect, Request
 from starlette.responses import Response
@@ -14,7 +15,7 @@
 
 from tanagerpath.runtime.tasks import Task
 
-__all__ = ["ErrorHandler", "HttpServer", "bind_listener"]
+__all__ = ["ErrorHandler", "HttpServer", "HttpServerGroup", "bind_listener"]
 
 LISTEN_BACKLOG = 2048
 BAD_REQUEST_STATUS = 400
@@ -169,3 +170,40 @@
         """Stop accepting connections, and wait for the requests in flight."""
         self._server.request_exit()
         await self._stopped.wait()
+
+
+class HttpServerGroup:
+    """The HTTP servers of a process, which stop together."""
+
+    def __init__(self) -> None:
+        self._servers: list[HttpServer] = []
+
+    def start(self, tasks: TaskGroup, address: str, routes: list[BaseRoute]) -> None:
+        """Bind an address and serve routes there.
+
+        Raises
+        ------
+        OSError
+            If the address cannot be bound.
+        """
+        server = HttpServer(bind_listener(address), routes)
+        self._servers.append(server)
+        tasks.start_soon(server.run)
+
+    def close_keepalive_connections(self) -> None:
+        """Close each connection after its next reply; new ones are still accepted."""
+        for server in self._servers:
+            server.close_keepalive_connections()
+
+    async def stop(self, timeout_s: float) -> None:
+        """Stop accepting connections, and wait for the requests in flight.
+
+        Parameters
+        ----------
+        timeout_s : float
+            Longest time to wait, in seconds.
+        """
+        with anyio.move_on_after(timeout_s):
+            async with anyio.create_task_group() as stops:
+                for server in self._servers:
+                    stops.start_soon(server.stop)
--- a/tanagerpath/services/replica_application.py
+++ b/tanagerpath/services/replica_application.py
@@ -6,7 +6,6 @@
 
 import anyio
 from anyio.abc import TaskGroup
-from starlette.routing import BaseRoute
 
 from tanagerpath.core.consensus import RestoredState
 from tanagerpath.core.control import ReplicatedNode
@@ -86,10 +85,6 @@
     ) -> ReplicaTask:
         """Build the task that owns the node."""
 
-    def _list_own_routes(self) -> list[BaseRoute]:
-        """Return additional routes for other tanagerpath processes."""
-        return []
-
     async def prepare(self) -> None:
         """Open the data directory, retrying until its disk is available."""
         self._opened = await DirectoryOpener(self._data_dir, self._log).open()
@@ -105,9 +100,7 @@
         routes = ReplicaRoutes(
             self._mailbox, self._protocol, (control.metrics, metrics)
         )
-        self._server = HttpServer(
-            bind_listener(self._listen), routes.list_routes() + self._list_own_routes()
-        )
+        self._server = HttpServer(bind_listener(self._listen), routes.list_routes())
         tasks.start_soon(storage.run)
         tasks.start_soon(control.run)
         tasks.start_soon(self._server.run)
--- a/tanagerpath/services/workload_entry.py
+++ b/tanagerpath/services/workload_entry.py
@@ -13,7 +13,7 @@
 from tanagerpath.observability.logs import get_logger
 from tanagerpath.observability.metrics import MetricsRegistry
 from tanagerpath.runtime import Application, Task
-from tanagerpath.runtime.server import HttpServer, bind_listener
+from tanagerpath.runtime.server import HttpServerGroup
 from tanagerpath.services.adapters import (
     EntryAdapter,
     RemoteLeaderClient,
@@ -130,7 +130,7 @@
         self._probe = LeaderProbe(self._leader, self._route, metrics)
         self._watch = SettingsWatch(source, self._route.replace_seeds, self._log)
         self._draining = False
-        self._servers: list[HttpServer] = []
+        self._servers = HttpServerGroup()
 
     @classmethod
     def from_settings(
@@ -160,9 +160,7 @@
             settings.listen: [Route("/metrics", self._show_metrics, methods=["GET"])],
         }
         for address, listed in routes.items():
-            server = HttpServer(bind_listener(address), listed)
-            self._servers.append(server)
-            tasks.start_soon(server.run)
+            self._servers.start(tasks, address, listed)
         tasks.start_soon(self._link.run)
         tasks.start_soon(self._probe.run)
         tasks.start_soon(self._watch.run)
@@ -181,11 +179,7 @@
         """Fail the readiness check, then finish the requests in flight."""
         self._log.info("draining")
         self._draining = True
-        for server in self._servers:
-            server.close_keepalive_connections()
+        self._servers.close_keepalive_connections()
         await anyio.sleep(self._settings.drain_notice_s)
-        with anyio.move_on_after(self._settings.drain_timeout_s):
-            async with anyio.create_task_group() as stops:
-                for server in self._servers:
-                    stops.start_soon(server.stop)
+        await self._servers.stop(self._settings.drain_timeout_s)
         self._log.info("stopped")
--- a/tanagerpath/services/workload_relay.py
+++ b/tanagerpath/services/workload_relay.py
@@ -19,7 +19,7 @@
 from tanagerpath.observability.metrics import MetricsRegistry
 from tanagerpath.runtime import Application, Mailbox, Task
 from tanagerpath.runtime.client import HttpClient
-from tanagerpath.runtime.server import HttpServer, bind_listener
+from tanagerpath.runtime.server import HttpServerGroup
 from tanagerpath.services.adapters import (
     ControlAdapter,
     RemoteLeaderClient,
@@ -210,7 +210,7 @@
         self._forwarder = JoinForwarder(
             self._relay, self._link, self._route, settings.exchange_timeout_s
         )
-        self._servers: list[HttpServer] = []
+        self._servers = HttpServerGroup()
 
     @classmethod
     def from_settings(
@@ -241,9 +241,7 @@
             settings.public_listen: self._adapter.list_routes(leader),
         }
         for address, address_routes in listed.items():
-            server = HttpServer(bind_listener(address), address_routes)
-            self._servers.append(server)
-            tasks.start_soon(server.run)
+            self._servers.start(tasks, address, address_routes)
         tasks.start_soon(self._link.run)
         tasks.start_soon(self._forwarder.run)
         tasks.start_soon(self._watch.run)
@@ -260,10 +258,6 @@
 
     async def drain(self) -> None:
         """Finish the requests in flight."""
-        for server in self._servers:
-            server.close_keepalive_connections()
-        with anyio.move_on_after(self._settings.drain_timeout_s):
-            async with anyio.create_task_group() as stops:
-                for server in self._servers:
-                    stops.start_soon(server.stop)
+        self._servers.close_keepalive_connections()
+        await self._servers.stop(self._settings.drain_timeout_s)
         self._log.info("stopped")
