Take a VM for gone only on a state that the platform knows

Cause, found by review: a VM with an unknown state counted as not up, and one that is up without the identity of its upstream as taken over by another. Runs on an upstream that was only silent could then be started a second time.

Change: an entry with an unknown state can't be read, and a VM that is up without naming its upstream proves nothing.

Result: both new cases of test_vm_watch and test_orders fail before.

--- a/tanagerpath/core/workloads/tests/test_vm_watch.py
+++ b/tanagerpath/core/workloads/tests/test_vm_watch.py
@@ -90,6 +90,12 @@
         self.rig.run(RESTART_S)
         self.assertFalse(self.has_restarted())
 
+    def test_run_waits_for_its_lease_if_the_list_names_no_upstream_of_its_vm(self):
+        self.silence(ends=False)
+        self.rig.vm_owners[self.name] = ""
+        self.rig.run(RESTART_S)
+        self.assertFalse(self.has_restarted())
+
     def test_run_waits_for_its_lease_if_only_one_list_lacks_its_vm(self):
         self.rig.vm_page_size = 100
         self.silence(ends=False)
--- a/tanagerpath/core/workloads/vm_watch.py
+++ b/tanagerpath/core/workloads/vm_watch.py
@@ -149,7 +149,7 @@
         """Return whether the list proves that nothing runs on an upstream any more.
 
         A list that was requested before the last message of the upstream proves
-        nothing.
+        nothing, and neither does a VM that is up without naming its upstream.
         """
         if session.last_contact_s >= reading.began_s:
             return False
@@ -157,7 +157,9 @@
         if status is None:
             missing = self._lists_without.get(session.record.incarnation, 0)
             return missing >= LISTS_WITHOUT_VM
-        return not status.is_up or status.upstream_id != session.upstream_id
+        if not status.is_up:
+            return True
+        return status.upstream_id not in ("", session.upstream_id)
 
     def _judge(self, session: UpstreamSession, reading: _Reading) -> None:
         """Withdraw an upstream if it is gone."""
--- a/tanagerpath/platform/orders.py
+++ b/tanagerpath/platform/orders.py
@@ -66,7 +66,8 @@
 _REFUSED = 409
 _WRONG_INCARNATION = 421
 _UNHEALTHY = (429, 503)
-_VM_IS_UP = "up"
+# Whether a VM in this state may run anything.
+_VM_STATES = {"up": True, "moving": False, "upkeep": False, "down": False}
 
 
 def _write_hold(request: HoldRequest) -> tuple[str, dict[str, Any]]:
@@ -205,9 +206,9 @@
     match entry:
         case {"machine": str(vm_id), "state": str(state), **others}:
             upstream_id = others.get("id") or ""
-            if is_text(upstream_id):
+            if state in _VM_STATES and is_text(upstream_id):
                 return VmStatus(
-                    vm_id=vm_id, upstream_id=upstream_id, is_up=state == _VM_IS_UP
+                    vm_id=vm_id, upstream_id=upstream_id, is_up=_VM_STATES[state]
                 )
     return None
 
--- a/tanagerpath/platform/tests/test_orders.py
+++ b/tanagerpath/platform/tests/test_orders.py
@@ -169,7 +169,8 @@
         status = orders.VmStatus(vm_id="m-1", upstream_id="i-1", is_up=True)
         self.assertEqual(orders.VmListReply(vms=(status,)), reply)
         down = {"machine": "m-2", "state": "down", "id": None}
-        body = {"machines": [down, {"machine": 3}], "next_token": "t"}
+        odd = [{"machine": 3}, {"machine": "m-3", "state": "gone"}]
+        body = {"machines": [down, *odd], "next_token": "t"}
         status = orders.VmStatus(vm_id="m-2", upstream_id="", is_up=False)
         expected = orders.VmListReply(vms=(status,), next_token="t", is_whole=False)
         self.assertEqual(expected, _decode(VM_LIST, 200, body).unwrap())
