Predict the work of a run only where its start is unknown

Predictions follow declarations that are wrong by factors, so that a run that had just begun could seem the most expensive one, and claims were refused for losses that were not there.

Change: the prediction counts for inherited runs only; others count from their start, as before.

--- a/tanagerpath/core/workloads/registry.py
+++ b/tanagerpath/core/workloads/registry.py
@@ -84,6 +84,7 @@
             context.now_s,
             checkpoint=checkpoint,
             pace_uncertain_until_s=context.now_s + MAX_ORDER_DELAY_S,
+            was_inherited=True,
         )
         session = context.find_session(open_run.upstream_id, open_run.incarnation)
         if session is None:
--- a/tanagerpath/core/workloads/sessions.py
+++ b/tanagerpath/core/workloads/sessions.py
@@ -156,6 +156,8 @@
         Ticket that permits the upstream to run it.
     observed : bool
         Whether the estimates include its speed.
+    was_inherited : bool
+        Whether an earlier leader began it, so that the time of its start is unknown.
     """
 
     task: TaskId
@@ -182,6 +184,7 @@
     is_stop_refused: bool = False
     ticket: str = ""
     observed: bool = False
+    was_inherited: bool = False
 
     @property
     def key(self) -> RunKey:
@@ -240,12 +243,12 @@
         checkpoint_interval_s : float
             Seconds of work between two checkpoints.
         done_s : float
-            Seconds of work by its progress. A run that an earlier leader began has
-            worked for longer than this leader knows of it.
+            Seconds of work by its progress and its predicted run time. They count only
+            for a run that an earlier leader began, as the prediction may be far off.
         """
-        worked_s = done_s
+        worked_s = done_s if self.was_inherited else 0.0
         if self.running_since_s is not None:
-            worked_s = max(now_s - self.running_since_s, done_s)
+            worked_s = max(now_s - self.running_since_s, worked_s)
         if self.spec.checkpointing:
             return min(worked_s, checkpoint_interval_s)
         return worked_s
--- a/tanagerpath/core/workloads/tests/test_preemption.py
+++ b/tanagerpath/core/workloads/tests/test_preemption.py
@@ -52,6 +52,19 @@
         (stop,) = _list_preemptions(rig)
         self.assertEqual("fresh.0.0.0", stop["task"])
 
+    def test_work_of_own_runs_counts_from_their_start_whatever_was_declared(self):
+        # Progress times a declared run time that is far too long made a run that had
+        # just begun seem the most expensive one.
+        rig = Rig(upstreams=2)
+        rig.submit("old", _step(1, WHOLE, declared_run_s=9.0), work_s=9.0)
+        rig.run(5.0)
+        rig.submit("fresh", _step(1, WHOLE, declared_run_s=900.0), work_s=9.0)
+        rig.run(2.5)
+        rig.submit("check", _step(1, WHOLE), queue="urgent", work_s=1.0)
+        rig.run(0.5)
+        (stop,) = _list_preemptions(rig)
+        self.assertEqual("fresh.0.0.0", stop["task"])
+
 
 class TestDecisionLog(testtools.TestCase):
     def _preempt_for_guaranteed_work(self):
