--- a/tanagerpath/runtime/server.py
+++ b/tanagerpath/runtime/server.py
@@ -68,8 +68,7 @@
     async def main_loop(self) -> None:
         """Wait for the end without the ten ticks a second of the library.
 
-        They update the date header and count requests, both of which are unused here,
-        and cost an idle process most of its processor time.
+        They update the date header and count requests, both of which are unused here.
         """
         await self.on_tick(0)
         await self._exit_requested.wait()
