--- a/review/3/case.py
+++ b/review/3/case.py
@@ -20,9 +20,11 @@
 MEAN_PAUSE_S = 0.25
 SUBTASKS = 4
 RUN_S = 0.5
-PLAY_S = 85.0
+PLAY_S = 80.0
 # Between a start and the next stop, as with machines that are stopped in turn.
 PAUSE_S = 1.6
+# A process that is slow to end ends in this time, one that spins does not.
+WATCH_S = 4.0
 # A process that waits uses far less of a core, one that spins all of it.
 SPIN_SHARE = 0.8
 
@@ -78,21 +80,34 @@
 
 
 def _hangs(leader: stand_ins.Program, record: stand_ins.Record) -> bool:
-    """Stop a process; return whether it spins until the end of its grace period."""
+    """Stop a process; return whether it spins after the end of its grace period."""
     leader.terminate()
     with contextlib.suppress(subprocess.TimeoutExpired):
-        leader.process.wait(stand_ins.GRACE_S / 2)
+        leader.process.wait(stand_ins.GRACE_S)
         return False
     before_s = leader.read_processor_s()
     with contextlib.suppress(subprocess.TimeoutExpired):
-        leader.process.wait(stand_ins.GRACE_S / 2)
+        leader.process.wait(WATCH_S)
         return False
     used_s = leader.read_processor_s() - before_s
     record.note(
-        f"{leader.name} has not ended {stand_ins.GRACE_S:g} s after SIGTERM and used"
-        f" {used_s:.2f} s of processor time in the last {stand_ins.GRACE_S / 2:g} s"
+        f"{leader.name} has not ended {stand_ins.GRACE_S + WATCH_S:g} s after SIGTERM,"
+        f" and used {used_s:.2f} s of processor time in the last {WATCH_S:g} s"
     )
-    return used_s > SPIN_SHARE * stand_ins.GRACE_S / 2
+    return used_s > SPIN_SHARE * WATCH_S
+
+
+def _find_silent(deployment: stand_ins.Deployment) -> list[str]:
+    """Return the addresses of the operator's API that answer nothing for 10 s."""
+    silent = list(deployment.controls)
+    until_s = time.monotonic() + 10.0
+    while silent and time.monotonic() < until_s:
+        silent = [
+            address
+            for address in silent
+            if not stand_ins.exchange(address, "GET", "/config")[0]
+        ]
+    return silent
 
 
 def play(
@@ -120,14 +135,9 @@
     rate = clients.accepted / (time.monotonic() - started_s)
     record.note(f"{stops} stops, {rate:.1f} jobs a second accepted")
     if not has_trouble:
-        spinning = []
-        before = [program.read_processor_s() for program in deployment.control_programs]
-        time.sleep(3.0)
-        for program, used_s in zip(deployment.control_programs, before, strict=True):
-            if program.read_processor_s() - used_s > SPIN_SHARE * 3.0:
-                spinning.append(program.name)
-        record.note(f"control processes that spin: {spinning}")
-        return not spinning
+        silent = _find_silent(deployment)
+        record.note(f"control processes that answer nothing: {silent}")
+        return not silent
     return not is_hung
 
 
--- a/review/stand_ins.py
+++ b/review/stand_ins.py
@@ -16,6 +16,7 @@
 import signal
 import socket
 import subprocess
+import sys
 import tempfile
 import threading
 import time
@@ -159,12 +160,25 @@
         Its id.
     run_s : float
         Seconds for which each subtask works.
+    machine : str
+        Its machine; one of its own if left out.
+    kind : str
+        Its kind, the first of its labels.
     """
 
-    def __init__(self, record: Record, worker_id: str, run_s: float) -> None:
+    def __init__(
+        self,
+        record: Record,
+        worker_id: str,
+        run_s: float,
+        machine: str = "",
+        kind: str = "a",
+    ) -> None:
         self.record = record
         self.worker_id = worker_id
         self.run_s = run_s
+        self.machine = machine or f"m-{worker_id}"
+        self.labels = [kind, "r1"]
         self.born_ms = int(time.time() * 1000)
         self.state = "ready"
         self.runs: dict[tuple[str, int], float] = {}
@@ -206,8 +220,8 @@
             "state": self.state,
             "cold_remaining_ms": 0,
             "capacity": {"cpu": 64000, "mem_mb": 262144, "gpu": 8},
-            "labels": ["a", "r1"],
-            "machine": f"m-{self.worker_id}",
+            "labels": self.labels,
+            "machine": self.machine,
             "clock_ms": self.clock_ms,
             "seq": self._sequence,
             "born": self.born_ms,
@@ -404,9 +418,10 @@
             "TANAGERPATH_CONFIG": str(settings),
         }
         self._log = settings.with_suffix(".log")
+        self._lock = threading.Lock()
         self._is_wanted = True
         self.process = self._start()
-        threading.Thread(target=self._watch, daemon=True).start()
+        self._watcher = self._begin_watch()
 
     def _start(self) -> subprocess.Popen:
         with self._log.open("a") as log:
@@ -418,17 +433,25 @@
                 stderr=log,
             )
 
+    def _begin_watch(self) -> threading.Thread:
+        watcher = threading.Thread(target=self._watch, daemon=True)
+        watcher.start()
+        return watcher
+
     def _watch(self) -> None:
         while self._is_wanted:
             process = self.process
             if process.poll() is None:
                 time.sleep(POLL_S)
                 continue
+            if not self._is_wanted:
+                return
             self.own_ends += 1
             self.record.note(f"{self.name} ended by itself, code {process.returncode}")
             time.sleep(RESTART_DELAY_S)
-            if self._is_wanted:
-                self.process = self._start()
+            with self._lock:
+                if self._is_wanted:
+                    self.process = self._start()
 
     def read_processor_s(self) -> float:
         """Return the processor seconds of the process."""
@@ -441,24 +464,27 @@
 
     def terminate(self) -> None:
         """Send SIGTERM; the process is not started again."""
-        self._is_wanted = False
-        self.record.note(f"SIGTERM to {self.name}")
-        self.process.send_signal(signal.SIGTERM)
+        with self._lock:
+            self._is_wanted = False
+            self.record.note(f"SIGTERM to {self.name}")
+            self.process.send_signal(signal.SIGTERM)
 
     def kill(self) -> None:
         """Kill the process; it is not started again."""
-        self._is_wanted = False
-        if self.process.poll() is None:
-            self.process.kill()
-        self.process.wait()
+        with self._lock:
+            self._is_wanted = False
+            if self.process.poll() is None:
+                self.process.kill()
+            self.process.wait()
 
     def resume(self) -> None:
         """Start the process again after `terminate` or `kill`."""
         self.process.wait()
+        self._watcher.join()
         self.record.note(f"{self.name} is started")
         self._is_wanted = True
         self.process = self._start()
-        threading.Thread(target=self._watch, daemon=True).start()
+        self._watcher = self._begin_watch()
 
     def read_log(self) -> str:
         """Return all that the process has written."""
@@ -481,10 +507,19 @@
 
 
 class Deployment:
-    """Three machines on loopback addresses."""
+    """Three machines on loopback addresses.
 
-    def __init__(self, record: Record) -> None:
+    Parameters
+    ----------
+    record : Record
+        Receives what happens to the processes.
+    platform_address : str
+        Address of the platform's interface for machines, empty for none.
+    """
+
+    def __init__(self, record: Record, platform_address: str = "") -> None:
         self.record = record
+        self._platform_address = platform_address
         self.folder = pathlib.Path(tempfile.mkdtemp(prefix="review-"))
         self.addresses = ["127.0.0.11", "127.0.0.12", "127.0.0.13"]
         self.workers: list[Worker] = []
@@ -538,6 +573,13 @@
             "config_mode": "highest",
             "orders": "push",
         }
+        if self._platform_address:
+            settings["cloud_api"] = {
+                "address": self._platform_address,
+                "rate_per_s": 60.0,
+                "duties": [],
+                "duty_per_s": 60.0,
+            }
         path = self.folder / f"{name}.json"
         path.write_text(json.dumps(settings))
         return path
@@ -556,11 +598,16 @@
         return False
 
     def add_worker(
-        self, worker_id: str, run_s: float, reports_to: list[str] | None = None
+        self,
+        worker_id: str,
+        run_s: float,
+        reports_to: list[str] | None = None,
+        machine: str = "",
+        kind: str = "a",
     ) -> Worker:
         """Start a worker, and wait until its first report is acknowledged."""
         addresses = self.controls if reports_to is None else reports_to
-        worker = Worker(self.record, worker_id, run_s)
+        worker = Worker(self.record, worker_id, run_s, machine, kind)
         self.workers.append(worker)
         until_s = time.monotonic() + START_TIMEOUT_S
         while not worker.report(addresses):
@@ -672,7 +719,7 @@
     return doubles
 
 
-def run_case(folder: pathlib.Path, play: object) -> int:
+def run_case(folder: pathlib.Path, play: object, platform: object = None) -> int:
     """Run a case and return its exit status.
 
     Parameters
@@ -682,13 +729,18 @@
     play : callable
         Takes the deployment, the record and whether there is trouble; returns whether
         the rule held.
+    platform : object, optional
+        The platform's interface for machines; it has an `address`.
     """
+    # An ended script ends what it has started, too.
+    for number in (signal.SIGTERM, signal.SIGINT):
+        signal.signal(number, lambda *_: sys.exit(NOT_RUN))
     record = Record(folder / "record.txt")
     has_trouble = os.environ.get("TROUBLE", "1") != "0"
     record.note(f"trouble: {has_trouble}")
     deployment = None
     try:
-        deployment = Deployment(record)
+        deployment = Deployment(record, platform.address if platform else "")
         if not deployment.put_configuration(CONFIGURATION):
             raise CannotRunError("the first configuration was not acknowledged")
         held = play(deployment, record, has_trouble)
