--- a/review/stand_ins.py
+++ b/review/stand_ins.py
@@ -164,6 +164,10 @@
         Its machine; one of its own if left out.
     kind : str
         Its kind, the first of its labels.
+    port : int
+        Port to listen on, 0 for a free one.
+    stop_s : float
+        Seconds that a stop takes.
     """
 
     def __init__(
@@ -173,12 +177,19 @@
         run_s: float,
         machine: str = "",
         kind: str = "a",
+        port: int = 0,
+        stop_s: float = 0.0,
     ) -> None:
         self.record = record
         self.worker_id = worker_id
         self.run_s = run_s
         self.machine = machine or f"m-{worker_id}"
         self.labels = [kind, "r1"]
+        self._stop_s = stop_s
+        # Whether it crashes on the next start that it is told.
+        self.crashes_on_start = False
+        self.has_crashed = threading.Event()
+        self._stopping: dict[tuple[str, int], float] = {}
         self.born_ms = int(time.time() * 1000)
         self.state = "ready"
         self.runs: dict[tuple[str, int], float] = {}
@@ -193,7 +204,8 @@
         self._barred: dict[str, int] = {}
         self._changed = threading.Condition()
         self._gone = threading.Event()
-        self._server = _Server(("127.0.0.1", 0), self)
+        self._is_closed = False
+        self._server = _Server(("127.0.0.1", port), self)
         self.address = f"127.0.0.1:{self._server.server_address[1]}"
         threading.Thread(target=self._server.serve_forever, daemon=True).start()
         threading.Thread(target=self._tick, daemon=True).start()
@@ -250,8 +262,9 @@
 
     def end(self) -> None:
         """End this life; everything that runs ends with it."""
-        if self._gone.is_set():
+        if self._is_closed:
             return
+        self._is_closed = True
         self._gone.set()
         with self._changed:
             for task, run in tuple(self.runs):
@@ -266,7 +279,11 @@
                 now_s = time.monotonic()
                 is_lapsed = self.clock_ms >= self._lease_ms
                 for (task, run), began_s in tuple(self.runs.items()):
-                    if now_s >= began_s + self.run_s:
+                    stopped_s = self._stopping.get((task, run))
+                    if stopped_s is not None:
+                        if now_s >= stopped_s + self._stop_s:
+                            self._finish(task, run, "stopped")
+                    elif now_s >= began_s + self.run_s:
                         self._finish(task, run, "done")
                     elif is_lapsed:
                         self._finish(task, run, "lapsed")
@@ -284,8 +301,12 @@
 
     def handle(self, path: str, asked: dict, intended: str) -> tuple[int, dict]:
         """Carry out an order and return status and body."""
+        if path == "/run-start" and self.crashes_on_start:
+            self.record.note(f"{self.worker_id} crashes as it is told {asked['task']}")
+            self._gone.set()
+            self.has_crashed.set()
         if self._gone.is_set():
-            return 503, {}
+            return 0, {}
         if intended not in ("", self.worker_id):
             return 421, {"clock_ms": self.clock_ms}
         with self._changed:
@@ -321,7 +342,7 @@
                 break
             self._changed.wait(left_s)
         if self._gone.is_set():
-            return 503, {}
+            return 0, {}
         now_s = time.monotonic()
         running = [
             [task, run, "", min(int((now_s - began_s) / self.run_s * 100), 99), 1.0]
@@ -357,7 +378,12 @@
         self._barred[task] = max(self._barred.get(task, 0), run)
         for running_task, running in tuple(self.runs):
             if running_task == task and running <= run:
-                self._finish(task, running, "stopped")
+                self.record.note(f"run {task} {running} on {self.worker_id} is stopped")
+                if self._stop_s:
+                    now_s = time.monotonic()
+                    self._stopping.setdefault((task, running), now_s)
+                else:
+                    self._finish(task, running, "stopped")
         return 200, {"clock_ms": self.clock_ms}
 
 
@@ -388,6 +414,10 @@
         asked = json.loads(self.rfile.read(length) or b"{}")
         intended = self.headers.get("X-Expected-Instance", "")
         status, answer = self.server.worker.handle(self.path, asked, intended)
+        if not status:
+            # The worker has ended: nothing is answered any more.
+            self.close_connection = True
+            return
         body = json.dumps(answer).encode()
         self.send_response(status)
         self.send_header("Content-Type", "application/json")
