Route replies by the type of the request, not by the name of the sender

Callers saw: after one heartbeat under the id "platform" every control process ended within a second of leading, again after each restart, as the heartbeat is in the log.

Cause: the dispatcher looked the sender of a reply up among the names of its own receivers ("advice", "platform", "platform vm list") before it looked for an upstream. Any of these names may come as the identity of an upstream. The failed renewal of such an upstream went to the upkeep of VMs, which raised AttributeError. Sessions of replaced incarnations were kept under "ID/incarnation", which another upstream may have as its identity.

Change: receivers are found by the type of the request, which nobody outside chooses, and departed sessions have a key of a type of their own.

--- a/tanagerpath/core/coordination/messages.py
+++ b/tanagerpath/core/coordination/messages.py
@@ -121,7 +121,9 @@
     Attributes
     ----------
     upstream_id, incarnation, address : str
-        Upstream to call; the event carries the same incarnation.
+        Upstream to call; the event carries the same incarnation. Calls to other
+        services have neither identity nor incarnation: their requests have types of
+        their own.
     request : object
         A request message of `tanagerpath.core.protocol.upstreams`, or an order of
         `tanagerpath.core.workloads`.
--- a/tanagerpath/core/workloads/advice.py
+++ b/tanagerpath/core/workloads/advice.py
@@ -11,10 +11,8 @@
 )
 from tanagerpath.core.workloads.policy import PlanUnit
 
-__all__ = ["ADVICE_ID", "TicketCache"]
+__all__ = ["TicketCache"]
 
-# Receiver of the orders that go to the service.
-ADVICE_ID = "advice"
 # The service handles the calls of one caller in turn, so more would only queue.
 MAX_CALLS_IN_FLIGHT = 2
 # The service takes longer for each upstream that a call names.
@@ -139,7 +137,7 @@
         timeout_s = decision_s * MAX_CALLS_IN_FLIGHT + ANSWER_MARGIN_S
         held.call_expires_s = context.find_call_expiry_s(timeout_s)
         address = context.terms.advice_address
-        context.add_effect(CallUpstream(ADVICE_ID, "", address, request, timeout_s))
+        context.add_effect(CallUpstream("", "", address, request, timeout_s))
 
     def _choose_upstreams(
         self, unit: PlanUnit, held: _Tickets, tickets: dict[str, str]
--- a/tanagerpath/core/workloads/dispatch_context.py
+++ b/tanagerpath/core/workloads/dispatch_context.py
@@ -22,7 +22,7 @@
 from tanagerpath.core.workloads.start_backoff import StartBackoff
 from tanagerpath.core.workloads.state import FleetState
 
-__all__ = ["DispatchContext", "DispatchTerms"]
+__all__ = ["DepartedKey", "DispatchContext", "DispatchTerms"]
 
 # Longest delay from the timeout of a call to the handling of its result.
 REPLY_MARGIN_S = 1.0
@@ -105,6 +105,18 @@
     return f"{task.workload_id}.{task.occurrence}.{task.step}.{task.index}"
 
 
+@attrs.frozen
+class DepartedKey:
+    """Key of the session of an incarnation that is no longer registered.
+
+    Registered incarnations have their identity, a string, as key. Identities come with
+    heartbeats, so a string made of the identity and the incarnation could be another's.
+    """
+
+    upstream_id: str
+    incarnation: str
+
+
 @attrs.frozen
 class QueuedEnd:
     """An end to be recorded; `number` is that of its `EndedRun`, 0 for none."""
@@ -140,7 +152,7 @@
         self.backlog = Backlog(state, self.estimates)
         self.coverage = GuaranteeCoverage(state)
         self.start_backoff = StartBackoff()
-        self.sessions: dict[str, UpstreamSession] = {}
+        self.sessions: dict[str | DepartedKey, UpstreamSession] = {}
         self.run_index = RunIndex()
         self.health: dict[str, UpstreamHealth] = {}
         self.ends: list[QueuedEnd] = []
@@ -167,9 +179,9 @@
         """Mark a session as changed, so that its due orders are sent at once."""
         self._touched[session] = None
 
-    def remove_session(self, name: str) -> UpstreamSession:
+    def remove_session(self, key: str | DepartedKey) -> UpstreamSession:
         """Remove and return a session; nothing is sent for it any more."""
-        session = self.sessions.pop(name)
+        session = self.sessions.pop(key)
         self._touched.pop(session, None)
         return session
 
--- a/tanagerpath/core/workloads/dispatcher.py
+++ b/tanagerpath/core/workloads/dispatcher.py
@@ -11,7 +11,7 @@
     UpstreamReplied,
 )
 from tanagerpath.core.workloads import commands
-from tanagerpath.core.workloads.advice import ADVICE_ID, TicketCache
+from tanagerpath.core.workloads.advice import TicketCache
 from tanagerpath.core.workloads.commands import RunOutcome, RunStart
 from tanagerpath.core.workloads.dispatch_context import (
     DispatchContext,
@@ -20,9 +20,12 @@
 )
 from tanagerpath.core.workloads.events import CommandRecorded, CommandRejected
 from tanagerpath.core.workloads.orders import (
+    AdviceRequest,
     HoldReply,
     OrderRefused,
     Refusal,
+    UpkeepRequest,
+    VmListRequest,
     WrongIncarnation,
 )
 from tanagerpath.core.workloads.pacing import PaceController
@@ -41,8 +44,8 @@
     UpstreamSession,
 )
 from tanagerpath.core.workloads.state import Applied, FleetState
-from tanagerpath.core.workloads.upkeep import PLATFORM_ID, UpkeepController
-from tanagerpath.core.workloads.vm_watch import VM_LIST_ID, VmWatch
+from tanagerpath.core.workloads.upkeep import UpkeepController
+from tanagerpath.core.workloads.vm_watch import VmWatch
 
 __all__ = ["Dispatcher"]
 
@@ -77,10 +80,11 @@
         self._planner = StartPlanner(context, policy, self._preemption, self._advice)
         self._upkeep = UpkeepController(context, self._driver, f"leader-{context.term}")
         self._vm_watch = VmWatch(context)
+        # By the type of the request: an upstream may have any identity.
         self._services = {
-            ADVICE_ID: self._advice,
-            PLATFORM_ID: self._upkeep,
-            VM_LIST_ID: self._vm_watch,
+            AdviceRequest: self._advice,
+            UpkeepRequest: self._upkeep,
+            VmListRequest: self._vm_watch,
         }
         self._pending_record: commands.RecordRuns | None = None
         self._pending_ends: list[QueuedEnd] = []
@@ -135,14 +139,14 @@
                 self._handle_committed(command, applied)
             case CommandRejected(command):
                 self._handle_rejection(command)
-            case UpstreamReplied(upstream_id, _, request, reply) if (
-                upstream_id in self._services
+            case UpstreamReplied(request=request, reply=reply) if (
+                type(request) in self._services
             ):
-                self._services[upstream_id].handle_reply(request, reply)
-            case UpstreamCallFailed(upstream_id, _, request, failure) if (
-                upstream_id in self._services
+                self._services[type(request)].handle_reply(request, reply)
+            case UpstreamCallFailed(request=request, failure=failure) if (
+                type(request) in self._services
             ):
-                self._services[upstream_id].handle_failure(request, failure.message)
+                self._services[type(request)].handle_failure(request, failure.message)
             case UpstreamReplied(upstream_id, incarnation, request, reply):
                 session = self._context.find_session(upstream_id, incarnation)
                 if session is not None:
--- a/tanagerpath/core/workloads/registry.py
+++ b/tanagerpath/core/workloads/registry.py
@@ -7,7 +7,7 @@
     WithdrawUpstream,
     WorkloadCommand,
 )
-from tanagerpath.core.workloads.dispatch_context import DispatchContext
+from tanagerpath.core.workloads.dispatch_context import DepartedKey, DispatchContext
 from tanagerpath.core.workloads.records import OpenRun, WorkloadRecord
 from tanagerpath.core.workloads.requests import UpstreamReport, WithdrawalReport
 from tanagerpath.core.workloads.sessions import (
@@ -46,7 +46,10 @@
         for workload in context.state.workloads.values():
             self._adopt_runs(workload)
 
-    def _open_session(self, record: UpstreamRecord) -> UpstreamSession:
+    def _open_session(
+        self, record: UpstreamRecord, key: str | DepartedKey | None = None
+    ) -> UpstreamSession:
+        """Open the session of an incarnation; a registered one needs no key."""
         context = self._context
         lease_expiry_s = context.now_s + context.terms.leases.find_max_duration_s(
             context.terms.leases.lease_s
@@ -54,7 +57,7 @@
         session = UpstreamSession(
             record, lease_expiry_s, last_contact_s=context.now_s, opened_s=context.now_s
         )
-        context.sessions[record.upstream_id] = session
+        context.sessions[record.upstream_id if key is None else key] = session
         context.touch(session)
         context.must_plan = True
         return session
@@ -95,13 +98,16 @@
 
     def _open_departed_session(self, open_run: OpenRun) -> UpstreamSession:
         """Return a session for runs of an incarnation that is no longer registered."""
-        name = f"{open_run.upstream_id}/{open_run.incarnation}"
-        session = self._context.sessions.get(name)
+        key = DepartedKey(open_run.upstream_id, open_run.incarnation)
+        session = self._context.sessions.get(key)
         if session is None:
             record = UpstreamRecord(
-                upstream_id=name, incarnation=open_run.incarnation, pool="", address=""
+                upstream_id=open_run.upstream_id,
+                incarnation=open_run.incarnation,
+                pool="",
+                address="",
             )
-            session = self._open_session(record)
+            session = self._open_session(record, key)
             session.departed_at_s = self._context.now_s
         return session
 
@@ -222,8 +228,8 @@
         if session.runs:
             # The old incarnation runs nothing: the new one replies at its address.
             session.departed_at_s = context.now_s - context.terms.leave_delay_s
-            name = f"{session.upstream_id}/{session.record.incarnation}"
-            context.sessions[name] = session
+            key = DepartedKey(session.upstream_id, session.record.incarnation)
+            context.sessions[key] = session
 
     def note_withdrawn(self, upstream_id: str, incarnation: str) -> None:
         """Apply a committed withdrawal."""
@@ -245,12 +251,12 @@
         """Delete sessions of departed upstreams once they have no runs left."""
         context = self._context
         departed = [
-            name
-            for name, session in context.sessions.items()
+            key
+            for key, session in context.sessions.items()
             if session.departed_at_s is not None and not session.runs
         ]
-        for name in departed:
-            session = context.remove_session(name)
+        for key in departed:
+            session = context.remove_session(key)
             if session.unanswered_starts:
                 self._remember_unanswered(session)
             if session.upstream_id not in context.sessions:
--- a/tanagerpath/core/workloads/upkeep.py
+++ b/tanagerpath/core/workloads/upkeep.py
@@ -16,10 +16,8 @@
 from tanagerpath.core.workloads.run_driver import RunDriver
 from tanagerpath.core.workloads.sessions import StopCause, UpstreamSession
 
-__all__ = ["PLATFORM_ID", "UpkeepController"]
+__all__ = ["UpkeepController"]
 
-# Receiver of the orders that go to the platform's VM interface.
-PLATFORM_ID = "platform"
 CALL_TIMEOUT_S = 2.0
 RETRY_INTERVAL_S = 0.5
 # A VM counts as unavailable until an upstream on it registers again, or for this long
@@ -181,9 +179,7 @@
             fencing_token=context.term,
         )
         address = context.terms.platform_address
-        context.add_effect(
-            CallUpstream(PLATFORM_ID, "", address, request, CALL_TIMEOUT_S)
-        )
+        context.add_effect(CallUpstream("", "", address, request, CALL_TIMEOUT_S))
 
     def handle_reply(self, request: UpkeepRequest, reply: object) -> None:
         """Handle the reply of the platform for a VM."""
--- a/tanagerpath/core/workloads/vm_watch.py
+++ b/tanagerpath/core/workloads/vm_watch.py
@@ -8,10 +8,8 @@
 from tanagerpath.core.workloads.orders import VmListReply, VmListRequest, VmStatus
 from tanagerpath.core.workloads.sessions import UpstreamSession
 
-__all__ = ["VM_LIST_ID", "VmWatch"]
+__all__ = ["VmWatch"]
 
-# Receiver of the calls; no upstream has this identity.
-VM_LIST_ID = "platform vm list"
 CALL_TIMEOUT_S = 1.0
 # Silence after which an upstream with runs is looked up.
 SUSPECT_AFTER_S = 0.5
@@ -102,9 +100,7 @@
         """Send a request; return the time after which its reply counts as lost."""
         context = self._context
         address = context.terms.platform_address
-        context.add_effect(
-            CallUpstream(VM_LIST_ID, "", address, request, CALL_TIMEOUT_S)
-        )
+        context.add_effect(CallUpstream("", "", address, request, CALL_TIMEOUT_S))
         return context.find_call_expiry_s(CALL_TIMEOUT_S)
 
     def handle_reply(self, request: VmListRequest, reply: VmListReply) -> None:
