Rank work whose queue has an objective of 0 seconds

Cause: the rank of a unit divides by its objective. Change: without an objective it has no slack.

Evidence: test_odd_configurations.py failed before with ZeroDivisionError in DeadlinePolicy._rank, and passes now.

--- a/tanagerpath/core/workloads/deadline_policy.py
+++ b/tanagerpath/core/workloads/deadline_policy.py
@@ -120,7 +120,10 @@
         """
         end_s = fleet.find_waited_s(unit) + unit.critical_path_s
         is_late = end_s > unit.objective_s
-        slack_share = max(1.0 - end_s / unit.objective_s, 0.0)
+        # A queue may have an objective of 0 s, which leaves its work no slack.
+        slack_share = 0.0
+        if unit.objective_s > 0.0:
+            slack_share = max(1.0 - end_s / unit.objective_s, 0.0)
         return (
             not unit.is_guaranteed,
             fleet.misses_hard_deadline(unit),
