Contain unexpected errors of the leader in what they occurred in

Cause: nothing caught an exception between a message and the end of the process, so that every fault in a decision cost the process, and a fault in a committed entry all processes for good.

Change: an error costs what it occurred in, and one line at level error says what that was ("decision failed": part, entry, upstream, workload or request, error and where it was raised). - A reply of an upstream, or orders to it: the upstream is set aside until its lease has expired, which ends its runs, and is then used again. Its ends are not acknowledged in between, as it is unknown what was recorded. - The plan of a unit of work: the unit is left out for 5 s. - A request: it is answered as not run. - An entry that can't be applied: every replica passes over it; it is answered as uncertain and the leader's term ends. - Anything else in a decision: the term ends, and the next leader begins with the replicated state. MemoryError and RecursionError still end the process, as they depend on it and not on what it handled. - An exchange with an upstream or with the leader: this exchange fails.

--- a/tanagerpath/core/consensus/__init__.py
+++ b/tanagerpath/core/consensus/__init__.py
@@ -29,6 +29,7 @@
             "SendMessage",
             "Snapshot",
             "SnapshotProvided",
+            "StepDownRequested",
             "StorageLost",
             "StorageSynced",
             "Tick",
--- a/tanagerpath/core/consensus/events.py
+++ b/tanagerpath/core/consensus/events.py
@@ -32,6 +32,7 @@
     "SendMessage",
     "Snapshot",
     "SnapshotProvided",
+    "StepDownRequested",
     "StorageLost",
     "StorageSynced",
     "Tick",
@@ -180,6 +181,11 @@
     """Transfer leadership to the most advanced voter; no effect on a follower."""
 
 
+@attrs.frozen
+class StepDownRequested:
+    """Stop leading without a successor; no effect on a follower."""
+
+
 Event = (
     Tick
     | MessageReceived
@@ -188,6 +194,7 @@
     | StorageLost
     | SnapshotProvided
     | TransferRequested
+    | StepDownRequested
 )
 
 
--- a/tanagerpath/core/consensus/replica.py
+++ b/tanagerpath/core/consensus/replica.py
@@ -15,6 +15,7 @@
     RestoreSnapshot,
     Role,
     SnapshotProvided,
+    StepDownRequested,
     StorageLost,
     StorageSynced,
     Tick,
@@ -81,6 +82,7 @@
             StorageLost: self._handle_storage_loss,
             SnapshotProvided: self._handle_snapshot,
             TransferRequested: self._handle_transfer,
+            StepDownRequested: self._handle_step_down,
         }
         self._messages = {
             VoteRequest: self._elections.handle_vote_request,
@@ -266,6 +268,11 @@
         if self._context.role is Role.LEADER:
             self._leadership.request_transfer()
 
+    def _handle_step_down(self, event: StepDownRequested) -> None:
+        context = self._context
+        if context.role is Role.LEADER:
+            context.become_follower(context.term, None)
+
     def _handle_message(self, event: MessageReceived) -> None:
         message = event.message
         self._context.record_address(event.sender, event.sender_address)
--- a/tanagerpath/core/workloads/dispatch_context.py
+++ b/tanagerpath/core/workloads/dispatch_context.py
@@ -7,6 +7,7 @@
 from tanagerpath.core.coordination import CallUpstream, CountEvent, Effect, Instant
 from tanagerpath.core.workloads.backlog import Backlog
 from tanagerpath.core.workloads.commands import RunEnd, RunOutcome
+from tanagerpath.core.workloads.containment import describe_error
 from tanagerpath.core.workloads.coverage import GuaranteeCoverage
 from tanagerpath.core.workloads.estimates import RunEstimates
 from tanagerpath.core.workloads.events import LogDecision
@@ -202,6 +203,12 @@
         self.add_effect(LogDecision(name, fields, is_about_task=True))
         self.add_effect(CountEvent(name))
 
+    def log_error(self, part: str, error: Exception, **fields: Any) -> None:
+        """Write an unexpected error to the log and count it."""
+        line = describe_error(part, error, **fields)
+        self.add_effect(line)
+        self.add_effect(CountEvent(line.name))
+
     def call(self, session: UpstreamSession, request: object, timeout_s: float) -> None:
         """Send an order to an upstream."""
         record = session.record
--- a/tanagerpath/core/workloads/dispatcher.py
+++ b/tanagerpath/core/workloads/dispatcher.py
@@ -1,5 +1,8 @@
 """Decisions of the leader on workloads: which runs start, stop and are recorded."""
 
+from collections.abc import Callable
+from typing import Any
+
 from tanagerpath.core.coordination import (
     Effect,
     Instant,
@@ -13,6 +16,7 @@
 from tanagerpath.core.workloads import commands
 from tanagerpath.core.workloads.advice import TicketCache
 from tanagerpath.core.workloads.commands import RunOutcome, RunStart
+from tanagerpath.core.workloads.containment import PROCESS_ERRORS
 from tanagerpath.core.workloads.dispatch_context import (
     DispatchContext,
     DispatchTerms,
@@ -46,6 +50,7 @@
 from tanagerpath.core.workloads.state import Applied, FleetState
 from tanagerpath.core.workloads.upkeep import UpkeepController
 from tanagerpath.core.workloads.vm_watch import VmWatch
+from tanagerpath.errors import Failure
 
 __all__ = ["Dispatcher"]
 
@@ -139,27 +144,67 @@
                 self._handle_committed(command, applied)
             case CommandRejected(command):
                 self._handle_rejection(command)
-            case UpstreamReplied(request=request, reply=reply) if (
-                type(request) in self._services
-            ):
-                self._services[type(request)].handle_reply(request, reply)
-            case UpstreamCallFailed(request=request, failure=failure) if (
-                type(request) in self._services
+            case UpstreamReplied() | UpstreamCallFailed() if (
+                type(event.request) in self._services
             ):
-                self._services[type(request)].handle_failure(request, failure.message)
-            case UpstreamReplied(upstream_id, incarnation, request, reply):
-                session = self._context.find_session(upstream_id, incarnation)
-                if session is not None:
-                    self._handle_reply(session, request, reply)
-            case UpstreamCallFailed(upstream_id, incarnation, request, failure):
-                session = self._context.find_session(upstream_id, incarnation)
-                if session is None:
-                    return
-                self._context.touch(session)
-                if isinstance(failure, WrongIncarnation):
-                    self.registry.mark_replaced(session)
-                else:
-                    self._driver.handle_failure(session, request)
+                self._handle_service_event(event)
+            case UpstreamReplied() | UpstreamCallFailed():
+                session = self._context.find_session(
+                    event.upstream_id, event.incarnation
+                )
+                if session is not None and not session.is_faulted:
+                    self._handle_upstream_event(session, event)
+
+    def _handle_service_event(
+        self, event: UpstreamReplied | UpstreamCallFailed
+    ) -> None:
+        service = self._services[type(event.request)]
+        try:
+            if isinstance(event, UpstreamReplied):
+                service.handle_reply(event.request, event.reply)
+            else:
+                service.handle_failure(event.request, event.failure.message)
+        except PROCESS_ERRORS:
+            raise
+        except Exception as error:
+            request_type = type(event.request).__name__
+            self._context.log_error("service", error, request=request_type)
+
+    def _handle_upstream_event(
+        self, session: UpstreamSession, event: UpstreamReplied | UpstreamCallFailed
+    ) -> None:
+        try:
+            if isinstance(event, UpstreamReplied):
+                self._handle_reply(session, event.request, event.reply)
+            else:
+                self._handle_call_failure(session, event.request, event.failure)
+        except PROCESS_ERRORS:
+            raise
+        except Exception as error:
+            self._set_aside(session, error, request=type(event.request).__name__)
+
+    def _set_aside(
+        self, session: UpstreamSession, error: Exception, **fields: Any
+    ) -> None:
+        """Stop driving an upstream after an error, as its state may be inconsistent."""
+        self._context.log_error(
+            "upstream",
+            error,
+            upstream=session.upstream_id,
+            incarnation=session.record.incarnation,
+            runs=len(session.runs),
+            **fields,
+        )
+        self.registry.set_aside(session)
+
+    def _handle_call_failure(
+        self, session: UpstreamSession, request: object, failure: Failure
+    ) -> None:
+        self._context.touch(session)
+        if isinstance(failure, WrongIncarnation):
+            self.registry.mark_replaced(session)
+        else:
+            self._driver.handle_failure(session, request)
 
     def _handle_reply(
         self, session: UpstreamSession, request: object, reply: object
@@ -317,14 +362,27 @@
     def _drive(self) -> None:
         context = self._context
         self._drive_upstreams(self._list_due())
-        self._upkeep.advance()
-        self._vm_watch.advance()
-        self._propose_removals()
+        for part in (
+            self._upkeep.advance,
+            self._vm_watch.advance,
+            self._propose_removals,
+        ):
+            self._run_part(part)
         if self._pending_record is None:
             self._record(self._planner.plan())
             # The stops of this plan must not wait for the next event.
             self._drive_upstreams(context.take_touched())
         self.registry.drop_departed()
+        self.registry.reopen_faulted()
+
+    def _run_part(self, part: Callable[[], None]) -> None:
+        """Run a part of the decisions that the others do not need."""
+        try:
+            part()
+        except PROCESS_ERRORS:
+            raise
+        except Exception as error:
+            self._context.log_error(part.__qualname__, error)
 
     def _list_due(self) -> tuple[UpstreamSession, ...]:
         """Return the sessions on which an order may be due.
@@ -340,42 +398,48 @@
         return tuple(self._context.sessions.values())
 
     def _drive_upstreams(self, sessions: tuple[UpstreamSession, ...]) -> None:
-        self._evacuate_draining(sessions)
-        self._stop_stalled(sessions)
         for session in sessions:
+            try:
+                self._drive_upstream(session)
+            except PROCESS_ERRORS:
+                raise
+            except Exception as error:
+                self._set_aside(session, error)
+
+    def _drive_upstream(self, session: UpstreamSession) -> None:
+        if session.is_faulted:
             self._driver.drive(session)
-        self._pace_controller.adjust(sessions)
+            return
+        self._evacuate_draining(session)
+        self._stop_stalled(session)
+        self._driver.drive(session)
+        self._pace_controller.adjust(session)
 
-    def _evacuate_draining(self, sessions: tuple[UpstreamSession, ...]) -> None:
+    def _evacuate_draining(self, session: UpstreamSession) -> None:
         """Stop runs that would not finish before their draining upstream ends."""
-        context = self._context
-        for session in sessions:
-            if session.remaining_until_s is None or session.departed_at_s is not None:
-                continue
-            remaining_s = session.remaining_until_s - context.now_s
-            fleet = self._planner.view_fleet()
-            for view in tuple(session.runs.values()):
-                if view.phase is not RunPhase.RUNNING:
-                    continue
-                left_s = fleet.predict_remaining_s(view, session)
-                if view.spec.checkpointing:
-                    must_stop = (
-                        remaining_s < DRAIN_CHECKPOINT_S and left_s > remaining_s
-                    )
-                else:
-                    must_stop = left_s > DRAIN_OVERRUN_FACTOR * max(remaining_s, 0.0)
-                if must_stop:
-                    self._driver.stop(
-                        session, view, "its upstream leaves", StopCause.UPSTREAM_LEAVES
-                    )
-
-    def _stop_stalled(self, sessions: tuple[UpstreamSession, ...]) -> None:
-        for session in sessions:
-            if not session.reachable or not session.synced:
+        if session.remaining_until_s is None or session.departed_at_s is not None:
+            return
+        remaining_s = session.remaining_until_s - self._context.now_s
+        fleet = self._planner.view_fleet()
+        for view in tuple(session.runs.values()):
+            if view.phase is not RunPhase.RUNNING:
                 continue
-            for view in tuple(session.runs.values()):
-                if self._is_stalled(session, view):
-                    self._stop_stalled_run(session, view)
+            left_s = fleet.predict_remaining_s(view, session)
+            if view.spec.checkpointing:
+                must_stop = remaining_s < DRAIN_CHECKPOINT_S and left_s > remaining_s
+            else:
+                must_stop = left_s > DRAIN_OVERRUN_FACTOR * max(remaining_s, 0.0)
+            if must_stop:
+                self._driver.stop(
+                    session, view, "its upstream leaves", StopCause.UPSTREAM_LEAVES
+                )
+
+    def _stop_stalled(self, session: UpstreamSession) -> None:
+        if not session.reachable or not session.synced:
+            return
+        for view in tuple(session.runs.values()):
+            if self._is_stalled(session, view):
+                self._stop_stalled_run(session, view)
 
     def _is_stalled(self, session: UpstreamSession, view: RunView) -> bool:
         if view.phase is not RunPhase.RUNNING or view.spec.long_running:
--- a/tanagerpath/core/workloads/events.py
+++ b/tanagerpath/core/workloads/events.py
@@ -38,8 +38,11 @@
     is_about_task : bool
         Whether it is about a single task. There are many of these lines, so they
         have a rate limit of their own.
+    is_fault : bool
+        Whether it reports an unexpected error; see `containment`.
     """
 
     name: str
     fields: dict[str, Any]
     is_about_task: bool = False
+    is_fault: bool = False
--- a/tanagerpath/core/workloads/failures.py
+++ b/tanagerpath/core/workloads/failures.py
@@ -9,6 +9,7 @@
     "InvalidUpstreamReport",
     "InvalidWorkload",
     "NotConfigured",
+    "RequestFault",
     "TooManyWorkloads",
     "UnknownKey",
     "UnknownQueue",
@@ -69,6 +70,19 @@
         return "no configuration has been accepted yet"
 
 
+@attrs.frozen(kw_only=True)
+class RequestFault(Failure):
+    """An unexpected error occurred before the request took effect."""
+
+    not_run: bool = True
+    error: str
+
+    @property
+    def message(self) -> str:
+        """One-line description for users."""
+        return f"the request could not be handled: {self.error}"
+
+
 @attrs.frozen(kw_only=True)
 class UnknownQueue(Failure):
     """No queue of the current configuration matches the host and path."""
--- a/tanagerpath/core/workloads/node.py
+++ b/tanagerpath/core/workloads/node.py
@@ -1,5 +1,6 @@
 """Replicated node that decides on workloads, without input or output."""
 
+from collections import Counter
 from collections.abc import Callable
 
 import attrs
@@ -13,6 +14,7 @@
 )
 from tanagerpath.core.control.proposals import OpenProposal
 from tanagerpath.core.coordination import (
+    CountEvent,
     Effect,
     Instant,
     Propose,
@@ -20,6 +22,8 @@
     UpstreamCallFailed,
     UpstreamReplied,
 )
+from tanagerpath.core.protocol.callers import ErrorBody
+from tanagerpath.core.workloads.containment import PROCESS_ERRORS, describe_error
 from tanagerpath.core.workloads.dispatch_context import DispatchTerms
 from tanagerpath.core.workloads.dispatcher import Dispatcher
 from tanagerpath.core.workloads.events import (
@@ -27,12 +31,13 @@
     CommandRejected,
     LogDecision,
 )
+from tanagerpath.core.workloads.failures import RequestFault
 from tanagerpath.core.workloads.policy import WorkloadPolicy
 from tanagerpath.core.workloads.request_handler import (
     WorkloadProposal,
     WorkloadRequestHandler,
 )
-from tanagerpath.core.workloads.state import Applied, FleetState
+from tanagerpath.core.workloads.state import FleetState
 
 __all__ = ["PolicyFactory", "WorkloadNode", "WorkloadNodeConfig"]
 
@@ -67,6 +72,10 @@
     events: list[object] = attrs.field(factory=list)
 
 
+def _count_types(events: list[object]) -> dict[str, int]:
+    return dict(Counter(type(event).__name__ for event in events))
+
+
 class WorkloadNode(ReplicatedNode):
     """Replica and replicated state; on the leader, all decisions on workloads.
 
@@ -94,6 +103,7 @@
         self._make_policy = make_policy
         self._state = FleetState()
         self._leader_term: _LeaderTerm | None = None
+        self._must_step_down = False
 
     @property
     def state(self) -> FleetState:
@@ -124,7 +134,15 @@
         if leader_term is None or not now.has_lease:
             self._answer(arrived.token, self._make_not_leader_reply())
             return
-        reply, proposals = leader_term.request_handler.handle(arrived, now)
+        try:
+            reply, proposals = leader_term.request_handler.handle(arrived, now)
+        except PROCESS_ERRORS:
+            raise
+        except Exception as error:
+            request_type = type(arrived.request).__name__
+            self._log_error("request", error, request=request_type)
+            reply = ErrorBody.from_failure(RequestFault(error=type(error).__name__))
+            proposals = []
         if reply is not None:
             self._answer(arrived.token, reply)
         for proposal in proposals:
@@ -144,22 +162,58 @@
     def _apply_command(
         self, index: int, command: object, proposal: OpenProposal | None
     ) -> None:
-        applied: Applied = self._state.apply(index, command)
+        try:
+            applied = self._state.apply(index, command)
+        except PROCESS_ERRORS:
+            raise
+        except Exception as error:
+            self._handle_failed_command(index, command, proposal, error)
+            return
         if self._leader_term is not None:
             self._leader_term.events.append(CommandRecorded(command, applied))
         if proposal is not None:
             self._actions += proposal.answer(applied, self._state)
 
+    def _handle_failed_command(
+        self,
+        index: int,
+        command: object,
+        proposal: OpenProposal | None,
+        error: Exception,
+    ) -> None:
+        """Pass over an entry that can't be applied.
+
+        Every replica passes over it, since `FleetState.apply` is deterministic. Ending
+        the process would end all replicas, again after each restart.
+        """
+        self._log_error("entry", error, index=index, command=type(command).__name__)
+        if proposal is not None:
+            self._actions += proposal.reject(consensus.ProposalUncertain())
+        if self._leader_term is not None:
+            # The dispatcher can't tell which part of the command took effect.
+            self._must_step_down = True
+
     def _handle_rejected(self, proposal: OpenProposal) -> None:
         if self._leader_term is not None:
             self._leader_term.events.append(CommandRejected(proposal.command))
 
+    def _log_error(self, part: str, error: Exception, **fields: object) -> None:
+        line = describe_error(part, error, term=self._led_term, **fields)
+        self._actions += [line, CountEvent(line.name)]
+
     # Leadership
 
     def _begin_term(self, term: int, now: Instant) -> None:
-        dispatcher = Dispatcher.from_state(
-            self._config.dispatch, self._state, self._make_policy(), term, now
-        )
+        try:
+            dispatcher = Dispatcher.from_state(
+                self._config.dispatch, self._state, self._make_policy(), term, now
+            )
+        except PROCESS_ERRORS:
+            raise
+        except Exception as error:
+            self._log_error("begin of the term", error)
+            self._must_step_down = True
+            return
         request_handler = WorkloadRequestHandler(
             self._state, dispatcher, self._config.replica.address, self._list_addresses
         )
@@ -193,10 +247,27 @@
         """
         leader_term = self._leader_term
         while leader_term is not None and leader_term.events:
+            if self._must_step_down:
+                break
             events, leader_term.events = leader_term.events, []
-            effects = leader_term.dispatcher.handle(events, self._read_instant())
+            try:
+                effects = leader_term.dispatcher.handle(events, self._read_instant())
+            except PROCESS_ERRORS:
+                raise
+            except Exception as error:
+                self._log_error("decision", error, events=_count_types(events))
+                self._must_step_down = True
+                break
             for effect in effects:
                 self._handle_effect(effect)
+        if self._must_step_down:
+            self._step_down()
+
+    def _step_down(self) -> None:
+        """End the term after an error; the next leader begins with the state."""
+        self._must_step_down = False
+        self._leader_term = None
+        self._step_replica(consensus.StepDownRequested())
 
     def _handle_effect(self, effect: Effect) -> None:
         match effect:
--- a/tanagerpath/core/workloads/pacing.py
+++ b/tanagerpath/core/workloads/pacing.py
@@ -1,7 +1,5 @@
 """Throttling of best-effort tasks that slow down serving ones."""
 
-from collections.abc import Iterable
-
 from tanagerpath.core.workloads.dispatch_context import DispatchContext
 from tanagerpath.core.workloads.run_driver import RunDriver
 from tanagerpath.core.workloads.sessions import RunPhase, RunView, UpstreamSession
@@ -34,15 +32,14 @@
         self._driver = driver
         self._next_s: dict[str, float] = {}
 
-    def adjust(self, sessions: Iterable[UpstreamSession]) -> None:
-        """Adjust the pace of best-effort tasks on some upstreams."""
-        for session in sessions:
-            if self._context.now_s < self._next_s.get(session.upstream_id, 0.0):
-                continue
-            serving = self._list_running(session, is_serving=True)
-            best_effort = self._list_running(session, is_serving=False)
-            if best_effort:
-                self._adjust_upstream(session, serving, best_effort)
+    def adjust(self, session: UpstreamSession) -> None:
+        """Adjust the pace of the best-effort tasks on an upstream."""
+        if self._context.now_s < self._next_s.get(session.upstream_id, 0.0):
+            return
+        serving = self._list_running(session, is_serving=True)
+        best_effort = self._list_running(session, is_serving=False)
+        if best_effort:
+            self._adjust_upstream(session, serving, best_effort)
 
     def _list_running(
         self, session: UpstreamSession, is_serving: bool
--- a/tanagerpath/core/workloads/planner.py
+++ b/tanagerpath/core/workloads/planner.py
@@ -4,6 +4,7 @@
 
 from tanagerpath.core.workloads.advice import TicketCache
 from tanagerpath.core.workloads.commands import RunStart
+from tanagerpath.core.workloads.containment import PROCESS_ERRORS
 from tanagerpath.core.workloads.dispatch_context import DispatchContext
 from tanagerpath.core.workloads.policy import (
     FleetView,
@@ -19,6 +20,9 @@
 
 __all__ = ["StartPlanner"]
 
+# Seconds for which a unit is left out of the plans after an error in its own plan.
+SET_ASIDE_S = 5.0
+
 
 class StartPlanner:
     """Applies the policy to the waiting work.
@@ -49,6 +53,7 @@
         self._wait_reporter = WaitReporter(context)
         self._next_plan_s = 0.0
         self._planning_paused_until_s = 0.0
+        self._set_aside_until_s: dict[StepKey, float] = {}
 
     def plan(self) -> tuple[RunStart, ...]:
         """Return the starts to record now, and carry out the preemptions for others.
@@ -74,18 +79,64 @@
         self._planning_paused_until_s = (
             context.now_s + context.terms.plan_cost_s * pairs
         )
-        plan = self._policy.plan(units, self.view_fleet())
+        plan = self._make_plan(units)
         self._preemption.execute(plan)
         self._report_waits(waiting, units, plan)
         runs: dict[StepKey, int] = {}
         return tuple(self._start(placement, runs) for placement in plan.placements)
 
+    def _make_plan(self, units: list[PlanUnit]) -> Plan:
+        """Return the plan of the policy, without units that it can't handle.
+
+        The policy changes nothing but its plan, so it may be called again.
+        """
+        try:
+            return self._policy.plan(units, self.view_fleet())
+        except PROCESS_ERRORS:
+            raise
+        except Exception:
+            sound = [unit for unit in units if self._is_sound(unit)]
+            if len(sound) == len(units):
+                raise
+            return self._policy.plan(sound, self.view_fleet())
+
+    def _is_sound(self, unit: PlanUnit) -> bool:
+        """Return whether the policy can plan a unit; if not, set the unit aside."""
+        try:
+            self._policy.plan([unit], self.view_fleet())
+        except PROCESS_ERRORS:
+            raise
+        except Exception as error:
+            now_s = self._context.now_s
+            self._set_aside_until_s[unit.step_key] = now_s + SET_ASIDE_S
+            self._context.log_error(
+                "plan",
+                error,
+                workload=unit.record.workload_id,
+                step=unit.step,
+                queue=unit.queue.name,
+            )
+            return False
+        return True
+
+    def _drop_set_aside(self, units: list[PlanUnit]) -> list[PlanUnit]:
+        """Return the units without those that the policy could not handle lately."""
+        if not self._set_aside_until_s:
+            return units
+        self._set_aside_until_s = {
+            step_key: until_s
+            for step_key, until_s in self._set_aside_until_s.items()
+            if self._context.now_s < until_s
+        }
+        return [unit for unit in units if unit.step_key not in self._set_aside_until_s]
+
     def _list_waiting(self) -> list[PlanUnit]:
         """Return all waiting units, after the update of what guarantees cover."""
         context = self._context
         changed = context.coverage.update(context.backlog.list_records(), context.now_s)
         self._wait_reporter.report_coverage(changed)
-        return context.backlog.list_units(context.now, context.coverage.covered)
+        units = context.backlog.list_units(context.now, context.coverage.covered)
+        return self._drop_set_aside(units)
 
     def _filter_backoff(self, units: list[PlanUnit]) -> list[PlanUnit]:
         """Return the units that may start now.
--- a/tanagerpath/core/workloads/registry.py
+++ b/tanagerpath/core/workloads/registry.py
@@ -41,6 +41,7 @@
         self._withdrawn: set[str] = set()
         # Unanswered starts of departed upstreams, which a successor may still receive.
         self._unanswered: dict[str, dict[RunKey, float]] = {}
+        self._faulted: list[UpstreamSession] = []
         for record in context.state.upstreams.values():
             self._open_session(record)
         for workload in context.state.workloads.values():
@@ -263,6 +264,33 @@
                 context.health.pop(session.upstream_id, None)
                 context.estimates.forget_upstream(session.upstream_id)
 
+    def set_aside(self, session: UpstreamSession) -> None:
+        """Keep a session from all decisions until its lease has expired."""
+        if not session.is_faulted:
+            self._faulted.append(session)
+        session.is_faulted = True
+        self._context.must_plan = True
+
+    def reopen_faulted(self) -> None:
+        """Replace the sessions that were set aside once nothing runs on them."""
+        context = self._context
+        for session in tuple(self._faulted):
+            if session.departed_at_s is not None:
+                self._faulted.remove(session)
+                continue
+            lease_expiry_s = session.find_lease_expiry_s(context.terms.leases)
+            if session.runs or context.now_s < lease_expiry_s:
+                continue
+            self._faulted.remove(session)
+            if context.sessions.get(session.upstream_id) is not session:
+                continue
+            context.remove_session(session.upstream_id)
+            self._remember_unanswered(session)
+            self._open_session(session.record)
+            context.log_decision(
+                "upstream used again after an error", upstream=session.upstream_id
+            )
+
     def is_same_incarnation(self, session: UpstreamSession, born_unix_ms: int) -> bool:
         """Return whether a birth time, if known, is that of the session's record."""
         known = session.record.born_unix_ms
--- a/tanagerpath/core/workloads/run_driver.py
+++ b/tanagerpath/core/workloads/run_driver.py
@@ -57,6 +57,9 @@
     def drive(self, session: UpstreamSession) -> None:
         """Send the orders that are due on an upstream."""
         now_s = self._context.now_s
+        if session.is_faulted:
+            self._close_faulted(session)
+            return
         if session.departed_at_s is not None:
             self._close_departed(session)
             return
@@ -79,9 +82,7 @@
             return
         if self._awaits_successor(session):
             return
-        for view in session.runs.values():
-            if view.phase is not RunPhase.PROPOSED:
-                self._context.queue_end(session, view, RunOutcome.LOST)
+        self._queue_ends(session, RunOutcome.LOST)
 
     def _awaits_successor(self, session: UpstreamSession) -> bool:
         """Return whether a delayed start of a session may still be carried out."""
@@ -94,9 +95,20 @@
     def _close_lapsed(self, session: UpstreamSession) -> None:
         if session.reachable and session.synced and not session.refused_holds:
             return
+        self._queue_ends(session, RunOutcome.LAPSED)
+
+    def _close_faulted(self, session: UpstreamSession) -> None:
+        """End the runs of a session that is no longer renewed with its lease."""
+        if self._context.now_s >= session.find_lease_expiry_s(
+            self._context.terms.leases
+        ):
+            self._queue_ends(session, RunOutcome.LAPSED)
+
+    def _queue_ends(self, session: UpstreamSession, outcome: RunOutcome) -> None:
+        """Queue the ends of all runs that were ordered on an upstream."""
         for view in session.runs.values():
             if view.phase is not RunPhase.PROPOSED:
-                self._context.queue_end(session, view, RunOutcome.LAPSED)
+                self._context.queue_end(session, view, outcome)
 
     def _drive_run(self, session: UpstreamSession, view: RunView) -> None:
         context = self._context
--- a/tanagerpath/core/workloads/sessions.py
+++ b/tanagerpath/core/workloads/sessions.py
@@ -313,6 +313,9 @@
         time of the next stop order that prevents it.
     is_superseded : bool
         Whether a later incarnation with its identity has replied.
+    is_faulted : bool
+        Whether an error occurred while the leader handled it. Nothing is sent to it
+        until its lease has expired, which ends all its runs.
     """
 
     record: UpstreamRecord
@@ -343,6 +346,7 @@
     unanswered_starts: dict[RunKey, float] = attrs.Factory(dict)
     fenced_runs: dict[RunKey, float] = attrs.Factory(dict)
     is_superseded: bool = False
+    is_faulted: bool = False
 
     @property
     def upstream_id(self) -> str:
@@ -372,6 +376,7 @@
             and not self.record.draining
             and not self.is_cordoned
             and not self.fenced_runs
+            and not self.is_faulted
             and self.departed_at_s is None
         )
 
--- a/tanagerpath/observability/decisions.py
+++ b/tanagerpath/observability/decisions.py
@@ -30,7 +30,7 @@
         self._last_refill_s = time.monotonic()
         self._dropped = 0
 
-    def write(self, name: str, fields: dict[str, Any]) -> None:
+    def write(self, name: str, fields: dict[str, Any], is_error: bool = False) -> None:
         """Write a line, or drop it if the rate limit is exceeded."""
         now_s = time.monotonic()
         refilled = (now_s - self._last_refill_s) * LINES_PER_S
@@ -44,4 +44,5 @@
         if self._dropped:
             fields = {**fields, "lines_dropped_before": self._dropped}
             self._dropped = 0
-        self._logger.info(name, **fields)
+        write = self._logger.error if is_error else self._logger.info
+        write(name, **fields)
--- a/tanagerpath/services/leader_link.py
+++ b/tanagerpath/services/leader_link.py
@@ -18,6 +18,7 @@
 from tanagerpath.core.consensus import ProposalUncertain
 from tanagerpath.core.protocol.leadership import NotLeaderReply
 from tanagerpath.errors import Failure
+from tanagerpath.observability.logs import get_logger
 from tanagerpath.runtime import Mailbox, MailboxFull, Reply, Task
 from tanagerpath.runtime.client import ConnectFailed, HttpClient
 
@@ -140,6 +141,8 @@
         self._search_requested = anyio.Event()
         self._clients: dict[str, HttpClient] = {}
         self._leader_known = anyio.Event()
+        self._log = get_logger("leader link")
+        self._last_fault: Failure | None = None
         self.mailbox: Mailbox[LeaderCall | LeaderFound] = Mailbox(
             "leader link", MAX_WAITING_CALLS
         )
@@ -179,12 +182,31 @@
                             self._note_leader(address)
                         case LeaderCall() as call:
                             self._budget.note_request()
-                            calls.start_soon(self._execute, call)
+                            calls.start_soon(self._execute_contained, call)
         finally:
             with anyio.CancelScope(shield=True):
                 for client in self._clients.values():
                     await client.close()
 
+    async def _execute_contained(self, call: LeaderCall) -> None:
+        """Execute a call; an error in it must not end the task of all calls."""
+        try:
+            await self._execute(call)
+        except Exception as error:
+            failure = OutcomeUncertain(detail=repr(error))
+            self._log_fault(call, failure)
+            call.reply.send(ResultFailure(failure))
+
+    def _log_fault(self, call: LeaderCall, failure: Failure) -> None:
+        """Log an unexpected error, but not again while it repeats."""
+        if failure != self._last_fault:
+            self._log.error(
+                "call to the leader failed unexpectedly",
+                request=type(call.request).__name__,
+                reason=failure.message,
+            )
+        self._last_fault = failure
+
     async def _execute(self, call: LeaderCall) -> None:
         body = encode_json(call.request, self._protocol.request_type).encode()
         uncertain: Failure | None = None
--- a/tanagerpath/services/links.py
+++ b/tanagerpath/services/links.py
@@ -17,10 +17,12 @@
 )
 from tanagerpath.core.protocol import upstreams as protocol
 from tanagerpath.errors import Failure
+from tanagerpath.observability.logs import get_logger
 from tanagerpath.runtime import Mailbox, Task
 from tanagerpath.runtime.client import HttpClient, HttpReply, HttpRequest
 
 __all__ = [
+    "ExchangeFault",
     "JsonUpstreamCodec",
     "LinkSet",
     "UnexpectedStatus",
@@ -55,6 +57,19 @@
         return f"{self.address} answered with status {self.status}, expected 200"
 
 
+@attrs.frozen(kw_only=True)
+class ExchangeFault(Failure):
+    """An unexpected error occurred in an exchange; the request may have arrived."""
+
+    address: str
+    error: str
+
+    @property
+    def message(self) -> str:
+        """One line for people."""
+        return f"the exchange with {self.address} failed: {self.error}"
+
+
 class UpstreamCodec(abc.ABC):
     """Wire encoding of the calls to upstreams and of their replies."""
 
@@ -118,6 +133,8 @@
             f"upstream link {address}", MAX_WAITING_CALLS
         )
         self._limiter = anyio.Semaphore(max_connections)
+        self._log = get_logger("control")
+        self._last_fault: ExchangeFault | None = None
 
     async def run(self) -> None:
         """Process calls concurrently until none came for `IDLE_LINK_TIMEOUT_S`."""
@@ -136,9 +153,25 @@
     async def _execute(self, call: CallUpstream) -> None:
         try:
             self._results.post(await self._exchange(call))
+        except Exception as error:
+            # An error in one exchange must not end the task of all links.
+            failure = ExchangeFault(address=call.address, error=repr(error))
+            self._log_fault(call, failure)
+            self._results.post(self._describe_failure(call, failure))
         finally:
             self._limiter.release()
 
+    def _log_fault(self, call: CallUpstream, failure: ExchangeFault) -> None:
+        """Log an unexpected error, but not again while it repeats."""
+        if failure != self._last_fault:
+            self._log.error(
+                "exchange failed unexpectedly",
+                upstream=call.upstream_id,
+                request=type(call.request).__name__,
+                reason=failure.message,
+            )
+        self._last_fault = failure
+
     async def _exchange(
         self, call: CallUpstream
     ) -> UpstreamReplied | UpstreamCallFailed:
--- a/tanagerpath/services/workload_control.py
+++ b/tanagerpath/services/workload_control.py
@@ -128,6 +128,7 @@
         self._exchange_timeout_s = exchange_timeout_s
         self._decisions = DecisionLog(self._log, self._metrics)
         self._task_decisions = DecisionLog(self._log, self._metrics)
+        self._faults = DecisionLog(self._log, self._metrics)
 
     def _make_links(self, tasks: TaskGroup) -> LinkSet:
         return LinkSet(
@@ -140,6 +141,8 @@
 
     def _execute_node_action(self, action: ControlAction) -> None:
         match action:
+            case LogDecision(name, fields, is_fault=True):
+                self._faults.write(name, fields, is_error=True)
             case LogDecision(name, fields, is_about_task):
                 log = self._task_decisions if is_about_task else self._decisions
                 log.write(name, fields)
