Verify the runs of a replaced incarnation before they count as over

Cause: four kinds of weak evidence that a run is over. - The leader repeats an unanswered start. A later incarnation carries it out before its first heartbeat. Its runs were recorded as lost as soon as the stop that blocks them was answered, although a stop takes its time; under a new leader without any stop. A run that the later incarnation had already completed was acknowledged without a record and run again. - A renewal acknowledged ends by the numbers of the earlier incarnation; the later one, which counts anew, dropped ends that were never read. - A run that was listed and not recorded got one stop, while its capacity counted as free and its task could start elsewhere. - A run that is being stopped and is not listed counted as over; a new leader knew nothing of a stop that an earlier one had ordered.

Change: the open runs of an earlier incarnation move to the later one and are stopped there; they are over when a list that was requested after the stop was answered and has had its time (new setting stop_timeout_s, from stop_timeout_ms) lacks them, or when their end is listed. Unknown runs keep their upstream and their task from new starts by the same proof. Ends are acknowledged only right after a list of the same incarnation.

Not covered: a start that is delayed in the network and reaches an incarnation that has neither reported nor been contacted; see docs/platform.md, section 8.

--- a/tanagerpath/core/workloads/backlog.py
+++ b/tanagerpath/core/workloads/backlog.py
@@ -27,6 +27,8 @@
         Learned run times.
     planned : set of TaskId
         Tasks whose start is proposed and not yet committed.
+    barred : set of TaskId
+        Tasks that an upstream runs without a record, so that they must wait.
     failed_on : dict of str to set of str
         Upstreams on which tasks have failed, by workload.
     """
@@ -34,6 +36,7 @@
     state: FleetState
     estimates: RunEstimates
     planned: set[TaskId] = attrs.Factory(set)
+    barred: set[TaskId] = attrs.Factory(set)
     failed_on: dict[str, set[str]] = attrs.Factory(dict)
     _unfinished: dict[str, None] = attrs.Factory(dict)
     _arrivals: dict[str, dict[int, float]] = attrs.Factory(dict)
@@ -137,7 +140,7 @@
         task_record = record.tasks.get(task)
         if task_record is not None and (task_record.done or task_record.open_runs):
             return False
-        return task not in self.planned
+        return task not in self.planned and task not in self.barred
 
     def _make_unit(
         self,
--- a/tanagerpath/core/workloads/dispatch_context.py
+++ b/tanagerpath/core/workloads/dispatch_context.py
@@ -50,6 +50,8 @@
     start_timeout_s : float
         Seconds after which a run whose start got no reply is stopped. Below the time
         for which the members of a gang wait for each other.
+    stop_timeout_s : float
+        Seconds for which a run that was told to stop may go on.
     stall_timeout_s : float
         Seconds without progress below which a run never counts as stalled.
     leave_delay_s : float
@@ -86,6 +88,7 @@
     order_timeout_s: float = 0.5
     hold_timeout_s: float = 0.8
     start_timeout_s: float = 1.6
+    stop_timeout_s: float = 0.2
     stall_timeout_s: float = 3.0
     leave_delay_s: float = 1.0
     plan_interval_s: float = 0.25
--- a/tanagerpath/core/workloads/dispatcher.py
+++ b/tanagerpath/core/workloads/dispatcher.py
@@ -26,6 +26,7 @@
 from tanagerpath.core.workloads.orders import (
     AdviceRequest,
     HoldReply,
+    OrderDone,
     OrderRefused,
     Refusal,
     UpkeepRequest,
@@ -210,9 +211,9 @@
         self, session: UpstreamSession, request: object, reply: object
     ) -> None:
         self._context.touch(session)
-        if isinstance(reply, HoldReply) and not self.registry.is_same_incarnation(
-            session, reply.born_unix_ms
-        ):
+        if isinstance(
+            reply, HoldReply | OrderDone
+        ) and not self.registry.is_same_incarnation(session, reply.born_unix_ms):
             self.registry.mark_superseded(session)
             return
         if isinstance(reply, OrderRefused) and reply.refusal is Refusal.NO_TICKET:
--- a/tanagerpath/core/workloads/planner.py
+++ b/tanagerpath/core/workloads/planner.py
@@ -135,6 +135,12 @@
         context = self._context
         changed = context.coverage.update(context.backlog.list_records(), context.now_s)
         self._wait_reporter.report_coverage(changed)
+        context.backlog.barred = {
+            task
+            for session in context.sessions.values()
+            for (task, _), fence in session.fenced_runs.items()
+            if fence.is_listed
+        }
         units = context.backlog.list_units(context.now, context.coverage.covered)
         return self._drop_set_aside(units)
 
--- a/tanagerpath/core/workloads/registry.py
+++ b/tanagerpath/core/workloads/registry.py
@@ -12,6 +12,7 @@
 from tanagerpath.core.workloads.requests import UpstreamReport, WithdrawalReport
 from tanagerpath.core.workloads.sessions import (
     MAX_ORDER_DELAY_S,
+    RunFence,
     RunKey,
     RunPhase,
     RunView,
@@ -90,13 +91,23 @@
             pace_uncertain_until_s=context.now_s + MAX_ORDER_DELAY_S,
             was_inherited=True,
         )
-        session = context.find_session(open_run.upstream_id, open_run.incarnation)
+        session = context.sessions.get(open_run.upstream_id)
         if session is None:
             session = self._open_departed_session(open_run)
+        elif session.record.incarnation != open_run.incarnation:
+            self._mark_of_earlier_incarnation(view)
         context.run_index.add(session, view)
         if workload.final_state is not None:
             view.enter(RunPhase.STOPPING, context.now_s)
 
+    def _mark_of_earlier_incarnation(self, view: RunView) -> None:
+        """Let a run be verified on a later incarnation, which may have it."""
+        view.is_of_earlier_incarnation = True
+        if view.phase is not RunPhase.STOPPING:
+            view.stop_reason = "its upstream has restarted"
+            view.running_since_s = None
+        view.enter(RunPhase.STOPPING, self._context.now_s)
+
     def _open_departed_session(self, open_run: OpenRun) -> UpstreamSession:
         """Return a session for runs of an incarnation that is no longer registered."""
         key = DepartedKey(open_run.upstream_id, open_run.incarnation)
@@ -187,7 +198,9 @@
             self._replace_session(session)
             session = None
         if session is None:
-            self._fence_delayed_starts(self._open_session(record))
+            session = self._open_session(record)
+            self._fence_delayed_starts(session)
+            self._take_over_runs(session)
         else:
             session.record = record
         context.must_plan = True
@@ -214,7 +227,9 @@
             for key, ordered_s in ordered.items()
             if ordered_s >= now_s - MAX_ORDER_DELAY_S
         }
-        session.fenced_runs = dict.fromkeys(session.unanswered_starts, now_s)
+        session.fenced_runs = {
+            key: RunFence(now_s) for key in session.unanswered_starts
+        }
 
     def _remember_unanswered(self, session: UpstreamSession) -> None:
         unanswered = self._unanswered.setdefault(session.upstream_id, {})
@@ -226,12 +241,35 @@
         context.remove_session(session.upstream_id)
         context.health.pop(session.upstream_id, None)
         self._remember_unanswered(session)
+        for view in tuple(session.runs.values()):
+            if view.phase is RunPhase.PROPOSED:
+                # Its start follows in the log and names an outdated incarnation.
+                context.run_index.remove(session, view.key)
         if session.runs:
-            # The old incarnation runs nothing: the new one replies at its address.
-            session.departed_at_s = context.now_s - context.terms.leave_delay_s
+            session.departed_at_s = context.now_s
             key = DepartedKey(session.upstream_id, session.record.incarnation)
             context.sessions[key] = session
 
+    def _take_over_runs(self, successor: UpstreamSession) -> None:
+        """Move the open runs of earlier incarnations to the latest one.
+
+        An incarnation that has ended runs nothing, but the latest one may have carried
+        out a repeated or delayed start. Only its lists show that such a run is over.
+        """
+        context = self._context
+        for key, session in tuple(context.sessions.items()):
+            if not isinstance(key, DepartedKey):
+                continue
+            if key.upstream_id != successor.upstream_id:
+                continue
+            for view in tuple(session.runs.values()):
+                if context.is_ending(view.key):
+                    continue
+                context.run_index.remove(session, view.key)
+                if key.incarnation != successor.record.incarnation:
+                    self._mark_of_earlier_incarnation(view)
+                context.run_index.add(successor, view)
+
     def note_withdrawn(self, upstream_id: str, incarnation: str) -> None:
         """Apply a committed withdrawal."""
         context = self._context
@@ -298,9 +336,16 @@
 
     def mark_superseded(self, session: UpstreamSession) -> None:
         """Mark a session whose identity a later incarnation has taken over."""
-        if session.departed_at_s is None:
-            session.departed_at_s = self._context.now_s
-            session.is_superseded = True
+        if session.departed_at_s is not None:
+            return
+        now_s, leases = self._context.now_s, self._context.terms.leases
+        session.departed_at_s = now_s
+        session.is_superseded = True
+        # The later incarnation may have taken an order of this moment.
+        session.inherited_lease_expiry_s = max(
+            session.inherited_lease_expiry_s,
+            now_s + leases.find_max_duration_s(leases.lease_s),
+        )
 
     def mark_replaced(self, session: UpstreamSession) -> None:
         """End the runs of a session at whose address another upstream replies."""
--- a/tanagerpath/core/workloads/run_driver.py
+++ b/tanagerpath/core/workloads/run_driver.py
@@ -1,5 +1,6 @@
 """Orders to upstreams, and the changes to runs that follow from the replies."""
 
+import math
 from typing import Any
 
 from tanagerpath.core.coordination import CountEvent
@@ -21,6 +22,7 @@
     MAX_STOP_S,
     REFUSAL_BACKOFF_S,
     ProgressSample,
+    RunFence,
     RunKey,
     RunPhase,
     RunView,
@@ -35,6 +37,9 @@
 UNRECORDED_HOLD_INTERVAL_S = 1.0
 # Interval of the harmless stops that keep runs of an earlier incarnation from starting.
 BLOCKING_STOP_INTERVAL_S = 0.2
+# Seconds after a list within which ends are acknowledged: an upstream does not crash
+# and restart in that time without a failed exchange.
+ACKNOWLEDGE_WITHIN_S = 0.1
 # Refusals that concern one task only; the upstream may accept other tasks.
 _TASK_REFUSALS = frozenset({Refusal.SUPERSEDED, Refusal.NO_TICKET})
 
@@ -63,17 +68,20 @@
         if session.departed_at_s is not None:
             self._close_departed(session)
             return
-        if session.runs and now_s >= session.find_lease_expiry_s(
+        has_runs = session.runs or session.fenced_runs
+        if has_runs and now_s >= session.find_lease_expiry_s(
             self._context.terms.leases
         ):
             self._close_lapsed(session)
-        for key, next_s in session.fenced_runs.items():
-            if now_s >= next_s:
-                self._send_blocking_stop(session, key)
+        for key, fence in session.fenced_runs.items():
+            if now_s >= fence.next_stop_s:
+                self._send_blocking_stop(session, key, fence)
         for view in tuple(session.runs.values()):
             self._drive_run(session, view)
         is_awaited = session.hold is not None and now_s < session.hold_expires_s
-        if not is_awaited and now_s >= session.next_hold_s:
+        if now_s >= session.list_due_s or (
+            not is_awaited and now_s >= session.next_hold_s
+        ):
             self._send_hold(session)
 
     def _close_departed(self, session: UpstreamSession) -> None:
@@ -85,16 +93,19 @@
         self._queue_ends(session, RunOutcome.LOST)
 
     def _awaits_successor(self, session: UpstreamSession) -> bool:
-        """Return whether a delayed start of a session may still be carried out."""
-        successor = self._context.sessions.get(session.upstream_id)
-        if successor is not None and successor is not session:
-            return bool(successor.fenced_runs)
+        """Return whether a later incarnation may have the runs of a session.
+
+        It has replied, but sent no heartbeat yet. Once it does, the runs are verified
+        there.
+        """
         lease_expiry_s = session.find_lease_expiry_s(self._context.terms.leases)
         return session.is_superseded and self._context.now_s < lease_expiry_s
 
     def _close_lapsed(self, session: UpstreamSession) -> None:
         if session.reachable and session.synced and not session.refused_holds:
             return
+        for fence in session.fenced_runs.values():
+            fence.is_listed = False
         self._queue_ends(session, RunOutcome.LAPSED)
 
     def _close_faulted(self, session: UpstreamSession) -> None:
@@ -123,7 +134,7 @@
                 self.stop(session, view, "start unanswered", StopCause.START_UNANSWERED)
             else:
                 self._send_start(session, view)
-        elif view.phase is RunPhase.STOPPING:
+        elif view.phase is RunPhase.STOPPING and view.key not in session.fenced_runs:
             self._send_stop(session, view)
 
     def _send_start(self, session: UpstreamSession, view: RunView) -> None:
@@ -161,14 +172,18 @@
         )
         self._send_order(session, view, request)
 
-    def _send_blocking_stop(self, session: UpstreamSession, key: RunKey) -> None:
-        """Keep a run of the earlier incarnation from starting on this one.
+    def _send_blocking_stop(
+        self, session: UpstreamSession, key: RunKey, fence: RunFence
+    ) -> None:
+        """Stop a run that may be on an upstream, or keep it from starting there.
 
         The stop is sent again without waiting for the first one to time out: a delayed
         start that arrives in between would be carried out.
         """
         terms = self._context.terms
-        session.fenced_runs[key] = self._context.now_s + BLOCKING_STOP_INTERVAL_S
+        is_answered = fence.list_after_s is not None
+        interval_s = MAX_STOP_S if is_answered else BLOCKING_STOP_INTERVAL_S
+        fence.next_stop_s = self._context.now_s + interval_s
         task, run = key
         request = StopRequest(task=task, run=run, fencing_token=self._context.term)
         self._context.call(session, request, terms.order_timeout_s)
@@ -185,13 +200,17 @@
         context = self._context
         terms = context.terms
         unrecorded = session.listed_end > session.recorded_end
-        wait_s = terms.hold_wait_s if session.synced and not unrecorded else 0.0
+        may_wait = session.synced and not unrecorded
+        if context.now_s >= session.list_due_s:
+            session.list_due_s = math.inf
+            may_wait = False
+        wait_s = terms.hold_wait_s if may_wait else 0.0
         lease_until_ms = None
         if session.runs and session.clock_ms is not None:
             lease_until_ms = self._choose_lease(session, terms.leases.lease_s)
         request = HoldRequest(
             fencing_token=context.term,
-            end_cursor=session.recorded_end,
+            end_cursor=self._choose_end_cursor(session),
             lease_until_ms=lease_until_ms,
             wait_ms=int(wait_s * MS_PER_S),
         )
@@ -201,6 +220,16 @@
         session.hold_expires_s = context.find_call_expiry_s(timeout_s)
         context.call(session, request, timeout_s)
 
+    def _choose_end_cursor(self, session: UpstreamSession) -> int:
+        """Return the number up to which a renewal acknowledges ends.
+
+        An incarnation that has replaced the known one numbers its ends anew and would
+        drop ends that were never read. Only its lists tell incarnations apart.
+        """
+        if self._context.now_s > session.last_list_s + ACKNOWLEDGE_WITHIN_S:
+            return 0
+        return session.recorded_end
+
     def stop(
         self,
         session: UpstreamSession,
@@ -253,6 +282,7 @@
                 runs=len(session.runs),
             )
         session.reachable = False
+        session.last_list_s = -math.inf
         if isinstance(request, HoldRequest):
             if request is session.hold:
                 session.hold = None
@@ -306,8 +336,7 @@
             self._repeat_pace(session, request, context.terms.interference_s)
             return
         if isinstance(request, StopRequest) and isinstance(reply, OrderDone):
-            session.fenced_runs.pop((request.task, request.run), None)
-            context.must_plan = True
+            self._note_fence_stopped(session, (request.task, request.run))
         view = self._find_view(session, request)
         if view is None:
             return
@@ -321,6 +350,16 @@
             case OrderRefused(refusal):
                 self._handle_refusal(session, view, request, refusal)
 
+    def _note_fence_stopped(self, session: UpstreamSession, key: RunKey) -> None:
+        """Let the next list show whether a run that may be on an upstream is over."""
+        fence = session.fenced_runs.get(key)
+        if fence is None or fence.list_after_s is not None:
+            return
+        now_s = self._context.now_s
+        fence.list_after_s = now_s + self._context.terms.stop_timeout_s
+        fence.next_stop_s = now_s + MAX_STOP_S
+        session.request_list(fence.list_after_s)
+
     def _handle_hold_reply(
         self,
         session: UpstreamSession,
@@ -357,20 +396,28 @@
             context.must_plan = True
         session.refused_holds = 0
         session.next_hold_s = context.now_s
+        session.last_list_s = context.now_s
         self._lists.handle(session, reply, session.hold_sent_s)
         if session.listed_end > session.recorded_end:
             session.next_hold_s = context.now_s + UNRECORDED_HOLD_INTERVAL_S
 
     def _handle_done(self, session: UpstreamSession, view: RunView) -> None:
         now_s = self._context.now_s
+        settled_s = now_s
+        if view.phase is RunPhase.STOPPING:
+            # Until then the run may go on without being listed.
+            settled_s += self._context.terms.stop_timeout_s
         # The reply to a repeated order must not put off the time of the first one.
         earliest_s = view.expect_listed_after_s
         view.expect_listed_after_s = (
-            now_s if earliest_s is None else min(earliest_s, now_s)
+            settled_s if earliest_s is None else min(earliest_s, settled_s)
         )
         if view.phase is RunPhase.STOPPING:
             view.next_order_s = now_s + MAX_STOP_S
             view.is_stop_refused = False
+            if view.running_since_s is None:
+                # It has no end to list if it never began.
+                session.request_list(settled_s)
         if view.phase is RunPhase.ORDERED:
             self._context.start_backoff.note_start(view.task.step_key)
             session.refused_all_count = 0
--- a/tanagerpath/core/workloads/run_lists.py
+++ b/tanagerpath/core/workloads/run_lists.py
@@ -9,12 +9,13 @@
     EndedRun,
     HoldReply,
     RunningTask,
-    StopRequest,
 )
 from tanagerpath.core.workloads.run_observer import RunObserver
 from tanagerpath.core.workloads.sessions import (
     COMPLETED_PERCENT,
     ProgressSample,
+    RunFence,
+    RunKey,
     RunPhase,
     RunView,
     StopCause,
@@ -98,6 +99,7 @@
         for view in tuple(session.runs.values()):
             if view.key not in listed and view.key not in ended:
                 self._handle_unlisted(session, view, requested_s)
+        self._update_fences(session, listed, requested_s)
         if not session.synced:
             session.synced = True
             context.must_plan = True
@@ -132,18 +134,35 @@
         self._observer.observe(session, view, running.percent)
 
     def _stop_stray(self, session: UpstreamSession, running: RunningTask) -> None:
-        """Stop a run that is not open in the state."""
+        """Stop a run that is not open in the state.
+
+        Its resources are in use and its task must not start elsewhere until it is over.
+        """
         context = self._context
+        key = running.task, running.run
+        if key in session.fenced_runs:
+            return
         context.log_task_decision(
             "stray run stopped",
             running.task,
             run=running.run,
             upstream=session.upstream_id,
         )
-        request = StopRequest(
-            task=running.task, run=running.run, fencing_token=context.term
-        )
-        context.call(session, request, context.terms.order_timeout_s)
+        session.fenced_runs[key] = RunFence(next_stop_s=context.now_s)
+        context.touch(session)
+
+    def _update_fences(
+        self, session: UpstreamSession, listed: set[RunKey], requested_s: float
+    ) -> None:
+        """Lift the fences of runs that a list shows to be over."""
+        for key, fence in tuple(session.fenced_runs.items()):
+            fence.is_listed = key in listed
+            is_settled = (
+                fence.list_after_s is not None and requested_s >= fence.list_after_s
+            )
+            if is_settled and not fence.is_listed:
+                del session.fenced_runs[key]
+                self._context.must_plan = True
 
     def _handle_listed_end(self, session: UpstreamSession, end: EndedRun) -> None:
         if end.number <= session.listed_end:
@@ -196,8 +215,10 @@
         if context.is_ending(view.key):
             return
         if view.phase is RunPhase.INHERITED:
-            # The renewal's token makes the upstream refuse orders of earlier leaders.
-            context.queue_end(session, view, RunOutcome.NOT_STARTED)
+            # An earlier leader may have ordered a stop that is not carried out yet.
+            self._stopper.stop(
+                session, view, "not listed by its upstream", StopCause.NOT_LISTED
+            )
             return
         if (
             view.expect_listed_after_s is None
@@ -205,10 +226,15 @@
         ):
             return
         if view.phase is RunPhase.STOPPING:
-            began = view.running_since_s is not None
-            outcome = RunOutcome.STOPPED if began else RunOutcome.NOT_STARTED
-            context.queue_end(session, view, outcome)
+            context.queue_end(session, view, self._choose_outcome(view))
         elif view.phase is RunPhase.RUNNING:
             self._stopper.stop(
                 session, view, "not listed by its upstream", StopCause.NOT_LISTED
             )
+
+    def _choose_outcome(self, view: RunView) -> RunOutcome:
+        """Return the outcome of a stopped run without a listed end."""
+        if view.is_of_earlier_incarnation:
+            return RunOutcome.LOST
+        began = view.running_since_s is not None
+        return RunOutcome.STOPPED if began else RunOutcome.NOT_STARTED
--- a/tanagerpath/core/workloads/sessions.py
+++ b/tanagerpath/core/workloads/sessions.py
@@ -1,6 +1,7 @@
 """State of each upstream and its runs, as the leader knows it during its term."""
 
 import enum
+import math
 
 import attrs
 
@@ -15,6 +16,7 @@
     "REFUSAL_BACKOFF_S",
     "LeaseTerms",
     "ProgressSample",
+    "RunFence",
     "RunKey",
     "RunPhase",
     "RunView",
@@ -125,9 +127,9 @@
     running_since_s : float or None
         Time since which the upstream is known to run it.
     expect_listed_after_s : float or None
-        Time of the reply to its order, or later if an earlier order may still be
-        carried out. If a list that was requested later lacks the run, it is not
-        running.
+        Time of the reply to its start, or by which its stop is carried out, or later
+        if an earlier order may still be carried out. If a list that was requested
+        later lacks the run, it is not running.
     progress_s : float
         Time of the last change of `percent`.
     checkpoint : str
@@ -158,6 +160,9 @@
         Whether the estimates include its speed.
     was_inherited : bool
         Whether an earlier leader began it, so that the time of its start is unknown.
+    is_of_earlier_incarnation : bool
+        Whether it was sent to an earlier incarnation of its upstream. The later one
+        may have carried out a repeated or delayed start.
     """
 
     task: TaskId
@@ -185,6 +190,7 @@
     ticket: str = ""
     observed: bool = False
     was_inherited: bool = False
+    is_of_earlier_incarnation: bool = False
 
     @property
     def key(self) -> RunKey:
@@ -254,6 +260,26 @@
         return worked_s
 
 
+@attrs.define(eq=False)
+class RunFence:
+    """A run that may be on an upstream although no record there says so.
+
+    Attributes
+    ----------
+    next_stop_s : float
+        Time of the next stop order that ends it, or keeps it from starting.
+    list_after_s : float or None
+        A list that was requested from this time on shows whether it is over; None
+        while no stop is answered.
+    is_listed : bool
+        Whether the last list has it as running.
+    """
+
+    next_stop_s: float
+    list_after_s: float | None = None
+    is_listed: bool = False
+
+
 @attrs.define(eq=False)
 class UpstreamSession:
     """One incarnation of an upstream, and the runs on it.
@@ -280,6 +306,8 @@
         Whether the last exchange ended with a reply.
     last_contact_s : float
         Time of the last reply or heartbeat.
+    last_list_s : float
+        Time of the last reply to a renewal, minus infinity after a failed exchange.
     heartbeat_sequence : int
         Sequence number of the last heartbeat.
     remaining_until_s : float or None
@@ -290,6 +318,8 @@
         Time at which it was sent, and time until which its reply is awaited.
     next_hold_s : float
         Earliest time of the next renewal.
+    list_due_s : float
+        Time at which its lists are requested without a wait, infinity for none.
     refused_holds : int
         Renewals that were refused since the last one that was not.
     departed_at_s : float or None
@@ -308,9 +338,9 @@
     unanswered_starts : dict of RunKey to float
         Runs with an unanswered start order to this or an earlier incarnation, and the
         time of that order.
-    fenced_runs : dict of RunKey to float
-        Runs of an earlier incarnation that delayed orders could start here, and the
-        time of the next stop order that prevents it.
+    fenced_runs : dict of RunKey to RunFence
+        Runs of an earlier incarnation that delayed orders may have started here, and
+        unknown runs that it has listed.
     is_superseded : bool
         Whether a later incarnation with its identity has replied.
     is_faulted : bool
@@ -330,12 +360,14 @@
     synced: bool = False
     reachable: bool = True
     last_contact_s: float = 0.0
+    last_list_s: float = -math.inf
     heartbeat_sequence: int = -1
     remaining_until_s: float | None = None
     hold: HoldRequest | None = None
     hold_sent_s: float = 0.0
     hold_expires_s: float = 0.0
     next_hold_s: float = 0.0
+    list_due_s: float = math.inf
     refused_holds: int = 0
     departed_at_s: float | None = None
     opened_s: float = 0.0
@@ -344,7 +376,7 @@
     refused_all_count: int = 0
     is_cordoned: bool = False
     unanswered_starts: dict[RunKey, float] = attrs.Factory(dict)
-    fenced_runs: dict[RunKey, float] = attrs.Factory(dict)
+    fenced_runs: dict[RunKey, RunFence] = attrs.Factory(dict)
     is_superseded: bool = False
     is_faulted: bool = False
 
@@ -432,10 +464,19 @@
         )
 
     def note_clock(self, clock_ms: int | None, read_s: float) -> None:
-        """Record a reading of the upstream's monotonic clock."""
-        if clock_ms is not None:
-            self.clock_ms = clock_ms
-            self.clock_read_s = read_s
+        """Record a reading of the upstream's monotonic clock.
+
+        An earlier reading than the last one was overtaken by it, or comes from another
+        incarnation, whose clock starts anew.
+        """
+        if clock_ms is None or (self.clock_ms is not None and clock_ms < self.clock_ms):
+            return
+        self.clock_ms = clock_ms
+        self.clock_read_s = read_s
+
+    def request_list(self, at_s: float) -> None:
+        """Request the lists at a time, in place of a renewal that waits for an end."""
+        self.list_due_s = min(self.list_due_s, at_s)
 
     def extend_lease(self, lease_s: float, now_s: float) -> int:
         """Return the expiry of a new lease on the upstream's clock.
--- a/tanagerpath/core/workloads/tests/fake_upstream.py
+++ b/tanagerpath/core/workloads/tests/fake_upstream.py
@@ -21,6 +21,8 @@
 STEP_S = 0.05
 STOP_S = 0.15
 GANG_WAIT_S = 3.0
+# A longer lease is shortened to this one.
+MAX_LEASE_S = 10.0
 # A long-running task reports 100 percent after this time.
 STARTUP_S = 0.5
 CAPACITY = Resources(64_000, 256_000, 8)
@@ -71,10 +73,13 @@
         self.refused_workload: str | None = None
         self.refused_count = 0
         self.refused_orders: dict[type, Refusal] = {}
+        # Whether a run that is being stopped is not listed until it has ended.
+        self.hides_stopping = False
+        self.started_s = 0.0
 
     @property
     def clock_ms(self):
-        return int(self.rig.now_s * MS_PER_S)
+        return int((self.rig.now_s - self.started_s) * MS_PER_S)
 
     @property
     def used(self):
@@ -104,7 +109,7 @@
 
     def _hold(self, request):
         if request.lease_until_ms is not None:
-            self.lease_until_ms = max(self.lease_until_ms, request.lease_until_ms)
+            self._extend_lease(request.lease_until_ms)
         for end in self.ended:
             # An end whose lease lapsed in between does not count as acknowledged.
             if end.number <= request.end_cursor and end.number > self.lapsed_end_number:
@@ -119,11 +124,19 @@
                 self.tail_ms if run.spec.tail_target_ms else 0.0,
             )
             for run in self.runs.values()
+            if run.stops_at_s is None or not self.hides_stopping
         )
         return HoldReply(
-            clock_ms=self.clock_ms, running=running, ended=tuple(self.ended)
+            clock_ms=self.clock_ms,
+            born_unix_ms=self.record.born_unix_ms,
+            running=running,
+            ended=tuple(self.ended),
         )
 
+    def _extend_lease(self, until_ms):
+        longest_ms = self.clock_ms + int(MAX_LEASE_S * MS_PER_S)
+        self.lease_until_ms = max(self.lease_until_ms, min(until_ms, longest_ms))
+
     def _percent(self, run):
         if run.spec.long_running:
             return 100 if run.worked_s >= STARTUP_S else 0
@@ -147,7 +160,7 @@
             return OrderRefused(Refusal.SUPERSEDED, self.clock_ms)
         if request.lease_until_ms <= self.clock_ms:
             return OrderRefused(Refusal.EXPIRED, self.clock_ms)
-        self.lease_until_ms = max(self.lease_until_ms, request.lease_until_ms)
+        self._extend_lease(request.lease_until_ms)
         spec = self.rig.find_step(request.task)
         self.runs[key] = FakeRun(request.task, request.run, spec, self.rig.now_s)
         self.rig.record_start(self, request)
--- a/tanagerpath/core/workloads/tests/rig.py
+++ b/tanagerpath/core/workloads/tests/rig.py
@@ -344,8 +344,11 @@
             is_whole=self.is_vm_list_whole,
         )
 
-    def restart_upstream(self, name):
-        """Restart an upstream as a new incarnation that has lost all state."""
+    def restart_upstream(self, name, reports=True):
+        """Restart an upstream as a new incarnation that has lost all state.
+
+        Without `reports` it answers, and its first heartbeat is still to come.
+        """
         fake = self.upstreams[name]
         born = fake.record.born_unix_ms + 1
         fake.record = attrs.evolve(
@@ -356,7 +359,10 @@
         fake.highest_ended_run.clear()
         fake.ended = []
         fake.highest_token = fake.end_count = 0
-        self.report(fake.record)
+        fake.started_s = self.now_s
+        fake.lease_until_ms = 0
+        if reports:
+            self.report(fake.record)
 
     def _call(self, call):
         if isinstance(call.request, AdviceRequest | UpkeepRequest | VmListRequest):
--- a/tanagerpath/platform/settings_file.py
+++ b/tanagerpath/platform/settings_file.py
@@ -187,6 +187,7 @@
     milliseconds = {
         "max_lease_s": "hold_max_ms",
         "gang_timeout_s": "gang_timeout_ms",
+        "stop_timeout_s": "stop_timeout_ms",
         "interference_s": "interference_ms",
         "guaranteed_start_s": "reclaim_ms",
     }
--- a/tanagerpath/services/workload_control.py
+++ b/tanagerpath/services/workload_control.py
@@ -77,6 +77,7 @@
     dispatch = DispatchTerms(
         leases=LeaseTerms(lease_s=settings.max_lease_s * LEASE_FRACTION),
         start_timeout_s=settings.gang_timeout_s * START_TIMEOUT_FRACTION,
+        stop_timeout_s=settings.stop_timeout_s,
         remote_factor=settings.remote_factor,
         checkpoint_interval_s=settings.checkpoint_interval_s,
         interference_s=settings.interference_s,
--- a/tanagerpath/settings/workloads.py
+++ b/tanagerpath/settings/workloads.py
@@ -55,6 +55,13 @@
     600.0,
     "Time that a member of a gang waits for the others.",
 )
+_STOP_TIMEOUT_S = common.make_seconds(
+    "stop_timeout_s",
+    0.2,
+    0.0,
+    60.0,
+    "Longest time for which a run goes on after its upstream was told to stop it.",
+)
 _REMOTE_FACTOR = Setting(
     name="remote_factor",
     type=NumberType(1.0, 1000.0),
@@ -201,6 +208,7 @@
     may_found: bool = declare(_MAY_FOUND)
     max_lease_s: float = declare(_MAX_LEASE_S)
     gang_timeout_s: float = declare(_GANG_TIMEOUT_S)
+    stop_timeout_s: float = declare(_STOP_TIMEOUT_S)
     remote_factor: float = declare(_REMOTE_FACTOR)
     checkpoint_interval_s: float = declare(_CHECKPOINT_INTERVAL_S)
     interference_s: float = declare(_INTERFERENCE_S)
