Let a withdrawal or a heartbeat end runs only where the upstream is gone

Cause: a withdrawal names an identity, and the leader withdrew whichever incarnation had it at that moment, recorded its runs as lost after a second without a look, and ignored its heartbeats from then on. Heartbeats acted on "whatever is there" too: one with the address of another upstream withdrew that one; one with another address moved a known incarnation, whose orders were then refused there and its runs recorded as lost; and a delayed one undid draining under a new leader, which does not know sequence numbers.

Change: - An incarnation reports that it drains before it withdraws, so a withdrawal of one that has not is another's: it is logged ("withdrawal ignored") and the upstream is asked at once. - A departed upstream is still renewed, and its runs count as lost only after a second without a reply. Runs that must end are stopped there. - A heartbeat at the address of another upstream lets that one be asked; it is withdrawn when another identity replies. - A heartbeat can't move a known incarnation or end its draining.

test_heartbeat_of_an_earlier_incarnation_is_ignored expected two commands for a heartbeat at another's address.

--- a/tanagerpath/core/workloads/registry.py
+++ b/tanagerpath/core/workloads/registry.py
@@ -1,5 +1,6 @@
 """Registry of upstreams, from their heartbeats and the replicated state."""
 
+from tanagerpath.core.coordination import Propose
 from tanagerpath.core.workloads.commands import (
     RegisterUpstream,
     RunOutcome,
@@ -129,28 +130,54 @@
         """Handle a heartbeat, and return the commands to propose."""
         context = self._context
         record = report.record
-        if self._is_outdated(record):
+        session = context.find_session(record.upstream_id, record.incarnation)
+        if self._is_outdated(record) or self._contradicts(record):
             context.log_decision(
                 "heartbeat ignored",
                 upstream=record.upstream_id,
                 incarnation=record.incarnation,
                 address=record.address,
+                draining=record.draining,
             )
             return []
-        session = context.find_session(record.upstream_id, record.incarnation)
         if session is not None and report.sequence <= session.heartbeat_sequence:
             return []
         if session is not None:
             self._note_heartbeat(session, report)
             if session.record == record:
                 return []
-        commands: list[WorkloadCommand] = [
-            WithdrawUpstream(other.upstream_id, other.incarnation)
-            for other in context.state.upstreams.values()
-            if other.address == record.address
-            and other.upstream_id != record.upstream_id
-        ]
-        return [*commands, RegisterUpstream(record)]
+        self._verify_others(record)
+        return [RegisterUpstream(record)]
+
+    def _contradicts(self, record: UpstreamRecord) -> bool:
+        """Return whether a heartbeat can't follow those of the same incarnation.
+
+        An incarnation keeps its address and does not return from draining. A delayed
+        heartbeat may say otherwise: sequence numbers are not in the log, so that a new
+        leader does not know them.
+        """
+        current = self._context.state.upstreams.get(record.upstream_id)
+        if current is None or not record.born_unix_ms:
+            return False
+        if current.incarnation != record.incarnation:
+            return False
+        is_moved = current.address != record.address
+        return is_moved or (current.draining and not record.draining)
+
+    def _verify_others(self, record: UpstreamRecord) -> None:
+        """Ask the upstreams that a heartbeat seems to have replaced at its address.
+
+        A heartbeat takes nothing away from an upstream that still replies there; from
+        one that was replaced, the reply is `WrongIncarnation`.
+        """
+        context = self._context
+        for other in context.state.upstreams.values():
+            if other.address != record.address:
+                continue
+            session = context.find_session(other.upstream_id, other.incarnation)
+            if session is not None and other.upstream_id != record.upstream_id:
+                session.request_list(context.now_s)
+                context.touch(session)
 
     def _is_outdated(self, record: UpstreamRecord) -> bool:
         if record.incarnation in self._withdrawn or self._is_born_later(record):
@@ -181,10 +208,28 @@
             session.remaining_until_s = now_s + report.remaining_s
 
     def handle_withdrawal(self, report: WithdrawalReport) -> list[WorkloadCommand]:
-        """Handle a withdrawal, and return the commands to propose."""
-        record = self._context.state.upstreams.get(report.upstream_id)
+        """Handle a withdrawal, and return the commands to propose.
+
+        It names no incarnation, and a process that was frozen may send it on late. An
+        incarnation reports that it drains before it withdraws, so one that has not is
+        a later one. It is asked at once, in case its reports were lost.
+        """
+        context = self._context
+        record = context.state.upstreams.get(report.upstream_id)
         if record is None:
             return []
+        session = context.find_session(record.upstream_id, record.incarnation)
+        if session is not None:
+            session.request_list(context.now_s)
+            context.touch(session)
+        if not record.draining:
+            context.log_decision(
+                "withdrawal ignored",
+                upstream=record.upstream_id,
+                incarnation=record.incarnation,
+                reason="this incarnation has not announced its end",
+            )
+            return []
         self._withdrawn.add(record.incarnation)
         return [WithdrawUpstream(record.upstream_id, record.incarnation)]
 
@@ -276,7 +321,8 @@
         session = context.find_session(upstream_id, incarnation)
         if session is None:
             return
-        session.departed_at_s = context.now_s
+        if session.departed_at_s is None:
+            session.departed_at_s = context.now_s
         context.touch(session)
         context.must_plan = True
         context.log_decision(
@@ -336,7 +382,7 @@
 
     def mark_superseded(self, session: UpstreamSession) -> None:
         """Mark a session whose identity a later incarnation has taken over."""
-        if session.departed_at_s is not None:
+        if session.is_superseded:
             return
         now_s, leases = self._context.now_s, self._context.terms.leases
         session.departed_at_s = now_s
@@ -349,11 +395,15 @@
 
     def mark_replaced(self, session: UpstreamSession) -> None:
         """End the runs of a session at whose address another upstream replies."""
-        if session.departed_at_s is None:
-            session.departed_at_s = self._context.now_s
+        context = self._context
+        if not session.is_replaced:
+            session.is_replaced = True
+            session.departed_at_s = context.now_s
             for view in session.runs.values():
                 if view.phase is not RunPhase.PROPOSED:
-                    self._context.queue_end(session, view, RunOutcome.LOST)
+                    context.queue_end(session, view, RunOutcome.LOST)
+            command = WithdrawUpstream(session.upstream_id, session.record.incarnation)
+            context.add_effect(Propose(command))
 
     def list_silent_withdrawals(self) -> list[WorkloadCommand]:
         """Return the commands that withdraw silent upstreams without runs."""
--- a/tanagerpath/core/workloads/run_driver.py
+++ b/tanagerpath/core/workloads/run_driver.py
@@ -66,7 +66,7 @@
             self._close_faulted(session)
             return
         if session.departed_at_s is not None:
-            self._close_departed(session)
+            self._drive_departed(session)
             return
         has_runs = session.runs or session.fenced_runs
         if has_runs and now_s >= session.find_lease_expiry_s(
@@ -78,15 +78,38 @@
                 self._send_blocking_stop(session, key, fence)
         for view in tuple(session.runs.values()):
             self._drive_run(session, view)
+        self._drive_hold(session)
+
+    def _drive_hold(self, session: UpstreamSession) -> None:
+        """Send a renewal if one is due."""
+        now_s = self._context.now_s
         is_awaited = session.hold is not None and now_s < session.hold_expires_s
         if now_s >= session.list_due_s or (
             not is_awaited and now_s >= session.next_hold_s
         ):
             self._send_hold(session)
 
+    def _drive_departed(self, session: UpstreamSession) -> None:
+        """End the runs of a departed upstream once it no longer replies.
+
+        Its end may have been announced early, or by an earlier incarnation. While it
+        replies, its runs go on.
+        """
+        self._close_departed(session)
+        is_gone = session.is_superseded or session.is_replaced
+        if is_gone or not session.runs or not session.record.address:
+            return
+        for view in tuple(session.runs.values()):
+            if view.phase is RunPhase.ORDERED:
+                # Its start may arrive after the end of the upstream.
+                cause = StopCause.UPSTREAM_LEAVES
+                self.stop(session, view, "its upstream leaves", cause)
+            self._drive_run(session, view)
+        self._drive_hold(session)
+
     def _close_departed(self, session: UpstreamSession) -> None:
-        delay_s = self._context.terms.leave_delay_s
-        if self._context.now_s < session.departed_at_s + delay_s:
+        silent_since_s = max(session.departed_at_s, session.last_reply_s)
+        if self._context.now_s < silent_since_s + self._context.terms.leave_delay_s:
             return
         if self._awaits_successor(session):
             return
@@ -205,6 +228,9 @@
             session.list_due_s = math.inf
             may_wait = False
         wait_s = terms.hold_wait_s if may_wait else 0.0
+        if session.departed_at_s is not None:
+            # A longer wait would count as silence.
+            wait_s = min(wait_s, terms.hold_retry_s)
         lease_until_ms = None
         if session.runs and session.clock_ms is not None:
             lease_until_ms = self._choose_lease(session, terms.leases.lease_s)
@@ -327,7 +353,7 @@
         if not session.reachable:
             context.log_decision("upstream reachable", upstream=session.upstream_id)
         session.reachable = True
-        session.last_contact_s = context.now_s
+        session.last_contact_s = session.last_reply_s = context.now_s
         session.note_clock(reply.clock_ms, context.now_s)
         if isinstance(request, HoldRequest):
             self._handle_hold_reply(session, request, reply)
--- a/tanagerpath/core/workloads/sessions.py
+++ b/tanagerpath/core/workloads/sessions.py
@@ -306,6 +306,8 @@
         Whether the last exchange ended with a reply.
     last_contact_s : float
         Time of the last reply or heartbeat.
+    last_reply_s : float
+        Time of the last reply.
     last_list_s : float
         Time of the last reply to a renewal, minus infinity after a failed exchange.
     heartbeat_sequence : int
@@ -343,6 +345,8 @@
         unknown runs that it has listed.
     is_superseded : bool
         Whether a later incarnation with its identity has replied.
+    is_replaced : bool
+        Whether another upstream has replied at its address.
     is_faulted : bool
         Whether an error occurred while the leader handled it. Nothing is sent to it
         until its lease has expired, which ends all its runs.
@@ -360,6 +364,7 @@
     synced: bool = False
     reachable: bool = True
     last_contact_s: float = 0.0
+    last_reply_s: float = -math.inf
     last_list_s: float = -math.inf
     heartbeat_sequence: int = -1
     remaining_until_s: float | None = None
@@ -378,6 +383,7 @@
     unanswered_starts: dict[RunKey, float] = attrs.Factory(dict)
     fenced_runs: dict[RunKey, RunFence] = attrs.Factory(dict)
     is_superseded: bool = False
+    is_replaced: bool = False
     is_faulted: bool = False
 
     @property
--- a/tanagerpath/core/workloads/tests/rig.py
+++ b/tanagerpath/core/workloads/tests/rig.py
@@ -46,6 +46,7 @@
     VmListReply,
     VmListRequest,
     VmStatus,
+    WrongIncarnation,
 )
 from tanagerpath.core.workloads.resources import Resources
 from tanagerpath.core.workloads.specs import WorkloadSpec
@@ -91,6 +92,8 @@
         self.unlisted_vms: set[str] = set()
         self.is_vm_list_whole = True
         self.vm_owners: dict[str, str] = {}
+        # Upstreams that answer at an address, where it is not the one that is called.
+        self.address_owners: dict[str, str] = {}
         self.runs_ended_by_upkeep = 0
         self._scheduled: list[tuple[float, int, object]] = []
         self._sequence = iter(range(1_000_000))
@@ -368,6 +371,11 @@
         if isinstance(call.request, AdviceRequest | UpkeepRequest | VmListRequest):
             self._call_service(call)
             return
+        owner = self.address_owners.get(call.address, call.upstream_id)
+        if owner != call.upstream_id:
+            failure = WrongIncarnation(upstream_id=call.upstream_id)
+            self._schedule(STEP_S, ("event", self._make_failure(call, failure), None))
+            return
         upstream = self.upstreams.get(call.upstream_id)
         if upstream is None or upstream.unreachable:
             self._fail(call)
@@ -391,11 +399,13 @@
         self._schedule(delay_s, ("reply", call, reply))
 
     def _fail(self, call):
-        failure = ExchangeTimedOut(address=call.address)
-        event = UpstreamCallFailed(
+        event = self._make_failure(call, ExchangeTimedOut(address=call.address))
+        self._schedule(call.timeout_s or 0.5, ("event", event, None))
+
+    def _make_failure(self, call, failure):
+        return UpstreamCallFailed(
             call.upstream_id, call.incarnation, call.request, failure
         )
-        self._schedule(call.timeout_s or 0.5, ("event", event, None))
 
     def _deliver(self, delivery):
         kind, first, second = delivery
--- a/tanagerpath/core/workloads/tests/test_dispatcher.py
+++ b/tanagerpath/core/workloads/tests/test_dispatcher.py
@@ -153,7 +153,7 @@
         rig = Rig(upstreams=1)
         old = rig.upstreams["u0"].record
         new = attrs.evolve(old, upstream_id="u9", incarnation="u9@2", born_unix_ms=2)
-        self.assertEqual(2, len(rig.report(new)))
+        self.assertEqual([commands.RegisterUpstream(new)], rig.report(new))
         self.assertEqual([], rig.report(old, sequence=9))
 
     def test_runs_of_a_replaced_incarnation_are_restarted(self):
