Keep a cancelled workload from running when its submission arrives late

Callers could see: a submission waits in a process that is frozen, the caller cancels the workload through another process and is answered 410, and the process wakes and submits it: the workload runs although it was cancelled. The same within milliseconds, when a cancellation overtakes the commit of the submission.

Change: a leader remembers for 30 s the cancellations of workloads that it does not know, by organisation and identity and at most 10,000, and refuses their submission as not run. A cancellation of a workload whose submission is proposed follows it in the log. A new leader does not know the cancellations of an earlier one.

--- a/tanagerpath/core/workloads/failures.py
+++ b/tanagerpath/core/workloads/failures.py
@@ -5,6 +5,7 @@
 from tanagerpath.errors import Failure
 
 __all__ = [
+    "CancelledBefore",
     "InvalidConfiguration",
     "InvalidUpstreamReport",
     "InvalidWorkload",
@@ -129,6 +130,19 @@
         return f"workload {self.workload_id!r} is not known"
 
 
+@attrs.frozen(kw_only=True)
+class CancelledBefore(Failure):
+    """The caller has cancelled the workload before its submission arrived."""
+
+    not_run: bool = True
+    workload_id: str
+
+    @property
+    def message(self) -> str:
+        """One-line description for users."""
+        return f"workload {self.workload_id!r} was cancelled before it was submitted"
+
+
 @attrs.frozen(kw_only=True)
 class TooManyWorkloads(Failure):
     """The limit of unfinished workloads is reached."""
--- a/tanagerpath/core/workloads/request_handler.py
+++ b/tanagerpath/core/workloads/request_handler.py
@@ -12,6 +12,7 @@
 from tanagerpath.core.workloads.configuration import Queue
 from tanagerpath.core.workloads.dispatcher import Dispatcher
 from tanagerpath.core.workloads.failures import (
+    CancelledBefore,
     NotConfigured,
     TooManyWorkloads,
     UnknownWave,
@@ -24,6 +25,10 @@
 __all__ = ["WorkloadProposal", "WorkloadRequestHandler"]
 
 RETRY_AFTER_S = 1.0
+# Longest time for which a submission may be under way, as through a frozen process.
+LATE_SUBMISSION_S = 30.0
+MAX_CANCELLED_UNKNOWN = 10_000
+MAX_PROPOSED = 10_000
 
 
 @attrs.frozen
@@ -94,6 +99,11 @@
         self._dispatcher = dispatcher
         self._leader_address = leader_address
         self._list_addresses = list_addresses
+        # Submissions that are proposed and not in the state yet, oldest first.
+        self._proposed_ids: dict[str, None] = {}
+        # Cancelled workloads that were not known, by organisation and identity, and
+        # the time until which a late submission of them is refused.
+        self._cancelled_unknown: dict[tuple[str, str], float] = {}
         self._handlers = {
             requests.SubmitWorkload: self._submit,
             requests.WorkloadQuery: self._show_workload,
@@ -170,11 +180,15 @@
         fault = spec.find_fault()
         if fault is not None:
             return fault
+        queue, organisation = identity
+        refused_until_s = self._cancelled_unknown.get((organisation, spec.workload_id))
+        if refused_until_s is not None and now.now_s < refused_until_s:
+            return CancelledBefore(workload_id=spec.workload_id)
         bound = self._dispatcher.context.terms.max_unfinished
         if len(self._dispatcher.context.backlog) >= bound:
             retry_at_unix_s = now.unix_s + RETRY_AFTER_S
             return TooManyWorkloads(bound=bound, retry_at_unix_s=retry_at_unix_s)
-        queue, organisation = identity
+        self._note_proposed(spec.workload_id)
         self._dispatcher.context.log_decision(
             "workload accepted",
             workload=spec.workload_id,
@@ -193,6 +207,16 @@
             )
         ]
 
+    def _note_proposed(self, workload_id: str) -> None:
+        """Remember a submission until it is in the state."""
+        while self._proposed_ids:
+            oldest = next(iter(self._proposed_ids))
+            is_full = len(self._proposed_ids) >= MAX_PROPOSED
+            if oldest not in self._state.workloads and not is_full:
+                break
+            del self._proposed_ids[oldest]
+        self._proposed_ids[workload_id] = None
+
     def _find_record(
         self, call: requests.Call, workload_id: str
     ) -> WorkloadRecord | Failure:
@@ -211,13 +235,29 @@
     def _cancel(
         self, request: requests.CancelWorkloadRequest, now: Instant
     ) -> object | list[commands.WorkloadCommand]:
-        record = self._find_record(request.call, request.workload_id)
+        workload_id = request.workload_id
+        record = self._find_record(request.call, workload_id)
+        if isinstance(record, UnknownWorkload):
+            if workload_id in self._proposed_ids:
+                # Its submission precedes the cancellation in the log.
+                return [commands.CancelWorkload(workload_id, now.unix_s)]
+            self._remember_cancelled(request.call, workload_id, now)
         if isinstance(record, Failure):
             return record
         if record.final_state is not None:
             return requests.WorkloadReply(record.workload_id, record.state)
         return [commands.CancelWorkload(record.workload_id, now.unix_s)]
 
+    def _remember_cancelled(
+        self, call: requests.Call, workload_id: str, now: Instant
+    ) -> None:
+        """Let a submission that arrives late be refused."""
+        _, organisation = self._identify(call)
+        if len(self._cancelled_unknown) >= MAX_CANCELLED_UNKNOWN:
+            del self._cancelled_unknown[next(iter(self._cancelled_unknown))]
+        refused_until_s = now.now_s + LATE_SUBMISSION_S
+        self._cancelled_unknown[(organisation, workload_id)] = refused_until_s
+
     def _show_pending(self, request: requests.PendingQuery, now: Instant) -> object:
         identity = self._identify(request.call)
         if isinstance(identity, Failure):
