Do not take an unnamed VM of the platform's list for an unknown one

An upstream whose VM is unknown has an empty VM name. An entry of the list with an empty name was taken for its VM, so that a silent upstream counted as gone before its lease and its work ran twice.

Also: a list that was requested without a wait is requested so again after a failed exchange; the start of a departed upstream whose end is queued is not stopped as well; and a random scenario with withdrawals that arrive up to 8 s late (test_random_late_withdrawals_violate_no_invariant).

Evidence: test_run_on_an_unknown_vm_waits_for_its_lease_whatever_is_listed failed before ("runs twice").

--- a/tanagerpath/core/workloads/registry.py
+++ b/tanagerpath/core/workloads/registry.py
@@ -104,9 +104,9 @@
     def _mark_of_earlier_incarnation(self, view: RunView) -> None:
         """Let a run be verified on a later incarnation, which may have it."""
         view.is_of_earlier_incarnation = True
+        view.running_since_s = None
         if view.phase is not RunPhase.STOPPING:
             view.stop_reason = "its upstream has restarted"
-            view.running_since_s = None
         view.enter(RunPhase.STOPPING, self._context.now_s)
 
     def _open_departed_session(self, open_run: OpenRun) -> UpstreamSession:
--- a/tanagerpath/core/workloads/run_driver.py
+++ b/tanagerpath/core/workloads/run_driver.py
@@ -100,8 +100,9 @@
         if is_gone or not session.runs or not session.record.address:
             return
         for view in tuple(session.runs.values()):
-            if view.phase is RunPhase.ORDERED:
-                # Its start may arrive after the end of the upstream.
+            is_ending = self._context.is_ending(view.key)
+            if view.phase is RunPhase.ORDERED and not is_ending:
+                # The upstream starts nothing any more.
                 cause = StopCause.UPSTREAM_LEAVES
                 self.stop(session, view, "its upstream leaves", cause)
             self._drive_run(session, view)
@@ -313,6 +314,8 @@
             if request is session.hold:
                 session.hold = None
                 session.next_hold_s = context.now_s + context.terms.hold_retry_s
+                if not request.wait_ms:
+                    session.request_list(session.next_hold_s)
             return
         if isinstance(request, PaceRequest):
             self._repeat_pace(session, request, MAX_ORDER_DELAY_S)
--- a/tanagerpath/core/workloads/tests/test_restarts.py
+++ b/tanagerpath/core/workloads/tests/test_restarts.py
@@ -148,6 +148,28 @@
             self._report(name)
 
 
+class _LateWithdrawalScenario(_LateReportScenario):
+    """Withdrawals arrive once more, up to 8 s after the upstream has ended."""
+
+    MOST_LATE_S = 8.0
+
+    def __init__(self, seed):
+        super().__init__(seed)
+        self.withdrawals_at_s = []
+
+    def _advance(self):
+        ended = {name for name, at_s in self.ends_at_s.items() if self.rig.now_s > at_s}
+        super()._advance()
+        for name in ended:
+            at_s = self.rig.now_s + self.random.uniform(0.0, self.MOST_LATE_S)
+            self.withdrawals_at_s.append((at_s, name))
+        for late in [one for one in self.withdrawals_at_s if self.rig.now_s > one[0]]:
+            self.withdrawals_at_s.remove(late)
+            registry = self.rig.dispatcher.registry
+            for command in registry.handle_withdrawal(WithdrawalReport(late[1])):
+                self.rig.apply(command)
+
+
 class TestRestarts(testtools.TestCase):
     def run_scenario(self, seed, scenario_class=_RestartScenario):
         scenario = scenario_class(seed)
@@ -164,6 +186,10 @@
         for seed in range(10):
             self.run_scenario(seed, _LateReportScenario)
 
+    def test_random_late_withdrawals_violate_no_invariant(self):
+        for seed in range(10):
+            self.run_scenario(seed, _LateWithdrawalScenario)
+
     def test_lost_stop_is_sent_again_before_a_delayed_start_arrives(self):
         # Waiting for the first stop to time out left 0.75 s for the delayed start.
         rig = Rig(upstreams=1)
--- a/tanagerpath/core/workloads/tests/test_vm_watch.py
+++ b/tanagerpath/core/workloads/tests/test_vm_watch.py
@@ -1,8 +1,10 @@
 """Guards against work that waits for the lease of an upstream that is gone."""
 
+import attrs
 import testtools
 
 from tanagerpath.core.workloads import DispatchTerms
+from tanagerpath.core.workloads.orders import VmStatus
 from tanagerpath.core.workloads.resources import Resources
 from tanagerpath.core.workloads.specs import StepSpec
 from tanagerpath.core.workloads.tests.rig import Rig
@@ -56,6 +58,19 @@
         self.rig.run(RESTART_S)
         self.assertTrue(self.has_restarted())
 
+    def test_run_on_an_unknown_vm_waits_for_its_lease_whatever_is_listed(self):
+        """An entry without a name was taken for the VM of such an upstream."""
+        record = attrs.evolve(self.rig.upstreams[self.name].record, vm_id="")
+        self.rig.report(record, sequence=2)
+        list_vms = self.rig._list_vms
+        unnamed = VmStatus(vm_id="", upstream_id="another", is_up=False)
+        self.rig._list_vms = lambda first: attrs.evolve(
+            list_vms(first), vms=(*list_vms(first).vms, unnamed)
+        )
+        self.silence(ends=False)
+        self.rig.run(RESTART_S)
+        self.assertFalse(self.has_restarted())
+
     def test_vm_that_goes_down_later_is_looked_up_at_once(self):
         # The reads for an upstream that was cut off for long had delayed it.
         self.silence(ends=False)
--- a/tanagerpath/core/workloads/vm_watch.py
+++ b/tanagerpath/core/workloads/vm_watch.py
@@ -147,7 +147,7 @@
         A list that was requested before the last message of the upstream proves
         nothing, and neither does a VM that is up without naming its upstream.
         """
-        if session.last_contact_s >= reading.began_s:
+        if session.last_contact_s >= reading.began_s or not session.record.vm_id:
             return False
         status = reading.statuses.get(session.record.vm_id)
         if status is None:
