--- a/tanagerpath/core/workloads/availability.py
+++ b/tanagerpath/core/workloads/availability.py
@@ -3,13 +3,8 @@
 from collections import Counter, defaultdict
 from collections.abc import Iterable
 
-from tanagerpath.core.workloads.sessions import (
-    COMPLETED_PERCENT,
-    RunKey,
-    RunPhase,
-    RunView,
-    UpstreamSession,
-)
+from tanagerpath.core.workloads.runs import COMPLETED_PERCENT, RunKey, RunPhase, RunView
+from tanagerpath.core.workloads.sessions import UpstreamSession
 from tanagerpath.core.workloads.specs import StepKey
 
 __all__ = ["count_unavailable", "list_protected_runs"]
--- a/tanagerpath/core/workloads/dispatch_context.py
+++ b/tanagerpath/core/workloads/dispatch_context.py
@@ -13,12 +13,8 @@
 from tanagerpath.core.workloads.events import LogDecision
 from tanagerpath.core.workloads.health import HealthTerms, UpstreamHealth
 from tanagerpath.core.workloads.run_index import RunIndex
-from tanagerpath.core.workloads.sessions import (
-    LeaseTerms,
-    RunKey,
-    RunView,
-    UpstreamSession,
-)
+from tanagerpath.core.workloads.runs import RunKey, RunView
+from tanagerpath.core.workloads.sessions import LeaseTerms, UpstreamSession
 from tanagerpath.core.workloads.specs import TaskId
 from tanagerpath.core.workloads.start_backoff import StartBackoff
 from tanagerpath.core.workloads.state import FleetState
--- a/tanagerpath/core/workloads/dispatcher.py
+++ b/tanagerpath/core/workloads/dispatcher.py
@@ -42,12 +42,8 @@
 from tanagerpath.core.workloads.records import WorkloadState
 from tanagerpath.core.workloads.registry import UpstreamRegistry
 from tanagerpath.core.workloads.run_driver import RunDriver
-from tanagerpath.core.workloads.sessions import (
-    RunPhase,
-    RunView,
-    StopCause,
-    UpstreamSession,
-)
+from tanagerpath.core.workloads.runs import RunPhase, RunView, StopCause
+from tanagerpath.core.workloads.sessions import UpstreamSession
 from tanagerpath.core.workloads.state import Applied, FleetState
 from tanagerpath.core.workloads.upkeep import UpkeepController
 from tanagerpath.core.workloads.vm_watch import VmWatch
--- a/tanagerpath/core/workloads/evictions.py
+++ b/tanagerpath/core/workloads/evictions.py
@@ -13,12 +13,8 @@
 
 from tanagerpath.core.workloads.free_capacity import FreeCapacity
 from tanagerpath.core.workloads.policy import Eviction, FleetView, PlanUnit
-from tanagerpath.core.workloads.sessions import (
-    COMPLETED_PERCENT,
-    RunPhase,
-    RunView,
-    UpstreamSession,
-)
+from tanagerpath.core.workloads.runs import COMPLETED_PERCENT, RunPhase, RunView
+from tanagerpath.core.workloads.sessions import UpstreamSession
 
 __all__ = ["MAX_STOPS", "EvictionPlan", "EvictionTerms", "find_evictions"]
 
--- a/tanagerpath/core/workloads/free_capacity.py
+++ b/tanagerpath/core/workloads/free_capacity.py
@@ -4,7 +4,8 @@
 
 from tanagerpath.core.workloads.policy import CapacityClaim, FleetView, PlanUnit
 from tanagerpath.core.workloads.resources import Resources
-from tanagerpath.core.workloads.sessions import RunView, UpstreamSession
+from tanagerpath.core.workloads.runs import RunView
+from tanagerpath.core.workloads.sessions import UpstreamSession
 from tanagerpath.core.workloads.specs import StepKey
 
 __all__ = ["FreeCapacity"]
--- a/tanagerpath/core/workloads/pacing.py
+++ b/tanagerpath/core/workloads/pacing.py
@@ -2,7 +2,8 @@
 
 from tanagerpath.core.workloads.dispatch_context import DispatchContext
 from tanagerpath.core.workloads.run_driver import RunDriver
-from tanagerpath.core.workloads.sessions import RunPhase, RunView, UpstreamSession
+from tanagerpath.core.workloads.runs import RunPhase, RunView
+from tanagerpath.core.workloads.sessions import UpstreamSession
 
 __all__ = ["PaceController"]
 
--- a/tanagerpath/core/workloads/planner.py
+++ b/tanagerpath/core/workloads/planner.py
@@ -14,7 +14,7 @@
     WorkloadPolicy,
 )
 from tanagerpath.core.workloads.preemption import Preemption
-from tanagerpath.core.workloads.sessions import RunPhase, RunView
+from tanagerpath.core.workloads.runs import RunPhase, RunView
 from tanagerpath.core.workloads.specs import StepKey, TaskId
 from tanagerpath.core.workloads.wait_reports import WaitReporter
 
--- a/tanagerpath/core/workloads/policy.py
+++ b/tanagerpath/core/workloads/policy.py
@@ -13,13 +13,13 @@
 from tanagerpath.core.workloads.estimates import RunEstimates
 from tanagerpath.core.workloads.health import UpstreamHealth
 from tanagerpath.core.workloads.records import WorkloadRecord
-from tanagerpath.core.workloads.sessions import (
+from tanagerpath.core.workloads.runs import (
     COMPLETED_PERCENT,
     ProgressSample,
     RunKey,
     RunView,
-    UpstreamSession,
 )
+from tanagerpath.core.workloads.sessions import UpstreamSession
 from tanagerpath.core.workloads.specs import StepKey, StepSpec, TaskId
 
 __all__ = [
--- a/tanagerpath/core/workloads/preemption.py
+++ b/tanagerpath/core/workloads/preemption.py
@@ -13,7 +13,8 @@
 )
 from tanagerpath.core.workloads.resources import Resources
 from tanagerpath.core.workloads.run_driver import RunDriver
-from tanagerpath.core.workloads.sessions import RunView, StopCause, UpstreamSession
+from tanagerpath.core.workloads.runs import RunView, StopCause
+from tanagerpath.core.workloads.sessions import UpstreamSession
 from tanagerpath.core.workloads.specs import StepKey, TaskId
 
 __all__ = ["Preemption"]
--- a/tanagerpath/core/workloads/registry.py
+++ b/tanagerpath/core/workloads/registry.py
@@ -11,14 +11,8 @@
 from tanagerpath.core.workloads.dispatch_context import DepartedKey, DispatchContext
 from tanagerpath.core.workloads.records import OpenRun, WorkloadRecord
 from tanagerpath.core.workloads.requests import UpstreamReport, WithdrawalReport
-from tanagerpath.core.workloads.sessions import (
-    MAX_ORDER_DELAY_S,
-    RunFence,
-    RunKey,
-    RunPhase,
-    RunView,
-    UpstreamSession,
-)
+from tanagerpath.core.workloads.runs import RunFence, RunKey, RunPhase, RunView
+from tanagerpath.core.workloads.sessions import MAX_ORDER_DELAY_S, UpstreamSession
 from tanagerpath.core.workloads.specs import TaskId
 
 __all__ = ["UpstreamRegistry"]
--- a/tanagerpath/core/workloads/reservations.py
+++ b/tanagerpath/core/workloads/reservations.py
@@ -5,7 +5,8 @@
 from tanagerpath.core.workloads.free_capacity import FreeCapacity
 from tanagerpath.core.workloads.policy import FleetView, PlanUnit
 from tanagerpath.core.workloads.resources import Resources
-from tanagerpath.core.workloads.sessions import RunPhase, UpstreamSession
+from tanagerpath.core.workloads.runs import RunPhase
+from tanagerpath.core.workloads.sessions import UpstreamSession
 
 __all__ = ["reserve_upstreams"]
 
--- a/tanagerpath/core/workloads/run_driver.py
+++ b/tanagerpath/core/workloads/run_driver.py
@@ -17,16 +17,18 @@
     StopRequest,
 )
 from tanagerpath.core.workloads.run_lists import RunLists, RunStopper
-from tanagerpath.core.workloads.sessions import (
-    MAX_ORDER_DELAY_S,
+from tanagerpath.core.workloads.runs import (
     MAX_STOP_S,
-    REFUSAL_BACKOFF_S,
     ProgressSample,
     RunFence,
     RunKey,
     RunPhase,
     RunView,
     StopCause,
+)
+from tanagerpath.core.workloads.sessions import (
+    MAX_ORDER_DELAY_S,
+    REFUSAL_BACKOFF_S,
     UpstreamSession,
 )
 
--- a/tanagerpath/core/workloads/run_index.py
+++ b/tanagerpath/core/workloads/run_index.py
@@ -1,6 +1,7 @@
 """Index of the open runs of all upstreams by workload."""
 
-from tanagerpath.core.workloads.sessions import RunKey, RunView, UpstreamSession
+from tanagerpath.core.workloads.runs import RunKey, RunView
+from tanagerpath.core.workloads.sessions import UpstreamSession
 from tanagerpath.core.workloads.specs import TaskId
 
 __all__ = ["IndexedRun", "RunIndex"]
--- a/tanagerpath/core/workloads/run_lists.py
+++ b/tanagerpath/core/workloads/run_lists.py
@@ -11,7 +11,7 @@
     RunningTask,
 )
 from tanagerpath.core.workloads.run_observer import RunObserver
-from tanagerpath.core.workloads.sessions import (
+from tanagerpath.core.workloads.runs import (
     COMPLETED_PERCENT,
     ProgressSample,
     RunFence,
@@ -19,8 +19,8 @@
     RunPhase,
     RunView,
     StopCause,
-    UpstreamSession,
 )
+from tanagerpath.core.workloads.sessions import UpstreamSession
 
 __all__ = ["RunLists", "RunStopper"]
 
--- a/tanagerpath/core/workloads/run_observer.py
+++ b/tanagerpath/core/workloads/run_observer.py
@@ -2,11 +2,8 @@
 
 from tanagerpath.core.workloads.dispatch_context import DispatchContext
 from tanagerpath.core.workloads.run_index import IndexedRun
-from tanagerpath.core.workloads.sessions import (
-    ProgressSample,
-    RunView,
-    UpstreamSession,
-)
+from tanagerpath.core.workloads.runs import ProgressSample, RunView
+from tanagerpath.core.workloads.sessions import UpstreamSession
 
 __all__ = ["RunObserver"]
 
--- a/tanagerpath/core/workloads/start_backoff.py
+++ b/tanagerpath/core/workloads/start_backoff.py
@@ -2,7 +2,7 @@
 
 import attrs
 
-from tanagerpath.core.workloads.sessions import RunView
+from tanagerpath.core.workloads.runs import RunView
 from tanagerpath.core.workloads.specs import StepKey
 
 __all__ = ["StartBackoff"]
--- a/tanagerpath/core/workloads/tests/test_estimates.py
+++ b/tanagerpath/core/workloads/tests/test_estimates.py
@@ -9,7 +9,7 @@
 from tanagerpath.core.workloads.estimates import RunEstimates
 from tanagerpath.core.workloads.learned import LearnedFleet, LearnedSpeed
 from tanagerpath.core.workloads.resources import Resources
-from tanagerpath.core.workloads.sessions import ProgressSample, RunPhase, RunView
+from tanagerpath.core.workloads.runs import ProgressSample, RunPhase, RunView
 from tanagerpath.core.workloads.specs import StepSpec, TaskId
 from tanagerpath.core.workloads.tests.rig import Rig
 
--- a/tanagerpath/core/workloads/tests/test_refused_orders.py
+++ b/tanagerpath/core/workloads/tests/test_refused_orders.py
@@ -10,7 +10,7 @@
     StopRequest,
 )
 from tanagerpath.core.workloads.resources import Resources
-from tanagerpath.core.workloads.sessions import RunPhase, RunView
+from tanagerpath.core.workloads.runs import RunPhase, RunView
 from tanagerpath.core.workloads.specs import StepSpec, TaskId
 from tanagerpath.core.workloads.start_backoff import StartBackoff
 from tanagerpath.core.workloads.tests.rig import Rig
--- a/tanagerpath/core/workloads/tests/test_restarts.py
+++ b/tanagerpath/core/workloads/tests/test_restarts.py
@@ -11,7 +11,7 @@
 from tanagerpath.core.workloads.orders import Refusal, StartRequest, StopRequest
 from tanagerpath.core.workloads.requests import WithdrawalReport
 from tanagerpath.core.workloads.resources import Resources
-from tanagerpath.core.workloads.sessions import StopCause
+from tanagerpath.core.workloads.runs import StopCause
 from tanagerpath.core.workloads.specs import StepSpec, TaskId
 from tanagerpath.core.workloads.tests.rig import Rig
 
--- a/tanagerpath/core/workloads/upkeep.py
+++ b/tanagerpath/core/workloads/upkeep.py
@@ -14,7 +14,8 @@
 )
 from tanagerpath.core.workloads.records import WaveRecord
 from tanagerpath.core.workloads.run_driver import RunDriver
-from tanagerpath.core.workloads.sessions import StopCause, UpstreamSession
+from tanagerpath.core.workloads.runs import StopCause
+from tanagerpath.core.workloads.sessions import UpstreamSession
 
 __all__ = ["UpkeepController"]
 
--- a/tanagerpath/core/workloads/upstream_choice.py
+++ b/tanagerpath/core/workloads/upstream_choice.py
@@ -8,7 +8,8 @@
 from tanagerpath.core.workloads.deadline_terms import DeadlineTerms
 from tanagerpath.core.workloads.free_capacity import FreeCapacity
 from tanagerpath.core.workloads.policy import FleetView, PlanUnit
-from tanagerpath.core.workloads.sessions import RunView, UpstreamSession
+from tanagerpath.core.workloads.runs import RunView
+from tanagerpath.core.workloads.sessions import UpstreamSession
 
 __all__ = ["UpstreamChooser"]
 
--- a/tanagerpath/core/workloads/wait_reports.py
+++ b/tanagerpath/core/workloads/wait_reports.py
@@ -6,7 +6,7 @@
 from tanagerpath.core.workloads.dispatch_context import DispatchContext
 from tanagerpath.core.workloads.policy import PlanUnit
 from tanagerpath.core.workloads.records import WorkloadRecord
-from tanagerpath.core.workloads.sessions import RunPhase
+from tanagerpath.core.workloads.runs import RunPhase
 from tanagerpath.core.workloads.specs import StepKey
 
 __all__ = ["WaitReporter"]
