--- a/tanagerpath/core/workloads/dispatcher.py
+++ b/tanagerpath/core/workloads/dispatcher.py
@@ -42,7 +42,8 @@
 from tanagerpath.core.workloads.records import WorkloadState
 from tanagerpath.core.workloads.registry import UpstreamRegistry
 from tanagerpath.core.workloads.run_driver import RunDriver
-from tanagerpath.core.workloads.runs import RunPhase, RunView, StopCause
+from tanagerpath.core.workloads.run_supervisor import RunSupervisor
+from tanagerpath.core.workloads.runs import RunPhase, StopCause
 from tanagerpath.core.workloads.sessions import UpstreamSession
 from tanagerpath.core.workloads.state import Applied, FleetState
 from tanagerpath.core.workloads.upkeep import UpkeepController
@@ -51,14 +52,7 @@
 
 __all__ = ["Dispatcher"]
 
-# A run without checkpoints is stopped if it needs this many times the seconds left.
-DRAIN_OVERRUN_FACTOR = 2.0
-# Seconds before an upstream ends at which runs are stopped to save a checkpoint.
-DRAIN_CHECKPOINT_S = 0.6
 SILENCE_CHECK_INTERVAL_S = 5.0
-# Share of its predicted run time after which a run without progress is stalled:
-# progress is reported in whole percent, and a prediction may be far too short.
-STALL_FRACTION = 0.15
 
 
 class Dispatcher:
@@ -80,6 +74,9 @@
         self._pace_controller = PaceController(context, self._driver)
         self._advice = TicketCache(context)
         self._planner = StartPlanner(context, policy, self._preemption, self._advice)
+        self._supervisor = RunSupervisor(
+            context, self._driver, self._planner.view_fleet
+        )
         self._upkeep = UpkeepController(context, self._driver, f"leader-{context.term}")
         self._vm_watch = VmWatch(context)
         # By the type of the request: an upstream may have any identity.
@@ -407,65 +404,11 @@
         if session.is_faulted:
             self._driver.drive(session)
             return
-        self._evacuate_draining(session)
-        self._stop_stalled(session)
+        self._supervisor.evacuate_draining(session)
+        self._supervisor.stop_stalled(session)
         self._driver.drive(session)
         self._pace_controller.adjust(session)
 
-    def _evacuate_draining(self, session: UpstreamSession) -> None:
-        """Stop runs that would not finish before their draining upstream ends."""
-        if session.remaining_until_s is None or session.departed_at_s is not None:
-            return
-        remaining_s = session.remaining_until_s - self._context.now_s
-        fleet = self._planner.view_fleet()
-        for view in tuple(session.runs.values()):
-            if view.phase is not RunPhase.RUNNING:
-                continue
-            left_s = fleet.predict_remaining_s(view, session)
-            if view.spec.checkpointing:
-                must_stop = remaining_s < DRAIN_CHECKPOINT_S and left_s > remaining_s
-            else:
-                must_stop = left_s > DRAIN_OVERRUN_FACTOR * max(remaining_s, 0.0)
-            if must_stop:
-                self._driver.stop(
-                    session, view, "its upstream leaves", StopCause.UPSTREAM_LEAVES
-                )
-
-    def _stop_stalled(self, session: UpstreamSession) -> None:
-        if not session.reachable or not session.synced:
-            return
-        for view in tuple(session.runs.values()):
-            if self._is_stalled(session, view):
-                self._stop_stalled_run(session, view)
-
-    def _is_stalled(self, session: UpstreamSession, view: RunView) -> bool:
-        if view.phase is not RunPhase.RUNNING or view.spec.long_running:
-            return False
-        may_be_paused = view.spec.fills and (
-            view.pace == 0 or self._context.now_s < view.pace_uncertain_until_s
-        )
-        if may_be_paused or view.percent >= 100:
-            return False
-        # Up to the last message, since a silent upstream may still make progress.
-        silent_s = session.last_contact_s - view.progress_s
-        if silent_s <= self._context.terms.stall_timeout_s:
-            return False
-        return silent_s > STALL_FRACTION * self._planner.view_fleet().predict_total_s(
-            view, session
-        )
-
-    def _stop_stalled_run(self, session: UpstreamSession, view: RunView) -> None:
-        context = self._context
-        workload_id = view.task.workload_id
-        context.backlog.failed_on.setdefault(workload_id, set()).add(
-            session.upstream_id
-        )
-        if not view.spec.gang:
-            context.find_health(session.upstream_id).note_failure(
-                workload_id, context.now_s
-            )
-        self._driver.stop(session, view, "no progress", StopCause.NO_PROGRESS)
-
     def _propose_removals(self) -> None:
         context = self._context
         if context.now_s < self._next_silence_check_s:
--- a/tanagerpath/core/workloads/run_driver.py
+++ b/tanagerpath/core/workloads/run_driver.py
@@ -16,6 +16,7 @@
     StartRequest,
     StopRequest,
 )
+from tanagerpath.core.workloads.run_closer import RunCloser
 from tanagerpath.core.workloads.run_lists import RunLists, RunStopper
 from tanagerpath.core.workloads.runs import (
     MAX_STOP_S,
@@ -58,6 +59,7 @@
     def __init__(self, context: DispatchContext) -> None:
         self._context = context
         self._lists = RunLists(context, self)
+        self._closer = RunCloser(context)
 
     # Orders
 
@@ -65,16 +67,12 @@
         """Send the orders that are due on an upstream."""
         now_s = self._context.now_s
         if session.is_faulted:
-            self._close_faulted(session)
+            self._closer.close_faulted(session)
             return
         if session.departed_at_s is not None:
             self._drive_departed(session)
             return
-        has_runs = session.runs or session.fenced_runs
-        if has_runs and now_s >= session.find_lease_expiry_s(
-            self._context.terms.leases
-        ):
-            self._close_lapsed(session)
+        self._closer.close_lapsed(session)
         for key, fence in session.fenced_runs.items():
             if now_s >= fence.next_stop_s:
                 self._send_blocking_stop(session, key, fence)
@@ -97,7 +95,7 @@
         Its end may have been announced early, or by an earlier incarnation. While it
         replies, its runs go on.
         """
-        self._close_departed(session)
+        self._closer.close_departed(session)
         is_gone = session.is_superseded or session.is_replaced
         if is_gone or not session.runs or not session.record.address:
             return
@@ -110,43 +108,6 @@
             self._drive_run(session, view)
         self._drive_hold(session)
 
-    def _close_departed(self, session: UpstreamSession) -> None:
-        silent_since_s = max(session.departed_at_s, session.last_reply_s)
-        if self._context.now_s < silent_since_s + self._context.terms.leave_delay_s:
-            return
-        if self._awaits_successor(session):
-            return
-        self._queue_ends(session, RunOutcome.LOST)
-
-    def _awaits_successor(self, session: UpstreamSession) -> bool:
-        """Return whether a later incarnation may have the runs of a session.
-
-        It has replied, but sent no heartbeat yet. Once it does, the runs are verified
-        there.
-        """
-        lease_expiry_s = session.find_lease_expiry_s(self._context.terms.leases)
-        return session.is_superseded and self._context.now_s < lease_expiry_s
-
-    def _close_lapsed(self, session: UpstreamSession) -> None:
-        if session.reachable and session.synced and not session.refused_holds:
-            return
-        for fence in session.fenced_runs.values():
-            fence.is_listed = False
-        self._queue_ends(session, RunOutcome.LAPSED)
-
-    def _close_faulted(self, session: UpstreamSession) -> None:
-        """End the runs of a session that is no longer renewed with its lease."""
-        if self._context.now_s >= session.find_lease_expiry_s(
-            self._context.terms.leases
-        ):
-            self._queue_ends(session, RunOutcome.LAPSED)
-
-    def _queue_ends(self, session: UpstreamSession, outcome: RunOutcome) -> None:
-        """Queue the ends of all runs that were ordered on an upstream."""
-        for view in session.runs.values():
-            if view.phase is not RunPhase.PROPOSED:
-                self._context.queue_end(session, view, outcome)
-
     def _drive_run(self, session: UpstreamSession, view: RunView) -> None:
         context = self._context
         if view.phase not in (RunPhase.ORDERED, RunPhase.STOPPING):
