--- a/tanagerpath/core/workloads/tests/test_withdrawals.py
+++ b/tanagerpath/core/workloads/tests/test_withdrawals.py
@@ -134,6 +134,25 @@
         rig.run(2.0)
         self.assertEqual([], rig.starts)
 
+    def test_late_heartbeat_brings_no_upstream_that_has_left_back_into_use(self):
+        """A new leader does not know which incarnations were withdrawn."""
+        rig = Rig(upstreams=1)
+        rig.run(0.5)
+        _drain(rig, "u0")
+        _withdraw(rig, "u0")
+        _end(rig, "u0")
+        rig.run(1.0)
+        rig.start_term(2)
+        rig.report(rig.upstreams["u0"].record, sequence=3)
+        self.assertIn("u0", rig.state.upstreams)
+        rig.submit("w", STEP, work_s=1.0)
+        rig.run(2.0)
+        self.assertEqual([], rig.starts)
+        self.assertEqual("queued", rig.find_state("w"))
+        rig.add_upstream("u1")
+        rig.run(3.0)
+        self.assertEqual("completed", rig.find_state("w"))
+
     def test_report_with_the_address_of_another_upstream_ends_none_of_its_runs(self):
         rig = Rig(upstreams=1)
         rig.submit("w", STEP, work_s=6.0)
