Log an end as done of a run that the log holds as closed

Change: a line 'run that is closed listed as done' with how this leader closed the run; 'run ended' says whether the end was listed and how long the upstream had been silent. No decision changes. Measured: the tests of core/workloads pass.

--- a/tanagerpath/core/workloads/dispatch_context.py
+++ b/tanagerpath/core/workloads/dispatch_context.py
@@ -19,7 +19,7 @@
 from tanagerpath.core.workloads.start_backoff import StartBackoff
 from tanagerpath.core.workloads.state import FleetState
 
-__all__ = ["DepartedKey", "DispatchContext", "DispatchTerms"]
+__all__ = ["DepartedKey", "DispatchContext", "DispatchTerms", "describe_task"]
 
 # Longest delay from the timeout of a call to the handling of its result.
 REPLY_MARGIN_S = 1.0
@@ -157,6 +157,8 @@
         self.health: dict[str, UpstreamHealth] = {}
         self.ends: list[QueuedEnd] = []
         self._ending: set[RunKey] = set()
+        # Outcomes of the runs that were closed in this term without a listed end.
+        self.closed_unlisted: dict[RunKey, RunOutcome] = {}
         self.must_plan = True
         self._touched: dict[UpstreamSession, None] = {}
         self._effects: list[Effect] = []
@@ -258,6 +260,8 @@
         self._ending.add(view.key)
         end = RunEnd(view.task, view.run, outcome, checkpoint or view.checkpoint)
         self.ends.append(QueuedEnd(end, session, number))
+        if not number:
+            self.closed_unlisted[view.key] = outcome
         self.log_task_decision(
             "run ended",
             view.task,
@@ -266,6 +270,8 @@
             outcome=str(outcome),
             phase=str(view.phase),
             reason=view.stop_reason,
+            listed=number > 0,
+            heard_age_s=round(self.now_s - session.last_contact_s, 3),
             percent=view.percent,
             age_s=round(self.now_s - view.began_s, 3),
         )
--- a/tanagerpath/core/workloads/run_lists.py
+++ b/tanagerpath/core/workloads/run_lists.py
@@ -4,7 +4,10 @@
 from typing import Any
 
 from tanagerpath.core.workloads.commands import RunOutcome
-from tanagerpath.core.workloads.dispatch_context import DispatchContext
+from tanagerpath.core.workloads.dispatch_context import (
+    DispatchContext,
+    describe_task,
+)
 from tanagerpath.core.workloads.orders import (
     EndedRun,
     HoldReply,
@@ -170,6 +173,7 @@
         session.listed_end = end.number
         view = session.runs.get((end.task, end.run))
         if view is None or self._context.is_ending(view.key):
+            self._report_contradiction(session, end)
             # The state does not need this end, so it is acknowledged at once.
             if not self._has_unrecorded_ends(session):
                 session.recorded_end = end.number
@@ -179,6 +183,30 @@
             session, view, end.outcome, end.checkpoint, number=end.number
         )
 
+    def _report_contradiction(self, session: UpstreamSession, end: EndedRun) -> None:
+        """Log an end as done of a run that is closed while its task is not done."""
+        context = self._context
+        workload = context.state.workloads.get(end.task.workload_id)
+        if end.outcome is not RunOutcome.DONE or workload is None:
+            return
+        record = workload.find_task(end.task)
+        if record.done:
+            return
+        context.log_decision(
+            "run that is closed listed as done",
+            task=describe_task(end.task),
+            run=end.run,
+            upstream=session.upstream_id,
+            incarnation=session.record.incarnation,
+            number=end.number,
+            closed_as=str(context.closed_unlisted.get((end.task, end.run), "")),
+            closing=context.is_ending((end.task, end.run)),
+            last_run=record.last_run,
+            open_runs=[open_run.run for open_run in record.open_runs],
+            workload_state=str(workload.state),
+            session_age_s=round(context.now_s - session.opened_s, 3),
+        )
+
     def _has_unrecorded_ends(self, session: UpstreamSession) -> bool:
         return any(self._context.is_ending(key) for key in session.runs)
 
