--- a/tanagerpath/core/workloads/tests/rig.py
+++ b/tanagerpath/core/workloads/tests/rig.py
@@ -75,6 +75,8 @@
         # Share of the calls without any result, as if the mailbox of the task was full.
         self.result_loss_rate = 0.0
         self.late_order_rate = 0.0
+        # Additional seconds until the replies of an upstream arrive, by its name.
+        self.reply_delays_s: dict[str, float] = {}
         self.has_lease = True
         self.violations: list[str] = []
         self.decisions: list[LogDecision] = []
@@ -392,7 +394,7 @@
         if self.random.random() < self.reply_loss_rate:
             self._fail(call)
             return
-        delay_s = STEP_S
+        delay_s = STEP_S + self.reply_delays_s.get(call.upstream_id, 0.0)
         if is_hold and isinstance(reply, HoldReply) and not reply.ended:
             delay_s += call.request.wait_ms / MS_PER_S * self.random.random()
             reply = None
--- /dev/null
+++ b/tanagerpath/core/workloads/tests/test_concluded_ends.py
@@ -0,0 +1,151 @@
+"""Guards against a second run of work that had ended as done.
+
+The end of a run is concluded, without a list that names it, after a time of silence or
+because a list lacks the run. The upstream may have run it to its end all the same.
+"""
+
+import testtools
+
+from tanagerpath.core.coordination import UpstreamReplied
+from tanagerpath.core.workloads.resources import Resources
+from tanagerpath.core.workloads.specs import StepSpec
+from tanagerpath.core.workloads.tests.rig import Rig
+
+SMALL = Resources(8_000, 16_000, 1)
+WHOLE = Resources(8_000, 16_000, 8)
+# From the last contact until the lease counts as expired.
+LEASE_S = 10.1
+
+
+def _step(count=1, needs=SMALL, **fields):
+    return StepSpec(count=count, needs=needs, declared_run_s=1.0, **fields)
+
+
+def _cut(rig, *names):
+    for name in names:
+        rig.upstreams[name].unreachable = True
+
+
+def _join(rig, *names):
+    for name in names:
+        rig.upstreams[name].unreachable = False
+
+
+def _find_host(rig):
+    """Return the upstream that has a run, and the other one."""
+    host = next(name for name, up in rig.upstreams.items() if up.runs)
+    other = next(name for name in rig.upstreams if name != host)
+    return host, other
+
+
+def _list_runs(rig, workload_id):
+    return [one.run for one in rig.starts if one.task.workload_id == workload_id]
+
+
+class TestSilence(testtools.TestCase):
+    def test_run_listed_as_done_after_its_lease_does_not_start_again(self):
+        rig = Rig(upstreams=1)
+        rig.submit("w", _step(3))
+        rig.run(0.5)
+        _cut(rig, "u0")
+        rig.run(LEASE_S + 2.0)
+        _join(rig, "u0")
+        rig.run(3.0)
+        self.assertEqual("completed", rig.find_state("w"))
+        self.assertEqual([1, 1, 1], _list_runs(rig, "w"))
+
+    def test_gang_listed_as_done_after_its_lease_does_not_start_again(self):
+        rig = Rig(upstreams=2)
+        rig.submit("gang", _step(2, WHOLE, gang=True), queue="batch")
+        rig.run(0.5)
+        _cut(rig, "u0", "u1")
+        rig.run(LEASE_S + 2.0)
+        _join(rig, "u0", "u1")
+        rig.run(3.0)
+        self.assertEqual("completed", rig.find_state("gang"))
+        self.assertEqual([1, 1], _list_runs(rig, "gang"))
+
+    def test_upstream_back_at_the_end_of_the_lease_is_asked_before_a_later_run(self):
+        rig = Rig(upstreams=2)
+        rig.submit("w", _step())
+        rig.run(0.5)
+        host, _ = _find_host(rig)
+        _cut(rig, host)
+        # It replies again before the first call that can fail after the lease has.
+        rig.run(LEASE_S - 0.3)
+        _join(rig, host)
+        rig.run(3.0)
+        self.assertEqual([1], _list_runs(rig, "w"))
+        self.assertEqual("completed", rig.find_state("w"))
+
+    def test_new_leader_asks_the_upstream_of_a_lapsed_run_before_a_later_run(self):
+        rig = Rig(upstreams=2)
+        rig.submit("w", _step())
+        rig.run(0.5)
+        host, other = _find_host(rig)
+        _cut(rig, host, other)
+        rig.run(LEASE_S + 2.0)
+        _join(rig, host, other)
+        rig.reply_delays_s[host] = 0.4
+        rig.start_term(2)
+        rig.run(3.0)
+        self.assertEqual([1], _list_runs(rig, "w"))
+        self.assertEqual("completed", rig.find_state("w"))
+
+    def test_silent_upstream_delays_a_later_run_by_one_call_at_most(self):
+        rig = Rig(upstreams=2)
+        rig.submit("w", _step())
+        rig.run(0.5)
+        host, other = _find_host(rig)
+        _cut(rig, host, other)
+        rig.run(LEASE_S + 2.0)
+        _join(rig, other)
+        rig.start_term(2)
+        rig.run(2.0)
+        self.assertEqual([1, 2], _list_runs(rig, "w"))
+
+    def test_later_run_is_stopped_when_an_earlier_one_is_listed_as_done(self):
+        rig = Rig(upstreams=2)
+        rig.submit("w", _step(), work_s=4.0)
+        rig.run(0.5)
+        host, other = _find_host(rig)
+        _cut(rig, host)
+        rig.run(LEASE_S + 2.0)
+        self.assertEqual([1, 2], _list_runs(rig, "w"))
+        _join(rig, host)
+        rig.run(1.0)
+        self.assertEqual("completed", rig.find_state("w"))
+        self.assertEqual({}, rig.upstreams[other].runs)
+
+    def test_failure_listed_after_the_lease_counts_as_an_attempt(self):
+        rig = Rig(upstreams=1)
+        rig.submit("w", _step())
+        rig.failing_workloads.add("w")
+        rig.run(0.1)
+        _cut(rig, "u0")
+        rig.run(LEASE_S + 2.0)
+        _join(rig, "u0")
+        rig.run(5.0)
+        self.assertEqual("failed", rig.find_state("w"))
+        self.assertEqual([1, 2, 3], _list_runs(rig, "w"))
+
+
+class TestLists(testtools.TestCase):
+    def test_ends_in_the_reply_to_an_earlier_renewal_count(self):
+        rig = Rig(upstreams=2)
+        rig.submit("w", _step())
+        rig.run(0.9)
+        host, _ = _find_host(rig)
+        session = rig.dispatcher.context.sessions[host]
+        fake = rig.upstreams[host]
+        earlier = session.hold
+        _cut(rig, host)
+        session.request_list(rig.now_s)
+        rig.run(0.3)
+        self.assertIsNot(earlier, session.hold)
+        reply = fake.handle(earlier)
+        incarnation = fake.record.incarnation
+        rig._handle(UpstreamReplied(host, incarnation, earlier, reply))
+        rig.run(LEASE_S + 2.0)
+        self.assertEqual([1], _list_runs(rig, "w"))
+        self.assertEqual("completed", rig.find_state("w"))
