Count the listed end of a run that was taken for over

Cause: a run whose upstream is silent, or that is in no list, is recorded with an outcome that the leader concludes. An end that its upstream lists later was acknowledged unread, and the task started again or ran on. Change: an end as done of a run that is closed completes its task, as does an end as failed count as an attempt if this leader closed the run. It is recorded before it is acknowledged; until then its task does not start, and later runs of a task that turns out to be done are stopped. A new leader stops runs of done tasks that it inherits. Not a matter of duplicated or late orders: each second start was recorded and sent once.

--- a/tanagerpath/core/workloads/backlog.py
+++ b/tanagerpath/core/workloads/backlog.py
@@ -28,7 +28,8 @@
     planned : set of TaskId
         Tasks whose start is proposed and not yet committed.
     barred : set of TaskId
-        Tasks that an upstream runs without a record, so that they must wait.
+        Tasks that must wait: an upstream runs them without a record, or has listed
+        the end of a run that was taken for over.
     failed_on : dict of str to set of str
         Upstreams on which tasks have failed, by workload.
     """
--- a/tanagerpath/core/workloads/dispatch_context.py
+++ b/tanagerpath/core/workloads/dispatch_context.py
@@ -12,6 +12,7 @@
 from tanagerpath.core.workloads.estimates import RunEstimates
 from tanagerpath.core.workloads.events import LogDecision
 from tanagerpath.core.workloads.health import HealthTerms, UpstreamHealth
+from tanagerpath.core.workloads.orders import EndedRun
 from tanagerpath.core.workloads.run_index import RunIndex
 from tanagerpath.core.workloads.runs import RunKey, RunView
 from tanagerpath.core.workloads.sessions import LeaseTerms, UpstreamSession
@@ -119,11 +120,24 @@
 
 @attrs.frozen
 class QueuedEnd:
-    """An end to be recorded; `number` is that of its `EndedRun`, 0 for none."""
+    """An end to be recorded.
+
+    Attributes
+    ----------
+    end : RunEnd
+        The end.
+    session : UpstreamSession
+        Where the run was.
+    number : int
+        Number of its `EndedRun`, 0 if no list names it.
+    is_late : bool
+        Whether the run had been taken for over before its end was listed.
+    """
 
     end: RunEnd
     session: UpstreamSession
     number: int = 0
+    is_late: bool = False
 
 
 class DispatchContext:
@@ -276,14 +290,41 @@
             age_s=round(self.now_s - view.began_s, 3),
         )
 
+    def queue_late_end(self, session: UpstreamSession, listed: EndedRun) -> None:
+        """Queue the listed end of a run that was taken for over."""
+        key = listed.task, listed.run
+        session.late_ends.add(key)
+        end = RunEnd(listed.task, listed.run, listed.outcome)
+        self.ends.append(QueuedEnd(end, session, listed.number, is_late=True))
+
+    def has_unrecorded_ends(self, session: UpstreamSession) -> bool:
+        """Return whether ends of an upstream wait to be recorded."""
+        return bool(session.late_ends) or any(map(self.is_ending, session.runs))
+
+    def is_listed_as_done(self, task: TaskId) -> bool:
+        """Return whether a late end that waits to be recorded completes a task."""
+        workload = self.state.workloads[task.workload_id]
+        is_gang = workload.spec.steps[task.step].gang
+        return any(
+            queued.is_late
+            and queued.end.outcome is RunOutcome.DONE
+            and (queued.end.task == task or is_gang)
+            and queued.end.task.step_key == task.step_key
+            for queued in self.ends
+        )
+
     def is_ending(self, key: RunKey) -> bool:
         """Return whether the end of a run waits to be recorded."""
         return key in self._ending
 
-    def close_run(self, session: UpstreamSession, key: RunKey) -> None:
+    def close_run(self, queued: QueuedEnd) -> None:
         """Forget a run whose end is recorded."""
-        self._ending.discard(key)
-        self.run_index.remove(session, key)
+        session, key = queued.session, (queued.end.task, queued.end.run)
+        if queued.is_late:
+            session.late_ends.discard(key)
+        else:
+            self._ending.discard(key)
+            self.run_index.remove(session, key)
         self.touch(session)
         self.must_plan = True
 
--- a/tanagerpath/core/workloads/dispatcher.py
+++ b/tanagerpath/core/workloads/dispatcher.py
@@ -245,7 +245,7 @@
         ended, self._pending_ends = self._pending_ends, []
         for queued in ended:
             session = queued.session
-            context.close_run(session, (queued.end.task, queued.end.run))
+            context.close_run(queued)
             session.recorded_end = max(session.recorded_end, queued.number)
             self._acknowledge_ends(session)
             self._handle_run_end(queued)
@@ -253,7 +253,7 @@
 
     def _acknowledge_ends(self, session: UpstreamSession) -> None:
         """Acknowledge all ends to an upstream once each of them is recorded."""
-        if any(self._context.is_ending(key) for key in session.runs):
+        if self._context.has_unrecorded_ends(session):
             return
         session.recorded_end = session.listed_end
         session.next_hold_s = self._context.now_s
@@ -297,6 +297,10 @@
             self._driver.stop(
                 session, view, str(record.final_state), StopCause.WORKLOAD_ENDED
             )
+        elif context.is_listed_as_done(start.task):
+            self._driver.stop(
+                session, view, "an earlier run is done", StopCause.ALREADY_DONE
+            )
 
     def _drop_unrecorded_start(self, start: RunStart) -> None:
         context = self._context
@@ -306,8 +310,14 @@
         context.must_plan = True
 
     def _handle_run_end(self, queued: QueuedEnd) -> None:
-        """Stop the other members of a gang if one of them did not end as done."""
+        """Stop the runs that the end of another one makes useless.
+
+        These are the other members of a gang if one of them did not end as done, and
+        later runs of a task if an earlier one turns out to have completed it.
+        """
         end = queued.end
+        if queued.is_late and end.outcome is RunOutcome.DONE:
+            self._preemption.stop_other_runs(end.task, end.run)
         if end.outcome is not RunOutcome.DONE:
             reason = f"a member ended as {end.outcome}"
             self._preemption.stop_gang(
--- a/tanagerpath/core/workloads/planner.py
+++ b/tanagerpath/core/workloads/planner.py
@@ -140,7 +140,7 @@
             for session in context.sessions.values()
             for (task, _), fence in session.fenced_runs.items()
             if fence.is_listed
-        }
+        } | {queued.end.task for queued in context.ends if queued.is_late}
         units = context.backlog.list_units(context.now, context.coverage.covered)
         return self._drop_set_aside(units)
 
--- a/tanagerpath/core/workloads/preemption.py
+++ b/tanagerpath/core/workloads/preemption.py
@@ -261,3 +261,18 @@
             return
         for session, view in self._context.run_index.list_gang(task, run):
             self._driver.stop(session, view, reason, cause)
+
+    def stop_other_runs(self, task: TaskId, run: int) -> None:
+        """Stop the runs of a task, or gang, other than the one that completed it."""
+        record = self._context.state.workloads.get(task.workload_id)
+        if record is None:
+            return
+        is_gang = record.spec.steps[task.step].gang
+        for session, view in self._context.run_index.list_runs(task.workload_id):
+            is_same = view.task == task or (
+                is_gang and view.task.step_key == task.step_key
+            )
+            if is_same and view.run != run:
+                self._driver.stop(
+                    session, view, "an earlier run is done", StopCause.ALREADY_DONE
+                )
--- a/tanagerpath/core/workloads/records.py
+++ b/tanagerpath/core/workloads/records.py
@@ -60,6 +60,11 @@
     checkpoint: str = ""
     open_runs: list[OpenRun] = attrs.Factory(list)
 
+    def may_correct(self, end: RunEnd) -> bool:
+        """Return whether a listed end counts although its run is closed."""
+        is_own = end.outcome in (RunOutcome.DONE, RunOutcome.FAILED)
+        return is_own and not self.done and end.run <= self.last_run
+
     def find_open(self, run: int) -> OpenRun | None:
         """Return the open run with this number, None if there is none."""
         return next(
@@ -166,12 +171,14 @@
         self.open_count += 1
 
     def record_end(self, end: RunEnd, max_attempts: int) -> bool:
-        """Record the end of an open run.
+        """Record the end of a run.
 
         Parameters
         ----------
         end : RunEnd
-            The end; ignored if its run is not open.
+            The end. If its run is not open, only an end as done or failed of an
+            unfinished task counts: the run was taken for over, and its upstream has
+            listed the end since.
         max_attempts : int
             Failed runs after which the workload has failed.
 
@@ -181,13 +188,15 @@
             Whether the task, or gang, has used up its attempts.
         """
         task = self.tasks.get(end.task)
-        open_run = task.find_open(end.run) if task else None
-        if open_run is None:
+        if task is None:
+            return False
+        open_run = task.find_open(end.run)
+        if open_run is not None:
+            task.open_runs.remove(open_run)
+            self.open_count -= 1
+            task.checkpoint = end.checkpoint or task.checkpoint
+        elif not task.may_correct(end):
             return False
-        task.open_runs.remove(open_run)
-        self.open_count -= 1
-        if end.checkpoint:
-            task.checkpoint = end.checkpoint
         step = self.spec.steps[end.task.step]
         if end.outcome is RunOutcome.DONE and not step.long_running:
             self._record_done(end.task, step)
--- a/tanagerpath/core/workloads/registry.py
+++ b/tanagerpath/core/workloads/registry.py
@@ -92,7 +92,7 @@
         elif session.record.incarnation != open_run.incarnation:
             self._mark_of_earlier_incarnation(view)
         context.run_index.add(session, view)
-        if workload.final_state is not None:
+        if workload.final_state is not None or workload.find_task(task_id).done:
             view.enter(RunPhase.STOPPING, context.now_s)
 
     def _mark_of_earlier_incarnation(self, view: RunView) -> None:
--- a/tanagerpath/core/workloads/run_lists.py
+++ b/tanagerpath/core/workloads/run_lists.py
@@ -173,29 +173,55 @@
         session.listed_end = end.number
         view = session.runs.get((end.task, end.run))
         if view is None or self._context.is_ending(view.key):
-            self._report_contradiction(session, end)
-            # The state does not need this end, so it is acknowledged at once.
-            if not self._has_unrecorded_ends(session):
-                session.recorded_end = end.number
+            self._handle_end_of_closed_run(session, end)
             return
         self._learn_from_end(session, view, end)
         self._context.queue_end(
             session, view, end.outcome, end.checkpoint, number=end.number
         )
 
-    def _report_contradiction(self, session: UpstreamSession, end: EndedRun) -> None:
-        """Log an end as done of a run that is closed while its task is not done."""
+    def _handle_end_of_closed_run(
+        self, session: UpstreamSession, end: EndedRun
+    ) -> None:
+        """Record an end that corrects the state; acknowledge any other one at once."""
+        context = self._context
+        if self._corrects_state(end):
+            self._log_late_end(session, end)
+            context.queue_late_end(session, end)
+        elif not context.has_unrecorded_ends(session):
+            session.recorded_end = end.number
+
+    def _corrects_state(self, end: EndedRun) -> bool:
+        """Return whether a run that is taken for over has ended by itself.
+
+        A later leader can't tell whether an end as failed was recorded already, and
+        must not count it twice.
+        """
         context = self._context
+        key = end.task, end.run
         workload = context.state.workloads.get(end.task.workload_id)
-        if end.outcome is not RunOutcome.DONE or workload is None:
-            return
+        if workload is None or workload.final_state is not None:
+            return False
+        if not workload.is_valid_task(end.task):
+            return False
+        if workload.spec.steps[end.task.step].long_running:
+            return False
+        record = workload.find_task(end.task)
+        if record.done or end.run > record.last_run:
+            return False
+        if end.outcome is RunOutcome.FAILED:
+            return key in context.closed_unlisted
+        return end.outcome is RunOutcome.DONE
+
+    def _log_late_end(self, session: UpstreamSession, end: EndedRun) -> None:
+        context = self._context
+        workload = context.state.workloads[end.task.workload_id]
         record = workload.find_task(end.task)
-        if record.done:
-            return
         context.log_decision(
-            "run that is closed listed as done",
+            "end of a closed run listed",
             task=describe_task(end.task),
             run=end.run,
+            outcome=str(end.outcome),
             upstream=session.upstream_id,
             incarnation=session.record.incarnation,
             number=end.number,
@@ -207,9 +233,6 @@
             session_age_s=round(context.now_s - session.opened_s, 3),
         )
 
-    def _has_unrecorded_ends(self, session: UpstreamSession) -> bool:
-        return any(self._context.is_ending(key) for key in session.runs)
-
     def _learn_from_end(
         self, session: UpstreamSession, view: RunView, end: EndedRun
     ) -> None:
--- a/tanagerpath/core/workloads/runs.py
+++ b/tanagerpath/core/workloads/runs.py
@@ -53,6 +53,7 @@
     NOT_LISTED = "not listed"
     GANG_MEMBER_LOST = "gang member lost"
     WORKLOAD_ENDED = "workload ended"
+    ALREADY_DONE = "already done"
     UPKEEP = "upkeep"
 
 
--- a/tanagerpath/core/workloads/sessions.py
+++ b/tanagerpath/core/workloads/sessions.py
@@ -115,6 +115,8 @@
     fenced_runs : dict of RunKey to RunFence
         Runs of an earlier incarnation that delayed orders may have started here, and
         unknown runs that it has listed.
+    late_ends : set of RunKey
+        Closed runs whose listed end waits to be recorded.
     is_superseded : bool
         Whether a later incarnation with its identity has replied.
     is_replaced : bool
@@ -154,6 +156,7 @@
     is_cordoned: bool = False
     unanswered_starts: dict[RunKey, float] = attrs.Factory(dict)
     fenced_runs: dict[RunKey, RunFence] = attrs.Factory(dict)
+    late_ends: set[RunKey] = attrs.Factory(set)
     is_superseded: bool = False
     is_replaced: bool = False
     is_faulted: bool = False
--- a/tanagerpath/core/workloads/tests/test_concluded_ends.py
+++ b/tanagerpath/core/workloads/tests/test_concluded_ends.py
@@ -106,14 +106,15 @@
 
     def test_later_run_is_stopped_when_an_earlier_one_is_listed_as_done(self):
         rig = Rig(upstreams=2)
-        rig.submit("w", _step(), work_s=4.0)
-        rig.run(0.5)
+        rig.submit("w", _step(), work_s=7.0)
+        # The lease of a first start is short; the next renewal extends it.
+        rig.run(2.0)
         host, other = _find_host(rig)
         _cut(rig, host)
-        rig.run(LEASE_S + 2.0)
+        rig.run(LEASE_S + 4.0)
         self.assertEqual([1, 2], _list_runs(rig, "w"))
         _join(rig, host)
-        rig.run(1.0)
+        rig.run(3.0)
         self.assertEqual("completed", rig.find_state("w"))
         self.assertEqual({}, rig.upstreams[other].runs)
 
