Ask a silent upstream once more before its runs count as lapsed

Cause: the deadline of a lease alone ended the runs, while a call that had been sent before it was still awaited, and although the calls before may have failed only because the leader itself stood still and their replies were not read. Change: runs lapse once a renewal that was sent after the lease, and after the last time at which this process stood still for 0.3 s, has got no reply, at most 5 s after the lease. The tests of core/workloads pass.

--- a/tanagerpath/core/workloads/dispatch_context.py
+++ b/tanagerpath/core/workloads/dispatch_context.py
@@ -1,5 +1,6 @@
 """State that the parts of the dispatcher share during one term of a leader."""
 
+import math
 from typing import Any
 
 import attrs
@@ -24,6 +25,9 @@
 
 # Longest delay from the timeout of a call to the handling of its result.
 REPLY_MARGIN_S = 1.0
+# A leader has deadlines ten times a second. Replies that arrive while it stands still
+# for longer may be taken for timeouts.
+MAX_STEP_INTERVAL_S = 0.3
 
 
 @attrs.frozen(kw_only=True)
@@ -162,6 +166,8 @@
         self.state = state
         self.term = term
         self.now = now
+        # Time at which this process last went on after it had stood still.
+        self.stalled_until_s = -math.inf
         self.estimates = RunEstimates.from_learned(state.learned, now.now_s)
         self.backlog = Backlog(state, self.estimates)
         self.coverage = GuaranteeCoverage(state)
@@ -182,6 +188,12 @@
         """Monotonic time of the current step."""
         return self.now.now_s
 
+    def advance(self, now: Instant) -> None:
+        """Begin a step at a later time."""
+        if now.now_s - self.now_s > MAX_STEP_INTERVAL_S:
+            self.stalled_until_s = now.now_s
+        self.now = now
+
     def add_effect(self, effect: Effect) -> None:
         """Add an effect to the current step."""
         self._effects.append(effect)
--- a/tanagerpath/core/workloads/dispatcher.py
+++ b/tanagerpath/core/workloads/dispatcher.py
@@ -123,7 +123,7 @@
         list of Effect
             Effects to carry out in order.
         """
-        self._context.now = now
+        self._context.advance(now)
         for event in events:
             self._handle_event(event)
         if now.has_lease:
--- a/tanagerpath/core/workloads/run_closer.py
+++ b/tanagerpath/core/workloads/run_closer.py
@@ -7,6 +7,10 @@
 
 __all__ = ["RunCloser"]
 
+# Beyond this time after a lease nothing is awaited any more, even if this process is
+# too late to ask.
+MAX_VERIFICATION_S = 5.0
+
 
 class RunCloser:
     """Ends runs without a reply that says so, once nothing can run any more.
@@ -41,17 +45,37 @@
         return self._context.now_s >= lease_expiry_s
 
     def close_lapsed(self, session: UpstreamSession) -> None:
-        """End the runs of an upstream that is not renewed, with its lease."""
+        """End the runs of an upstream that is not renewed, with its lease.
+
+        It is asked once more first, as it may list how they ended.
+        """
         if not session.runs and not session.fenced_runs:
             return
         if session.reachable and session.synced and not session.refused_holds:
             return
-        if not self._has_lapsed(session):
+        if not self._has_lapsed(session) or not self._is_silent(session):
             return
         for fence in session.fenced_runs.values():
             fence.is_listed = False
         self._queue_ends(session, RunOutcome.LAPSED)
 
+    def _is_silent(self, session: UpstreamSession) -> bool:
+        """Return whether a renewal that was sent after the lease got no reply.
+
+        One that failed while this process stood still does not count: its reply may
+        have arrived unread. If there is none, one is requested.
+        """
+        now_s = self._context.now_s
+        expiry_s = session.find_lease_expiry_s(self._context.terms.leases)
+        if session.refused_holds or now_s >= expiry_s + MAX_VERIFICATION_S:
+            return True
+        since_s = max(expiry_s, self._context.stalled_until_s)
+        if session.failed_hold_sent_s >= since_s:
+            return True
+        if session.hold is None or session.hold_sent_s < since_s:
+            session.request_list(now_s)
+        return False
+
     def close_faulted(self, session: UpstreamSession) -> None:
         """End the runs of an upstream that was set aside with its lease."""
         if self._has_lapsed(session):
--- a/tanagerpath/core/workloads/run_driver.py
+++ b/tanagerpath/core/workloads/run_driver.py
@@ -276,6 +276,7 @@
         if isinstance(request, HoldRequest):
             if request is session.hold:
                 session.hold = None
+                session.failed_hold_sent_s = session.hold_sent_s
                 session.next_hold_s = context.now_s + context.terms.hold_retry_s
                 if not request.wait_ms:
                     session.request_list(session.next_hold_s)
--- a/tanagerpath/core/workloads/sessions.py
+++ b/tanagerpath/core/workloads/sessions.py
@@ -90,6 +90,8 @@
         The renewal whose reply is awaited.
     hold_sent_s, hold_expires_s : float
         Time at which it was sent, and time until which its reply is awaited.
+    failed_hold_sent_s : float
+        Time at which the last renewal without a reply was sent.
     next_hold_s : float
         Earliest time of the next renewal.
     list_due_s : float
@@ -145,6 +147,7 @@
     hold: HoldRequest | None = None
     hold_sent_s: float = 0.0
     hold_expires_s: float = 0.0
+    failed_hold_sent_s: float = -math.inf
     next_hold_s: float = 0.0
     list_due_s: float = math.inf
     refused_holds: int = 0
