Let a new leader hear its upstreams before tasks start again

What callers saw: tasks started again by a process that had led for a second or two, although an upstream held the end as done of an earlier run. Cause: a new leader placed waiting tasks as soon as any upstream had listed its runs. One that replied a moment later may hold the end of a run that an earlier leader had taken for over. First runs do not wait.

--- a/tanagerpath/core/workloads/backlog.py
+++ b/tanagerpath/core/workloads/backlog.py
@@ -30,6 +30,9 @@
     barred : set of TaskId
         Tasks that must wait: an upstream runs them without a record, or has listed
         the end of a run that was taken for over.
+    holds_repeats : bool
+        Whether tasks that have had a run must wait, because an upstream may still list
+        how it ended.
     failed_on : dict of str to set of str
         Upstreams on which tasks have failed, by workload.
     """
@@ -38,6 +41,7 @@
     estimates: RunEstimates
     planned: set[TaskId] = attrs.Factory(set)
     barred: set[TaskId] = attrs.Factory(set)
+    holds_repeats: bool = False
     failed_on: dict[str, set[str]] = attrs.Factory(dict)
     _unfinished: dict[str, None] = attrs.Factory(dict)
     _arrivals: dict[str, dict[int, float]] = attrs.Factory(dict)
@@ -139,7 +143,11 @@
 
     def _is_waiting(self, record: WorkloadRecord, task: TaskId) -> bool:
         task_record = record.tasks.get(task)
-        if task_record is not None and (task_record.done or task_record.open_runs):
+        if task_record is not None and (
+            task_record.done
+            or task_record.open_runs
+            or (self.holds_repeats and task_record.last_run)
+        ):
             return False
         return task not in self.planned and task not in self.barred
 
--- a/tanagerpath/core/workloads/registry.py
+++ b/tanagerpath/core/workloads/registry.py
@@ -38,8 +38,10 @@
         # Unanswered starts of departed upstreams, which a successor may still receive.
         self._unanswered: dict[str, dict[RunKey, float]] = {}
         self._faulted: list[UpstreamSession] = []
+        first_list_until_s = context.find_call_expiry_s(context.terms.hold_timeout_s)
         for record in context.state.upstreams.values():
-            self._open_session(record)
+            session = self._open_session(record)
+            session.first_list_until_s = first_list_until_s
         for workload in context.state.workloads.values():
             self._adopt_runs(workload)
 
--- a/tanagerpath/core/workloads/sessions.py
+++ b/tanagerpath/core/workloads/sessions.py
@@ -92,6 +92,9 @@
         Time at which it was sent, and time until which its reply is awaited.
     failed_hold_sent_s : float
         Time at which the last renewal without a reply was sent.
+    first_list_until_s : float
+        Time until which its first lists are awaited before tasks start again; minus
+        infinity if it registered during the term.
     next_hold_s : float
         Earliest time of the next renewal.
     list_due_s : float
@@ -148,6 +151,7 @@
     hold_sent_s: float = 0.0
     hold_expires_s: float = 0.0
     failed_hold_sent_s: float = -math.inf
+    first_list_until_s: float = -math.inf
     next_hold_s: float = 0.0
     list_due_s: float = math.inf
     refused_holds: int = 0
@@ -196,6 +200,12 @@
             and self.departed_at_s is None
         )
 
+    def awaits_first_list(self, now_s: float) -> bool:
+        """Return whether a new leader may still learn soon how runs on it ended."""
+        has_failed = self.failed_hold_sent_s > -math.inf or self.refused_holds > 0
+        is_asked = self.synced or has_failed or self.is_faulted
+        return not is_asked and now_s < self.first_list_until_s
+
     def note_refusal(self, needs: Resources, now_s: float, until_s: float) -> None:
         """Record a refused start.
 
