Take the ends in the reply to an earlier renewal

Cause: a renewal that is sent without a wait replaces the one that is awaited, whose reply was then dropped whole. If the upstream can't be reached afterwards, the end in it is lost for this leader and the run lapses. Change: ends count in any reply of the incarnation. Running tasks of an earlier reply are outdated as before. Measured: test_ends_in_the_reply_to_an_earlier_renewal_count failed before and passes now; the tests of core/workloads pass.

--- a/tanagerpath/core/workloads/run_driver.py
+++ b/tanagerpath/core/workloads/run_driver.py
@@ -359,8 +359,14 @@
         request: HoldRequest,
         reply: HoldReply | OrderRefused,
     ) -> None:
-        """Handle the reply to the last renewal; lists of earlier ones are outdated."""
+        """Handle the reply to a renewal.
+
+        After a later renewal was sent, what an earlier one says of running tasks is
+        outdated. An end that it lists stays true.
+        """
         if request is not session.hold:
+            if isinstance(reply, HoldReply):
+                self._lists.handle_ends(session, reply)
             return
         session.hold = None
         if isinstance(reply, OrderRefused):
--- a/tanagerpath/core/workloads/run_lists.py
+++ b/tanagerpath/core/workloads/run_lists.py
@@ -97,8 +97,7 @@
         ended = {(end.task, end.run) for end in reply.ended}
         for running in reply.running:
             self._update_running(session, running)
-        for end in sorted(reply.ended, key=lambda one: one.number):
-            self._handle_listed_end(session, end)
+        self.handle_ends(session, reply)
         for view in tuple(session.runs.values()):
             if view.key not in listed and view.key not in ended:
                 self._handle_unlisted(session, view, requested_s)
@@ -114,6 +113,11 @@
                 room=session.free.accelerators,
             )
 
+    def handle_ends(self, session: UpstreamSession, reply: HoldReply) -> None:
+        """Handle the ends that an upstream lists."""
+        for end in sorted(reply.ended, key=lambda one: one.number):
+            self._handle_listed_end(session, end)
+
     def _update_running(self, session: UpstreamSession, running: RunningTask) -> None:
         context = self._context
         view = session.runs.get((running.task, running.run))
