Take a run that had begun for over only with its end

What callers saw: a task ran twice while its first run was still stopping on a slow upstream; the same inference closes a run whose end is not in the list yet. Cause: a run in neither list counted as over stop_timeout_s (0.2 s) after its stop was answered. That is the bound of the upstream, not of the network and the process between. A list of 500 ends may also lack others, and was taken for whole. Change: a run that was known to have begun ends with its listed end; only one that is in no list a second after the answer (an upstream that has forgotten it) counts as stopped without. A list that may be cut off shows no run to be over.

--- a/tanagerpath/core/workloads/orders.py
+++ b/tanagerpath/core/workloads/orders.py
@@ -133,13 +133,16 @@
     running : tuple of RunningTask
         Runs in progress.
     ended : tuple of EndedRun
-        Ends after the cursor, oldest first; the list may be incomplete.
+        Ends after the cursor, oldest first.
+    is_whole : bool
+        Whether the lists name all runs; if not, the absence of one proves nothing.
     """
 
     clock_ms: int
     born_unix_ms: int = 0
     running: tuple[RunningTask, ...] = ()
     ended: tuple[EndedRun, ...] = ()
+    is_whole: bool = True
 
 
 @attrs.frozen(kw_only=True)
--- a/tanagerpath/core/workloads/run_lists.py
+++ b/tanagerpath/core/workloads/run_lists.py
@@ -98,10 +98,11 @@
         for running in reply.running:
             self._update_running(session, running)
         self.handle_ends(session, reply)
-        for view in tuple(session.runs.values()):
-            if view.key not in listed and view.key not in ended:
-                self._handle_unlisted(session, view, requested_s)
-        self._update_fences(session, listed, requested_s)
+        if reply.is_whole:
+            for view in tuple(session.runs.values()):
+                if view.key not in listed and view.key not in ended:
+                    self._handle_unlisted(session, view, requested_s)
+            self._update_fences(session, listed, requested_s)
         if not session.synced:
             session.synced = True
             context.must_plan = True
@@ -155,7 +156,7 @@
             run=running.run,
             upstream=session.upstream_id,
         )
-        session.fenced_runs[key] = RunFence(next_stop_s=context.now_s)
+        session.fenced_runs[key] = RunFence(context.now_s, is_listed=True)
         context.touch(session)
 
     def _update_fences(
--- a/tanagerpath/core/workloads/tests/fake_upstream.py
+++ b/tanagerpath/core/workloads/tests/fake_upstream.py
@@ -75,6 +75,10 @@
         self.refused_orders: dict[type, Refusal] = {}
         # Whether a run that is being stopped is not listed until it has ended.
         self.hides_stopping = False
+        # Seconds from a stop order to the end of the run.
+        self.stop_s = STOP_S
+        # Whether its lists are cut off before the first entry.
+        self.lists_nothing = False
         self.started_s = 0.0
 
     @property
@@ -115,6 +119,8 @@
             if end.number <= request.end_cursor and end.number > self.lapsed_end_number:
                 self.rig.record_acknowledged_end(end)
         self.ended = [end for end in self.ended if end.number > request.end_cursor]
+        if self.lists_nothing:
+            return HoldReply(clock_ms=self.clock_ms, is_whole=False)
         running = tuple(
             RunningTask(
                 run.task,
@@ -171,7 +177,7 @@
         self.highest_ended_run[request.task] = max(highest, request.run)
         run = self.runs.get((request.task, request.run))
         if run is not None and run.stops_at_s is None:
-            run.stops_at_s = self.rig.now_s + STOP_S
+            run.stops_at_s = self.rig.now_s + self.stop_s
         return OrderDone(self.clock_ms)
 
     def end(self, run, outcome):
--- a/tanagerpath/core/workloads/tests/test_concluded_ends.py
+++ b/tanagerpath/core/workloads/tests/test_concluded_ends.py
@@ -8,6 +8,7 @@
 
 from tanagerpath.core.coordination import UpstreamReplied
 from tanagerpath.core.workloads.resources import Resources
+from tanagerpath.core.workloads.runs import StopCause
 from tanagerpath.core.workloads.specs import StepSpec
 from tanagerpath.core.workloads.tests.rig import Rig
 
@@ -177,3 +178,43 @@
         rig.run(LEASE_S + 2.0)
         self.assertEqual([1], _list_runs(rig, "w"))
         self.assertEqual("completed", rig.find_state("w"))
+
+    def test_incomplete_list_does_not_show_that_a_run_is_over(self):
+        rig = Rig(upstreams=1)
+        rig.submit("w", _step(), work_s=3.0)
+        rig.run(0.5)
+        rig.upstreams["u0"].lists_nothing = True
+        rig.run(1.5)
+        rig.upstreams["u0"].lists_nothing = False
+        rig.run(3.0)
+        self.assertEqual("completed", rig.find_state("w"))
+        self.assertEqual([1], _list_runs(rig, "w"))
+
+    def test_stopped_run_that_had_begun_is_over_only_with_its_end(self):
+        rig = Rig(upstreams=2)
+        rig.submit("w", _step(), work_s=3.0)
+        rig.run(0.5)
+        host, _ = _find_host(rig)
+        fake = rig.upstreams[host]
+        # A slow upstream takes longer for a stop than it should.
+        fake.hides_stopping = True
+        fake.stop_s = 0.8
+        session = rig.dispatcher.context.sessions[host]
+        view = next(iter(session.runs.values()))
+        rig.dispatcher._driver.stop(session, view, "a test", StopCause.PREEMPTION)
+        for _ in range(7):
+            rig.run(0.1)
+            session.request_list(rig.now_s)
+        self.assertEqual([1], _list_runs(rig, "w"))
+        rig.run(6.0)
+        self.assertEqual([1, 2], _list_runs(rig, "w"))
+        self.assertEqual("completed", rig.find_state("w"))
+
+    def test_run_that_vanished_without_an_end_starts_again_soon(self):
+        rig = Rig(upstreams=2)
+        rig.submit("w", _step(), work_s=3.0)
+        rig.run(0.5)
+        host, _ = _find_host(rig)
+        rig.upstreams[host].runs.clear()
+        rig.run(4.5)
+        self.assertEqual([1, 2], _list_runs(rig, "w"))
--- a/tanagerpath/platform/orders.py
+++ b/tanagerpath/platform/orders.py
@@ -61,6 +61,8 @@
     "busy": Refusal.BUSY,
     "wave": Refusal.WRONG_WAVE,
 }
+# A worker lists at most this many ends at a time.
+_MAX_LISTED_ENDS = 500
 _OK = 200
 _MALFORMED = 400
 _REFUSED = 409
@@ -171,12 +173,14 @@
 
 
 def _read_hold_reply(fields: Fields) -> HoldReply:
+    ended = tuple(map(_read_ended_run, fields.read_list("ended_runs")))
     return HoldReply(
         clock_ms=fields.read_integer("clock_ms"),
         # Start of the worker in Unix milliseconds, which identifies the incarnation.
         born_unix_ms=fields.read_integer("born", 0),
         running=tuple(map(_read_running_task, fields.read_list("running"))),
-        ended=tuple(map(_read_ended_run, fields.read_list("ended_runs"))),
+        ended=ended,
+        is_whole=len(ended) < _MAX_LISTED_ENDS,
     )
 
 
--- a/tanagerpath/platform/tests/test_orders.py
+++ b/tanagerpath/platform/tests/test_orders.py
@@ -130,6 +130,13 @@
             [(one.number, one.outcome, one.checkpoint) for one in reply.ended],
         )
 
+    def test_list_with_as_many_ends_as_a_worker_lists_may_lack_others(self):
+        ends = [[number, NAME, number, "stopped", ""] for number in range(1, 501)]
+        body = {"clock_ms": 1, "running": [], "ended_runs": ends}
+        self.assertFalse(_decode(HOLD, 200, body).unwrap().is_whole)
+        body["ended_runs"] = ends[1:]
+        self.assertTrue(_decode(HOLD, 200, body).unwrap().is_whole)
+
     def test_unusable_reply_is_a_typed_failure(self):
         valid = {"clock_ms": 1, "running": [], "ended_runs": []}
         cases = [
