Wait longer for the renewal of an upstream that replies late

What callers saw: work of an upstream that was only slow started again elsewhere once its lease had run out. Cause: an upstream that a new leader has not heard yet is asked with a timeout of 0.8 s. One that replies after 1.2 s each time counts as silent, its runs lapse. Change: after a call that got no reply, a renewal is awaited for 2.3 s, as long as one that waits for an end. Only the last question after the lease keeps 0.8 s, so that a lost run starts again as soon as before. Measured: test_upstream_that_replies_slowly_to_a_new_leader_is_heard failed before and passes now; the bounds of the other tests hold.

--- a/tanagerpath/core/workloads/run_closer.py
+++ b/tanagerpath/core/workloads/run_closer.py
@@ -49,11 +49,13 @@
 
         It is asked once more first, as it may list how they ended.
         """
+        session.is_lapsing = False
         if not session.runs and not session.fenced_runs:
             return
         if session.reachable and session.synced and not session.refused_holds:
             return
-        if not self._has_lapsed(session) or not self._is_silent(session):
+        session.is_lapsing = self._has_lapsed(session)
+        if not session.is_lapsing or not self._is_silent(session):
             return
         for fence in session.fenced_runs.values():
             fence.is_listed = False
--- a/tanagerpath/core/workloads/run_driver.py
+++ b/tanagerpath/core/workloads/run_driver.py
@@ -205,6 +205,9 @@
             wait_ms=int(wait_s * MS_PER_S),
         )
         timeout_s = wait_s + terms.hold_timeout_s
+        if not session.reachable and not session.is_lapsing:
+            # An upstream that always replies late is not silent.
+            timeout_s = terms.hold_wait_s + terms.hold_timeout_s
         session.hold = request
         session.hold_sent_s = context.now_s
         session.hold_expires_s = context.find_call_expiry_s(timeout_s)
--- a/tanagerpath/core/workloads/sessions.py
+++ b/tanagerpath/core/workloads/sessions.py
@@ -92,6 +92,8 @@
         Time at which it was sent, and time until which its reply is awaited.
     failed_hold_sent_s : float
         Time at which the last renewal without a reply was sent.
+    is_lapsing : bool
+        Whether its lease has run out, so that it is asked once more.
     first_list_until_s : float
         Time until which its first lists are awaited before tasks start again; minus
         infinity if it registered during the term.
@@ -151,6 +153,7 @@
     hold_sent_s: float = 0.0
     hold_expires_s: float = 0.0
     failed_hold_sent_s: float = -math.inf
+    is_lapsing: bool = False
     first_list_until_s: float = -math.inf
     next_hold_s: float = 0.0
     list_due_s: float = math.inf
--- a/tanagerpath/core/workloads/tests/rig.py
+++ b/tanagerpath/core/workloads/tests/rig.py
@@ -1,6 +1,7 @@
 """Test rig: a leader's dispatcher with fake upstreams in virtual time."""
 
 import collections
+import math
 import random
 
 import attrs
@@ -398,6 +399,9 @@
         if is_hold and isinstance(reply, HoldReply) and not reply.ended:
             delay_s += call.request.wait_ms / MS_PER_S * self.random.random()
             reply = None
+        if delay_s > (call.timeout_s or math.inf):
+            self._fail(call)
+            return
         self._schedule(delay_s, ("reply", call, reply))
 
     def _fail(self, call):
--- a/tanagerpath/core/workloads/tests/test_concluded_ends.py
+++ b/tanagerpath/core/workloads/tests/test_concluded_ends.py
@@ -93,6 +93,17 @@
         self.assertEqual([1], _list_runs(rig, "w"))
         self.assertEqual("completed", rig.find_state("w"))
 
+    def test_upstream_that_replies_slowly_to_a_new_leader_is_heard(self):
+        rig = Rig(upstreams=2)
+        rig.submit("w", _step())
+        rig.run(0.5)
+        host, _ = _find_host(rig)
+        rig.reply_delays_s[host] = 1.2
+        rig.start_term(2)
+        rig.run(LEASE_S + 4.0)
+        self.assertEqual([1], _list_runs(rig, "w"))
+        self.assertEqual("completed", rig.find_state("w"))
+
     def test_silent_upstream_delays_a_later_run_by_one_call_at_most(self):
         rig = Rig(upstreams=2)
         rig.submit("w", _step())
