Let a new leader wait for the end of a run that may be stopping

What callers saw: after a change of the leader a task ran twice for a moment; the second run was begun by the new leader. Cause: a run that the earlier leader is stopping may be in no list. The new leader stopped it too and took it for over 0.2 s after the answer, which a slow upstream needs for the stop alone. Change: an inherited run counts as one that may have begun: it is over with its listed end, or if it is in no list a second after the answer. Measured: test_run_that_an_earlier_leader_stops_is_over_only_with_its_end failed before with 'runs twice' and passes now; the tests of core/workloads pass. Runs of an incarnation that has restarted keep the shorter time, which other tests bound.

--- a/tanagerpath/core/workloads/run_driver.py
+++ b/tanagerpath/core/workloads/run_driver.py
@@ -408,8 +408,7 @@
         settled_s = now_s
         if view.phase is RunPhase.STOPPING:
             # Until then the run may go on without being listed.
-            has_begun = view.running_since_s is not None
-            settled_s += self._find_stop_limit_s(has_begun)
+            settled_s += self._find_stop_limit_s(view.may_have_begun)
         # The reply to a repeated order must not put off the time of the first one.
         earliest_s = view.expect_listed_after_s
         view.expect_listed_after_s = (
@@ -430,14 +429,14 @@
             if view.orders == 1 and not view.checkpoint:
                 view.baseline = ProgressSample(now_s, 0)
 
-    def _find_stop_limit_s(self, has_begun: bool) -> float:
+    def _find_stop_limit_s(self, may_have_begun: bool) -> float:
         """Return the seconds after which a stopped run in no list is over.
 
-        The end of a run that had begun is listed, so that only an upstream that has
+        The end of a run that has begun is listed, so that only an upstream that has
         forgotten the run does not list it. A slow one lists it late.
         """
         stop_timeout_s = self._context.terms.stop_timeout_s
-        return max(stop_timeout_s, MAX_STOP_S) if has_begun else stop_timeout_s
+        return max(stop_timeout_s, MAX_STOP_S) if may_have_begun else stop_timeout_s
 
     def _handle_refused_stop(
         self, session: UpstreamSession, view: RunView, refusal: Refusal
--- a/tanagerpath/core/workloads/runs.py
+++ b/tanagerpath/core/workloads/runs.py
@@ -158,6 +158,16 @@
         """Identity of the run."""
         return self.task, self.run
 
+    @property
+    def may_have_begun(self) -> bool:
+        """Whether this incarnation of its upstream may have begun it and list its end.
+
+        A run that an earlier leader began may be in no list because it is stopping.
+        """
+        if self.is_of_earlier_incarnation:
+            return False
+        return self.was_inherited or self.running_since_s is not None
+
     def ends_soon(self, now_s: float) -> bool:
         """Return whether a stop is expected to free its capacity shortly."""
         if self.phase is not RunPhase.STOPPING or self.is_stop_refused:
--- a/tanagerpath/core/workloads/tests/test_concluded_ends.py
+++ b/tanagerpath/core/workloads/tests/test_concluded_ends.py
@@ -221,6 +221,23 @@
         self.assertEqual([1, 2], _list_runs(rig, "w"))
         self.assertEqual("completed", rig.find_state("w"))
 
+    def test_run_that_an_earlier_leader_stops_is_over_only_with_its_end(self):
+        rig = Rig(upstreams=2)
+        rig.submit("w", _step(), work_s=3.0)
+        rig.run(0.5)
+        host, _ = _find_host(rig)
+        fake = rig.upstreams[host]
+        fake.hides_stopping = True
+        fake.stop_s = 0.8
+        session = rig.dispatcher.context.sessions[host]
+        view = next(iter(session.runs.values()))
+        rig.dispatcher._driver.stop(session, view, "a test", StopCause.PREEMPTION)
+        rig.run(0.1)
+        rig.start_term(2)
+        rig.run(6.0)
+        self.assertEqual([1, 2], _list_runs(rig, "w"))
+        self.assertEqual("completed", rig.find_state("w"))
+
     def test_run_that_vanished_without_an_end_starts_again_soon(self):
         rig = Rig(upstreams=2)
         rig.submit("w", _step(), work_s=3.0)
