Handle rejected proposals in the next step

Cause: while a transfer of the leadership waits for its target, the replica rejects proposals and still has its lease. The dispatcher proposed the rejected record again in the same step, in which no time passes, so that the step never ended.

--- a/tanagerpath/core/workloads/node.py
+++ b/tanagerpath/core/workloads/node.py
@@ -65,11 +65,23 @@
 
 @attrs.define
 class _LeaderTerm:
-    """State that exists only while this node leads."""
+    """State that exists only while this node leads.
+
+    Attributes
+    ----------
+    dispatcher, request_handler : Dispatcher, WorkloadRequestHandler
+        What decides.
+    events : list of object
+        Events for the dispatcher.
+    rejections : list of CommandRejected
+        Events for the next step. A rejected command is proposed again, and would be
+        rejected again for as long as the time of the step does not pass.
+    """
 
     dispatcher: Dispatcher
     request_handler: WorkloadRequestHandler
     events: list[object] = attrs.field(factory=list)
+    rejections: list[CommandRejected] = attrs.field(factory=list)
 
 
 def _count_types(events: list[object]) -> dict[str, int]:
@@ -195,7 +207,7 @@
 
     def _handle_rejected(self, proposal: OpenProposal) -> None:
         if self._leader_term is not None:
-            self._leader_term.events.append(CommandRejected(proposal.command))
+            self._leader_term.rejections.append(CommandRejected(proposal.command))
 
     def _log_error(self, part: str, error: Exception, **fields: object) -> None:
         line = describe_error(part, error, term=self._led_term, **fields)
@@ -246,6 +258,9 @@
         A group with a single voter commits at once, so effects may cause new events.
         """
         leader_term = self._leader_term
+        if leader_term is not None:
+            leader_term.events += leader_term.rejections
+            leader_term.rejections = []
         while leader_term is not None and leader_term.events:
             if self._must_step_down:
                 break
--- a/tanagerpath/core/workloads/tests/test_containment.py
+++ b/tanagerpath/core/workloads/tests/test_containment.py
@@ -4,22 +4,11 @@
 each new leader ended in the same way.
 """
 
-import random
-
 import attrs
 import testtools
 
-from tanagerpath.codecs.state import JsonFleetCodec
-from tanagerpath.core import consensus
-from tanagerpath.core.control import RequestArrived, SendReply
-from tanagerpath.core.coordination import CountEvent
 from tanagerpath.core.protocol.callers import ErrorBody
 from tanagerpath.core.workloads import (
-    DeadlinePolicy,
-    DeadlineTerms,
-    LogDecision,
-    WorkloadNode,
-    WorkloadNodeConfig,
     commands,
 )
 from tanagerpath.core.workloads.configuration import Configuration
@@ -34,6 +23,7 @@
 from tanagerpath.core.workloads.specs import StepSpec
 from tanagerpath.core.workloads.state import FleetState
 from tanagerpath.core.workloads.tests.rig import Rig
+from tanagerpath.core.workloads.tests.single_node import SingleNode
 
 SMALL = Resources(8_000, 16_000, 1)
 STEP = StepSpec(count=4, needs=SMALL, declared_run_s=1.0)
@@ -150,63 +140,10 @@
         self.assertNotEqual([], _list_faults(rig.decisions))
 
 
-class _SingleNode:
-    """A node that is the only voter of its group, with a disk that writes at once."""
-
-    def __init__(self):
-        config = WorkloadNodeConfig(
-            replica=consensus.ReplicaConfig(
-                vm_id="c1", address="127.0.0.1:1", vms={"c1": "127.0.0.1:1"}
-            )
-        )
-        replica = consensus.Replica.from_config(
-            config.replica, consensus.RestoredState(), random.Random(1)
-        )
-        self.node = WorkloadNode(
-            config,
-            replica,
-            JsonFleetCodec(),
-            lambda: DeadlinePolicy.from_config(DeadlineTerms()),
-        )
-        self.now_s = 0.0
-        self.replies = {}
-        self.decisions = []
-        self.faults = 0
-
-    def step(self, *events):
-        queue = list(events)
-        while True:
-            actions = self.node.step(queue, self.now_s, self.now_s)
-            queue = []
-            for action in actions:
-                match action:
-                    case consensus.PersistState(sequence=sequence):
-                        queue.append(consensus.StorageSynced(sequence))
-                    case SendReply(token, reply):
-                        self.replies[token] = reply
-                    case LogDecision():
-                        self.decisions.append(action)
-                    case CountEvent("decision failed"):
-                        self.faults += 1
-            if not queue:
-                return
-
-    def run(self, duration_s):
-        until_s = self.now_s + duration_s
-        while self.now_s < until_s:
-            self.now_s += 0.05
-            self.step()
-
-    def ask(self, token, request):
-        self.step(RequestArrived(token, request))
-        self.run(0.2)
-        return self.replies.get(token)
-
-
 class TestNode(testtools.TestCase):
     def setUp(self):
         super().setUp()
-        self.node = _SingleNode()
+        self.node = SingleNode()
         self.node.run(5.0)
         self.configuration = Configuration(version=1, document="first")
         self.node.ask(1, ConfigurationRequest(self.configuration))
