--- a/tanagerpath/core/workloads/dispatch_context.py
+++ b/tanagerpath/core/workloads/dispatch_context.py
@@ -28,6 +28,10 @@
 # A leader has deadlines ten times a second. Replies that arrive while it stands still
 # for longer may be taken for timeouts.
 MAX_STEP_INTERVAL_S = 0.3
+# Within each interval, periods in which tasks wait for the lists of all upstreams begin
+# only this long.
+HEARING_INTERVAL_S = 8.0
+MAX_HEARING_S = 4.0
 
 
 @attrs.frozen(kw_only=True)
@@ -168,6 +172,10 @@
         self.now = now
         # Time at which this process last went on after it had stood still.
         self.stalled_until_s = -math.inf
+        # Time since which each upstream must be heard before tasks start again, and
+        # beginning of the series of such periods.
+        self._unheard_since_s = now.now_s
+        self._hearing_began_s = now.now_s
         self.estimates = RunEstimates.from_learned(state.learned, now.now_s)
         self.backlog = Backlog(state, self.estimates)
         self.coverage = GuaranteeCoverage(state)
@@ -177,8 +185,9 @@
         self.health: dict[str, UpstreamHealth] = {}
         self.ends: list[QueuedEnd] = []
         self._ending: set[RunKey] = set()
-        # Outcomes of the runs that were closed in this term without a listed end.
-        self.closed_unlisted: dict[RunKey, RunOutcome] = {}
+        # Outcomes of the runs that were closed in this term without a listed end, by
+        # unfinished workload.
+        self.closed_unlisted: dict[str, dict[RunKey, RunOutcome]] = {}
         self.must_plan = True
         self._touched: dict[UpstreamSession, None] = {}
         self._effects: list[Effect] = []
@@ -190,9 +199,40 @@
 
     def advance(self, now: Instant) -> None:
         """Begin a step at a later time."""
-        if now.now_s - self.now_s > MAX_STEP_INTERVAL_S:
-            self.stalled_until_s = now.now_s
+        has_stalled = now.now_s - self.now_s > MAX_STEP_INTERVAL_S
         self.now = now
+        if has_stalled:
+            self.stalled_until_s = now.now_s
+            self.begin_hearing()
+
+    def begin_hearing(self) -> None:
+        """Let tasks that have had a run wait until each upstream was heard or asked.
+
+        A leader that is late all the time must not hold them back for good.
+        """
+        age_s = self.now_s - self._hearing_began_s
+        if age_s >= HEARING_INTERVAL_S:
+            self._hearing_began_s = self.now_s
+        if age_s >= HEARING_INTERVAL_S or age_s < MAX_HEARING_S:
+            self._unheard_since_s = self.now_s
+
+    def note_return(self) -> None:
+        """Note that an upstream replies again.
+
+        If it is the first one that does, the others may also reply from now on and list
+        how runs have ended.
+        """
+        if not any(one.synced and one.reachable for one in self.sessions.values()):
+            self.begin_hearing()
+
+    @property
+    def awaits_lists(self) -> bool:
+        """Whether an upstream may soon list how a run has ended that was closed."""
+        since_s = self._unheard_since_s
+        limit_s = self.terms.hold_timeout_s + REPLY_MARGIN_S
+        return self.now_s < since_s + limit_s and any(
+            session.is_unheard_since(since_s) for session in self.sessions.values()
+        )
 
     def add_effect(self, effect: Effect) -> None:
         """Add an effect to the current step."""
@@ -287,7 +327,7 @@
         end = RunEnd(view.task, view.run, outcome, checkpoint or view.checkpoint)
         self.ends.append(QueuedEnd(end, session, number))
         if not number:
-            self.closed_unlisted[view.key] = outcome
+            self._note_closed(view.key, outcome)
         self.log_task_decision(
             "run ended",
             view.task,
@@ -306,9 +346,20 @@
         """Queue the listed end of a run that was taken for over."""
         key = listed.task, listed.run
         session.late_ends.add(key)
+        self.closed_unlisted.get(listed.task.workload_id, {}).pop(key, None)
         end = RunEnd(listed.task, listed.run, listed.outcome)
         self.ends.append(QueuedEnd(end, session, listed.number, is_late=True))
 
+    def _note_closed(self, key: RunKey, outcome: RunOutcome) -> None:
+        """Remember how a run of an unfinished workload was closed without a list."""
+        workload = self.state.workloads.get(key[0].workload_id)
+        if workload is not None and workload.final_state is None:
+            self.closed_unlisted.setdefault(workload.workload_id, {})[key] = outcome
+
+    def find_closed(self, key: RunKey) -> RunOutcome | None:
+        """Return how this leader closed a run without a list, None if it did not."""
+        return self.closed_unlisted.get(key[0].workload_id, {}).get(key)
+
     def has_unrecorded_ends(self, session: UpstreamSession) -> bool:
         """Return whether ends of an upstream wait to be recorded."""
         return bool(session.late_ends) or any(map(self.is_ending, session.runs))
--- a/tanagerpath/core/workloads/dispatcher.py
+++ b/tanagerpath/core/workloads/dispatcher.py
@@ -331,6 +331,7 @@
         self._advice.forget(workload_id)
         self._preemption.forget(workload_id)
         context.start_backoff.forget(workload_id)
+        context.closed_unlisted.pop(workload_id, None)
         context.must_plan = True
         context.log_decision(
             "workload ended",
@@ -372,12 +373,12 @@
             self._propose_removals,
         ):
             self._run_part(part)
+        self.registry.reopen_faulted()
         if self._pending_record is None:
             self._record(self._planner.plan())
             # The stops of this plan must not wait for the next event.
             self._drive_upstreams(context.take_touched())
         self.registry.drop_departed()
-        self.registry.reopen_faulted()
 
     def _run_part(self, part: Callable[[], None]) -> None:
         """Run a part of the decisions that the others do not need."""
--- a/tanagerpath/core/workloads/planner.py
+++ b/tanagerpath/core/workloads/planner.py
@@ -141,10 +141,7 @@
             for (task, _), fence in session.fenced_runs.items()
             if fence.is_listed
         } | {queued.end.task for queued in context.ends if queued.is_late}
-        context.backlog.holds_repeats = any(
-            session.awaits_first_list(context.now_s)
-            for session in context.sessions.values()
-        )
+        context.backlog.holds_repeats = context.awaits_lists
         units = context.backlog.list_units(context.now, context.coverage.covered)
         return self._drop_set_aside(units)
 
--- a/tanagerpath/core/workloads/registry.py
+++ b/tanagerpath/core/workloads/registry.py
@@ -38,10 +38,8 @@
         # Unanswered starts of departed upstreams, which a successor may still receive.
         self._unanswered: dict[str, dict[RunKey, float]] = {}
         self._faulted: list[UpstreamSession] = []
-        first_list_until_s = context.find_call_expiry_s(context.terms.hold_timeout_s)
         for record in context.state.upstreams.values():
-            session = self._open_session(record)
-            session.first_list_until_s = first_list_until_s
+            self._open_session(record)
         for workload in context.state.workloads.values():
             self._adopt_runs(workload)
 
@@ -94,7 +92,9 @@
         elif session.record.incarnation != open_run.incarnation:
             self._mark_of_earlier_incarnation(view)
         context.run_index.add(session, view)
-        if workload.final_state is not None or workload.find_task(task_id).done:
+        # Members of a gang end by themselves when another one is done.
+        is_repeated = workload.find_task(task_id).done and not view.spec.gang
+        if workload.final_state is not None or is_repeated:
             view.enter(RunPhase.STOPPING, context.now_s)
 
     def _mark_of_earlier_incarnation(self, view: RunView) -> None:
@@ -367,6 +367,7 @@
             context.remove_session(session.upstream_id)
             self._remember_unanswered(session)
             self._open_session(session.record)
+            context.begin_hearing()
             context.log_decision(
                 "upstream used again after an error", upstream=session.upstream_id
             )
--- a/tanagerpath/core/workloads/run_closer.py
+++ b/tanagerpath/core/workloads/run_closer.py
@@ -26,9 +26,16 @@
 
     def close_departed(self, session: UpstreamSession) -> None:
         """End the runs of a departed upstream after a time without a reply."""
-        silent_since_s = max(session.departed_at_s, session.last_reply_s)
+        silent_since_s = max(
+            session.departed_at_s,
+            session.last_reply_s,
+            self._context.stalled_until_s,
+        )
         if self._context.now_s < silent_since_s + self._context.terms.leave_delay_s:
             return
+        if not session.record.address and not self._has_lapsed(session):
+            # An earlier leader knew its address; it can't be asked.
+            return
         if not self._awaits_successor(session):
             self._queue_ends(session, RunOutcome.LOST)
 
@@ -69,12 +76,13 @@
         """
         now_s = self._context.now_s
         expiry_s = session.find_lease_expiry_s(self._context.terms.leases)
-        if session.refused_holds or now_s >= expiry_s + MAX_VERIFICATION_S:
+        is_refused = session.reachable and session.refused_holds
+        if is_refused or now_s >= expiry_s + MAX_VERIFICATION_S:
             return True
         since_s = max(expiry_s, self._context.stalled_until_s)
         if session.failed_hold_sent_s >= since_s:
             return True
-        if session.hold is None or session.hold_sent_s < since_s:
+        if session.hold is None or session.hold.sent_s < since_s:
             session.request_list(now_s)
         return False
 
--- a/tanagerpath/core/workloads/run_driver.py
+++ b/tanagerpath/core/workloads/run_driver.py
@@ -7,7 +7,6 @@
 from tanagerpath.core.workloads.commands import RunOutcome
 from tanagerpath.core.workloads.dispatch_context import DispatchContext
 from tanagerpath.core.workloads.orders import (
-    HoldReply,
     HoldRequest,
     OrderDone,
     OrderRefused,
@@ -16,6 +15,7 @@
     StartRequest,
     StopRequest,
 )
+from tanagerpath.core.workloads.renewals import RenewalDriver
 from tanagerpath.core.workloads.run_closer import RunCloser
 from tanagerpath.core.workloads.run_lists import RunLists, RunStopper
 from tanagerpath.core.workloads.runs import (
@@ -35,14 +35,8 @@
 
 __all__ = ["RunDriver"]
 
-MS_PER_S = 1000
-# While ends wait to be recorded, an upstream answers each renewal at once.
-UNRECORDED_HOLD_INTERVAL_S = 1.0
 # Interval of the harmless stops that keep runs of an earlier incarnation from starting.
 BLOCKING_STOP_INTERVAL_S = 0.2
-# Seconds after a list within which ends are acknowledged: an upstream does not crash
-# and restart in that time without a failed exchange.
-ACKNOWLEDGE_WITHIN_S = 0.1
 # Refusals that concern one task only; the upstream may accept other tasks.
 _TASK_REFUSALS = frozenset({Refusal.SUPERSEDED, Refusal.NO_TICKET})
 
@@ -59,6 +53,7 @@
     def __init__(self, context: DispatchContext) -> None:
         self._context = context
         self._lists = RunLists(context, self)
+        self._renewals = RenewalDriver(context, self._lists)
         self._closer = RunCloser(context)
 
     # Orders
@@ -78,16 +73,7 @@
                 self._send_blocking_stop(session, key, fence)
         for view in tuple(session.runs.values()):
             self._drive_run(session, view)
-        self._drive_hold(session)
-
-    def _drive_hold(self, session: UpstreamSession) -> None:
-        """Send a renewal if one is due."""
-        now_s = self._context.now_s
-        is_awaited = session.hold is not None and now_s < session.hold_expires_s
-        if now_s >= session.list_due_s or (
-            not is_awaited and now_s >= session.next_hold_s
-        ):
-            self._send_hold(session)
+        self._renewals.drive(session)
 
     def _drive_departed(self, session: UpstreamSession) -> None:
         """End the runs of a departed upstream once it no longer replies.
@@ -106,7 +92,7 @@
                 cause = StopCause.UPSTREAM_LEAVES
                 self.stop(session, view, "its upstream leaves", cause)
             self._drive_run(session, view)
-        self._drive_hold(session)
+        self._renewals.drive(session)
 
     def _drive_run(self, session: UpstreamSession, view: RunView) -> None:
         context = self._context
@@ -133,7 +119,7 @@
             task=view.task,
             run=view.run,
             payload=record.spec.payload,
-            lease_until_ms=self._choose_lease(session, lease_s),
+            lease_until_ms=session.choose_lease(lease_s, context.now_s),
             fencing_token=context.term,
             checkpoint=view.checkpoint,
             ticket=view.ticket,
@@ -141,18 +127,6 @@
         session.unanswered_starts[view.key] = context.now_s
         self._send_order(session, view, request)
 
-    def _choose_lease(self, session: UpstreamSession, lease_s: float) -> int:
-        """Return the end of the lease for an order.
-
-        An unreachable upstream may carry an order out much later, and one that refuses
-        renewals may never accept one. The order must not extend the lease, or the runs
-        there would never count as ended.
-        """
-        is_renewed = session.reachable and not session.refused_holds
-        if not is_renewed and session.lease_until_ms:
-            return session.lease_until_ms
-        return session.extend_lease(lease_s, self._context.now_s)
-
     def _send_stop(self, session: UpstreamSession, view: RunView) -> None:
         request = StopRequest(
             task=view.task, run=view.run, fencing_token=self._context.term
@@ -183,46 +157,6 @@
         view.orders += 1
         self._context.call(session, request, timeout_s)
 
-    def _send_hold(self, session: UpstreamSession) -> None:
-        context = self._context
-        terms = context.terms
-        unrecorded = session.listed_end > session.recorded_end
-        may_wait = session.synced and not unrecorded
-        if context.now_s >= session.list_due_s:
-            session.list_due_s = math.inf
-            may_wait = False
-        wait_s = terms.hold_wait_s if may_wait else 0.0
-        if session.departed_at_s is not None:
-            # A longer wait would count as silence.
-            wait_s = min(wait_s, terms.hold_retry_s)
-        lease_until_ms = None
-        if session.runs and session.clock_ms is not None:
-            lease_until_ms = self._choose_lease(session, terms.leases.lease_s)
-        request = HoldRequest(
-            fencing_token=context.term,
-            end_cursor=self._choose_end_cursor(session),
-            lease_until_ms=lease_until_ms,
-            wait_ms=int(wait_s * MS_PER_S),
-        )
-        timeout_s = wait_s + terms.hold_timeout_s
-        if not session.reachable and not session.is_lapsing:
-            # An upstream that always replies late is not silent.
-            timeout_s = terms.hold_wait_s + terms.hold_timeout_s
-        session.hold = request
-        session.hold_sent_s = context.now_s
-        session.hold_expires_s = context.find_call_expiry_s(timeout_s)
-        context.call(session, request, timeout_s)
-
-    def _choose_end_cursor(self, session: UpstreamSession) -> int:
-        """Return the number up to which a renewal acknowledges ends.
-
-        An incarnation that has replaced the known one numbers its ends anew and would
-        drop ends that were never read. Only its lists tell incarnations apart.
-        """
-        if self._context.now_s > session.last_list_s + ACKNOWLEDGE_WITHIN_S:
-            return 0
-        return session.recorded_end
-
     def stop(
         self,
         session: UpstreamSession,
@@ -267,6 +201,10 @@
     def handle_failure(self, session: UpstreamSession, request: object) -> None:
         """Handle a call that ended without a reply."""
         context = self._context
+        session.last_list_s = -math.inf
+        if isinstance(request, HoldRequest) and not session.is_awaited(request):
+            # A later one has been sent since, and may have got a reply.
+            return
         if session.reachable:
             context.log_decision(
                 "upstream unreachable",
@@ -275,14 +213,8 @@
                 runs=len(session.runs),
             )
         session.reachable = False
-        session.last_list_s = -math.inf
         if isinstance(request, HoldRequest):
-            if request is session.hold:
-                session.hold = None
-                session.failed_hold_sent_s = session.hold_sent_s
-                session.next_hold_s = context.now_s + context.terms.hold_retry_s
-                if not request.wait_ms:
-                    session.request_list(session.next_hold_s)
+            self._renewals.handle_failure(session, request)
             return
         if isinstance(request, PaceRequest):
             self._repeat_pace(session, request, MAX_ORDER_DELAY_S)
@@ -321,12 +253,13 @@
         """Handle a reply of an upstream."""
         context = self._context
         if not session.reachable:
+            context.note_return()
             context.log_decision("upstream reachable", upstream=session.upstream_id)
         session.reachable = True
         session.last_contact_s = session.last_reply_s = context.now_s
         session.note_clock(reply.clock_ms, context.now_s)
         if isinstance(request, HoldRequest):
-            self._handle_hold_reply(session, request, reply)
+            self._renewals.handle_reply(session, request, reply)
             return
         if isinstance(request, PaceRequest) and isinstance(reply, OrderRefused):
             self._repeat_pace(session, request, context.terms.interference_s)
@@ -356,64 +289,13 @@
         fence.next_stop_s = now_s + MAX_STOP_S
         session.request_list(fence.list_after_s)
 
-    def _handle_hold_reply(
-        self,
-        session: UpstreamSession,
-        request: HoldRequest,
-        reply: HoldReply | OrderRefused,
-    ) -> None:
-        """Handle the reply to a renewal.
-
-        After a later renewal was sent, what an earlier one says of running tasks is
-        outdated. An end that it lists stays true.
-        """
-        if request is not session.hold:
-            if isinstance(reply, HoldReply):
-                self._lists.handle_ends(session, reply)
-            return
-        session.hold = None
-        if isinstance(reply, OrderRefused):
-            self._handle_refused_hold(session, reply.refusal)
-        else:
-            self._handle_renewed(session, reply)
-
-    def _handle_refused_hold(self, session: UpstreamSession, refusal: Refusal) -> None:
-        """Schedule the next renewal; the runs lapse if none is accepted in time."""
-        context = self._context
-        is_passing = refusal is Refusal.UNHEALTHY
-        delay_s = context.terms.hold_retry_s if is_passing else REFUSAL_BACKOFF_S
-        session.next_hold_s = context.now_s + delay_s
-        session.refused_holds += 1
-        if session.refused_holds == 1:
-            context.log_decision(
-                "renewal refused",
-                upstream=session.upstream_id,
-                refusal=str(refusal),
-                runs=len(session.runs),
-            )
-
-    def _handle_renewed(self, session: UpstreamSession, reply: HoldReply) -> None:
-        context = self._context
-        if session.refused_holds:
-            context.must_plan = True
-        session.refused_holds = 0
-        session.next_hold_s = context.now_s
-        session.last_list_s = context.now_s
-        self._lists.handle(session, reply, session.hold_sent_s)
-        if session.listed_end > session.recorded_end:
-            session.next_hold_s = context.now_s + UNRECORDED_HOLD_INTERVAL_S
-
     def _handle_done(self, session: UpstreamSession, view: RunView) -> None:
         now_s = self._context.now_s
         settled_s = now_s
         if view.phase is RunPhase.STOPPING:
             # Until then the run may go on without being listed.
             settled_s += self._find_stop_limit_s(view.may_have_begun)
-        # The reply to a repeated order must not put off the time of the first one.
-        earliest_s = view.expect_listed_after_s
-        view.expect_listed_after_s = (
-            settled_s if earliest_s is None else min(earliest_s, settled_s)
-        )
+        view.expect_listed_by(settled_s)
         if view.phase is RunPhase.STOPPING:
             view.next_order_s = now_s + MAX_STOP_S
             view.is_stop_refused = False
@@ -449,10 +331,11 @@
         view.is_stop_refused = True
         self._context.must_plan = True
         ordered_s = session.unanswered_starts.get(view.key)
-        view.expect_listed_after_s = now_s
+        # An earlier stop, whose reply was lost, may be under way.
+        settled_s = now_s + self._find_stop_limit_s(view.may_have_begun)
         if ordered_s is not None:
-            latest_start_s = ordered_s + MAX_ORDER_DELAY_S
-            view.expect_listed_after_s = max(now_s, latest_start_s)
+            settled_s = max(settled_s, ordered_s + MAX_ORDER_DELAY_S)
+        view.expect_listed_by(settled_s)
         is_passing = refusal is Refusal.UNHEALTHY
         delay_s = self._context.terms.hold_retry_s if is_passing else MAX_STOP_S
         view.next_order_s = now_s + delay_s
--- a/tanagerpath/core/workloads/run_lists.py
+++ b/tanagerpath/core/workloads/run_lists.py
@@ -103,7 +103,7 @@
                 if view.key not in listed and view.key not in ended:
                     self._handle_unlisted(session, view, requested_s)
             self._update_fences(session, listed, requested_s)
-        if not session.synced:
+        if reply.is_whole and not session.synced:
             session.synced = True
             context.must_plan = True
             context.log_decision(
@@ -190,20 +190,23 @@
     ) -> None:
         """Record an end that corrects the state; acknowledge any other one at once."""
         context = self._context
-        if self._corrects_state(end):
+        if self._corrects_state(session, end):
             self._log_late_end(session, end)
             context.queue_late_end(session, end)
         elif not context.has_unrecorded_ends(session):
             session.recorded_end = end.number
 
-    def _corrects_state(self, end: EndedRun) -> bool:
+    def _corrects_state(self, session: UpstreamSession, end: EndedRun) -> bool:
         """Return whether a run that is taken for over has ended by itself.
 
-        A later leader can't tell whether an end as failed was recorded already, and
-        must not count it twice.
+        Whether an end as failed was recorded already is known for gangs, which keep the
+        numbers of failed runs, and for runs that this leader closed. Others must not
+        count twice.
         """
         context = self._context
         key = end.task, end.run
+        if key in session.late_ends:
+            return False
         workload = context.state.workloads.get(end.task.workload_id)
         if workload is None or workload.final_state is not None:
             return False
@@ -212,10 +215,14 @@
         if workload.spec.steps[end.task.step].long_running:
             return False
         record = workload.find_task(end.task)
-        if record.done or end.run > record.last_run:
+        if record.done or not 1 <= end.run <= record.last_run:
+            return False
+        if record.find_open(end.run) is not None and key not in session.runs:
+            # Its record names another upstream.
             return False
         if end.outcome is RunOutcome.FAILED:
-            return key in context.closed_unlisted
+            is_gang = workload.spec.steps[end.task.step].gang
+            return is_gang or context.find_closed(key) is not None
         return end.outcome is RunOutcome.DONE
 
     def _log_late_end(self, session: UpstreamSession, end: EndedRun) -> None:
@@ -230,7 +237,7 @@
             upstream=session.upstream_id,
             incarnation=session.record.incarnation,
             number=end.number,
-            closed_as=str(context.closed_unlisted.get((end.task, end.run), "")),
+            closed_as=str(context.find_closed((end.task, end.run)) or ""),
             closing=context.is_ending((end.task, end.run)),
             last_run=record.last_run,
             open_runs=[open_run.run for open_run in record.open_runs],
--- a/tanagerpath/core/workloads/runs.py
+++ b/tanagerpath/core/workloads/runs.py
@@ -174,6 +174,15 @@
             return False
         return now_s < self.entered_s + MAX_STOP_S
 
+    def expect_listed_by(self, settled_s: float) -> None:
+        """Set the time from which on lists show whether it is over.
+
+        The reply to a repeated order does not put off the time of the first one.
+        """
+        earliest_s = self.expect_listed_after_s
+        if earliest_s is None or settled_s < earliest_s:
+            self.expect_listed_after_s = settled_s
+
     def enter(self, phase: RunPhase, now_s: float) -> None:
         """Enter a phase, and reset the orders."""
         self.phase = phase
--- a/tanagerpath/core/workloads/sessions.py
+++ b/tanagerpath/core/workloads/sessions.py
@@ -14,6 +14,7 @@
     "MAX_ORDER_DELAY_S",
     "REFUSAL_BACKOFF_S",
     "LeaseTerms",
+    "SentHold",
     "UpstreamSession",
 ]
 
@@ -24,6 +25,7 @@
 REFUSAL_BACKOFF_S = 1.0
 # Below the bound of guaranteed starts, so that an upstream that has recovered is used.
 REPEATED_REFUSAL_BACKOFF_S = 2.0
+MAX_EARLIER_HOLDS = 3
 
 
 @attrs.frozen(kw_only=True)
@@ -52,6 +54,15 @@
         return lease_s / (1 - self.clock_rate_error) + self.margin_s
 
 
+@attrs.frozen
+class SentHold:
+    """A renewal, the time at which it was sent, and until which it is awaited."""
+
+    request: HoldRequest
+    sent_s: float
+    expires_s: float
+
+
 @attrs.define(eq=False)
 class UpstreamSession:
     """One incarnation of an upstream, and the runs on it.
@@ -86,17 +97,16 @@
         Sequence number of the last heartbeat.
     remaining_until_s : float or None
         Time until which a draining upstream stays up at least.
-    hold : HoldRequest or None
-        The renewal whose reply is awaited.
-    hold_sent_s, hold_expires_s : float
-        Time at which it was sent, and time until which its reply is awaited.
+    hold : SentHold or None
+        The last renewal, while its reply is awaited.
+    earlier_holds : list of SentHold
+        Renewals before it whose replies may still arrive.
+    list_sent_s : float
+        Time at which the renewal with the latest lists was sent.
     failed_hold_sent_s : float
         Time at which the last renewal without a reply was sent.
     is_lapsing : bool
         Whether its lease has run out, so that it is asked once more.
-    first_list_until_s : float
-        Time until which its first lists are awaited before tasks start again; minus
-        infinity if it registered during the term.
     next_hold_s : float
         Earliest time of the next renewal.
     list_due_s : float
@@ -149,12 +159,11 @@
     last_list_s: float = -math.inf
     heartbeat_sequence: int = -1
     remaining_until_s: float | None = None
-    hold: HoldRequest | None = None
-    hold_sent_s: float = 0.0
-    hold_expires_s: float = 0.0
+    hold: SentHold | None = None
+    earlier_holds: list[SentHold] = attrs.Factory(list)
+    list_sent_s: float = -math.inf
     failed_hold_sent_s: float = -math.inf
     is_lapsing: bool = False
-    first_list_until_s: float = -math.inf
     next_hold_s: float = 0.0
     list_due_s: float = math.inf
     refused_holds: int = 0
@@ -203,11 +212,31 @@
             and self.departed_at_s is None
         )
 
-    def awaits_first_list(self, now_s: float) -> bool:
-        """Return whether a new leader may still learn soon how runs on it ended."""
-        has_failed = self.failed_hold_sent_s > -math.inf or self.refused_holds > 0
-        is_asked = self.synced or has_failed or self.is_faulted
-        return not is_asked and now_s < self.first_list_until_s
+    def is_unheard_since(self, since_s: float) -> bool:
+        """Return whether it may soon list ends that nothing was heard of.
+
+        It has not replied yet, or not lately, and no renewal since then has failed.
+        """
+        is_heard = self.synced and self.reachable
+        is_left_out = self.is_faulted or self.departed_at_s is not None
+        return not (is_heard or is_left_out or self.failed_hold_sent_s >= since_s)
+
+    def is_awaited(self, request: HoldRequest) -> bool:
+        """Return whether a request is the last renewal, and without a reply."""
+        return self.hold is not None and self.hold.request is request
+
+    def keep_earlier_hold(self, hold: SentHold) -> None:
+        """Remember a renewal that a later one replaces."""
+        self.earlier_holds = [*self.earlier_holds, hold][-MAX_EARLIER_HOLDS:]
+
+    def take_hold(self, request: HoldRequest) -> SentHold | None:
+        """Return the renewal with a request, which has got its reply."""
+        if self.is_awaited(request):
+            hold, self.hold = self.hold, None
+            return hold
+        hold = next((one for one in self.earlier_holds if one.request is request), None)
+        self.earlier_holds = [one for one in self.earlier_holds if one is not hold]
+        return hold
 
     def note_refusal(self, needs: Resources, now_s: float, until_s: float) -> None:
         """Record a refused start.
@@ -286,6 +315,18 @@
         self.lease_until_ms = max(self.lease_until_ms, until_ms)
         return until_ms
 
+    def choose_lease(self, lease_s: float, now_s: float) -> int:
+        """Return the end of the lease for an order.
+
+        An unreachable upstream may carry an order out much later, and one that refuses
+        renewals may never accept one. The order must not extend the lease, or the runs
+        there would never count as ended.
+        """
+        is_renewed = self.reachable and not self.refused_holds
+        if not is_renewed and self.lease_until_ms:
+            return self.lease_until_ms
+        return self.extend_lease(lease_s, now_s)
+
     def find_lease_expiry_s(self, terms: LeaseTerms) -> float:
         """Return the time by which all leases of the upstream have expired."""
         if self.clock_ms is None or not self.lease_until_ms:
--- a/tanagerpath/core/workloads/tests/rig.py
+++ b/tanagerpath/core/workloads/tests/rig.py
@@ -298,12 +298,17 @@
                         self.index += 1
                         applied = self.state.apply(self.index, command)
                         queue.append(CommandRecorded(command, applied))
-                    case CallUpstream():
-                        self._call(effect)
-                    case LogDecision():
-                        self.decisions.append(effect)
-                    case CountEvent(name):
-                        self.counts[name] += 1
+                    case _:
+                        self._carry_out(effect)
+
+    def _carry_out(self, effect):
+        match effect:
+            case CallUpstream():
+                self._call(effect)
+            case LogDecision():
+                self.decisions.append(effect)
+            case CountEvent(name):
+                self.counts[name] += 1
 
     def _schedule(self, delay_s, delivery):
         self._scheduled.append((self.now_s + delay_s, next(self._sequence), delivery))
