Bar the task of an unknown run until the run has ended

What callers saw: a task ran twice after an upstream had listed a run of it that the log did not have, if the upstream needed longer for a stop than stop_timeout_s. Cause: the task was barred by whether the last list had the run as running. One that is stopping may be in no list. Change: once listed, a run bars its task until a list that was requested a second after the answer to its stop lacks it.

--- a/tanagerpath/core/workloads/run_lists.py
+++ b/tanagerpath/core/workloads/run_lists.py
@@ -156,7 +156,7 @@
             run=running.run,
             upstream=session.upstream_id,
         )
-        session.fenced_runs[key] = RunFence(context.now_s, is_listed=True)
+        session.fenced_runs[key] = RunFence(context.now_s)
         context.touch(session)
 
     def _update_fences(
@@ -164,11 +164,13 @@
     ) -> None:
         """Lift the fences of runs that a list shows to be over."""
         for key, fence in tuple(session.fenced_runs.items()):
-            fence.is_listed = key in listed
+            is_running = key in listed
+            # One that is stopping may be in no list.
+            fence.is_listed = fence.is_listed or is_running
             is_settled = (
                 fence.list_after_s is not None and requested_s >= fence.list_after_s
             )
-            if is_settled and not fence.is_listed:
+            if is_settled and not is_running:
                 del session.fenced_runs[key]
                 self._context.must_plan = True
 
--- a/tanagerpath/core/workloads/runs.py
+++ b/tanagerpath/core/workloads/runs.py
@@ -252,7 +252,7 @@
         A list that was requested from this time on shows whether it is over; None
         while no stop is answered.
     is_listed : bool
-        Whether the last list has it as running.
+        Whether a list had it as running, so that its task must not start elsewhere.
     """
 
     next_stop_s: float
