Give the rounds of lists a module of their own, and use plainer terms

Change: list_rounds.py; 'closed', 'stall' and 'last renewal' in comments and names. No behaviour changes. Measured: the tests of core/workloads pass.

--- a/tanagerpath/core/workloads/backlog.py
+++ b/tanagerpath/core/workloads/backlog.py
@@ -29,7 +29,7 @@
         Tasks whose start is proposed and not yet committed.
     barred : set of TaskId
         Tasks that must wait: an upstream runs them without a record, or has listed
-        the end of a run that was taken for over.
+        the end of a run that is closed.
     holds_repeats : bool
         Whether tasks that have had a run must wait, because an upstream may still list
         how it ended.
--- a/tanagerpath/core/workloads/dispatch_context.py
+++ b/tanagerpath/core/workloads/dispatch_context.py
@@ -13,6 +13,7 @@
 from tanagerpath.core.workloads.estimates import RunEstimates
 from tanagerpath.core.workloads.events import LogDecision
 from tanagerpath.core.workloads.health import HealthTerms, UpstreamHealth
+from tanagerpath.core.workloads.list_rounds import ListRound
 from tanagerpath.core.workloads.orders import EndedRun
 from tanagerpath.core.workloads.run_index import RunIndex
 from tanagerpath.core.workloads.runs import RunKey, RunView
@@ -25,13 +26,9 @@
 
 # Longest delay from the timeout of a call to the handling of its result.
 REPLY_MARGIN_S = 1.0
-# A leader has deadlines ten times a second. Replies that arrive while it stands still
-# for longer may be taken for timeouts.
+# A leader has deadlines ten times a second. If it stalls for longer, replies that
+# arrive meanwhile may count as timeouts.
 MAX_STEP_INTERVAL_S = 0.3
-# Within each interval, periods in which tasks wait for the lists of all upstreams begin
-# only this long.
-HEARING_INTERVAL_S = 8.0
-MAX_HEARING_S = 4.0
 
 
 @attrs.frozen(kw_only=True)
@@ -139,7 +136,7 @@
     number : int
         Number of its `EndedRun`, 0 if no list names it.
     is_late : bool
-        Whether the run had been taken for over before its end was listed.
+        Whether the run had been closed before its end was listed.
     """
 
     end: RunEnd
@@ -170,12 +167,11 @@
         self.state = state
         self.term = term
         self.now = now
-        # Time at which this process last went on after it had stood still.
+        # End of the last stall of this process.
         self.stalled_until_s = -math.inf
-        # Time since which each upstream must be heard before tasks start again, and
-        # beginning of the series of such periods.
-        self._unheard_since_s = now.now_s
-        self._hearing_began_s = now.now_s
+        self.list_round = ListRound.from_start(
+            now.now_s, terms.hold_timeout_s + REPLY_MARGIN_S
+        )
         self.estimates = RunEstimates.from_learned(state.learned, now.now_s)
         self.backlog = Backlog(state, self.estimates)
         self.coverage = GuaranteeCoverage(state)
@@ -203,35 +199,23 @@
         self.now = now
         if has_stalled:
             self.stalled_until_s = now.now_s
-            self.begin_hearing()
-
-    def begin_hearing(self) -> None:
-        """Let tasks that have had a run wait until each upstream was heard or asked.
-
-        A leader that is late all the time must not hold them back for good.
-        """
-        age_s = self.now_s - self._hearing_began_s
-        if age_s >= HEARING_INTERVAL_S:
-            self._hearing_began_s = self.now_s
-        if age_s >= HEARING_INTERVAL_S or age_s < MAX_HEARING_S:
-            self._unheard_since_s = self.now_s
+            self.list_round.begin(now.now_s)
 
     def note_return(self) -> None:
         """Note that an upstream replies again.
 
-        If it is the first one that does, the others may also reply from now on and list
-        how runs have ended.
+        If none other replies, the leader itself may have been cut off, and the other
+        upstreams may reply from now on too.
         """
         if not any(one.synced and one.reachable for one in self.sessions.values()):
-            self.begin_hearing()
+            self.list_round.begin(self.now_s)
 
     @property
     def awaits_lists(self) -> bool:
-        """Whether an upstream may soon list how a run has ended that was closed."""
-        since_s = self._unheard_since_s
-        limit_s = self.terms.hold_timeout_s + REPLY_MARGIN_S
-        return self.now_s < since_s + limit_s and any(
-            session.is_unheard_since(since_s) for session in self.sessions.values()
+        """Whether an upstream may soon list the end of a run that was closed."""
+        return self.list_round.is_open(self.now_s) and any(
+            session.is_unlisted_since(self.list_round.began_s)
+            for session in self.sessions.values()
         )
 
     def add_effect(self, effect: Effect) -> None:
@@ -343,7 +327,7 @@
         )
 
     def queue_late_end(self, session: UpstreamSession, listed: EndedRun) -> None:
-        """Queue the listed end of a run that was taken for over."""
+        """Queue the listed end of a run that is closed."""
         key = listed.task, listed.run
         session.late_ends.add(key)
         self.closed_unlisted.get(listed.task.workload_id, {}).pop(key, None)
--- a/tanagerpath/core/workloads/records.py
+++ b/tanagerpath/core/workloads/records.py
@@ -177,7 +177,7 @@
         ----------
         end : RunEnd
             The end. If its run is not open, only an end as done or failed of an
-            unfinished task counts: the run was taken for over, and its upstream has
+            unfinished task counts: the run was closed, and its upstream has
             listed the end since.
         max_attempts : int
             Failed runs after which the workload has failed.
--- a/tanagerpath/core/workloads/registry.py
+++ b/tanagerpath/core/workloads/registry.py
@@ -367,7 +367,7 @@
             context.remove_session(session.upstream_id)
             self._remember_unanswered(session)
             self._open_session(session.record)
-            context.begin_hearing()
+            context.list_round.begin(context.now_s)
             context.log_decision(
                 "upstream used again after an error", upstream=session.upstream_id
             )
--- a/tanagerpath/core/workloads/run_closer.py
+++ b/tanagerpath/core/workloads/run_closer.py
@@ -54,7 +54,7 @@
     def close_lapsed(self, session: UpstreamSession) -> None:
         """End the runs of an upstream that is not renewed, with its lease.
 
-        It is asked once more first, as it may list how they ended.
+        A last renewal is sent first, as the upstream may list how they ended.
         """
         session.is_lapsing = False
         if not session.runs and not session.fenced_runs:
@@ -71,7 +71,7 @@
     def _is_silent(self, session: UpstreamSession) -> bool:
         """Return whether a renewal that was sent after the lease got no reply.
 
-        One that failed while this process stood still does not count: its reply may
+        One that failed during a stall of this process does not count: its reply may
         have arrived unread. If there is none, one is requested.
         """
         now_s = self._context.now_s
--- a/tanagerpath/core/workloads/run_lists.py
+++ b/tanagerpath/core/workloads/run_lists.py
@@ -199,7 +199,7 @@
             session.recorded_end = end.number
 
     def _corrects_state(self, session: UpstreamSession, end: EndedRun) -> bool:
-        """Return whether a run that is taken for over has ended by itself.
+        """Return whether a run that is closed has ended by itself.
 
         Whether an end as failed was recorded already is known for gangs, which keep the
         numbers of failed runs, and for runs that this leader closed. Others must not
--- a/tanagerpath/core/workloads/sessions.py
+++ b/tanagerpath/core/workloads/sessions.py
@@ -106,7 +106,7 @@
     failed_hold_sent_s : float
         Time at which the last renewal without a reply was sent.
     is_lapsing : bool
-        Whether its lease has run out, so that it is asked once more.
+        Whether its lease has run out, so that a last renewal is sent.
     next_hold_s : float
         Earliest time of the next renewal.
     list_due_s : float
@@ -212,8 +212,8 @@
             and self.departed_at_s is None
         )
 
-    def is_unheard_since(self, since_s: float) -> bool:
-        """Return whether it may soon list ends that nothing was heard of.
+    def is_unlisted_since(self, since_s: float) -> bool:
+        """Return whether it may soon list ends that the leader does not know.
 
         It has not replied yet, or not lately, and no renewal since then has failed.
         """
--- a/tanagerpath/core/workloads/tests/test_concluded_ends.py
+++ b/tanagerpath/core/workloads/tests/test_concluded_ends.py
@@ -121,7 +121,7 @@
 
 
 class TestStalls(testtools.TestCase):
-    def test_call_that_failed_while_the_leader_stood_still_shows_no_silence(self):
+    def test_call_that_failed_during_a_stall_of_the_leader_shows_no_silence(self):
         rig = Rig(upstreams=2)
         rig.submit("w", make_step())
         rig.run(0.5)
--- a/tanagerpath/core/workloads/tests/test_corrected_ends.py
+++ b/tanagerpath/core/workloads/tests/test_corrected_ends.py
@@ -111,7 +111,7 @@
         gang, last = make_step(2, WHOLE, gang=True), make_step(depends_on=(0,))
         rig.submit("gang", gang, last, queue="batch", work_s=2.0)
         rig.run(1.5)
-        # The other one stands still shortly before the end.
+        # The other one stalls shortly before the end.
         frozen = rig.upstreams["u1"]
         frozen.advance = lambda: None
         rig.run(0.8)
