--- a/tanagerpath/emulator/soak.py
+++ b/tanagerpath/emulator/soak.py
@@ -7,17 +7,20 @@
 """
 
 import argparse
+import functools
 import json
 import pathlib
 import random
 import shutil
 import sys
 import tempfile
+from collections.abc import Callable
 
 import anyio
 import attrs
 from anyio.abc import TaskGroup
 
+from tanagerpath.core.workloads.specs import WorkloadSpec
 from tanagerpath.emulator.soak_clients import (
     CallerTask,
     ControlsMoved,
@@ -28,10 +31,18 @@
     UnservedQuery,
     WaitForAcknowledgement,
 )
-from tanagerpath.emulator.soak_faults import FaultSequence, FaultStep
+from tanagerpath.emulator.soak_faults import LEADER, FaultSequence, FaultStep
+from tanagerpath.emulator.soak_fleet import (
+    FaultsCleared,
+    HeartbeatAddressesMoved,
+    LeaderQuery,
+    WorkerFaultsTask,
+    WorkersHost,
+)
 from tanagerpath.emulator.soak_interface import SoakInterface
 from tanagerpath.emulator.soak_plan import Layout, SoakPlan
 from tanagerpath.emulator.soak_site import ProcessNotReady, SoakSite
+from tanagerpath.emulator.soak_workloads import draw_workload, make_plain_workload
 from tanagerpath.errors import iterate_leaf_exceptions
 from tanagerpath.runtime import Reply
 
@@ -40,6 +51,8 @@
 # A first start has no stated bound; processes take seconds to start beside other load.
 START_LIMIT_S = 30.0
 SEED_LIMIT_S = 180.0
+# A seed with workers has a series more and waits until all workloads are completed.
+WORKERS_LIMIT_S = 120.0
 POLL_INTERVAL_S = 0.05
 
 
@@ -53,10 +66,15 @@
         Time in seconds for which a VM that is back still counts as lost.
     recovery_s : float
         Time in seconds within which requests are served once all VMs are back.
+    completion_s : float
+        Time in seconds within which all accepted workloads are completed once requests
+        are served after the last fault: a worker may have been silent, an order may
+        come late, and a lease and the steps of a workload follow each other.
     """
 
     catch_up_s: float = 4.0
     recovery_s: float = 12.0
+    completion_s: float = 45.0
 
 
 @attrs.frozen
@@ -78,6 +96,13 @@
         Last acknowledged version.
     workloads : int
         Accepted workloads.
+    starts : int
+        Runs that workers began.
+    restarts_after_idle_expiry, restarts_after_expiry : int
+        Starts after an acknowledged end as done that an expired lease excuses, where
+        nothing ran on the worker when it expired, and the others.
+    completed_s : float or None
+        Seconds after the last fault until all workloads were completed.
     slowest_sync_s : float
         Longest time in seconds that the machine's disk took for a sync of the soak's
         own; above a second, a late recovery may be due to the machine.
@@ -91,6 +116,10 @@
     recovered_s: tuple[float, ...]
     version: int
     workloads: int
+    starts: int
+    restarts_after_idle_expiry: int
+    restarts_after_expiry: int
+    completed_s: float | None
     slowest_sync_s: float
     duration_s: float
 
@@ -114,16 +143,35 @@
         self._interface = interface
         source = random.Random(plan.seed)
         self.site = SoakSite(plan.layout, interface, folder, source)
-        self.judge = JudgeTask()
+        self.judge = JudgeTask(folder / "runs.log")
         judge = self.judge.mailbox
+        self._workers: WorkersHost | None = None
+        if plan.layout.workers:
+            workers = self.site.workers
+            self._workers = WorkersHost(
+                interface, workers, judge, random.Random(plan.seed)
+            )
         self._operator = OperatorTask(interface, judge, random.Random(plan.seed))
         self._caller = CallerTask(
-            interface, judge, self.site.entry_address, random.Random(plan.seed)
+            interface,
+            judge,
+            self.site.entry_address,
+            random.Random(plan.seed),
+            self._choose_workloads(),
         )
         self.probe = DiskProbeTask(folder)
         self._readers: dict[str, anyio.CancelScope] = {}
         self.broken: list[str] = []
         self.recovered_s: list[float] = []
+        self.completed_s: float | None = None
+
+    def _choose_workloads(self) -> Callable[[str], WorkloadSpec]:
+        if self._workers is None:
+            return make_plain_workload
+        # A source of its own, so that the requests of a seed are the same without
+        # workers.
+        source = random.Random(self._plan.seed)
+        return functools.partial(draw_workload, source=source)
 
     async def play(self) -> None:
         """Start the processes, inflict all faults, and check what is left."""
@@ -141,10 +189,13 @@
     async def _play_faults(self, tasks: TaskGroup) -> None:
         tasks.start_soon(self.judge.run)
         tasks.start_soon(self.probe.run)
+        if self._workers is not None:
+            self._workers.start(tasks)
         async with anyio.create_task_group() as clients:
             self._follow_processes(clients)
             clients.start_soon(self._operator.run)
             clients.start_soon(self._caller.run)
+            self._start_worker_faults(clients)
             await self._await_service("the start", START_LIMIT_S)
             await anyio.sleep(self._terms.catch_up_s)
             for steps, kills_all in zip(
@@ -156,6 +207,9 @@
                     await self._lose((), 0.0, clients)
                     await self._await_service("the kill", self._terms.recovery_s)
                     await anyio.sleep(self._terms.catch_up_s)
+            if self._plan.leader_series:
+                await self._play_series(self._plan.leader_series, clients)
+                await self._await_service("a series", self._terms.recovery_s)
             final = self._plan.final
             self._operator.mailbox.post(WaitForAcknowledgement(acknowledged := Reply()))
             if (
@@ -171,6 +225,25 @@
         unclear = await self._caller.check_all()
         if unclear:
             self.broken.append(f"no clear reply about {len(unclear)} workloads")
+        if self._workers is not None:
+            await self._await_completion()
+
+    def _start_worker_faults(self, clients: TaskGroup) -> None:
+        if self._workers is not None:
+            steps = self._plan.worker_steps
+            clients.start_soon(WorkerFaultsTask(steps, self._workers.mailbox).run)
+
+    async def _await_completion(self) -> None:
+        self._workers.mailbox.post(FaultsCleared())
+        began_s = anyio.current_time()
+        limit_s = self._terms.completion_s
+        if left := await self._caller.await_final_states(limit_s):
+            self.broken.append(
+                f"{len(left)} workloads are not completed within {limit_s} s of the "
+                f"last fault: {', '.join(left)}"
+            )
+            return
+        self.completed_s = round(anyio.current_time() - began_s, 2)
 
     async def _play_series(
         self, steps: tuple[FaultStep, ...], clients: TaskGroup
@@ -182,13 +255,21 @@
         async with anyio.create_task_group() as ends:
             while not sequence.is_over(anyio.current_time()):
                 now_s = anyio.current_time()
-                while (step := sequence.begin_due(now_s)) is not None:
+                leader_id = await self._find_leader()
+                while (step := sequence.begin_due(now_s, leader_id)) is not None:
                     step.fault.begin(self.site, step.vm_id)
                 while (step := sequence.end_due(now_s)) is not None:
                     ends.start_soon(self._end_step, step, sequence, clients)
                 self.site.note_ended()
                 await anyio.sleep(POLL_INTERVAL_S)
 
+    async def _find_leader(self) -> str:
+        """Return the VM that leads, as workers were told, or `LEADER` if unknown."""
+        if self._workers is None:
+            return LEADER
+        self._workers.mailbox.post(LeaderQuery(reply := Reply()))
+        return self.site.find_vm(await reply.receive()) or LEADER
+
     async def _end_step(
         self, step: FaultStep, sequence: FaultSequence, clients: TaskGroup
     ) -> None:
@@ -223,7 +304,10 @@
             if name not in self._readers:
                 scope = self._readers[name] = anyio.CancelScope()
                 clients.start_soon(self._read, scope, name, address)
-        self._operator.mailbox.post(ControlsMoved(tuple(processes.values())))
+        addresses = tuple(processes.values())
+        self._operator.mailbox.post(ControlsMoved(addresses))
+        if self._workers is not None:
+            self._workers.mailbox.post(HeartbeatAddressesMoved(addresses))
 
     async def _read(self, scope: anyio.CancelScope, name: str, address: str) -> None:
         with scope:
@@ -257,18 +341,23 @@
     """Play one plan in an empty folder, within a bounded time."""
     began_s = anyio.current_time()
     run = _SoakRun(plan, interface, folder, terms)
-    with anyio.move_on_after(SEED_LIMIT_S) as scope:
+    limit_s = SEED_LIMIT_S + (WORKERS_LIMIT_S if plan.layout.workers else 0.0)
+    with anyio.move_on_after(limit_s) as scope:
         await run.play()
     if scope.cancelled_caught:
-        run.broken.append(f"not done within {SEED_LIMIT_S} s")
-    promises = run.judge.promises
+        run.broken.append(f"not done within {limit_s} s")
+    promises, rules = run.judge.promises, run.judge.run_rules
     return SoakResult(
         plan.seed,
         plan.layout,
-        (*promises.broken, *run.site.faults, *run.broken),
+        (*promises.broken, *rules.broken, *run.site.faults, *run.broken),
         tuple(run.recovered_s),
         promises.acknowledged_version,
         promises.accepted_count,
+        rules.starts,
+        rules.restarts_after_idle_expiry,
+        rules.restarts_after_expiry,
+        run.completed_s,
         round(run.probe.slowest_s, 2),
         round(anyio.current_time() - began_s, 1),
     )
@@ -282,8 +371,12 @@
     print(
         f"seed {plan.seed}: {verdict} in {result.duration_s} s, "
         f"{plan.layout.controls} control processes, "
-        f"{plan.layout.tolerated_losses} losses, version {result.version}, "
-        f"{result.workloads} workloads, recovered in {list(result.recovered_s)} s, "
+        f"{plan.layout.tolerated_losses} losses, {plan.layout.workers} workers, "
+        f"version {result.version}, {result.workloads} workloads, {result.starts} runs "
+        f"({result.restarts_after_idle_expiry} after an end as done and an idle "
+        f"worker's expired lease, {result.restarts_after_expiry} after another "
+        f"expired lease), recovered in {list(result.recovered_s)} s, "
+        f"completed in {result.completed_s} s, "
         f"slowest sync {result.slowest_sync_s} s",
         flush=True,
     )
@@ -306,17 +399,28 @@
     add("--first", type=int, default=0, help="first seed")
     add("--controls", type=int, help="control processes, with --losses")
     add("--losses", type=int, help="losses that must be borne, with --controls")
+    add("--workers", type=int, help="workers; 0 leaves all workloads queued")
     return parser
 
 
+def _choose_layout(flags: argparse.Namespace, seed: int) -> Layout:
+    layout = Layout.from_seed(seed)
+    if flags.controls:
+        layout = Layout(flags.controls, flags.losses, layout.workers)
+    if flags.workers is not None:
+        layout = attrs.evolve(layout, workers=flags.workers)
+    return layout
+
+
 def main(arguments: list[str] | None = None) -> int:
     """Play the seeds one after the other; the exit status is 0 if all passed."""
     from tanagerpath.platform.soak_interface import PlatformInterface
 
     flags = make_parser().parse_args(arguments)
-    layout = Layout(flags.controls, flags.losses) if flags.controls else None
     results = [
-        _run_one(SoakPlan.from_seed(seed, layout), PlatformInterface())
+        _run_one(
+            SoakPlan.from_seed(seed, _choose_layout(flags, seed)), PlatformInterface()
+        )
         for seed in range(flags.first, flags.first + flags.seeds)
     ]
     failed = [result.seed for result in results if result.broken]
--- a/tanagerpath/emulator/soak_clients.py
+++ b/tanagerpath/emulator/soak_clients.py
@@ -3,12 +3,16 @@
 import os
 import pathlib
 import random
+import time
+from collections.abc import Callable
+from typing import TextIO
 
 import anyio
 import anyio.to_thread
 import attrs
 from returns.pipeline import is_successful
 
+from tanagerpath.core.workloads.specs import WorkloadSpec
 from tanagerpath.emulator.soak_interface import SoakInterface
 from tanagerpath.emulator.soak_promises import (
     ConfigurationAcknowledged,
@@ -16,9 +20,18 @@
     Promises,
     Shown,
     WorkloadAccepted,
+    WorkloadCancelSent,
     WorkloadRefused,
     WorkloadShown,
 )
+from tanagerpath.emulator.soak_run_rules import RunRules, WorkloadSent
+from tanagerpath.emulator.soak_worker import (
+    EndAcknowledged,
+    LeaseExpired,
+    RunEnded,
+    RunEvent,
+    RunStarted,
+)
 from tanagerpath.runtime import Mailbox, Reply, Task
 from tanagerpath.runtime.client import HttpClient, HttpReply, HttpRequest
 
@@ -30,6 +43,7 @@
     "OperatorTask",
     "ReaderTask",
     "UnservedQuery",
+    "UnsettledQuery",
     "WaitForAcknowledgement",
 ]
 
@@ -67,25 +81,54 @@
     reply: Reply[list[str]]
 
 
+@attrs.frozen(eq=False)
+class UnsettledQuery:
+    """`reply` gets the accepted workloads that have not reached their final state."""
+
+    reply: Reply[list[str]]
+
+
 class JudgeTask(Task):
-    """Owns the promises and takes what the other tasks saw."""
+    """Owns the promises and the rules of runs, and takes what the other tasks saw.
+
+    Parameters
+    ----------
+    journal : pathlib.Path
+        File that gets a line for each event of a run, for the trace of a failure.
+    """
 
-    def __init__(self) -> None:
+    def __init__(self, journal: pathlib.Path) -> None:
         self.mailbox: Mailbox = Mailbox("judge")
         self.promises = Promises()
+        self.run_rules = RunRules()
+        self._journal = journal
 
     async def run(self) -> None:
         """Handle messages until cancelled."""
-        while True:
-            message = await self.mailbox.receive()
-            if isinstance(message, UnservedQuery):
-                unserved = self.promises.list_unserved(
-                    message.since_s, message.processes
-                )
-                message.reply.send(unserved)
-            else:
+        with self._journal.open("a", encoding="utf-8") as journal:
+            while True:
+                self._handle(await self.mailbox.receive(), journal)
+
+    def _handle(self, message: object, journal: TextIO) -> None:
+        match message:
+            case UnservedQuery(since_s, processes, reply):
+                reply.send(self.promises.list_unserved(since_s, processes))
+            case UnsettledQuery(reply):
+                reply.send(self.promises.list_unsettled())
+            case WorkloadShown():
+                self.promises.handle(message)
+                self.run_rules.handle(message)
+            case WorkloadSent() | RunStarted() | RunEnded():
+                self._judge_run(message, journal)
+            case EndAcknowledged() | LeaseExpired():
+                self._judge_run(message, journal)
+            case _:
                 self.promises.handle(message)
 
+    def _judge_run(self, event: RunEvent | WorkloadSent, journal: TextIO) -> None:
+        self.run_rules.handle(event)
+        journal.write(f"{time.time():.3f} {event}\n")
+
 
 class DiskProbeTask(Task):
     """Measures how long the machine's disk takes to sync a small file.
@@ -245,6 +288,8 @@
         Address of the entry.
     source : random.Random
         Draws identities and requests.
+    make_workload : callable
+        Returns a workload with an identity.
     """
 
     def __init__(
@@ -253,10 +298,12 @@
         judge: Mailbox,
         address: str,
         source: random.Random,
+        make_workload: Callable[[str], WorkloadSpec],
     ) -> None:
         self._interface = interface
         self._judge = judge
         self._source = source
+        self._make_workload = make_workload
         self._client = HttpClient(address, 1)
         self._accepted: list[str] = []
         self._refused: list[str] = []
@@ -269,6 +316,7 @@
                 await self._submit()
             elif draw < SUBMIT_SHARE + CANCEL_SHARE:
                 workload_id = self._source.choice(self._accepted)
+                self._judge.post(WorkloadCancelSent(workload_id))
                 await self._exchange(workload_id, self._interface.cancel(workload_id))
             else:
                 await self._show(self._source.choice(self._accepted))
@@ -287,6 +335,29 @@
             await anyio.sleep(PAUSE_S)
         return left
 
+    async def await_final_states(self, limit_s: float) -> list[str]:
+        """Ask until all accepted workloads have reached their final state.
+
+        Parameters
+        ----------
+        limit_s : float
+            Longest time in seconds.
+
+        Returns
+        -------
+        list of str
+            The workloads that have not.
+        """
+        until_s = anyio.current_time() + limit_s
+        while True:
+            self._judge.post(UnsettledQuery(reply := Reply()))
+            unsettled = await reply.receive()
+            if not unsettled or anyio.current_time() > until_s:
+                return unsettled
+            for workload_id in unsettled:
+                await self._show(workload_id)
+            await anyio.sleep(PAUSE_S)
+
     async def _show(self, workload_id: str) -> Shown:
         request = self._interface.ask_workload(workload_id)
         return await self._exchange(workload_id, request)
@@ -304,7 +375,9 @@
     async def _submit(self) -> None:
         """Send a workload until the reply is clear, as often as a caller would."""
         workload_id = f"{self._source.getrandbits(64):016x}"
-        request = self._interface.submit(workload_id)
+        workload = self._make_workload(workload_id)
+        self._judge.post(WorkloadSent(workload))
+        request = self._interface.submit(workload)
         for number in range(TRIES):
             began_s = anyio.current_time()
             reply = await _ask(self._client, request, CALL_TIMEOUT_S)
--- a/tanagerpath/emulator/soak_faults.py
+++ b/tanagerpath/emulator/soak_faults.py
@@ -5,7 +5,10 @@
 
 import attrs
 
-__all__ = ["FAULTS", "Fault", "FaultSequence", "FaultStep", "FaultTarget"]
+__all__ = ["FAULTS", "LEADER", "Fault", "FaultSequence", "FaultStep", "FaultTarget"]
+
+# Stands in a step for the VM whose process leads when the step begins.
+LEADER = "leader"
 
 
 class FaultTarget(abc.ABC):
@@ -153,7 +156,7 @@
     fault : Fault
         What happens.
     vm_id : str
-        Where it happens.
+        Where it happens, or `LEADER`.
     pause_s : float
         Least time in seconds after the begin of the step before it.
     duration_s : float
@@ -198,11 +201,19 @@
         self._lost_until_s: dict[str, float] = {}
         self._running: list[tuple[float, FaultStep]] = []
 
-    def begin_due(self, now_s: float) -> FaultStep | None:
-        """Return the next step if it begins now; call again until there is none."""
+    def begin_due(self, now_s: float, leader_id: str = LEADER) -> FaultStep | None:
+        """Return the next step if it begins now; call again until there is none.
+
+        A step at the leader waits until a process that is not lost leads, which
+        `leader_id` names.
+        """
         if not self._steps:
             return None
         step = self._steps[0]
+        if step.vm_id == LEADER:
+            step = attrs.evolve(step, vm_id=leader_id)
+        if step.vm_id == LEADER:
+            return None
         lost = self.list_lost(now_s)
         if now_s < self._last_begin_s + step.pause_s or step.vm_id in lost:
             return None
@@ -212,7 +223,8 @@
             self._lost_until_s[step.vm_id] = math.inf
             self._running.append((now_s + step.duration_s, step))
         self._last_begin_s = now_s
-        return self._steps.pop(0)
+        del self._steps[0]
+        return step
 
     def end_due(self, now_s: float) -> FaultStep | None:
         """Return a step whose fault ends now; call again until there is none."""
--- a/tanagerpath/emulator/soak_interface.py
+++ b/tanagerpath/emulator/soak_interface.py
@@ -2,14 +2,22 @@
 
 import abc
 import pathlib
+from collections.abc import Awaitable, Callable
 
 import attrs
+from starlette.routing import BaseRoute
 
+from tanagerpath.core.workloads.requests import UpstreamReport
+from tanagerpath.core.workloads.specs import WorkloadSpec
 from tanagerpath.emulator.deployment import ProcessPlan
 from tanagerpath.emulator.soak_promises import Shown
+from tanagerpath.emulator.soak_worker import WorkerOrder, WorkerReply
 from tanagerpath.runtime.client import HttpReply, HttpRequest
 
-__all__ = ["SoakInterface", "SoakVm"]
+__all__ = ["CarryOut", "SoakInterface", "SoakVm"]
+
+# Passes an order to a worker; returns None if no reply may be sent.
+CarryOut = Callable[[WorkerOrder], Awaitable[WorkerReply | None]]
 
 
 @attrs.frozen
@@ -21,7 +29,7 @@
     vm_id : str
         Name, which stays when the VM is replaced.
     role : str
-        "control" or "entry".
+        "control", "entry" or "worker".
     ip : str
         Loopback address of its own.
     availability_zone : str
@@ -38,7 +46,12 @@
 
 
 class SoakInterface(abc.ABC):
-    """Settings, requests and replies of a public interface."""
+    """Settings, requests and replies of a public interface.
+
+    `pool` is the pool of all workers in the configurations.
+    """
+
+    pool = ""
 
     @abc.abstractmethod
     def write_settings(
@@ -68,7 +81,7 @@
 
     @abc.abstractmethod
     def find_address(self, vm: SoakVm) -> str:
-        """Return the address that operators, or callers of an entry, speak to."""
+        """Return the address for operators, for callers, or for orders to a worker."""
 
     @abc.abstractmethod
     def change_configuration(self, version: int) -> HttpRequest:
@@ -83,7 +96,7 @@
         """Return version and whether the content is whole, None if none is shown."""
 
     @abc.abstractmethod
-    def submit(self, workload_id: str) -> HttpRequest:
+    def submit(self, workload: WorkloadSpec) -> HttpRequest:
         """Return the request that hands a workload in."""
 
     @abc.abstractmethod
@@ -105,3 +118,30 @@
     @abc.abstractmethod
     def is_refused(self, reply: HttpReply) -> bool:
         """Whether a workload is refused and never runs."""
+
+    @abc.abstractmethod
+    def write_heartbeat(self, report: UpstreamReport) -> HttpRequest:
+        """Return a heartbeat of a worker."""
+
+    @abc.abstractmethod
+    def read_heartbeat_reply(self, reply: HttpReply) -> str | None:
+        """Return where later heartbeats go, None if this one is not acknowledged.
+
+        It is the public address of the leader, or empty.
+        """
+
+    @abc.abstractmethod
+    def list_worker_routes(
+        self, worker_id: str, born_unix_ms: int, carry_out: CarryOut
+    ) -> list[BaseRoute]:
+        """Return the routes of a worker for orders.
+
+        Parameters
+        ----------
+        worker_id : str
+            Its identity.
+        born_unix_ms : int
+            Its start in UTC milliseconds.
+        carry_out : CarryOut
+            Gets each order.
+        """
--- a/tanagerpath/emulator/soak_promises.py
+++ b/tanagerpath/emulator/soak_promises.py
@@ -11,6 +11,7 @@
     "Shown",
     "SoakEvent",
     "WorkloadAccepted",
+    "WorkloadCancelSent",
     "WorkloadRefused",
     "WorkloadShown",
 ]
@@ -20,11 +21,16 @@
     """What a reply says of a workload."""
 
     OPEN = "open"
+    COMPLETED = "completed"
+    FAILED = "failed"
     CANCELLED = "cancelled"
     MISSING = "missing"
     UNCLEAR = "unclear"
 
 
+_FINAL = (Shown.COMPLETED, Shown.FAILED, Shown.CANCELLED)
+
+
 @attrs.frozen
 class ConfigurationAcknowledged:
     """A configuration was acknowledged; the exchange began and ended in seconds."""
@@ -73,6 +79,13 @@
     workload_id: str
 
 
+@attrs.frozen
+class WorkloadCancelSent:
+    """The cancellation of a workload is about to be sent."""
+
+    workload_id: str
+
+
 @attrs.frozen
 class WorkloadShown:
     """A reply told the state of a workload."""
@@ -87,6 +100,7 @@
     ConfigurationAcknowledged
     | ConfigurationShown
     | WorkloadAccepted
+    | WorkloadCancelSent
     | WorkloadRefused
     | WorkloadShown
 )
@@ -105,7 +119,8 @@
         self._acknowledged: list[tuple[float, int]] = []
         self._shown: dict[str, tuple[float, int]] = {}
         self._accepted_s: dict[str, float] = {}
-        self._cancelled_s: dict[str, float] = {}
+        self._settled: dict[str, tuple[Shown, float]] = {}
+        self._cancels_sent: set[str] = set()
         self._refused: set[str] = set()
         self._served_s: dict[str, float] = {}
 
@@ -126,6 +141,8 @@
             case WorkloadAccepted(workload_id, began_s, ended_s):
                 self._accepted_s.setdefault(workload_id, ended_s)
                 self._note_served("workload", began_s)
+            case WorkloadCancelSent(workload_id):
+                self._cancels_sent.add(workload_id)
             case WorkloadRefused(workload_id):
                 self._refused.add(workload_id)
             case WorkloadShown():
@@ -144,6 +161,18 @@
         wanted = ("configuration change", "workload", *map(_name_read, processes))
         return [one for one in wanted if self._served_s.get(one, 0.0) <= since_s]
 
+    def list_unsettled(self) -> list[str]:
+        """Return the accepted workloads that have not reached their final state.
+
+        It is `COMPLETED`, unless a cancellation was sent, which may come too late.
+        """
+        return [one for one in self._accepted_s if not self._is_settled(one)]
+
+    def _is_settled(self, workload_id: str) -> bool:
+        shown, _ = self._settled.get(workload_id, (Shown.OPEN, 0.0))
+        is_cancelled = shown is Shown.CANCELLED and workload_id in self._cancels_sent
+        return shown is Shown.COMPLETED or is_cancelled
+
     def _note_served(self, request: str, began_s: float) -> None:
         self._served_s[request] = max(began_s, self._served_s.get(request, 0.0))
 
@@ -187,14 +216,20 @@
                 f"workload {workload_id} was accepted and is missing at "
                 f"{event.ended_s:.2f} s"
             )
-        cancelled_s = self._cancelled_s.get(workload_id, event.began_s)
-        if event.shown is Shown.OPEN and cancelled_s < event.began_s:
+        self._check_final_state(event)
+
+    def _check_final_state(self, event: WorkloadShown) -> None:
+        workload_id, shown = event.workload_id, event.shown
+        final, settled_s = self._settled.get(workload_id, (shown, event.began_s))
+        if shown not in (final, Shown.MISSING) and settled_s < event.began_s:
             self.broken.append(
-                f"workload {workload_id} was shown as cancelled and is open at "
+                f"workload {workload_id} was shown as {final} and is {shown} at "
                 f"{event.ended_s:.2f} s"
             )
-        if event.shown is Shown.CANCELLED:
-            self._cancelled_s.setdefault(workload_id, event.ended_s)
+        if shown is Shown.FAILED:
+            self.broken.append(f"workload {workload_id} failed without cause")
+        if shown in _FINAL:
+            self._settled.setdefault(workload_id, (shown, event.ended_s))
 
 
 def _name_read(process: str) -> str:
--- a/tanagerpath/emulator/soak_site.py
+++ b/tanagerpath/emulator/soak_site.py
@@ -64,6 +64,11 @@
             for place, vm_id in enumerate(layout.vm_ids)
         }
         self._entry = self._make_vm(ENTRY_ID, "entry", ZONES[0])
+        # Served by the soak itself, so that they take no process.
+        self.workers = tuple(
+            self._make_vm(worker_id, "worker", ZONES[place % len(ZONES)])
+            for place, worker_id in enumerate(layout.worker_ids)
+        )
         self._starts: dict[str, int] = dict.fromkeys(layout.vm_ids, 0)
         self._expected: set[str] = set()
         self.faults: list[str] = []
@@ -83,6 +88,13 @@
             for vm_id, vm in self._vms.items()
         }
 
+    def find_vm(self, address: str) -> str | None:
+        """Return the control VM that listens at a public address, None if none."""
+        for vm_id, vm in self._vms.items():
+            if self._interface.find_address(vm) == address:
+                return vm_id
+        return None
+
     async def start_all(self) -> None:
         """Start all processes for the first time."""
         seeds = tuple(self._vms.values())[:SEEDS_GIVEN]
--- a/tanagerpath/platform/soak_interface.py
+++ b/tanagerpath/platform/soak_interface.py
@@ -4,10 +4,21 @@
 import pathlib
 import sys
 
+from starlette.routing import BaseRoute
+
+from tanagerpath.core.workloads.requests import UpstreamReport
+from tanagerpath.core.workloads.specs import WorkloadSpec
 from tanagerpath.emulator.deployment import ProcessPlan
-from tanagerpath.emulator.soak_interface import SoakInterface, SoakVm
+from tanagerpath.emulator.soak_interface import CarryOut, SoakInterface, SoakVm
 from tanagerpath.emulator.soak_promises import Shown
+from tanagerpath.emulator.soak_worker import GANG_TIMEOUT_S, MAX_LEASE_S
 from tanagerpath.platform.settings_file import CONFIG_VARIABLE
+from tanagerpath.platform.soak_workers import (
+    make_worker_routes,
+    read_heartbeat_reply,
+    write_heartbeat,
+    write_workload,
+)
 from tanagerpath.runtime.client import HttpReply, HttpRequest
 
 __all__ = ["PlatformInterface"]
@@ -15,7 +26,9 @@
 FRONT_PORT = 8521
 READINESS_PORT = 8523
 CONTROL_PORT = 8526
+WORKER_PORT = 8528
 INTERNAL_PORTS = [7000, 7015]
+MS_PER_S = 1000
 HOST = "soak.example"
 PREFIX = "/q/"
 KEY = "k1"
@@ -24,14 +37,29 @@
     (b"x-api-key", KEY.encode()),
     (b"x-deadline-ms", b"3000"),
 )
-_WORKLOAD = {"spec": "soak", "steps": [{"count": 1, "cpu": 500}]}
+_BOUNDS = {
+    "hold_max_ms": int(MAX_LEASE_S * MS_PER_S),
+    "gang_timeout_ms": int(GANG_TIMEOUT_S * MS_PER_S),
+    "checkpoint_s": 0.5,
+    "status_s": 600,
+}
+_POOL = "sorter"
+_PORTS = {"control": CONTROL_PORT, "entry": FRONT_PORT, "worker": WORKER_PORT}
+# Final states of a workload; the others are open.
+_FINAL_STATES = {
+    "completed": Shown.COMPLETED,
+    "failed": Shown.FAILED,
+    "cancelled": Shown.CANCELLED,
+}
 # Replies for a missing workload: not authorised, no such queue, or no such workload.
 _MISSING = (401, 404, 410)
 _REFUSED = (429, 503)
 
 
 class PlatformInterface(SoakInterface):
-    """The platform's interface for settings, operators and callers."""
+    """The platform's interface for settings, operators, callers and workers."""
+
+    pool = _POOL
 
     def write_settings(
         self,
@@ -60,7 +88,7 @@
                 "zones": 0,
                 "regions": 0,
             },
-            "bounds": {"hold_max_ms": 10_000, "checkpoint_s": 0.5, "status_s": 600},
+            "bounds": _BOUNDS,
         }
         return json.dumps(settings)
 
@@ -70,9 +98,8 @@
         return ProcessPlan(vm.vm_id, command, {CONFIG_VARIABLE: str(settings)})
 
     def find_address(self, vm: SoakVm) -> str:
-        """Return the address for operators, or for callers if the VM is an entry."""
-        port = CONTROL_PORT if vm.role == "control" else FRONT_PORT
-        return f"{vm.ip}:{port}"
+        """Return the address for operators, for callers, or for orders to a worker."""
+        return f"{vm.ip}:{_PORTS[vm.role]}"
 
     def change_configuration(self, version: int) -> HttpRequest:
         """Return the request that stores a version of the configuration."""
@@ -90,10 +117,11 @@
         shown = json.loads(reply.body)
         return shown["version"], shown == _make_configuration(shown["version"])
 
-    def submit(self, workload_id: str) -> HttpRequest:
+    def submit(self, workload: WorkloadSpec) -> HttpRequest:
         """Return the request that submits a workload."""
-        body = json.dumps(_WORKLOAD).encode()
-        return HttpRequest("POST", PREFIX + workload_id, body, _CALLER_HEADERS)
+        body = json.dumps(write_workload(workload)).encode()
+        path = PREFIX + workload.workload_id
+        return HttpRequest("POST", path, body, _CALLER_HEADERS)
 
     def cancel(self, workload_id: str) -> HttpRequest:
         """Return the request that cancels a workload."""
@@ -109,8 +137,7 @@
             return Shown.MISSING
         if reply.status != 200:
             return Shown.UNCLEAR
-        is_cancelled = json.loads(reply.body)["state"] == "cancelled"
-        return Shown.CANCELLED if is_cancelled else Shown.OPEN
+        return _FINAL_STATES.get(json.loads(reply.body)["state"], Shown.OPEN)
 
     def is_accepted(self, reply: HttpReply) -> bool:
         """Whether a change or a workload was accepted."""
@@ -120,6 +147,20 @@
         """Whether a workload was refused and never runs."""
         return reply.status in _REFUSED
 
+    def write_heartbeat(self, report: UpstreamReport) -> HttpRequest:
+        """Return a heartbeat of a worker."""
+        return write_heartbeat(report)
+
+    def read_heartbeat_reply(self, reply: HttpReply) -> str | None:
+        """Return where later heartbeats go, None if this one is not acknowledged."""
+        return read_heartbeat_reply(reply)
+
+    def list_worker_routes(
+        self, worker_id: str, born_unix_ms: int, carry_out: CarryOut
+    ) -> list[BaseRoute]:
+        """Return the routes of a worker for orders."""
+        return make_worker_routes(worker_id, born_unix_ms, carry_out)
+
 
 def _make_configuration(version: int) -> dict:
     route = {
@@ -127,13 +168,13 @@
         "host": HOST,
         "path_prefix": PREFIX,
         "timeout_ms": 2000 + version,
-        "service": "sorter",
+        "service": _POOL,
         "max_attempts": 2,
     }
     return {
         "version": version,
         "routes": [route],
-        "services": [{"name": "sorter"}],
+        "services": [{"name": _POOL}],
         "limits": {},
         "tenants": [{"name": "t", "api_keys": [KEY]}],
     }
