End the workers of the soak after their callers

Cause: requests that never get a reply were cancelled with the event loop and printed tracebacks. Change: processes end first, then the servers stop.

--- a/tanagerpath/emulator/soak.py
+++ b/tanagerpath/emulator/soak.py
@@ -178,13 +178,22 @@
         try:
             await self.site.start_all()
             async with anyio.create_task_group() as tasks:
-                await self._play_faults(tasks)
+                try:
+                    await self._play_faults(tasks)
+                finally:
+                    await self._end_all()
                 tasks.cancel_scope.cancel()
         except* (ProcessNotReady, ServiceNotBack) as group:
             self.broken += [str(error) for error in iterate_leaf_exceptions(group)]
         finally:
-            self.site.note_ended()
-            self.site.end_all()
+            await self._end_all()
+
+    async def _end_all(self) -> None:
+        """End all processes, then the workers, whose callers are gone by then."""
+        self.site.note_ended()
+        self.site.end_all()
+        if self._workers is not None:
+            await self._workers.stop()
 
     async def _play_faults(self, tasks: TaskGroup) -> None:
         tasks.start_soon(self.judge.run)
--- a/tanagerpath/emulator/soak_fleet.py
+++ b/tanagerpath/emulator/soak_fleet.py
@@ -10,6 +10,7 @@
 import attrs
 from anyio.abc import TaskGroup
 from returns.pipeline import is_successful
+from starlette.routing import BaseRoute
 
 from tanagerpath.core.workloads.commands import UpstreamRecord
 from tanagerpath.core.workloads.orders import HoldReply, HoldRequest
@@ -26,7 +27,7 @@
 from tanagerpath.emulator.soak_worker_faults import WorkerFault, WorkerFaultStep
 from tanagerpath.runtime import Mailbox, Reply, Task
 from tanagerpath.runtime.client import HttpClient
-from tanagerpath.runtime.server import HttpServer, bind_listener
+from tanagerpath.runtime.server import HttpServerGroup
 
 __all__ = [
     "FaultsCleared",
@@ -44,6 +45,8 @@
 # Slowest and fastest clock of a worker.
 CLOCK_RATES = (0.98, 1.0)
 RACKS = 3
+# Above the longest wait of a renewal.
+STOP_TIMEOUT_S = 3.0
 MS_PER_S = 1000
 
 
@@ -347,6 +350,7 @@
         }
         fleet = Fleet(self._clocks, self._born_unix_ms)
         self._task = FleetTask(fleet, judge, source)
+        self._servers = HttpServerGroup()
         self.mailbox = self._task.mailbox
 
     def start(self, tasks: TaskGroup) -> None:
@@ -357,9 +361,15 @@
             heartbeats = HeartbeatTask(self._interface, record, clock, self.mailbox)
             self._task.add_heartbeats(vm.vm_id, heartbeats.mailbox)
             tasks.start_soon(heartbeats.run)
-            tasks.start_soon(self._make_server(vm).run)
+            address, routes = self._interface.find_address(vm), self._list_routes(vm)
+            self._servers.start(tasks, address, routes)
         tasks.start_soon(self._task.run)
 
+    async def stop(self) -> None:
+        """Stop listening; requests that get no reply end with their callers."""
+        with anyio.CancelScope(shield=True):
+            await self._servers.stop(STOP_TIMEOUT_S)
+
     def _make_record(self, vm: SoakVm, place: int) -> UpstreamRecord:
         return UpstreamRecord(
             upstream_id=vm.vm_id,
@@ -373,13 +383,12 @@
             vm_id=f"m-{vm.vm_id}",
         )
 
-    def _make_server(self, vm: SoakVm) -> HttpServer:
+    def _list_routes(self, vm: SoakVm) -> list[BaseRoute]:
         async def carry_out(order: WorkerOrder) -> WorkerReply | None:
             reply: Reply[WorkerReply | None] = Reply()
             self.mailbox.post(OrderArrived(vm.vm_id, order, reply))
             return await reply.receive()
 
-        routes = self._interface.list_worker_routes(
+        return self._interface.list_worker_routes(
             vm.vm_id, self._born_unix_ms, carry_out
         )
-        return HttpServer(bind_listener(self._interface.find_address(vm)), routes)
