--- a/tanagerpath/emulator/tests/test_soak.py
+++ b/tanagerpath/emulator/tests/test_soak.py
@@ -1,9 +1,10 @@
 """Guards against a soak that exceeds what must be borne or passes over losses."""
 
+import attrs
 import testtools
 
-from tanagerpath.emulator.soak_faults import FaultSequence
-from tanagerpath.emulator.soak_plan import LAYOUTS, SoakPlan
+from tanagerpath.emulator.soak_faults import FAULTS, LEADER, FaultSequence, FaultStep
+from tanagerpath.emulator.soak_plan import LAYOUTS, Layout, SoakPlan
 from tanagerpath.emulator.soak_promises import (
     ConfigurationAcknowledged,
     ConfigurationShown,
@@ -31,8 +32,36 @@
             self.assertEqual(plan.layout.tolerated_losses, len(wiped))
             self.assertTrue(wiped <= set(plan.layout.vm_ids))
 
+    def test_workers_leave_the_faults_of_a_seed_as_they_are(self):
+        """Guards against seeds of earlier failures that play something else."""
+        for seed in range(20):
+            plan = SoakPlan.from_seed(seed, Layout(5, 2))
+            with_workers = SoakPlan.from_seed(seed, Layout(5, 2, workers=8))
+            self.assertEqual((), plan.worker_steps + plan.leader_series)
+            for name in ("series", "kills_all", "final"):
+                self.assertEqual(getattr(plan, name), getattr(with_workers, name))
+
+    def test_worker_faults_leave_most_workers_alone(self):
+        """Guards against a soak in which no task can run."""
+        layout = Layout(5, 2, workers=8)
+        for seed in range(20):
+            for step in SoakPlan.from_seed(seed, layout).worker_steps:
+                self.assertTrue(set(step.worker_ids) <= set(layout.worker_ids))
+                self.assertTrue(1 <= len(step.worker_ids) <= layout.workers / 2)
+                self.assertTrue(1.0 <= step.duration_s <= 15.0)
+
 
 class TestSequences(testtools.TestCase):
+    def test_leader_is_lost_again_only_when_another_one_is_named(self):
+        """Guards against two faults of one process in place of two leaders."""
+        kill = next(one for one in FAULTS if one.name == "kill")
+        step = FaultStep(kill, LEADER, 0.0, 1.0)
+        sequence = FaultSequence((step, step), 2, CATCH_UP_S, 0.0)
+        self.assertIsNone(sequence.begin_due(0.0))
+        self.assertEqual("c1", sequence.begin_due(0.0, "c1").vm_id)
+        self.assertIsNone(sequence.begin_due(0.1, "c1"))
+        self.assertEqual(attrs.evolve(step, vm_id="c2"), sequence.begin_due(0.1, "c2"))
+
     def test_no_more_vms_are_lost_than_must_be_borne(self):
         """Guards against a soak that blames the system for what it need not bear."""
         overlaps = 0
--- a/tanagerpath/platform/soak_workers.py
+++ b/tanagerpath/platform/soak_workers.py
@@ -68,7 +68,7 @@
     values = {
         "count": step.count,
         **_write_resources(step.needs),
-        "estimate_ms": int(step.declared_run_s * MS_PER_S),
+        "estimate_ms": round(step.declared_run_s * MS_PER_S),
         "depends_on": list(step.depends_on),
         "gang": step.gang,
     }
--- a/tanagerpath/platform/tests/test_soak.py
+++ b/tanagerpath/platform/tests/test_soak.py
@@ -26,6 +26,14 @@
         self.assertEqual((), result.broken)
         self.assertTrue(result.version > 10 and result.workloads > 10, result)
 
+    def test_no_task_starts_again_while_leaders_are_lost_in_a_row(self):
+        """Guards against doubled runs around changes of the leader."""
+        layout = Layout(5, 2, workers=6)
+        plan = SoakPlan.from_seed(1, layout, series_count=0, leader_steps_count=2)
+        result = self.run_plan(plan, SoakTerms())
+        self.assertEqual((), result.broken)
+        self.assertTrue(result.starts > 50 and result.workloads > 10, result)
+
     def test_three_control_processes_do_not_tolerate_the_loss_of_two_disks(self):
         """Guards against a soak test that cannot fail."""
         plan = SoakPlan.from_seed(1, Layout(3, 2), series_count=0)
