Print the starts that an expired lease excuses, and describe the soak's workers

Cause: a start after an end as done is allowed by the rule if the worker's lease expired before the acknowledgement; on an idle worker this reading is in question.

--- a/tanagerpath/emulator/soak.py
+++ b/tanagerpath/emulator/soak.py
@@ -3,6 +3,8 @@
 Each seed starts a deployment of its own, stores configurations and hands in workloads
 through the public interface, and ends with a fault that takes as many disks as the
 settings say must be borne. Nothing that was acknowledged may be gone or shown older.
+Stand-in workers run the tasks, while their links to the control processes fail too; no
+task may run twice at once or again after it is done, and all workloads must complete.
 The last line is JSON with the counts over all seeds and the seeds that failed.
 """
 
@@ -77,7 +79,7 @@
     completion_s: float = 45.0
 
 
-@attrs.frozen
+@attrs.frozen(kw_only=True)
 class SoakResult:
     """Outcome of one seed.
 
@@ -98,7 +100,7 @@
         Accepted workloads.
     starts : int
         Runs that workers began.
-    restarts_after_idle_expiry, restarts_after_expiry : int
+    restarts_after_idle_expiry, restarts_after_expiry : tuple of str
         Starts after an acknowledged end as done that an expired lease excuses, where
         nothing ran on the worker when it expired, and the others.
     completed_s : float or None
@@ -117,8 +119,8 @@
     version: int
     workloads: int
     starts: int
-    restarts_after_idle_expiry: int
-    restarts_after_expiry: int
+    restarts_after_idle_expiry: tuple[str, ...]
+    restarts_after_expiry: tuple[str, ...]
     completed_s: float | None
     slowest_sync_s: float
     duration_s: float
@@ -357,23 +359,23 @@
         run.broken.append(f"not done within {limit_s} s")
     promises, rules = run.judge.promises, run.judge.run_rules
     return SoakResult(
-        plan.seed,
-        plan.layout,
-        (*promises.broken, *rules.broken, *run.site.faults, *run.broken),
-        tuple(run.recovered_s),
-        promises.acknowledged_version,
-        promises.accepted_count,
-        rules.starts,
-        rules.restarts_after_idle_expiry,
-        rules.restarts_after_expiry,
-        run.completed_s,
-        round(run.probe.slowest_s, 2),
-        round(anyio.current_time() - began_s, 1),
+        seed=plan.seed,
+        layout=plan.layout,
+        broken=(*promises.broken, *rules.broken, *run.site.faults, *run.broken),
+        recovered_s=tuple(run.recovered_s),
+        version=promises.acknowledged_version,
+        workloads=promises.accepted_count,
+        starts=rules.starts,
+        restarts_after_idle_expiry=tuple(rules.restarts_after_idle_expiry),
+        restarts_after_expiry=tuple(rules.restarts_after_expiry),
+        completed_s=run.completed_s,
+        slowest_sync_s=round(run.probe.slowest_s, 2),
+        duration_s=round(anyio.current_time() - began_s, 1),
     )
 
 
-def _run_one(plan: SoakPlan, interface: SoakInterface) -> SoakResult:
-    """Play a plan; the logs of a seed that failed are kept."""
+def _run_one(plan: SoakPlan, interface: SoakInterface, keeps_logs: bool) -> SoakResult:
+    """Play a plan; the logs of a seed that failed are kept in any case."""
     folder = pathlib.Path(tempfile.mkdtemp(prefix=f"tanagerpath-soak-{plan.seed}-"))
     result = anyio.run(run_seed, plan, interface, folder)
     verdict = "FAILED" if result.broken else "passed"
@@ -382,8 +384,8 @@
         f"{plan.layout.controls} control processes, "
         f"{plan.layout.tolerated_losses} losses, {plan.layout.workers} workers, "
         f"version {result.version}, {result.workloads} workloads, {result.starts} runs "
-        f"({result.restarts_after_idle_expiry} after an end as done and an idle "
-        f"worker's expired lease, {result.restarts_after_expiry} after another "
+        f"({len(result.restarts_after_idle_expiry)} after an end as done and an idle "
+        f"worker's expired lease, {len(result.restarts_after_expiry)} after another "
         f"expired lease), recovered in {list(result.recovered_s)} s, "
         f"completed in {result.completed_s} s, "
         f"slowest sync {result.slowest_sync_s} s",
@@ -391,7 +393,10 @@
     )
     for text in result.broken:
         print(f"  {text}", flush=True)
-    if result.broken:
+    if keeps_logs:
+        for text in (*result.restarts_after_idle_expiry, *result.restarts_after_expiry):
+            print(f"  excused by an expired lease: {text}", flush=True)
+    if result.broken or keeps_logs:
         print(f"  logs: {folder}", flush=True)
     else:
         shutil.rmtree(folder)
@@ -409,6 +414,7 @@
     add("--controls", type=int, help="control processes, with --losses")
     add("--losses", type=int, help="losses that must be borne, with --controls")
     add("--workers", type=int, help="workers; 0 leaves all workloads queued")
+    add("--keep-logs", action="store_true", help="keep the logs of all seeds")
     return parser
 
 
@@ -428,7 +434,9 @@
     flags = make_parser().parse_args(arguments)
     results = [
         _run_one(
-            SoakPlan.from_seed(seed, _choose_layout(flags, seed)), PlatformInterface()
+            SoakPlan.from_seed(seed, _choose_layout(flags, seed)),
+            PlatformInterface(),
+            flags.keep_logs,
         )
         for seed in range(flags.first, flags.first + flags.seeds)
     ]
@@ -437,6 +445,10 @@
         "seeds": len(results),
         "passed": len(results) - len(failed),
         "workloads": sum(result.workloads for result in results),
+        "runs": sum(result.starts for result in results),
+        "restarts_after_idle_expiry": sum(
+            len(result.restarts_after_idle_expiry) for result in results
+        ),
         "slowest_recovery_s": max(
             (one for result in results for one in result.recovered_s), default=None
         ),
--- a/tanagerpath/emulator/soak_run_rules.py
+++ b/tanagerpath/emulator/soak_run_rules.py
@@ -53,7 +53,7 @@
         What went wrong.
     starts : int
         Number of runs that began.
-    restarts_after_idle_expiry, restarts_after_expiry : int
+    restarts_after_idle_expiry, restarts_after_expiry : list of str
         Starts after an acknowledged end as done that an expired lease excuses: where
         nothing ran on the worker when it expired, and the others.
     """
@@ -61,8 +61,8 @@
     def __init__(self) -> None:
         self.broken: list[str] = []
         self.starts = 0
-        self.restarts_after_idle_expiry = 0
-        self.restarts_after_expiry = 0
+        self.restarts_after_idle_expiry: list[str] = []
+        self.restarts_after_expiry: list[str] = []
         self._specs: dict[str, WorkloadSpec] = {}
         self._open: dict[TaskId, dict[tuple[str, int], RunStarted]] = {}
         self._done: dict[TaskId, list[_DoneEnd]] = {}
@@ -129,18 +129,18 @@
             done.busy_expiry |= not event.was_idle
 
     def _judge_restart(self, start: RunStarted, done: _DoneEnd) -> None:
+        ended, acknowledged = done.ended, done.acknowledged
+        text = (
+            f"{_describe(start)} started after run {ended.run} ended as done on "
+            f"{ended.worker_id} at {ended.at_s:.3f} s, acknowledged at "
+            f"{acknowledged.at_s:.3f} s by term {acknowledged.token}"
+        )
         if done.busy_expiry:
-            self.restarts_after_expiry += 1
+            self.restarts_after_expiry.append(text)
         elif done.idle_expiry:
-            self.restarts_after_idle_expiry += 1
+            self.restarts_after_idle_expiry.append(text)
         else:
-            ended, acknowledged = done.ended, done.acknowledged
-            self._break(
-                start,
-                f"after run {ended.run} ended as done on {ended.worker_id} at "
-                f"{ended.at_s:.3f} s, acknowledged at {acknowledged.at_s:.3f} s by "
-                f"term {acknowledged.token}",
-            )
+            self.broken.append(text)
 
     def _check_completed(self, workload_id: str, at_s: float) -> None:
         spec = self._specs[workload_id]
--- a/tanagerpath/emulator/tests/test_soak_runs.py
+++ b/tanagerpath/emulator/tests/test_soak_runs.py
@@ -99,8 +99,9 @@
             rules = self.judge(
                 start(1), end(2), expire(3, was_idle=was_idle), AGAIN, acknowledge(5)
             )
-            self.assertEqual(was_idle, rules.restarts_after_idle_expiry == 1)
-            self.assertEqual(was_idle, rules.restarts_after_expiry == 0)
+            self.assertEqual([], rules.broken)
+            self.assertEqual(was_idle, len(rules.restarts_after_idle_expiry) == 1)
+            self.assertEqual(was_idle, len(rules.restarts_after_expiry) == 0)
 
     def test_start_before_the_steps_it_depends_on_is_found(self):
         second = start(2, task=SECOND)
