--- a/tanagerpath/emulator/soak_clients.py
+++ b/tanagerpath/emulator/soak_clients.py
@@ -24,14 +24,14 @@
     WorkloadRefused,
     WorkloadShown,
 )
-from tanagerpath.emulator.soak_run_rules import RunRules, WorkloadSent
-from tanagerpath.emulator.soak_worker import (
+from tanagerpath.emulator.soak_run_events import (
     EndAcknowledged,
     LeaseExpired,
     RunEnded,
     RunEvent,
     RunStarted,
 )
+from tanagerpath.emulator.soak_run_rules import RunRules, WorkloadSent
 from tanagerpath.runtime import Mailbox, Reply, Task
 from tanagerpath.runtime.client import HttpClient, HttpReply, HttpRequest
 
@@ -354,8 +354,9 @@
             unsettled = await reply.receive()
             if not unsettled or anyio.current_time() > until_s:
                 return unsettled
-            for workload_id in unsettled:
-                await self._show(workload_id)
+            with anyio.CancelScope(deadline=until_s):
+                for workload_id in unsettled:
+                    await self._show(workload_id)
             await anyio.sleep(PAUSE_S)
 
     async def _show(self, workload_id: str) -> Shown:
--- a/tanagerpath/emulator/soak_fleet.py
+++ b/tanagerpath/emulator/soak_fleet.py
@@ -16,10 +16,11 @@
 from tanagerpath.core.workloads.orders import HoldReply, HoldRequest
 from tanagerpath.core.workloads.requests import UpstreamReport
 from tanagerpath.core.workloads.resources import Resources
+from tanagerpath.emulator.soak_clients import ControlsMoved
 from tanagerpath.emulator.soak_interface import SoakInterface, SoakVm
+from tanagerpath.emulator.soak_run_events import RunEvent
 from tanagerpath.emulator.soak_worker import (
     Fleet,
-    RunEvent,
     WorkerClock,
     WorkerOrder,
     WorkerReply,
@@ -32,7 +33,6 @@
 __all__ = [
     "FaultsCleared",
     "FleetTask",
-    "HeartbeatAddressesMoved",
     "LeaderQuery",
     "WorkerFaultsTask",
     "WorkersHost",
@@ -64,13 +64,6 @@
     """All faults of workers are over; late orders stay late."""
 
 
-@attrs.frozen
-class HeartbeatAddressesMoved:
-    """The control processes listen for heartbeats at these addresses."""
-
-    addresses: tuple[str, ...]
-
-
 @attrs.frozen
 class HeartbeatsBlocked:
     """Heartbeats of the worker are lost until an instant."""
@@ -157,7 +150,7 @@
                 self._leader_address = address
             case LeaderQuery(reply):
                 reply.send(self._leader_address)
-            case HeartbeatAddressesMoved():
+            case ControlsMoved():
                 for mailbox in self._heartbeats.values():
                     mailbox.post(message)
 
@@ -269,7 +262,7 @@
     def _take_messages(self) -> None:
         for message in self.mailbox.take_waiting():
             match message:
-                case HeartbeatAddressesMoved(addresses):
+                case ControlsMoved(addresses):
                     self._addresses = addresses
                 case HeartbeatsBlocked(until_s):
                     self._blocked_until_s = until_s
--- a/tanagerpath/emulator/soak_run_rules.py
+++ b/tanagerpath/emulator/soak_run_rules.py
@@ -5,7 +5,7 @@
 from tanagerpath.core.workloads.commands import RunOutcome
 from tanagerpath.core.workloads.specs import TaskId, WorkloadSpec
 from tanagerpath.emulator.soak_promises import Shown, WorkloadShown
-from tanagerpath.emulator.soak_worker import (
+from tanagerpath.emulator.soak_run_events import (
     EndAcknowledged,
     LeaseExpired,
     RunEnded,
--- a/tanagerpath/emulator/soak_worker.py
+++ b/tanagerpath/emulator/soak_worker.py
@@ -22,17 +22,19 @@
     StopRequest,
 )
 from tanagerpath.core.workloads.specs import TaskId
+from tanagerpath.emulator.soak_run_events import (
+    EndAcknowledged,
+    LeaseExpired,
+    RunEnded,
+    RunEvent,
+    RunStarted,
+)
 from tanagerpath.emulator.soak_workloads import TaskWork, read_work
 
 __all__ = [
     "GANG_TIMEOUT_S",
     "MAX_LEASE_S",
-    "EndAcknowledged",
     "Fleet",
-    "LeaseExpired",
-    "RunEnded",
-    "RunEvent",
-    "RunStarted",
     "Worker",
     "WorkerClock",
     "WorkerOrder",
@@ -52,51 +54,6 @@
 WorkerReply = OrderDone | OrderRefused | HoldReply
 
 
-@attrs.frozen
-class RunStarted:
-    """A run began; `token` is the fencing token of the order."""
-
-    worker_id: str
-    task: TaskId
-    run: int
-    token: int
-    at_s: float
-
-
-@attrs.frozen
-class RunEnded:
-    """A run ended and is listed under `number`."""
-
-    worker_id: str
-    number: int
-    task: TaskId
-    run: int
-    outcome: RunOutcome
-    at_s: float
-
-
-@attrs.frozen
-class EndAcknowledged:
-    """A renewal with the fencing token `token` acknowledged an end."""
-
-    worker_id: str
-    number: int
-    token: int
-    at_s: float
-
-
-@attrs.frozen
-class LeaseExpired:
-    """The lease of a worker expired; `was_idle` says that nothing ran on it."""
-
-    worker_id: str
-    was_idle: bool
-    at_s: float
-
-
-RunEvent = RunStarted | RunEnded | EndAcknowledged | LeaseExpired
-
-
 @attrs.frozen
 class WorkerClock:
     """Monotonic clock of a worker.
--- a/tanagerpath/emulator/tests/test_soak_runs.py
+++ b/tanagerpath/emulator/tests/test_soak_runs.py
@@ -13,13 +13,13 @@
     WorkloadCancelSent,
     WorkloadShown,
 )
-from tanagerpath.emulator.soak_run_rules import RunRules, WorkloadSent
-from tanagerpath.emulator.soak_worker import (
+from tanagerpath.emulator.soak_run_events import (
     EndAcknowledged,
     LeaseExpired,
     RunEnded,
     RunStarted,
 )
+from tanagerpath.emulator.soak_run_rules import RunRules, WorkloadSent
 from tanagerpath.emulator.soak_workloads import draw_workload, read_work
 
 FIRST, SECOND = TaskId("w", 0, 0, 0), TaskId("w", 0, 1, 0)
--- a/tanagerpath/emulator/tests/test_soak_worker.py
+++ b/tanagerpath/emulator/tests/test_soak_worker.py
@@ -12,14 +12,16 @@
     StopRequest,
 )
 from tanagerpath.core.workloads.specs import TaskId
+from tanagerpath.emulator.soak_run_events import (
+    EndAcknowledged,
+    LeaseExpired,
+    RunEnded,
+)
 from tanagerpath.emulator.soak_worker import (
     GANG_TIMEOUT_S,
     MAX_LISTED_ENDS,
     STOP_S,
-    EndAcknowledged,
     Fleet,
-    LeaseExpired,
-    RunEnded,
     WorkerClock,
 )
 
--- a/tanagerpath/platform/tests/test_soak.py
+++ b/tanagerpath/platform/tests/test_soak.py
@@ -6,8 +6,8 @@
 import anyio
 import testtools
 
-from tanagerpath.emulator.soak import SoakTerms, run_seed
 from tanagerpath.emulator.soak_plan import Layout, SoakPlan
+from tanagerpath.emulator.soak_run import SoakTerms, run_seed
 from tanagerpath.platform.soak_interface import PlatformInterface
 
 
