--- a/tanagerpath/emulator/soak_fleet.py
+++ b/tanagerpath/emulator/soak_fleet.py
@@ -87,6 +87,8 @@
 
 @attrs.frozen(eq=False)
 class _WaitingHold:
+    """A renewal whose reply waits for an end."""
+
     arrived: OrderArrived
     until_s: float
 
@@ -144,15 +146,17 @@
                 self._begin_fault(message, now_s)
             case FaultsCleared():
                 self._faults.clear()
-                for mailbox in self._heartbeats.values():
-                    mailbox.post(HeartbeatsBlocked(now_s))
+                self._tell_heartbeats(message)
             case LeaderNamed(address):
                 self._leader_address = address
             case LeaderQuery(reply):
                 reply.send(self._leader_address)
             case ControlsMoved():
-                for mailbox in self._heartbeats.values():
-                    mailbox.post(message)
+                self._tell_heartbeats(message)
+
+    def _tell_heartbeats(self, message: FaultsCleared | ControlsMoved) -> None:
+        for mailbox in self._heartbeats.values():
+            mailbox.post(message)
 
     def _begin_fault(self, step: WorkerFaultStep, now_s: float) -> None:
         until_s = now_s + step.duration_s
@@ -265,7 +269,9 @@
                 case ControlsMoved(addresses):
                     self._addresses = addresses
                 case HeartbeatsBlocked(until_s):
-                    self._blocked_until_s = until_s
+                    self._blocked_until_s = max(self._blocked_until_s, until_s)
+                case FaultsCleared():
+                    self._blocked_until_s = 0.0
 
     async def _send(self) -> bool:
         address = self._named_address
--- a/tanagerpath/emulator/soak_worker_faults.py
+++ b/tanagerpath/emulator/soak_worker_faults.py
@@ -5,24 +5,21 @@
 
 import attrs
 
-__all__ = [
-    "WORKER_FAULTS",
-    "LateOrders",
-    "LostReplies",
-    "Silence",
-    "WorkerFault",
-    "WorkerFaultStep",
-]
+__all__ = ["WORKER_FAULTS", "WorkerFault", "WorkerFaultStep"]
 
 FAULT_MIN_S = 1.0
 FAULT_MAX_S = 15.0
 DELAY_MIN_S = 2.0
 DELAY_MAX_S = 12.0
+# Share of the orders or replies that a fault of single ones affects.
 AFFECTED_SHARE = 0.5
 
 
 class WorkerFault(abc.ABC):
-    """Says what happens to the exchanges with a worker, which goes on running."""
+    """Says what happens to the exchanges with a worker, which goes on running.
+
+    `blocks_heartbeats` says whether its heartbeats are lost as well.
+    """
 
     name = ""
     blocks_heartbeats = False
