--- a/tanagerpath/emulator/soak.py
+++ b/tanagerpath/emulator/soak.py
@@ -3,293 +3,51 @@
 Each seed starts a deployment of its own, stores configurations and hands in workloads
 through the public interface, and ends with a fault that takes as many disks as the
 settings say must be borne. Nothing that was acknowledged may be gone or shown older.
+Stand-in workers run the tasks, while their links to the control processes fail too; no
+task may run twice at once or again after it is done, and all workloads must complete.
 The last line is JSON with the counts over all seeds and the seeds that failed.
 """
 
 import argparse
 import json
 import pathlib
-import random
 import shutil
 import sys
 import tempfile
 
 import anyio
 import attrs
-from anyio.abc import TaskGroup
 
-from tanagerpath.emulator.soak_clients import (
-    CallerTask,
-    ControlsMoved,
-    DiskProbeTask,
-    JudgeTask,
-    OperatorTask,
-    ReaderTask,
-    UnservedQuery,
-    WaitForAcknowledgement,
-)
-from tanagerpath.emulator.soak_faults import FaultSequence, FaultStep
 from tanagerpath.emulator.soak_interface import SoakInterface
 from tanagerpath.emulator.soak_plan import Layout, SoakPlan
-from tanagerpath.emulator.soak_site import ProcessNotReady, SoakSite
-from tanagerpath.errors import iterate_leaf_exceptions
-from tanagerpath.runtime import Reply
+from tanagerpath.emulator.soak_run import SoakResult, run_seed
 
-__all__ = ["SoakResult", "SoakTerms", "main", "run_seed"]
+__all__ = ["main"]
 
-# A first start has no stated bound; processes take seconds to start beside other load.
-START_LIMIT_S = 30.0
-SEED_LIMIT_S = 180.0
-POLL_INTERVAL_S = 0.05
 
-
-@attrs.frozen
-class SoakTerms:
-    """Bounds that the platform states; the defaults are those of its deployments.
-
-    Attributes
-    ----------
-    catch_up_s : float
-        Time in seconds for which a VM that is back still counts as lost.
-    recovery_s : float
-        Time in seconds within which requests are served once all VMs are back.
-    """
-
-    catch_up_s: float = 4.0
-    recovery_s: float = 12.0
-
-
-@attrs.frozen
-class SoakResult:
-    """Outcome of one seed.
-
-    Attributes
-    ----------
-    seed : int
-        The seed.
-    layout : Layout
-        Size of the deployment.
-    broken : tuple of str
-        What went wrong; empty if the seed passed.
-    recovered_s : tuple of float
-        Seconds until all requests were served again, after each series, each kill of
-        all processes and the last fault.
-    version : int
-        Last acknowledged version.
-    workloads : int
-        Accepted workloads.
-    slowest_sync_s : float
-        Longest time in seconds that the machine's disk took for a sync of the soak's
-        own; above a second, a late recovery may be due to the machine.
-    duration_s : float
-        Seconds for the whole seed.
-    """
-
-    seed: int
-    layout: Layout
-    broken: tuple[str, ...]
-    recovered_s: tuple[float, ...]
-    version: int
-    workloads: int
-    slowest_sync_s: float
-    duration_s: float
-
-
-class ServiceNotBack(Exception):
-    """Requests were not served within the stated time."""
-
-
-class _SoakRun:
-    """Plays one plan and follows the processes with readers."""
-
-    def __init__(
-        self,
-        plan: SoakPlan,
-        interface: SoakInterface,
-        folder: pathlib.Path,
-        terms: SoakTerms,
-    ) -> None:
-        self._plan = plan
-        self._terms = terms
-        self._interface = interface
-        source = random.Random(plan.seed)
-        self.site = SoakSite(plan.layout, interface, folder, source)
-        self.judge = JudgeTask()
-        judge = self.judge.mailbox
-        self._operator = OperatorTask(interface, judge, random.Random(plan.seed))
-        self._caller = CallerTask(
-            interface, judge, self.site.entry_address, random.Random(plan.seed)
-        )
-        self.probe = DiskProbeTask(folder)
-        self._readers: dict[str, anyio.CancelScope] = {}
-        self.broken: list[str] = []
-        self.recovered_s: list[float] = []
-
-    async def play(self) -> None:
-        """Start the processes, inflict all faults, and check what is left."""
-        try:
-            await self.site.start_all()
-            async with anyio.create_task_group() as tasks:
-                await self._play_faults(tasks)
-                tasks.cancel_scope.cancel()
-        except* (ProcessNotReady, ServiceNotBack) as group:
-            self.broken += [str(error) for error in iterate_leaf_exceptions(group)]
-        finally:
-            self.site.note_ended()
-            self.site.end_all()
-
-    async def _play_faults(self, tasks: TaskGroup) -> None:
-        tasks.start_soon(self.judge.run)
-        tasks.start_soon(self.probe.run)
-        async with anyio.create_task_group() as clients:
-            self._follow_processes(clients)
-            clients.start_soon(self._operator.run)
-            clients.start_soon(self._caller.run)
-            await self._await_service("the start", START_LIMIT_S)
-            await anyio.sleep(self._terms.catch_up_s)
-            for steps, kills_all in zip(
-                self._plan.series, self._plan.kills_all, strict=True
-            ):
-                await self._play_series(steps, clients)
-                await self._await_service("a series", self._terms.recovery_s)
-                if kills_all:
-                    await self._lose((), 0.0, clients)
-                    await self._await_service("the kill", self._terms.recovery_s)
-                    await anyio.sleep(self._terms.catch_up_s)
-            final = self._plan.final
-            self._operator.mailbox.post(WaitForAcknowledgement(acknowledged := Reply()))
-            if (
-                await acknowledged.receive(
-                    anyio.current_time() + self._terms.recovery_s
-                )
-                is None
-            ):
-                raise ServiceNotBack("no acknowledgement before the last fault")
-            await self._lose(final.wiped, final.down_s, clients)
-            await self._await_service("the last fault", self._terms.recovery_s)
-            clients.cancel_scope.cancel()
-        unclear = await self._caller.check_all()
-        if unclear:
-            self.broken.append(f"no clear reply about {len(unclear)} workloads")
-
-    async def _play_series(
-        self, steps: tuple[FaultStep, ...], clients: TaskGroup
-    ) -> None:
-        tolerated = self._plan.layout.tolerated_losses
-        sequence = FaultSequence(
-            steps, tolerated, self._terms.catch_up_s, anyio.current_time()
-        )
-        async with anyio.create_task_group() as ends:
-            while not sequence.is_over(anyio.current_time()):
-                now_s = anyio.current_time()
-                while (step := sequence.begin_due(now_s)) is not None:
-                    step.fault.begin(self.site, step.vm_id)
-                while (step := sequence.end_due(now_s)) is not None:
-                    ends.start_soon(self._end_step, step, sequence, clients)
-                self.site.note_ended()
-                await anyio.sleep(POLL_INTERVAL_S)
-
-    async def _end_step(
-        self, step: FaultStep, sequence: FaultSequence, clients: TaskGroup
-    ) -> None:
-        await step.fault.end(self.site, step.vm_id)
-        sequence.note_back(step.vm_id, anyio.current_time())
-        self._follow_processes(clients)
-
-    async def _lose(
-        self,
-        wiped: tuple[str, ...],
-        down_s: float,
-        clients: TaskGroup,
-    ) -> None:
-        """Kill all control processes, remove the data of some, and start all again."""
-        vm_ids = self._plan.layout.vm_ids
-        for vm_id in vm_ids:
-            self.site.kill(vm_id)
-        for vm_id in wiped:
-            self.site.wipe(vm_id)
-        await anyio.sleep(down_s)
-        async with anyio.create_task_group() as starts:
-            for vm_id in vm_ids:
-                starts.start_soon(self.site.start, vm_id)
-        self._follow_processes(clients)
-
-    def _follow_processes(self, clients: TaskGroup) -> None:
-        """Read from the processes that run now, and tell the operator of them."""
-        processes = self.site.list_processes()
-        for name in self._readers.keys() - processes.keys():
-            self._readers.pop(name).cancel()
-        for name, address in processes.items():
-            if name not in self._readers:
-                scope = self._readers[name] = anyio.CancelScope()
-                clients.start_soon(self._read, scope, name, address)
-        self._operator.mailbox.post(ControlsMoved(tuple(processes.values())))
-
-    async def _read(self, scope: anyio.CancelScope, name: str, address: str) -> None:
-        with scope:
-            judge = self.judge.mailbox
-            await ReaderTask(self._interface, judge, name, address).run()
-
-    async def _await_service(self, cause: str, limit_s: float) -> None:
-        """Wait until every kind of request is served, and note the time it took."""
-        began_s = anyio.current_time()
-        processes = tuple(self.site.list_processes())
-        while True:
-            self.judge.mailbox.post(UnservedQuery(began_s, processes, reply := Reply()))
-            unserved = await reply.receive()
-            elapsed_s = anyio.current_time() - began_s
-            if not unserved:
-                self.recovered_s.append(round(elapsed_s, 2))
-                return
-            if elapsed_s > limit_s:
-                raise ServiceNotBack(
-                    f"not served within {limit_s} s of {cause}: {', '.join(unserved)}"
-                )
-            await anyio.sleep(POLL_INTERVAL_S)
-
-
-async def run_seed(
-    plan: SoakPlan,
-    interface: SoakInterface,
-    folder: pathlib.Path,
-    terms: SoakTerms = SoakTerms(),
-) -> SoakResult:
-    """Play one plan in an empty folder, within a bounded time."""
-    began_s = anyio.current_time()
-    run = _SoakRun(plan, interface, folder, terms)
-    with anyio.move_on_after(SEED_LIMIT_S) as scope:
-        await run.play()
-    if scope.cancelled_caught:
-        run.broken.append(f"not done within {SEED_LIMIT_S} s")
-    promises = run.judge.promises
-    return SoakResult(
-        plan.seed,
-        plan.layout,
-        (*promises.broken, *run.site.faults, *run.broken),
-        tuple(run.recovered_s),
-        promises.acknowledged_version,
-        promises.accepted_count,
-        round(run.probe.slowest_s, 2),
-        round(anyio.current_time() - began_s, 1),
-    )
-
-
-def _run_one(plan: SoakPlan, interface: SoakInterface) -> SoakResult:
-    """Play a plan; the logs of a seed that failed are kept."""
+def _run_one(plan: SoakPlan, interface: SoakInterface, keeps_logs: bool) -> SoakResult:
+    """Play a plan; the logs of a seed that failed are kept in any case."""
     folder = pathlib.Path(tempfile.mkdtemp(prefix=f"tanagerpath-soak-{plan.seed}-"))
     result = anyio.run(run_seed, plan, interface, folder)
     verdict = "FAILED" if result.broken else "passed"
     print(
         f"seed {plan.seed}: {verdict} in {result.duration_s} s, "
         f"{plan.layout.controls} control processes, "
-        f"{plan.layout.tolerated_losses} losses, version {result.version}, "
-        f"{result.workloads} workloads, recovered in {list(result.recovered_s)} s, "
+        f"{plan.layout.tolerated_losses} losses, {plan.layout.workers} workers, "
+        f"version {result.version}, {result.workloads} workloads, {result.starts} runs "
+        f"({len(result.restarts_after_idle_expiry)} after an end as done and an idle "
+        f"worker's expired lease, {len(result.restarts_after_expiry)} after another "
+        f"expired lease), recovered in {list(result.recovered_s)} s, "
+        f"completed in {result.completed_s} s, "
         f"slowest sync {result.slowest_sync_s} s",
         flush=True,
     )
     for text in result.broken:
         print(f"  {text}", flush=True)
-    if result.broken:
+    if keeps_logs:
+        for text in (*result.restarts_after_idle_expiry, *result.restarts_after_expiry):
+            print(f"  excused by an expired lease: {text}", flush=True)
+    if result.broken or keeps_logs:
         print(f"  logs: {folder}", flush=True)
     else:
         shutil.rmtree(folder)
@@ -306,17 +64,31 @@
     add("--first", type=int, default=0, help="first seed")
     add("--controls", type=int, help="control processes, with --losses")
     add("--losses", type=int, help="losses that must be borne, with --controls")
+    add("--workers", type=int, help="workers; 0 leaves all workloads queued")
+    add("--keep-logs", action="store_true", help="keep the logs of all seeds")
     return parser
 
 
+def _choose_layout(flags: argparse.Namespace, seed: int) -> Layout:
+    layout = Layout.from_seed(seed)
+    if flags.controls:
+        layout = Layout(flags.controls, flags.losses, layout.workers)
+    if flags.workers is not None:
+        layout = attrs.evolve(layout, workers=flags.workers)
+    return layout
+
+
 def main(arguments: list[str] | None = None) -> int:
     """Play the seeds one after the other; the exit status is 0 if all passed."""
     from tanagerpath.platform.soak_interface import PlatformInterface
 
     flags = make_parser().parse_args(arguments)
-    layout = Layout(flags.controls, flags.losses) if flags.controls else None
     results = [
-        _run_one(SoakPlan.from_seed(seed, layout), PlatformInterface())
+        _run_one(
+            SoakPlan.from_seed(seed, _choose_layout(flags, seed)),
+            PlatformInterface(),
+            flags.keep_logs,
+        )
         for seed in range(flags.first, flags.first + flags.seeds)
     ]
     failed = [result.seed for result in results if result.broken]
@@ -324,6 +96,10 @@
         "seeds": len(results),
         "passed": len(results) - len(failed),
         "workloads": sum(result.workloads for result in results),
+        "runs": sum(result.starts for result in results),
+        "restarts_after_idle_expiry": sum(
+            len(result.restarts_after_idle_expiry) for result in results
+        ),
         "slowest_recovery_s": max(
             (one for result in results for one in result.recovered_s), default=None
         ),
