Check workloads over several control nodes in virtual time

No check joined replicas that overlap in time with the workloads of the platform: the rig of core/workloads/tests applies the commands of one dispatcher at once, and core_check has the jobs of the system itself.

Faults overlap: leaders are frozen, killed, isolated, handed over or lose their disk; links and upstreams are silent for less and for more than a lease; upstreams restart under their identity or another one; calls come late or twice, and replies are lost. An end does not count if the lease of its upstream expired before it was acknowledged. Starts that count only if the lease of an idle upstream can't expire are printed as strict and do not fail.

--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 SEED ?= 1
 SEEDS ?= 50
 
-.PHONY: setup lint format test demo bench-policy bench-workloads bench-takeover check-core fault-drill soak bench-capacity
+.PHONY: setup lint format test demo bench-policy bench-workloads bench-takeover check-core check-workloads fault-drill soak bench-capacity
 
 $(VENV)/.installed: requirements.lock pyproject.toml
 	python3 -m venv $(VENV)
@@ -39,6 +39,9 @@
 check-core: setup
 	$(PYTHON) -m tanagerpath.benchmarks.core_check --seeds $(SEEDS)
 
+check-workloads: setup
+	$(PYTHON) -m tanagerpath.benchmarks.workload_check --seeds $(SEEDS) --first $(SEED)
+
 fault-drill: setup
 	$(PYTHON) -m tanagerpath.emulator.drill
 
