--- a/tanagerpath/benchmarks/tests/test_workload_check.py
+++ b/tanagerpath/benchmarks/tests/test_workload_check.py
@@ -9,7 +9,6 @@
 from tanagerpath.benchmarks.tests.workload_check_faults import BROKEN_MECHANISMS
 from tanagerpath.benchmarks.workload_check import CheckPlan, main, run_seed
 
-# A leader that hands over spins without end with other seeds (issue 32).
 SEEDS = (2, 3, 4, 7)
 # The seed that shows a broken mechanism shifts with any change of the core.
 SEEDS_TRIED = 30
