--- a/tanagerpath/benchmarks/workload_fleet.py
+++ b/tanagerpath/benchmarks/workload_fleet.py
@@ -10,9 +10,8 @@
 from tanagerpath.core.workloads.tests.fake_upstream import STEP_S, FakeUpstream
 from tanagerpath.core.workloads.tests.rig import Rig
 
-__all__ = ["ORGANISATIONS", "ReplayRig"]
+__all__ = ["ReplayRig"]
 
-ORGANISATIONS = ("o1", "o2", "o3", "o4")
 # Share of all accelerators that is guaranteed to organisations.
 GUARANTEED_SHARE = 0.62
 
@@ -79,11 +78,21 @@
         Upstreams of a rack.
     checkpoint_interval_s, restore_s : float
         Work between two checkpoints, and the time to resume from one.
+    organisations : int
+        Number of organisations, which have equal guarantees.
     """
 
     def __init__(
-        self, seed, speeds, capacity, rack_size, checkpoint_interval_s, restore_s
+        self,
+        seed,
+        speeds,
+        capacity,
+        rack_size,
+        checkpoint_interval_s,
+        restore_s,
+        organisations,
     ) -> None:
+        self.organisations = tuple(f"o{number + 1}" for number in range(organisations))
         self.checkpoint_interval_s = checkpoint_interval_s
         self.restore_s = restore_s
         self.wasted_cores_s = 0.0
@@ -107,12 +116,12 @@
     def make_organisations(self) -> tuple[Organisation, ...]:
         """Return organisations that share most of the accelerators."""
         whole = sum(self._capacity.accelerators for _ in self._speeds)
-        each = int(whole * GUARANTEED_SHARE / len(ORGANISATIONS))
+        each = int(whole * GUARANTEED_SHARE / len(self.organisations))
         return tuple(
             Organisation(
                 name=name, api_keys=(name,), guaranteed=Resources(accelerators=each)
             )
-            for name in ORGANISATIONS
+            for name in self.organisations
         )
 
     # Gangs
--- a/tanagerpath/benchmarks/workload_kinds.py
+++ b/tanagerpath/benchmarks/workload_kinds.py
@@ -39,6 +39,8 @@
         Objective in multiples of the work, and what is added.
     burst : float
         Multiple of the rate during the burst.
+    tail_share, tail_factor : float
+        Share of workloads that run longer than declared, and by which factor.
     """
 
     queue: str
@@ -63,6 +65,8 @@
     factor: float = 3.0
     margin_s: float = 1.0
     burst: float = 1.0
+    tail_share: float = 0.0
+    tail_factor: float = 1.0
 
     @property
     def mean_cores_s(self) -> float:
@@ -89,6 +93,12 @@
         What callers submit.
     checkpoint_interval_s, restore_s : float
         Work between two checkpoints, and the time to resume from one.
+    upstreams : int
+        Number of upstreams, in racks of eight.
+    swing, period_s : float
+        Amplitude of the wave of all rates as a share of the mean, and its period.
+    organisations : int
+        Number of organisations, which share the guaranteed accelerators equally.
     """
 
     speeds: tuple[float, ...]
@@ -96,6 +106,10 @@
     kinds: tuple[WorkloadKind, ...]
     checkpoint_interval_s: float
     restore_s: float
+    upstreams: int = 24
+    swing: float = 0.0
+    period_s: float = 17.0
+    organisations: int = 4
 
 
 FEW_FAST = Fleet(
@@ -194,4 +208,131 @@
         ),
     ),
 )
-FLEETS = {"few-fast": FEW_FAST, "few-slow": FEW_SLOW}
+# Large tasks fill more than half of the memory of an upstream.
+MEMORY_BOUND = Fleet(
+    speeds=(0.8, 1.0, 1.25),
+    capacity=Resources(32_000, 131_072, 8),
+    checkpoint_interval_s=0.5,
+    restore_s=0.6,
+    upstreams=176,
+    swing=0.55,
+    period_s=17.0,
+    organisations=10,
+    kinds=(
+        WorkloadKind(
+            queue="urgent",
+            rate_per_s=4.84,
+            width=5.4,
+            width_max=32,
+            work_s=2.1,
+            work_spread=0.5,
+            work_max_s=22.0,
+            cpu_millicores=3_700,
+            memory_mb=11_000,
+            accelerators=(1, 2, 4, 8, 8),
+            gang=1.0,
+            same_rack=0.8,
+            declared_spread=0.2,
+            failing=0.05,
+            credit=4.0,
+            late_credit=0.8,
+            factor=1.5,
+            margin_s=0.3,
+            burst=2.1,
+            tail_share=0.03,
+            tail_factor=7.0,
+        ),
+        WorkloadKind(
+            queue="batch",
+            rate_per_s=0.912,
+            width=13.0,
+            width_max=78,
+            work_s=7.2,
+            work_spread=0.3,
+            work_max_s=76.0,
+            cpu_millicores=13_000,
+            memory_mb=68_000,
+            accelerators=(1, 2, 4, 8, 8),
+            gang=1.0,
+            same_rack=0.6,
+            checkpointing=0.45,
+            cancelled=0.05,
+            credit=3.0,
+            late_credit=1.5,
+            tail_share=0.03,
+            tail_factor=7.0,
+        ),
+        WorkloadKind(
+            queue="scan",
+            rate_per_s=0.898,
+            width=51.0,
+            width_max=230,
+            work_s=6.5,
+            work_spread=0.3,
+            work_max_s=68.0,
+            cpu_millicores=2_800,
+            memory_mb=15_000,
+            accelerators=(1,),
+            checkpointing=0.45,
+            cancelled=0.15,
+            declared_spread=0.9,
+            failing=0.005,
+            margin_s=3.0,
+            tail_share=0.03,
+            tail_factor=7.0,
+        ),
+    ),
+)
+# A third of the upstreams is more than twice as fast as the others.
+UNEVEN_SPEEDS = Fleet(
+    speeds=(0.7, 0.7, 1.7),
+    capacity=Resources(64_000, 131_072, 8),
+    checkpoint_interval_s=1.0,
+    restore_s=0.25,
+    upstreams=176,
+    swing=0.15,
+    period_s=11.0,
+    organisations=10,
+    kinds=(
+        attrs.evolve(
+            MEMORY_BOUND.kinds[0],
+            rate_per_s=2.34,
+            work_s=2.5,
+            work_max_s=8.0,
+            cpu_millicores=7_500,
+            memory_mb=20_000,
+            failing=0.02,
+            margin_s=0.25,
+            tail_share=0.0,
+        ),
+        attrs.evolve(
+            MEMORY_BOUND.kinds[1],
+            rate_per_s=0.688,
+            work_s=8.5,
+            work_max_s=11.0,
+            cpu_millicores=26_000,
+            memory_mb=38_000,
+            declared_spread=0.9,
+            failing=0.005,
+            late_credit=0.9,
+            tail_share=0.0,
+        ),
+        attrs.evolve(
+            MEMORY_BOUND.kinds[2],
+            rate_per_s=0.539,
+            work_s=9.5,
+            work_max_s=11.0,
+            cpu_millicores=5_600,
+            memory_mb=8_200,
+            declared_spread=0.5,
+            late_credit=0.3,
+            tail_share=0.0,
+        ),
+    ),
+)
+FLEETS = {
+    "few-fast": FEW_FAST,
+    "few-slow": FEW_SLOW,
+    "memory-bound": MEMORY_BOUND,
+    "uneven-speeds": UNEVEN_SPEEDS,
+}
--- a/tanagerpath/benchmarks/workload_replay.py
+++ b/tanagerpath/benchmarks/workload_replay.py
@@ -14,7 +14,7 @@
 
 import attrs
 
-from tanagerpath.benchmarks.workload_fleet import ORGANISATIONS, ReplayRig
+from tanagerpath.benchmarks.workload_fleet import ReplayRig
 from tanagerpath.benchmarks.workload_kinds import FLEETS, Fleet, WorkloadKind
 from tanagerpath.core.workloads.policy import HARD_DEADLINE_FACTOR
 from tanagerpath.core.workloads.resources import Resources
@@ -26,7 +26,6 @@
 FINISH_S = 30.0
 WINDOW_S = 2.0
 WORST_WINDOWS = 2
-UPSTREAMS = 24
 RACK_SIZE = 8
 # Corrects the mean of a logarithmic normal distribution of spread WIDTH_SPREAD.
 WIDTH_SPREAD = 0.8
@@ -109,7 +108,8 @@
         self._burst = burst
         self._load = load
         speeds = [
-            fleet.speeds[number % len(fleet.speeds)] for number in range(UPSTREAMS)
+            fleet.speeds[number % len(fleet.speeds)]
+            for number in range(fleet.upstreams)
         ]
         self._random.shuffle(speeds)
         self._rig = ReplayRig(
@@ -119,25 +119,34 @@
             RACK_SIZE,
             fleet.checkpoint_interval_s,
             fleet.restore_s,
+            fleet.organisations,
         )
         self._submissions: dict[str, _Submission] = {}
 
     def _draw_arrivals(self, kind: WorkloadKind) -> list[float]:
         at_s, found = 0.0, []
         while True:
-            is_burst = self._burst and BURST_BEGIN_S <= at_s < BURST_END_S
-            rate = self._load * kind.rate_per_s * (kind.burst if is_burst else 1.0)
-            at_s += self._random.expovariate(rate)
+            at_s += self._random.expovariate(self._find_rate(kind, at_s))
             if at_s >= DAY_S:
                 return found
             found.append(at_s)
 
+    def _find_rate(self, kind: WorkloadKind, at_s: float) -> float:
+        """Return the submissions of a kind in a second at a time of the day."""
+        fleet = self._fleet
+        is_burst = self._burst and BURST_BEGIN_S <= at_s < BURST_END_S
+        wave = 1.0 + fleet.swing * math.sin(2 * math.pi * at_s / fleet.period_s)
+        burst = kind.burst if is_burst else 1.0
+        return self._load * kind.rate_per_s * burst * wave
+
     def _draw(self, kind: WorkloadKind, at_s: float) -> _Submission:
         draw = self._random
         width = draw.lognormvariate(0.0, WIDTH_SPREAD) * kind.width / WIDTH_MEAN
         count = min(max(round(width), 1), kind.width_max)
         work_s = draw.lognormvariate(0.0, kind.work_spread) * kind.work_s
-        work_s = min(work_s, kind.work_max_s)
+        declared_s = min(work_s, kind.work_max_s)
+        has_tail = kind.tail_share > 0.0 and draw.random() < kind.tail_share
+        work_s = min(work_s * (kind.tail_factor if has_tail else 1.0), kind.work_max_s)
         needs = Resources(
             kind.cpu_millicores, kind.memory_mb, draw.choice(kind.accelerators)
         )
@@ -149,11 +158,11 @@
         size = BASE_SHARE + (1 - BASE_SHARE) * cores_s / kind.mean_cores_s
         declared = draw.lognormvariate(0.0, kind.declared_spread)
         is_pinned = draw.random() < kind.pinned
-        rack = f"r{draw.randrange(UPSTREAMS // RACK_SIZE)}"
+        rack = f"r{draw.randrange(self._fleet.upstreams // RACK_SIZE)}"
         spec = StepSpec(
             count=count,
             needs=needs,
-            declared_run_s=work_s * declared,
+            declared_run_s=declared_s * declared,
             checkpointing=draw.random() < kind.checkpointing,
             gang=is_gang,
             same_rack=is_gang and draw.random() < kind.same_rack,
@@ -167,7 +176,7 @@
             kind.credit * min(size, MAX_SIZE_FACTOR),
             at_s + draw.uniform(*CANCEL_AFTER_S) if is_cancelled else None,
             spec,
-            draw.choice(ORGANISATIONS),
+            draw.choice(self._rig.organisations),
         )
 
     def _count_room(self, needs: Resources) -> int:
