Measure speeds against the mean of the fleet

Cause: measured run times fix only the difference of work and speed. Where runs take longer than declared, part of that lowered the speeds of all upstreams (mean 0.75 on a fleet with a mean of 1.0), so that work, and objectives, were predicted too short by as much: urgent work that was on time counted as late, and preempted. Change: speed 1 is the mean speed of the measured upstreams.

--- a/tanagerpath/core/workloads/estimates.py
+++ b/tanagerpath/core/workloads/estimates.py
@@ -4,6 +4,10 @@
 upstream, each with a variance; a measured run corrects the less certain one more.
 Declared run times are far off, so the prior of a new step combines them with the mean
 of its queue, each weighted by how well it has predicted work so far.
+
+Measured run times fix only the difference of work and speed: a common error of all
+speeds would also be one of all work, and so of all objectives. Speed 1 is therefore the
+mean speed of the fleet.
 """
 
 import math
@@ -35,6 +39,9 @@
 PRIOR_WEIGHT = 2.0
 # Deviations of a single run are clipped to this, so that an outlier does little harm.
 MAX_DEVIATION = 2.0
+# Upstreams of speed 1 that the mean speed starts with, as few measured ones are no
+# sample of the fleet.
+PRIOR_MEAN_SPEED_WEIGHT = 5.0
 
 EstimateKey = tuple[str, int]
 
@@ -64,6 +71,7 @@
 
     def __init__(self) -> None:
         self._speeds: dict[str, _Estimate] = {}
+        self._speed_log_sum = 0.0
         self._speed_updated_s: dict[str, float] = {}
         self._work: dict[EstimateKey, _Estimate] = {}
         self._queues: dict[str, LearnedQueue] = {}
@@ -84,6 +92,7 @@
         estimates = cls()
         for speed in learned.speeds:
             estimates._speeds[speed.upstream_id] = _Estimate(speed.log, speed.variance)
+            estimates._speed_log_sum += speed.log
             estimates._speed_updated_s[speed.upstream_id] = now_s
         estimates._queues = {history.queue: history for history in learned.queues}
         return estimates
@@ -155,7 +164,14 @@
                 speed.log = slowest.log
                 self._store_speed(upstream_id, speed, now_s)
 
+    @property
+    def _mean_speed_log(self) -> float:
+        weight = PRIOR_MEAN_SPEED_WEIGHT + len(self._speeds)
+        return self._speed_log_sum / weight
+
     def _store_speed(self, upstream_id: str, speed: _Estimate, now_s: float) -> None:
+        held = self._speeds.get(upstream_id)
+        self._speed_log_sum += speed.log - (held.log if held is not None else 0.0)
         self._speeds[upstream_id] = speed
         self._speed_updated_s[upstream_id] = now_s
         self._changed_speeds.add(upstream_id)
@@ -189,19 +205,20 @@
     def _find_speed(self, upstream_id: str, now_s: float) -> _Estimate:
         held = self._speeds.get(upstream_id)
         if held is None:
-            return _Estimate(0.0, UNKNOWN_SPEED_VARIANCE)
+            return _Estimate(self._mean_speed_log, UNKNOWN_SPEED_VARIANCE)
         age_s = now_s - self._speed_updated_s[upstream_id]
         variance = held.variance + SPEED_DRIFT_PER_S * max(age_s, 0.0)
         return _Estimate(held.log, min(variance, UNKNOWN_SPEED_VARIANCE))
 
     def predict_work_s(self, step: EstimateKey, queue: str, declared_s: float) -> float:
         """Return the predicted run time of a task of a step at speed 1."""
-        return math.exp(self._find_work(step, queue, declared_s).log)
+        work = self._find_work(step, queue, declared_s)
+        return math.exp(work.log - self._mean_speed_log)
 
     def find_speed(self, upstream_id: str) -> float:
         """Return the speed of an upstream; 1 if it was never measured."""
         held = self._speeds.get(upstream_id)
-        return 1.0 if held is None else math.exp(held.log)
+        return 1.0 if held is None else math.exp(held.log - self._mean_speed_log)
 
     def is_speed_known(self, upstream_id: str) -> bool:
         """Return whether the speed of an upstream is measured well enough."""
@@ -215,5 +232,7 @@
 
     def forget_upstream(self, upstream_id: str) -> None:
         """Delete the speed of a removed upstream."""
-        self._speeds.pop(upstream_id, None)
+        held = self._speeds.pop(upstream_id, None)
+        if held is not None:
+            self._speed_log_sum -= held.log
         self._speed_updated_s.pop(upstream_id, None)
