Record the evacuation of availability zones in the log

An operator may order that no new run starts in an availability zone. The state holds the last order for each zone with a revision, and refuses starts that follow the order in the log.

A change names the revision that was read while the order was open, and applies to that one only. A copy that is delayed inside the system is outdated by any later order, also by one that finds the zone as requested. Two changes with the same revision and content have one effect, so that a link may repeat a change without a reply.

--- a/tanagerpath/core/workloads/commands.py
+++ b/tanagerpath/core/workloads/commands.py
@@ -21,6 +21,7 @@
     "RunEnd",
     "RunOutcome",
     "RunStart",
+    "SetEvacuation",
     "UpstreamRecord",
     "WithdrawUpstream",
     "WorkloadCommand",
@@ -186,6 +187,21 @@
     vm_id: str
 
 
+@attrs.frozen
+class SetEvacuation:
+    """Begins or ends the evacuation of an availability zone.
+
+    It applies only to `expected_revision` of the zone, so that a delayed copy of an
+    order changes nothing once a later order has taken effect. An order that finds the
+    zone as requested also increments the revision: it outdates the copies of earlier,
+    unanswered orders.
+    """
+
+    zone: str
+    is_evacuated: bool
+    expected_revision: int
+
+
 WorkloadCommand = (
     PutConfiguration
     | AcceptWorkload
@@ -196,4 +212,5 @@
     | ExpireWorkloads
     | DeclareWave
     | RecordUpkeep
+    | SetEvacuation
 )
--- a/tanagerpath/core/workloads/dispatch_context.py
+++ b/tanagerpath/core/workloads/dispatch_context.py
@@ -79,6 +79,11 @@
         step must have begun if the guarantee of its organisation covers it.
     silent_after_s : float
         Seconds without a heartbeat or reply after which an upstream is withdrawn.
+    evacuation_s : float
+        Seconds after the acknowledgement of an evacuation from which no run may start
+        in its availability zone.
+    availability_zones : tuple of str
+        Availability zones that may be evacuated; empty for any.
     advice_address, platform_address : str
         "ip:port" of the advice service, and of the platform's upkeep of VMs.
     """
@@ -102,6 +107,8 @@
     interference_s: float = 4.0
     guaranteed_start_s: float = 2.7
     silent_after_s: float = 30.0
+    evacuation_s: float = 60.0
+    availability_zones: tuple[str, ...] = ()
     advice_address: str = ""
     platform_address: str = ""
 
--- a/tanagerpath/core/workloads/failures.py
+++ b/tanagerpath/core/workloads/failures.py
@@ -6,6 +6,7 @@
 
 __all__ = [
     "CancelledBefore",
+    "EvacuationSuperseded",
     "InvalidConfiguration",
     "InvalidUpstreamReport",
     "InvalidWorkload",
@@ -16,8 +17,11 @@
     "UnknownQueue",
     "UnknownWave",
     "UnknownWorkload",
+    "UnknownZone",
 ]
 
+MAX_SHOWN_CHARS = 80
+
 
 @attrs.frozen(kw_only=True)
 class _WrongField(Failure):
@@ -166,3 +170,36 @@
     def message(self) -> str:
         """One-line description for users."""
         return f"upkeep wave {self.wave} is not known"
+
+
+@attrs.frozen(kw_only=True)
+class UnknownZone(Failure):
+    """The settings name no such availability zone."""
+
+    zone: str
+    known: tuple[str, ...]
+
+    @property
+    def message(self) -> str:
+        """One-line description for users."""
+        return (
+            f"availability zone {self.zone[:MAX_SHOWN_CHARS]!r} is not known, "
+            f"expected {', '.join(self.known) or 'a name'}"
+        )
+
+
+@attrs.frozen(kw_only=True)
+class EvacuationSuperseded(Failure):
+    """Another order for the availability zone took effect in between."""
+
+    zone: str
+    expected_revision: int
+    revision: int
+
+    @property
+    def message(self) -> str:
+        """One-line description for users."""
+        return (
+            f"availability zone {self.zone!r} is at revision {self.revision}, "
+            f"and no longer at {self.expected_revision}: repeat the order"
+        )
--- a/tanagerpath/core/workloads/records.py
+++ b/tanagerpath/core/workloads/records.py
@@ -8,6 +8,7 @@
 from tanagerpath.core.workloads.specs import StepSpec, TaskId, WorkloadSpec
 
 __all__ = [
+    "EvacuationRecord",
     "OpenRun",
     "StoredWorkload",
     "TaskRecord",
@@ -72,6 +73,25 @@
         )
 
 
+@attrs.frozen
+class EvacuationRecord:
+    """Last order of operators for an availability zone.
+
+    Attributes
+    ----------
+    zone : str
+        The availability zone.
+    is_evacuated : bool
+        Whether no new run may start there.
+    revision : int
+        Number of orders that have taken effect, 0 for none.
+    """
+
+    zone: str
+    is_evacuated: bool = False
+    revision: int = 0
+
+
 @attrs.define
 class WaveRecord:
     """An upkeep wave; `waiting` are the VMs whose upkeep has not begun."""
--- a/tanagerpath/core/workloads/request_handler.py
+++ b/tanagerpath/core/workloads/request_handler.py
@@ -13,12 +13,18 @@
 from tanagerpath.core.workloads.dispatcher import Dispatcher
 from tanagerpath.core.workloads.failures import (
     CancelledBefore,
+    EvacuationSuperseded,
     NotConfigured,
     TooManyWorkloads,
     UnknownWave,
     UnknownWorkload,
+    UnknownZone,
+)
+from tanagerpath.core.workloads.records import (
+    EvacuationRecord,
+    WaveRecord,
+    WorkloadRecord,
 )
-from tanagerpath.core.workloads.records import WaveRecord, WorkloadRecord
 from tanagerpath.core.workloads.state import Applied, FleetState
 from tanagerpath.errors import Failure
 
@@ -29,6 +35,8 @@
 LATE_SUBMISSION_S = 30.0
 MAX_CANCELLED_UNKNOWN = 10_000
 MAX_PROPOSED = 10_000
+# Bound of names where the settings list no availability zones.
+MAX_ZONE_CHARS = 63
 
 
 @attrs.frozen
@@ -57,6 +65,8 @@
                 return requests.ConfigurationStored(state.configuration.version)
             case commands.DeclareWave(wave=wave):
                 return _make_wave_reply(state.waves[wave])
+            case commands.SetEvacuation(zone=zone) as command:
+                return _confirm_evacuation(state.find_evacuation(zone), command)
         return requests.UpstreamReportReply(self.leader_address)
 
 
@@ -71,6 +81,27 @@
     return requests.WaveReply(wave.wave, wave.is_completed)
 
 
+def _make_evacuation_reply(record: EvacuationRecord) -> requests.EvacuationReply:
+    return requests.EvacuationReply(record.zone, record.is_evacuated, record.revision)
+
+
+def _confirm_evacuation(
+    current: EvacuationRecord, command: commands.SetEvacuation
+) -> object:
+    """Return the reply to an order, a failure if it is not the last one in effect.
+
+    Two commands with the same revision and content have one effect, as a request that
+    is repeated after a lost reply.
+    """
+    expected = command.expected_revision
+    if current == EvacuationRecord(command.zone, command.is_evacuated, expected + 1):
+        return _make_evacuation_reply(current)
+    failure = EvacuationSuperseded(
+        zone=command.zone, expected_revision=expected, revision=current.revision
+    )
+    return ErrorBody.from_failure(failure)
+
+
 class WorkloadRequestHandler:
     """Answers requests from the state, or returns the proposals that they need.
 
@@ -115,6 +146,8 @@
             requests.ConfigurationQuery: self._show_configuration,
             requests.WaveRequest: self._declare_wave,
             requests.WaveQuery: self._show_wave,
+            requests.EvacuationQuery: self._show_evacuation,
+            requests.EvacuationChange: self._change_evacuation,
             requests.LeaderQuery: self._show_leader,
         }
 
@@ -330,5 +363,35 @@
             UnknownWave(wave=request.wave) if wave is None else _make_wave_reply(wave)
         )
 
+    def _show_evacuation(
+        self, request: requests.EvacuationQuery, now: Instant
+    ) -> object:
+        if not self._is_known_zone(request.zone):
+            known = self._dispatcher.context.terms.availability_zones
+            return UnknownZone(zone=request.zone, known=known)
+        return _make_evacuation_reply(self._state.find_evacuation(request.zone))
+
+    def _is_known_zone(self, zone: str) -> bool:
+        """Return whether orders for an availability zone are accepted.
+
+        A zone that has had one stays known: its evacuation must not outlast a change of
+        the settings.
+        """
+        if zone in self._state.evacuations:
+            return True
+        known = self._dispatcher.context.terms.availability_zones
+        return zone in known if known else 0 < len(zone) <= MAX_ZONE_CHARS
+
+    def _change_evacuation(
+        self, request: requests.EvacuationChange, now: Instant
+    ) -> object | list[commands.WorkloadCommand]:
+        command = commands.SetEvacuation(
+            request.zone, request.is_evacuated, request.expected_revision
+        )
+        current = self._state.find_evacuation(request.zone)
+        if current.revision == command.expected_revision:
+            return [command]
+        return _confirm_evacuation(current, command)
+
     def _show_leader(self, request: requests.LeaderQuery, now: Instant) -> object:
         return requests.LeaderReply(self._leader_address, self._list_addresses())
--- a/tanagerpath/core/workloads/requests.py
+++ b/tanagerpath/core/workloads/requests.py
@@ -14,6 +14,9 @@
     "ConfigurationReply",
     "ConfigurationRequest",
     "ConfigurationStored",
+    "EvacuationChange",
+    "EvacuationQuery",
+    "EvacuationReply",
     "LeaderQuery",
     "LeaderReply",
     "PendingCount",
@@ -142,6 +145,34 @@
     wave: int
 
 
+@attrs.frozen
+class EvacuationQuery:
+    """A process asks for the revision that an operator's order is to replace."""
+
+    zone: str
+
+
+@attrs.frozen
+class EvacuationChange:
+    """An operator begins or ends the evacuation of an availability zone.
+
+    A request that is repeated with the same revision takes effect once.
+
+    Attributes
+    ----------
+    zone : str
+        The availability zone.
+    is_evacuated : bool
+        Whether no new run may start there.
+    expected_revision : int
+        Revision of the zone when the operator's order was still open.
+    """
+
+    zone: str
+    is_evacuated: bool
+    expected_revision: int
+
+
 @attrs.frozen
 class LeaderQuery:
     """A process asks for the addresses of the leader and the control VMs."""
@@ -195,6 +226,15 @@
     is_completed: bool
 
 
+@attrs.frozen
+class EvacuationReply:
+    """The last order for an availability zone that is in the log."""
+
+    zone: str
+    is_evacuated: bool
+    revision: int
+
+
 @attrs.frozen
 class LeaderReply:
     """Addresses of the leader and of all control VMs, as "ip:port"."""
@@ -214,6 +254,8 @@
     | ConfigurationQuery
     | WaveRequest
     | WaveQuery
+    | EvacuationQuery
+    | EvacuationChange
     | LeaderQuery
 )
 
@@ -224,5 +266,6 @@
     | ConfigurationStored
     | ConfigurationReply
     | WaveReply
+    | EvacuationReply
     | LeaderReply
 )
--- a/tanagerpath/core/workloads/state.py
+++ b/tanagerpath/core/workloads/state.py
@@ -14,6 +14,7 @@
     LearnedSpeed,
 )
 from tanagerpath.core.workloads.records import (
+    EvacuationRecord,
     StoredWorkload,
     WaveRecord,
     WorkloadRecord,
@@ -53,6 +54,7 @@
     waves: tuple[WaveRecord, ...] = ()
     known_queues: tuple[Queue, ...] = ()
     learned: LearnedFleet = LearnedFleet()
+    evacuations: tuple[EvacuationRecord, ...] = ()
 
 
 class FleetState:
@@ -64,6 +66,7 @@
         self.upstreams: dict[str, UpstreamRecord] = {}
         self.workloads: dict[str, WorkloadRecord] = {}
         self.waves: dict[int, WaveRecord] = {}
+        self.evacuations: dict[str, EvacuationRecord] = {}
         # Removed queues are kept until their accepted workloads have run to the end.
         self.known_queues: dict[str, Queue] = {}
         self._speeds: dict[str, LearnedSpeed] = {}
@@ -78,6 +81,7 @@
             commands.ExpireWorkloads: self._expire,
             commands.DeclareWave: self._declare_wave,
             commands.RecordUpkeep: self._record_upkeep,
+            commands.SetEvacuation: self._set_evacuation,
         }
 
     @classmethod
@@ -92,6 +96,7 @@
         }
         state.waves = {one.wave: one for one in snapshot.waves}
         state.known_queues = {one.name: one for one in snapshot.known_queues}
+        state.evacuations = {one.zone: one for one in snapshot.evacuations}
         state._store_learned(snapshot.learned)
         return state
 
@@ -105,6 +110,7 @@
             waves=tuple(self.waves.values()),
             known_queues=tuple(self.known_queues.values()),
             learned=self.learned,
+            evacuations=tuple(self.evacuations.values()),
         )
 
     @property
@@ -136,6 +142,14 @@
         """Return the definition of a queue, the last one if it was removed."""
         return self.known_queues.get(name)
 
+    def find_evacuation(self, zone: str) -> EvacuationRecord:
+        """Return the last order for an availability zone, a new record for none."""
+        return self.evacuations.get(zone) or EvacuationRecord(zone)
+
+    def is_evacuated(self, zone: str) -> bool:
+        """Return whether no new run may start in an availability zone."""
+        return self.find_evacuation(zone).is_evacuated
+
     def find_unfinished_waves(self) -> Iterator[WaveRecord]:
         """Return the waves in which the upkeep of a VM has not begun, oldest first."""
         return (wave for _, wave in sorted(self.waves.items()) if wave.waiting)
@@ -217,7 +231,7 @@
         upstream = self.upstreams.get(start.upstream_id)
         if upstream is None or upstream.incarnation != start.incarnation:
             return False
-        if upstream.draining:
+        if upstream.draining or self.is_evacuated(upstream.availability_zone):
             return False
         record.record_start(start)
         return True
@@ -268,3 +282,12 @@
             return Applied(changed=False)
         wave.waiting = tuple(vm for vm in wave.waiting if vm != command.vm_id)
         return Applied()
+
+    def _set_evacuation(self, command: commands.SetEvacuation) -> Applied:
+        current = self.find_evacuation(command.zone)
+        if current.revision != command.expected_revision:
+            return Applied(changed=False)
+        self.evacuations[command.zone] = EvacuationRecord(
+            command.zone, command.is_evacuated, current.revision + 1
+        )
+        return Applied()
