Start no runs in an evacuated availability zone

Upstreams of an evacuated zone are not usable, so that plans, claims, reservations and probation leave them out. A start that is recorded and not confirmed is not repeated: it is dropped if it was never sent, and stopped once its reply is overdue. Runs that have started continue.

The lease of a start order is shortened to 0.8 of the time limit of an evacuation where that is below the normal lease. The upstream refuses an expired order, so that a copy that a frozen leader or the network delays is not carried out after the limit.

Each order has a log line, each zone a gauge on all replicas, and wait reports name the evacuated zones. New settings: evacuation_s and availability_zones.

--- a/tanagerpath/core/workloads/__init__.py
+++ b/tanagerpath/core/workloads/__init__.py
@@ -24,6 +24,7 @@
         ],
         "events": [
             "LogDecision",
+            "ReportEvacuation",
         ],
         "health": [
             "HealthTerms",
--- a/tanagerpath/core/workloads/dispatcher.py
+++ b/tanagerpath/core/workloads/dispatcher.py
@@ -232,6 +232,8 @@
                 self.registry.note_withdrawn(upstream_id, incarnation)
             case commands.PutConfiguration() if applied.changed:
                 context.must_plan = True
+            case commands.SetEvacuation(zone=zone) if applied.changed:
+                self.registry.note_evacuation(zone)
         for workload_id in applied.ended_ids:
             self._handle_workload_end(workload_id)
 
--- a/tanagerpath/core/workloads/events.py
+++ b/tanagerpath/core/workloads/events.py
@@ -7,7 +7,7 @@
 from tanagerpath.core.workloads.commands import WorkloadCommand
 from tanagerpath.core.workloads.state import Applied
 
-__all__ = ["CommandRecorded", "CommandRejected", "LogDecision"]
+__all__ = ["CommandRecorded", "CommandRejected", "LogDecision", "ReportEvacuation"]
 
 
 @attrs.frozen
@@ -25,6 +25,14 @@
     command: WorkloadCommand
 
 
+@attrs.frozen
+class ReportEvacuation:
+    """Shows in the metrics whether an availability zone is evacuated."""
+
+    zone: str
+    is_evacuated: bool
+
+
 @attrs.frozen
 class LogDecision:
     """Writes a decision to the log.
--- a/tanagerpath/core/workloads/node.py
+++ b/tanagerpath/core/workloads/node.py
@@ -23,6 +23,7 @@
     UpstreamReplied,
 )
 from tanagerpath.core.protocol.callers import ErrorBody
+from tanagerpath.core.workloads.commands import SetEvacuation
 from tanagerpath.core.workloads.containment import PROCESS_ERRORS, describe_error
 from tanagerpath.core.workloads.dispatch_context import DispatchTerms
 from tanagerpath.core.workloads.dispatcher import Dispatcher
@@ -30,6 +31,7 @@
     CommandRecorded,
     CommandRejected,
     LogDecision,
+    ReportEvacuation,
 )
 from tanagerpath.core.workloads.failures import RequestFault
 from tanagerpath.core.workloads.policy import WorkloadPolicy
@@ -164,6 +166,8 @@
 
     def _restore(self, snapshot: object) -> None:
         self._state = FleetState.from_snapshot(snapshot)
+        for zone in self._state.evacuations:
+            self._report_evacuation(zone)
 
     def _take_snapshot(self) -> tuple[int, object]:
         return self._state.applied_index, self._state.make_snapshot()
@@ -183,9 +187,15 @@
             return
         if self._leader_term is not None:
             self._leader_term.events.append(CommandRecorded(command, applied))
+        if isinstance(command, SetEvacuation) and applied.changed:
+            self._report_evacuation(command.zone)
         if proposal is not None:
             self._actions += proposal.answer(applied, self._state)
 
+    def _report_evacuation(self, zone: str) -> None:
+        is_evacuated = self._state.is_evacuated(zone)
+        self._actions.append(ReportEvacuation(zone, is_evacuated))
+
     def _handle_failed_command(
         self,
         index: int,
--- a/tanagerpath/core/workloads/planner.py
+++ b/tanagerpath/core/workloads/planner.py
@@ -189,7 +189,21 @@
             return "claimed capacity is not free yet"
         if self._is_backing_off(unit):
             return "backoff after refused starts"
-        return "no capacity" if unit.step_key in ready_keys else "no tickets"
+        if unit.step_key not in ready_keys:
+            return "no tickets"
+        zones = self._list_evacuated_zones(unit)
+        return f"no capacity, evacuated: {', '.join(zones)}" if zones else "no capacity"
+
+    def _list_evacuated_zones(self, unit: PlanUnit) -> list[str]:
+        """Return the evacuated availability zones with upstreams of a unit's pool."""
+        return sorted(
+            {
+                session.record.availability_zone
+                for session in self._context.sessions.values()
+                if session.evacuated_at_s is not None
+                and session.record.pool == unit.queue.pool
+            }
+        )
 
     def view_fleet(self) -> FleetView:
         """Return the current input of the policy."""
--- a/tanagerpath/core/workloads/registry.py
+++ b/tanagerpath/core/workloads/registry.py
@@ -54,11 +54,20 @@
         session = UpstreamSession(
             record, lease_expiry_s, last_contact_s=context.now_s, opened_s=context.now_s
         )
+        self._note_zone(session)
         context.sessions[record.upstream_id if key is None else key] = session
         context.touch(session)
         context.must_plan = True
         return session
 
+    def _note_zone(self, session: UpstreamSession) -> None:
+        """Let a session follow the evacuation of its availability zone."""
+        context = self._context
+        if not context.state.is_evacuated(session.record.availability_zone):
+            session.evacuated_at_s = None
+        elif session.evacuated_at_s is None:
+            session.evacuated_at_s = context.now_s
+
     def _adopt_runs(self, workload: WorkloadRecord) -> None:
         """Add the open runs of a workload to the sessions."""
         for task_id, task in workload.tasks.items():
@@ -244,6 +253,7 @@
             self._take_over_runs(session)
         else:
             session.record = record
+            self._note_zone(session)
         context.must_plan = True
         context.log_decision(
             "upstream registered",
@@ -328,6 +338,27 @@
             runs=len(session.runs),
         )
 
+    def note_evacuation(self, zone: str) -> None:
+        """Apply a committed order on the evacuation of an availability zone."""
+        context = self._context
+        sessions = [
+            session
+            for session in context.sessions.values()
+            if session.record.availability_zone == zone
+        ]
+        for session in sessions:
+            self._note_zone(session)
+            context.touch(session)
+        context.must_plan = True
+        record = context.state.find_evacuation(zone)
+        context.log_decision(
+            "zone evacuated" if record.is_evacuated else "zone evacuation withdrawn",
+            zone=zone,
+            revision=record.revision,
+            upstreams=len(sessions),
+            runs=sum(len(session.runs) for session in sessions),
+        )
+
     def drop_departed(self) -> None:
         """Delete sessions of departed upstreams once they have no runs left."""
         context = self._context
--- a/tanagerpath/core/workloads/run_driver.py
+++ b/tanagerpath/core/workloads/run_driver.py
@@ -37,6 +37,10 @@
 
 # Interval of the harmless stops that keep runs of an earlier incarnation from starting.
 BLOCKING_STOP_INTERVAL_S = 0.2
+# Shares of the time limit of an evacuation: the first after which a start order is no
+# longer carried out, and the second after which the wait for its confirmation ends.
+START_ORDER_SHARE = 0.8
+CONFIRMATION_SHARE = 0.2
 # Refusals that concern one task only; the upstream may accept other tasks.
 _TASK_REFUSALS = frozenset({Refusal.SUPERSEDED, Refusal.NO_TICKET})
 
@@ -98,10 +102,15 @@
         context = self._context
         if view.phase not in (RunPhase.ORDERED, RunPhase.STOPPING):
             return
-        if context.now_s < max(view.order_expires_s, view.next_order_s):
-            return
         if context.is_ending(view.key):
             return
+        is_evacuated = session.evacuated_at_s is not None
+        if view.phase is RunPhase.ORDERED and is_evacuated:
+            self._give_up_start(session, view)
+            if view.phase is RunPhase.ORDERED:
+                return
+        if context.now_s < max(view.order_expires_s, view.next_order_s):
+            return
         if view.phase is RunPhase.ORDERED and session.synced:
             if context.now_s - view.began_s > context.terms.start_timeout_s:
                 self.stop(session, view, "start unanswered", StopCause.START_UNANSWERED)
@@ -110,16 +119,38 @@
         elif view.phase is RunPhase.STOPPING and view.key not in session.fenced_runs:
             self._send_stop(session, view)
 
+    def _give_up_start(self, session: UpstreamSession, view: RunView) -> None:
+        """End an unconfirmed start in an evacuated zone, so that it is not repeated.
+
+        A run whose confirmation is under way has begun, and continues.
+        """
+        context = self._context
+        if view.orders == 0:
+            context.queue_end(session, view, RunOutcome.NOT_STARTED)
+            return
+        wait_s = CONFIRMATION_SHARE * context.terms.evacuation_s
+        until_s = min(view.order_expires_s, session.evacuated_at_s + wait_s)
+        if context.now_s >= until_s:
+            reason = "its availability zone is evacuated"
+            self.stop(session, view, reason, StopCause.ZONE_EVACUATED)
+            view.order_expires_s = 0.0
+
     def _send_start(self, session: UpstreamSession, view: RunView) -> None:
         context = self._context
         leases = context.terms.leases
         lease_s = leases.lease_s if session.lease_until_ms else leases.start_lease_s
+        # A shorter lease would expire before the first renewal.
+        max_delay_s = max(
+            START_ORDER_SHARE * context.terms.evacuation_s, leases.start_lease_s
+        )
         record = context.state.workloads[view.task.workload_id]
         request = StartRequest(
             task=view.task,
             run=view.run,
             payload=record.spec.payload,
-            lease_until_ms=session.choose_lease(lease_s, context.now_s),
+            lease_until_ms=session.choose_start_lease(
+                lease_s, max_delay_s, context.now_s
+            ),
             fencing_token=context.term,
             checkpoint=view.checkpoint,
             ticket=view.ticket,
--- a/tanagerpath/core/workloads/runs.py
+++ b/tanagerpath/core/workloads/runs.py
@@ -55,6 +55,7 @@
     WORKLOAD_ENDED = "workload ended"
     ALREADY_DONE = "already done"
     UPKEEP = "upkeep"
+    ZONE_EVACUATED = "zone evacuated"
 
 
 @attrs.frozen
--- a/tanagerpath/core/workloads/sessions.py
+++ b/tanagerpath/core/workloads/sessions.py
@@ -124,6 +124,8 @@
     refused_all_count : int
         Starts that it has refused as unhealthy, in a row and each after the wait for
         the one before.
+    evacuated_at_s : float or None
+        Time at which the leader learned that its availability zone is evacuated.
     is_cordoned : bool
         Whether it gets no new runs, as the upkeep of its VM is near.
     unanswered_starts : dict of RunKey to float
@@ -172,6 +174,7 @@
     refused_until_s: float = 0.0
     refused_needs: Resources = Resources()
     refused_all_count: int = 0
+    evacuated_at_s: float | None = None
     is_cordoned: bool = False
     unanswered_starts: dict[RunKey, float] = attrs.Factory(dict)
     fenced_runs: dict[RunKey, RunFence] = attrs.Factory(dict)
@@ -207,6 +210,7 @@
             and not self.refused_holds
             and not self.record.draining
             and not self.is_cordoned
+            and self.evacuated_at_s is None
             and not self.fenced_runs
             and not self.is_faulted
             and self.departed_at_s is None
@@ -310,11 +314,26 @@
         The time since the last reading arrived is a lower bound of the progress of that
         clock, so the lease never lasts longer than `lease_s`.
         """
-        passed_ms = (now_s - self.clock_read_s) * MS_PER_S
-        until_ms = int(self.clock_ms + passed_ms + lease_s * MS_PER_S)
+        until_ms = int(self._find_clock_ms(now_s) + lease_s * MS_PER_S)
         self.lease_until_ms = max(self.lease_until_ms, until_ms)
         return until_ms
 
+    def _find_clock_ms(self, now_s: float) -> float:
+        """Return a lower bound of what the upstream's clock shows."""
+        return self.clock_ms + (now_s - self.clock_read_s) * MS_PER_S
+
+    def choose_start_lease(
+        self, lease_s: float, max_delay_s: float, now_s: float
+    ) -> int:
+        """Return the end of the lease for a start order.
+
+        The upstream refuses a start whose lease has expired, so that no copy of it is
+        carried out more than `max_delay_s` later.
+        """
+        until_ms = self.choose_lease(lease_s, now_s)
+        latest_ms = int(self._find_clock_ms(now_s) + max_delay_s * MS_PER_S)
+        return min(until_ms, latest_ms)
+
     def choose_lease(self, lease_s: float, now_s: float) -> int:
         """Return the end of the lease for an order.
 
--- a/tanagerpath/core/workloads/wait_reports.py
+++ b/tanagerpath/core/workloads/wait_reports.py
@@ -121,6 +121,7 @@
         return {
             "upstreams": len(sessions),
             "usable": sum(one.is_usable for one in sessions),
+            "evacuated": sum(one.evacuated_at_s is not None for one in sessions),
             "quarantined": sum(one.is_quarantined(context.now_s) for one in health),
             "on_probation": sum(one.is_on_probation for one in health),
             "refusing": sum(context.now_s < one.refused_until_s for one in sessions),
--- a/tanagerpath/services/workload_control.py
+++ b/tanagerpath/services/workload_control.py
@@ -22,6 +22,7 @@
     DispatchTerms,
     LeaseTerms,
     LogDecision,
+    ReportEvacuation,
     WorkloadNode,
     WorkloadNodeConfig,
 )
@@ -82,6 +83,8 @@
         checkpoint_interval_s=settings.checkpoint_interval_s,
         interference_s=settings.interference_s,
         guaranteed_start_s=settings.guaranteed_start_s,
+        evacuation_s=settings.evacuation_s,
+        availability_zones=settings.availability_zones,
         retention_s=settings.status_retention_s + RETENTION_MARGIN_S,
         advice_address=settings.advice_address,
         platform_address=settings.platform_address,
@@ -147,6 +150,10 @@
             case LogDecision(name, fields, is_about_task):
                 log = self._task_decisions if is_about_task else self._decisions
                 log.write(name, fields)
+            case ReportEvacuation(zone, is_evacuated):
+                self._metrics.set_gauge(
+                    "zone_evacuated", int(is_evacuated), availability_zone=zone
+                )
             case RecordPeriod(period, organisation, queue, elapsed_s):
                 self._metrics.observe(str(period), elapsed_s, organisation, str(queue))
 
--- a/tanagerpath/settings/values.py
+++ b/tanagerpath/settings/values.py
@@ -18,6 +18,7 @@
     "DirectoryType",
     "FlagType",
     "NameType",
+    "NamesType",
     "NumberType",
     "OptionalAddressType",
     "SettingType",
@@ -114,6 +115,28 @@
         return _NAME.fullmatch(value) is not None
 
 
+@attrs.frozen
+class NamesType(SettingType):
+    """Names separated by commas, or none."""
+
+    @property
+    def expected(self) -> str:
+        """Description of allowed values."""
+        return f"name,name,... with {NameType().expected} each, or empty"
+
+    def parse(self, text: str) -> tuple[str, ...]:
+        """Return the names; see `SettingType.parse`."""
+        return tuple(part.strip() for part in text.split(",")) if text else ()
+
+    def allows(self, value: Any) -> bool:
+        """Return whether all names have only the allowed characters."""
+        return all(NameType().allows(item) for item in value)
+
+    def render(self, value: Any) -> str:
+        """Return the comma-separated names."""
+        return ",".join(value)
+
+
 @attrs.frozen
 class ChoiceType(SettingType):
     """One of several fixed words."""
--- a/tanagerpath/settings/workloads.py
+++ b/tanagerpath/settings/workloads.py
@@ -11,6 +11,7 @@
     AddressesType,
     AddressType,
     FlagType,
+    NamesType,
     NameType,
     NumberType,
     OptionalAddressType,
@@ -85,6 +86,19 @@
     600.0,
     "Time after its acceptance within which work that a guarantee covers begins.",
 )
+_EVACUATION_S = common.make_seconds(
+    "evacuation_s",
+    60.0,
+    0.001,
+    86_400.0,
+    "Time after which no run starts any more in an evacuated availability zone.",
+)
+_AVAILABILITY_ZONES = Setting(
+    name="availability_zones",
+    type=NamesType(),
+    default=(),
+    description="Availability zones that may be evacuated; any if empty.",
+)
 _ADVICE_ADDRESS = Setting(
     name="advice_address",
     type=OptionalAddressType(),
@@ -213,6 +227,8 @@
     checkpoint_interval_s: float = declare(_CHECKPOINT_INTERVAL_S)
     interference_s: float = declare(_INTERFERENCE_S)
     guaranteed_start_s: float = declare(_GUARANTEED_START_S)
+    evacuation_s: float = declare(_EVACUATION_S)
+    availability_zones: tuple[str, ...] = declare(_AVAILABILITY_ZONES)
     advice_address: str = declare(_ADVICE_ADDRESS)
     platform_address: str = declare(_PLATFORM_ADDRESS)
     status_retention_s: float = declare(_STATUS_RETENTION_S)
