Serve the evacuation orders of operators

POST and DELETE /evacuations/ZONE read the revision of the zone from the leader, drop the order if its operator has left meanwhile, and send the change with that revision. An unknown zone is answered 404 before a change is sent; all other failures are 503 or 504, which let the operator repeat the order.

The names of the zones come from the object zones of the settings file, and the time limit from evacuate_ms of its bounds.

--- a/tanagerpath/platform/fields.py
+++ b/tanagerpath/platform/fields.py
@@ -99,6 +99,11 @@
             raise self._make_error(name, value, expected)
         return value
 
+    @property
+    def names(self) -> tuple[str, ...]:
+        """Names of all fields, in their order."""
+        return tuple(self._values)
+
     def has(self, name: str) -> bool:
         """Return whether a field is present and not null."""
         return self._values.get(name) is not None
--- a/tanagerpath/platform/operator_adapter.py
+++ b/tanagerpath/platform/operator_adapter.py
@@ -13,6 +13,9 @@
     ConfigurationReply,
     ConfigurationRequest,
     ConfigurationStored,
+    EvacuationChange,
+    EvacuationQuery,
+    EvacuationReply,
     UpstreamReportReply,
     WaveQuery,
     WaveReply,
@@ -57,10 +60,14 @@
             ("POST", "/wave-start"): self._read_wave,
             ("GET", "/wave-get/{wave:int}"): self._read_wave_query,
         }
-        return [
+        routes: list[BaseRoute] = [
             Route(path, self._make_endpoint(read, leader), methods=[method])
             for (method, path), read in reads.items()
         ]
+        for method, is_evacuated in (("POST", True), ("DELETE", False)):
+            endpoint = self._make_evacuation_endpoint(is_evacuated, leader)
+            routes.append(Route("/evacuations/{zone}", endpoint, methods=[method]))
+        return routes
 
     def _make_endpoint(self, read: _Reader, leader: LeaderClient) -> _Endpoint:
         async def handle(request: Request) -> Response:
@@ -78,6 +85,48 @@
 
         return handle
 
+    def _make_evacuation_endpoint(
+        self, is_evacuated: bool, leader: LeaderClient
+    ) -> _Endpoint:
+        """Return the endpoint for an order to begin or end an evacuation.
+
+        An operator that got no reply repeats the order elsewhere, and may order the
+        opposite once that is answered. A copy that was delayed in this process must not
+        take effect after that: it is dropped if the operator has disconnected since the
+        revision was read, and otherwise names a revision that is outdated by then.
+        """
+
+        async def handle(request: Request) -> Response:
+            zone = request.path_params["zone"]
+            try:
+                await request.body()
+            except ClientDisconnect:
+                return Response(status_code=503)
+            found = await self._ask(EvacuationQuery(zone), leader)
+            if not isinstance(found, EvacuationReply):
+                return found
+            if await request.is_disconnected():
+                return Response(status_code=503)
+            change = EvacuationChange(zone, is_evacuated, found.revision)
+            stored = await self._ask(change, leader)
+            if not isinstance(stored, EvacuationReply):
+                return stored
+            return make_json_response(
+                {"zone": stored.zone, "evacuated": stored.is_evacuated}
+            )
+
+        return handle
+
+    async def _ask(
+        self, message: object, leader: LeaderClient
+    ) -> EvacuationReply | Response:
+        """Return the leader's reply about a zone, or the response for a failure."""
+        answer = await leader.ask(message, self._timeout_s)
+        if not is_successful(answer):
+            return make_error_response(answer.failure())
+        reply = answer.unwrap()
+        return reply if isinstance(reply, EvacuationReply) else self._write(reply)
+
     async def _read_report(self, request: Request) -> object:
         fields = read_object(await request.body())
         return read_report(request.path_params["upstream_id"], fields)
--- a/tanagerpath/platform/settings_file.py
+++ b/tanagerpath/platform/settings_file.py
@@ -182,6 +182,9 @@
     platform = fields.read_optional("cloud_api")
     if platform is not None and platform.has("address"):
         given["platform_address"] = platform.read_text("address")
+    zones = fields.read_optional("zones")
+    if zones is not None:
+        given["availability_zones"] = ",".join(zones.names)
     if fields.has("advice"):
         given["advice_address"] = fields.read_text("advice")
     milliseconds = {
@@ -194,6 +197,9 @@
     for name, bound in milliseconds.items():
         if bounds.has(bound):
             given[name] = str(bounds.read_number(bound) / MS_PER_S)
+    # 0 stands for a deployment without evacuations.
+    if bounds.has("evacuate_ms") and bounds.read_number("evacuate_ms"):
+        given["evacuation_s"] = str(bounds.read_number("evacuate_ms") / MS_PER_S)
     plain = {
         "remote_factor": "remote_factor",
         "checkpoint_interval_s": "checkpoint_s",
--- a/tanagerpath/platform/statuses.py
+++ b/tanagerpath/platform/statuses.py
@@ -15,6 +15,7 @@
 # Only 429 and 503 tell a client that its request took no effect.
 _STATUSES = {
     "EntryDraining": 503,
+    "EvacuationSuperseded": 503,
     "InvalidConfiguration": 400,
     "InvalidUpstreamReport": 400,
     "InvalidWorkload": 400,
@@ -28,6 +29,7 @@
     "UnknownQueue": 404,
     "UnknownWave": 404,
     "UnknownWorkload": 410,
+    "UnknownZone": 404,
 }
 _UNCERTAIN = 504
 _RETRY_STATUSES = (429, 503)
--- a/tanagerpath/platform/tests/test_adapters.py
+++ b/tanagerpath/platform/tests/test_adapters.py
@@ -65,8 +65,11 @@
         return self.result
 
 
-def exchange(routes, method, path, body=b"", headers=()):
-    """Send one request through an application; return status, headers and body."""
+def exchange(routes, method, path, body=b"", headers=(), is_connected=True):
+    """Send one request through an application; return status, headers and body.
+
+    A client that is not connected has left after its request.
+    """
     application = Starlette(routes=routes)
     text = body if isinstance(body, bytes) else json.dumps(body).encode()
     scope = {
@@ -80,8 +83,12 @@
         "scheme": "http",
     }
     sent = []
+    received = []
 
     async def receive():
+        received.append(None)
+        if len(received) > 1 and not is_connected:
+            return {"type": "http.disconnect"}
         return {"type": "http.request", "body": text, "more_body": False}
 
     async def send(message):
@@ -255,6 +262,67 @@
         self.assertEqual({"state": "completed"}, json.loads(body))
 
 
+class TestEvacuations(testtools.TestCase):
+    """Guards against orders that are ended for good although they may be accepted."""
+
+    FOUND = Success(requests.EvacuationReply("cluj-a", False, 4))
+
+    def call(self, method, *results, zone="cluj-a", is_connected=True):
+        leader = FakeLeader(None)
+        left = list(results)
+
+        async def ask(request, timeout_s):
+            leader.asked.append((request, timeout_s))
+            return left.pop(0)
+
+        leader.ask = ask
+        routes = OperatorAdapter("8526", 1.0).list_routes(leader)
+        path = f"/evacuations/{zone}"
+        reply = exchange(routes, method, path, is_connected=is_connected)
+        return [request for request, _ in leader.asked], reply
+
+    def test_order_names_the_revision_that_was_read_before(self):
+        for method, is_evacuated in (("POST", True), ("DELETE", False)):
+            stored = Success(requests.EvacuationReply("cluj-a", is_evacuated, 5))
+            asked, (status, _, body) = self.call(method, self.FOUND, stored)
+            self.assertEqual(200, status)
+            self.assertEqual(
+                {"zone": "cluj-a", "evacuated": is_evacuated}, json.loads(body)
+            )
+            expected = [
+                requests.EvacuationQuery("cluj-a"),
+                requests.EvacuationChange("cluj-a", is_evacuated, 4),
+            ]
+            self.assertEqual(expected, asked)
+
+    def test_failures_let_the_operator_repeat_the_order(self):
+        superseded = failures.EvacuationSuperseded(
+            zone="cluj-a", expected_revision=4, revision=6
+        )
+        cases = [
+            (_refuse(superseded), 503),
+            (_refuse(failures.RequestFault(error="KeyError")), 503),
+            (ResultFailure(NoLeader()), 503),
+            (ResultFailure(OutcomeUncertain(detail="cut")), 504),
+        ]
+        for result, expected in cases:
+            for results in ((result,), (self.FOUND, result)):
+                _, (status, _, _) = self.call("POST", *results)
+                self.assertEqual(expected, status, results)
+
+    def test_unknown_zone_is_refused_before_a_change_is_sent(self):
+        unknown = failures.UnknownZone(zone="dej", known=("cluj-a", "cluj-b"))
+        for method in ("POST", "DELETE"):
+            asked, reply = self.call(method, _refuse(unknown), zone="dej")
+            self.assertEqual((404, 1), (reply[0], len(asked)))
+            self.assertIn("expected cluj-a, cluj-b", json.loads(reply[2])["error"])
+
+    def test_order_of_an_operator_that_has_left_is_dropped(self):
+        # It may have been repeated elsewhere, and withdrawn since.
+        asked, _ = self.call("POST", self.FOUND, is_connected=False)
+        self.assertEqual([requests.EvacuationQuery("cluj-a")], asked)
+
+
 class TestRequestHost(testtools.TestCase):
     def test_port_of_the_host_header_is_ignored(self):
         request = Request(
--- a/tanagerpath/platform/tests/test_settings_file.py
+++ b/tanagerpath/platform/tests/test_settings_file.py
@@ -86,6 +86,27 @@
             dispatch = make_node_config(settings.unwrap()).dispatch
             self.assertEqual(bound_ms / 1_000, dispatch.guaranteed_start_s)
 
+    def test_zones_that_may_be_evacuated_are_those_of_the_settings(self):
+        zones = {"zone-1": "north", "zone-2": {"region": "north"}}
+        for given, expected in (
+            ({"zones": zones}, ("zone-1", "zone-2")),
+            ({"zones": None}, ()),
+            ({}, ()),
+        ):
+            dispatch = make_node_config(self.read_control(**given)).dispatch
+            self.assertEqual(expected, dispatch.availability_zones)
+
+    def test_time_limit_of_an_evacuation_follows_the_settings(self):
+        # A deployment without evacuations may give 0.
+        for limit_ms, expected_s in ((5_000, 5.0), (0, 60.0), (None, 60.0)):
+            settings = self.read_control(bounds={"evacuate_ms": limit_ms})
+            self.assertEqual(
+                expected_s, make_node_config(settings).dispatch.evacuation_s
+            )
+
+    def read_control(self, **changed):
+        return self.write(**changed).read_control({}).unwrap()
+
     def test_a_stop_ends_within_the_grace_time(self):
         """Guards against fixed times, 5 s in total, that exceed a short grace time."""
         for grace_s in (2, 4, 6, 20):
@@ -105,9 +126,17 @@
     def test_odd_values_are_refused_and_end_no_process(self):
         # An empty list of ports ended each process that read its settings again.
         bounds = ("hold_max_ms", "grace_s", "catch_up_s", "reclaim_ms", "status_s")
+        bounds += ("evacuate_ms",)
         changes = [
             {name: odd}
-            for name in (*SETTINGS, "bounds", "fault_tolerance", "cloud_api", "advice")
+            for name in (
+                *SETTINGS,
+                "bounds",
+                "fault_tolerance",
+                "cloud_api",
+                "advice",
+                "zones",
+            )
             for odd in ODD_VALUES
         ]
         changes += [{"bounds": {name: odd}} for name in bounds for odd in ODD_VALUES]
