Check evacuation orders with real processes

Guards against an order that is refused before a configuration exists, lost with a killed process, ignored by the leader, or not forwarded by a control process without a disk.

--- a/tanagerpath/platform/tests/test_processes.py
+++ b/tanagerpath/platform/tests/test_processes.py
@@ -113,6 +113,10 @@
         own_url = f"{self.deployment.control}/config"
         self.assertEqual((200, CONFIG), exchange("GET", own_url))
         self.assertEqual((200, CONFIG), exchange("GET", url))
+        url = url.replace("/config", "/evacuations/a")
+        for method, is_evacuated in (("POST", True), ("DELETE", False)):
+            stored = {"zone": "a", "evacuated": is_evacuated}
+            self.assertEqual((200, stored), exchange(method, url))
         self.assertIsNone(process.poll())
         process.send_signal(signal.SIGTERM)
         self.assertEqual(0, process.wait(STOP_TIMEOUT_S))
@@ -132,7 +136,9 @@
         wait_for(lambda: exchange("GET", url) == (200, CONFIG), timeout_s=20.0)
 
 
-class TestEndToEnd(ProcessCase):
+class ServingCase(ProcessCase):
+    """Helpers for a control process, an entry process and a worker."""
+
     def call(self, method, path, body=None, **headers):
         url = f"{self.deployment.front}{path}"
         return exchange(method, url, body, HEADERS | headers)
@@ -149,6 +155,8 @@
         status, body = self.call("GET", f"/q/{ID}")
         return status == 200 and body["state"] == "completed"
 
+
+class TestEndToEnd(ServingCase):
     def test_job_is_served_and_survives_a_killed_leader(self):
         with FakeWorker() as worker:
             control = self.deployment.start("control")
@@ -180,3 +188,40 @@
         ]
         for method, path, headers, expected in cases:
             self.assertEqual(expected, self.call(method, path, **headers)[0], path)
+
+
+class TestEvacuations(ServingCase):
+    """Guards against orders that are not served, lost with a process or ignored."""
+
+    def order(self, method, zone="a"):
+        return exchange(method, f"{self.deployment.control}/evacuations/{zone}")
+
+    def is_shown(self, text):
+        port = self.deployment.settings["internal_ports"][0]
+        return text in (exchange("GET", f"http://127.0.0.1:{port}/metrics")[1] or "")
+
+    def test_zone_is_unused_until_the_withdrawal_also_after_a_killed_leader(self):
+        self.deployment.settings["zones"] = {"a": "north", "b": "north"}
+        with FakeWorker() as worker:
+            control = self.deployment.start("control")
+            self.deployment.start("entry")
+            # No configuration exists yet.
+            stored = {"zone": "a", "evacuated": True}
+            wait_for(lambda: self.order("POST") == (200, stored))
+            self.assertEqual((200, stored), self.order("POST"))
+            self.assertEqual(404, self.order("POST", "c")[0])
+            control.kill()
+            control.wait()
+            self.deployment.start("control")
+            wait_for(self.configure)
+            wait_for(lambda: self.announce(worker))
+            wait_for(lambda: self.call("POST", f"/q/{ID}", JOB)[0] == 200)
+            wait_for(lambda: self.is_shown('type="urgent work waits"'))
+            gauge = 'tanagerpath_zone_evacuated{availability_zone="a"}'
+            self.assertTrue(self.is_shown(f"{gauge} 1"))
+            self.assertEqual([], worker.starts)
+            self.assertEqual(
+                (200, {"zone": "a", "evacuated": False}), self.order("DELETE")
+            )
+            wait_for(self.is_completed)
+            self.assertTrue(self.is_shown(f"{gauge} 0"))
