Count the failure of a run that an earlier leader had closed

What callers saw: a task got one run more than its attempts. Cause: an end as failed that an upstream lists after a leader has closed the run as lapsed counts only if that leader still leads, since the state held no run numbers of failures and it must not count twice. Change: a task's record holds the numbers of its failed runs, as gangs had already. Records of earlier builds lack them; their tasks behave as before.

--- a/tanagerpath/core/workloads/records.py
+++ b/tanagerpath/core/workloads/records.py
@@ -47,6 +47,8 @@
         Highest number of a run.
     failures : int
         Runs that ended as failed.
+    failed_runs : list of int
+        Their numbers. Records of earlier builds lack them.
     done : bool
         Whether a run ended as done.
     checkpoint : str
@@ -60,12 +62,17 @@
     done: bool = False
     checkpoint: str = ""
     open_runs: list[OpenRun] = attrs.Factory(list)
+    failed_runs: list[int] = attrs.Factory(list)
 
     def may_correct(self, end: RunEnd) -> bool:
         """Return whether a listed end counts although its run is closed."""
         is_own = end.outcome in (RunOutcome.DONE, RunOutcome.FAILED)
         return is_own and not self.done and end.run <= self.last_run
 
+    def may_have_counted(self, run: int) -> bool:
+        """Return whether `failures` may include a run that ended as failed."""
+        return run in self.failed_runs or self.failures > len(self.failed_runs)
+
     def find_open(self, run: int) -> OpenRun | None:
         """Return the open run with this number, None if there is none."""
         return next(
@@ -222,10 +229,13 @@
             self._record_done(end.task, step)
         if end.outcome is not RunOutcome.FAILED or step.long_running:
             return False
+        if open_run is None and not step.gang and task.may_have_counted(end.run):
+            return False
         return self._count_failure(end, task, step) >= max_attempts
 
     def _count_failure(self, end: RunEnd, task: TaskRecord, step: StepSpec) -> int:
         task.failures += 1
+        task.failed_runs.append(end.run)
         if not step.gang:
             return task.failures
         key = (end.task.occurrence, end.task.step)
--- a/tanagerpath/core/workloads/run_lists.py
+++ b/tanagerpath/core/workloads/run_lists.py
@@ -201,9 +201,7 @@
     def _corrects_state(self, session: UpstreamSession, end: EndedRun) -> bool:
         """Return whether a run that is closed has ended by itself.
 
-        Whether an end as failed was recorded already is known for gangs, which keep the
-        numbers of failed runs, and for runs that this leader closed. Others must not
-        count twice.
+        An end as failed that is recorded already must not count twice.
         """
         context = self._context
         key = end.task, end.run
@@ -224,7 +222,7 @@
             return False
         if end.outcome is RunOutcome.FAILED:
             is_gang = workload.spec.steps[end.task.step].gang
-            return is_gang or context.find_closed(key) is not None
+            return is_gang or not record.may_have_counted(end.run)
         return end.outcome is RunOutcome.DONE
 
     def _log_late_end(self, session: UpstreamSession, end: EndedRun) -> None:
