Check evacuations over several leaders

Two rules are new: no run starts in a zone from its time limit on until the withdrawal is ordered, and an acknowledged order stays in effect until another one is sent. A broken mechanism violates each.

--- a/tanagerpath/benchmarks/tests/test_workload_check.py
+++ b/tanagerpath/benchmarks/tests/test_workload_check.py
@@ -10,7 +10,8 @@
 from tanagerpath.benchmarks.tests.workload_check_faults import BROKEN_MECHANISMS
 from tanagerpath.benchmarks.workload_check import CheckPlan, main, run_seed
 
-SEEDS = (2, 3, 4, 7)
+# In 4 and 9 an operator evacuates availability zones.
+SEEDS = (2, 3, 4, 7, 9)
 # The seed that shows a broken mechanism shifts with any change of the core.
 SEEDS_TRIED = 30
 
--- a/tanagerpath/benchmarks/tests/workload_check_faults.py
+++ b/tanagerpath/benchmarks/tests/workload_check_faults.py
@@ -6,9 +6,10 @@
 import attrs
 
 from tanagerpath.benchmarks.workload_check import CheckPlan
-from tanagerpath.core.workloads.commands import RunOutcome
+from tanagerpath.core.workloads.commands import RunOutcome, SetEvacuation
 from tanagerpath.core.workloads.records import WorkloadRecord
 from tanagerpath.core.workloads.registry import UpstreamRegistry
+from tanagerpath.core.workloads.request_handler import WorkloadRequestHandler
 from tanagerpath.core.workloads.run_lists import RunLists
 from tanagerpath.core.workloads.sessions import LeaseTerms
 from tanagerpath.core.workloads.state import FleetState
@@ -93,6 +94,12 @@
     return _from_snapshot(attrs.evolve(snapshot, workloads=snapshot.workloads[:-1]))
 
 
+def _change_any_revision(self, request, now):
+    """Carry out an order whatever the revision of its zone."""
+    revision = self._state.find_evacuation(request.zone).revision
+    return [SetEvacuation(request.zone, request.is_evacuated, revision)]
+
+
 BROKEN_MECHANISMS = (
     BrokenMechanism(
         name="ends are acknowledged when they are listed",
@@ -167,4 +174,20 @@
         replacement=False,
         settle_limit_s=5.0,
     ),
+    BrokenMechanism(
+        name="leaders do not know that a zone is evacuated",
+        rule="start in an evacuated zone",
+        target=FleetState,
+        attribute="is_evacuated",
+        replacement=lambda self, zone: False,
+        first_seed=6,
+    ),
+    BrokenMechanism(
+        name="a delayed copy of an order ignores the revision of its zone",
+        rule="order undone",
+        target=WorkloadRequestHandler,
+        attribute="_change_evacuation",
+        replacement=_change_any_revision,
+        first_seed=15,
+    ),
 )
--- a/tanagerpath/benchmarks/workload_check_callers.py
+++ b/tanagerpath/benchmarks/workload_check_callers.py
@@ -1,5 +1,6 @@
 """Callers and heartbeats of the workload check."""
 
+import itertools
 import random
 from collections.abc import Callable
 
@@ -45,21 +46,24 @@
         The nodes.
     source : Random
         Source of delays and choices.
+    first_token : int
+        First token of its requests; heartbeats have 0.
     """
 
-    def __init__(self, group: NodeGroup, source: random.Random) -> None:
+    def __init__(
+        self, group: NodeGroup, source: random.Random, first_token: int = 1
+    ) -> None:
         self.group = group
         self.random = source
         self._waiting: dict[int, Callable[[object], None]] = {}
-        self._last_token = 0
+        self._tokens = itertools.count(first_token)
         self._leader_id = ""
 
     def request(self, request: object, on_reply: Callable[[object], None]) -> None:
         """Send a request, again after each failure, and hand over its reply."""
         vm_ids = list(self.group.vms)
         vm_id = self._leader_id or self.random.choice(vm_ids)
-        self._last_token += 1
-        token = self._last_token
+        token = next(self._tokens)
 
         def receive(reply: object) -> None:
             if isinstance(reply, NotLeaderReply):
--- a/tanagerpath/benchmarks/workload_check_events.py
+++ b/tanagerpath/benchmarks/workload_check_events.py
@@ -14,6 +14,10 @@
     "EndAcknowledged",
     "EndListed",
     "EndRecorded",
+    "EvacuationAcknowledged",
+    "EvacuationEvent",
+    "EvacuationOrdered",
+    "EvacuationRecorded",
     "FaultInjected",
     "RunEnded",
     "RunKilled",
@@ -232,6 +236,48 @@
         return f"{self.vm_id} term {self.term}: {self.decision} {fields}"
 
 
+@attrs.frozen(kw_only=True)
+class EvacuationEvent(CheckEvent):
+    """An event about an order to begin or end the evacuation of a zone."""
+
+    zone: str
+    is_evacuated: bool
+
+    @property
+    def name(self) -> str:
+        """The order and its zone."""
+        return f"{'evacuation' if self.is_evacuated else 'withdrawal'} of {self.zone}"
+
+
+@attrs.frozen(kw_only=True)
+class EvacuationOrdered(EvacuationEvent):
+    """An operator sent an order for the first time."""
+
+    def describe(self) -> str:
+        """Return one line; see the base class."""
+        return f"ordered: {self.name}"
+
+
+@attrs.frozen(kw_only=True)
+class EvacuationAcknowledged(EvacuationEvent):
+    """An operator got the acknowledgement of its order."""
+
+    def describe(self) -> str:
+        """Return one line; see the base class."""
+        return f"acknowledged: {self.name}"
+
+
+@attrs.frozen(kw_only=True)
+class EvacuationRecorded(EvacuationEvent):
+    """An order in the log took effect."""
+
+    revision: int
+
+    def describe(self) -> str:
+        """Return one line; see the base class."""
+        return f"recorded: {self.name}, revision {self.revision}"
+
+
 @attrs.frozen(kw_only=True)
 class FaultInjected(CheckEvent):
     """A fault began or ended."""
--- a/tanagerpath/benchmarks/workload_check_history.py
+++ b/tanagerpath/benchmarks/workload_check_history.py
@@ -7,6 +7,7 @@
 from tanagerpath.benchmarks.workload_check_events import (
     CheckEvent,
     Decided,
+    EvacuationEvent,
     FaultInjected,
     StepAborted,
     TaskEvent,
@@ -85,7 +86,7 @@
             return task.workload_id == workload_id
         case TaskEvent(task=task):
             return name_task(task) == subject
-        case StepAborted() | FaultInjected():
+        case StepAborted() | FaultInjected() | EvacuationEvent():
             return True
         case WorkloadShown() | WorkloadLost() | WorkloadLeftOpen():
             return event.workload_id == workload_id
--- a/tanagerpath/benchmarks/workload_check_nodes.py
+++ b/tanagerpath/benchmarks/workload_check_nodes.py
@@ -10,6 +10,7 @@
     Decided,
     EndListed,
     EndRecorded,
+    EvacuationRecorded,
     StartRecorded,
     StepAborted,
 )
@@ -29,7 +30,7 @@
     WorkloadNode,
     WorkloadNodeConfig,
 )
-from tanagerpath.core.workloads.commands import RecordRuns
+from tanagerpath.core.workloads.commands import RecordRuns, SetEvacuation
 from tanagerpath.core.workloads.orders import HoldReply
 from tanagerpath.errors import Failure, FailureError
 
@@ -41,7 +42,7 @@
 
 
 class LogRecorder:
-    """Records the runs in each log entry when the first node applies it.
+    """Records the runs and orders in each log entry when the first node applies it.
 
     Parameters
     ----------
@@ -52,14 +53,33 @@
     def __init__(self, history: History) -> None:
         self._history = history
         self._last_index = 0
+        self._revisions: dict[str, int] = {}
 
     def note_applied(self, node: "ObservedNode", index: int, command: object) -> None:
-        """Record the ends and starts of a command that a node has applied."""
+        """Record what a command that a node has applied says."""
         if index <= self._last_index:
             return
         self._last_index = index
-        if not isinstance(command, RecordRuns):
+        match command:
+            case RecordRuns():
+                self._note_runs(node, command)
+            case SetEvacuation(zone=zone):
+                self._note_evacuation(node, zone)
+
+    def _note_evacuation(self, node: "ObservedNode", zone: str) -> None:
+        """Record the last order for a zone, unless it is known."""
+        record = node.state.find_evacuation(zone)
+        if record.revision <= self._revisions.get(zone, 0):
             return
+        self._revisions[zone] = record.revision
+        self._history.add(
+            EvacuationRecorded,
+            zone=zone,
+            is_evacuated=record.is_evacuated,
+            revision=record.revision,
+        )
+
+    def _note_runs(self, node: "ObservedNode", command: RecordRuns) -> None:
         for end in command.ends:
             self._history.add(
                 EndRecorded, task=end.task, run=end.run, outcome=end.outcome
--- a/tanagerpath/benchmarks/workload_check_rules.py
+++ b/tanagerpath/benchmarks/workload_check_rules.py
@@ -2,6 +2,10 @@
 
 from collections.abc import Iterator
 
+from tanagerpath.benchmarks.workload_check_evacuations import (
+    OrderUndone,
+    StartInEvacuatedZone,
+)
 from tanagerpath.benchmarks.workload_check_events import (
     CheckEvent,
     StepAborted,
@@ -114,6 +118,8 @@
     AcceptedIsLost,
     AcceptedIsOpen,
     StepEnds,
+    StartInEvacuatedZone,
+    OrderUndone,
 )
 
 
--- a/tanagerpath/benchmarks/workload_check_upstreams.py
+++ b/tanagerpath/benchmarks/workload_check_upstreams.py
@@ -24,11 +24,12 @@
     FakeUpstream,
 )
 
-__all__ = ["UNIX_OFFSET_S", "CheckedUpstream", "Fleet", "UpstreamTraits"]
+__all__ = ["UNIX_OFFSET_S", "ZONES", "CheckedUpstream", "Fleet", "UpstreamTraits"]
 
 # UTC seconds at the virtual instant 0.
 UNIX_OFFSET_S = 1.7e9
 RACK_SIZE = 4
+ZONES = ("a", "b", "c")
 
 
 @attrs.frozen(kw_only=True)
@@ -37,8 +38,8 @@
 
     Attributes
     ----------
-    address, vm_id, rack : str
-        Its address, VM and rack.
+    address, vm_id, rack, zone : str
+        Its address, VM, rack and availability zone.
     clock_rate : float
         Speed of its monotonic clock.
     stop_s : float
@@ -50,6 +51,7 @@
     address: str
     vm_id: str
     rack: str
+    zone: str
     clock_rate: float = 1.0
     stop_s: float = 0.0
     hides_stopping: bool = False
@@ -63,6 +65,7 @@
             address=f"10.1.0.{number + 1}:80",
             vm_id=f"machine-{number}",
             rack=f"r{number // RACK_SIZE}",
+            zone=ZONES[number % len(ZONES)],
             clock_rate=1.0 - source.choice((0.0, 0.005, 0.01, 0.02)),
             stop_s=source.uniform(0.0, stop_timeout_s - 2 * STEP_S),
             hides_stopping=source.random() < 0.5,
@@ -94,6 +97,7 @@
             born_unix_ms=born_unix_ms,
             address=traits.address,
             vm_id=traits.vm_id,
+            availability_zone=traits.zone,
         )
         self.sequence = 0
         self.ends: dict[int, RunEnded] = {}
--- a/tanagerpath/benchmarks/workload_check_world.py
+++ b/tanagerpath/benchmarks/workload_check_world.py
@@ -3,12 +3,15 @@
 import random
 from collections.abc import Callable
 
+import attrs
+
 from tanagerpath.benchmarks.workload_check_callers import (
     Caller,
     ControlClient,
     HeartbeatSender,
 )
 from tanagerpath.benchmarks.workload_check_calls import CallNetwork, NodeGroup
+from tanagerpath.benchmarks.workload_check_evacuations import EVACUATION_S
 from tanagerpath.benchmarks.workload_check_events import WorkloadLeftOpen
 from tanagerpath.benchmarks.workload_check_history import History
 from tanagerpath.benchmarks.workload_check_nodes import (
@@ -16,6 +19,7 @@
     NodePorts,
     NodeProcess,
 )
+from tanagerpath.benchmarks.workload_check_operators import EvacuationOperator
 from tanagerpath.benchmarks.workload_check_rules import Rulebook
 from tanagerpath.benchmarks.workload_check_upstreams import (
     UNIX_OFFSET_S,
@@ -32,6 +36,7 @@
 from tanagerpath.core.consensus.events import Action, Event
 from tanagerpath.core.consensus.harness import SimulatedVm, StepObserver
 from tanagerpath.core.consensus.simulated import DiskContent
+from tanagerpath.core.control.messages import SendReply
 from tanagerpath.core.coordination import CallUpstream
 from tanagerpath.core.workloads import DispatchTerms
 from tanagerpath.core.workloads.requests import ConfigurationRequest
@@ -50,6 +55,10 @@
 WORK_S = (0.2, 2.0)
 # Share of the workloads whose first runs fail.
 FAILING_SHARE = 0.08
+# First token of the requests for operators, above those for callers.
+OPERATOR_TOKENS = 1_000_000_000
+# Share of the seeds in which an operator evacuates zones.
+EVACUATING_SHARE = 0.3
 STOP_TIMEOUTS_S = (0.2, 1.0)
 RESTART_S = 1.0
 FIRST_LEADER_LIMIT_S = 30.0
@@ -109,6 +118,11 @@
         self._recorder = LogRecorder(self.history)
         stop_timeout_s = source.choice(STOP_TIMEOUTS_S)
         self._terms = DispatchTerms(stop_timeout_s=stop_timeout_s)
+        # The orders have draws of their own.
+        operator_source = random.Random(f"workload-check-operator-{seed}")
+        has_operator = operator_source.random() < EVACUATING_SHARE
+        if has_operator:
+            self._terms = attrs.evolve(self._terms, evacuation_s=EVACUATION_S)
         self.group: NodeGroup = NodeGroup.from_seed(
             seed,
             node_count,
@@ -120,6 +134,13 @@
         self.group.observers.append(Restarter(self.group))
         self.network = CallNetwork(self.group, self.fleet, source)
         self.client = ControlClient(self.group, source)
+        self._operator: EvacuationOperator | None = None
+        if has_operator:
+            self._operator = EvacuationOperator(
+                ControlClient(self.group, operator_source, OPERATOR_TOKENS),
+                self.network,
+                self.history,
+            )
         self.callers: list[Caller] = []
         self.is_faulty = True
         self.next_empty_disk_s = 0.0
@@ -135,7 +156,7 @@
     ) -> NodeProcess:
         ports = NodePorts(
             call=self._call,
-            reply=self.client.receive,
+            reply=self._receive,
             read_unix_s=lambda: UNIX_OFFSET_S + self.group.now_s,
         )
         return NodeProcess.from_config(
@@ -148,6 +169,12 @@
             recorder=self._recorder,
         )
 
+    def _receive(self, sent: SendReply) -> None:
+        """Hand over a reply to the client that has its token."""
+        self.client.receive(sent)
+        if self._operator is not None:
+            self._operator.client.receive(sent)
+
     def _call(self, vm_id: str, call: CallUpstream) -> None:
         self.network.call(self.group.vms[vm_id], call)
 
@@ -172,6 +199,8 @@
         request = ConfigurationRequest(make_configuration())
         self.client.request(request, lambda reply: self._submit())
         HeartbeatSender(self.client, self.fleet, self.network).begin()
+        if self._operator is not None:
+            self._operator.begin()
 
     def _advance(self) -> None:
         self.fleet.advance()
@@ -205,6 +234,8 @@
         self.is_faulty = False
         self.network.heal()
         self.group.heal()
+        if self._operator is not None:
+            self._operator.end()
         for upstream in self.fleet.upstreams.values():
             upstream.heal()
 
