Limit what clients may send, keep open and leave unread

Six clients with bodies of 64 MiB raised an entry by 700 MB and a control process by 623 MB above its peak in calm; VMs have 160 to 440 MB. Idle connections used up the descriptors, so that the readiness probe failed; slow headers and bodies kept their connections for good.

One reader of bodies serves all listeners, with a limit for each kind of body and a budget for the process. Connections are limited by listener and have timeouts for the header, the body, the reply and idle times. Replies are bounded in the HTTP client. The limits of the configuration reach the entries with the replies to their probes; settings give the defaults.

--- a/tanagerpath/codecs/text.py
+++ b/tanagerpath/codecs/text.py
@@ -25,10 +25,15 @@
     "decode_value",
     "encode_json",
     "encode_value",
+    "parse_json",
 ]
 
 T = TypeVar("T")
 
+# A decoded value takes up to 30 times the memory of its text, so a text of 4 MiB could
+# take more than 100 MB. Both bounds are far above those of a configuration of 4 MiB.
+MAX_CONTAINERS = 100_000
+MAX_VALUES = 400_000
 # Field with the class name of a union member; no message may have a field so named.
 UNION_TAG = "message_type"
 
@@ -141,6 +146,25 @@
         return ResultFailure(_describe_error(error, plain))
 
 
+def parse_json(text: str | bytes) -> Any:
+    """Return the values of a JSON text of bounded cost.
+
+    Raises
+    ------
+    ValueError
+        If it is not JSON, or if it has too many values or levels.
+    """
+    # Characters of strings are counted too, so the bounds are generous.
+    marks = ("[", "{", ",") if isinstance(text, str) else (b"[", b"{", b",")
+    lists, objects, commas = (text.count(mark) for mark in marks)
+    if lists + objects > MAX_CONTAINERS or commas > MAX_VALUES:
+        raise ValueError(f"more than {MAX_CONTAINERS} lists or {MAX_VALUES} values")
+    try:
+        return json.loads(text)
+    except RecursionError as error:
+        raise ValueError("too many levels") from error
+
+
 def decode_json(text: str | bytes, kind: type[T] | Any) -> Result[T, MalformedMessage]:
     """Build a message from JSON text; see `decode_value`."""
     try:
--- a/tanagerpath/core/workloads/configuration.py
+++ b/tanagerpath/core/workloads/configuration.py
@@ -10,7 +10,14 @@
 from tanagerpath.core.workloads.resources import Resources
 from tanagerpath.errors import Failure
 
-__all__ = ["AdviceTerms", "Configuration", "Organisation", "Pool", "Queue"]
+__all__ = [
+    "AdviceTerms",
+    "CallerLimits",
+    "Configuration",
+    "Organisation",
+    "Pool",
+    "Queue",
+]
 
 
 @attrs.frozen(kw_only=True)
@@ -109,6 +116,26 @@
     guaranteed: Resources = Resources()
 
 
+@attrs.frozen(kw_only=True)
+class CallerLimits:
+    """Limits of the requests and connections of callers; None for a default.
+
+    Attributes
+    ----------
+    max_header_bytes, max_body_bytes : int or None
+        Size of all header fields, and of the body.
+    header_timeout_s : float or None
+        Time until the header of a request is complete.
+    idle_timeout_s : float or None
+        Time after which an idle connection is closed.
+    """
+
+    max_header_bytes: int | None = None
+    max_body_bytes: int | None = None
+    header_timeout_s: float | None = None
+    idle_timeout_s: float | None = None
+
+
 @attrs.frozen(kw_only=True)
 class Configuration:
     """A complete configuration.
@@ -121,6 +148,8 @@
         Definitions.
     document : str
         Text that the operator sent, returned to readers unchanged.
+    caller_limits : CallerLimits or None
+        Limits for callers; None if the configuration has none.
     """
 
     version: int
@@ -128,6 +157,7 @@
     pools: tuple[Pool, ...] = ()
     organisations: tuple[Organisation, ...] = ()
     document: str = ""
+    caller_limits: CallerLimits | None = None
 
     def find_fault(self) -> InvalidConfiguration | None:
         """Return the first error in the configuration, None if it is valid."""
--- a/tanagerpath/core/workloads/request_handler.py
+++ b/tanagerpath/core/workloads/request_handler.py
@@ -331,4 +331,9 @@
         )
 
     def _show_leader(self, request: requests.LeaderQuery, now: Instant) -> object:
-        return requests.LeaderReply(self._leader_address, self._list_addresses())
+        configuration = self._state.configuration
+        return requests.LeaderReply(
+            self._leader_address,
+            self._list_addresses(),
+            configuration.caller_limits if configuration else None,
+        )
--- a/tanagerpath/core/workloads/requests.py
+++ b/tanagerpath/core/workloads/requests.py
@@ -3,7 +3,7 @@
 import attrs
 
 from tanagerpath.core.workloads.commands import UpstreamRecord
-from tanagerpath.core.workloads.configuration import Configuration
+from tanagerpath.core.workloads.configuration import CallerLimits, Configuration
 from tanagerpath.core.workloads.records import WorkloadState
 from tanagerpath.core.workloads.specs import WorkloadSpec
 
@@ -197,10 +197,14 @@
 
 @attrs.frozen
 class LeaderReply:
-    """Addresses of the leader and of all control VMs, as "ip:port"."""
+    """Addresses of the leader and of all control VMs, as "ip:port".
+
+    `caller_limits` are those of the current configuration, None if it has none.
+    """
 
     leader_address: str
     control_addresses: tuple[str, ...] = ()
+    caller_limits: CallerLimits | None = None
 
 
 WorkloadRequest = (
--- a/tanagerpath/platform/configuration.py
+++ b/tanagerpath/platform/configuration.py
@@ -5,6 +5,7 @@
 from tanagerpath.codecs import MalformedMessage
 from tanagerpath.core.workloads.configuration import (
     AdviceTerms,
+    CallerLimits,
     Configuration,
     Organisation,
     Pool,
@@ -71,6 +72,27 @@
     )
 
 
+def _read_limits(fields: Fields | None) -> CallerLimits | None:
+    if fields is None:
+        return None
+    return CallerLimits(
+        max_header_bytes=_read_limit(fields, "max_header_bytes"),
+        max_body_bytes=_read_limit(fields, "max_body_bytes"),
+        header_timeout_s=_read_limit_s(fields, "header_timeout_ms"),
+        idle_timeout_s=_read_limit_s(fields, "idle_timeout_ms"),
+    )
+
+
+def _read_limit(fields: Fields, name: str) -> int | None:
+    """Return a limit; None, which is the default, if it is absent or 0."""
+    return (fields.read_integer(name) or None) if fields.has(name) else None
+
+
+def _read_limit_s(fields: Fields, name: str) -> float | None:
+    value_ms = fields.read_number(name) if fields.has(name) else 0
+    return value_ms / MS_PER_S or None
+
+
 def read_configuration(fields: Fields, body: bytes) -> Configuration:
     """Read a configuration.
 
@@ -94,6 +116,7 @@
             _read_organisation(one) for one in fields.read_objects("tenants", [])
         ),
         document=_compact(body),
+        caller_limits=_read_limits(fields.read_optional("limits")),
     )
 
 
--- a/tanagerpath/platform/fields.py
+++ b/tanagerpath/platform/fields.py
@@ -1,9 +1,9 @@
 """Strict validation of decoded JSON values."""
 
-import json
 from typing import Any
 
 from tanagerpath.codecs import MalformedMessage
+from tanagerpath.codecs.text import parse_json
 from tanagerpath.errors import FailureError
 
 __all__ = ["MAX_NUMBER", "Fields", "is_integer", "is_number", "is_text", "read_object"]
@@ -24,8 +24,8 @@
         With `MalformedMessage`.
     """
     try:
-        plain = json.loads(body)
-    except (ValueError, RecursionError) as error:  # the latter for deep nesting
+        plain = parse_json(body)
+    except ValueError as error:
         failure = MalformedMessage(value=_show(body), expected=f"JSON text ({error})")
         raise FailureError(failure) from error
     if not isinstance(plain, dict):
@@ -60,7 +60,9 @@
 
 
 def _show(value: Any) -> str:
-    return repr(value)[:_SHOWN_CHARS]
+    # A long text would be copied several times for an error message.
+    shown = value[:_SHOWN_CHARS] if isinstance(value, str | bytes) else value
+    return repr(shown)[:_SHOWN_CHARS]
 
 
 class Fields:
--- a/tanagerpath/platform/operator_adapter.py
+++ b/tanagerpath/platform/operator_adapter.py
@@ -24,10 +24,17 @@
 from tanagerpath.platform.fields import read_object
 from tanagerpath.platform.reports import read_report
 from tanagerpath.platform.statuses import make_error_response, make_json_response
+from tanagerpath.runtime.limits import MIB, BodyRule
 from tanagerpath.services.adapters import ControlAdapter, LeaderClient
 
 __all__ = ["OperatorAdapter"]
 
+# A heartbeat may have 4 MiB, a configuration thousands of queues, and a wave thousands
+# of VMs.
+HEARTBEAT_BYTES = 4 * MIB
+CONFIGURATION_BYTES = 4 * MIB
+WAVE_BYTES = MIB
+
 _Reader = Callable[[Request], Awaitable[object]]
 _Endpoint = Callable[[Request], Awaitable[Response]]
 
@@ -62,6 +69,14 @@
             for (method, path), read in reads.items()
         ]
 
+    def list_body_rules(self) -> tuple[BodyRule, ...]:
+        """Return the largest body of each kind of request that has one."""
+        return (
+            BodyRule("PUT", "/instances/", HEARTBEAT_BYTES),
+            BodyRule("PUT", "/config", CONFIGURATION_BYTES),
+            BodyRule("POST", "/wave-start", WAVE_BYTES),
+        )
+
     def _make_endpoint(self, read: _Reader, leader: LeaderClient) -> _Endpoint:
         async def handle(request: Request) -> Response:
             try:
--- a/tanagerpath/platform/settings_file.py
+++ b/tanagerpath/platform/settings_file.py
@@ -17,6 +17,8 @@
     WorkloadRelaySettings,
 )
 from tanagerpath.settings.bounds import (
+    MIN_DESCRIPTORS,
+    MIN_MEMORY_LIMIT_MB,
     choose_control_drain_s,
     choose_entry_drain_s,
     choose_replace_voter_after_s,
@@ -142,6 +144,20 @@
         "availability_zone": fields.read_text("zone"),
         "listen": f"{fields.read_text('ip')}:{_find_port(fields, offset)}",
         "seeds": ",".join(_list_seeds(fields)),
+    } | _convert_size(fields)
+
+
+def _convert_size(fields: Fields) -> dict[str, str]:
+    """Return the memory and the descriptors of a process."""
+    limits = fields.read_optional("limits")
+    names = {
+        "memory_limit_mb": ("memory_mb", MIN_MEMORY_LIMIT_MB),
+        "max_descriptors": ("max_fds", MIN_DESCRIPTORS),
+    }
+    return {
+        name: str(max(limits.read_integer(given), minimum))
+        for name, (given, minimum) in names.items()
+        if limits is not None and limits.has(given)
     }
 
 
--- a/tanagerpath/runtime/client.py
+++ b/tanagerpath/runtime/client.py
@@ -7,6 +7,7 @@
 from returns.result import Result, Success
 
 from tanagerpath.errors import Failure
+from tanagerpath.runtime.budgets import ByteBudget, ByteHolder
 
 __all__ = [
     "ConnectFailed",
@@ -15,10 +16,14 @@
     "HttpClient",
     "HttpReply",
     "HttpRequest",
+    "ReplyTooLarge",
 ]
 
 # Below the 75 s after which the server closes an idle connection.
 KEEPALIVE_EXPIRY_S = 60.0
+MIB = 1024 * 1024
+# Messages between processes may have 16 MiB.
+DEFAULT_REPLY_BYTES = 32 * MIB
 _JSON_HEADERS = [(b"content-type", b"application/json")]
 
 
@@ -60,6 +65,18 @@
         return f"connection to {self.address} ended before the reply: {self.detail}"
 
 
+@attrs.frozen(kw_only=True)
+class ReplyTooLarge(Failure):
+    """The reply exceeds the limit; the request may have arrived."""
+
+    address: str
+
+    @property
+    def message(self) -> str:
+        """One line for people."""
+        return f"the reply of {self.address} exceeds the limit"
+
+
 @attrs.frozen
 class HttpRequest:
     """Method, target, JSON body and additional headers of a request."""
@@ -88,6 +105,47 @@
     return origin if origin.port == port else None
 
 
+class _ReplyReader(ByteHolder):
+    """Reads one reply within its limits.
+
+    Parameters
+    ----------
+    max_bytes : int
+        Size of the reply.
+    budget : ByteBudget or None
+        Size of all replies that are read at once.
+    """
+
+    def __init__(self, max_bytes: int, budget: ByteBudget | None) -> None:
+        self._max_bytes = max_bytes
+        self._budget = budget
+        self._size = 0
+        self._is_dropped = False
+
+    def drop(self) -> None:
+        """End the reply with the next part that arrives."""
+        self._is_dropped = True
+
+    async def read(self, reply: httpcore.Response) -> bytes | None:
+        """Return the body, None if it exceeds a limit."""
+        parts = []
+        try:
+            async for part in reply.stream:
+                self._size += len(part)
+                if self._is_dropped or not self._has_room(len(part)):
+                    return None
+                parts.append(part)
+        finally:
+            if self._budget is not None:
+                self._budget.release(self)
+        return parts[0] if len(parts) == 1 else b"".join(parts)
+
+    def _has_room(self, further: int) -> bool:
+        if self._size > self._max_bytes:
+            return False
+        return self._budget is None or self._budget.take(self, further)
+
+
 class HttpClient:
     """Exchanges requests with one address over keep-alive connections.
 
@@ -103,10 +161,22 @@
         no error here: each exchange with it ends with `ConnectFailed`.
     max_connections : int
         Maximum number of open connections.
+    max_reply_bytes : int
+        Largest reply.
+    replies : ByteBudget, optional
+        Size of all replies that are read at once, shared with other clients.
     """
 
-    def __init__(self, address: str, max_connections: int = 4) -> None:
+    def __init__(
+        self,
+        address: str,
+        max_connections: int = 4,
+        max_reply_bytes: int = DEFAULT_REPLY_BYTES,
+        replies: ByteBudget | None = None,
+    ) -> None:
         self.address = address
+        self._max_reply_bytes = max_reply_bytes
+        self._replies = replies
         self._origin = _parse_origin(address)
         self._slots = anyio.Semaphore(max_connections)
         self._idle: list[httpcore.AsyncHTTPConnection] = []
@@ -132,7 +202,8 @@
         Returns
         -------
         Result
-            `HttpReply`, or `ConnectFailed`, `ExchangeTimedOut` or `ExchangeCut`.
+            `HttpReply`, or `ConnectFailed`, `ExchangeTimedOut`, `ExchangeCut` or
+            `ReplyTooLarge`.
         """
         if self._origin is None:
             return ResultFailure(ConnectFailed(address=self.address))
@@ -147,12 +218,14 @@
     async def _exchange_once(self, request: HttpRequest) -> Result[HttpReply, Failure]:
         connection = await self._acquire_connection()
         try:
-            reply = await connection.request(
+            async with connection.stream(
                 request.method,
                 f"http://{self.address}{request.path}",
                 headers=[*_JSON_HEADERS, *request.headers],
                 content=request.body,
-            )
+            ) as reply:
+                reader = _ReplyReader(self._max_reply_bytes, self._replies)
+                body = await reader.read(reply)
         except (httpcore.ConnectError, httpcore.ConnectTimeout):
             return ResultFailure(ConnectFailed(address=self.address))
         except (httpcore.NetworkError, httpcore.ProtocolError) as error:
@@ -161,7 +234,9 @@
             )
         finally:
             await self._release_connection(connection)
-        return Success(HttpReply(reply.status, reply.content))
+        if body is None:
+            return ResultFailure(ReplyTooLarge(address=self.address))
+        return Success(HttpReply(reply.status, body))
 
     async def _acquire_connection(self) -> httpcore.AsyncHTTPConnection:
         while self._idle:
--- /dev/null
+++ b/tanagerpath/runtime/connections.py
@@ -0,0 +1,366 @@
+"""Connections of a listener: their number, their timeouts and their unread replies."""
+
+import asyncio
+import enum
+import logging
+from typing import Any
+
+import attrs
+import h11
+from uvicorn.protocols.http.h11_impl import H11Protocol
+
+from tanagerpath.runtime.budgets import ByteBudget, ByteHolder
+from tanagerpath.runtime.limits import (
+    BODY_TOO_LARGE,
+    ListenerLimits,
+    Refusal,
+    RejectionObserver,
+    RejectionReason,
+    SilentObserver,
+)
+
+__all__ = ["CONNECTION_KEY", "BoundedProtocol", "ListenerGuard", "RequestHolder"]
+
+# Key of the connection in the state of a request.
+CONNECTION_KEY = "tanagerpath.connection"
+# One read of a socket. The library's 256 KiB would be held for each connection before
+# a limit can take effect.
+RECEIVE_BYTES = 64 * 1024
+# The limit of header fields excludes the request line.
+REQUEST_LINE_BYTES = 8 * 1024
+# Share that is added to timeouts, as clients measure them at the other end of a link.
+TIMEOUT_MARGIN = 1.1
+# A body that arrives steadily may take this multiple of the idle timeout.
+BODY_TIMEOUT_FACTOR = 4.0
+# A client that is still sending loses the reply if its connection is closed at once.
+REFUSAL_TIMEOUT_S = 1.0
+DEFAULT_BODIES_BYTES = 256 * 1024 * 1024
+DEFAULT_REPLIES_BYTES = 256 * 1024 * 1024
+
+
+class _Phase(enum.Enum):
+    """What a connection waits for."""
+
+    HEADER = "header"
+    IDLE = "idle"
+    BODY = "body"
+    HANDLER = "handler"
+    READER = "reader"
+    REFUSED = "refused"
+
+
+# The end of an idle connection is not a rejection.
+_TIMEOUT_REASONS = {
+    _Phase.HEADER: RejectionReason.HEADER_TIMEOUT,
+    _Phase.BODY: RejectionReason.BODY_TIMEOUT,
+    _Phase.READER: RejectionReason.REPLY_TIMEOUT,
+}
+
+
+class RequestHolder(ByteHolder):
+    """The body of one request in the budget of bodies.
+
+    Parameters
+    ----------
+    guard : ListenerGuard
+        Guard of the listener.
+    connection : BoundedProtocol or None
+        Connection of the request.
+    """
+
+    def __init__(
+        self, guard: "ListenerGuard", connection: "BoundedProtocol | None"
+    ) -> None:
+        self._guard = guard
+        self._connection = connection
+
+    def drop(self) -> None:
+        """Close the connection of a body that is still incomplete."""
+        self._guard.note(RejectionReason.BODIES_FULL)
+        if self._connection is not None:
+            self._connection.abort()
+
+
+@attrs.define(eq=False)
+class ListenerGuard:
+    """Limits and open connections of one listener.
+
+    Attributes
+    ----------
+    name : str
+        Name of the listener in metrics and logs.
+    limits : ListenerLimits
+        Current limits; replaced when they change.
+    bodies, replies : ByteBudget
+        Bodies that are read, and replies that clients have not read, of the process.
+    observer : RejectionObserver
+        Is told of each rejection.
+    body_too_large : Refusal
+        Reply to a request whose body exceeds its limit.
+    trusts_length : bool
+        Whether an announced length over the limit is refused before the body is read.
+        Otherwise a client gets its reply although it reads only after it has sent a
+        body that is slightly too large.
+    is_internal : bool
+        Whether only processes of the system connect; their bodies may use the whole
+        budget.
+    """
+
+    name: str = "http"
+    limits: ListenerLimits = attrs.Factory(ListenerLimits)
+    bodies: ByteBudget = attrs.Factory(lambda: ByteBudget(DEFAULT_BODIES_BYTES))
+    replies: ByteBudget = attrs.Factory(lambda: ByteBudget(DEFAULT_REPLIES_BYTES))
+    observer: RejectionObserver = attrs.Factory(SilentObserver)
+    is_internal: bool = False
+    body_too_large: Refusal = BODY_TOO_LARGE
+    trusts_length: bool = True
+    _open: set["BoundedProtocol"] = attrs.field(factory=set, init=False)
+    # Both in the order in which their connections entered the phase.
+    _waiting: dict["BoundedProtocol", None] = attrs.field(factory=dict, init=False)
+    _receiving: dict["BoundedProtocol", None] = attrs.field(factory=dict, init=False)
+
+    def note(self, reason: str) -> None:
+        """Record a rejection."""
+        self.observer.note_rejection(self.name, reason)
+
+    def add(self, connection: "BoundedProtocol") -> None:
+        """Add a connection, and close another one if there are too many.
+
+        A connection without a request is closed first, the oldest one, then one with
+        an incomplete body or an unread reply; if all requests are being handled, it is
+        the new one.
+        """
+        self._open.add(connection)
+        if len(self._open) <= self.limits.max_connections:
+            return
+        self.note(RejectionReason.TOO_MANY_CONNECTIONS)
+        victim = next(iter(self._waiting), None) or next(iter(self._receiving), None)
+        (victim or connection).abort()
+
+    def remove(self, connection: "BoundedProtocol") -> None:
+        """Remove a connection that is closed or about to be."""
+        self._open.discard(connection)
+        self._waiting.pop(connection, None)
+        self._receiving.pop(connection, None)
+        self.replies.release(connection)
+
+    def move(self, connection: "BoundedProtocol", phase: _Phase) -> None:
+        """Record the phase that a connection has entered."""
+        self._waiting.pop(connection, None)
+        self._receiving.pop(connection, None)
+        if phase in (_Phase.HEADER, _Phase.IDLE):
+            self._waiting[connection] = None
+        elif phase is not _Phase.HANDLER:
+            self._receiving[connection] = None
+
+
+class BoundedProtocol(H11Protocol, ByteHolder):
+    """Connection of the HTTP server that keeps the limits of its listener.
+
+    One timer for each connection checks its deadline, which each phase sets.
+
+    Parameters
+    ----------
+    guard : ListenerGuard
+        Guard of the listener.
+    config, server_state, app_state : object
+        Arguments of the library.
+    """
+
+    def __init__(
+        self,
+        guard: ListenerGuard,
+        config: Any,
+        server_state: Any,
+        app_state: dict[str, Any],
+        _loop: asyncio.AbstractEventLoop | None = None,
+    ) -> None:
+        super().__init__(config, server_state, app_state, _loop)
+        self._guard = guard
+        self.conn = h11.Connection(
+            h11.SERVER, guard.limits.max_header_bytes + REQUEST_LINE_BYTES
+        )
+        self.app_state = {**app_state, CONNECTION_KEY: self}
+        self._phase = _Phase.HEADER
+        self._deadline_s: float | None = None
+        self._body_deadline_s = 0.0
+        self._timer: asyncio.TimerHandle | None = None
+        self._is_completion_deferred = False
+        self._is_forgotten = False
+
+    def connection_made(self, transport: asyncio.Transport) -> None:
+        """Add the connection to those of the listener."""
+        super().connection_made(transport)
+        transport.max_size = RECEIVE_BYTES
+        self._guard.add(self)
+        self._enter(_Phase.HEADER)
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Forget the connection."""
+        self._forget()
+        super().connection_lost(exc)
+
+    def _forget(self) -> None:
+        self._is_forgotten = True
+        self._guard.remove(self)
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
+
+    def abort(self) -> None:
+        """Close the connection at once, without the rest of its reply."""
+        self._forget()
+        self.transport.abort()
+
+    def drop(self) -> None:
+        """Close a connection whose client has left its reply unread."""
+        self._guard.note(RejectionReason.REPLIES_FULL)
+        self.abort()
+
+    # Phases
+
+    def _enter(self, phase: _Phase) -> None:
+        if self._is_forgotten:
+            return
+        if phase is not self._phase or phase is _Phase.HEADER:
+            self._guard.move(self, phase)
+        self._phase = phase
+        self._deadline_s = self._find_deadline_s(phase)
+        if self._deadline_s is not None:
+            self._start_timer()
+
+    def _find_deadline_s(self, phase: _Phase) -> float | None:
+        limits = self._guard.limits
+        match phase:
+            case _Phase.HANDLER:
+                return None
+            case _Phase.HEADER:
+                timeout_s = limits.header_timeout_s
+            case _Phase.READER:
+                timeout_s = limits.write_timeout_s
+            case _Phase.REFUSED:
+                timeout_s = REFUSAL_TIMEOUT_S
+            case _:
+                timeout_s = limits.idle_timeout_s
+        deadline_s = self.loop.time() + timeout_s * TIMEOUT_MARGIN
+        if phase is _Phase.BODY:
+            return min(deadline_s, self._body_deadline_s)
+        return deadline_s
+
+    def _start_timer(self) -> None:
+        """Make sure that the timer fires no later than the deadline."""
+        if self._timer is not None:
+            if self._timer.when() <= self._deadline_s:
+                return
+            self._timer.cancel()
+        self._timer = self.loop.call_at(self._deadline_s, self._check_deadline)
+
+    def _check_deadline(self) -> None:
+        """Close a connection whose deadline has passed, or wait for its new one."""
+        self._timer = None
+        if self._deadline_s is None:
+            return
+        if self.loop.time() < self._deadline_s:
+            self._start_timer()
+            return
+        reason = _TIMEOUT_REASONS.get(self._phase)
+        if reason is not None:
+            self._guard.note(reason)
+        self.abort()
+
+    def data_received(self, data: bytes) -> None:
+        """Parse what has arrived, and note what the connection waits for now."""
+        if self._phase is _Phase.REFUSED:
+            return
+        self.conn.receive_data(data)
+        self.handle_events()
+        if not self.transport.is_closing() and not self.flow.write_paused:
+            self._update_phase()
+
+    def _update_phase(self) -> None:
+        cycle = self.cycle
+        if cycle is None or cycle.response_complete:
+            if self._phase is _Phase.IDLE:
+                self._enter(_Phase.HEADER)
+        elif not cycle.more_body:
+            if self._phase is not _Phase.HANDLER:
+                self._enter(_Phase.HANDLER)
+        else:
+            if self._phase is not _Phase.BODY:
+                body_timeout_s = self._guard.limits.idle_timeout_s * BODY_TIMEOUT_FACTOR
+                self._body_deadline_s = self.loop.time() + body_timeout_s
+            self._enter(_Phase.BODY)
+
+    def send_400_response(self, msg: str) -> None:
+        """Refuse what is not HTTP, or a header that exceeds the limit."""
+        self._guard.note(RejectionReason.MALFORMED)
+        try:
+            super().send_400_response(msg)
+        except h11.LocalProtocolError:
+            # The reply to this request has begun.
+            self.abort()
+
+    def refuse(self, refusal: Refusal) -> None:
+        """Reply to the open request, read no further, and close the connection soon."""
+        # The library then sends no reply of its own.
+        self.cycle.disconnected = True
+        if self._is_forgotten or self.transport.is_closing():
+            return
+        self.flow.pause_reading()
+        events = (
+            h11.Response(status_code=refusal.status, headers=refusal.list_headers()),
+            h11.Data(data=refusal.text),
+            h11.EndOfMessage(),
+        )
+        self.transport.write(b"".join(self.conn.send(event) for event in events))
+        self.transport.write_eof()
+        self._enter(_Phase.REFUSED)
+
+    # Replies
+
+    def on_response_complete(self) -> None:
+        """Wait for the next request once the client has read the reply."""
+        if self.transport.is_closing():
+            # The rest of the reply is still to be sent.
+            self._enter(_Phase.READER)
+            return
+        if self.flow.write_paused:
+            # The reply to a pipelined request would wait in memory too.
+            self._is_completion_deferred = True
+            return
+        self._enter(_Phase.IDLE)
+        self.flow.resume_reading()
+        is_done = self.conn.our_state is h11.DONE
+        if is_done and self.conn.their_state is h11.DONE:
+            previous = self.cycle
+            self.conn.start_next_cycle()
+            self.handle_events()
+            if self.cycle is not previous:
+                self._update_phase()
+
+    def pause_writing(self) -> None:
+        """Count a reply that the client does not read as fast as it is written."""
+        super().pause_writing()
+        self._enter(_Phase.READER)
+        if not self._guard.replies.take(self, self.transport.get_write_buffer_size()):
+            self.drop()
+
+    def resume_writing(self) -> None:
+        """Go on once the client has read the reply."""
+        super().resume_writing()
+        self._guard.replies.release(self)
+        if self._is_completion_deferred:
+            self._is_completion_deferred = False
+            self.on_response_complete()
+        elif not self.transport.is_closing():
+            self._enter(_Phase.HANDLER)
+
+
+class _WithoutWarnings(logging.Filter):
+    """Drops the library's line for each malformed request; guards count them."""
+
+    def filter(self, record: logging.LogRecord) -> bool:
+        return record.levelno != logging.WARNING
+
+
+logging.getLogger("uvicorn.error").addFilter(_WithoutWarnings())
--- a/tanagerpath/runtime/server.py
+++ b/tanagerpath/runtime/server.py
@@ -1,6 +1,7 @@
 """HTTP server task."""
 
 import contextlib
+import functools
 import socket
 from collections.abc import Awaitable, Callable, Iterator, Mapping
 
@@ -13,11 +14,16 @@
 from starlette.routing import BaseRoute
 from starlette.types import ASGIApp, Message, Receive, Scope, Send
 
+from tanagerpath.runtime.bodies import BodyReader
+from tanagerpath.runtime.connections import BoundedProtocol, ListenerGuard
 from tanagerpath.runtime.tasks import Task
 
 __all__ = ["ErrorHandler", "HttpServer", "HttpServerGroup", "bind_listener"]
 
 LISTEN_BACKLOG = 2048
+# The event loop accepts this many connections before it handles any of them, so they
+# come on top of the limit of a listener.
+ACCEPT_BATCH = 32
 BAD_REQUEST_STATUS = 400
 
 ErrorHandler = Callable[[Request, Exception], Awaitable[Response]]
@@ -65,6 +71,12 @@
         self.should_exit = True
         self._exit_requested.set()
 
+    async def startup(self, sockets: list[socket.socket] | None = None) -> None:
+        """Start accepting, with a queue that is longer than a batch of the loop."""
+        await super().startup(sockets)
+        for listener in sockets or ():
+            listener.listen(LISTEN_BACKLOG)
+
     async def main_loop(self) -> None:
         """Wait for the end without the ten ticks a second of the library.
 
@@ -116,6 +128,8 @@
         Starlette routes.
     error_handlers : mapping of int to ErrorHandler, optional
         Handlers by status, for 404 and 405, which no route returns.
+    guard : ListenerGuard, optional
+        Limits for the clients.
     """
 
     def __init__(
@@ -123,27 +137,28 @@
         listener: socket.socket,
         routes: list[BaseRoute],
         error_handlers: Mapping[int, ErrorHandler] | None = None,
+        guard: ListenerGuard | None = None,
     ) -> None:
         self._listener = listener
+        guard = guard or ListenerGuard()
         handlers = {
             ClientDisconnect: _answer_disconnected_client,
             **(error_handlers or {}),
         }
         application = Starlette(routes=routes, exception_handlers=handlers)
         application.router.redirect_slashes = False
-        self._application = _CloseConnectionMiddleware(application)
+        self._application = _CloseConnectionMiddleware(BodyReader(application, guard))
         config = uvicorn.Config(
             self._application,
             log_config=None,
             access_log=False,
             lifespan="off",
-            http="h11",
+            http=functools.partial(BoundedProtocol, guard),
             ws="none",
             proxy_headers=False,
             server_header=False,
             date_header=False,
-            backlog=LISTEN_BACKLOG,
-            timeout_keep_alive=75,
+            backlog=ACCEPT_BATCH,
         )
         self._server = _SignalFreeServer(config)
         self._stopped = anyio.Event()
@@ -177,15 +192,21 @@
     def __init__(self) -> None:
         self._servers: list[HttpServer] = []
 
-    def start(self, tasks: TaskGroup, address: str, routes: list[BaseRoute]) -> None:
-        """Bind an address and serve routes there.
+    def start(
+        self,
+        tasks: TaskGroup,
+        address: str,
+        routes: list[BaseRoute],
+        guard: ListenerGuard | None = None,
+    ) -> None:
+        """Bind an address and serve routes there, within the limits of the guard.
 
         Raises
         ------
         OSError
             If the address cannot be bound.
         """
-        server = HttpServer(bind_listener(address), routes)
+        server = HttpServer(bind_listener(address), routes, guard=guard)
         self._servers.append(server)
         tasks.start_soon(server.run)
 
--- a/tanagerpath/services/adapters.py
+++ b/tanagerpath/services/adapters.py
@@ -11,6 +11,7 @@
 from tanagerpath.core.protocol.leadership import NotLeaderReply
 from tanagerpath.errors import Failure
 from tanagerpath.runtime import Mailbox, Reply
+from tanagerpath.runtime.limits import BodyRule
 from tanagerpath.services.control_messages import AskLeader
 from tanagerpath.services.leader_link import LeaderLink
 
@@ -112,6 +113,10 @@
     def list_routes(self, leader: LeaderClient) -> list[BaseRoute]:
         """Return the routes for operators and upstreams."""
 
+    @abc.abstractmethod
+    def list_body_rules(self) -> tuple[BodyRule, ...]:
+        """Return the largest body of each kind of request that has one."""
+
 
 class SettingsSource(abc.ABC):
     """Source of the settings that may change while a process runs."""
--- a/tanagerpath/services/entry.py
+++ b/tanagerpath/services/entry.py
@@ -1,8 +1,10 @@
 """Entry process of gang jobs, which serves callers, operators and upstreams."""
 
 import anyio
+import attrs
 from anyio.abc import TaskGroup
 
+from tanagerpath.codecs import MalformedMessage, encode_json
 from tanagerpath.core.admission import (
     DocumentView,
     EntryDraining,
@@ -11,10 +13,17 @@
     RequestLimits,
     RetryBudget,
 )
+from tanagerpath.core.protocol.callers import ErrorBody, ErrorReply
 from tanagerpath.core.state.failures import UnknownOrganisation, UnknownService
 from tanagerpath.errors import Failure
 from tanagerpath.observability.logs import get_logger
 from tanagerpath.runtime import Application, Clock, Mailbox, Reply, SystemClock, Task
+from tanagerpath.runtime.connections import ListenerGuard
+from tanagerpath.runtime.limits import (
+    BODY_TOO_LARGE,
+    MIB,
+    ListenerLimits,
+)
 from tanagerpath.runtime.server import HttpServer, bind_listener
 from tanagerpath.services.entry_routes import EntryRoutes
 from tanagerpath.services.feed import FeedArrived, FeedTask
@@ -33,6 +42,23 @@
 __all__ = ["EntryApplication", "EntryTask"]
 
 DRAIN_POLL_S = 0.05
+MAX_BODY_BYTES = 8 * MIB
+
+
+def _make_guard() -> ListenerGuard:
+    """Return the limits for all clients; the interface refuses large bodies by 400."""
+    failure = MalformedMessage(
+        value=f"a body of more than {MAX_BODY_BYTES} bytes",
+        expected=f"at most {MAX_BODY_BYTES} bytes",
+    )
+    refusal = attrs.evolve(
+        BODY_TOO_LARGE,
+        status=400,
+        text=encode_json(ErrorReply(ErrorBody.from_failure(failure))).encode(),
+        content_type=b"application/json",
+    )
+    limits = ListenerLimits(max_body_bytes=MAX_BODY_BYTES)
+    return ListenerGuard("entry", limits, body_too_large=refusal, trusts_length=False)
 
 
 class EntryTask(Task):
@@ -165,7 +191,10 @@
         """Bind the socket and start all tasks."""
         listener = bind_listener(self._settings.listen)
         self._server = HttpServer(
-            listener, self._routes.list_routes(), self._routes.list_error_handlers()
+            listener,
+            self._routes.list_routes(),
+            self._routes.list_error_handlers(),
+            _make_guard(),
         )
         tasks.start_soon(self._entry.run)
         tasks.start_soon(self._leader.run)
--- a/tanagerpath/services/entry_routes.py
+++ b/tanagerpath/services/entry_routes.py
@@ -6,7 +6,6 @@
 import anyio
 import attrs
 from returns.pipeline import is_successful
-from returns.result import Failure as ResultFailure
 from returns.result import Result
 from starlette.requests import Request
 from starlette.responses import PlainTextResponse, Response
@@ -39,7 +38,6 @@
 REQUERY_INTERVAL_S = 30.0
 MAX_WAIT_MS = 3_600_000
 ANSWERED_STATUS = 200
-MAX_BODY_BYTES = 8 * 1024 * 1024
 
 
 def _write(message: Any, status: int = 200) -> Response:
@@ -332,17 +330,7 @@
     # Common steps
 
     async def _read(self, request: Request, kind: type) -> Result[Any, Failure]:
-        body = bytearray()
-        async for chunk in request.stream():
-            body += chunk
-            if len(body) > MAX_BODY_BYTES:
-                return ResultFailure(
-                    MalformedMessage(
-                        value=f"a body of more than {MAX_BODY_BYTES} bytes",
-                        expected=f"at most {MAX_BODY_BYTES} bytes",
-                    )
-                )
-        return decode_json(bytes(body), kind)
+        return decode_json(await request.body(), kind)
 
     async def _ask(self, message: Any) -> Result[Any, Failure]:
         deadline_s = anyio.current_time() + LEADER_TIMEOUT_S
--- a/tanagerpath/services/links.py
+++ b/tanagerpath/services/links.py
@@ -19,6 +19,7 @@
 from tanagerpath.errors import Failure
 from tanagerpath.observability.logs import get_logger
 from tanagerpath.runtime import Mailbox, Task
+from tanagerpath.runtime.budgets import ByteBudget
 from tanagerpath.runtime.client import HttpClient, HttpReply, HttpRequest
 
 __all__ = [
@@ -32,6 +33,9 @@
 
 MAX_WAITING_CALLS = 256
 IDLE_LINK_TIMEOUT_S = 60.0
+# An upstream lists its runs and at most 500 ends at a time.
+MAX_REPLY_BYTES = 4 * 1024 * 1024
+MAX_REPLIES_BYTES = 16 * 1024 * 1024
 
 _ROUTES: dict[type, tuple[str, type]] = {
     protocol.RenewRequest: ("/v1/renew", protocol.RenewReply),
@@ -115,6 +119,8 @@
         Maximum number of connections to this upstream.
     timeout_s : float
         Timeout of a call that has none of its own.
+    replies : ByteBudget, optional
+        Size of the replies of all links.
     """
 
     def __init__(
@@ -124,8 +130,9 @@
         codec: UpstreamCodec,
         max_connections: int,
         timeout_s: float,
+        replies: ByteBudget | None = None,
     ) -> None:
-        self._client = HttpClient(address, max_connections)
+        self._client = HttpClient(address, max_connections, MAX_REPLY_BYTES, replies)
         self._results = results
         self._codec = codec
         self._timeout_s = timeout_s
@@ -224,6 +231,7 @@
         self._codec = codec
         self._max_connections = max_connections
         self._timeout_s = timeout_s
+        self._replies = ByteBudget(MAX_REPLIES_BYTES)
         self._links: dict[str, UpstreamLink] = {}
 
     def call(self, call: CallUpstream) -> None:
@@ -236,6 +244,7 @@
                 self._codec,
                 self._max_connections,
                 self._timeout_s,
+                self._replies,
             )
             self._links[call.address] = link
             self._tasks.start_soon(self._run, call.address, link)
--- a/tanagerpath/services/replica_application.py
+++ b/tanagerpath/services/replica_application.py
@@ -22,6 +22,7 @@
     SystemClock,
 )
 from tanagerpath.runtime.server import HttpServer, bind_listener
+from tanagerpath.services.client_limits import ClientLimitTerms, ProcessGuards
 from tanagerpath.services.control_messages import TransferLeadership
 from tanagerpath.services.leader_link import LeaderProtocol
 from tanagerpath.services.peers import PeerSet
@@ -50,6 +51,8 @@
         Requests that entries send.
     clock : Clock, optional
         Source of the current time.
+    limits : ClientLimitTerms, optional
+        Size of the process, from which the limits for its clients follow.
     """
 
     def __init__(
@@ -60,6 +63,7 @@
         drain_timeout_s: float,
         protocol: LeaderProtocol,
         clock: Clock | None = None,
+        limits: ClientLimitTerms | None = None,
     ) -> None:
         super().__init__()
         self._listen = listen
@@ -72,6 +76,10 @@
         self._mailbox: Mailbox = Mailbox("control", MAX_WAITING_MESSAGES)
         self._opened: OpenedDirectory | None = None
         self._server: HttpServer | None = None
+        self._client_metrics = MetricsRegistry()
+        self._guards = ProcessGuards(
+            limits or ClientLimitTerms(), self._log, self._client_metrics
+        )
 
     @abc.abstractmethod
     def _make_node(
@@ -98,9 +106,15 @@
         storage = StorageTask(files, self._data_dir, self._mailbox, metrics=metrics)
         control = self._make_task(node, storage.mailbox, PeerSet(tasks, self._mailbox))
         routes = ReplicaRoutes(
-            self._mailbox, self._protocol, (control.metrics, metrics)
+            self._mailbox,
+            self._protocol,
+            (control.metrics, metrics, self._client_metrics),
+        )
+        self._server = HttpServer(
+            bind_listener(self._listen),
+            routes.list_routes(),
+            guard=self._guards.make_internal(),
         )
-        self._server = HttpServer(bind_listener(self._listen), routes.list_routes())
         tasks.start_soon(storage.run)
         tasks.start_soon(control.run)
         tasks.start_soon(self._server.run)
--- a/tanagerpath/services/workload_control.py
+++ b/tanagerpath/services/workload_control.py
@@ -34,6 +34,7 @@
     RemoteLeaderClient,
     SettingsSource,
 )
+from tanagerpath.services.client_limits import ClientLimitTerms
 from tanagerpath.services.links import LinkSet, UpstreamCodec
 from tanagerpath.services.peers import PeerSet
 from tanagerpath.services.replica_application import ReplicaApplication
@@ -183,6 +184,7 @@
             settings.drain_timeout_s,
             WORKLOAD_PROTOCOL,
             clock,
+            ClientLimitTerms.from_settings(settings),
         )
         self._settings = settings
         self._adapter = adapter
@@ -235,6 +237,7 @@
         self._public = HttpServer(
             bind_listener(self._settings.public_listen),
             self._adapter.list_routes(leader),
+            guard=self._guards.make_operators(self._adapter.list_body_rules()),
         )
         tasks.start_soon(self._link.run)
         tasks.start_soon(self._watch.run)
--- a/tanagerpath/services/workload_entry.py
+++ b/tanagerpath/services/workload_entry.py
@@ -19,6 +19,11 @@
     RemoteLeaderClient,
     SettingsSource,
 )
+from tanagerpath.services.client_limits import (
+    CallerGuard,
+    ClientLimitTerms,
+    ProcessGuards,
+)
 from tanagerpath.services.measured_leader import MeasuredLeaderClient
 from tanagerpath.services.settings_watch import SettingsWatch
 from tanagerpath.services.workload_protocol import make_leader_link
@@ -33,7 +38,7 @@
 
 
 class LeaderProbe(Task):
-    """Probes the leader, which names the current control processes.
+    """Probes the leader, which names the control processes and limits of callers.
 
     Parameters
     ----------
@@ -43,6 +48,8 @@
         Receives the control processes.
     metrics : MetricsRegistry
         Counts lost and regained leaders.
+    callers : CallerGuard, optional
+        Receives the limits of the current configuration.
     """
 
     def __init__(
@@ -50,9 +57,11 @@
         leader: MeasuredLeaderClient,
         route: SearchingRoute,
         metrics: MetricsRegistry,
+        callers: CallerGuard | None = None,
     ) -> None:
         self._leader = leader
         self._route = route
+        self._callers = callers
         self._metrics = metrics
         self._log = get_logger("entry")
         self._found_s = float("-inf")
@@ -84,6 +93,8 @@
     def _handle_leader_found(self, reply: LeaderReply) -> None:
         self._found_s = anyio.current_time()
         self._route.replace_members(reply.control_addresses)
+        if self._callers is not None:
+            self._callers.apply(reply.caller_limits)
         self._leader.note_leader(reply)
         if self._is_lost:
             self._is_lost = False
@@ -127,7 +138,11 @@
         self._leader = MeasuredLeaderClient(
             RemoteLeaderClient(self._link), DecisionLog(self._log, metrics), metrics
         )
-        self._probe = LeaderProbe(self._leader, self._route, metrics)
+        self._guards = ProcessGuards(
+            ClientLimitTerms.from_settings(settings), self._log, metrics
+        )
+        self._callers = self._guards.make_callers()
+        self._probe = LeaderProbe(self._leader, self._route, metrics, self._callers)
         self._watch = SettingsWatch(source, self._route.replace_seeds, self._log)
         self._draining = False
         self._servers = HttpServerGroup()
@@ -153,14 +168,21 @@
         """Bind the sockets and start all tasks."""
         settings = self._settings
         routes = {
-            settings.public_listen: self._adapter.list_routes(self._leader),
-            settings.readiness_listen: self._adapter.list_readiness_routes(
-                self._is_ready
+            settings.public_listen: (
+                self._adapter.list_routes(self._leader),
+                self._callers.guard,
+            ),
+            settings.readiness_listen: (
+                self._adapter.list_readiness_routes(self._is_ready),
+                self._guards.make_probe(),
+            ),
+            settings.listen: (
+                [Route("/metrics", self._show_metrics, methods=["GET"])],
+                self._guards.make_metrics(),
             ),
-            settings.listen: [Route("/metrics", self._show_metrics, methods=["GET"])],
         }
-        for address, listed in routes.items():
-            self._servers.start(tasks, address, listed)
+        for address, (listed, guard) in routes.items():
+            self._servers.start(tasks, address, listed, guard)
         tasks.start_soon(self._link.run)
         tasks.start_soon(self._probe.run)
         tasks.start_soon(self._watch.run)
--- a/tanagerpath/services/workload_relay.py
+++ b/tanagerpath/services/workload_relay.py
@@ -25,6 +25,7 @@
     RemoteLeaderClient,
     SettingsSource,
 )
+from tanagerpath.services.client_limits import ClientLimitTerms, ProcessGuards
 from tanagerpath.services.leader_link import LeaderLink
 from tanagerpath.services.peers import CONSENSUS_PATH
 from tanagerpath.services.settings_watch import SettingsWatch
@@ -236,12 +237,18 @@
             self._relay, self._forwarder.mailbox, self._route, self._metrics
         )
         leader = RemoteLeaderClient(self._link)
+        guards = ProcessGuards(
+            ClientLimitTerms.from_settings(settings), self._log, self._metrics
+        )
         listed = {
-            settings.listen: routes.list_routes(),
-            settings.public_listen: self._adapter.list_routes(leader),
+            settings.listen: (routes.list_routes(), guards.make_internal()),
+            settings.public_listen: (
+                self._adapter.list_routes(leader),
+                guards.make_operators(self._adapter.list_body_rules()),
+            ),
         }
-        for address, address_routes in listed.items():
-            self._servers.start(tasks, address, address_routes)
+        for address, (address_routes, guard) in listed.items():
+            self._servers.start(tasks, address, address_routes, guard)
         tasks.start_soon(self._link.run)
         tasks.start_soon(self._forwarder.run)
         tasks.start_soon(self._watch.run)
--- a/tanagerpath/settings/bounds.py
+++ b/tanagerpath/settings/bounds.py
@@ -1,8 +1,12 @@
 """Timeouts of a process, derived from the limits of its deployment."""
 
 __all__ = [
+    "MIN_DESCRIPTORS",
+    "MIN_MEMORY_LIMIT_MB",
+    "choose_bodies_mib",
     "choose_control_drain_s",
     "choose_entry_drain_s",
+    "choose_max_connections",
     "choose_replace_voter_after_s",
 ]
 
@@ -17,6 +21,47 @@
 MAX_ENTRY_DRAIN_S = 2.5
 CONTROL_DRAIN_SHARE = 0.25
 MAX_CONTROL_DRAIN_S = 1.5
+# Smallest sizes that the settings allow.
+MIN_MEMORY_LIMIT_MB = 32
+MIN_DESCRIPTORS = 64
+# Bodies have a part of the memory, and unread replies half of it. The largest message
+# between processes needs the minimum; the maximum is far above any ordinary load.
+BODIES_SHARE = 1 / 32
+MIN_BODIES_MIB = 16
+MAX_BODIES_MIB = 64
+# An idle connection takes 10 to 20 KB.
+CONNECTIONS_PER_MB = 4
+MIN_CONNECTIONS = 8
+
+
+def choose_bodies_mib(memory_limit_mb: int) -> int:
+    """Return the MiB that the bodies of all open requests of a process may take.
+
+    Parameters
+    ----------
+    memory_limit_mb : int
+        Memory of the process in MB.
+    """
+    share_mib = int(BODIES_SHARE * memory_limit_mb)
+    return min(max(share_mib, MIN_BODIES_MIB), MAX_BODIES_MIB)
+
+
+def choose_max_connections(
+    max_descriptors: int, memory_limit_mb: int, share: float
+) -> int:
+    """Return the number of connections that a listener may have open.
+
+    Parameters
+    ----------
+    max_descriptors : int
+        Descriptors of the process.
+    memory_limit_mb : int
+        Memory of the process in MB.
+    share : float
+        Share of the descriptors that the listener gets.
+    """
+    by_memory = CONNECTIONS_PER_MB * memory_limit_mb
+    return max(min(int(share * max_descriptors), by_memory), MIN_CONNECTIONS)
 
 
 def choose_replace_voter_after_s(catch_up_s: float) -> float:
--- a/tanagerpath/settings/workloads.py
+++ b/tanagerpath/settings/workloads.py
@@ -6,6 +6,7 @@
 
 from tanagerpath.settings import common
 from tanagerpath.settings.base import SettingsBase
+from tanagerpath.settings.bounds import MIN_DESCRIPTORS, MIN_MEMORY_LIMIT_MB
 from tanagerpath.settings.declaration import Ordering, Setting, declare
 from tanagerpath.settings.values import (
     AddressesType,
@@ -184,6 +185,55 @@
     60.0,
     "Time after which an exchange with a control process is given up.",
 )
+_MEMORY_LIMIT_MB = Setting(
+    name="memory_limit_mb",
+    type=WholeNumberType(MIN_MEMORY_LIMIT_MB, 10_000_000),
+    unit="MB",
+    default=512,
+    description="Memory of the process; bodies and connections get a part of it.",
+)
+_MAX_DESCRIPTORS = Setting(
+    name="max_descriptors",
+    type=WholeNumberType(MIN_DESCRIPTORS, 10_000_000),
+    unit="descriptors",
+    default=1024,
+    description="Open files of the process; each listener gets a share of them.",
+)
+_HEADER_TIMEOUT_S = common.make_seconds(
+    "header_timeout_s",
+    10.0,
+    0.1,
+    3600.0,
+    "Time within which a client has to send a whole header.",
+)
+_IDLE_TIMEOUT_S = common.make_seconds(
+    "idle_timeout_s",
+    75.0,
+    0.1,
+    3600.0,
+    "Time without a request, or a byte of a body, after which a connection is closed.",
+)
+_WRITE_TIMEOUT_S = common.make_seconds(
+    "write_timeout_s",
+    10.0,
+    0.1,
+    3600.0,
+    "Time for which a client may leave a reply unread.",
+)
+_CALLER_HEADER_KIB = Setting(
+    name="caller_header_kib",
+    type=WholeNumberType(1, 1024),
+    unit="KiB",
+    default=64,
+    description="Largest header of a caller if the configuration has no limit.",
+)
+_CALLER_BODY_KIB = Setting(
+    name="caller_body_kib",
+    type=WholeNumberType(1, 65_536),
+    unit="KiB",
+    default=1024,
+    description="Largest body of a caller if the configuration has no limit.",
+)
 
 
 @attrs.frozen(kw_only=True)
@@ -229,6 +279,11 @@
     leader_timeout_s: float = declare(_LEADER_TIMEOUT_S)
     exchange_timeout_s: float = declare(_EXCHANGE_TIMEOUT_S)
     drain_timeout_s: float = declare(_CONTROL_DRAIN_TIMEOUT_S)
+    memory_limit_mb: int = declare(_MEMORY_LIMIT_MB)
+    max_descriptors: int = declare(_MAX_DESCRIPTORS)
+    header_timeout_s: float = declare(_HEADER_TIMEOUT_S)
+    idle_timeout_s: float = declare(_IDLE_TIMEOUT_S)
+    write_timeout_s: float = declare(_WRITE_TIMEOUT_S)
     log_level: str = declare(common.LOG_LEVEL)
 
 
@@ -244,6 +299,11 @@
     leader_timeout_s: float = declare(_LEADER_TIMEOUT_S)
     exchange_timeout_s: float = declare(_EXCHANGE_TIMEOUT_S)
     drain_timeout_s: float = declare(_CONTROL_DRAIN_TIMEOUT_S)
+    memory_limit_mb: int = declare(_MEMORY_LIMIT_MB)
+    max_descriptors: int = declare(_MAX_DESCRIPTORS)
+    header_timeout_s: float = declare(_HEADER_TIMEOUT_S)
+    idle_timeout_s: float = declare(_IDLE_TIMEOUT_S)
+    write_timeout_s: float = declare(_WRITE_TIMEOUT_S)
     log_level: str = declare(common.LOG_LEVEL)
 
 
@@ -261,4 +321,11 @@
     exchange_timeout_s: float = declare(_EXCHANGE_TIMEOUT_S)
     drain_notice_s: float = declare(_DRAIN_NOTICE_S)
     drain_timeout_s: float = declare(_DRAIN_TIMEOUT_S)
+    memory_limit_mb: int = declare(_MEMORY_LIMIT_MB)
+    max_descriptors: int = declare(_MAX_DESCRIPTORS)
+    header_timeout_s: float = declare(_HEADER_TIMEOUT_S)
+    idle_timeout_s: float = declare(_IDLE_TIMEOUT_S)
+    write_timeout_s: float = declare(_WRITE_TIMEOUT_S)
+    caller_header_kib: int = declare(_CALLER_HEADER_KIB)
+    caller_body_kib: int = declare(_CALLER_BODY_KIB)
     log_level: str = declare(common.LOG_LEVEL)
