--- a/tanagerpath/core/workloads/request_handler.py
+++ b/tanagerpath/core/workloads/request_handler.py
@@ -394,4 +394,9 @@
         return _confirm_evacuation(current, command)
 
     def _show_leader(self, request: requests.LeaderQuery, now: Instant) -> object:
-        return requests.LeaderReply(self._leader_address, self._list_addresses())
+        configuration = self._state.configuration
+        return requests.LeaderReply(
+            self._leader_address,
+            self._list_addresses(),
+            configuration.caller_limits if configuration else None,
+        )
