--- a/tanagerpath/benchmarks/workload_fleet.py
+++ b/tanagerpath/benchmarks/workload_fleet.py
@@ -97,6 +97,7 @@
         self.restore_s = restore_s
         self.wasted_cores_s = 0.0
         self.stops = 0
+        self.first_starts_s: dict[str, float] = {}
         self.fail_share: dict[str, float] = {}
         self._members: dict[tuple, list] = {}
         self._capacity = capacity
@@ -124,6 +125,11 @@
             for name in self.organisations
         )
 
+    def record_start(self, upstream, request) -> None:
+        """Note a start, and the first one of a workload."""
+        super().record_start(upstream, request)
+        self.first_starts_s.setdefault(request.task.workload_id, self.now_s)
+
     # Gangs
 
     def _find_key(self, run) -> tuple:
--- a/tanagerpath/benchmarks/workload_replay.py
+++ b/tanagerpath/benchmarks/workload_replay.py
@@ -20,7 +20,7 @@
 from tanagerpath.core.workloads.resources import Resources
 from tanagerpath.core.workloads.specs import StepSpec
 
-__all__ = ["DayResult", "replay_day"]
+__all__ = ["DayResult", "Difficulties", "replay_day"]
 
 DAY_S = 34.0
 FINISH_S = 30.0
@@ -36,6 +36,32 @@
 BURST_BEGIN_S = 8.0
 BURST_END_S = 14.0
 NEW_LEADER_S = 16.0
+FILL_S = 1.0
+LATE_START_S = 1.0
+# Workloads of the last kind for each gang of the kind before it in a filled fleet.
+FILL_SCANS_PER_GANG = 1.25
+SLOW_FACTOR = 7.0
+SLOW_FOR_S = (6.0, 14.0)
+
+
+@attrs.frozen(kw_only=True)
+class Difficulties:
+    """What makes a day harder.
+
+    Attributes
+    ----------
+    filled : int
+        Gangs of the second kind that arrive in the first second, with somewhat more
+        workloads of the third kind.
+    slow_share : float
+        Share of the upstreams that become slow by `SLOW_FACTOR` for some seconds.
+    """
+
+    filled: int = 0
+    slow_share: float = 0.0
+
+
+NO_DIFFICULTIES = Difficulties()
 
 
 @attrs.define
@@ -79,8 +105,11 @@
         Share by queue.
     wasted_cores_s : float
         Core seconds of work that was thrown away.
-    stops : int
-        Runs that were stopped to make room.
+    starts, stops : int
+        Runs that were started, and runs that were stopped to make room.
+    late_starts : float
+        Share of the urgent workloads whose first task started more than a second
+        after their submission.
     unfinished : int
         Workloads that have not ended some time after the day.
     """
@@ -90,7 +119,9 @@
     worst_kind: float
     by_queue: dict[str, float]
     wasted_cores_s: float
+    starts: int
     stops: int
+    late_starts: float
     unfinished: int
 
 
@@ -102,8 +133,17 @@
 class _Day:
     """Draws the submissions of a day and plays them on a rig."""
 
-    def __init__(self, fleet: Fleet, seed: int, burst: bool, load: float) -> None:
+    def __init__(
+        self,
+        fleet: Fleet,
+        seed: int,
+        burst: bool,
+        load: float,
+        difficulties: Difficulties,
+    ) -> None:
         self._random = random.Random(seed)
+        self._difficulties = difficulties
+        self._difficulty_random = random.Random(f"difficulties {seed}")
         self._fleet = fleet
         self._burst = burst
         self._load = load
@@ -184,6 +224,28 @@
         on_one = self._fleet.capacity.accelerators // needs.accelerators
         return RACK_SIZE * needs.count_in(self._fleet.capacity, on_one)
 
+    def _draw_filling(self) -> list[_Submission]:
+        """Draw the workloads that fill the fleet in the first second."""
+        _, gang, scan = self._fleet.kinds
+        gangs = self._difficulties.filled
+        scans = round(FILL_SCANS_PER_GANG * gangs)
+        return [
+            self._draw(kind, self._difficulty_random.uniform(0.0, FILL_S))
+            for kind in [gang] * gangs + [scan] * scans
+        ]
+
+    def _draw_slow(self) -> list[tuple[float, str, str]]:
+        """Draw the times at which upstreams become slow and recover."""
+        draw, names = self._difficulty_random, sorted(self._rig.upstreams)
+        events = []
+        for name in draw.sample(
+            names, round(self._difficulties.slow_share * len(names))
+        ):
+            from_s = draw.uniform(0.0, DAY_S)
+            events.append((from_s, "slow", name))
+            events.append((from_s + draw.uniform(*SLOW_FOR_S), "recover", name))
+        return [event for event in events if event[0] < DAY_S]
+
     def play(self) -> DayResult:
         """Play the day and return its shares."""
         todo = [
@@ -191,6 +253,7 @@
             for kind in self._fleet.kinds
             for at_s in self._draw_arrivals(kind)
         ]
+        todo += self._draw_filling()
         todo.sort(key=lambda one: one.at_s)
         for number, one in enumerate(todo):
             self._submissions[f"{number:04d}"] = one
@@ -203,11 +266,16 @@
             if one.cancel_at_s is not None
         ]
         events.append((NEW_LEADER_S, "lead", ""))
+        events += self._draw_slow()
         for at_s, action, key in sorted(events):
             rig.run(begin_s + at_s - rig.now_s)
             if action == "lead":
                 rig.start_term(rig.term + 1)
                 continue
+            if action in ("slow", "recover"):
+                factor = SLOW_FACTOR if action == "recover" else 1 / SLOW_FACTOR
+                rig.upstreams[key].speed *= factor
+                continue
             one = self._submissions[key]
             if action == "cancel":
                 rig.cancel(key)
@@ -244,16 +312,33 @@
             worst_kind=min(by_queue.values()),
             by_queue=by_queue,
             wasted_cores_s=self._rig.wasted_cores_s,
+            starts=len(self._rig.starts),
             stops=self._rig.stops,
+            late_starts=self._find_late_starts(begin_s),
             unfinished=sum(
                 record.final_state is None
                 for record in self._rig.state.workloads.values()
             ),
         )
 
+    def _find_late_starts(self, begin_s: float) -> float:
+        """Return the share of the urgent workloads that started late."""
+        urgent = self._fleet.kinds[0]
+        waits = [
+            self._rig.first_starts_s.get(key, math.inf) - begin_s - one.at_s
+            for key, one in self._submissions.items()
+            if one.kind is urgent
+        ]
+        late = sum(wait_s > LATE_START_S for wait_s in waits)
+        return late / len(waits) if waits else 0.0
+
 
 def replay_day(
-    fleet_name: str, seed: int, burst: bool = True, load: float = 1.0
+    fleet_name: str,
+    seed: int,
+    burst: bool = True,
+    load: float = 1.0,
+    difficulties: Difficulties = NO_DIFFICULTIES,
 ) -> DayResult:
     """Play one day.
 
@@ -267,13 +352,15 @@
         Whether many callers come at once for some seconds.
     load : float
         Multiple of all rates.
+    difficulties : Difficulties
+        What makes the day harder.
 
     Returns
     -------
     DayResult
         What the day earned.
     """
-    return _Day(FLEETS[fleet_name], seed, burst, load).play()
+    return _Day(FLEETS[fleet_name], seed, burst, load, difficulties).play()
 
 
 def _print_mean(fleet_name: str, results: list[DayResult]) -> None:
@@ -290,7 +377,9 @@
         f" windows {mean(lambda one: one.worst_windows):.3f}"
         f" kind {mean(lambda one: one.worst_kind):.3f} ({shares})"
         f" wasted {mean(lambda one: one.wasted_cores_s):.0f} core s"
+        f" starts {mean(lambda one: one.starts):.0f}"
         f" stops {mean(lambda one: one.stops):.0f}"
+        f" late starts {mean(lambda one: one.late_starts):.3f}"
     )
 
 
@@ -303,14 +392,18 @@
     parser.add_argument("--processes", type=int, default=2)
     parser.add_argument("--load", type=float, default=1.0, help="multiple of rates")
     parser.add_argument("--calm", action="store_true", help="days without a burst")
+    parser.add_argument("--filled", type=int, default=0, help="gangs at the start")
+    parser.add_argument("--slow", type=float, default=0.0, help="share of upstreams")
     options = parser.parse_args()
+    difficulties = Difficulties(filled=options.filled, slow_share=options.slow)
     seeds = range(options.seed, options.seed + options.days)
     with concurrent.futures.ProcessPoolExecutor(options.processes) as pool:
         for fleet_name in options.fleet or sorted(FLEETS):
             names = [fleet_name] * len(seeds)
             bursts = [not options.calm] * len(seeds)
             loads = [options.load] * len(seeds)
-            results = pool.map(replay_day, names, seeds, bursts, loads)
+            hard = [difficulties] * len(seeds)
+            results = pool.map(replay_day, names, seeds, bursts, loads, hard)
             _print_mean(fleet_name, list(results))
 
 
