Evaluate each upstream once for a reservation of a gang

The groups of a gang that wants one rack hold each upstream twice: in its rack and in the whole fleet. The free times and the members that fit were found again for each, which took more than half of the plans of a full fleet with 176 upstreams. They are now found once for each gang, and the share of a gang once for each capacity. The reservations are the same.

--- a/tanagerpath/core/workloads/reservations.py
+++ b/tanagerpath/core/workloads/reservations.py
@@ -1,7 +1,10 @@
 """Reservations of upstreams for gangs that do not fit yet."""
 
+import itertools
 import math
 
+import attrs
+
 from tanagerpath.core.workloads.free_capacity import FreeCapacity
 from tanagerpath.core.workloads.policy import FleetView, PlanUnit
 from tanagerpath.core.workloads.resources import Resources
@@ -11,6 +14,16 @@
 __all__ = ["reserve_upstreams"]
 
 
+@attrs.frozen(order=True)
+class _Offer:
+    """Time from which an upstream fits some members of a gang."""
+
+    free_s: float
+    upstream_id: str
+    members: int = attrs.field(order=False)
+    session: UpstreamSession = attrs.field(order=False)
+
+
 def reserve_upstreams(
     unit: PlanUnit,
     groups: list[list[UpstreamSession]],
@@ -30,40 +43,69 @@
     fleet : FleetView
         State of the upstreams.
     """
+    offers = _list_offers(unit, groups, free_capacity, fleet)
     options = []
     for group in groups:
         by_free_time = sorted(
-            (
-                _find_free_s(unit, session, free_capacity, fleet),
-                session.upstream_id,
-                session,
-            )
+            offers[session.upstream_id]
             for session in group
-            if unit.spec.reserved.fits(session.record.capacity)
+            if session.upstream_id in offers
         )
-        chosen: list[tuple[float, UpstreamSession]] = []
+        chosen: list[_Offer] = []
         members = 0
-        for free_s, _, session in by_free_time:
+        for offer in by_free_time:
             if members >= len(unit.indexes):
                 break
-            members += _count_members(unit, session)
-            chosen.append((free_s, session))
-        if members >= len(unit.indexes) and chosen[-1][0] < math.inf:
-            options.append((chosen[-1][0], chosen))
+            members += offer.members
+            chosen.append(offer)
+        if members >= len(unit.indexes) and chosen[-1].free_s < math.inf:
+            options.append((chosen[-1].free_s, chosen))
     if not options:
         return
     from_s, chosen = min(options, key=lambda option: option[0])
-    for _, session in chosen:
-        free_capacity.reserve(session, from_s)
+    for offer in chosen:
+        free_capacity.reserve(offer.session, from_s)
 
 
-def _count_members(unit: PlanUnit, session: UpstreamSession) -> int:
+def _list_offers(
+    unit: PlanUnit,
+    groups: list[list[UpstreamSession]],
+    free_capacity: FreeCapacity,
+    fleet: FleetView,
+) -> dict[str, _Offer]:
+    """Return by upstream what each one that is large enough offers to a gang.
+
+    Most upstreams are in several groups, and many have the same capacity.
+    """
+    offers: dict[str, _Offer] = {}
+    shares: dict[Resources, tuple[int, Resources]] = {}
+    for session in itertools.chain.from_iterable(groups):
+        if session.upstream_id in offers:
+            continue
+        capacity = session.record.capacity
+        if capacity not in shares:
+            shares[capacity] = _find_share(unit, capacity)
+        members, needed = shares[capacity]
+        if members:
+            free_s = _find_free_s(needed, session, free_capacity, fleet)
+            offers[session.upstream_id] = _Offer(
+                free_s, session.upstream_id, members, session
+            )
+    return offers
+
+
+def _find_share(unit: PlanUnit, capacity: Resources) -> tuple[int, Resources]:
+    """Return how many members an empty upstream holds, and what they need."""
     limit = unit.spec.max_per_upstream or len(unit.indexes)
-    return unit.spec.reserved.count_in(session.record.capacity, limit)
+    members = unit.spec.reserved.count_in(capacity, limit)
+    needed = Resources()
+    for _ in range(members):
+        needed = needed + unit.spec.reserved
+    return members, needed
 
 
 def _find_free_s(
-    unit: PlanUnit,
+    needed: Resources,
     session: UpstreamSession,
     free_capacity: FreeCapacity,
     fleet: FleetView,
@@ -73,9 +115,6 @@
     It is infinite where long-running tasks are in the way: they have no predicted end,
     and other work must not wait for their capacity.
     """
-    needed = Resources()
-    for _ in range(_count_members(unit, session)):
-        needed = needed + unit.spec.reserved
     found = free_capacity.free_times_s.get((session.upstream_id, needed))
     if found is None:
         found = _predict_free_s(needed, session, free_capacity, fleet)
