--- /dev/null
+++ b/tanagerpath/core/workloads/tests/test_work_ahead.py
@@ -0,0 +1,156 @@
+"""Guards against bounds of the work ahead that would refuse work of value."""
+
+import math
+
+import testtools
+
+from tanagerpath.core.workloads.learned import LearnedQueue, Predictor
+from tanagerpath.core.workloads.resources import Resources
+from tanagerpath.core.workloads.specs import StepSpec
+from tanagerpath.core.workloads.work_ahead import (
+    Demand,
+    PoolCapacity,
+    QueueError,
+    WorkItem,
+    forecast_start,
+)
+
+NOW_S = 100.0
+CAPACITY = PoolCapacity(
+    rates=Demand(320.0, 1_280_000.0, 80.0, 10.0),
+    largest=Resources(32_000, 128_000, 8),
+    fastest=1.25,
+)
+EXACT = {"q": QueueError(individual=0.0, common=0.0)}
+
+
+def make_item(name, **fields):
+    """Return waiting work of a second of the whole pool."""
+    given = {
+        "workload_id": name,
+        "queue": "q",
+        "organisation": "o1",
+        "priority": 1,
+        "demand": Demand(accelerators=80.0),
+        "size_cores_s": 640.0,
+        "arrival_s": NOW_S,
+        "objective_s": 20.0,
+        "critical_path_s": 5.0,
+    }
+    return WorkItem(**(given | fields))
+
+
+def forecast(item, *others, errors=None, since_s=math.inf):
+    return forecast_start(item, others, CAPACITY, errors or EXACT, NOW_S, since_s)
+
+
+class TestDemand(testtools.TestCase):
+    def test_scarce_resource_decides(self):
+        cases = (
+            (Demand(cores=320.0), 1.0),
+            (Demand(cores=320.0, memory_mb=3_840_000.0), 3.0),
+            (Demand(cores=320.0, accelerators=160.0), 2.0),
+            (Demand(cores=320.0, accelerators=160.0, upstreams=50.0), 5.0),
+            (Demand(), 0.0),
+        )
+        for demand, expected_s in cases:
+            self.assertEqual(expected_s, demand.find_time_s(CAPACITY.rates), demand)
+
+    def test_task_over_half_of_an_upstream_takes_it_whole(self):
+        # 68 of 128 GB: two of these tasks never share an upstream, although the sum of
+        # the memory of the pool has room for almost two each.
+        large = StepSpec(needs=Resources(13_000, 68_000, 1))
+        small = StepSpec(needs=Resources(13_000, 64_000, 1))
+        self.assertEqual(30.0, CAPACITY.measure(large, 10, 3.0).upstreams)
+        self.assertEqual(0.0, CAPACITY.measure(small, 10, 3.0).upstreams)
+
+    def test_missing_resource_does_not_divide_by_zero(self):
+        self.assertEqual(0.0, Demand(accelerators=5.0).find_time_s(Demand(cores=1.0)))
+
+
+class TestForecast(testtools.TestCase):
+    def test_counts_what_ranks_before(self):
+        item = make_item("w")
+        cases = (
+            ("smaller priority number", {"priority": 0}, 1.0),
+            ("larger priority number", {"priority": 2}, 0.0),
+            ("covered by a guarantee", {"priority": 2, "is_covered": True}, 1.0),
+            ("same priority, smaller", {"size_cores_s": 600.0}, 1.0),
+            ("same priority, larger", {"size_cores_s": 700.0}, 0.0),
+            ("same priority, late", {"arrival_s": NOW_S - 18.0}, 0.0),
+            ("no value any more", {"priority": 0, "arrival_s": NOW_S - 58.0}, 0.0),
+            ("the workload itself", {"workload_id": "w", "priority": 0}, 0.0),
+        )
+        for name, fields, expected_s in cases:
+            other = make_item(**({"name": "x"} | _rename(fields)))
+            self.assertEqual(expected_s, forecast(item, other).start_in_s, name)
+
+    def test_work_that_would_start_too_late_is_left_out(self):
+        # 100 s of urgent work, of which each must start within 10 s - 5 s / 1.25.
+        others = [
+            make_item(f"x{number}", priority=0, objective_s=10.0 / 3.0)
+            for number in range(100)
+        ]
+        found = forecast(make_item("w"), *others)
+        self.assertEqual(7, found.workloads_ahead)
+        self.assertEqual(7.0, found.start_in_s)
+
+    def test_burst_of_another_organisation_does_not_count_whole(self):
+        burst = [
+            make_item(f"x{number}", organisation="o2", size_cores_s=1.0)
+            for number in range(50)
+        ]
+        own = make_item("y", size_cores_s=1.0)
+        self.assertEqual(0.0, forecast(make_item("w"), *burst).start_in_s)
+        found = forecast(make_item("w"), own, *burst)
+        self.assertEqual(51.0, found.ahead_s)
+        self.assertEqual(2.0, found.start_in_s)
+
+    def test_own_burst_counts_whole_if_no_other_has_work(self):
+        burst = [make_item(f"x{number}", size_cores_s=1.0) for number in range(50)]
+        self.assertEqual(50.0, forecast(make_item("w"), *burst).start_in_s)
+
+    def test_returning_workload_passes_later_work_of_its_priority(self):
+        later = make_item("x", size_cores_s=1.0, arrival_s=NOW_S - 1.0)
+        urgent = make_item("y", priority=0, arrival_s=NOW_S - 1.0)
+        item = make_item("w")
+        self.assertEqual(2.0, forecast(item, later, urgent).start_in_s)
+        found = forecast(item, later, urgent, since_s=NOW_S - 2.0)
+        self.assertEqual(1.0, found.start_in_s)
+
+    def test_uncertain_work_counts_less(self):
+        new = QueueError.from_learned(None)
+        known = LearnedQueue(
+            "q", Predictor(0.1, 0.0, 400.0), Predictor(0.1, 0.0, 400.0)
+        )
+        others = [
+            make_item(f"x{number}", priority=0, objective_s=1000.0)
+            for number in range(100)
+        ]
+        item = make_item("w")
+        unmeasured_s = forecast(item, *others, errors={"q": new}).start_in_s
+        measured_s = forecast(
+            item, *others, errors={"q": QueueError.from_learned(known)}
+        ).start_in_s
+        # A common error by 3 of a queue that was never measured refuses nothing.
+        self.assertLess(unmeasured_s, 100.0 / 3.0)
+        self.assertGreater(measured_s, 75.0)
+        self.assertLess(measured_s, 100.0)
+
+
+def _rename(fields):
+    fields = dict(fields)
+    if "workload_id" in fields:
+        fields["name"] = fields.pop("workload_id")
+    return fields
+
+
+class TestLatestStart(testtools.TestCase):
+    def test_latest_start_leaves_the_run_time_on_the_fastest_upstream(self):
+        item = make_item("w")
+        self.assertEqual(NOW_S + 60.0 - 4.0, item.find_latest_start_s(1.25))
+
+    def test_no_objective_means_no_latest_start(self):
+        # A queue may have an objective of 0 s; all its work would be refused.
+        item = make_item("w", objective_s=0.0)
+        self.assertEqual(math.inf, item.find_latest_start_s(1.25))
--- /dev/null
+++ b/tanagerpath/core/workloads/work_ahead.py
@@ -0,0 +1,430 @@
+"""Model of the work that ranks before a workload, by the scarce resource of its pool.
+
+All figures are bounds: the start that it predicts is the earliest possible one. It
+leaves out running work, future arrivals and fragmentation; see
+docs/design/admission.md.
+"""
+
+import math
+from collections import Counter
+from collections.abc import Iterable, Iterator
+
+import attrs
+
+from tanagerpath.core.workloads.configuration import Queue
+from tanagerpath.core.workloads.estimates import (
+    PRIOR_DECLARATION_VARIANCE,
+    PRIOR_MEAN_VARIANCE,
+    PRIOR_WEIGHT,
+    RunEstimates,
+)
+from tanagerpath.core.workloads.learned import LearnedQueue
+from tanagerpath.core.workloads.policy import HARD_DEADLINE_FACTOR
+from tanagerpath.core.workloads.records import WorkloadRecord
+from tanagerpath.core.workloads.resources import Resources
+from tanagerpath.core.workloads.sessions import UpstreamSession
+from tanagerpath.core.workloads.specs import StepSpec, WorkloadSpec
+
+__all__ = [
+    "Demand",
+    "Forecast",
+    "PoolCapacity",
+    "QueueError",
+    "WorkItem",
+    "forecast_start",
+]
+
+# Standard deviations between an estimate and its bound.
+BOUND_DEVIATIONS = 2.0
+# Variance of the common error of the estimates of a queue that no number of measured
+# steps removes, such as a change of what its callers submit.
+MIN_COMMON_VARIANCE = 0.01
+
+
+@attrs.frozen
+class Demand:
+    """Work in seconds of each resource at speed 1, or a capacity for it.
+
+    Attributes
+    ----------
+    cores, memory_mb, accelerators : float
+        Amounts of each resource, times seconds.
+    upstreams : float
+        Seconds of upstreams that tasks take which need more than half of one in some
+        resource: no two of these fit on one upstream.
+    """
+
+    cores: float = 0.0
+    memory_mb: float = 0.0
+    accelerators: float = 0.0
+    upstreams: float = 0.0
+
+    def __add__(self, other: "Demand") -> "Demand":
+        return Demand(
+            self.cores + other.cores,
+            self.memory_mb + other.memory_mb,
+            self.accelerators + other.accelerators,
+            self.upstreams + other.upstreams,
+        )
+
+    def __mul__(self, factor: float) -> "Demand":
+        return Demand(
+            self.cores * factor,
+            self.memory_mb * factor,
+            self.accelerators * factor,
+            self.upstreams * factor,
+        )
+
+    def find_time_s(self, capacity: "Demand") -> float:
+        """Return the shortest time in which a capacity can do this work."""
+        time_s = 0.0
+        for needed, available in (
+            (self.cores, capacity.cores),
+            (self.memory_mb, capacity.memory_mb),
+            (self.accelerators, capacity.accelerators),
+            (self.upstreams, capacity.upstreams),
+        ):
+            if available > 0.0 and needed > time_s * available:
+                time_s = needed / available
+        return time_s
+
+
+@attrs.frozen(kw_only=True)
+class PoolCapacity:
+    """Work that the upstreams of a pool do in a second.
+
+    Attributes
+    ----------
+    rates : Demand
+        Sum of their capacities, each times the speed of the upstream.
+    largest : Resources
+        Largest capacity of an upstream, for each resource.
+    fastest : float
+        Highest speed of an upstream.
+    """
+
+    rates: Demand = Demand()
+    largest: Resources = Resources()
+    fastest: float = 1.0
+
+    @classmethod
+    def from_sessions(
+        cls, sessions: Iterable[UpstreamSession], estimates: RunEstimates
+    ) -> "PoolCapacity":
+        """Sum up the upstreams that may get runs.
+
+        Those that have not replied to this leader yet count whole.
+        """
+        cores = memory_mb = accelerators = upstreams = fastest = 0.0
+        largest = Resources()
+        for session in sessions:
+            is_new = not session.synced and session.departed_at_s is None
+            if not session.is_usable and (not is_new or session.record.draining):
+                continue
+            speed = estimates.find_speed(session.upstream_id)
+            room = session.record.capacity
+            cores += room.cpu_millicores / 1000 * speed
+            memory_mb += room.memory_mb * speed
+            accelerators += room.accelerators * speed
+            upstreams += speed
+            fastest = max(fastest, speed)
+            if not room.fits(largest):
+                largest = Resources(
+                    max(largest.cpu_millicores, room.cpu_millicores),
+                    max(largest.memory_mb, room.memory_mb),
+                    max(largest.accelerators, room.accelerators),
+                )
+        rates = Demand(cores, memory_mb, accelerators, upstreams)
+        return cls(rates=rates, largest=largest, fastest=fastest or 1.0)
+
+    @property
+    def is_empty(self) -> bool:
+        """Whether no upstream is known."""
+        return self.rates.upstreams <= 0.0
+
+    def measure(self, step: StepSpec, tasks: int, work_s: float) -> Demand:
+        """Return the work of a number of tasks of a step."""
+        needs = step.reserved
+        seconds = tasks * work_s
+        return Demand(
+            needs.cpu_millicores / 1000 * seconds,
+            needs.memory_mb * seconds,
+            needs.accelerators * seconds,
+            seconds if self._fills_half(needs) else 0.0,
+        )
+
+    def _fills_half(self, needs: Resources) -> bool:
+        return not (needs + needs).fits(self.largest)
+
+
+@attrs.frozen(kw_only=True)
+class QueueError:
+    """Variances of the logarithm of the work that is estimated for steps of a queue.
+
+    Attributes
+    ----------
+    individual : float
+        Variance of the work of one step around its estimate.
+    common : float
+        Variance of the error that all estimates of the queue share.
+    """
+
+    individual: float
+    common: float
+
+    @classmethod
+    def from_learned(cls, learned: LearnedQueue | None) -> "QueueError":
+        """Return the errors of a queue, None if it was never measured."""
+        declaration, mean = PRIOR_DECLARATION_VARIANCE, PRIOR_MEAN_VARIANCE
+        weight = PRIOR_WEIGHT
+        if learned is not None:
+            declaration = learned.declaration.variance
+            mean = learned.mean.variance
+            weight = learned.declaration.weight
+        variance = 1.0 / (1.0 / declaration + 1.0 / mean)
+        return cls(individual=variance, common=variance / weight + MIN_COMMON_VARIANCE)
+
+    def find_bound_factor(self, workloads: int) -> float:
+        """Return the quotient of an upper bound and the estimate of a sum of work.
+
+        Parameters
+        ----------
+        workloads : int
+            Number of workloads of similar size in the sum.
+        """
+        variance = self.common + self.individual / max(workloads, 1)
+        return math.exp(BOUND_DEVIATIONS * math.sqrt(variance))
+
+
+@attrs.frozen(kw_only=True, eq=False)
+class WorkItem:
+    """Waiting work of one workload.
+
+    Attributes
+    ----------
+    workload_id, queue, organisation : str
+        What it is and whose.
+    priority : int
+        Priority of its queue.
+    is_covered : bool
+        Whether a guarantee covers it.
+    demand : Demand
+        Work of its tasks that could start now and do not run.
+    size_cores_s : float
+        Same in core seconds, with accelerators counted as cores.
+    arrival_s : float
+        Time of its acceptance on the leader's monotonic clock.
+    objective_s : float
+        Seconds after the arrival within which it is on time; 0 for none.
+    critical_path_s : float
+        Seconds of the longest chain of its remaining steps at speed 1.
+    """
+
+    workload_id: str
+    queue: str
+    organisation: str
+    priority: int
+    is_covered: bool = False
+    demand: Demand = Demand()
+    size_cores_s: float = 0.0
+    arrival_s: float
+    objective_s: float
+    critical_path_s: float
+
+    def find_latest_start_s(self, fastest: float = 1.0, factor: float = 1.0) -> float:
+        """Return the time from which a start is too late for any value.
+
+        Parameters
+        ----------
+        fastest : float
+            Speed of the fastest upstream.
+        factor : float
+            Quotient of the true and the estimated run time. The objective is a
+            multiple of the run time, so it grows with it.
+        """
+        if self.objective_s <= 0.0:
+            return math.inf
+        slack_s = HARD_DEADLINE_FACTOR * self.objective_s
+        slack_s -= self.critical_path_s / fastest
+        return self.arrival_s + slack_s * factor
+
+    def find_rank(self, now_s: float) -> tuple:
+        """Return the sort key of waiting work, in the order of `DeadlinePolicy`."""
+        end_s = max(now_s - self.arrival_s, 0.0) + self.critical_path_s
+        is_late = end_s > self.objective_s
+        share = 0.0
+        if self.objective_s > 0.0:
+            share = max(1.0 - end_s / self.objective_s, 0.0)
+        return (
+            not self.is_covered,
+            self.priority,
+            is_late,
+            share * self.size_cores_s,
+            self.arrival_s + self.objective_s,
+        )
+
+
+@attrs.frozen(kw_only=True)
+class Forecast:
+    """Lower bounds of what a workload waits for.
+
+    Attributes
+    ----------
+    start_in_s : float
+        Seconds until it can begin.
+    ahead_s : float
+        Seconds that all work ahead of it takes.
+    fair_ahead_s : float
+        Seconds that the work ahead of its own organisation takes at an equal share of
+        the pool; infinite if no other organisation has work ahead.
+    workloads_ahead : int
+        Number of workloads ahead.
+    organisations_ahead : int
+        Number of organisations with work ahead, its own included.
+    """
+
+    start_in_s: float = 0.0
+    ahead_s: float = 0.0
+    fair_ahead_s: float = math.inf
+    workloads_ahead: int = 0
+    organisations_ahead: int = 1
+
+
+def _list_ahead(
+    item: WorkItem, others: Iterable[WorkItem], now_s: float, since_s: float
+) -> Iterator[tuple[tuple, WorkItem]]:
+    """Return the work that ranks before an item, with its sort keys."""
+    own_rank = item.find_rank(now_s)
+    for other in others:
+        if other.workload_id == item.workload_id:
+            continue
+        is_same_class = not other.is_covered and other.priority == item.priority
+        if is_same_class and other.arrival_s > since_s:
+            continue
+        rank = other.find_rank(now_s)
+        if rank < own_rank:
+            yield rank, other
+
+
+def forecast_start(
+    item: WorkItem,
+    others: Iterable[WorkItem],
+    capacity: PoolCapacity,
+    errors: dict[str, QueueError],
+    now_s: float,
+    since_s: float = math.inf,
+) -> Forecast:
+    """Return when a workload can begin at the earliest.
+
+    Parameters
+    ----------
+    item : WorkItem
+        The workload.
+    others : iterable of WorkItem
+        Waiting work of its pool.
+    capacity : PoolCapacity
+        Upstreams of the pool.
+    errors : dict of str to QueueError
+        Errors of the estimates by queue, for all queues of `others`.
+    now_s : float
+        Time on the leader's monotonic clock.
+    since_s : float
+        Time after which work of the same priority does not count: that of the first
+        refusal of the workload.
+    """
+    ahead = sorted(_list_ahead(item, others, now_s, since_s), key=lambda one: one[0])
+    counts = Counter(other.queue for _, other in ahead)
+    factors = {
+        queue: 1.0 / errors[queue].find_bound_factor(count)
+        for queue, count in counts.items()
+    }
+    total, own = Demand(), Demand()
+    reached_s, counted = 0.0, 0
+    organisations = {item.organisation}
+    for _, other in ahead:
+        if now_s + reached_s > other.find_latest_start_s(capacity.fastest):
+            continue
+        demand = other.demand * factors[other.queue]
+        total = total + demand
+        reached_s = total.find_time_s(capacity.rates)
+        counted += 1
+        organisations.add(other.organisation)
+        if other.organisation == item.organisation:
+            own = own + demand
+    fair_s = math.inf
+    if len(organisations) > 1:
+        fair_s = own.find_time_s(capacity.rates) * len(organisations)
+    return Forecast(
+        start_in_s=min(reached_s, fair_s),
+        ahead_s=reached_s,
+        fair_ahead_s=fair_s,
+        workloads_ahead=counted,
+        organisations_ahead=len(organisations),
+    )
+
+
+def find_critical_path_s(
+    spec: WorkloadSpec, queue: Queue, estimates: RunEstimates, done: frozenset[int]
+) -> float:
+    """Return the seconds of the longest chain of steps that are not done."""
+    ends: list[float] = []
+    for number, step in enumerate(spec.steps):
+        own_s = 0.0
+        if number not in done:
+            own_s = estimates.predict_work_s(
+                (spec.workload_id, number), queue.name, step.declared_run_s
+            )
+        ends.append(own_s + max((ends[one] for one in step.depends_on), default=0.0))
+    return max(ends, default=0.0)
+
+
+def make_item(
+    record: WorkloadRecord,
+    queue: Queue,
+    estimates: RunEstimates,
+    capacity: PoolCapacity,
+    arrival_s: float,
+    is_covered: bool = False,
+) -> WorkItem:
+    """Return the waiting work of a workload.
+
+    Of each step that may begin, the tasks that are neither done nor running count.
+    Repeated and long-running work counts as none.
+    """
+    spec = record.spec
+    whole_s = find_critical_path_s(spec, queue, estimates, frozenset())
+    done = frozenset(
+        step for step in range(len(spec.steps)) if record.is_step_done(0, step)
+    )
+    demand, size_cores_s = Demand(), 0.0
+    running = record.open_count
+    for number, step in enumerate(spec.steps):
+        if spec.repeat_count or step.long_running or number in done:
+            continue
+        if not record.may_begin(0, number):
+            continue
+        left = step.count - record.done_by_step.get((0, number), 0)
+        waiting = max(left - running, 0)
+        running = max(running - left, 0)
+        if not waiting:
+            continue
+        work_s = estimates.predict_work_s(
+            (spec.workload_id, number), queue.name, step.declared_run_s
+        )
+        demand = demand + capacity.measure(step, waiting, work_s)
+        size_cores_s += waiting * work_s * step.needs.weighted_cores
+    left_s = whole_s
+    if done:
+        left_s = find_critical_path_s(spec, queue, estimates, done)
+    return WorkItem(
+        workload_id=spec.workload_id,
+        queue=queue.name,
+        organisation=record.organisation,
+        priority=queue.priority,
+        is_covered=is_covered,
+        demand=demand,
+        size_cores_s=size_cores_s,
+        arrival_s=arrival_s,
+        objective_s=queue.objective_factor * whole_s + queue.objective_margin_s,
+        critical_path_s=left_s,
+    )
