Decide on submissions by the policy of the settings, and record refusals in the log

Cause: a refusal must hold at every entry and leader, also against a copy of the submission that arrives late, so it cannot be the memory of one process. Change: the setting admission (unlimited by default); the request handler asks the policy for workloads that are neither stored nor proposed, and answers a refusal (NoCapacity, 429 with Retry-After) once RefuseWorkload is committed. The order of the log decides between an acceptance and a refusal. A repeated submission that is proposed is no longer refused for the bound on unfinished workloads.

--- a/tanagerpath/core/workloads/__init__.py
+++ b/tanagerpath/core/workloads/__init__.py
@@ -23,6 +23,7 @@
             "Dispatcher",
         ],
         "events": [
+            "AdmissionDecided",
             "LogDecision",
         ],
         "health": [
--- a/tanagerpath/core/workloads/admission.py
+++ b/tanagerpath/core/workloads/admission.py
@@ -13,6 +13,7 @@
     QueueError,
     WorkItem,
     forecast_start,
+    sum_ahead_s,
 )
 
 __all__ = [
@@ -171,12 +172,14 @@
         outlook = self._source.find_outlook(request.pool)
         if outlook.capacity.is_empty or not outlook.can_remember:
             return Admitted()
-        forecast = self._forecast(request, outlook)
         error = outlook.errors.get(item.queue) or QueueError.from_learned(None)
         latest_s = item.find_latest_start_s(
             outlook.capacity.fastest, error.find_bound_factor(1)
         )
         allowed_s = latest_s - request.now_s
+        if sum_ahead_s(item, outlook.waiting, outlook.capacity) <= allowed_s:
+            return Admitted()
+        forecast = self._forecast(request, outlook)
         figures = _describe(forecast, allowed_s, item)
         if forecast.start_in_s <= allowed_s:
             return Admitted(figures=figures)
--- a/tanagerpath/core/workloads/commands.py
+++ b/tanagerpath/core/workloads/commands.py
@@ -17,6 +17,7 @@
     "PutConfiguration",
     "RecordRuns",
     "RecordUpkeep",
+    "RefuseWorkload",
     "RegisterUpstream",
     "RunEnd",
     "RunOutcome",
@@ -108,6 +109,31 @@
     accepted_at_unix_s: float
 
 
+@attrs.frozen(kw_only=True)
+class RefuseWorkload:
+    """Refuses a workload that is not stored, until a time.
+
+    Attributes
+    ----------
+    workload_id, queue, organisation : str
+        What was submitted, where and by whom.
+    priority : int
+        Priority of the queue.
+    refused_at_unix_s, retry_at_unix_s : float
+        Time of the decision, and time before which it is not accepted.
+    work_s : float
+        Seconds for which its work takes the whole pool.
+    """
+
+    workload_id: str
+    queue: str
+    organisation: str
+    priority: int = 0
+    refused_at_unix_s: float
+    retry_at_unix_s: float
+    work_s: float = 0.0
+
+
 @attrs.frozen
 class CancelWorkload:
     """Cancels a workload; none of its tasks start afterwards."""
@@ -196,4 +222,5 @@
     | ExpireWorkloads
     | DeclareWave
     | RecordUpkeep
+    | RefuseWorkload
 )
--- a/tanagerpath/core/workloads/dispatch_context.py
+++ b/tanagerpath/core/workloads/dispatch_context.py
@@ -79,6 +79,8 @@
         step must have begun if the guarantee of its organisation covers it.
     silent_after_s : float
         Seconds without a heartbeat or reply after which an upstream is withdrawn.
+    admission : str
+        Name of the policy that decides on submitted workloads; see `AdmissionMode`.
     advice_address, platform_address : str
         "ip:port" of the advice service, and of the platform's upkeep of VMs.
     """
@@ -102,6 +104,7 @@
     interference_s: float = 4.0
     guaranteed_start_s: float = 2.7
     silent_after_s: float = 30.0
+    admission: str = "unlimited"
     advice_address: str = ""
     platform_address: str = ""
 
--- a/tanagerpath/core/workloads/dispatcher.py
+++ b/tanagerpath/core/workloads/dispatcher.py
@@ -14,6 +14,7 @@
     UpstreamReplied,
 )
 from tanagerpath.core.workloads import commands
+from tanagerpath.core.workloads.admission_control import AdmissionControl
 from tanagerpath.core.workloads.advice import TicketCache
 from tanagerpath.core.workloads.commands import RunOutcome, RunStart
 from tanagerpath.core.workloads.containment import PROCESS_ERRORS
@@ -69,6 +70,7 @@
     def __init__(self, context: DispatchContext, policy: WorkloadPolicy) -> None:
         self._context = context
         self.registry = UpstreamRegistry(context)
+        self.admission = AdmissionControl.from_context(context)
         self._driver = RunDriver(context)
         self._preemption = Preemption(context, self._driver)
         self._pace_controller = PaceController(context, self._driver)
@@ -225,6 +227,7 @@
                 self._handle_recorded_runs(command, applied)
             case commands.AcceptWorkload(spec=spec) if applied.changed:
                 context.backlog.add(spec.workload_id)
+                self.admission.note_changed(spec.workload_id)
                 context.must_plan = True
             case commands.RegisterUpstream(record) if applied.changed:
                 self.registry.note_registered(record)
@@ -239,6 +242,8 @@
         self, command: commands.RecordRuns, applied: Applied
     ) -> None:
         context = self._context
+        for task in (one.task for one in (*command.starts, *command.ends)):
+            self.admission.note_changed(task.workload_id)
         if command is not self._pending_record:
             return
         self._pending_record = None
@@ -328,6 +333,7 @@
         context = self._context
         record = context.state.workloads[workload_id]
         context.backlog.remove(workload_id)
+        self.admission.note_changed(workload_id)
         self._advice.forget(workload_id)
         self._preemption.forget(workload_id)
         context.start_backoff.forget(workload_id)
--- a/tanagerpath/core/workloads/events.py
+++ b/tanagerpath/core/workloads/events.py
@@ -7,7 +7,7 @@
 from tanagerpath.core.workloads.commands import WorkloadCommand
 from tanagerpath.core.workloads.state import Applied
 
-__all__ = ["CommandRecorded", "CommandRejected", "LogDecision"]
+__all__ = ["AdmissionDecided", "CommandRecorded", "CommandRejected", "LogDecision"]
 
 
 @attrs.frozen
@@ -25,6 +25,23 @@
     command: WorkloadCommand
 
 
+@attrs.frozen
+class AdmissionDecided:
+    """Counts a decision on a submitted workload.
+
+    Attributes
+    ----------
+    queue, organisation : str
+        Where it was submitted, and by whom.
+    outcome : str
+        "admitted" or "refused".
+    """
+
+    queue: str
+    organisation: str
+    outcome: str
+
+
 @attrs.frozen
 class LogDecision:
     """Writes a decision to the log.
--- a/tanagerpath/core/workloads/failures.py
+++ b/tanagerpath/core/workloads/failures.py
@@ -9,6 +9,7 @@
     "InvalidConfiguration",
     "InvalidUpstreamReport",
     "InvalidWorkload",
+    "NoCapacity",
     "NotConfigured",
     "RequestFault",
     "TooManyWorkloads",
@@ -156,6 +157,29 @@
         return f"{self.bound} workloads are unfinished, which is the bound"
 
 
+@attrs.frozen(kw_only=True)
+class NoCapacity(Failure):
+    """The work ahead leaves a workload no time to be of use.
+
+    Attributes
+    ----------
+    workload_id, queue : str
+        The refused workload, and its queue.
+    """
+
+    not_run: bool = True
+    workload_id: str
+    queue: str
+
+    @property
+    def message(self) -> str:
+        """One-line description for users."""
+        return (
+            f"workload {self.workload_id!r} was refused: the work ahead of queue"
+            f" {self.queue!r} would make it end too late"
+        )
+
+
 @attrs.frozen(kw_only=True)
 class UnknownWave(Failure):
     """No upkeep wave has this number."""
--- a/tanagerpath/core/workloads/request_handler.py
+++ b/tanagerpath/core/workloads/request_handler.py
@@ -8,17 +8,22 @@
 from tanagerpath.core.control.proposals import OpenProposal
 from tanagerpath.core.coordination import Instant
 from tanagerpath.core.protocol.callers import ErrorBody
+from tanagerpath.core.protocol.leadership import NotLeaderReply
 from tanagerpath.core.workloads import commands, requests
+from tanagerpath.core.workloads.admission import Refused
 from tanagerpath.core.workloads.configuration import Queue
 from tanagerpath.core.workloads.dispatcher import Dispatcher
 from tanagerpath.core.workloads.failures import (
     CancelledBefore,
+    NoCapacity,
     NotConfigured,
     TooManyWorkloads,
     UnknownWave,
     UnknownWorkload,
 )
 from tanagerpath.core.workloads.records import WaveRecord, WorkloadRecord
+from tanagerpath.core.workloads.refusals import MAX_REFUSALS, RefusalRecord
+from tanagerpath.core.workloads.specs import WorkloadSpec
 from tanagerpath.core.workloads.state import Applied, FleetState
 from tanagerpath.errors import Failure
 
@@ -49,8 +54,12 @@
 
     def _make_reply(self, state: FleetState) -> object:
         match self.command:
-            case commands.AcceptWorkload(spec=spec):
-                return _make_workload_reply(state, spec.workload_id)
+            case commands.AcceptWorkload(spec=spec, organisation=organisation):
+                return _make_submission_reply(state, organisation, spec.workload_id)
+            case commands.RefuseWorkload(
+                workload_id=workload_id, organisation=organisation
+            ):
+                return _make_submission_reply(state, organisation, workload_id)
             case commands.CancelWorkload(workload_id):
                 return _make_workload_reply(state, workload_id)
             case commands.PutConfiguration():
@@ -67,6 +76,30 @@
     return requests.WorkloadReply(workload_id, record.state)
 
 
+def _make_submission_reply(
+    state: FleetState, organisation: str, workload_id: str
+) -> object:
+    """Return what the log has decided on a submission.
+
+    The order of its entries decides between an acceptance and a refusal. Without
+    either, as the memory of refusals is full, the submission has to be decided anew.
+    """
+    if workload_id in state.workloads:
+        return _make_workload_reply(state, workload_id)
+    refused = state.refusals.find(organisation, workload_id)
+    if refused is None:
+        return NotLeaderReply()
+    return ErrorBody.from_failure(_make_refusal(refused))
+
+
+def _make_refusal(refused: RefusalRecord) -> NoCapacity:
+    return NoCapacity(
+        workload_id=refused.workload_id,
+        queue=refused.queue,
+        retry_at_unix_s=refused.retry_at_unix_s,
+    )
+
+
 def _make_wave_reply(wave: WaveRecord) -> requests.WaveReply:
     return requests.WaveReply(wave.wave, wave.is_completed)
 
@@ -101,6 +134,9 @@
         self._list_addresses = list_addresses
         # Submissions that are proposed and not in the state yet, oldest first.
         self._proposed_ids: dict[str, None] = {}
+        # Refusals that are proposed and not in the state yet, by organisation and
+        # identity, oldest first.
+        self._proposed_refusals: dict[tuple[str, str], commands.RefuseWorkload] = {}
         # Cancelled workloads that were not known, by organisation and identity, and
         # the time until which a late submission of them is refused.
         self._cancelled_unknown: dict[tuple[str, str], float] = {}
@@ -184,10 +220,11 @@
         refused_until_s = self._cancelled_unknown.get((organisation, spec.workload_id))
         if refused_until_s is not None and now.now_s < refused_until_s:
             return CancelledBefore(workload_id=spec.workload_id)
-        bound = self._dispatcher.context.terms.max_unfinished
-        if len(self._dispatcher.context.backlog) >= bound:
-            retry_at_unix_s = now.unix_s + RETRY_AFTER_S
-            return TooManyWorkloads(bound=bound, retry_at_unix_s=retry_at_unix_s)
+        if spec.workload_id not in self._proposed_ids:
+            refusal = self._find_refusal(spec.workload_id, organisation, now)
+            refusal = refusal or self._refuse(spec, queue, organisation, now)
+            if refusal is not None:
+                return refusal
         self._note_proposed(spec.workload_id)
         self._dispatcher.context.log_decision(
             "workload accepted",
@@ -207,6 +244,62 @@
             )
         ]
 
+    def _find_refusal(
+        self, workload_id: str, organisation: str, now: Instant
+    ) -> NoCapacity | list[commands.WorkloadCommand] | None:
+        """Return the valid refusal of a workload, or the proposal that holds it.
+
+        A copy of the submission that was delayed inside the system gets the same
+        answer, at this leader and at later ones.
+        """
+        refused = self._state.refusals.find_valid(organisation, workload_id, now.unix_s)
+        if refused is not None:
+            return _make_refusal(refused)
+        proposed = self._proposed_refusals.get((organisation, workload_id))
+        if proposed is not None and now.unix_s < proposed.retry_at_unix_s:
+            return [proposed]
+        return None
+
+    def _refuse(
+        self, spec: WorkloadSpec, queue: Queue, organisation: str, now: Instant
+    ) -> TooManyWorkloads | list[commands.WorkloadCommand] | None:
+        """Decide on a new submission; return None if it is accepted."""
+        bound = self._dispatcher.context.terms.max_unfinished
+        if len(self._dispatcher.context.backlog) >= bound:
+            retry_at_unix_s = now.unix_s + RETRY_AFTER_S
+            return TooManyWorkloads(bound=bound, retry_at_unix_s=retry_at_unix_s)
+        self._forget_recorded_refusals(now)
+        known = self._state.refusals.count_at(now.unix_s)
+        if known + len(self._proposed_refusals) >= MAX_REFUSALS:
+            return None
+        decision = self._dispatcher.admission.decide(spec, queue, organisation, now)
+        if not isinstance(decision, Refused):
+            return None
+        command = commands.RefuseWorkload(
+            workload_id=spec.workload_id,
+            queue=queue.name,
+            organisation=organisation,
+            priority=queue.priority,
+            refused_at_unix_s=now.unix_s,
+            retry_at_unix_s=decision.retry_at_unix_s,
+            work_s=decision.work_s,
+        )
+        self._proposed_refusals[(organisation, spec.workload_id)] = command
+        return [command]
+
+    def _forget_recorded_refusals(self, now: Instant) -> None:
+        """Forget the oldest proposed refusals that are in the state or out of date."""
+        while self._proposed_refusals:
+            key, oldest = next(iter(self._proposed_refusals.items()))
+            refused = self._state.refusals.find(*key)
+            is_recorded = (
+                refused is not None
+                and refused.refused_unix_s >= oldest.refused_at_unix_s
+            )
+            if not is_recorded and now.unix_s < oldest.retry_at_unix_s:
+                break
+            del self._proposed_refusals[key]
+
     def _note_proposed(self, workload_id: str) -> None:
         """Remember a submission until it is in the state."""
         while self._proposed_ids:
--- a/tanagerpath/core/workloads/state.py
+++ b/tanagerpath/core/workloads/state.py
@@ -19,6 +19,7 @@
     WorkloadRecord,
     WorkloadState,
 )
+from tanagerpath.core.workloads.refusals import RefusalMemory, RefusalRecord
 
 __all__ = ["Applied", "FleetSnapshot", "FleetState"]
 
@@ -53,6 +54,7 @@
     waves: tuple[WaveRecord, ...] = ()
     known_queues: tuple[Queue, ...] = ()
     learned: LearnedFleet = LearnedFleet()
+    refusals: tuple[RefusalRecord, ...] = ()
 
 
 class FleetState:
@@ -66,11 +68,13 @@
         self.waves: dict[int, WaveRecord] = {}
         # Removed queues are kept until their accepted workloads have run to the end.
         self.known_queues: dict[str, Queue] = {}
+        self.refusals = RefusalMemory()
         self._speeds: dict[str, LearnedSpeed] = {}
         self._histories: dict[str, LearnedQueue] = {}
         self._apply_by_type: dict[type, Any] = {
             commands.PutConfiguration: self._put_configuration,
             commands.AcceptWorkload: self._accept,
+            commands.RefuseWorkload: self._refuse,
             commands.CancelWorkload: self._cancel,
             commands.RecordRuns: self._record_runs,
             commands.RegisterUpstream: self._register,
@@ -93,6 +97,7 @@
         state.waves = {one.wave: one for one in snapshot.waves}
         state.known_queues = {one.name: one for one in snapshot.known_queues}
         state._store_learned(snapshot.learned)
+        state.refusals = RefusalMemory(snapshot.refusals)
         return state
 
     def make_snapshot(self) -> FleetSnapshot:
@@ -105,6 +110,7 @@
             waves=tuple(self.waves.values()),
             known_queues=tuple(self.known_queues.values()),
             learned=self.learned,
+            refusals=self.refusals.list_records(),
         )
 
     @property
@@ -170,6 +176,11 @@
         workload_id = command.spec.workload_id
         if workload_id in self.workloads:
             return Applied(changed=False)
+        owner = command.organisation
+        accepted_at_s = command.accepted_at_unix_s
+        if self.refusals.find_valid(owner, workload_id, accepted_at_s) is not None:
+            return Applied(changed=False)
+        self.refusals.forget(owner, workload_id)
         self.workloads[workload_id] = WorkloadRecord(
             command.spec,
             command.queue,
@@ -178,6 +189,22 @@
         )
         return Applied()
 
+    def _refuse(self, command: commands.RefuseWorkload) -> Applied:
+        """Remember a refusal, unless an earlier entry has accepted the workload."""
+        if command.workload_id in self.workloads:
+            return Applied(changed=False)
+        refused = RefusalRecord(
+            workload_id=command.workload_id,
+            queue=command.queue,
+            organisation=command.organisation,
+            priority=command.priority,
+            first_refused_unix_s=command.refused_at_unix_s,
+            refused_unix_s=command.refused_at_unix_s,
+            retry_at_unix_s=command.retry_at_unix_s,
+            work_s=command.work_s,
+        )
+        return Applied(changed=self.refusals.add(refused))
+
     def _cancel(self, command: commands.CancelWorkload) -> Applied:
         record = self.workloads.get(command.workload_id)
         if record is None or record.final_state is not None:
--- a/tanagerpath/core/workloads/work_ahead.py
+++ b/tanagerpath/core/workloads/work_ahead.py
@@ -6,18 +6,14 @@
 """
 
 import math
+import operator
 from collections import Counter
 from collections.abc import Iterable, Iterator
 
 import attrs
 
 from tanagerpath.core.workloads.configuration import Queue
-from tanagerpath.core.workloads.estimates import (
-    PRIOR_DECLARATION_VARIANCE,
-    PRIOR_MEAN_VARIANCE,
-    PRIOR_WEIGHT,
-    RunEstimates,
-)
+from tanagerpath.core.workloads.estimates import RunEstimates
 from tanagerpath.core.workloads.learned import LearnedQueue
 from tanagerpath.core.workloads.policy import HARD_DEADLINE_FACTOR
 from tanagerpath.core.workloads.records import WorkloadRecord
@@ -32,6 +28,8 @@
     "QueueError",
     "WorkItem",
     "forecast_start",
+    "make_item",
+    "sum_ahead_s",
 ]
 
 # Standard deviations between an estimate and its bound.
@@ -39,6 +37,10 @@
 # Variance of the common error of the estimates of a queue that no number of measured
 # steps removes, such as a change of what its callers submit.
 MIN_COMMON_VARIANCE = 0.01
+# Variances of a queue without a measured step. The bounds are then off by a factor of
+# three for any amount of work ahead, and by seven for a single workload.
+UNMEASURED_INDIVIDUAL_VARIANCE = 0.65
+UNMEASURED_COMMON_VARIANCE = 0.35
 
 
 @attrs.frozen
@@ -175,14 +177,15 @@
     @classmethod
     def from_learned(cls, learned: LearnedQueue | None) -> "QueueError":
         """Return the errors of a queue, None if it was never measured."""
-        declaration, mean = PRIOR_DECLARATION_VARIANCE, PRIOR_MEAN_VARIANCE
-        weight = PRIOR_WEIGHT
-        if learned is not None:
-            declaration = learned.declaration.variance
-            mean = learned.mean.variance
-            weight = learned.declaration.weight
+        if learned is None:
+            return cls(
+                individual=UNMEASURED_INDIVIDUAL_VARIANCE,
+                common=UNMEASURED_COMMON_VARIANCE,
+            )
+        declaration, mean = learned.declaration.variance, learned.mean.variance
         variance = 1.0 / (1.0 / declaration + 1.0 / mean)
-        return cls(individual=variance, common=variance / weight + MIN_COMMON_VARIANCE)
+        common = variance / learned.declaration.weight + MIN_COMMON_VARIANCE
+        return cls(individual=variance, common=common)
 
     def find_bound_factor(self, workloads: int) -> float:
         """Return the quotient of an upper bound and the estimate of a sum of work.
@@ -248,20 +251,20 @@
         slack_s -= self.critical_path_s / fastest
         return self.arrival_s + slack_s * factor
 
-    def find_rank(self, now_s: float) -> tuple:
+    @property
+    def rank_class(self) -> int:
+        """Covered work ranks before all other, which ranks by priority."""
+        return -1 if self.is_covered else self.priority
+
+    def find_rank(self, now_s: float) -> tuple[int, bool, float, float]:
         """Return the sort key of waiting work, in the order of `DeadlinePolicy`."""
+        objective_s = self.objective_s
         end_s = max(now_s - self.arrival_s, 0.0) + self.critical_path_s
-        is_late = end_s > self.objective_s
-        share = 0.0
-        if self.objective_s > 0.0:
-            share = max(1.0 - end_s / self.objective_s, 0.0)
-        return (
-            not self.is_covered,
-            self.priority,
-            is_late,
-            share * self.size_cores_s,
-            self.arrival_s + self.objective_s,
-        )
+        is_late = end_s > objective_s
+        scaled_size = 0.0
+        if not is_late and objective_s > 0.0:
+            scaled_size = (1.0 - end_s / objective_s) * self.size_cores_s
+        return self.rank_class, is_late, scaled_size, self.arrival_s + objective_s
 
 
 @attrs.frozen(kw_only=True)
@@ -290,20 +293,75 @@
     organisations_ahead: int = 1
 
 
+def _invert(rate: float) -> float:
+    return 1.0 / rate if rate > 0.0 else 0.0
+
+
+class _WorkSum:
+    """Sum of demands and the time that a pool takes for it.
+
+    It adds up plain numbers, as a decision adds up hundreds of demands.
+    """
+
+    def __init__(self, rates: Demand) -> None:
+        self.count = 0
+        self.time_s = 0.0
+        self._cores = self._memory_mb = self._accelerators = self._upstreams = 0.0
+        self._s_per_core = _invert(rates.cores)
+        self._s_per_mb = _invert(rates.memory_mb)
+        self._s_per_accelerator = _invert(rates.accelerators)
+        self._s_per_upstream = _invert(rates.upstreams)
+
+    def add(self, demand: Demand, factor: float = 1.0) -> None:
+        """Add a multiple of a demand."""
+        self._cores += demand.cores * factor
+        self._memory_mb += demand.memory_mb * factor
+        self._accelerators += demand.accelerators * factor
+        self._upstreams += demand.upstreams * factor
+        self.count += 1
+        self.time_s = max(
+            self._cores * self._s_per_core,
+            self._memory_mb * self._s_per_mb,
+            self._accelerators * self._s_per_accelerator,
+            self._upstreams * self._s_per_upstream,
+        )
+
+
+def sum_ahead_s(
+    item: WorkItem, others: Iterable[WorkItem], capacity: PoolCapacity
+) -> float:
+    """Return an upper bound of `Forecast.start_in_s`, found without ranks."""
+    own_class = item.rank_class
+    cores = memory_mb = accelerators = upstreams = 0.0
+    for other in others:
+        if other.rank_class <= own_class:
+            demand = other.demand
+            cores += demand.cores
+            memory_mb += demand.memory_mb
+            accelerators += demand.accelerators
+            upstreams += demand.upstreams
+    ahead = Demand(cores, memory_mb, accelerators, upstreams)
+    return ahead.find_time_s(capacity.rates)
+
+
 def _list_ahead(
     item: WorkItem, others: Iterable[WorkItem], now_s: float, since_s: float
-) -> Iterator[tuple[tuple, WorkItem]]:
-    """Return the work that ranks before an item, with its sort keys."""
+) -> list[WorkItem]:
+    """Return the work that ranks before an item, in the order of its ranks."""
+    own_class = item.rank_class
     own_rank = item.find_rank(now_s)
+    ahead = []
     for other in others:
-        if other.workload_id == item.workload_id:
+        other_class = other.rank_class
+        if other_class > own_class or other.workload_id == item.workload_id:
             continue
-        is_same_class = not other.is_covered and other.priority == item.priority
-        if is_same_class and other.arrival_s > since_s:
+        if other_class == own_class and other.arrival_s > since_s:
             continue
         rank = other.find_rank(now_s)
         if rank < own_rank:
-            yield rank, other
+            ahead.append((rank, other))
+    ahead.sort(key=operator.itemgetter(0))
+    return [other for _, other in ahead]
 
 
 def forecast_start(
@@ -332,50 +390,41 @@
         Time after which work of the same priority does not count: that of the first
         refusal of the workload.
     """
-    ahead = sorted(_list_ahead(item, others, now_s, since_s), key=lambda one: one[0])
-    counts = Counter(other.queue for _, other in ahead)
+    ahead = _list_ahead(item, others, now_s, since_s)
+    counts = Counter(other.queue for other in ahead)
     factors = {
         queue: 1.0 / errors[queue].find_bound_factor(count)
         for queue, count in counts.items()
     }
-    total, own = Demand(), Demand()
-    reached_s, counted = 0.0, 0
+    total, own = _WorkSum(capacity.rates), _WorkSum(capacity.rates)
     organisations = {item.organisation}
-    for _, other in ahead:
-        if now_s + reached_s > other.find_latest_start_s(capacity.fastest):
+    for other in ahead:
+        if now_s + total.time_s > other.find_latest_start_s(capacity.fastest):
             continue
-        demand = other.demand * factors[other.queue]
-        total = total + demand
-        reached_s = total.find_time_s(capacity.rates)
-        counted += 1
+        factor = factors[other.queue]
+        total.add(other.demand, factor)
         organisations.add(other.organisation)
         if other.organisation == item.organisation:
-            own = own + demand
+            own.add(other.demand, factor)
     fair_s = math.inf
     if len(organisations) > 1:
-        fair_s = own.find_time_s(capacity.rates) * len(organisations)
+        fair_s = own.time_s * len(organisations)
     return Forecast(
-        start_in_s=min(reached_s, fair_s),
-        ahead_s=reached_s,
+        start_in_s=min(total.time_s, fair_s),
+        ahead_s=total.time_s,
         fair_ahead_s=fair_s,
-        workloads_ahead=counted,
+        workloads_ahead=total.count,
         organisations_ahead=len(organisations),
     )
 
 
-def find_critical_path_s(
-    spec: WorkloadSpec, queue: Queue, estimates: RunEstimates, done: frozenset[int]
-) -> float:
-    """Return the seconds of the longest chain of steps that are not done."""
-    ends: list[float] = []
-    for number, step in enumerate(spec.steps):
-        own_s = 0.0
-        if number not in done:
-            own_s = estimates.predict_work_s(
-                (spec.workload_id, number), queue.name, step.declared_run_s
-            )
-        ends.append(own_s + max((ends[one] for one in step.depends_on), default=0.0))
-    return max(ends, default=0.0)
+def _find_chain_s(spec: WorkloadSpec, works_s: list[float]) -> float:
+    """Return the seconds of the longest chain of steps that take so long."""
+    ends_s: list[float] = []
+    for step, work_s in zip(spec.steps, works_s, strict=True):
+        begin_s = max((ends_s[one] for one in step.depends_on), default=0.0)
+        ends_s.append(begin_s + work_s)
+    return max(ends_s, default=0.0)
 
 
 def make_item(
@@ -392,30 +441,23 @@
     Repeated and long-running work counts as none.
     """
     spec = record.spec
-    whole_s = find_critical_path_s(spec, queue, estimates, frozenset())
-    done = frozenset(
-        step for step in range(len(spec.steps)) if record.is_step_done(0, step)
-    )
-    demand, size_cores_s = Demand(), 0.0
-    running = record.open_count
-    for number, step in enumerate(spec.steps):
-        if spec.repeat_count or step.long_running or number in done:
-            continue
-        if not record.may_begin(0, number):
-            continue
-        left = step.count - record.done_by_step.get((0, number), 0)
-        waiting = max(left - running, 0)
-        running = max(running - left, 0)
-        if not waiting:
-            continue
-        work_s = estimates.predict_work_s(
+    works_s = [
+        estimates.predict_work_s(
             (spec.workload_id, number), queue.name, step.declared_run_s
         )
-        demand = demand + capacity.measure(step, waiting, work_s)
-        size_cores_s += waiting * work_s * step.needs.weighted_cores
-    left_s = whole_s
-    if done:
-        left_s = find_critical_path_s(spec, queue, estimates, done)
+        for number, step in enumerate(spec.steps)
+    ]
+    whole_s = left_s = _find_chain_s(spec, works_s)
+    if record.done_by_step:
+        left_works_s = [
+            0.0 if record.is_step_done(0, number) else work_s
+            for number, work_s in enumerate(works_s)
+        ]
+        left_s = _find_chain_s(spec, left_works_s)
+    demand, size_cores_s = Demand(), 0.0
+    for step, tasks, work_s in _list_waiting(record, works_s):
+        demand = demand + capacity.measure(step, tasks, work_s)
+        size_cores_s += tasks * work_s * step.needs.weighted_cores
     return WorkItem(
         workload_id=spec.workload_id,
         queue=queue.name,
@@ -428,3 +470,24 @@
         objective_s=queue.objective_factor * whole_s + queue.objective_margin_s,
         critical_path_s=left_s,
     )
+
+
+def _list_waiting(
+    record: WorkloadRecord, works_s: list[float]
+) -> Iterator[tuple[StepSpec, int, float]]:
+    """Return steps that may begin, the tasks that wait, and the work of each.
+
+    The record counts the open runs of all steps together; they are taken from the
+    first steps that may begin.
+    """
+    if record.spec.repeat_count:
+        return
+    running = record.open_count
+    for number, step in enumerate(record.spec.steps):
+        left = step.count - record.done_by_step.get((0, number), 0)
+        if step.long_running or left <= 0 or not record.may_begin(0, number):
+            continue
+        waiting = max(left - running, 0)
+        running = max(running - left, 0)
+        if waiting:
+            yield step, waiting, works_s[number]
--- a/tanagerpath/platform/statuses.py
+++ b/tanagerpath/platform/statuses.py
@@ -20,6 +20,7 @@
     "InvalidWorkload": 400,
     "MailboxFull": 503,
     "MalformedMessage": 400,
+    "NoCapacity": 429,
     "NoLeader": 503,
     "NotConfigured": 503,
     "OutcomeUncertain": 504,
--- a/tanagerpath/platform/tests/test_adapters.py
+++ b/tanagerpath/platform/tests/test_adapters.py
@@ -1,6 +1,7 @@
 """Guards against replies to callers, operators and workers that break the contract."""
 
 import json
+import time
 
 import anyio
 import testtools
@@ -113,6 +114,7 @@
             ("POST", _refuse(failures.UnknownKey(queue="q", version=1)), 401),
             ("POST", _refuse(failures.NotConfigured()), 503),
             ("POST", _refuse(failures.TooManyWorkloads(bound=5)), 429),
+            ("POST", _refuse(failures.NoCapacity(workload_id=ID, queue="q")), 429),
             ("GET", _refuse(failures.UnknownWorkload(workload_id=ID)), 410),
             ("DELETE", _refuse(failures.UnknownWorkload(workload_id=ID)), 410),
             ("POST", ResultFailure(NoLeader()), 503),
@@ -127,6 +129,15 @@
             _, (_, head, _) = self.call(ResultFailure(failure), "POST", body=JOB)
             self.assertEqual("1", head["retry-after"])
 
+    def test_refusal_for_capacity_names_the_time_to_return(self):
+        # An earlier return than that is refused without a new decision.
+        refused = failures.NoCapacity(
+            workload_id=ID, queue="q", retry_at_unix_s=time.time() + 6.5
+        )
+        _, (_, head, body) = self.call(_refuse(refused), "POST", body=JOB)
+        self.assertEqual("7", head["retry-after"])
+        self.assertIn(b"NoCapacity", body)
+
     def test_uncertain_outcome_is_never_a_refusal(self):
         uncertain = ResultFailure(OutcomeUncertain(detail="cut"))
         _, (status, head, _) = self.call(uncertain, "POST", body=JOB)
--- a/tanagerpath/platform/tests/test_settings_file.py
+++ b/tanagerpath/platform/tests/test_settings_file.py
@@ -86,6 +86,17 @@
             dispatch = make_node_config(settings.unwrap()).dispatch
             self.assertEqual(bound_ms / 1_000, dispatch.guaranteed_start_s)
 
+    def test_admission_follows_the_environment(self):
+        source = self.write()
+        for environment, expected in (
+            ({}, "unlimited"),
+            ({"TANAGERPATH_ADMISSION": "useful"}, "useful"),
+        ):
+            settings = source.read_control(environment).unwrap()
+            self.assertEqual(expected, make_node_config(settings).dispatch.admission)
+        refused = source.read_control({"TANAGERPATH_ADMISSION": "some"}).failure()
+        self.assertEqual("admission", refused.setting)
+
     def test_a_stop_ends_within_the_grace_time(self):
         """Guards against fixed times, 5 s in total, that exceed a short grace time."""
         for grace_s in (2, 4, 6, 20):
--- a/tanagerpath/services/workload_control.py
+++ b/tanagerpath/services/workload_control.py
@@ -17,6 +17,7 @@
 from tanagerpath.core.control import ControlAction, ReplicatedNode
 from tanagerpath.core.coordination import RecordPeriod
 from tanagerpath.core.workloads import (
+    AdmissionDecided,
     DeadlinePolicy,
     DeadlineTerms,
     DispatchTerms,
@@ -82,6 +83,7 @@
         checkpoint_interval_s=settings.checkpoint_interval_s,
         interference_s=settings.interference_s,
         guaranteed_start_s=settings.guaranteed_start_s,
+        admission=settings.admission,
         retention_s=settings.status_retention_s + RETENTION_MARGIN_S,
         advice_address=settings.advice_address,
         platform_address=settings.platform_address,
@@ -147,6 +149,13 @@
             case LogDecision(name, fields, is_about_task):
                 log = self._task_decisions if is_about_task else self._decisions
                 log.write(name, fields)
+            case AdmissionDecided(queue, organisation, outcome):
+                self._metrics.count(
+                    "admissions",
+                    outcome=outcome,
+                    queue=queue,
+                    organisation=organisation,
+                )
             case RecordPeriod(period, organisation, queue, elapsed_s):
                 self._metrics.observe(str(period), elapsed_s, organisation, str(queue))
 
--- a/tanagerpath/settings/workloads.py
+++ b/tanagerpath/settings/workloads.py
@@ -10,6 +10,7 @@
 from tanagerpath.settings.values import (
     AddressesType,
     AddressType,
+    ChoiceType,
     FlagType,
     NameType,
     NumberType,
@@ -85,6 +86,12 @@
     600.0,
     "Time after its acceptance within which work that a guarantee covers begins.",
 )
+_ADMISSION = Setting(
+    name="admission",
+    type=ChoiceType(("unlimited", "useful")),
+    default="unlimited",
+    description="Which workloads are accepted: all, or those that can end in time.",
+)
 _ADVICE_ADDRESS = Setting(
     name="advice_address",
     type=OptionalAddressType(),
@@ -213,6 +220,7 @@
     checkpoint_interval_s: float = declare(_CHECKPOINT_INTERVAL_S)
     interference_s: float = declare(_INTERFERENCE_S)
     guaranteed_start_s: float = declare(_GUARANTEED_START_S)
+    admission: str = declare(_ADMISSION)
     advice_address: str = declare(_ADVICE_ADDRESS)
     platform_address: str = declare(_PLATFORM_ADDRESS)
     status_retention_s: float = declare(_STATUS_RETENTION_S)
