--- a/tanagerpath/benchmarks/workload_fleet.py
+++ b/tanagerpath/benchmarks/workload_fleet.py
@@ -1,12 +1,21 @@
 """Stand-in upstreams for replays: speeds, racks, checkpoints and failing runs."""
 
+import collections
+import math
+import random
+
 import attrs
 
+from tanagerpath.core.control.messages import RequestArrived
+from tanagerpath.core.protocol.callers import ErrorBody
+from tanagerpath.core.workloads import requests
 from tanagerpath.core.workloads.commands import RunOutcome
 from tanagerpath.core.workloads.configuration import Organisation
 from tanagerpath.core.workloads.dispatch_context import DispatchTerms
 from tanagerpath.core.workloads.orders import OrderDone, StartRequest
+from tanagerpath.core.workloads.request_handler import WorkloadRequestHandler
 from tanagerpath.core.workloads.resources import Resources
+from tanagerpath.core.workloads.specs import StepSpec, WorkloadSpec
 from tanagerpath.core.workloads.tests.fake_upstream import STEP_S, FakeUpstream
 from tanagerpath.core.workloads.tests.rig import Rig
 
@@ -14,6 +23,8 @@
 
 # Share of all accelerators that is guaranteed to organisations.
 GUARANTEED_SHARE = 0.62
+# Callers return up to this long after the time that a refusal names.
+MAX_RETURN_DELAY_S = 0.2
 
 
 class _ReplayUpstream(FakeUpstream):
@@ -39,6 +50,9 @@
         return f"c:{saved_s:.3f}" if saved_s else ""
 
     def end(self, run, outcome) -> None:
+        took_s = self.rig.now_s - run.began_s
+        cores_s = took_s * run.spec.needs.weighted_cores
+        self.rig.used_cores_s[run.task.workload_id] += cores_s
         if outcome is not RunOutcome.DONE:
             lost_s = 0.0 if run.spec.checkpointing else max(run.worked_s, 0.0)
             lost_s /= self.rig.find_rate(run, self)
@@ -80,6 +94,8 @@
         Work between two checkpoints, and the time to resume from one.
     organisations : int
         Number of organisations, which have equal guarantees.
+    admission : str
+        Policy that decides on submitted workloads.
     """
 
     def __init__(
@@ -91,6 +107,7 @@
         checkpoint_interval_s,
         restore_s,
         organisations,
+        admission="unlimited",
     ) -> None:
         self.organisations = tuple(f"o{number + 1}" for number in range(organisations))
         self.checkpoint_interval_s = checkpoint_interval_s
@@ -98,10 +115,16 @@
         self.wasted_cores_s = 0.0
         self.stops = 0
         self.fail_share: dict[str, float] = {}
+        # Core seconds of all ended runs, also useless ones, by workload.
+        self.used_cores_s: collections.Counter[str] = collections.Counter()
+        # Draws what the upstreams' own draws must not depend on.
+        self._retry_random = random.Random(seed)
         self._members: dict[tuple, list] = {}
         self._capacity = capacity
         self._speeds = speeds
-        terms = DispatchTerms(checkpoint_interval_s=checkpoint_interval_s)
+        terms = DispatchTerms(
+            checkpoint_interval_s=checkpoint_interval_s, admission=admission
+        )
         super().__init__(0, seed, terms)
         for number, speed in enumerate(speeds):
             self._add(number, number // rack_size, speed)
@@ -124,6 +147,39 @@
             for name in self.organisations
         )
 
+    # Submissions
+
+    def start_term(self, term: int) -> None:
+        """Start a new term, with a request handler of its own."""
+        super().start_term(term)
+        self._handler = WorkloadRequestHandler(
+            self.state, self.dispatcher, "10.0.0.1:1", tuple
+        )
+
+    def offer(
+        self, workload_id: str, step: StepSpec, queue: str, organisation: str
+    ) -> float | None:
+        """Submit a workload like a caller.
+
+        Returns
+        -------
+        float or None
+            Time at which the caller returns after a refusal, None without one.
+        """
+        spec = WorkloadSpec(workload_id=workload_id, steps=(step,))
+        call = requests.Call("h", f"/{queue}/{workload_id}", organisation)
+        arrived = RequestArrived(1, requests.SubmitWorkload(call, spec))
+        reply, proposals = self._handler.handle(arrived, self.instant)
+        for proposal in proposals:
+            applied = self.apply(proposal.command)
+            for sent in proposal.answer(applied, self.state):
+                reply = sent.reply
+        if not isinstance(reply, ErrorBody):
+            return None
+        retry_after_s = math.ceil(reply.retry_at_unix_s - self.instant.unix_s)
+        delay_s = self._retry_random.uniform(0.0, MAX_RETURN_DELAY_S)
+        return self.now_s + retry_after_s + delay_s
+
     # Gangs
 
     def _find_key(self, run) -> tuple:
--- a/tanagerpath/benchmarks/workload_replay.py
+++ b/tanagerpath/benchmarks/workload_replay.py
@@ -4,10 +4,18 @@
 change of the policy is judged over many days without processes or sockets:
 
     python -m tanagerpath.benchmarks.workload_replay --fleet few-fast --days 8
+
+Submissions pass the decision on their admission (`--admission`). A refused one returns
+after the time that the refusal names, at most four times, as long as it can still have
+a value for its caller, which counts from its first attempt.
 """
 
 import argparse
+import collections
 import concurrent.futures
+import enum
+import functools
+import heapq
 import math
 import random
 import statistics
@@ -16,11 +24,18 @@
 
 from tanagerpath.benchmarks.workload_fleet import ReplayRig
 from tanagerpath.benchmarks.workload_kinds import FLEETS, Fleet, WorkloadKind
+from tanagerpath.core.workloads.admission import AdmissionMode
 from tanagerpath.core.workloads.policy import HARD_DEADLINE_FACTOR
 from tanagerpath.core.workloads.resources import Resources
 from tanagerpath.core.workloads.specs import StepSpec
 
-__all__ = ["DayResult", "replay_day"]
+__all__ = [
+    "DayResult",
+    "DayTerms",
+    "QueueResult",
+    "replay_day",
+    "replay_with_hindsight",
+]
 
 DAY_S = 34.0
 FINISH_S = 30.0
@@ -36,6 +51,20 @@
 BURST_BEGIN_S = 8.0
 BURST_END_S = 14.0
 NEW_LEADER_S = 16.0
+MAX_RETURNS = 4
+
+
+class Outcome(enum.StrEnum):
+    """What a caller gets in the end.
+
+    FAILED includes workloads that ended too late to count, or not at all. CANCELLED
+    ones are in no result.
+    """
+
+    ON_TIME = "on time"
+    LATE = "late"
+    FAILED = "failed"
+    REFUSED = "refused"
 
 
 @attrs.define
@@ -50,23 +79,76 @@
     spec: StepSpec
     organisation: str
     ended_s: float | None = None
+    returns: int = 0
+    is_refused: bool = False
 
     @property
     def objective_s(self) -> float:
         return self.kind.factor * self.work_s + self.kind.margin_s
 
+    @property
+    def useful_until_s(self) -> float:
+        return self.at_s + HARD_DEADLINE_FACTOR * self.objective_s
+
+    @property
+    def outcome(self) -> Outcome:
+        if self.is_refused:
+            return Outcome.REFUSED
+        if self.ended_s is None or self.ended_s > self.useful_until_s:
+            return Outcome.FAILED
+        is_late = self.ended_s - self.at_s > self.objective_s
+        return Outcome.LATE if is_late else Outcome.ON_TIME
+
     @property
     def earned(self) -> float:
-        if self.ended_s is None:
-            return 0.0
-        took_s = self.ended_s - self.at_s
-        if took_s <= self.objective_s:
+        if self.outcome is Outcome.ON_TIME:
             return self.credit
-        if took_s <= HARD_DEADLINE_FACTOR * self.objective_s:
+        if self.outcome is Outcome.LATE:
             return self.credit * self.kind.late_credit / self.kind.credit
         return 0.0
 
 
+@attrs.frozen(kw_only=True)
+class DayTerms:
+    """Circumstances of a day besides its fleet and seed.
+
+    Attributes
+    ----------
+    burst : bool
+        Whether many callers come at once for some seconds.
+    load : float
+        Multiple of all rates.
+    backlog_s : float
+        Seconds of arrivals of all but urgent work that wait when the day begins.
+    admission : str
+        Policy that decides on submitted workloads.
+    """
+
+    burst: bool = True
+    load: float = 1.0
+    backlog_s: float = 0.0
+    admission: str = "unlimited"
+
+
+@attrs.frozen(kw_only=True)
+class QueueResult:
+    """Workloads of a queue by what their callers got.
+
+    Attributes
+    ----------
+    share : float
+        Share of the credit that was earned.
+    on_time, late, failed, refused : int
+        Numbers of workloads; see `Outcome`.
+    """
+
+    share: float
+    on_time: int
+    late: int
+    failed: int
+    refused: int
+
+
 @attrs.frozen(kw_only=True)
 class DayResult:
     """Shares of the credit that a day earned.
@@ -75,23 +157,41 @@
     ----------
     whole, worst_windows, worst_kind : float
         Share over the day, its worst windows and its worst kind of workload.
-    by_queue : dict of str to float
-        Share by queue.
+    by_queue : dict of str to QueueResult
+        Result by queue.
     wasted_cores_s : float
         Core seconds of work that was thrown away.
     stops : int
         Runs that were stopped to make room.
     unfinished : int
         Workloads that have not ended some time after the day.
+    worthless_cores_s, used_cores_s : float
+        Core seconds of all runs of workloads that earned nothing, and of all runs.
+    refusals : int
+        Refusals, also of workloads that were admitted later.
     """
 
     whole: float
     worst_windows: float
     worst_kind: float
-    by_queue: dict[str, float]
+    by_queue: dict[str, QueueResult]
     wasted_cores_s: float
     stops: int
     unfinished: int
+    worthless_cores_s: float
+    used_cores_s: float
+    refusals: int
+
+
+def _judge_queue(submissions: list[_Submission]) -> QueueResult:
+    counts = collections.Counter(one.outcome for one in submissions)
+    return QueueResult(
+        share=_find_share(submissions),
+        on_time=counts[Outcome.ON_TIME],
+        late=counts[Outcome.LATE],
+        failed=counts[Outcome.FAILED],
+        refused=counts[Outcome.REFUSED],
+    )
 
 
 def _find_share(submissions: list[_Submission]) -> float:
@@ -102,11 +202,17 @@
 class _Day:
     """Draws the submissions of a day and plays them on a rig."""
 
-    def __init__(self, fleet: Fleet, seed: int, burst: bool, load: float) -> None:
+    def __init__(
+        self,
+        fleet: Fleet,
+        seed: int,
+        terms: DayTerms,
+        left_out: frozenset[str] = frozenset(),
+    ) -> None:
         self._random = random.Random(seed)
+        self._left_out = left_out
         self._fleet = fleet
-        self._burst = burst
-        self._load = load
+        self._terms = terms
         speeds = [
             fleet.speeds[number % len(fleet.speeds)]
             for number in range(fleet.upstreams)
@@ -120,8 +226,10 @@
             fleet.checkpoint_interval_s,
             fleet.restore_s,
             fleet.organisations,
+            terms.admission,
         )
         self._submissions: dict[str, _Submission] = {}
+        self._refusals = 0
 
     def _draw_arrivals(self, kind: WorkloadKind) -> list[float]:
         at_s, found = 0.0, []
@@ -134,10 +242,10 @@
     def _find_rate(self, kind: WorkloadKind, at_s: float) -> float:
         """Return the submissions of a kind in a second at a time of the day."""
         fleet = self._fleet
-        is_burst = self._burst and BURST_BEGIN_S <= at_s < BURST_END_S
+        is_burst = self._terms.burst and BURST_BEGIN_S <= at_s < BURST_END_S
         wave = 1.0 + fleet.swing * math.sin(2 * math.pi * at_s / fleet.period_s)
         burst = kind.burst if is_burst else 1.0
-        return self._load * kind.rate_per_s * burst * wave
+        return self._terms.load * kind.rate_per_s * burst * wave
 
     def _draw(self, kind: WorkloadKind, at_s: float) -> _Submission:
         draw = self._random
@@ -191,6 +299,11 @@
             for kind in self._fleet.kinds
             for at_s in self._draw_arrivals(kind)
         ]
+        todo += [
+            self._draw(kind, 0.0)
+            for kind in self._fleet.kinds[1:]
+            for _ in range(round(self._terms.backlog_s * self._find_mean_rate(kind)))
+        ]
         todo.sort(key=lambda one: one.at_s)
         for number, one in enumerate(todo):
             self._submissions[f"{number:04d}"] = one
@@ -203,26 +316,51 @@
             if one.cancel_at_s is not None
         ]
         events.append((NEW_LEADER_S, "lead", ""))
-        for at_s, action, key in sorted(events):
+        heapq.heapify(events)
+        while events:
+            at_s, action, key = heapq.heappop(events)
             rig.run(begin_s + at_s - rig.now_s)
             if action == "lead":
                 rig.start_term(rig.term + 1)
-                continue
-            one = self._submissions[key]
-            if action == "cancel":
-                rig.cancel(key)
+            elif action == "cancel":
+                if key in rig.state.workloads:
+                    rig.cancel(key)
             else:
-                rig.fail_share[key] = one.kind.failing
-                rig.submit(
-                    key,
-                    one.spec,
-                    queue=one.kind.queue,
-                    work_s=one.work_s,
-                    organisation=one.organisation,
-                )
+                self._submit(key, begin_s, events)
         rig.run(FINISH_S)
         return self._judge(begin_s)
 
+    def _submit(
+        self, key: str, begin_s: float, events: list[tuple[float, str, str]]
+    ) -> None:
+        """Submit a workload; a refused one returns while that can be of use."""
+        rig, one = self._rig, self._submissions[key]
+        if key in self._left_out:
+            one.is_refused = True
+            return
+        rig.fail_share[key] = one.kind.failing
+        rig.work[key] = one.work_s
+        return_s = rig.offer(key, one.spec, one.kind.queue, one.organisation)
+        one.is_refused = return_s is not None
+        if return_s is None:
+            return
+        self._refusals += 1
+        return_s -= begin_s
+        if one.returns < MAX_RETURNS and return_s < one.useful_until_s:
+            one.returns += 1
+            heapq.heappush(events, (return_s, "submit", key))
+
+    def list_worthless(self) -> frozenset[str]:
+        """Return the workloads that earned nothing, once the day is played."""
+        return frozenset(
+            key
+            for key, one in self._submissions.items()
+            if one.cancel_at_s is None and not one.earned
+        )
+
+    def _find_mean_rate(self, kind: WorkloadKind) -> float:
+        return self._terms.load * kind.rate_per_s
+
     def _judge(self, begin_s: float) -> DayResult:
         for key, one in self._submissions.items():
             record = self._rig.state.workloads.get(key)
@@ -235,13 +373,13 @@
         shares = sorted(_find_share(window) for window in windows.values())
         queues = {one.kind.queue for one in owed}
         by_queue = {
-            queue: _find_share([one for one in owed if one.kind.queue == queue])
+            queue: _judge_queue([one for one in owed if one.kind.queue == queue])
             for queue in queues
         }
         return DayResult(
             whole=_find_share(owed),
             worst_windows=statistics.mean(shares[:WORST_WINDOWS]),
-            worst_kind=min(by_queue.values()),
+            worst_kind=min(one.share for one in by_queue.values()),
             by_queue=by_queue,
             wasted_cores_s=self._rig.wasted_cores_s,
             stops=self._rig.stops,
@@ -249,11 +387,23 @@
                 record.final_state is None
                 for record in self._rig.state.workloads.values()
             ),
+            worthless_cores_s=sum(
+                self._rig.used_cores_s[key]
+                for key, one in self._submissions.items()
+                if one.cancel_at_s is None and not one.earned
+            ),
+            used_cores_s=self._rig.used_cores_s.total(),
+            refusals=self._refusals,
         )
 
 
 def replay_day(
-    fleet_name: str, seed: int, burst: bool = True, load: float = 1.0
+    fleet_name: str,
+    seed: int,
+    burst: bool = True,
+    load: float = 1.0,
+    backlog_s: float = 0.0,
+    admission: str = "unlimited",
 ) -> DayResult:
     """Play one day.
 
@@ -263,17 +413,39 @@
         A name in `FLEETS`.
     seed : int
         Seed of everything that is drawn.
-    burst : bool
-        Whether many callers come at once for some seconds.
-    load : float
-        Multiple of all rates.
+    burst, load, backlog_s, admission : bool, float, float, str
+        See `DayTerms`.
 
     Returns
     -------
     DayResult
         What the day earned.
     """
-    return _Day(FLEETS[fleet_name], seed, burst, load).play()
+    terms = DayTerms(burst=burst, load=load, backlog_s=backlog_s, admission=admission)
+    return _Day(FLEETS[fleet_name], seed, terms).play()
+
+
+def replay_with_hindsight(
+    fleet_name: str, seed: int, terms: DayTerms
+) -> tuple[DayResult, DayResult]:
+    """Play a day twice, the second time without what earned nothing in the first.
+
+    The difference is about what the best decisions on admission could gain.
+
+    Parameters
+    ----------
+    fleet_name, seed, terms : str, int, DayTerms
+        The day.
+
+    Returns
+    -------
+    tuple of DayResult
+        Results without and with hindsight; what is left out counts as refused.
+    """
+    first = _Day(FLEETS[fleet_name], seed, terms)
+    result = first.play()
+    second = _Day(FLEETS[fleet_name], seed, terms, first.list_worthless())
+    return result, second.play()
 
 
 def _print_mean(fleet_name: str, results: list[DayResult]) -> None:
@@ -282,7 +454,7 @@
 
     queues = sorted(results[0].by_queue)
     shares = " ".join(
-        f"{queue} {mean(lambda one, q=queue: one.by_queue.get(q, 1.0)):.3f}"
+        f"{queue} {mean(lambda one, q=queue: one.by_queue[q].share):.3f}"
         for queue in queues
     )
     print(
@@ -291,7 +463,17 @@
         f" kind {mean(lambda one: one.worst_kind):.3f} ({shares})"
         f" wasted {mean(lambda one: one.wasted_cores_s):.0f} core s"
         f" stops {mean(lambda one: one.stops):.0f}"
+        f" worthless {mean(lambda one: one.worthless_cores_s / one.used_cores_s):.3f}"
+        f" refusals {mean(lambda one: one.refusals):.1f}"
     )
+    for queue in queues:
+        found = [one.by_queue[queue] for one in results]
+        numbers = " ".join(
+            f"{name.replace('_', ' ')}"
+            f" {statistics.mean(getattr(one, name) for one in found):.1f}"
+            for name in ("on_time", "late", "failed", "refused")
+        )
+        print(f"  {queue}: {numbers}")
 
 
 def main() -> None:
@@ -303,15 +485,38 @@
     parser.add_argument("--processes", type=int, default=2)
     parser.add_argument("--load", type=float, default=1.0, help="multiple of rates")
     parser.add_argument("--calm", action="store_true", help="days without a burst")
+    parser.add_argument(
+        "--backlog",
+        type=float,
+        default=0.0,
+        help="seconds of arrivals of all but urgent work that wait at the begin",
+    )
+    parser.add_argument(
+        "--admission", choices=[*AdmissionMode], default=AdmissionMode.UNLIMITED
+    )
+    parser.add_argument(
+        "--hindsight",
+        action="store_true",
+        help="play each day again without what earned nothing",
+    )
     options = parser.parse_args()
+    terms = DayTerms(
+        burst=not options.calm,
+        load=options.load,
+        backlog_s=options.backlog,
+        admission=str(options.admission),
+    )
     seeds = range(options.seed, options.seed + options.days)
     with concurrent.futures.ProcessPoolExecutor(options.processes) as pool:
         for fleet_name in options.fleet or sorted(FLEETS):
-            names = [fleet_name] * len(seeds)
-            bursts = [not options.calm] * len(seeds)
-            loads = [options.load] * len(seeds)
-            results = pool.map(replay_day, names, seeds, bursts, loads)
-            _print_mean(fleet_name, list(results))
+            if options.hindsight:
+                play = functools.partial(replay_with_hindsight, fleet_name, terms=terms)
+                first, second = zip(*pool.map(play, seeds), strict=True)
+                _print_mean(fleet_name, list(first))
+                _print_mean(f"{fleet_name} with hindsight", list(second))
+                continue
+            play = functools.partial(replay_day, fleet_name, **attrs.asdict(terms))
+            _print_mean(fleet_name, list(pool.map(play, seeds)))
 
 
 if __name__ == "__main__":
