--- a/tanagerpath/core/workloads/dispatch_context.py
+++ b/tanagerpath/core/workloads/dispatch_context.py
@@ -84,6 +84,8 @@
         in its availability zone.
     availability_zones : tuple of str
         Availability zones that may be evacuated; empty for any.
+    admission : str
+        Name of the policy that decides on submitted workloads; see `AdmissionMode`.
     advice_address, platform_address : str
         "ip:port" of the advice service, and of the platform's upkeep of VMs.
     """
@@ -109,6 +111,7 @@
     silent_after_s: float = 30.0
     evacuation_s: float = 60.0
     availability_zones: tuple[str, ...] = ()
+    admission: str = "unlimited"
     advice_address: str = ""
     platform_address: str = ""
 
--- a/tanagerpath/core/workloads/events.py
+++ b/tanagerpath/core/workloads/events.py
@@ -7,7 +7,13 @@
 from tanagerpath.core.workloads.commands import WorkloadCommand
 from tanagerpath.core.workloads.state import Applied
 
-__all__ = ["CommandRecorded", "CommandRejected", "LogDecision", "ReportEvacuation"]
+__all__ = [
+    "AdmissionDecided",
+    "CommandRecorded",
+    "CommandRejected",
+    "LogDecision",
+    "ReportEvacuation",
+]
 
 
 @attrs.frozen
@@ -33,6 +39,23 @@
     is_evacuated: bool
 
 
+@attrs.frozen
+class AdmissionDecided:
+    """Counts a decision on a submitted workload.
+
+    Attributes
+    ----------
+    queue, organisation : str
+        Where it was submitted, and by whom.
+    outcome : str
+        "admitted" or "refused".
+    """
+
+    queue: str
+    organisation: str
+    outcome: str
+
+
 @attrs.frozen
 class LogDecision:
     """Writes a decision to the log.
--- a/tanagerpath/services/workload_control.py
+++ b/tanagerpath/services/workload_control.py
@@ -17,6 +17,7 @@
 from tanagerpath.core.control import ControlAction, ReplicatedNode
 from tanagerpath.core.coordination import RecordPeriod
 from tanagerpath.core.workloads import (
+    AdmissionDecided,
     DeadlinePolicy,
     DeadlineTerms,
     DispatchTerms,
@@ -86,6 +87,7 @@
         guaranteed_start_s=settings.guaranteed_start_s,
         evacuation_s=settings.evacuation_s,
         availability_zones=settings.availability_zones,
+        admission=settings.admission,
         retention_s=settings.status_retention_s + RETENTION_MARGIN_S,
         advice_address=settings.advice_address,
         platform_address=settings.platform_address,
@@ -155,6 +157,13 @@
                 self._metrics.set_gauge(
                     "zone_evacuated", int(is_evacuated), availability_zone=zone
                 )
+            case AdmissionDecided(queue, organisation, outcome):
+                self._metrics.count(
+                    "admissions",
+                    outcome=outcome,
+                    queue=queue,
+                    organisation=organisation,
+                )
             case RecordPeriod(period, organisation, queue, elapsed_s):
                 self._metrics.observe(str(period), elapsed_s, organisation, str(queue))
 
--- a/tanagerpath/settings/workloads.py
+++ b/tanagerpath/settings/workloads.py
@@ -11,6 +11,7 @@
 from tanagerpath.settings.values import (
     AddressesType,
     AddressType,
+    ChoiceType,
     FlagType,
     NamesType,
     NameType,
@@ -100,6 +101,12 @@
     default=(),
     description="Availability zones that may be evacuated; any if empty.",
 )
+_ADMISSION = Setting(
+    name="admission",
+    type=ChoiceType(("unlimited", "useful")),
+    default="unlimited",
+    description="Which workloads are accepted: all, or those that can end in time.",
+)
 _ADVICE_ADDRESS = Setting(
     name="advice_address",
     type=OptionalAddressType(),
@@ -279,6 +286,7 @@
     guaranteed_start_s: float = declare(_GUARANTEED_START_S)
     evacuation_s: float = declare(_EVACUATION_S)
     availability_zones: tuple[str, ...] = declare(_AVAILABILITY_ZONES)
+    admission: str = declare(_ADMISSION)
     advice_address: str = declare(_ADVICE_ADDRESS)
     platform_address: str = declare(_PLATFORM_ADDRESS)
     status_retention_s: float = declare(_STATUS_RETENTION_S)
