Predict objectives for the mean speed, and leave the speeds as measured

Cause: speeds relative to the mean of the few upstreams that are measured first made unmeasured slow upstreams look as fast as measured fast ones. Change: only the critical path and the objective are predicted for the mean speed.

--- a/tanagerpath/core/workloads/backlog.py
+++ b/tanagerpath/core/workloads/backlog.py
@@ -204,14 +204,14 @@
         """Return by step the seconds of the longest chain of steps from there."""
         steps = record.spec.steps
         paths = [
-            self.estimates.predict_work_s(
+            self.estimates.predict_mean_run_s(
                 (record.workload_id, number), queue.name, step.declared_run_s
             )
             for number, step in enumerate(steps)
         ]
         for number in reversed(range(len(steps))):
             for earlier in steps[number].depends_on:
-                own_s = self.estimates.predict_work_s(
+                own_s = self.estimates.predict_mean_run_s(
                     (record.workload_id, earlier),
                     queue.name,
                     steps[earlier].declared_run_s,
--- a/tanagerpath/core/workloads/estimates.py
+++ b/tanagerpath/core/workloads/estimates.py
@@ -6,8 +6,8 @@
 of its queue, each weighted by how well it has predicted work so far.
 
 Measured run times fix only the difference of work and speed: a common error of all
-speeds would also be one of all work, and so of all objectives. Speed 1 is therefore the
-mean speed of the fleet.
+speeds is also one of all work. Objectives are therefore predicted for the mean speed of
+the fleet.
 """
 
 import math
@@ -39,9 +39,9 @@
 PRIOR_WEIGHT = 2.0
 # Deviations of a single run are clipped to this, so that an outlier does little harm.
 MAX_DEVIATION = 2.0
-# Upstreams of speed 1 that the mean speed starts with, as few measured ones are no
-# sample of the fleet.
-PRIOR_MEAN_SPEED_WEIGHT = 5.0
+# Upstreams of speed 1 that the mean speed starts with: the few that are measured first
+# are the preferred ones, and no sample of the fleet.
+PRIOR_MEAN_SPEED_WEIGHT = 20.0
 
 EstimateKey = tuple[str, int]
 
@@ -205,20 +205,26 @@
     def _find_speed(self, upstream_id: str, now_s: float) -> _Estimate:
         held = self._speeds.get(upstream_id)
         if held is None:
-            return _Estimate(self._mean_speed_log, UNKNOWN_SPEED_VARIANCE)
+            return _Estimate(0.0, UNKNOWN_SPEED_VARIANCE)
         age_s = now_s - self._speed_updated_s[upstream_id]
         variance = held.variance + SPEED_DRIFT_PER_S * max(age_s, 0.0)
         return _Estimate(held.log, min(variance, UNKNOWN_SPEED_VARIANCE))
 
     def predict_work_s(self, step: EstimateKey, queue: str, declared_s: float) -> float:
         """Return the predicted run time of a task of a step at speed 1."""
+        return math.exp(self._find_work(step, queue, declared_s).log)
+
+    def predict_mean_run_s(
+        self, step: EstimateKey, queue: str, declared_s: float
+    ) -> float:
+        """Return the predicted run time of a task at the mean speed of the fleet."""
         work = self._find_work(step, queue, declared_s)
         return math.exp(work.log - self._mean_speed_log)
 
     def find_speed(self, upstream_id: str) -> float:
         """Return the speed of an upstream; 1 if it was never measured."""
         held = self._speeds.get(upstream_id)
-        return 1.0 if held is None else math.exp(held.log - self._mean_speed_log)
+        return 1.0 if held is None else math.exp(held.log)
 
     def is_speed_known(self, upstream_id: str) -> bool:
         """Return whether the speed of an upstream is measured well enough."""
