--- a/tanagerpath/codecs/text.py
+++ b/tanagerpath/codecs/text.py
@@ -30,8 +30,8 @@
 
 T = TypeVar("T")
 
-# A decoded value takes up to 30 times the memory of its text, so a text of 4 MiB could
-# take more than 100 MB. Both bounds are far above those of a configuration of 4 MiB.
+# Decoded values take up to 24 times the memory of their text, so a text of 4 MiB could
+# take 100 MB. Both bounds are far above those of a configuration of 4 MiB.
 MAX_CONTAINERS = 100_000
 MAX_VALUES = 400_000
 # Field with the class name of a union member; no message may have a field so named.
--- a/tanagerpath/core/workloads/specs.py
+++ b/tanagerpath/core/workloads/specs.py
@@ -5,10 +5,12 @@
 from tanagerpath.core.workloads.failures import InvalidWorkload
 from tanagerpath.core.workloads.resources import Resources
 
-__all__ = ["MAX_TASKS", "StepSpec", "TaskId", "WorkloadSpec"]
+__all__ = ["MAX_STEPS", "MAX_TASKS", "StepSpec", "TaskId", "WorkloadSpec"]
 
 # Bounds the memory that an accepted workload takes on a control VM.
 MAX_TASKS = 20_000
+# A step takes 1.7 KB of memory while it is passed on, and 12 bytes of a request.
+MAX_STEPS = 4_096
 
 
 @attrs.frozen(order=True)
@@ -150,8 +152,12 @@
 
     def find_fault(self) -> InvalidWorkload | None:
         """Return the first error in the workload, None if it is valid."""
-        if not self.steps:
-            return InvalidWorkload(field="steps", value="[]", expected="at least one")
+        if not 0 < len(self.steps) <= MAX_STEPS:
+            return InvalidWorkload(
+                field="steps",
+                value=f"{len(self.steps)} steps",
+                expected=f"1 to {MAX_STEPS}",
+            )
         tasks = sum(step.count for step in self.steps) * len(self.occurrences)
         if tasks > MAX_TASKS:
             return InvalidWorkload(
--- a/tanagerpath/platform/tests/test_hostile_clients.py
+++ b/tanagerpath/platform/tests/test_hostile_clients.py
@@ -317,6 +317,28 @@
     return int(reply.split(b" ", 2)[1])
 
 
+class TestLimitsOfTheConfiguration(HostileCase):
+    """Guards against limits of the operator that do not reach the callers' edge."""
+
+    def send_body(self, size):
+        text = json.dumps(JOB | {"spec": "x" * size}).encode()
+        try:
+            return send_text("POST", f"{self.deployment.front}/q/{'e' * 16}", text)
+        except OSError:  # the connection was closed while the body was sent
+            return 413
+
+    def test_they_are_in_force_at_the_entry_with_each_version(self):
+        self.start("control", "entry")
+        wait_for(lambda: self.send_body(300_000) == 413, CLOSING_TIMEOUT_S)
+        self.assertEqual(200, self.send_body(200_000))
+        url = f"{self.deployment.control}/config"
+        limits = LIMITS | {"max_body_bytes": 400_000}
+        changed = CONFIG | {"version": 4, "limits": limits}
+        self.assertEqual(200, exchange("PUT", url, changed)[0])
+        wait_for(lambda: self.send_body(300_000) == 200, CLOSING_TIMEOUT_S)
+        self.assertEqual((200, changed), exchange("GET", url))
+
+
 class TestLegitimateRequests(HostileCase):
     """Guards against limits that refuse what clients within them may send."""
 
--- a/tanagerpath/platform/tests/test_settings_file.py
+++ b/tanagerpath/platform/tests/test_settings_file.py
@@ -102,15 +102,35 @@
         self.assertEqual("10.1.0.1:7000", source.read_relay({}).unwrap().listen)
         self.assertTrue(self.write().has_disk().unwrap())
 
+    def test_size_of_the_process_sets_the_limits_for_clients(self):
+        """Guards against memory and connections for clients beyond those of a VM."""
+        source = self.write(limits={"memory_mb": 160, "max_fds": 3075, "cpus": 1})
+        for read in (source.read_control, source.read_relay, source.read_entry):
+            settings = read({}).unwrap()
+            size = (settings.memory_limit_mb, settings.max_descriptors)
+            self.assertEqual((160, 3075), size)
+        for limits in ({}, {"memory_mb": 0, "max_fds": 0}, {"memory_mb": None}):
+            source = self.write(limits=limits)
+            self.assertGreater(source.read_entry({}).unwrap().memory_limit_mb, 0)
+
     def test_odd_values_are_refused_and_end_no_process(self):
         # An empty list of ports ended each process that read its settings again.
         bounds = ("hold_max_ms", "grace_s", "catch_up_s", "reclaim_ms", "status_s")
         changes = [
             {name: odd}
-            for name in (*SETTINGS, "bounds", "fault_tolerance", "cloud_api", "advice")
+            for name in (
+                *SETTINGS,
+                "bounds",
+                "fault_tolerance",
+                "cloud_api",
+                "advice",
+                "limits",
+            )
             for odd in ODD_VALUES
         ]
         changes += [{"bounds": {name: odd}} for name in bounds for odd in ODD_VALUES]
+        names = ("memory_mb", "max_fds")
+        changes += [{"limits": {name: odd}} for name in names for odd in ODD_VALUES]
         for changed in changes:
             source = self.write(**changed)
             for read in (source.read_control, source.read_relay, source.read_entry):
--- a/tanagerpath/platform/workloads.py
+++ b/tanagerpath/platform/workloads.py
@@ -2,7 +2,12 @@
 
 from tanagerpath.codecs import MalformedMessage
 from tanagerpath.core.workloads.records import WorkloadState
-from tanagerpath.core.workloads.specs import StepSpec, TaskId, WorkloadSpec
+from tanagerpath.core.workloads.specs import (
+    MAX_STEPS,
+    StepSpec,
+    TaskId,
+    WorkloadSpec,
+)
 from tanagerpath.errors import FailureError
 from tanagerpath.platform.configuration import MS_PER_S, read_resources
 from tanagerpath.platform.fields import Fields
@@ -35,6 +40,15 @@
     FailureError
         With `MalformedMessage`, naming the invalid field.
     """
+    count = len(fields.read_list("steps"))
+    if count > MAX_STEPS:
+        raise FailureError(
+            MalformedMessage(
+                field="steps",
+                value=f"{count} steps",
+                expected=f"at most {MAX_STEPS} steps",
+            )
+        )
     return WorkloadSpec(
         workload_id=workload_id,
         payload=fields.read_text("spec", ""),
--- a/tanagerpath/runtime/connections.py
+++ b/tanagerpath/runtime/connections.py
@@ -34,6 +34,8 @@
 BODY_TIMEOUT_FACTOR = 4.0
 # A client that is still sending loses the reply if its connection is closed at once.
 REFUSAL_TIMEOUT_S = 1.0
+# A client that reads this much of a large reply within the timeout gets another one.
+MIN_READ_BYTES = 64 * 1024
 DEFAULT_BODIES_BYTES = 256 * 1024 * 1024
 DEFAULT_REPLIES_BYTES = 256 * 1024 * 1024
 
@@ -187,6 +189,7 @@
         self._timer: asyncio.TimerHandle | None = None
         self._is_completion_deferred = False
         self._is_forgotten = False
+        self._unread_bytes = 0
 
     def connection_made(self, transport: asyncio.Transport) -> None:
         """Add the connection to those of the listener."""
@@ -263,11 +266,20 @@
         if self.loop.time() < self._deadline_s:
             self._start_timer()
             return
+        if self._phase is _Phase.READER and self._has_read_on():
+            self._enter(_Phase.READER)
+            return
         reason = _TIMEOUT_REASONS.get(self._phase)
         if reason is not None:
             self._guard.note(reason)
         self.abort()
 
+    def _has_read_on(self) -> bool:
+        """Return whether the client has read a part of its reply by now."""
+        before = self._unread_bytes
+        self._unread_bytes = self.transport.get_write_buffer_size()
+        return self._unread_bytes <= before - MIN_READ_BYTES
+
     def data_received(self, data: bytes) -> None:
         """Parse what has arrived, and note what the connection waits for now."""
         if self._phase is _Phase.REFUSED:
@@ -304,6 +316,8 @@
         """Reply to the open request, read no further, and close the connection soon."""
         # The library then sends no reply of its own.
         self.cycle.disconnected = True
+        self.cycle.body = bytearray()
+        self.scope = self.headers = self.cycle.scope = None
         if self._is_forgotten or self.transport.is_closing():
             return
         self.flow.pause_reading()
@@ -342,7 +356,8 @@
         """Count a reply that the client does not read as fast as it is written."""
         super().pause_writing()
         self._enter(_Phase.READER)
-        if not self._guard.replies.take(self, self.transport.get_write_buffer_size()):
+        self._unread_bytes = self.transport.get_write_buffer_size()
+        if not self._guard.replies.take(self, self._unread_bytes):
             self.drop()
 
     def resume_writing(self) -> None:
--- a/tanagerpath/runtime/tests/test_client.py
+++ b/tanagerpath/runtime/tests/test_client.py
@@ -9,11 +9,13 @@
 from starlette.responses import PlainTextResponse
 from starlette.routing import Route
 
+from tanagerpath.runtime.budgets import ByteBudget
 from tanagerpath.runtime.client import (
     ConnectFailed,
     ExchangeCut,
     ExchangeTimedOut,
     HttpClient,
+    ReplyTooLarge,
 )
 from tanagerpath.runtime.server import HttpServer, bind_listener
 
@@ -121,3 +123,30 @@
         ):
             result = anyio.run(HttpClient(address).exchange, "POST", "/")
             self.assertEqual(ConnectFailed(address=address), result.failure())
+
+
+class TestLargeReplies(testtools.TestCase):
+    """Guards against replies that fill the memory of the process that asked."""
+
+    def test_reply_over_the_limit_fails_and_the_client_goes_on(self):
+        async def main():
+            route = Route("/", _answer, methods=["POST"])
+            server = HttpServer(bind_listener("127.0.0.1:0"), [route])
+            budget = ByteBudget(1024)
+            small = HttpClient(server.address, max_reply_bytes=4, replies=budget)
+            large = HttpClient(server.address, max_reply_bytes=5, replies=budget)
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(server.run)
+                await anyio.sleep(0.2)
+                results = [await one.exchange("POST", "/") for one in (small, large)]
+                results.append(await small.exchange("POST", "/"))
+                await small.close()
+                await large.close()
+                await server.stop()
+            return small.address, results, budget.used_bytes
+
+        address, (over, within, again), used_bytes = anyio.run(main)
+        self.assertEqual(ReplyTooLarge(address=address), over.failure())
+        self.assertEqual(b"whole", within.unwrap().body)
+        self.assertEqual(ReplyTooLarge(address=address), again.failure())
+        self.assertEqual(0, used_bytes)
--- a/tanagerpath/settings/bounds.py
+++ b/tanagerpath/settings/bounds.py
@@ -29,8 +29,8 @@
 BODIES_SHARE = 1 / 32
 MIN_BODIES_MIB = 16
 MAX_BODIES_MIB = 64
-# An idle connection takes 10 to 20 KB.
-CONNECTIONS_PER_MB = 4
+# A connection takes 6 KB when idle, and 22 KB with a part of a header of 16 KB.
+CONNECTIONS_PER_MB = 2
 MIN_CONNECTIONS = 8
 
 
