Guard further paths of an evacuation with tests

A start that is recorded together with the order must not be sent to be stopped, an upstream that reports its zone later must not be planned for, and a withdrawal must be followed by a plan at once.

--- a/tanagerpath/core/workloads/tests/test_evacuated_zones.py
+++ b/tanagerpath/core/workloads/tests/test_evacuated_zones.py
@@ -22,8 +22,8 @@
         rig.submit("scan", make_step(32), work_s=1.0)
         rig.run(0.5)
         self.assertEqual({"b"}, rig.list_zones("scan"))
+        # The withdrawal is followed by a plan at once.
         rig.evacuate("a", False)
-        rig.run(0.2)
         self.assertEqual({"a", "b"}, rig.list_zones("scan"))
 
     def test_runs_that_have_started_continue(self):
@@ -73,11 +73,16 @@
         rig.submit("scan", make_step(16), work_s=1.0)
         rig.run(0.1)
         # Both commands are applied in one step of the leader.
-        rig.commit_delay_s = 0.1
-        rig._schedule(0.1, ("commit", SetEvacuation("a", True, 0), None))
+        rig.upstreams["u0"].unreachable = True
+        (due_s,) = [
+            due_s for due_s, _, (kind, *_) in rig._scheduled if kind == "commit"
+        ]
+        order = ("commit", SetEvacuation("a", True, 0), None)
+        rig._schedule(due_s - rig.now_s, order)
         rig.evacuated_at_s = rig.now_s
         rig.run(3.0)
         self.assertEqual({"b"}, rig.start_zones)
+        self.assertEqual(0, rig.counts["run stopped: zone evacuated"])
         rig.run(5.0)
         self.assertEqual("completed", rig.find_state("scan"))
 
@@ -137,6 +142,7 @@
         rig.add_upstream("u0")
         rig.run(1.0)
         self.assertEqual([], rig.starts)
+        self.assertFalse(rig.dispatcher.context.sessions["u0"].is_usable)
         rig.restart_upstream("u0")
         rig.run(1.0)
         self.assertEqual([], rig.starts)
