Evacuate zones in the fault soak

An operator begins and ends evacuations while processes and workers fail, and sends each order until it is acknowledged. No run may start in the zone from the time limit on until the withdrawal is sent.

--- a/tanagerpath/emulator/soak_clients.py
+++ b/tanagerpath/emulator/soak_clients.py
@@ -4,7 +4,7 @@
 import pathlib
 import random
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from typing import TextIO
 
 import anyio
@@ -13,6 +13,11 @@
 from returns.pipeline import is_successful
 
 from tanagerpath.core.workloads.specs import WorkloadSpec
+from tanagerpath.emulator.soak_evacuations import (
+    EvacuationAcknowledged,
+    EvacuationOrdered,
+    EvacuationRules,
+)
 from tanagerpath.emulator.soak_interface import SoakInterface
 from tanagerpath.emulator.soak_promises import (
     ConfigurationAcknowledged,
@@ -95,12 +100,15 @@
     ----------
     journal : pathlib.Path
         File that gets a line for each event of a run, for the trace of a failure.
+    zones : mapping of str to str
+        Availability zone by worker.
     """
 
-    def __init__(self, journal: pathlib.Path) -> None:
+    def __init__(self, journal: pathlib.Path, zones: Mapping[str, str]) -> None:
         self.mailbox: Mailbox = Mailbox("judge")
         self.promises = Promises()
         self.run_rules = RunRules()
+        self.evacuation_rules = EvacuationRules(zones)
         self._journal = journal
 
     async def run(self) -> None:
@@ -118,7 +126,13 @@
             case WorkloadShown():
                 self.promises.handle(message)
                 self.run_rules.handle(message)
-            case WorkloadSent() | RunStarted() | RunEnded():
+            case RunStarted():
+                self.evacuation_rules.handle(message)
+                self._judge_run(message, journal)
+            case EvacuationOrdered() | EvacuationAcknowledged():
+                self.evacuation_rules.handle(message)
+                journal.write(f"{time.time():.3f} {message}\n")
+            case WorkloadSent() | RunEnded():
                 self._judge_run(message, journal)
             case EndAcknowledged() | LeaseExpired():
                 self._judge_run(message, journal)
--- a/tanagerpath/emulator/soak_interface.py
+++ b/tanagerpath/emulator/soak_interface.py
@@ -95,6 +95,10 @@
     def read_configuration(self, reply: HttpReply) -> tuple[int, bool] | None:
         """Return version and whether the content is whole, None if none is shown."""
 
+    @abc.abstractmethod
+    def change_evacuation(self, zone: str, is_evacuated: bool) -> HttpRequest:
+        """Return the order to begin or end the evacuation of a zone."""
+
     @abc.abstractmethod
     def submit(self, workload: WorkloadSpec) -> HttpRequest:
         """Return the request that hands a workload in."""
--- a/tanagerpath/emulator/soak_run.py
+++ b/tanagerpath/emulator/soak_run.py
@@ -23,6 +23,7 @@
     UnservedQuery,
     WaitForAcknowledgement,
 )
+from tanagerpath.emulator.soak_evacuator import EvacuatorTask, WithdrawEvacuation
 from tanagerpath.emulator.soak_faults import LEADER, FaultSequence, FaultStep
 from tanagerpath.emulator.soak_fleet import (
     FaultsCleared,
@@ -87,6 +88,8 @@
         Last acknowledged version.
     workloads : int
         Accepted workloads.
+    evacuation_orders : int
+        Acknowledged orders to begin or end the evacuation of a zone.
     starts : int
         Runs that workers began.
     restarts_after_idle_expiry, restarts_after_expiry : tuple of str
@@ -107,6 +110,7 @@
     recovered_s: tuple[float, ...]
     version: int
     workloads: int
+    evacuation_orders: int
     starts: int
     restarts_after_idle_expiry: tuple[str, ...]
     restarts_after_expiry: tuple[str, ...]
@@ -134,7 +138,8 @@
         self._interface = interface
         source = random.Random(plan.seed)
         self.site = SoakSite(plan.layout, interface, folder, source)
-        self.judge = JudgeTask(folder / "runs.log")
+        zones = {vm.vm_id: vm.availability_zone for vm in self.site.workers}
+        self.judge = JudgeTask(folder / "runs.log", zones)
         judge = self.judge.mailbox
         self._workers: WorkersHost | None = None
         if plan.layout.workers:
@@ -143,6 +148,7 @@
                 interface, workers, judge, random.Random(plan.seed)
             )
         self._operator = OperatorTask(interface, judge, random.Random(plan.seed))
+        self._evacuator = EvacuatorTask(interface, judge, random.Random(plan.seed))
         self._caller = CallerTask(
             interface,
             judge,
@@ -194,6 +200,7 @@
         async with anyio.create_task_group() as clients:
             self._follow_processes(clients)
             clients.start_soon(self._operator.run)
+            clients.start_soon(self._evacuator.run)
             clients.start_soon(self._caller.run)
             self._start_worker_faults(clients)
             await self._await_service("the start", START_LIMIT_S)
@@ -221,6 +228,7 @@
                 raise ServiceNotBack("no acknowledgement before the last fault")
             await self._lose(final.wiped, final.down_s, clients)
             await self._await_service("the last fault", self._terms.recovery_s)
+            await self._withdraw_evacuation()
             clients.cancel_scope.cancel()
         unclear = await self._caller.check_all()
         if unclear:
@@ -228,6 +236,13 @@
         if self._workers is not None:
             await self._await_completion()
 
+    async def _withdraw_evacuation(self) -> None:
+        """Let all zones be used again, so that all workloads can be completed."""
+        self._evacuator.mailbox.post(WithdrawEvacuation(withdrawn := Reply()))
+        until_s = anyio.current_time() + self._terms.recovery_s
+        if await withdrawn.receive(until_s) is None:
+            raise ServiceNotBack("no zone is back in use after the last fault")
+
     def _start_worker_faults(self, clients: TaskGroup) -> None:
         if self._workers is not None:
             steps = self._plan.worker_steps
@@ -306,6 +321,7 @@
                 clients.start_soon(self._read, scope, name, address)
         moved = ControlsMoved(tuple(processes.values()))
         self._operator.mailbox.post(moved)
+        self._evacuator.mailbox.post(moved)
         if self._workers is not None:
             self._workers.mailbox.post(moved)
 
@@ -347,10 +363,18 @@
     if scope.cancelled_caught:
         run.broken.append(f"not done within {limit_s} s")
     promises, rules = run.judge.promises, run.judge.run_rules
+    evacuations = run.judge.evacuation_rules
     return SoakResult(
         seed=plan.seed,
         layout=plan.layout,
-        broken=(*promises.broken, *rules.broken, *run.site.faults, *run.broken),
+        broken=(
+            *promises.broken,
+            *rules.broken,
+            *evacuations.broken,
+            *run.site.faults,
+            *run.broken,
+        ),
+        evacuation_orders=evacuations.acknowledged_count,
         recovered_s=tuple(run.recovered_s),
         version=promises.acknowledged_version,
         workloads=promises.accepted_count,
--- a/tanagerpath/emulator/soak_site.py
+++ b/tanagerpath/emulator/soak_site.py
@@ -13,7 +13,7 @@
 
 __all__ = ["ProcessNotReady", "SoakSite"]
 
-ZONES = "abc"
+ZONES = ("a", "b", "c")
 SEEDS_GIVEN = 3
 ENTRY_ID = "e1"
 # Time that the platform leaves a process for a graceful stop.
--- a/tanagerpath/platform/soak_interface.py
+++ b/tanagerpath/platform/soak_interface.py
@@ -9,8 +9,10 @@
 from tanagerpath.core.workloads.requests import UpstreamReport
 from tanagerpath.core.workloads.specs import WorkloadSpec
 from tanagerpath.emulator.deployment import ProcessPlan
+from tanagerpath.emulator.soak_evacuations import EVACUATION_S
 from tanagerpath.emulator.soak_interface import CarryOut, SoakInterface, SoakVm
 from tanagerpath.emulator.soak_promises import Shown
+from tanagerpath.emulator.soak_site import ZONES
 from tanagerpath.emulator.soak_worker import GANG_TIMEOUT_S, MAX_LEASE_S
 from tanagerpath.platform.settings_file import CONFIG_VARIABLE
 from tanagerpath.platform.soak_workers import (
@@ -42,6 +44,7 @@
     "gang_timeout_ms": int(GANG_TIMEOUT_S * MS_PER_S),
     "checkpoint_s": 0.5,
     "status_s": 600,
+    "evacuate_ms": int(EVACUATION_S * MS_PER_S),
 }
 _POOL = "sorter"
 _PORTS = {"control": CONTROL_PORT, "entry": FRONT_PORT, "worker": WORKER_PORT}
@@ -89,6 +92,7 @@
                 "regions": 0,
             },
             "bounds": _BOUNDS,
+            "zones": {zone: "soak" for zone in ZONES},
         }
         return json.dumps(settings)
 
@@ -117,6 +121,10 @@
         shown = json.loads(reply.body)
         return shown["version"], shown == _make_configuration(shown["version"])
 
+    def change_evacuation(self, zone: str, is_evacuated: bool) -> HttpRequest:
+        """Return the order to begin or end the evacuation of a zone."""
+        return HttpRequest("POST" if is_evacuated else "DELETE", f"/evacuations/{zone}")
+
     def submit(self, workload: WorkloadSpec) -> HttpRequest:
         """Return the request that submits a workload."""
         body = json.dumps(write_workload(workload)).encode()
--- a/tanagerpath/platform/tests/test_soak.py
+++ b/tanagerpath/platform/tests/test_soak.py
@@ -33,6 +33,7 @@
         result = self.run_plan(plan, SoakTerms())
         self.assertEqual((), result.broken)
         self.assertTrue(result.starts > 50 and result.workloads > 10, result)
+        self.assertGreater(result.evacuation_orders, 3)
 
     def test_three_control_processes_do_not_tolerate_the_loss_of_two_disks(self):
         """Guards against a soak test that cannot fail."""
