--- a/tanagerpath/core/workloads/tests/test_work_ahead.py
+++ b/tanagerpath/core/workloads/tests/test_work_ahead.py
@@ -33,6 +33,7 @@
         "priority": 1,
         "demand": Demand(accelerators=80.0),
         "size_cores_s": 640.0,
+        "needs": Resources(1_000, 1_000, 1),
         "arrival_s": NOW_S,
         "objective_s": 20.0,
         "critical_path_s": 5.0,
@@ -110,6 +111,41 @@
         burst = [make_item(f"x{number}", size_cores_s=1.0) for number in range(50)]
         self.assertEqual(50.0, forecast(make_item("w"), *burst).start_in_s)
 
+    def test_work_that_leaves_room_beside_it_does_not_hold_up(self):
+        # Tasks of 68 of 128 GB fill the memory of the pool, and small tasks start
+        # beside them.
+        large = make_item(
+            "x",
+            priority=0,
+            leftover=CAPACITY.find_leftover(Resources(13_000, 68_000, 4)),
+        )
+        cases = (
+            ("fits beside it", Resources(2_800, 15_000, 4), 0.0),
+            ("too many accelerators", Resources(2_800, 15_000, 5), 1.0),
+            ("too much memory", Resources(2_800, 61_000, 1), 1.0),
+        )
+        for name, needs, expected_s in cases:
+            item = make_item("w", needs=needs)
+            self.assertEqual(expected_s, forecast(item, large).start_in_s, name)
+
+    def test_gang_does_not_hold_up_what_needs_fewer_upstreams(self):
+        # Upstreams become free one by one, and smaller work starts there meanwhile.
+        gang = make_item("x", priority=0, upstreams_at_once=6)
+        for count, expected_s in ((1, 0.0), (5, 0.0), (6, 1.0), (7, 1.0)):
+            item = make_item("w", upstreams_at_once=count)
+            self.assertEqual(expected_s, forecast(item, gang).start_in_s, count)
+
+    def test_gang_counts_the_upstreams_that_it_needs_at_once(self):
+        needs = Resources(13_000, 68_000, 1)
+        cases = (
+            (StepSpec(count=6, needs=needs, gang=True), 6),
+            (StepSpec(count=6, needs=needs), 1),
+            (StepSpec(count=6, needs=Resources(1_000, 1_000, 2), gang=True), 2),
+            (StepSpec(count=2, needs=Resources(64_000, 1_000, 2), gang=True), 2),
+        )
+        for step, expected in cases:
+            self.assertEqual(expected, CAPACITY.count_at_once(step), step)
+
     def test_returning_workload_passes_later_work_of_its_priority(self):
         later = make_item("x", size_cores_s=1.0, arrival_s=NOW_S - 1.0)
         urgent = make_item("y", priority=0, arrival_s=NOW_S - 1.0)
--- a/tanagerpath/core/workloads/work_ahead.py
+++ b/tanagerpath/core/workloads/work_ahead.py
@@ -19,7 +19,7 @@
 from tanagerpath.core.workloads.records import WorkloadRecord
 from tanagerpath.core.workloads.resources import Resources
 from tanagerpath.core.workloads.sessions import UpstreamSession
-from tanagerpath.core.workloads.specs import StepSpec, WorkloadSpec
+from tanagerpath.core.workloads.specs import MAX_TASKS, StepSpec, WorkloadSpec
 
 __all__ = [
     "Demand",
@@ -91,6 +91,15 @@
         return time_s
 
 
+def _find_maximum(one: Resources, other: Resources) -> Resources:
+    """Return the larger amount of each resource."""
+    return Resources(
+        max(one.cpu_millicores, other.cpu_millicores),
+        max(one.memory_mb, other.memory_mb),
+        max(one.accelerators, other.accelerators),
+    )
+
+
 @attrs.frozen(kw_only=True)
 class PoolCapacity:
     """Work that the upstreams of a pool do in a second.
@@ -131,11 +140,7 @@
             upstreams += speed
             fastest = max(fastest, speed)
             if not room.fits(largest):
-                largest = Resources(
-                    max(largest.cpu_millicores, room.cpu_millicores),
-                    max(largest.memory_mb, room.memory_mb),
-                    max(largest.accelerators, room.accelerators),
-                )
+                largest = _find_maximum(largest, room)
         rates = Demand(cores, memory_mb, accelerators, upstreams)
         return cls(rates=rates, largest=largest, fastest=fastest or 1.0)
 
@@ -155,6 +160,22 @@
             seconds if self._fills_half(needs) else 0.0,
         )
 
+    def find_leftover(self, needs: Resources) -> Resources:
+        """Return what the largest upstream has left beside as many tasks as fit."""
+        count = needs.count_in(self.largest, MAX_TASKS)
+        return self.largest - Resources(
+            count * needs.cpu_millicores,
+            count * needs.memory_mb,
+            count * needs.accelerators,
+        )
+
+    def count_at_once(self, step: StepSpec) -> int:
+        """Return the upstreams that a step needs at the same time."""
+        if not step.gang:
+            return 1
+        on_one = max(step.reserved.count_in(self.largest, step.count), 1)
+        return math.ceil(step.count / on_one)
+
     def _fills_half(self, needs: Resources) -> bool:
         return not (needs + needs).fits(self.largest)
 
@@ -215,12 +236,20 @@
         Work of its tasks that could start now and do not run.
     size_cores_s : float
         Same in core seconds, with accelerators counted as cores.
+    needs : Resources
+        Needs of each task of the first step that waits.
+    leftover : Resources
+        What the largest upstream has left when as many of its tasks run there as fit.
+    upstreams_at_once : int
+        Upstreams that its smallest step needs at the same time; 1 without a gang.
     arrival_s : float
         Time of its acceptance on the leader's monotonic clock.
     objective_s : float
         Seconds after the arrival within which it is on time; 0 for none.
     critical_path_s : float
         Seconds of the longest chain of its remaining steps at speed 1.
+    rank_class : int
+        Covered work ranks before all other, which ranks by priority.
     """
 
     workload_id: str
@@ -230,9 +259,18 @@
     is_covered: bool = False
     demand: Demand = Demand()
     size_cores_s: float = 0.0
+    needs: Resources = Resources()
+    leftover: Resources = Resources()
+    upstreams_at_once: int = 1
     arrival_s: float
     objective_s: float
     critical_path_s: float
+    # Stored, as a decision reads it from hundreds of items.
+    rank_class: int = attrs.field(init=False)
+
+    @rank_class.default
+    def _find_rank_class(self) -> int:
+        return -1 if self.is_covered else self.priority
 
     def find_latest_start_s(self, fastest: float = 1.0, factor: float = 1.0) -> float:
         """Return the time from which a start is too late for any value.
@@ -251,11 +289,6 @@
         slack_s -= self.critical_path_s / fastest
         return self.arrival_s + slack_s * factor
 
-    @property
-    def rank_class(self) -> int:
-        """Covered work ranks before all other, which ranks by priority."""
-        return -1 if self.is_covered else self.priority
-
     def find_rank(self, now_s: float) -> tuple[int, bool, float, float]:
         """Return the sort key of waiting work, in the order of `DeadlinePolicy`."""
         objective_s = self.objective_s
@@ -347,7 +380,11 @@
 def _list_ahead(
     item: WorkItem, others: Iterable[WorkItem], now_s: float, since_s: float
 ) -> list[WorkItem]:
-    """Return the work that ranks before an item, in the order of its ranks."""
+    """Return the work that ranks before an item, in the order of its ranks.
+
+    Work beside which the item fits on a full upstream does not hold it up, nor does a
+    gang that waits until more upstreams are free than the item needs.
+    """
     own_class = item.rank_class
     own_rank = item.find_rank(now_s)
     ahead = []
@@ -357,6 +394,10 @@
             continue
         if other_class == own_class and other.arrival_s > since_s:
             continue
+        if item.needs.fits(other.leftover):
+            continue
+        if item.upstreams_at_once < other.upstreams_at_once:
+            continue
         rank = other.find_rank(now_s)
         if rank < own_rank:
             ahead.append((rank, other))
@@ -455,9 +496,12 @@
         ]
         left_s = _find_chain_s(spec, left_works_s)
     demand, size_cores_s = Demand(), 0.0
-    for step, tasks, work_s in _list_waiting(record, works_s):
+    leftover = Resources()
+    waiting = list(_list_waiting(record, works_s))
+    for step, tasks, work_s in waiting:
         demand = demand + capacity.measure(step, tasks, work_s)
         size_cores_s += tasks * work_s * step.needs.weighted_cores
+        leftover = _find_maximum(leftover, capacity.find_leftover(step.reserved))
     return WorkItem(
         workload_id=spec.workload_id,
         queue=queue.name,
@@ -466,6 +510,11 @@
         is_covered=is_covered,
         demand=demand,
         size_cores_s=size_cores_s,
+        needs=waiting[0][0].reserved if waiting else Resources(),
+        leftover=leftover,
+        upstreams_at_once=min(
+            (capacity.count_at_once(step) for step, _, _ in waiting), default=1
+        ),
         arrival_s=arrival_s,
         objective_s=queue.objective_factor * whole_s + queue.objective_margin_s,
         critical_path_s=left_s,
--- a/tanagerpath/core/workloads/work_tracker.py
+++ b/tanagerpath/core/workloads/work_tracker.py
@@ -25,11 +25,11 @@
 # decision.
 FIGURES_AGE_S = 0.5
 # Items without a change that are computed again with a decision, as estimates change.
-REFRESHED_ITEMS = 4
+REFRESHED_ITEMS = 2
 # Most changed items that a decision computes again. The others keep their figures, or
 # do not count yet, until the next decisions: a new leader with thousands of workloads
 # must not delay its callers.
-MAX_COMPUTED_ITEMS = 50
+MAX_COMPUTED_ITEMS = 20
 
 
 @attrs.define
