--- a/tanagerpath/core/workloads/admission_control.py
+++ b/tanagerpath/core/workloads/admission_control.py
@@ -86,14 +86,24 @@
             now_unix_s=now.unix_s,
         )
         decision = self._policy.decide(request)
+        self._log(request, decision)
+        return decision
+
+    def _log(self, request: AdmissionRequest, decision: Admitted | Refused) -> None:
+        """Log a refusal, and an acceptance that the work ahead put in question."""
+        if not decision.figures:
+            return
+        item = request.item
+        fields = {
+            "workload": item.workload_id,
+            "queue": item.queue,
+            "organisation": item.organisation,
+            "refusals_before": request.earlier.count if request.earlier else 0,
+            **decision.figures,
+        }
         if isinstance(decision, Refused):
             self._context.log_decision(
-                "workload refused",
-                workload=spec.workload_id,
-                queue=queue.name,
-                organisation=organisation,
-                reason=decision.reason,
-                refusals_before=request.earlier.count if request.earlier else 0,
-                **decision.figures,
+                "workload refused", reason=decision.reason, **fields
             )
-        return decision
+        else:
+            self._context.log_decision("workload has to wait", **fields)
--- a/tanagerpath/core/workloads/tests/test_work_tracker.py
+++ b/tanagerpath/core/workloads/tests/test_work_tracker.py
@@ -137,6 +137,15 @@
             self.assertEqual(value, line.fields[name])
         self.assertIn(AdmissionDecided("scan", "couriers", "refused"), effects)
 
+    def test_acceptance_in_spite_of_much_work_ahead_is_logged(self):
+        self.rig.submit("fill", attrs.evolve(WHOLE, count=400), queue="urgent")
+        admitted = self.decide()
+        self.assertIsInstance(admitted, Admitted)
+        effects = self.rig.dispatcher.context.take_effects()
+        (line,) = [one for one in effects if isinstance(one, LogDecision)]
+        self.assertEqual("workload has to wait", line.name)
+        self.assertEqual(1, line.fields["workloads_ahead"])
+
     def test_decisions_are_counted_by_queue_and_organisation(self):
         self.decide()
         effects = self.rig.dispatcher.context.take_effects()
