Admit workloads without work ahead, whatever their estimate

Cause: a workload whose predicted run time alone exceeds three times its objective was refused on an empty fleet, where a refusal helps nobody and the estimate may be wrong. Result: a table entry for such a workload.

--- a/tanagerpath/core/workloads/admission.py
+++ b/tanagerpath/core/workloads/admission.py
@@ -176,7 +176,8 @@
         latest_s = item.find_latest_start_s(
             outlook.capacity.fastest, error.find_bound_factor(1)
         )
-        allowed_s = latest_s - request.now_s
+        # Without work ahead, a refusal would not help the workload either.
+        allowed_s = max(latest_s - request.now_s, 0.0)
         if sum_ahead_s(item, outlook.waiting, outlook.capacity) <= allowed_s:
             return Admitted()
         forecast = self._forecast(request, outlook)
--- a/tanagerpath/core/workloads/tests/test_admission_policy.py
+++ b/tanagerpath/core/workloads/tests/test_admission_policy.py
@@ -85,6 +85,7 @@
 
     def test_never_refused(self):
         cases = {
+            "too late even alone": _decide(make_item("w", objective_s=1.0), ()),
             "covered": _decide(make_item("w", is_covered=True)),
             "without objective": _decide(make_item("w", objective_s=0.0)),
             "repeated or long-running": _decide(is_exempt=True),
--- a/tanagerpath/core/workloads/work_ahead.py
+++ b/tanagerpath/core/workloads/work_ahead.py
@@ -69,14 +69,6 @@
             self.upstreams + other.upstreams,
         )
 
-    def __mul__(self, factor: float) -> "Demand":
-        return Demand(
-            self.cores * factor,
-            self.memory_mb * factor,
-            self.accelerators * factor,
-            self.upstreams * factor,
-        )
-
     def find_time_s(self, capacity: "Demand") -> float:
         """Return the shortest time in which a capacity can do this work."""
         time_s = 0.0
@@ -345,7 +337,7 @@
         self._s_per_accelerator = _invert(rates.accelerators)
         self._s_per_upstream = _invert(rates.upstreams)
 
-    def add(self, demand: Demand, factor: float = 1.0) -> None:
+    def add(self, demand: Demand, factor: float) -> None:
         """Add a multiple of a demand."""
         self._cores += demand.cores * factor
         self._memory_mb += demand.memory_mb * factor
