--- a/tanagerpath/runtime/connections.py
+++ b/tanagerpath/runtime/connections.py
@@ -202,6 +202,8 @@
         """Forget the connection."""
         self._forget()
         super().connection_lost(exc)
+        # The reference to itself would keep the connection until a full collection.
+        self.app_state = {}
 
     def _forget(self) -> None:
         self._is_forgotten = True
--- a/tanagerpath/runtime/tests/test_connections.py
+++ b/tanagerpath/runtime/tests/test_connections.py
@@ -4,6 +4,8 @@
 """
 
 import contextlib
+import gc
+import weakref
 
 import anyio
 import testtools
@@ -160,6 +162,33 @@
         reply, noted = self.run_client(use)
         self.assertEqual((True, []), (len(reply) > LARGE_REPLY_BYTES, noted))
 
+    def test_closed_connections_are_freed_at_once(self):
+        """Guards against closed connections that wait for a full garbage collection.
+
+        Thousands of them took 70 MB.
+        """
+        connections = []
+        add = ListenerGuard.add
+
+        def note_connection(guard, connection):
+            connections.append(weakref.ref(connection))
+            add(guard, connection)
+
+        async def use(connect):
+            for text in (b"", b"GET / HT", GET, HEAD + b"content-length: 9\r\n\r\n"):
+                async with await connect() as client:
+                    await client.send(text)
+                    if text is GET:
+                        await client.receive()
+                while connections[-1]() is not None:
+                    await anyio.sleep(0.01)
+            return len(connections)
+
+        self.patch(ListenerGuard, "add", note_connection)
+        gc.disable()
+        self.addCleanup(gc.enable)
+        self.assertEqual((4, []), self.run_client(use))
+
     def test_new_connection_is_served_while_idle_ones_use_up_the_limit(self):
         async def use(connect):
             held = [await connect() for _ in range(8)]
