Take one run far beyond its prediction for a straggler, not for a slow upstream

A few tasks of a step run seven times as long as the others. Such a run halved the estimated speed of its upstream, or doubled the run time of its step, and urgent work then preempted runs elsewhere. The first run in a row that is an outlier now only makes both estimates less certain and ranks the upstream behind its equals; a second one of another step slows the upstream as before.

--- a/tanagerpath/core/workloads/estimates.py
+++ b/tanagerpath/core/workloads/estimates.py
@@ -35,6 +35,14 @@
 PRIOR_WEIGHT = 2.0
 # Deviations of a single run are clipped to this, so that an outlier does little harm.
 MAX_DEVIATION = 2.0
+# A run that takes longer than predicted by this many standard deviations, and by at
+# least this logarithm (a factor of 3), is a straggler or on an upstream that has become
+# slow. Only a second such run in a row of another step tells the upstream's share.
+OUTLIER_SIGMAS = 2.5
+MIN_OUTLIER = 1.1
+# Until then the upstream ranks behind its equals, and its next run counts more.
+DOUBT_LOG = 0.25
+DOUBT_VARIANCE = 0.1
 
 EstimateKey = tuple[str, int]
 
@@ -67,6 +75,8 @@
         self._speed_updated_s: dict[str, float] = {}
         self._work: dict[EstimateKey, _Estimate] = {}
         self._queues: dict[str, LearnedQueue] = {}
+        # Step of the last run by upstream that took far longer than predicted.
+        self._outliers: dict[str, EstimateKey] = {}
         self._changed_speeds: set[str] = set()
         self._changed_queues: set[str] = set()
 
@@ -134,6 +144,9 @@
         deviation = measured - (work.log - speed.log)
         deviation = min(max(deviation, -MAX_DEVIATION), MAX_DEVIATION)
         total = work.variance + speed.variance + TASK_VARIANCE
+        if self._is_first_outlier(slowest, step, deviation, total):
+            self._widen(slowest, step, work, speed, now_s)
+            return
         work_gain, speed_gain = work.variance / total, speed.variance / total
         work.log += work_gain * deviation
         work.variance *= 1 - work_gain
@@ -145,6 +158,35 @@
         if is_new:
             self._learn_queue(queue, declared_s, work.log)
 
+    def _is_first_outlier(
+        self, upstream_id: str, step: EstimateKey, deviation: float, variance: float
+    ) -> bool:
+        """Return whether a run is an outlier that no other run there confirms."""
+        if deviation < max(MIN_OUTLIER, OUTLIER_SIGMAS * math.sqrt(variance)):
+            self._outliers.pop(upstream_id, None)
+            return False
+        earlier = self._outliers.setdefault(upstream_id, step)
+        return earlier == step
+
+    def _widen(
+        self,
+        upstream_id: str,
+        step: EstimateKey,
+        work: _Estimate,
+        speed: _Estimate,
+        now_s: float,
+    ) -> None:
+        """Make the estimates of a step and an upstream less certain.
+
+        Tasks of a step may run several times as long as the others, which says little
+        about their upstream, and about the other tasks.
+        """
+        work.variance += DOUBT_VARIANCE
+        self._work[step] = work
+        speed.log -= DOUBT_LOG
+        speed.variance += DOUBT_VARIANCE
+        self._store_speed(upstream_id, speed, now_s)
+
     def _raise_member_speeds(
         self, upstream_ids: tuple[str, ...], slowest: _Estimate, now_s: float
     ) -> None:
@@ -217,3 +259,4 @@
         """Delete the speed of a removed upstream."""
         self._speeds.pop(upstream_id, None)
         self._speed_updated_s.pop(upstream_id, None)
+        self._outliers.pop(upstream_id, None)
--- a/tanagerpath/core/workloads/tests/test_estimates.py
+++ b/tanagerpath/core/workloads/tests/test_estimates.py
@@ -51,6 +51,29 @@
         estimates.observe(("fast", "slow"), ("gang", 0), "q", 1.0, 9.0, 0.0)
         self.assertEqual(before, estimates.find_speed("fast"))
 
+    def _learn_known_speed(self):
+        """Return estimates with an upstream of speed 1 and a queue that declares well."""
+        estimates = RunEstimates()
+        for number in range(30):
+            estimates.observe(("u",), ("w", number), "q", 2.0, 2.0, 0.0)
+        return estimates
+
+    def test_straggler_does_not_slow_the_estimate_of_its_upstream(self):
+        # One task in thirty runs seven times as long as others of its step. It halved
+        # the speed of its upstream, and urgent work then preempted runs elsewhere.
+        estimates = self._learn_known_speed()
+        estimates.observe(("u",), ("tail", 0), "q", 2.0, 14.0, 0.0)
+        self.assertGreater(estimates.find_speed("u"), 0.7)
+        predicted_s = estimates.predict_work_s(("tail", 0), "q", 2.0)
+        self.assertLess(predicted_s, 4.0)
+
+    def test_upstream_that_slows_runs_of_two_steps_counts_as_slow(self):
+        # Two stragglers in a row on one upstream are unlikely.
+        estimates = self._learn_known_speed()
+        estimates.observe(("u",), ("first", 0), "q", 2.0, 14.0, 0.0)
+        estimates.observe(("u",), ("second", 0), "q", 2.0, 14.0, 0.0)
+        self.assertLess(estimates.find_speed("u"), 0.4)
+
     def test_progress_before_the_first_list_counts(self):
         # Lists arrive seconds apart: a run that is first listed at 40 percent has made
         # this progress since its start.
