Order the last checkpoint as early as a stop takes, and judge stalls by progress

Runs on a leaving upstream were stopped 0.6 s before its end, also where a stop takes 0.9 s, so that their checkpoint was lost. The order now leaves the time of a stop. A run that takes several times as long as predicted was stopped as stalled while its next percent was due only after the stall timeout; it now counts as stalled after the time that it has taken so far for four percent.

--- a/tanagerpath/core/workloads/run_supervisor.py
+++ b/tanagerpath/core/workloads/run_supervisor.py
@@ -12,11 +12,25 @@
 
 # A run without checkpoints is stopped if it needs this many times the seconds left.
 DRAIN_OVERRUN_FACTOR = 2.0
-# Seconds before an upstream ends at which runs are stopped to save a checkpoint.
+# Seconds before an upstream ends at which runs are stopped to save a checkpoint: at
+# least this long, and the time that a stop may take with the delay of its order.
 DRAIN_CHECKPOINT_S = 0.6
+STOP_ORDER_DELAY_S = 0.4
 # Share of its predicted run time after which a run without progress is stalled:
 # progress is reported in whole percent, and a prediction may be far too short.
 STALL_FRACTION = 0.15
+# A run that takes several times as long as predicted counts as stalled after the time
+# that it has taken so far for this many percent.
+STALL_PERCENT = 4
+MIN_MEASURED_PERCENT = 2
+
+
+def _find_usual_silence_s(view: RunView) -> float:
+    """Return the time that a run has taken so far for `STALL_PERCENT` percent."""
+    if view.running_since_s is None or view.percent < MIN_MEASURED_PERCENT:
+        return 0.0
+    worked_s = view.progress_s - view.running_since_s
+    return worked_s * STALL_PERCENT / view.percent
 
 
 class RunSupervisor:
@@ -41,6 +55,9 @@
         self._context = context
         self._driver = driver
         self._view_fleet = view_fleet
+        self._save_s = max(
+            DRAIN_CHECKPOINT_S, context.terms.stop_timeout_s + STOP_ORDER_DELAY_S
+        )
 
     def evacuate_draining(self, session: UpstreamSession) -> None:
         """Stop runs that would not finish before their draining upstream ends."""
@@ -53,7 +70,7 @@
                 continue
             left_s = fleet.predict_remaining_s(view, session)
             if view.spec.checkpointing:
-                must_stop = remaining_s < DRAIN_CHECKPOINT_S and left_s > remaining_s
+                must_stop = remaining_s < self._save_s and left_s > remaining_s
             else:
                 must_stop = left_s > DRAIN_OVERRUN_FACTOR * max(remaining_s, 0.0)
             if must_stop:
@@ -81,9 +98,9 @@
         silent_s = session.last_contact_s - view.progress_s
         if silent_s <= self._context.terms.stall_timeout_s:
             return False
-        return silent_s > STALL_FRACTION * self._view_fleet().predict_total_s(
-            view, session
-        )
+        predicted_s = self._view_fleet().predict_total_s(view, session)
+        longest_s = max(STALL_FRACTION * predicted_s, _find_usual_silence_s(view))
+        return silent_s > longest_s
 
     def _stop_stalled_run(self, session: UpstreamSession, view: RunView) -> None:
         context = self._context
