--- a/tanagerpath/core/workloads/estimates.py
+++ b/tanagerpath/core/workloads/estimates.py
@@ -42,6 +42,14 @@
 # Upstreams of speed 1 that the mean speed starts with: the few that are measured first
 # are the preferred ones, and no sample of the fleet.
 PRIOR_MEAN_SPEED_WEIGHT = 20.0
+# A run that takes longer than predicted by this many standard deviations, and by at
+# least this logarithm (a factor of 3), is a straggler or on an upstream that has become
+# slow. Only a second such run in a row of another step tells the upstream's share.
+OUTLIER_SIGMAS = 2.5
+MIN_OUTLIER = 1.1
+# Until then the upstream ranks behind its equals, and its next run counts more.
+DOUBT_LOG = 0.25
+DOUBT_VARIANCE = 0.1
 
 EstimateKey = tuple[str, int]
 
@@ -75,6 +83,8 @@
         self._speed_updated_s: dict[str, float] = {}
         self._work: dict[EstimateKey, _Estimate] = {}
         self._queues: dict[str, LearnedQueue] = {}
+        # Step of the last run by upstream that took far longer than predicted.
+        self._outliers: dict[str, EstimateKey] = {}
         self._changed_speeds: set[str] = set()
         self._changed_queues: set[str] = set()
 
@@ -143,6 +153,9 @@
         deviation = measured - (work.log - speed.log)
         deviation = min(max(deviation, -MAX_DEVIATION), MAX_DEVIATION)
         total = work.variance + speed.variance + TASK_VARIANCE
+        if self._is_first_outlier(slowest, step, deviation, total):
+            self._widen(slowest, step, work, speed, now_s)
+            return
         work_gain, speed_gain = work.variance / total, speed.variance / total
         work.log += work_gain * deviation
         work.variance *= 1 - work_gain
@@ -154,6 +167,35 @@
         if is_new:
             self._learn_queue(queue, declared_s, work.log)
 
+    def _is_first_outlier(
+        self, upstream_id: str, step: EstimateKey, deviation: float, variance: float
+    ) -> bool:
+        """Return whether a run is an outlier that no other run there confirms."""
+        if deviation < max(MIN_OUTLIER, OUTLIER_SIGMAS * math.sqrt(variance)):
+            self._outliers.pop(upstream_id, None)
+            return False
+        earlier = self._outliers.setdefault(upstream_id, step)
+        return earlier == step
+
+    def _widen(
+        self,
+        upstream_id: str,
+        step: EstimateKey,
+        work: _Estimate,
+        speed: _Estimate,
+        now_s: float,
+    ) -> None:
+        """Make the estimates of a step and an upstream less certain.
+
+        Tasks of a step may run several times as long as the others, which says little
+        about their upstream, and about the other tasks.
+        """
+        work.variance += DOUBT_VARIANCE
+        self._work[step] = work
+        speed.log -= DOUBT_LOG
+        speed.variance += DOUBT_VARIANCE
+        self._store_speed(upstream_id, speed, now_s)
+
     def _raise_member_speeds(
         self, upstream_ids: tuple[str, ...], slowest: _Estimate, now_s: float
     ) -> None:
@@ -242,3 +284,4 @@
         if held is not None:
             self._speed_log_sum -= held.log
         self._speed_updated_s.pop(upstream_id, None)
+        self._outliers.pop(upstream_id, None)
