Bound the units of a plan, and leave as much time between plans as they take

Cause: a plan looks at each waiting unit and upstream. With 176 upstreams and 10 to 20 waiting units it took 30 to 95 ms, for which events waited. The next plan followed at once, because plan_cost_s was a tenth of the cost that is measured now (17 us for each pair), and because a list without units that may start did not count. With 30 recorded ends a second, plans took all the time they could get.

Change: PlanRound gives a plan at most 2,000 pairs (11 units at 176 upstreams). Half of them are the most important units, all units with claimed capacity are added, and the others take turns, so that work that fits does not wait behind work that does not. plan_cost_s is 15 us, and list_cost_s counts the list of waiting units. Fleets with fewer pairs plan as before.

--- a/tanagerpath/core/workloads/deadline_policy.py
+++ b/tanagerpath/core/workloads/deadline_policy.py
@@ -50,7 +50,7 @@
         chooser = UpstreamChooser(self._terms, fleet, FreeCapacity(fleet))
         plan = Plan()
         reservations = 0
-        ranked = sorted(units, key=lambda one: self._rank(one, fleet))
+        ranked = self.rank(units, fleet)
         guaranteed = [unit for unit in ranked if unit.is_guaranteed]
         others = [unit for unit in ranked if not unit.is_guaranteed]
         for group in (guaranteed, others):
@@ -65,6 +65,10 @@
                     self._reserve(unit, chooser)
         return plan
 
+    def rank(self, units: list[PlanUnit], fleet: FleetView) -> list[PlanUnit]:
+        """Return units in the order in which a plan places them."""
+        return sorted(units, key=lambda one: self._rank(one, fleet))
+
     def _place_or_claim(
         self, unit: PlanUnit, chooser: UpstreamChooser, plan: Plan
     ) -> bool:
--- a/tanagerpath/core/workloads/dispatch_context.py
+++ b/tanagerpath/core/workloads/dispatch_context.py
@@ -61,9 +61,15 @@
     plan_interval_s : float
         Longest time between two plans while work waits.
     plan_cost_s : float
-        Processor seconds that a plan takes for each pair of a waiting unit and an
-        upstream. The next plan waits for as long, so that planning takes at most half
-        of the time on a large fleet.
+        Processor seconds that a plan takes for each pair of a unit and an upstream. The
+        next plan waits for as long, so that planning takes at most half of the time on
+        a large fleet.
+    list_cost_s : float
+        Processor seconds that the list of waiting units takes for each unfinished
+        workload. The next plan waits for as long, too.
+    max_plan_pairs : int
+        Pairs of a unit and an upstream in one plan. Other units are left to the next
+        plans, as events wait until a plan ends.
     retention_s : float
         Seconds for which an ended workload is kept.
     max_unfinished : int
@@ -101,7 +107,9 @@
     stall_timeout_s: float = 3.0
     leave_delay_s: float = 1.0
     plan_interval_s: float = 0.25
-    plan_cost_s: float = 1.5e-6
+    plan_cost_s: float = 15e-6
+    list_cost_s: float = 50e-6
+    max_plan_pairs: int = 2000
     retention_s: float = 150.0
     max_unfinished: int = 5000
     remote_factor: float = 3.0
--- a/tanagerpath/core/workloads/planner.py
+++ b/tanagerpath/core/workloads/planner.py
@@ -6,6 +6,7 @@
 from tanagerpath.core.workloads.commands import RunStart
 from tanagerpath.core.workloads.containment import PROCESS_ERRORS
 from tanagerpath.core.workloads.dispatch_context import DispatchContext
+from tanagerpath.core.workloads.plan_rounds import PlanRound
 from tanagerpath.core.workloads.policy import (
     FleetView,
     Placement,
@@ -51,6 +52,7 @@
         self._preemption = preemption
         self._advice = advice
         self._wait_reporter = WaitReporter(context)
+        self._round = PlanRound(context.terms.max_plan_pairs)
         self._next_plan_s = 0.0
         self._planning_paused_until_s = 0.0
         self._set_aside_until_s: dict[StepKey, float] = {}
@@ -72,19 +74,42 @@
         waiting = self._list_waiting()
         units = self._advice.attach_tickets(self._filter_backoff(waiting))
         self._preemption.close_lapsed(units)
+        chosen = self._choose_units(units)
+        self._pause_planning(len(chosen))
         if not units:
             self._report_waits(waiting, units, Plan())
             return ()
-        pairs = len(units) * len(context.sessions)
-        self._planning_paused_until_s = (
-            context.now_s + context.terms.plan_cost_s * pairs
-        )
-        plan = self._make_plan(units)
+        plan = self._make_plan(chosen)
         self._preemption.execute(plan)
         self._report_waits(waiting, units, plan)
         runs: dict[StepKey, int] = {}
         return tuple(self._start(placement, runs) for placement in plan.placements)
 
+    def _choose_units(self, units: list[PlanUnit]) -> list[PlanUnit]:
+        """Return the units of this plan; if others are left, the next one is due."""
+        context = self._context
+        try:
+            chosen = self._round.choose(
+                units,
+                len(context.sessions),
+                self._preemption.history.open_claims,
+                lambda ranked: self._policy.rank(ranked, self.view_fleet()),
+            )
+        except PROCESS_ERRORS:
+            raise
+        except Exception:
+            # The plan finds out which unit the policy can't handle.
+            return units
+        context.must_plan = context.must_plan or self._round.is_open
+        return chosen
+
+    def _pause_planning(self, units: int) -> None:
+        """Leave other events as much time as a plan of some units takes."""
+        context, terms = self._context, self._context.terms
+        cost_s = terms.plan_cost_s * units * len(context.sessions)
+        cost_s += terms.list_cost_s * len(context.backlog)
+        self._planning_paused_until_s = context.now_s + cost_s
+
     def _make_plan(self, units: list[PlanUnit]) -> Plan:
         """Return the plan of the policy, without units that it can't handle.
 
--- a/tanagerpath/core/workloads/policy.py
+++ b/tanagerpath/core/workloads/policy.py
@@ -312,3 +312,7 @@
             Placements never exceed the free capacity of an upstream, and a gang is
             placed whole or not at all.
         """
+
+    @abc.abstractmethod
+    def rank(self, units: list[PlanUnit], fleet: FleetView) -> list[PlanUnit]:
+        """Return units in the order in which a plan places them."""
