Do not pause plans for the list of waiting units

Cause: the pause after a list without units that may start left out work that was accepted within the same step.

Change: only plans are followed by a pause, as before.

--- a/tanagerpath/core/workloads/dispatch_context.py
+++ b/tanagerpath/core/workloads/dispatch_context.py
@@ -64,9 +64,6 @@
         Processor seconds that a plan takes for each pair of a unit and an upstream. The
         next plan waits for as long, so that planning takes at most half of the time on
         a large fleet.
-    list_cost_s : float
-        Processor seconds that the list of waiting units takes for each unfinished
-        workload. The next plan waits for as long, too.
     max_plan_pairs : int
         Pairs of a unit and an upstream in one plan. Other units are left to the next
         plans, as events wait until a plan ends.
@@ -108,7 +105,6 @@
     leave_delay_s: float = 1.0
     plan_interval_s: float = 0.25
     plan_cost_s: float = 15e-6
-    list_cost_s: float = 50e-6
     max_plan_pairs: int = 2000
     retention_s: float = 150.0
     max_unfinished: int = 5000
--- a/tanagerpath/core/workloads/planner.py
+++ b/tanagerpath/core/workloads/planner.py
@@ -75,10 +75,13 @@
         units = self._advice.attach_tickets(self._filter_backoff(waiting))
         self._preemption.close_lapsed(units)
         chosen = self._choose_units(units)
-        self._pause_planning(len(chosen))
         if not units:
             self._report_waits(waiting, units, Plan())
             return ()
+        pairs = len(chosen) * len(context.sessions)
+        self._planning_paused_until_s = (
+            context.now_s + context.terms.plan_cost_s * pairs
+        )
         plan = self._make_plan(chosen)
         self._preemption.execute(plan)
         self._report_waits(waiting, units, plan)
@@ -103,13 +106,6 @@
         context.must_plan = context.must_plan or self._round.is_open
         return chosen
 
-    def _pause_planning(self, units: int) -> None:
-        """Leave other events as much time as a plan of some units takes."""
-        context, terms = self._context, self._context.terms
-        cost_s = terms.plan_cost_s * units * len(context.sessions)
-        cost_s += terms.list_cost_s * len(context.backlog)
-        self._planning_paused_until_s = context.now_s + cost_s
-
     def _make_plan(self, units: list[PlanUnit]) -> Plan:
         """Return the plan of the policy, without units that it can't handle.
 
