Parse the name of a task once

Cause: each list of an upstream names all its running tasks. Each name was parsed anew, and each new task identity was hashed several times.

Change: parsed names are kept (8,192 of at most 80 characters), and a task identity keeps its hash.

--- a/tanagerpath/core/workloads/specs.py
+++ b/tanagerpath/core/workloads/specs.py
@@ -13,7 +13,7 @@
 MAX_STEPS = 4_096
 
 
-@attrs.frozen(order=True)
+@attrs.frozen(order=True, cache_hash=True)
 class TaskId:
     """Identity of one task of a workload.
 
--- a/tanagerpath/platform/tests/test_orders.py
+++ b/tanagerpath/platform/tests/test_orders.py
@@ -11,6 +11,7 @@
 from tanagerpath.core.workloads.orders import OrderRefused, Refusal
 from tanagerpath.core.workloads.specs import TaskId
 from tanagerpath.platform.orders import WorkerCodec
+from tanagerpath.platform.workloads import MAX_CACHED_CHARS
 from tanagerpath.runtime.client import HttpReply
 
 TASK = TaskId("5c0e7a21d94b36f8", 0, 1, 17)
@@ -166,6 +167,19 @@
             self.assertFalse(is_successful(result), (status, body))
             self.assertEqual(expected, result.failure().type_name)
 
+    def test_task_is_parsed_once_for_all_lists(self):
+        # Each list of an upstream with many runs was parsed anew.
+        names = (NAME, f"{'w' * MAX_CACHED_CHARS}.0.1.17")
+        tasks = []
+        for name in names:
+            body = {"clock_ms": 1, "running": [[name, 2, "", 5]], "ended_runs": []}
+            replies = [_decode(HOLD, 200, body).unwrap() for _ in range(2)]
+            tasks.append([reply.running[0].task for reply in replies])
+            self.assertEqual(*tasks[-1])
+        self.assertIs(*tasks[0])
+        # A long name would take memory for good.
+        self.assertIsNot(*tasks[1])
+
     def test_advice_lists_the_tickets(self):
         reply = _decode(ADVICE, 200, {"allowed": [["i-1", "t1"]]}).unwrap()
         self.assertEqual((orders.Ticket("i-1", "t1"),), reply.tickets)
--- a/tanagerpath/platform/workloads.py
+++ b/tanagerpath/platform/workloads.py
@@ -1,5 +1,7 @@
 """Conversion of workloads and task IDs from and to the platform's format."""
 
+import functools
+
 from tanagerpath.codecs import MalformedMessage
 from tanagerpath.core.workloads.records import WorkloadState
 from tanagerpath.core.workloads.specs import (
@@ -16,6 +18,10 @@
 
 # Digits of the numbers in a task name; an accepted workload has far fewer tasks.
 MAX_COUNT_DIGITS = 15
+# Parsed names of tasks that are kept, as upstreams name each running task in each of
+# their lists, and the longest one. All of them take at most 5 MB.
+MAX_CACHED_NAMES = 8192
+MAX_CACHED_CHARS = 80
 _STATES = {
     WorkloadState.QUEUED: "queued",
     WorkloadState.RUNNING: "running",
@@ -103,6 +109,12 @@
     FailureError
         With `MalformedMessage`.
     """
+    if len(text) > MAX_CACHED_CHARS:
+        return _parse_task_id(text)
+    return _parse_known_task_id(text)
+
+
+def _parse_task_id(text: str) -> TaskId:
     workload_id, *numbers = text.split(".")
     if len(numbers) == 3 and all(map(_is_count, numbers)):
         occurrence, step, index = map(int, numbers)
@@ -110,3 +122,6 @@
     raise FailureError(
         MalformedMessage(field="task", value=text[:60], expected="ID.K.STEP.INDEX")
     )
+
+
+_parse_known_task_id = functools.lru_cache(MAX_CACHED_NAMES)(_parse_task_id)
