Parse replies of HTTP clients with httptools on the event loop

Cause: an exchange with an upstream or a peer passed the parser of h11, the streams of httpcore and anyio, and four cancel scopes, which took a third of the processor time of a leader.

Change: HttpConnection is a protocol of the event loop with one timer for the deadline and one future for the reply. ReplyParser collects a reply from httptools' HttpResponseParser within its limits, without input or output. HttpClient keeps its slots, idle connections, limits and typed failures. A reply that the budget drops ends its exchange at once instead of with its next part. httpcore stays for the addresses of clients, tests and benchmarks. HEAD and CONNECT are refused, because httptools can't be told that no body follows; no caller uses them.

--- a/tanagerpath/benchmarks/capacity_wire.py
+++ b/tanagerpath/benchmarks/capacity_wire.py
@@ -1,4 +1,4 @@
-"""Cost of exchanges over a kept connection, from httpcore to uvicorn on loopback."""
+"""Cost of exchanges over a kept connection, from HttpClient to uvicorn on loopback."""
 
 import abc
 import threading
--- a/tanagerpath/runtime/client.py
+++ b/tanagerpath/runtime/client.py
@@ -1,13 +1,24 @@
 """HTTP client for one address that drops unresponsive connections."""
 
 import anyio
+import anyio.lowlevel
 import attrs
 import httpcore
 from returns.result import Failure as ResultFailure
 from returns.result import Result, Success
 
 from tanagerpath.errors import Failure
-from tanagerpath.runtime.budgets import ByteBudget, ByteHolder
+from tanagerpath.runtime.budgets import ByteBudget
+from tanagerpath.runtime.http_connection import HttpConnection
+from tanagerpath.runtime.http_messages import (
+    BrokenReply,
+    HttpReply,
+    HttpRequest,
+    InvalidRequest,
+    OversizedReply,
+    ReplyLimits,
+    write_head,
+)
 
 __all__ = [
     "ConnectFailed",
@@ -24,7 +35,6 @@
 MIB = 1024 * 1024
 # Messages between processes may have 16 MiB.
 DEFAULT_REPLY_BYTES = 32 * MIB
-_JSON_HEADERS = [(b"content-type", b"application/json")]
 
 
 @attrs.frozen(kw_only=True)
@@ -77,24 +87,6 @@
         return f"the reply of {self.address} exceeds the limit"
 
 
-@attrs.frozen
-class HttpRequest:
-    """Method, target, JSON body and additional headers of a request."""
-
-    method: str
-    path: str
-    body: bytes = b""
-    headers: tuple[tuple[bytes, bytes], ...] = ()
-
-
-@attrs.frozen
-class HttpReply:
-    """Status and body of a reply."""
-
-    status: int
-    body: bytes
-
-
 def _parse_origin(address: str) -> httpcore.Origin | None:
     """Return the origin to connect to, or None if the address is invalid."""
     try:
@@ -105,54 +97,11 @@
     return origin if origin.port == port else None
 
 
-class _ReplyReader(ByteHolder):
-    """Reads one reply within its limits.
-
-    Parameters
-    ----------
-    max_bytes : int
-        Size of the reply.
-    budget : ByteBudget or None
-        Size of all replies that are read at once.
-    """
-
-    def __init__(self, max_bytes: int, budget: ByteBudget | None) -> None:
-        self._max_bytes = max_bytes
-        self._budget = budget
-        self._size = 0
-        self._is_dropped = False
-
-    def drop(self) -> None:
-        """End the reply with the next part that arrives."""
-        self._is_dropped = True
-
-    async def read(self, reply: httpcore.Response) -> bytes | None:
-        """Return the body, None if it exceeds a limit."""
-        parts = []
-        try:
-            async for part in reply.stream:
-                self._size += len(part)
-                if self._is_dropped or not self._has_room(len(part)):
-                    return None
-                parts.append(part)
-        finally:
-            if self._budget is not None:
-                self._budget.release(self)
-        return parts[0] if len(parts) == 1 else b"".join(parts)
-
-    def _has_room(self, further: int) -> bool:
-        if self._size > self._max_bytes:
-            return False
-        return self._budget is None or self._budget.take(self, further)
-
-
 class HttpClient:
     """Exchanges requests with one address over keep-alive connections.
 
     A connection carries one exchange at a time. After an exchange that timed out, all
-    idle connections are closed, because the cause may affect them too. Connections are
-    managed here and not by a pool of the library: there is only one address, and the
-    pool took about a third of the processor time of an exchange.
+    idle connections are closed, because the cause may affect them too.
 
     Parameters
     ----------
@@ -175,11 +124,10 @@
         replies: ByteBudget | None = None,
     ) -> None:
         self.address = address
-        self._max_reply_bytes = max_reply_bytes
-        self._replies = replies
+        self._limits = ReplyLimits(max_reply_bytes, replies)
         self._origin = _parse_origin(address)
         self._slots = anyio.Semaphore(max_connections)
-        self._idle: list[httpcore.AsyncHTTPConnection] = []
+        self._idle: list[HttpConnection] = []
 
     async def exchange(
         self, method: str, path: str, body: bytes = b"", *, timeout_s: float = 1.0
@@ -207,61 +155,75 @@
         """
         if self._origin is None:
             return ResultFailure(ConnectFailed(address=self.address))
+        deadline_s = anyio.current_time() + timeout_s
         try:
-            with anyio.fail_after(timeout_s):
-                async with self._slots:
-                    return await self._exchange_once(request)
+            await self._acquire_slot(deadline_s)
+            try:
+                return await self._exchange_once(request, deadline_s)
+            finally:
+                self._slots.release()
         except TimeoutError:
-            await self._close_idle()
+            self._close_idle()
             return ResultFailure(ExchangeTimedOut(address=self.address))
 
-    async def _exchange_once(self, request: HttpRequest) -> Result[HttpReply, Failure]:
-        connection = await self._acquire_connection()
+    async def _acquire_slot(self, deadline_s: float) -> None:
         try:
-            async with connection.stream(
-                request.method,
-                f"http://{self.address}{request.path}",
-                headers=[*_JSON_HEADERS, *request.headers],
-                content=request.body,
-            ) as reply:
-                reader = _ReplyReader(self._max_reply_bytes, self._replies)
-                body = await reader.read(reply)
-        except (httpcore.ConnectError, httpcore.ConnectTimeout):
+            self._slots.acquire_nowait()
+        except anyio.WouldBlock:
+            with anyio.fail_after(deadline_s - anyio.current_time()):
+                await self._slots.acquire()
+
+    async def _exchange_once(
+        self, request: HttpRequest, deadline_s: float
+    ) -> Result[HttpReply, Failure]:
+        connection = self._take_idle() or await self._connect(deadline_s)
+        if connection is None:
             return ResultFailure(ConnectFailed(address=self.address))
-        except (httpcore.NetworkError, httpcore.ProtocolError) as error:
-            return ResultFailure(
-                ExchangeCut(address=self.address, detail=type(error).__name__)
+        try:
+            head = write_head(request, self.address)
+            reply = await connection.exchange(
+                head, request.body, self._limits, deadline_s
             )
-        finally:
-            await self._release_connection(connection)
-        if body is None:
+        except (BrokenReply, InvalidRequest) as error:
+            return ResultFailure(ExchangeCut(address=self.address, detail=str(error)))
+        except OversizedReply:
             return ResultFailure(ReplyTooLarge(address=self.address))
-        return Success(HttpReply(reply.status, body))
+        finally:
+            self._release_connection(connection)
+        return Success(reply)
 
-    async def _acquire_connection(self) -> httpcore.AsyncHTTPConnection:
+    def _take_idle(self) -> HttpConnection | None:
+        """Return an idle connection; close expired ones and those with unread bytes."""
         while self._idle:
             connection = self._idle.pop()
-            if connection.is_available() and not connection.has_expired():
+            if connection.is_usable(KEEPALIVE_EXPIRY_S):
                 return connection
-            await connection.aclose()
-        return httpcore.AsyncHTTPConnection(
-            self._origin, keepalive_expiry=KEEPALIVE_EXPIRY_S
-        )
+            connection.abort()
+        return None
 
-    async def _release_connection(
-        self, connection: httpcore.AsyncHTTPConnection
-    ) -> None:
-        if connection.is_available():
+    async def _connect(self, deadline_s: float) -> HttpConnection | None:
+        """Return a new connection, None if the address can't be reached."""
+        host = self._origin.host.decode("ascii")
+        with anyio.fail_after(deadline_s - anyio.current_time()):
+            # A server that was started just before begins to listen first.
+            await anyio.lowlevel.checkpoint()
+            try:
+                return await HttpConnection.open(host, self._origin.port)
+            except (OSError, UnicodeError):
+                # The text of a host name may have no encoding for look-ups.
+                return None
+
+    def _release_connection(self, connection: HttpConnection) -> None:
+        if connection.is_usable(KEEPALIVE_EXPIRY_S):
             self._idle.append(connection)
-            return
-        with anyio.CancelScope(shield=True):
-            await connection.aclose()
+        else:
+            connection.abort()
 
-    async def _close_idle(self) -> None:
+    def _close_idle(self) -> None:
         idle, self._idle = self._idle, []
         for connection in idle:
-            await connection.aclose()
+            connection.abort()
 
     async def close(self) -> None:
         """Close all idle connections; one in use closes with its exchange."""
-        await self._close_idle()
+        self._close_idle()
