Let a gang use avoided upstreams that it needs, and blame none for a lost member

Change: an upstream is avoided only as long as the unit, or the whole gang, fits on the others if these are idle. A gang without all its members blames no upstream.

--- a/tanagerpath/core/workloads/free_capacity.py
+++ b/tanagerpath/core/workloads/free_capacity.py
@@ -111,6 +111,17 @@
             return by_rack[unit.spec.preferred_rack] >= needed
         return max(by_rack.values(), default=0) >= needed
 
+    def may_fit(self, unit: PlanUnit, sessions: list[UpstreamSession]) -> bool:
+        """Return whether a task, or a whole gang, would fit on idle upstreams."""
+        needed = len(unit.indexes) if unit.spec.gang else 1
+        limit = unit.spec.max_per_upstream or needed
+        fitting = 0
+        for session in sessions:
+            fitting += unit.spec.reserved.count_in(session.record.capacity, limit)
+            if fitting >= needed:
+                return True
+        return False
+
     def is_full_for(self, needed: Resources) -> bool:
         """Return whether a task fits on no upstream.
 
--- a/tanagerpath/core/workloads/run_supervisor.py
+++ b/tanagerpath/core/workloads/run_supervisor.py
@@ -108,11 +108,27 @@
     def _stop_stalled_run(self, session: UpstreamSession, view: RunView) -> None:
         context = self._context
         workload_id = view.task.workload_id
-        context.backlog.failed_on.setdefault(workload_id, set()).add(
-            session.upstream_id
-        )
+        if not self._waits_for_member(view):
+            context.backlog.failed_on.setdefault(workload_id, set()).add(
+                session.upstream_id
+            )
         if not view.spec.gang:
             context.find_health(session.upstream_id).note_failure(
                 workload_id, context.now_s
             )
         self._driver.stop(session, view, "no progress", StopCause.NO_PROGRESS)
+
+    def _waits_for_member(self, view: RunView) -> bool:
+        """Return whether a gang makes no progress because it lacks a member.
+
+        The upstreams of the other members are not the cause.
+        """
+        if not view.spec.gang:
+            return False
+        members = self._context.run_index.list_gang(view.task, view.run)
+        running = [
+            member
+            for session, member in members
+            if session.reachable and member.phase is RunPhase.RUNNING
+        ]
+        return len(running) < view.spec.count
--- a/tanagerpath/core/workloads/upstream_choice.py
+++ b/tanagerpath/core/workloads/upstream_choice.py
@@ -84,7 +84,11 @@
         ]
 
     def list_candidates(self, unit: PlanUnit) -> list[UpstreamSession]:
-        """Return the upstreams that may run a unit, without regard to their load."""
+        """Return the upstreams that may run a unit, without regard to their load.
+
+        Upstreams that are avoided are left out, unless the unit, or a whole gang, would
+        not fit on the others even if they were idle.
+        """
         suitable = [
             one for one in self.free_capacity.sessions if _is_suitable(unit, one)
         ]
@@ -96,7 +100,9 @@
                 unit.is_last_attempt and self.fleet.health[one.upstream_id].is_suspect
             )
         ]
-        return healthy or suitable
+        if len(healthy) == len(suitable):
+            return suitable
+        return healthy if self.free_capacity.may_fit(unit, healthy) else suitable
 
     def _is_suspect(self, session: UpstreamSession) -> bool:
         """Return whether the last run there failed or the last start was refused."""
