Look up the runs that a plan stops by identity

Victims were looked up by the hash of their task, and the key of a step was built for each upstream that is not on probation.

--- a/tanagerpath/core/workloads/evictions.py
+++ b/tanagerpath/core/workloads/evictions.py
@@ -214,9 +214,9 @@
 
     def accept(self, offer: _UpstreamOffer, tasks: int) -> None:
         """Note that an offer is used for some tasks."""
-        chosen = {victim.view.key for victim in offer.victims}
+        chosen = {victim.view for victim in offer.victims}
         if chosen:
-            self.victims = [one for one in self.victims if one.view.key not in chosen]
+            self.victims = [one for one in self.victims if one.view not in chosen]
         self.offered += tasks
         self.revision += 1
 
@@ -409,10 +409,10 @@
             ]
             found.sort(key=lambda victim: victim.rank)
             self._victims[key] = found
-        stopped = self._free_capacity.stopped_runs
+        stopped = self._free_capacity.stopped_runs.get(session.upstream_id)
         if not stopped:
             return found
-        return [one for one in found if one.view.key not in stopped]
+        return [one for one in found if one.view not in stopped]
 
 
 def _list_groups(
--- a/tanagerpath/core/workloads/free_capacity.py
+++ b/tanagerpath/core/workloads/free_capacity.py
@@ -5,7 +5,7 @@
 from tanagerpath.core.workloads.policy import CapacityClaim, FleetView, PlanUnit
 from tanagerpath.core.workloads.resources import Resources
 from tanagerpath.core.workloads.run_index import IndexedRun
-from tanagerpath.core.workloads.runs import RunKey, RunPhase, RunView
+from tanagerpath.core.workloads.runs import RunPhase, RunView
 from tanagerpath.core.workloads.sessions import UpstreamSession
 from tanagerpath.core.workloads.specs import StepKey
 
@@ -27,8 +27,8 @@
     free_times_s : dict of (str, Resources) to float
         Times from which upstreams have some capacity free, for reservations: runs and
         their predicted ends do not change while a plan is made.
-    stopped_runs : set of RunKey
-        Runs that the plan stops.
+    stopped_runs : dict of str to set of RunView
+        Runs that the plan stops, by upstream.
     """
 
     def __init__(self, fleet: FleetView) -> None:
@@ -37,7 +37,7 @@
         self._reserved_from_s: dict[str, float] = {}
         self._run_ends: dict[str, list[tuple[float, RunView]]] = {}
         self.free_times_s: dict[tuple[str, Resources], float] = {}
-        self.stopped_runs: set[RunKey] = set()
+        self.stopped_runs: dict[str, set[RunView]] = {}
         self._ending_soon: dict[str, Resources] = {}
         self._gangs: dict[tuple[StepKey, int], list[IndexedRun]] | None = None
         self.sessions: list[UpstreamSession] = []
@@ -71,9 +71,10 @@
     def stop(self, session: UpstreamSession, view: RunView) -> None:
         """Note that the plan stops a run, and all members of its gang."""
         for held_by, member in self.list_gang(view) or [(session, view)]:
-            if member.key in self.stopped_runs:
+            stopped = self.stopped_runs.setdefault(held_by.upstream_id, set())
+            if member in stopped:
                 continue
-            self.stopped_runs.add(member.key)
+            stopped.add(member)
             if held_by.upstream_id in self._free:
                 self.find_free_soon(held_by)
                 self._ending_soon[held_by.upstream_id] += member.spec.reserved
@@ -102,10 +103,14 @@
             Upstreams that may run it.
         """
         limit = unit.spec.max_per_upstream or len(unit.indexes)
+        needed_each = unit.spec.reserved
+        counts: dict[Resources, int] = {}
         by_rack: Counter[str] = Counter()
         for session in sessions:
             capacity = session.record.capacity
-            by_rack[session.record.rack] += unit.spec.reserved.count_in(capacity, limit)
+            if capacity not in counts:
+                counts[capacity] = needed_each.count_in(capacity, limit)
+            by_rack[session.record.rack] += counts[capacity]
         needed = len(unit.indexes) if unit.spec.gang else 1
         if unit.spec.preferred_rack:
             return by_rack[unit.spec.preferred_rack] >= needed
@@ -199,9 +204,9 @@
 
     def is_proven_for(self, unit: PlanUnit, session: UpstreamSession) -> bool:
         """Return whether a unit may use an upstream without a prior test."""
-        if unit.step_key in self._may_probe:
+        if not self._fleet.health[session.upstream_id].is_on_probation:
             return True
-        return not self._fleet.health[session.upstream_id].is_on_probation
+        return unit.step_key in self._may_probe
 
     def _conflicts_with_reservation(
         self, unit: PlanUnit, session: UpstreamSession
--- a/tanagerpath/core/workloads/tests/test_estimates.py
+++ b/tanagerpath/core/workloads/tests/test_estimates.py
@@ -52,7 +52,7 @@
         self.assertEqual(before, estimates.find_speed("fast"))
 
     def _learn_known_speed(self):
-        """Return estimates with an upstream of speed 1 and a queue that declares well."""
+        """Return estimates with an upstream of speed 1 and good declarations."""
         estimates = RunEstimates()
         for number in range(30):
             estimates.observe(("u",), ("w", number), "q", 2.0, 2.0, 0.0)
