--- a/tanagerpath/runtime/tests/test_http_connection.py
+++ b/tanagerpath/runtime/tests/test_http_connection.py
@@ -9,7 +9,7 @@
 import testtools
 
 from tanagerpath.runtime import client as client_module
-from tanagerpath.runtime.budgets import ByteBudget
+from tanagerpath.runtime.budgets import MIN_AGE_TO_DROP_S, ByteBudget
 from tanagerpath.runtime.client import (
     ConnectFailed,
     ExchangeCut,
@@ -295,7 +295,8 @@
 
     def test_incomplete_reply_ends_at_once_if_others_need_the_budget(self):
         """Guards against a silent peer that holds the budget until the deadline."""
-        budget = ByteBudget(8)
+        now_s = [0.0]
+        budget = ByteBudget(8, lambda: now_s[0])
         scripts = [[PLAIN[:-1], b""], [PLAIN]]
 
         async def use(client, peer):
@@ -309,6 +310,8 @@
                 with anyio.fail_after(10):
                     while not budget.used_bytes:
                         await anyio.sleep(0)
+                # Exchanges that have just begun are not dropped for each other.
+                now_s[0] += MIN_AGE_TO_DROP_S
                 results.append(await client.exchange("POST", "/", timeout_s=30))
                 await peer.wait_for(lambda peer: peer.closed >= 1)
             return results
