--- a/tanagerpath/benchmarks/tests/test_workload_replay.py
+++ b/tanagerpath/benchmarks/tests/test_workload_replay.py
@@ -2,7 +2,7 @@
 
 import testtools
 
-from tanagerpath.benchmarks import workload_replay
+from tanagerpath.benchmarks import workload_day
 from tanagerpath.benchmarks.workload_replay import (
     DayTerms,
     replay_day,
@@ -70,8 +70,8 @@
 
     def test_hindsight_leaves_out_what_earned_nothing(self):
         # A short day, after which much is unfinished.
-        self.patch(workload_replay, "DAY_S", 8.0)
-        self.patch(workload_replay, "FINISH_S", 1.0)
+        self.patch(workload_day, "DAY_S", 8.0)
+        self.patch(workload_day, "FINISH_S", 1.0)
         terms = DayTerms(burst=False, load=1.0)
         first, second = replay_with_hindsight("few-slow", 7, terms)
         failed = sum(one.failed for one in first.by_queue.values())
