Log how long a learner takes to catch up and waits for its vote

Change: a leader reports once for each learner when it holds what the log held when it was admitted, with the time that took; "learner waits for a vote" gets the time since the admission. No decision changes. Measured: tests of core/consensus and services pass (98).

--- a/tanagerpath/core/consensus/__init__.py
+++ b/tanagerpath/core/consensus/__init__.py
@@ -49,6 +49,7 @@
             "MembershipProposed",
             "MembershipReport",
             "PromotionDelay",
+            "LearnerCaughtUp",
             "PromotionDelayed",
             "VoteChanged",
         ],
--- a/tanagerpath/core/consensus/changes.py
+++ b/tanagerpath/core/consensus/changes.py
@@ -118,8 +118,11 @@
                 continue
             progress = self._replicator.progress.get(replica_id)
             match_index = progress.match_index if progress else 0
+            waited_s = context.now_s - progress.tracked_s if progress else 0.0
             context.add_action(
-                PromotionDelayed(replica_id, delay, match_index, context.commit_index)
+                PromotionDelayed(
+                    replica_id, delay, match_index, context.commit_index, waited_s
+                )
             )
         self._delays = delays
 
--- a/tanagerpath/core/consensus/membership_reports.py
+++ b/tanagerpath/core/consensus/membership_reports.py
@@ -6,6 +6,7 @@
 
 __all__ = [
     "ChangeReason",
+    "LearnerCaughtUp",
     "MembershipCommitted",
     "MembershipProposed",
     "MembershipReport",
@@ -84,12 +85,36 @@
         Last index known to be on the learner's disk.
     commit_index : int
         Last committed index.
+    waited_s : float
+        Time in seconds since the leader has tracked the learner.
     """
 
     replica_id: str
     delay: PromotionDelay
     match_index: int
     commit_index: int
+    waited_s: float
+
+
+@attrs.frozen
+class LearnerCaughtUp:
+    """A learner holds what the log held when this leader began to track it.
+
+    Reported once for each learner and leadership.
+
+    Attributes
+    ----------
+    replica_id : str
+        The learner.
+    match_index : int
+        Last index known to be on the learner's disk.
+    elapsed_s : float
+        Time in seconds since the leader has tracked the learner.
+    """
+
+    replica_id: str
+    match_index: int
+    elapsed_s: float
 
 
 @attrs.frozen
@@ -101,5 +126,9 @@
 
 
 MembershipReport = (
-    MembershipProposed | MembershipCommitted | PromotionDelayed | VoteChanged
+    MembershipProposed
+    | MembershipCommitted
+    | PromotionDelayed
+    | LearnerCaughtUp
+    | VoteChanged
 )
--- a/tanagerpath/core/consensus/replication.py
+++ b/tanagerpath/core/consensus/replication.py
@@ -6,6 +6,7 @@
 
 from tanagerpath.core.consensus.context import ReplicaContext
 from tanagerpath.core.consensus.events import Snapshot
+from tanagerpath.core.consensus.membership_reports import LearnerCaughtUp
 from tanagerpath.core.consensus.messages import (
     AppendReply,
     AppendRequest,
@@ -46,6 +47,8 @@
         Time at which the member was last known to store an entry.
     tracked_s : float
         Time since which the leader has tracked the member.
+    initial_end_index : int
+        Last index of the log when the leader began to track the member.
     round_end_index : int
         Last index of the log when the current catch-up round began.
     round_started_s : float
@@ -64,10 +67,16 @@
     chunk_sent_s: float = -math.inf
     stored_s: float = -math.inf
     tracked_s: float = -math.inf
+    initial_end_index: int = 0
     round_end_index: int = 0
     round_started_s: float = -math.inf
     last_round_in_time: bool = False
 
+    @property
+    def holds_initial_log(self) -> bool:
+        """Whether the member holds what the log held when it was first tracked."""
+        return self.match_index >= self.initial_end_index
+
     def record_round(self, last_index: int, now_s: float, max_round_s: float) -> None:
         """Begin the next round if the member holds the log of the current one.
 
@@ -129,6 +138,7 @@
         return Progress(
             next_index=last_index + 1,
             tracked_s=context.now_s,
+            initial_end_index=last_index,
             round_end_index=last_index,
             round_started_s=context.now_s,
         )
@@ -291,10 +301,13 @@
         if progress is None:
             return
         progress.acknowledged_s = max(progress.acknowledged_s, reply.sent_s)
+        lagged = not progress.holds_initial_log
         if reply.accepted:
             self._record_match(progress, reply)
         else:
             self._decrease_next_index(sender, progress, reply)
+        if lagged and progress.holds_initial_log:
+            self._report_caught_up(sender, progress)
         progress.record_round(
             self._context.log.last_index,
             self._context.now_s,
@@ -302,6 +315,14 @@
         )
         self._replicate(sender, progress)
 
+    def _report_caught_up(self, replica_id: str, progress: Progress) -> None:
+        context = self._context
+        if not context.membership.is_voter(replica_id):
+            elapsed_s = context.now_s - progress.tracked_s
+            context.add_action(
+                LearnerCaughtUp(replica_id, progress.match_index, elapsed_s)
+            )
+
     def _record_match(self, progress: Progress, reply: AppendReply) -> None:
         match_index = min(reply.match_index, self._context.log.last_index)
         if match_index > progress.match_index:
--- a/tanagerpath/core/consensus/tests/test_membership_reports.py
+++ b/tanagerpath/core/consensus/tests/test_membership_reports.py
@@ -4,6 +4,7 @@
 
 from tanagerpath.core.consensus import (
     ChangeReason,
+    LearnerCaughtUp,
     MembershipCommitted,
     MembershipProposed,
     PromotionDelay,
@@ -55,6 +56,22 @@
         self.assertEqual([report.index for report in proposed], committed)
         self.assertTrue(recorder.find(VoteChanged)[-1].is_voter)
 
+    def test_the_time_that_a_learner_took_to_catch_up_is_reported_once(self):
+        """Guards against a late vote whose cause the log does not tell."""
+        group, _ = start_group(1)
+        recorder = _Recorder()
+        group.observers.append(recorder)
+        vm = find_followers(group)[0]
+        commit(group, 30)
+        group.empty_disk(vm.vm_id)
+        group.start(vm.vm_id)
+        self.assertTrue(group.run_until(group.has_converged, 20.0))
+        (report,) = recorder.find(LearnerCaughtUp)
+        self.assertEqual(vm.replica.replica_id, report.replica_id)
+        self.assertGreaterEqual(report.match_index, 30)
+        self.assertGreater(report.elapsed_s, 0.0)
+        self.assertLess(report.elapsed_s, 2.0)
+
     def test_a_learner_that_waits_is_reported_once_for_each_reason(self):
         group, _ = start_group(1)
         recorder = _Recorder()
--- a/tanagerpath/services/membership_log.py
+++ b/tanagerpath/services/membership_log.py
@@ -25,13 +25,21 @@
             log.info(
                 "membership committed", index=index, voters=voters, learners=learners
             )
-        case consensus.PromotionDelayed(replica_id, delay, match_index, commit_index):
+        case consensus.PromotionDelayed():
             log.info(
                 "learner waits for a vote",
+                replica=report.replica_id,
+                reason=str(report.delay),
+                match_index=report.match_index,
+                commit_index=report.commit_index,
+                waited_s=round(report.waited_s, 3),
+            )
+        case consensus.LearnerCaughtUp(replica_id, match_index, elapsed_s):
+            log.info(
+                "learner has caught up",
                 replica=replica_id,
-                reason=str(delay),
                 match_index=match_index,
-                commit_index=commit_index,
+                elapsed_s=round(elapsed_s, 3),
             )
         case consensus.VoteChanged(is_voter, index):
             log.info("vote changed", is_voter=is_voter, index=index)
--- a/tanagerpath/services/replica_task.py
+++ b/tanagerpath/services/replica_task.py
@@ -164,6 +164,7 @@
                 consensus.MembershipProposed()
                 | consensus.MembershipCommitted()
                 | consensus.PromotionDelayed()
+                | consensus.LearnerCaughtUp()
                 | consensus.VoteChanged()
             ):
                 log_membership_report(self._log, action)
