--- a/tanagerpath/core/consensus/harness.py
+++ b/tanagerpath/core/consensus/harness.py
@@ -85,6 +85,10 @@
         self.clock = SimulatedClock(0.0, 1.0)
         self.state_machine = StateMachine()
         self.frozen = False
+        # Time in seconds that each step takes while this VM leads: events that arrive
+        # meanwhile are handled in the next step, and no message leaves before the end.
+        self.leader_step_s = 0.0
+        self.step_ends_s = 0.0
         self.starts = 0
         self.inbox: list[Event] = []
         self.scheduled_tick_s: float | None = None
@@ -225,6 +229,7 @@
             return
         vm.starts += 1
         vm.frozen = False
+        vm.step_ends_s = 0.0
         vm.inbox.clear()
         vm.state_machine = StateMachine()
         vm.clock = SimulatedClock.from_random(self.random)
@@ -368,8 +373,29 @@
             if not isinstance(event, Tick):
                 vm.inbox.append(event)
             return
+        if vm.leader_step_s and vm.replica.role is Role.LEADER:
+            self._queue_step(vm, event)
+            return
         self._step(vm, vm.replica, event)
 
+    def _queue_step(self, vm: SimulatedVm, event: Event) -> None:
+        """Handle an event in the next step of a busy leader, with all that wait."""
+        vm.inbox.append(event)
+        if vm.step_ends_s > self.now_s:
+            return
+        vm.step_ends_s = self.now_s + vm.leader_step_s
+        start = vm.starts
+        self.schedule(vm.leader_step_s, lambda: self._end_step(vm, start))
+
+    def _end_step(self, vm: SimulatedVm, start: int) -> None:
+        if vm.starts != start or vm.frozen:
+            return
+        vm.step_ends_s = 0.0
+        waiting, vm.inbox = vm.inbox, []
+        for event in waiting:
+            if vm.replica is not None:
+                self._step(vm, vm.replica, event)
+
     def _step(self, vm: SimulatedVm, replica: Replica, event: Event) -> None:
         self.steps += 1
         try:
