Give a missing voter's place to a learner that holds the log of its admission

Cause: a learner got its vote only after a round of replication of at most 0.6 s, and while the next one was no older than that. Under a leader that is busy with decisions rounds take longer for as long as the load lasts. Class: a condition on the speed of the leader where a state is what matters. Change: while fewer members vote than the tolerated losses require, a learner gets the vote as soon as it has stored what the log held at its admission. Entries after that are on a quorum of the others. Replacing a voter that is away still waits for rounds in time, as it makes the quorum larger.

--- a/tanagerpath/core/consensus/changes.py
+++ b/tanagerpath/core/consensus/changes.py
@@ -217,10 +217,30 @@
             return PromotionDelay.OLDER_IDENTITY
         if not self._is_active(member):
             return PromotionDelay.SILENT
-        if not self._replicator.has_caught_up(replica_id):
+        if not self._has_caught_up(replica_id):
             return PromotionDelay.LAGS
         return None
 
+    def _has_caught_up(self, replica_id: str) -> bool:
+        """Return whether a learner holds enough of the log to get a vote.
+
+        In place of a missing voter, it is enough that it holds what the log held at its
+        admission. Until then one more lost disk may leave no quorum, and how long a
+        round of replication takes depends on the load of the leader.
+        """
+        if self._lacks_voter():
+            return self._replicator.holds_initial_log(replica_id)
+        return self._replicator.has_caught_up(replica_id)
+
+    def _lacks_voter(self) -> bool:
+        """Return whether fewer members vote than the tolerated losses require."""
+        context = self._context
+        if context.config.tolerated_losses is None:
+            return False
+        membership = context.membership
+        target = context.config.find_voter_target(membership)
+        return len(membership.voters) < target
+
     def _retire_older(self) -> Change | None:
         """Retire a voter whose VM has a newer identity as a learner."""
         membership = self._context.membership
--- a/tanagerpath/core/consensus/replication.py
+++ b/tanagerpath/core/consensus/replication.py
@@ -151,6 +151,11 @@
         round_s = self._context.now_s - progress.round_started_s
         return round_s <= self._context.config.election_timeout_min_s
 
+    def holds_initial_log(self, replica_id: str) -> bool:
+        """Return whether a member holds the log of the time it was first tracked."""
+        progress = self.progress.get(replica_id)
+        return progress is not None and progress.holds_initial_log
+
     def has_stored_recently(self, replica_id: str) -> bool:
         """Return whether a member stored an entry within an election timeout."""
         progress = self.progress.get(replica_id)
