--- a/tanagerpath/core/consensus/follower.py
+++ b/tanagerpath/core/consensus/follower.py
@@ -11,6 +11,7 @@
     SnapshotChunkReply,
     StaleTerm,
 )
+from tanagerpath.core.consensus.snapshot_transfer import SnapshotAssembly
 from tanagerpath.errors import Failure, FailureError
 
 __all__ = ["Follower", "LogDiverged"]
@@ -50,8 +51,7 @@
         self._verified_index = 0  # last index known to equal the leader's log
         self._acknowledged_index = 0
         self._last_request: AppendRequest | None = None
-        self._snapshot_id: tuple[int, int] | None = None
-        self._chunks: list[str] = []
+        self._assembly: SnapshotAssembly | None = None
 
     def _accept_leader(self, sender: str, term: int) -> bool:
         context = self._context
@@ -174,20 +174,18 @@
         if self._covers_snapshot(chunk):
             self._confirm_snapshot(sender, chunk)
             return
-        if self._snapshot_id != (chunk.last_index, chunk.last_term):
-            self._snapshot_id = (chunk.last_index, chunk.last_term)
-            self._chunks = []
-        if chunk.offset == self._received_chars():
-            self._chunks.append(chunk.text)
-            if chunk.complete:
-                self._install(sender, chunk)
-                return
+        if self._assembly is None or not self._assembly.is_for(chunk):
+            self._assembly = SnapshotAssembly(chunk.last_index, chunk.last_term)
+        self._assembly.add(chunk)
+        if self._assembly.is_complete:
+            self._install(self._assembly.join(), chunk)
+            return
         self._context.send(
             sender,
             SnapshotChunkReply(
                 self._context.term,
                 chunk.last_index,
-                self._received_chars(),
+                self._assembly.received_chars,
                 chunk.sent_s,
             ),
         )
@@ -202,13 +200,8 @@
             return True
         return context.log.find_term(chunk.last_index) == chunk.last_term
 
-    def _received_chars(self) -> int:
-        return sum(len(text) for text in self._chunks)
-
-    def _install(self, sender: str, chunk: SnapshotChunk) -> None:
-        payload = "".join(self._chunks)
-        self._chunks = []
-        self._snapshot_id = None
+    def _install(self, payload: str, chunk: SnapshotChunk) -> None:
+        self._assembly = None
         snapshot = Snapshot(
             chunk.last_index, chunk.last_term, chunk.membership, payload
         )
--- a/tanagerpath/core/consensus/replication.py
+++ b/tanagerpath/core/consensus/replication.py
@@ -5,7 +5,6 @@
 import attrs
 
 from tanagerpath.core.consensus.context import ReplicaContext
-from tanagerpath.core.consensus.events import Snapshot
 from tanagerpath.core.consensus.membership_reports import LearnerCaughtUp
 from tanagerpath.core.consensus.messages import (
     AppendReply,
@@ -13,11 +12,12 @@
     SnapshotChunk,
     SnapshotChunkReply,
 )
+from tanagerpath.core.consensus.snapshot_transfer import SnapshotTransfer
 
 __all__ = ["Progress", "Replicator"]
 
-# Heartbeat intervals after which an unanswered chunk is sent again; sooner, copies of
-# it would saturate a slow link.
+# Heartbeat intervals after which unanswered chunks are sent again; sooner, copies of
+# them would saturate a slow link.
 CHUNK_RESEND_HEARTBEATS = 5
 
 
@@ -37,12 +37,8 @@
         Last indices of unanswered append messages with entries.
     acknowledged_s : float
         Latest send time of a message that the member has answered.
-    snapshot : Snapshot or None
+    transfer : SnapshotTransfer or None
         Snapshot that is being sent.
-    snapshot_offset : int
-        Offset of the first character that the member lacks.
-    chunk_sent_s : float
-        Time at which a chunk was last sent.
     stored_s : float
         Time at which the member was last known to store an entry.
     tracked_s : float
@@ -62,9 +58,7 @@
     probing: bool = True
     in_flight: list[int] = attrs.Factory(list)
     acknowledged_s: float = -math.inf
-    snapshot: Snapshot | None = None
-    snapshot_offset: int = 0
-    chunk_sent_s: float = -math.inf
+    transfer: SnapshotTransfer | None = None
     stored_s: float = -math.inf
     tracked_s: float = -math.inf
     initial_end_index: int = 0
@@ -206,15 +200,15 @@
         """Send an empty append request to each member, and due snapshot chunks."""
         for replica_id, progress in self.progress.items():
             self._send_heartbeat(replica_id, progress)
-            self._resend_chunk(replica_id, progress)
+            self._resend_chunks(replica_id, progress)
 
     def _send_heartbeat(self, replica_id: str, progress: Progress) -> None:
         self._start_snapshot_if_needed(progress)
-        prev_index = 0 if progress.snapshot else progress.next_index - 1
+        prev_index = 0 if progress.transfer else progress.next_index - 1
         self._send_append(replica_id, prev_index, ())
 
     def _start_snapshot_if_needed(self, progress: Progress) -> None:
-        if not progress.snapshot and self._needs_snapshot(progress):
+        if not progress.transfer and self._needs_snapshot(progress):
             self._start_snapshot(progress)
 
     def _needs_snapshot(self, progress: Progress) -> bool:
@@ -222,9 +216,10 @@
         return log.snapshot is not None and progress.next_index <= log.base_index
 
     def _start_snapshot(self, progress: Progress) -> None:
-        progress.snapshot = self._context.log.snapshot
-        progress.snapshot_offset = 0
-        progress.chunk_sent_s = -math.inf
+        context = self._context
+        progress.transfer = SnapshotTransfer(
+            context.log.snapshot, context.config.snapshot_chunk_chars
+        )
         progress.in_flight.clear()
 
     def _send_append(self, replica_id: str, prev_index: int, entries: tuple) -> None:
@@ -250,11 +245,11 @@
     def _replicate(self, replica_id: str, progress: Progress) -> None:
         config = self._context.config
         log = self._context.log
-        if progress.probing or progress.snapshot:
+        if progress.probing or progress.transfer:
             return
         if self._needs_snapshot(progress):
             self._start_snapshot(progress)
-            self._resend_chunk(replica_id, progress)
+            self._send_chunks(replica_id, progress.transfer)
             return
         while (
             progress.next_index <= log.last_index
@@ -267,25 +262,27 @@
             progress.next_index = entries[-1].index + 1
             progress.in_flight.append(entries[-1].index)
 
-    def _resend_chunk(self, replica_id: str, progress: Progress) -> None:
-        config = self._context.config
-        resend_s = (
-            progress.chunk_sent_s
-            + CHUNK_RESEND_HEARTBEATS * config.heartbeat_interval_s
-        )
-        if progress.snapshot and self._context.now_s >= resend_s:
-            self._send_chunk(replica_id, progress, progress.snapshot)
+    def _resend_chunks(self, replica_id: str, progress: Progress) -> None:
+        """Send chunks of a transfer that has begun or made no progress for a while."""
+        context = self._context
+        transfer = progress.transfer
+        if transfer is None:
+            return
+        timeout_s = CHUNK_RESEND_HEARTBEATS * context.config.heartbeat_interval_s
+        if context.now_s >= transfer.sent_s + timeout_s:
+            transfer.record_loss()
+            self._send_chunks(replica_id, transfer)
+
+    def _send_chunks(self, replica_id: str, transfer: SnapshotTransfer) -> None:
+        for offset in transfer.take_offsets(self._context.now_s):
+            self._send_chunk(replica_id, transfer, offset)
 
     def _send_chunk(
-        self, replica_id: str, progress: Progress, snapshot: Snapshot
+        self, replica_id: str, transfer: SnapshotTransfer, offset: int
     ) -> None:
         context = self._context
-        size = context.config.snapshot_chunk_chars
-        # A fully sent snapshot sends its last chunk again, an empty one its only chunk.
-        last_offset = max(len(snapshot.payload) - 1, 0) // size * size
-        offset = min(progress.snapshot_offset, last_offset)
-        end = offset + size
-        progress.chunk_sent_s = context.now_s
+        snapshot = transfer.snapshot
+        end = offset + transfer.chunk_chars
         context.send(
             replica_id,
             SnapshotChunk(
@@ -336,18 +333,18 @@
         progress.in_flight = [
             index for index in progress.in_flight if index > progress.match_index
         ]
-        snapshot = progress.snapshot
-        if snapshot and progress.match_index >= snapshot.last_index:
-            progress.snapshot = None
+        transfer = progress.transfer
+        if transfer and progress.match_index >= transfer.snapshot.last_index:
+            progress.transfer = None
             progress.next_index = progress.match_index + 1
         progress.next_index = max(progress.next_index, progress.match_index + 1)
-        if not progress.snapshot and reply.prev_index >= progress.next_index - 1:
+        if not progress.transfer and reply.prev_index >= progress.next_index - 1:
             progress.probing = False
 
     def _decrease_next_index(
         self, sender: str, progress: Progress, reply: AppendReply
     ) -> None:
-        if progress.snapshot or reply.prev_index <= progress.match_index:
+        if progress.transfer or reply.prev_index <= progress.match_index:
             return
         if progress.probing and reply.prev_index != progress.next_index - 1:
             return
@@ -357,7 +354,7 @@
         progress.probing = True
         if self._needs_snapshot(progress):
             self._start_snapshot(progress)
-            self._resend_chunk(sender, progress)
+            self._send_chunks(sender, progress.transfer)
         else:
             self._send_heartbeat(sender, progress)
 
@@ -367,13 +364,11 @@
         if progress is None:
             return
         progress.acknowledged_s = max(progress.acknowledged_s, reply.sent_s)
-        snapshot = progress.snapshot
-        if snapshot is None or snapshot.last_index != reply.last_index:
+        transfer = progress.transfer
+        if transfer is None or transfer.snapshot.last_index != reply.last_index:
             return
-        moved = reply.next_offset != progress.snapshot_offset
-        progress.snapshot_offset = reply.next_offset
-        if moved and reply.next_offset < len(snapshot.payload):
-            self._send_chunk(sender, progress, snapshot)
+        transfer.record_received(reply.next_offset)
+        self._send_chunks(sender, transfer)
 
     def advance_commit(self) -> None:
         """Commit the entries that a quorum has on disk.
