Send a member that lags more batches ahead, and keep those that overtake others

Cause: a learner got two batches of the log for each round trip, which takes two steps of the leader; a log of 1,256 entries has up to 24 batches. A batch that overtook the one before it cost a rejection and another round trip. Change: full batches have a window that doubles with each answer, from two to 16, and starts again after a rejection; a follower keeps up to 16 requests whose predecessors are still on the way. Single entries still wait for a shared batch.

--- a/tanagerpath/core/consensus/follower.py
+++ b/tanagerpath/core/consensus/follower.py
@@ -16,6 +16,9 @@
 
 __all__ = ["Follower", "LogDiverged"]
 
+# At least as many as a leader sends ahead of the replies.
+MAX_REQUESTS_AHEAD = 16
+
 
 @attrs.frozen(kw_only=True)
 class LogDiverged(Failure):
@@ -42,6 +45,8 @@
         Shared state of the replica.
     """
 
+    assembly_class = SnapshotAssembly
+
     def __init__(self, context: ReplicaContext) -> None:
         self._context = context
         self._reset_leader_state()
@@ -51,6 +56,8 @@
         self._verified_index = 0  # last index known to equal the leader's log
         self._acknowledged_index = 0
         self._last_request: AppendRequest | None = None
+        # Requests that overtook the one before them, by the index before their entries.
+        self._ahead: dict[int, AppendRequest] = {}
         self._assembly: SnapshotAssembly | None = None
 
     def _accept_leader(self, sender: str, term: int) -> bool:
@@ -72,6 +79,24 @@
             self._context.send(sender, StaleTerm(self._context.term))
             return
         request = self._skip_compacted_entries(request)
+        if self._keep_if_ahead(request):
+            return
+        self._handle_next(sender, request)
+        while following := self._ahead.pop(self._context.log.last_index, None):
+            self._handle_next(sender, following)
+
+    def _keep_if_ahead(self, request: AppendRequest) -> bool:
+        """Keep entries whose predecessors are still on the way; return whether kept.
+
+        If those are lost, the reply to the next heartbeat tells the leader.
+        """
+        has_gap = request.prev_index > self._context.log.last_index
+        if not (request.entries and has_gap) or len(self._ahead) >= MAX_REQUESTS_AHEAD:
+            return False
+        self._ahead[request.prev_index] = request
+        return True
+
+    def _handle_next(self, sender: str, request: AppendRequest) -> None:
         if self._context.log.find_term(request.prev_index) != request.prev_term:
             self._reject(sender, request, self._find_hint(request.prev_index))
             return
@@ -175,7 +200,7 @@
             self._confirm_snapshot(sender, chunk)
             return
         if self._assembly is None or not self._assembly.is_for(chunk):
-            self._assembly = SnapshotAssembly(chunk.last_index, chunk.last_term)
+            self._assembly = self.assembly_class(chunk.last_index, chunk.last_term)
         self._assembly.add(chunk)
         if self._assembly.is_complete:
             self._install(self._assembly.join(), chunk)
--- a/tanagerpath/core/consensus/replication.py
+++ b/tanagerpath/core/consensus/replication.py
@@ -5,6 +5,7 @@
 import attrs
 
 from tanagerpath.core.consensus.context import ReplicaContext
+from tanagerpath.core.consensus.events import LogEntry
 from tanagerpath.core.consensus.membership_reports import LearnerCaughtUp
 from tanagerpath.core.consensus.messages import (
     AppendReply,
@@ -12,6 +13,7 @@
     SnapshotChunk,
     SnapshotChunkReply,
 )
+from tanagerpath.core.consensus.send_window import SendWindow
 from tanagerpath.core.consensus.snapshot_transfer import SnapshotTransfer
 
 __all__ = ["Progress", "Replicator"]
@@ -19,6 +21,8 @@
 # Heartbeat intervals after which unanswered chunks are sent again; sooner, copies of
 # them would saturate a slow link.
 CHUNK_RESEND_HEARTBEATS = 5
+# Append messages on the way to a member that lags by more than one of them.
+MAX_CATCH_UP_BATCHES = 16
 
 
 @attrs.define
@@ -33,6 +37,8 @@
         Last index known to be on the member's disk.
     probing : bool
         True until a reply shows where the logs match; only heartbeats are sent then.
+    window : SendWindow
+        Limit of unanswered append messages with entries.
     in_flight : list of int
         Last indices of unanswered append messages with entries.
     acknowledged_s : float
@@ -54,6 +60,7 @@
     """
 
     next_index: int
+    window: SendWindow
     match_index: int = 0
     probing: bool = True
     in_flight: list[int] = attrs.Factory(list)
@@ -131,6 +138,9 @@
         last_index = context.log.last_index
         return Progress(
             next_index=last_index + 1,
+            window=SendWindow(
+                context.config.max_batches_in_flight, MAX_CATCH_UP_BATCHES
+            ),
             tracked_s=context.now_s,
             initial_end_index=last_index,
             round_end_index=last_index,
@@ -251,17 +261,26 @@
             self._start_snapshot(progress)
             self._send_chunks(replica_id, progress.transfer)
             return
-        while (
-            progress.next_index <= log.last_index
-            and len(progress.in_flight) < config.max_batches_in_flight
-        ):
+        while progress.next_index <= log.last_index:
             entries = log.read_batch(
                 progress.next_index, config.max_batch_entries, config.max_batch_chars
             )
+            if not self._may_send(progress, entries):
+                return
             self._send_append(replica_id, progress.next_index - 1, entries)
             progress.next_index = entries[-1].index + 1
             progress.in_flight.append(entries[-1].index)
 
+    def _may_send(self, progress: Progress, entries: tuple[LogEntry, ...]) -> bool:
+        """Return whether a batch may be sent before the ones on the way are answered.
+
+        The wider window is for full batches only. Single entries wait for the next
+        batch, so that many proposals share a message.
+        """
+        is_full = entries[-1].index < self._context.log.last_index
+        limit = progress.window.size if is_full else progress.window.initial_size
+        return len(progress.in_flight) < limit
+
     def _resend_chunks(self, replica_id: str, progress: Progress) -> None:
         """Send chunks of a transfer that has begun or made no progress for a while."""
         context = self._context
@@ -328,6 +347,7 @@
     def _record_match(self, progress: Progress, reply: AppendReply) -> None:
         match_index = min(reply.match_index, self._context.log.last_index)
         if match_index > progress.match_index:
+            progress.window.record_answer()
             progress.match_index = match_index
             progress.stored_s = self._context.now_s
         progress.in_flight = [
@@ -350,6 +370,7 @@
             return
         hint = min(reply.hint_index, reply.prev_index)
         progress.next_index = max(progress.match_index + 1, hint)
+        progress.window.record_loss()
         progress.in_flight.clear()
         progress.probing = True
         if self._needs_snapshot(progress):
--- a/tanagerpath/core/consensus/tests/faulty.py
+++ b/tanagerpath/core/consensus/tests/faulty.py
@@ -15,6 +15,7 @@
 from tanagerpath.core.consensus.membership_reports import ChangeReason
 from tanagerpath.core.consensus.replica import Replica
 from tanagerpath.core.consensus.replication import Replicator
+from tanagerpath.core.consensus.snapshot_transfer import SnapshotAssembly
 
 
 class _UnsyncedSendJournal(Journal):
@@ -141,6 +142,23 @@
     follower_class = _UncheckedTermFollower
 
 
+class _ArrivalOrderAssembly(SnapshotAssembly):
+    def add(self, chunk):
+        self._texts.append(chunk.text)
+        self.received_chars += len(chunk.text)
+        self.is_complete = chunk.complete
+
+
+class _ArrivalOrderFollower(Follower):
+    assembly_class = _ArrivalOrderAssembly
+
+
+class JoinsChunksAsTheyArrive(Replica):
+    """Puts the chunks of a snapshot together in the order of their arrival."""
+
+    follower_class = _ArrivalOrderFollower
+
+
 class _CommitAllFollower(Follower):
     def handle_append(self, sender, request):
         last_index = self._context.log.last_index + len(request.entries)
--- a/tanagerpath/core/consensus/tests/scenarios.py
+++ b/tanagerpath/core/consensus/tests/scenarios.py
@@ -205,3 +205,24 @@
     group.blocked_links.clear()
     group.run_for(5.0)
     return monitor
+
+
+def run_crossing_elections(seed, factory):
+    """Vote requests take so long that several candidates ask in the same term."""
+    group, monitor = start_group(seed, 5, factory=factory)
+    group.faults = NetworkFaults(slow=1.0, max_slow_s=1.5)
+    group.run_for(40.0)
+    return monitor
+
+
+def run_diverged_log(seed, factory):
+    """A leader that was cut off has entries of its own when it follows again."""
+    group, monitor = start_group(seed, factory=factory)
+    leader = group.find_leader()
+    group.isolate(leader.vm_id)
+    for number in range(SETTINGS["max_batch_entries"]):
+        group.propose(leader.vm_id, f"only-on-{leader.vm_id}-{number}")
+    group.run_for(3.0)
+    group.blocked_links.clear()
+    commit(group, 2 * SETTINGS["snapshot_after_entries"])
+    return monitor
--- a/tanagerpath/core/consensus/tests/test_faults.py
+++ b/tanagerpath/core/consensus/tests/test_faults.py
@@ -35,8 +35,8 @@
         run_random,
     ),
     (faulty.CommitsWhatItReceives, "committed is on a quorum of disks", run_random),
-    (faulty.VotesTwice, "one vote in a term", run_random),
-    (faulty.VotesTwice, "one leader in a term", run_random),
+    (faulty.VotesTwice, "one vote in a term", scenarios.run_crossing_elections),
+    (faulty.VotesTwice, "one leader in a term", scenarios.run_crossing_elections),
     (
         faulty.VotesForShortLogs,
         "leader holds what is committed",
@@ -44,7 +44,8 @@
     ),
     (faulty.SkipsTermOfPreviousEntry, "log matching", run_random),
     (faulty.SkipsTermOfPreviousEntry, "no committed entry changes", run_random),
-    (faulty.SkipsTermOfPreviousEntry, "snapshot equals the log", run_random),
+    (faulty.SkipsTermOfPreviousEntry, "log matching", scenarios.run_diverged_log),
+    (faulty.JoinsChunksAsTheyArrive, "snapshot equals the log", run_random),
     (faulty.VotesUnderLease, "one lease", scenarios.run_vote_under_lease),
     (
         faulty.KeepsLeaseDuringTransfer,
