Lose disks one after the other beside a backlog in the soak on real processes

The soak could not find it, because it plays one caller, few queued workloads and a check of the service between the losses. It checks the promises as before, and in the logs that each vote is back in time; late votes and missing service are reported apart.

--- a/tanagerpath/emulator/soak.py
+++ b/tanagerpath/emulator/soak.py
@@ -5,6 +5,8 @@
 settings say must be borne. Nothing that was acknowledged may be gone or shown older.
 Stand-in workers run the tasks, while their links to the control processes fail too; no
 task may run twice at once or again after it is done, and all workloads must complete.
+With `--disk-series`, disks are lost one after the other, each as soon as the VM before
+it counts as back, beside a backlog of workloads; a vote that is late is told apart.
 The last line is JSON with the counts over all seeds and the seeds that failed.
 """
 
@@ -18,6 +20,8 @@
 import anyio
 import attrs
 
+from tanagerpath.emulator.soak_disk_plan import DEFAULT_BACKLOG, DiskSeriesPlan
+from tanagerpath.emulator.soak_disk_run import run_disk_series
 from tanagerpath.emulator.soak_interface import SoakInterface
 from tanagerpath.emulator.soak_plan import Layout, SoakPlan
 from tanagerpath.emulator.soak_run import SoakResult, run_seed
@@ -25,11 +29,14 @@
 __all__ = ["main"]
 
 
-def _run_one(plan: SoakPlan, interface: SoakInterface, keeps_logs: bool) -> SoakResult:
+def _run_one(
+    plan: SoakPlan | DiskSeriesPlan, interface: SoakInterface, keeps_logs: bool
+) -> SoakResult:
     """Play a plan; the logs of a seed that failed are kept in any case."""
     folder = pathlib.Path(tempfile.mkdtemp(prefix=f"tanagerpath-soak-{plan.seed}-"))
-    result = anyio.run(run_seed, plan, interface, folder)
-    verdict = "FAILED" if result.broken else "passed"
+    run = run_disk_series if isinstance(plan, DiskSeriesPlan) else run_seed
+    result = anyio.run(run, plan, interface, folder)
+    verdict = "FAILED" if result.has_failed else "passed"
     print(
         f"seed {plan.seed}: {verdict} in {result.duration_s} s, "
         f"{plan.layout.controls} control processes, "
@@ -42,12 +49,17 @@
         f"slowest sync {result.slowest_sync_s} s",
         flush=True,
     )
+    if result.votes:
+        votes = [vote.elapsed_s for vote in result.votes]
+        print(f"  votes after lost disks: {votes} s after the start", flush=True)
     for text in result.broken:
         print(f"  {text}", flush=True)
+    for text in result.late_votes:
+        print(f"  late vote: {text}", flush=True)
     if keeps_logs:
         for text in (*result.restarts_after_idle_expiry, *result.restarts_after_expiry):
             print(f"  excused by an expired lease: {text}", flush=True)
-    if result.broken or keeps_logs:
+    if result.has_failed or keeps_logs:
         print(f"  logs: {folder}", flush=True)
     else:
         shutil.rmtree(folder)
@@ -65,12 +77,25 @@
     add("--controls", type=int, help="control processes, with --losses")
     add("--losses", type=int, help="losses that must be borne, with --controls")
     add("--workers", type=int, help="workers; 0 leaves all workloads queued")
+    add("--disk-series", action="store_true", help="lose disks one after the other")
+    add(
+        "--backlog",
+        type=int,
+        default=DEFAULT_BACKLOG,
+        help="queued workloads before the first lost disk, with --disk-series",
+    )
     add("--keep-logs", action="store_true", help="keep the logs of all seeds")
     return parser
 
 
-def _choose_layout(flags: argparse.Namespace, seed: int) -> Layout:
-    layout = Layout.from_seed(seed)
+def _choose_plan(flags: argparse.Namespace, seed: int) -> SoakPlan | DiskSeriesPlan:
+    if flags.disk_series:
+        layout = _choose_layout(flags, DiskSeriesPlan.choose_layout(seed))
+        return DiskSeriesPlan.from_seed(seed, layout, flags.backlog)
+    return SoakPlan.from_seed(seed, _choose_layout(flags, Layout.from_seed(seed)))
+
+
+def _choose_layout(flags: argparse.Namespace, layout: Layout) -> Layout:
     if flags.controls:
         layout = Layout(flags.controls, flags.losses, layout.workers)
     if flags.workers is not None:
@@ -85,13 +110,14 @@
     flags = make_parser().parse_args(arguments)
     results = [
         _run_one(
-            SoakPlan.from_seed(seed, _choose_layout(flags, seed)),
+            _choose_plan(flags, seed),
             PlatformInterface(),
             flags.keep_logs,
         )
         for seed in range(flags.first, flags.first + flags.seeds)
     ]
-    failed = [result.seed for result in results if result.broken]
+    failed = [result.seed for result in results if result.has_failed]
+    votes = [vote.elapsed_s for result in results for vote in result.votes]
     summary = {
         "seeds": len(results),
         "passed": len(results) - len(failed),
@@ -104,6 +130,14 @@
             (one for result in results for one in result.recovered_s), default=None
         ),
         "failed_seeds": failed,
+        "seeds_without_service": [result.seed for result in results if result.outages],
+        "seeds_with_late_votes": [
+            result.seed for result in results if result.late_votes
+        ],
+        "votes": len(votes),
+        "late_votes": sum(len(result.late_votes) for result in results),
+        "missing_votes": votes.count(None),
+        "slowest_vote_s": max(filter(None, votes), default=None),
     }
     print(json.dumps(summary))
     return 1 if failed else 0
--- a/tanagerpath/emulator/soak_clients.py
+++ b/tanagerpath/emulator/soak_clients.py
@@ -304,6 +304,8 @@
         Draws identities and requests.
     make_workload : callable
         Returns a workload with an identity.
+    pause_s : float
+        Pause in seconds after each request.
     """
 
     def __init__(
@@ -313,11 +315,13 @@
         address: str,
         source: random.Random,
         make_workload: Callable[[str], WorkloadSpec],
+        pause_s: float = PAUSE_S,
     ) -> None:
         self._interface = interface
         self._judge = judge
         self._source = source
         self._make_workload = make_workload
+        self._pause_s = pause_s
         self._client = HttpClient(address, 1)
         self._accepted: list[str] = []
         self._refused: list[str] = []
@@ -334,7 +338,12 @@
                 await self._exchange(workload_id, self._interface.cancel(workload_id))
             else:
                 await self._show(self._source.choice(self._accepted))
-            await anyio.sleep(PAUSE_S)
+            await anyio.sleep(self._pause_s)
+
+    async def submit_many(self, count: int) -> None:
+        """Submit workloads without a pause until this many are accepted."""
+        while len(self._accepted) < count:
+            await self._submit()
 
     async def check_all(self) -> list[str]:
         """Ask for every workload until its reply is clear; return those that have none.
--- a/tanagerpath/emulator/soak_faults.py
+++ b/tanagerpath/emulator/soak_faults.py
@@ -5,7 +5,17 @@
 
 import attrs
 
-__all__ = ["FAULTS", "LEADER", "Fault", "FaultSequence", "FaultStep", "FaultTarget"]
+__all__ = [
+    "FAULTS",
+    "LEADER",
+    "Fault",
+    "FaultSequence",
+    "FaultStep",
+    "FaultTarget",
+    "Freeze",
+    "Kill",
+    "Terminate",
+]
 
 # Stands in a step for the VM whose process leads when the step begins.
 LEADER = "leader"
--- a/tanagerpath/emulator/soak_site.py
+++ b/tanagerpath/emulator/soak_site.py
@@ -78,6 +78,11 @@
         """Address of the entry for callers."""
         return self._interface.find_address(self._entry)
 
+    @property
+    def entry_id(self) -> str:
+        """Name of the VM with the entry."""
+        return self._entry.vm_id
+
     def list_processes(self) -> dict[str, str]:
         """Return the public addresses by the name of the process.
 
@@ -149,6 +154,16 @@
         self._write_settings(vm, self._draw_seeds(), may_found=False)
         self._processes.reload(vm_id)
 
+    def read_log(self, vm_id: str) -> list[str]:
+        """Return the lines that all processes of a VM have logged."""
+        path = self._processes.find_log(vm_id)
+        return path.read_text(encoding="utf-8", errors="replace").splitlines()
+
+    async def start_entry(self) -> None:
+        """Start the entry again after it was killed, and wait until it listens."""
+        self._launch(self._entry, self._draw_seeds(), may_found=False)
+        await self._wait_until_listening(self._entry)
+
     async def start(self, vm_id: str) -> None:
         """Start the process again once it has ended, and wait until it listens."""
         await self._wait_until_ended(vm_id)
--- a/tanagerpath/emulator/soak_workloads.py
+++ b/tanagerpath/emulator/soak_workloads.py
@@ -9,6 +9,7 @@
 
 __all__ = [
     "TaskWork",
+    "draw_large_workload",
     "draw_workload",
     "list_tasks",
     "make_plain_workload",
@@ -18,6 +19,9 @@
 TASK_NEEDS = Resources(cpu_millicores=500)
 RUN_MIN_S = 0.2
 RUN_MAX_S = 3.0
+# Takes a worker of its own, so that a backlog is not run while it is played.
+LARGE_NEEDS = Resources(cpu_millicores=8000)
+LARGE_PAYLOAD_MAX_BYTES = 4000
 MAX_TASKS = 3
 GANG_SIZES = (2, 4)
 MS_PER_S = 1000
@@ -70,6 +74,16 @@
     )
 
 
+def draw_large_workload(workload_id: str, source: random.Random) -> WorkloadSpec:
+    """Return a workload of one task with a payload of up to 4,000 bytes."""
+    run_ms = int(source.uniform(RUN_MIN_S, RUN_MAX_S) * MS_PER_S)
+    work = f"{run_ms}*0 "
+    length = source.randint(len(work), LARGE_PAYLOAD_MAX_BYTES)
+    filler = source.randbytes(length).hex()[: length - len(work)]
+    step = StepSpec(count=1, needs=LARGE_NEEDS, declared_run_s=run_ms / MS_PER_S)
+    return WorkloadSpec(workload_id=workload_id, payload=work + filler, steps=(step,))
+
+
 def list_tasks(spec: WorkloadSpec, step: int) -> list[TaskId]:
     """Return the tasks of a step."""
     count = spec.steps[step].count
