--- a/tanagerpath/platform/tests/test_soak_disks.py
+++ b/tanagerpath/platform/tests/test_soak_disks.py
@@ -28,7 +28,6 @@
         result = anyio.run(
             run_disk_series, plan, PlatformInterface(), pathlib.Path(folder.name)
         )
-        self.assertEqual((), result.broken)
-        self.assertEqual((), result.late_votes)
+        self.assertEqual(((), ()), (result.broken, result.late_votes))
         self.assertEqual(3, len(result.votes))
         self.assertGreater(result.workloads, BACKLOG)
