Hold orders back when the lease ran out during a decision

Change: the calls of a decision are sent if the lease holds once the decision has ended. Otherwise they wait, in their order, until it is renewed; those of an earlier term are dropped.

--- a/tanagerpath/core/control/replicated.py
+++ b/tanagerpath/core/control/replicated.py
@@ -62,6 +62,11 @@
         """The replica; read only for its status."""
         return self._replica
 
+    @property
+    def led_term(self) -> int | None:
+        """Term in which this node decides, None while it does not."""
+        return self._led_term
+
     @property
     def is_deciding(self) -> bool:
         """Whether this node leads and has begun its term."""
--- a/tanagerpath/services/replica_task.py
+++ b/tanagerpath/services/replica_task.py
@@ -27,6 +27,7 @@
     ResponseTimedOut,
     TransferLeadership,
 )
+from tanagerpath.services.leased_calls import LeasedCalls
 from tanagerpath.services.links import LinkSet
 from tanagerpath.services.membership_log import log_membership_report
 from tanagerpath.services.peers import PeerSet
@@ -89,6 +90,7 @@
         self._replies: dict[int, Reply] = {}
         self._tokens = itertools.count(1)
         self._links: LinkSet | None = None
+        self._leased_calls = LeasedCalls()
 
     @property
     def metrics(self) -> MetricsRegistry:
@@ -140,11 +142,21 @@
         self._execute_all(self._node.decide(now_s, self._clock.read_unix_s()))
 
     def _execute_all(self, actions: list[ControlAction]) -> None:
+        self._leased_calls.enter_term(self._node.led_term)
         for action in actions:
             self._execute(action)
+        self._send_leased_calls()
         self._pending_responses.flush()
         self._peers.retain(self._node.replica.peer_addresses)
 
+    def _send_leased_calls(self) -> None:
+        """Send the orders of the leader's decisions if the lease still holds."""
+        if not self._leased_calls:
+            return
+        if self._node.replica.has_lease(self._clock.read_s()):
+            for call in self._leased_calls.take():
+                self._links.call(call)
+
     def _translate(self, message: object) -> list[ControlEvent]:
         match message:
             case ConsensusArrived(messages, reply):
@@ -177,7 +189,7 @@
             case SendReply(token, reply):
                 self._replies.pop(token).send(self._complete_reply(reply))
             case CallUpstream():
-                self._links.call(action)
+                self._leased_calls.add(action)
             case CountEvent(name):
                 self._metrics.count("events", type=name)
             case consensus.ReportRole(role, term, leader_id):
