Add tests of clients whose bytes cost a process far more than themselves

What callers saw: no answer while a crowd sends chunks of one byte; a process whose memory grows with pipelined requests and with large submissions whose replies are unread.

--- a/tanagerpath/platform/tests/crowds.py
+++ b/tanagerpath/platform/tests/crowds.py
@@ -27,12 +27,14 @@
     return len(os.listdir(f"/proc/{process.pid}/fd"))
 
 
-def connect(url, receive_buffer_bytes=0):
-    """Open a connection to the host and port of a URL."""
+def connect(url, receive_buffer_bytes=0, send_buffer_bytes=0):
+    """Open a connection to the host and port of a URL; 0 is the system's size."""
     host, port = url.partition("//")[2].partition("/")[0].split(":")
     one = socket.socket()
     if receive_buffer_bytes:
         one.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, receive_buffer_bytes)
+    if send_buffer_bytes:
+        one.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, send_buffer_bytes)
     one.settimeout(SEND_TIMEOUT_S)
     one.connect((host, int(port)))
     return one
@@ -155,10 +157,25 @@
         return left
 
 
+def make_chunk(size):
+    """Return one chunk of a chunked body."""
+    return b"%x\r\n%b\r\n" % (size, b" " * size)
+
+
+ENDLESS_PIECE = make_chunk(PIECE_BYTES)
+
+
 class EndlessUpstream:
-    """An upstream that answers each order with a body without end."""
+    """An upstream that answers each order with a body without end.
+
+    Parameters
+    ----------
+    piece : bytes
+        Chunks that the upstream sends again and again.
+    """
 
-    def __init__(self):
+    def __init__(self, piece=ENDLESS_PIECE):
+        self._piece = piece
         self._listener = socket.create_server(("127.0.0.1", 0))
         self.port = self._listener.getsockname()[1]
         self.replies = 0
@@ -176,12 +193,11 @@
 
     def _answer(self, one):
         one.settimeout(SEND_TIMEOUT_S)
-        piece = b"%x\r\n%b\r\n" % (PIECE_BYTES, b" " * PIECE_BYTES)
         with one, contextlib.suppress(OSError):
             one.recv(65_536)
             one.sendall(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
             for _ in range(BODY_BYTES // PIECE_BYTES):
-                one.sendall(piece)
+                one.sendall(self._piece)
         self.replies += 1
 
     def close(self):
