--- a/tanagerpath/runtime/limits.py
+++ b/tanagerpath/runtime/limits.py
@@ -5,6 +5,7 @@
 import attrs
 
 __all__ = [
+    "MAX_HEADER_FIELDS",
     "BodyRule",
     "ListenerLimits",
     "Refusal",
@@ -17,6 +18,9 @@
 MIB = 1024 * KIB
 # Not below the time after which `HttpClient` drops an idle connection.
 DEFAULT_IDLE_TIMEOUT_S = 75.0
+# Each field takes some 200 bytes besides its text.
+MAX_HEADER_FIELDS = 256
+BAD_REQUEST_STATUS = 400
 CONTENT_TOO_LARGE_STATUS = 413
 HEADER_TOO_LARGE_STATUS = 431
 UNAVAILABLE_STATUS = 503
@@ -31,6 +35,7 @@
     HEADER_TIMEOUT = "header_timeout"
     BODY_TIMEOUT = "body_timeout"
     MALFORMED = "malformed"
+    COSTLY_CHUNKS = "costly_chunks"
     TOO_MANY_CONNECTIONS = "too_many_connections"
     REPLIES_FULL = "replies_full"
     REPLY_TIMEOUT = "reply_timeout"
@@ -72,6 +77,12 @@
         return headers
 
 
+MALFORMED = Refusal(
+    RejectionReason.MALFORMED, BAD_REQUEST_STATUS, b"Invalid HTTP request received."
+)
+COSTLY_CHUNKS = Refusal(
+    RejectionReason.COSTLY_CHUNKS, BAD_REQUEST_STATUS, b"chunks too small\n"
+)
 HEADER_TOO_LARGE = Refusal(
     RejectionReason.HEADER_TOO_LARGE, HEADER_TOO_LARGE_STATUS, b"header too large\n"
 )
@@ -104,6 +115,9 @@
         Size of all header fields of a request.
     max_body_bytes : int
         Size of a body that no rule covers.
+    max_chunk_overhead_bytes : int
+        By how much chunk lines and trailers of a body may exceed its data. Chunks of
+        five bytes never do.
     body_rules : tuple of BodyRule
         Limits for kinds of requests; the first that matches applies.
     header_timeout_s : float
@@ -118,6 +132,7 @@
     max_connections: int = 65_536
     max_header_bytes: int = 64 * KIB
     max_body_bytes: int = 64 * MIB
+    max_chunk_overhead_bytes: int = 64 * KIB
     body_rules: tuple[BodyRule, ...] = ()
     header_timeout_s: float = DEFAULT_IDLE_TIMEOUT_S
     idle_timeout_s: float = DEFAULT_IDLE_TIMEOUT_S
