Parse what a client sends in turns, so that it can't hold the others

Callers saw: with 20 clients that sent chunks of one byte for 3 s, an ordinary request waited 4 to 5 s, also after they had gone. An entry grew with pipelined submissions whose replies weren't read. Cause: a read of 64 KiB holds 10,900 chunks, each an event of h11, and all were parsed in one turn of the event loop. The library resumed reading for each request of a pipeline, so 64 KiB more waited in memory after each. Change: connections use RequestParser; a turn parses at most four parts of a connection, and at most four connections that have more left (ParsingQueue). Reading stays paused until all is parsed, and while pipelined requests wait. Replies are written by uvicorn's httptools protocol instead of h11. A refusal during the body no longer logs a traceback if the handler has not begun.

--- a/tanagerpath/runtime/bodies.py
+++ b/tanagerpath/runtime/bodies.py
@@ -15,8 +15,6 @@
 
 # Separators of a header field: ": " and the end of the line.
 FIELD_OVERHEAD_BYTES = 4
-# Each field takes some 200 bytes besides its text.
-MAX_HEADER_FIELDS = 256
 
 
 @attrs.frozen
@@ -64,9 +62,7 @@
         """Read the body of a request, then handle it."""
         connection = scope.get("state", {}).pop(CONNECTION_KEY, None)
         head = _read_head(scope)
-        max_header_bytes = self._guard.limits.max_header_bytes
-        has_many_fields = len(scope["headers"]) > MAX_HEADER_FIELDS
-        if has_many_fields or head.header_bytes > max_header_bytes:
+        if head.header_bytes > self._guard.limits.max_header_bytes:
             await self._refuse(HEADER_TOO_LARGE, connection, send)
             return
         if head.body_bytes == 0:
--- a/tanagerpath/runtime/connections.py
+++ b/tanagerpath/runtime/connections.py
@@ -2,22 +2,38 @@
 
 import asyncio
 import enum
-import logging
 from typing import Any
 
 import attrs
-import h11
-from uvicorn.protocols.http.h11_impl import H11Protocol
+from uvicorn.protocols.http.flow_control import HIGH_WATER_LIMIT
+from uvicorn.protocols.http.httptools_impl import HttpToolsProtocol
 
 from tanagerpath.runtime.budgets import ByteBudget, ByteHolder
+from tanagerpath.runtime.chunked_body import BodyPart, CostlyChunks
+from tanagerpath.runtime.exchanges import (
+    HeldFlowControl,
+    make_cycle,
+    make_scope,
+    write_refusal,
+)
 from tanagerpath.runtime.limits import (
     BODY_TOO_LARGE,
+    COSTLY_CHUNKS,
+    HEADER_TOO_LARGE,
+    MALFORMED,
     ListenerLimits,
     Refusal,
     RejectionObserver,
     RejectionReason,
     SilentObserver,
 )
+from tanagerpath.runtime.parsing_queue import ParsingConnection, ParsingQueue
+from tanagerpath.runtime.request_parser import (
+    MalformedRequest,
+    RequestHead,
+    RequestParser,
+    TooManyFields,
+)
 
 __all__ = ["CONNECTION_KEY", "BoundedProtocol", "ListenerGuard", "RequestHolder"]
 
@@ -28,6 +44,9 @@
 RECEIVE_BYTES = 64 * 1024
 # The limit of header fields excludes the request line.
 REQUEST_LINE_BYTES = 8 * 1024
+# A head and a few parts of its body; further ones wait until the event loop has served
+# other connections.
+EVENTS_PER_TURN = 4
 # Share that is added to timeouts, as clients measure them at the other end of a link.
 TIMEOUT_MARGIN = 1.1
 # A body that arrives steadily may take this multiple of the idle timeout.
@@ -58,6 +77,12 @@
     _Phase.READER: RejectionReason.REPLY_TIMEOUT,
 }
 
+_REFUSALS: dict[type[Exception], Refusal] = {
+    MalformedRequest: MALFORMED,
+    TooManyFields: HEADER_TOO_LARGE,
+    CostlyChunks: COSTLY_CHUNKS,
+}
+
 
 class RequestHolder(ByteHolder):
     """The body of one request in the budget of bodies.
@@ -106,6 +131,9 @@
     is_internal : bool
         Whether only processes of the system connect; their bodies may use the whole
         budget.
+    parsing : ParsingQueue
+        Connections that have received more than is parsed in one turn of the event
+        loop.
     """
 
     name: str = "http"
@@ -116,6 +144,7 @@
     is_internal: bool = False
     body_too_large: Refusal = BODY_TOO_LARGE
     trusts_length: bool = True
+    parsing: ParsingQueue = attrs.field(factory=ParsingQueue, init=False)
     _open: set["BoundedProtocol"] = attrs.field(factory=set, init=False)
     # Both in the order in which their connections entered the phase.
     _waiting: dict["BoundedProtocol", None] = attrs.field(factory=dict, init=False)
@@ -144,6 +173,7 @@
         self._open.discard(connection)
         self._waiting.pop(connection, None)
         self._receiving.pop(connection, None)
+        self.parsing.remove(connection)
         self.replies.release(connection)
 
     def move(self, connection: "BoundedProtocol", phase: _Phase) -> None:
@@ -156,10 +186,11 @@
             self._receiving[connection] = None
 
 
-class BoundedProtocol(H11Protocol, ByteHolder):
+class BoundedProtocol(HttpToolsProtocol, ByteHolder, ParsingConnection):
     """Connection of the HTTP server that keeps the limits of its listener.
 
-    One timer for each connection checks its deadline, which each phase sets.
+    One timer for each connection checks its deadline, which each phase sets. Requests
+    are read one at a time, and a bounded part of one in each turn of the event loop.
 
     Parameters
     ----------
@@ -179,9 +210,13 @@
     ) -> None:
         super().__init__(config, server_state, app_state, _loop)
         self._guard = guard
-        self.conn = h11.Connection(
-            h11.SERVER, guard.limits.max_header_bytes + REQUEST_LINE_BYTES
+        # The library's parser would read all requests that have arrived at once.
+        self.parser = None
+        self._requests = RequestParser(
+            guard.limits.max_header_bytes + REQUEST_LINE_BYTES,
+            guard.limits.max_chunk_overhead_bytes,
         )
+        self._is_queued = False
         self.app_state = {**app_state, CONNECTION_KEY: self}
         self._phase = _Phase.HEADER
         self._deadline_s: float | None = None
@@ -195,6 +230,7 @@
         """Add the connection to those of the listener."""
         super().connection_made(transport)
         transport.max_size = RECEIVE_BYTES
+        self.flow = HeldFlowControl(transport)
         self._guard.add(self)
         self._enter(_Phase.HEADER)
 
@@ -282,15 +318,74 @@
         self._unread_bytes = self.transport.get_write_buffer_size()
         return self._unread_bytes <= before - MIN_READ_BYTES
 
+    # Requests
+
     def data_received(self, data: bytes) -> None:
         """Parse what has arrived, and note what the connection waits for now."""
-        if self._phase is _Phase.REFUSED:
+        if self._phase is _Phase.REFUSED or self.transport.is_closing():
+            return
+        self._requests.receive(data)
+        if not self._is_queued:
+            self.parse_further()
+
+    def parse_further(self) -> None:
+        """Parse a part of what has arrived, and queue if more is left."""
+        self._is_queued = False
+        if self._phase is _Phase.REFUSED or self.transport.is_closing():
             return
-        self.conn.receive_data(data)
-        self.handle_events()
-        if not self.transport.is_closing() and not self.flow.write_paused:
+        self._parse()
+        is_ending = self._phase is _Phase.REFUSED or self.transport.is_closing()
+        if not is_ending and not self.flow.write_paused:
             self._update_phase()
 
+    def _parse(self) -> None:
+        """Parse for one turn of the event loop, and leave the rest for a later one."""
+        try:
+            has_all = self._handle_events()
+        except tuple(_REFUSALS) as error:
+            refusal = _REFUSALS[type(error)]
+            self._guard.note(refusal.reason)
+            self.refuse(refusal)
+            return
+        has_unread = self._requests.unread_bytes > 0
+        if has_unread and not has_all:
+            self.flow.hold_reading()
+            self._is_queued = True
+            self._guard.parsing.add(self)
+        elif has_unread and self._requests.is_complete:
+            # The next request waits for the reply to this one.
+            self.flow.hold_reading()
+        else:
+            self.flow.release_reading()
+            if self.cycle is None or len(self.cycle.body) <= HIGH_WATER_LIMIT:
+                self.flow.resume_reading()
+
+    def _handle_events(self) -> bool:
+        """Return whether all that can be read by now has been read."""
+        for _ in range(EVENTS_PER_TURN):
+            event = self._requests.next_event()
+            match event:
+                case None:
+                    return True
+                case RequestHead():
+                    self._start_request(event)
+                case BodyPart():
+                    self._add_to_body(event)
+        return False
+
+    def _start_request(self, head: RequestHead) -> None:
+        self.cycle = make_cycle(self, head, make_scope(self, head))
+        self._start_asgi_task(self.cycle, self.app)
+
+    def _add_to_body(self, part: BodyPart) -> None:
+        cycle = self.cycle
+        cycle.waiting_for_100_continue = False
+        cycle.body += part.data
+        cycle.more_body = not part.is_last
+        cycle.message_event.set()
+        if len(cycle.body) > HIGH_WATER_LIMIT:
+            self.flow.pause_reading()
+
     def _update_phase(self) -> None:
         cycle = self.cycle
         if cycle is None or cycle.response_complete:
@@ -305,30 +400,24 @@
                 self._body_deadline_s = self.loop.time() + body_timeout_s
             self._enter(_Phase.BODY)
 
-    def send_400_response(self, msg: str) -> None:
-        """Refuse what is not HTTP, or a header that exceeds the limit."""
-        self._guard.note(RejectionReason.MALFORMED)
-        try:
-            super().send_400_response(msg)
-        except h11.LocalProtocolError:
-            # The reply to this request has begun.
-            self.abort()
-
     def refuse(self, refusal: Refusal) -> None:
         """Reply to the open request, read no further, and close the connection soon."""
-        # The library then sends no reply of its own.
-        self.cycle.disconnected = True
-        self.cycle.body = bytearray()
-        self.scope = self.headers = self.cycle.scope = None
+        method = None
+        cycle = self.cycle
+        if cycle is not None and not cycle.response_complete:
+            if cycle.response_started:
+                self.abort()
+                return
+            method = cycle.scope["method"]
+            # The handler then ends without a reply, and what it holds is freed.
+            cycle.disconnected = True
+            cycle.message_event.set()
+            self.cycle = None
         if self._is_forgotten or self.transport.is_closing():
             return
-        self.flow.pause_reading()
-        events = (
-            h11.Response(status_code=refusal.status, headers=refusal.list_headers()),
-            h11.Data(data=refusal.text),
-            h11.EndOfMessage(),
-        )
-        self.transport.write(b"".join(self.conn.send(event) for event in events))
+        self._requests.clear()
+        self.flow.hold_reading()
+        self.transport.write(write_refusal(refusal, method))
         self.transport.write_eof()
         self._enter(_Phase.REFUSED)
 
@@ -344,15 +433,16 @@
             # The reply to a pipelined request would wait in memory too.
             self._is_completion_deferred = True
             return
+        if not self._requests.is_complete:
+            # The rest of the request is not read.
+            self.transport.close()
+            return
         self._enter(_Phase.IDLE)
-        self.flow.resume_reading()
-        is_done = self.conn.our_state is h11.DONE
-        if is_done and self.conn.their_state is h11.DONE:
-            previous = self.cycle
-            self.conn.start_next_cycle()
-            self.handle_events()
-            if self.cycle is not previous:
-                self._update_phase()
+        previous = self.cycle
+        self._requests.start_next_request()
+        self._parse()
+        if self.cycle is not previous:
+            self._update_phase()
 
     def pause_writing(self) -> None:
         """Count a reply that the client does not read as fast as it is written."""
@@ -371,13 +461,3 @@
             self.on_response_complete()
         elif not self.transport.is_closing():
             self._enter(_Phase.HANDLER)
-
-
-class _WithoutWarnings(logging.Filter):
-    """Drops the library's line for each malformed request; guards count them."""
-
-    def filter(self, record: logging.LogRecord) -> bool:
-        return record.levelno != logging.WARNING
-
-
-logging.getLogger("uvicorn.error").addFilter(_WithoutWarnings())
