Keep replies of small chunks in one buffer, and refuse those of little but chunk lines

Callers saw: nothing yet; found by asking what a byte of a reply costs. Cause: each chunk of a reply was an object of its own, and the budget was asked for each. A reply of 4 MiB in chunks of two bytes held 90 MB, of which the budget counted 4 MiB. Change: the body is one buffer; limits and budget are checked once for each read. Chunk lines and trailers may exceed the data by 64 KiB, as in requests; chunks of five bytes or more never do. A reply over that counts as a lost one.

--- a/tanagerpath/runtime/http_messages.py
+++ b/tanagerpath/runtime/http_messages.py
@@ -8,6 +8,7 @@
 from tanagerpath.runtime.budgets import ByteBudget, ByteHolder
 
 __all__ = [
+    "MAX_CHUNK_OVERHEAD_BYTES",
     "MAX_HEAD_BYTES",
     "BrokenReply",
     "HttpReply",
@@ -21,6 +22,8 @@
 
 # The parser has no limit of its own for heads, chunk extensions and trailers.
 MAX_HEAD_BYTES = 64 * 1024
+# By how much chunk lines and trailers may exceed the data of a reply.
+MAX_CHUNK_OVERHEAD_BYTES = 64 * 1024
 _HTTP_1_0 = "1.0"
 _HTTP_1_1 = "1.1"
 _FIRST_INFORMATIONAL = 100
@@ -140,12 +143,12 @@
         self.keeps_open = False
         self._limits = limits
         self._holder = holder
-        self._parts: list[bytes] = []
-        self._size = 0
+        self._body = bytearray()
+        self._received_bytes = 0
         self._bytes_since_element = 0
         self._has_head = False
         self._has_length = False
-        self._is_oversized = False
+        self._is_chunked = False
         self._fault = ""
         self._parser = httptools.HttpResponseParser(self)
         self._parser.set_dangerous_leniencies(lenient_optional_cr_before_lf=True)
@@ -153,7 +156,7 @@
     @property
     def body(self) -> bytes:
         """The body that has arrived so far."""
-        return self._parts[0] if len(self._parts) == 1 else b"".join(self._parts)
+        return bytes(self._body)
 
     def feed(self, data: bytes) -> None:
         """Parse the next bytes.
@@ -161,10 +164,12 @@
         Raises
         ------
         BrokenReply
-            If they are no valid reply.
+            If they are no valid reply, or little but chunk lines.
         OversizedReply
             If the body exceeds a limit.
         """
+        had_bytes = len(self._body)
+        self._received_bytes += len(data)
         self._bytes_since_element += len(data)
         try:
             self._parser.feed_data(data)
@@ -173,12 +178,22 @@
             if not self.is_complete:
                 raise BrokenReply(self._fault or str(error)) from None
             self.keeps_open = False
-        if self._is_oversized:
+        if not self._has_room(len(self._body) - had_bytes):
+            self._body = bytearray()
             raise OversizedReply
         if self._fault:
             raise BrokenReply(self._fault)
-        if not self.is_complete and self._bytes_since_element > MAX_HEAD_BYTES:
+        if self.is_complete:
+            self._release()
+        else:
+            self._check_overhead()
+
+    def _check_overhead(self) -> None:
+        if self._bytes_since_element > MAX_HEAD_BYTES:
             raise BrokenReply("head too long")
+        excess = self._received_bytes - 2 * len(self._body)
+        if self._is_chunked and excess > MAX_CHUNK_OVERHEAD_BYTES:
+            raise BrokenReply("chunks too small")
 
     def end_of_stream(self) -> None:
         """Note that no more bytes will arrive; a body without a length ends here.
@@ -190,19 +205,16 @@
         """
         if not self._has_head or self._has_length:
             raise BrokenReply("end of stream")
-        self._complete()
+        self.is_complete = True
+        self._release()
 
     def close(self) -> None:
         """Free the body and its bytes in the budget."""
         self._release()
-        self._parts = []
+        self._body = bytearray()
         # The library's parser refers to this object as well.
         self._parser = None
 
-    def _complete(self) -> None:
-        self.is_complete = True
-        self._release()
-
     def _release(self) -> None:
         if self._limits.budget is not None:
             self._limits.budget.release(self._holder)
@@ -225,7 +237,7 @@
             # The parser would take a body with other encodings as it is.
             if self._has_length or value.strip().lower() != b"chunked":
                 self._fault = "transfer encoding"
-            self._has_length = True
+            self._has_length = self._is_chunked = True
 
     def on_headers_complete(self) -> None:
         """Note the status, unless it is an informational one."""
@@ -239,6 +251,7 @@
             self._fault = "status"
         elif status >= _FIRST_FINAL:
             self._has_head = True
+            self._received_bytes = 0
             self.status = status
 
     def on_chunk_header(self) -> None:
@@ -246,25 +259,22 @@
         self._bytes_since_element = 0
 
     def on_body(self, part: bytes) -> None:
-        """Add a part of the body, if there is room for it."""
-        if self.is_complete or self._is_oversized:
+        """Add a part of the body; the limits are checked once for all that is fed."""
+        if self.is_complete:
             return
         self._bytes_since_element = 0
-        self._size += len(part)
-        if self._has_room(len(part)):
-            self._parts.append(part)
-        else:
-            self._is_oversized = True
-            self._parts = []
+        self._body += part
 
-    def _has_room(self, further: int) -> bool:
-        if self._size > self._limits.max_bytes:
+    def _has_room(self, further_bytes: int) -> bool:
+        if len(self._body) > self._limits.max_bytes:
             return False
         budget = self._limits.budget
-        return budget is None or budget.take(self._holder, further)
+        if budget is None or not further_bytes:
+            return True
+        return budget.take(self._holder, further_bytes)
 
     def on_message_complete(self) -> None:
         """End the reply, unless it is an informational one."""
         if self._has_head and not self.is_complete:
             self.keeps_open = self._parser.should_keep_alive()
-            self._complete()
+            self.is_complete = True
--- a/tanagerpath/runtime/tests/test_http_messages.py
+++ b/tanagerpath/runtime/tests/test_http_messages.py
@@ -7,6 +7,7 @@
 
 from tanagerpath.runtime.budgets import ByteBudget, ByteHolder
 from tanagerpath.runtime.http_messages import (
+    MAX_CHUNK_OVERHEAD_BYTES,
     MAX_HEAD_BYTES,
     BrokenReply,
     HttpRequest,
@@ -132,6 +133,41 @@
         ):
             self.assertRaises(BrokenReply, parse, start, *[part] * 5)
 
+    def test_reply_of_small_chunks_is_refused(self):
+        """Guards against a body of 4 MiB that takes 90 MB and millions of calls."""
+        parser = make_parser(max_bytes=4 * MAX_CHUNK_OVERHEAD_BYTES)
+        parser.feed(CHUNKED_HEAD)
+        fitting = MAX_CHUNK_OVERHEAD_BYTES // 4
+        parser.feed(b"1\r\nx\r\n" * fitting)
+        self.assertEqual(fitting, len(parser.body))
+        self.assertRaises(BrokenReply, parser.feed, b"1\r\nx\r\n")
+        self.assertRaises(
+            BrokenReply,
+            parse,
+            CHUNKED_HEAD,
+            *[b"1;" + b"a" * 1000 + b"\r\nx\r\n"] * 70,
+        )
+
+    def test_chunks_of_five_bytes_are_never_too_small(self):
+        parser = make_parser(max_bytes=10 * MAX_CHUNK_OVERHEAD_BYTES)
+        parser.feed(CHUNKED_HEAD)
+        for _ in range(10):
+            parser.feed(b"5\r\n12345\r\n" * 10_000)
+        self.assertEqual(500_000, len(parser.body))
+
+    def test_budget_is_asked_once_for_all_that_has_arrived(self):
+        """Guards against work for each chunk, of which one read has thousands."""
+        asked = []
+
+        class CountingBudget(ByteBudget):
+            def take(self, holder, size, *, is_privileged=False):
+                asked.append(size)
+                return super().take(holder, size, is_privileged=is_privileged)
+
+        parser = make_parser(max_bytes=1000, budget=CountingBudget(1000))
+        parser.feed(CHUNKED_HEAD + b"2\r\nxx\r\n" * 100)
+        self.assertEqual([200], asked)
+
     def test_body_of_many_parts_is_no_endless_line(self):
         parser = make_parser(max_bytes=4 * MAX_HEAD_BYTES)
         parser.feed(HEAD + b"Content-Length: %d\r\n\r\n" % (4 * MAX_HEAD_BYTES))
