Keep a request body that arrives in small parts in one buffer

Callers saw: nothing yet; found by asking what a byte of a body costs. Cause: each part of a body was an object of its own until the body was whole. Parts of two bytes, one to a segment, take more than twenty times their size, of which the budget of bodies counts one. Change: the body is one buffer. Evidence: the new test holds 12.5 MB for a body of 200 KB on, and less than 0.8 MB now.

--- a/tanagerpath/runtime/bodies.py
+++ b/tanagerpath/runtime/bodies.py
@@ -106,24 +106,24 @@
         self, receive: Receive, holder: RequestHolder, max_bytes: int
     ) -> bytes | Refusal | None:
         """Return the body, a refusal, or None if the client has disconnected."""
-        parts = []
-        size = 0
+        body = bytearray()
         while True:
             message = await receive()
             if message["type"] != "http.request":
                 return None
             part = message["body"]
-            size += len(part)
-            if size > max_bytes:
+            if len(body) + len(part) > max_bytes:
                 return self._guard.body_too_large
             is_internal = self._guard.is_internal
             if not self._guard.bodies.take(
                 holder, len(part), is_privileged=is_internal
             ):
                 return BODIES_FULL
-            parts.append(part)
+            if not message["more_body"] and not body:
+                return part
+            body += part
             if not message["more_body"]:
-                return part if len(parts) == 1 else b"".join(parts)
+                return bytes(body)
 
 
 def _make_replay(body: bytes, receive: Receive) -> Receive:
