--- a/tanagerpath/services/client_limits.py
+++ b/tanagerpath/services/client_limits.py
@@ -73,6 +73,7 @@
     header_timeout_s: float = 10.0
     idle_timeout_s: float = 75.0
     write_timeout_s: float = 10.0
+    chunk_overhead_kib: int = 64
     caller_header_kib: int = 64
     caller_body_kib: int = 1024
 
@@ -142,7 +143,7 @@
             max_connections=self._choose_connections(0.5),
             max_header_bytes=self._terms.caller_header_kib * KIB,
             max_body_bytes=self._terms.caller_body_kib * KIB,
-            **self._list_timeouts(),
+            **self._list_common(),
         )
         return CallerGuard(self._make("callers", defaults), defaults)
 
@@ -153,7 +154,7 @@
             max_header_bytes=INTERNAL_HEADER_BYTES,
             max_body_bytes=PLAIN_BODY_BYTES,
             body_rules=rules,
-            **self._list_timeouts(),
+            **self._list_common(),
         )
         return self._make("operators", limits)
 
@@ -162,7 +163,7 @@
         limits = ListenerLimits(
             max_connections=self._choose_connections(0.05),
             max_body_bytes=PLAIN_BODY_BYTES,
-            **self._list_timeouts(),
+            **self._list_common(),
         )
         return self._make("readiness", limits)
 
@@ -171,6 +172,7 @@
         limits = ListenerLimits(
             max_connections=self._choose_connections(0.05),
             max_body_bytes=PLAIN_BODY_BYTES,
+            max_chunk_overhead_bytes=self._terms.chunk_overhead_kib * KIB,
         )
         return self._make("metrics", limits)
 
@@ -179,6 +181,7 @@
         limits = ListenerLimits(
             max_connections=self._choose_connections(0.35),
             max_body_bytes=INTERNAL_BODY_BYTES,
+            max_chunk_overhead_bytes=self._terms.chunk_overhead_kib * KIB,
         )
         return self._make("internal", limits, is_internal=True)
 
@@ -195,8 +198,10 @@
             terms.max_descriptors, terms.memory_limit_mb, share
         )
 
-    def _list_timeouts(self) -> dict[str, float]:
+    def _list_common(self) -> dict[str, float]:
+        """Return the limits that are the same for all clients from outside."""
         return {
+            "max_chunk_overhead_bytes": self._terms.chunk_overhead_kib * KIB,
             "header_timeout_s": self._terms.header_timeout_s,
             "idle_timeout_s": self._terms.idle_timeout_s,
             "write_timeout_s": self._terms.write_timeout_s,
--- a/tanagerpath/services/tests/test_client_limits.py
+++ b/tanagerpath/services/tests/test_client_limits.py
@@ -4,7 +4,7 @@
 
 from tanagerpath.core.workloads.configuration import CallerLimits
 from tanagerpath.observability.metrics import MetricsRegistry
-from tanagerpath.runtime.limits import MIB
+from tanagerpath.runtime.limits import KIB, MIB
 from tanagerpath.services.client_limits import (
     INTERNAL_BODY_BYTES,
     ClientLimitTerms,
@@ -54,6 +54,18 @@
         guard = _make_guards(idle_timeout_s=0.5).make_internal()
         self.assertGreater(guard.limits.idle_timeout_s, 60.0)
 
+    def test_chunk_overhead_is_limited_on_all_listeners(self):
+        guards = _make_guards(chunk_overhead_kib=3)
+        listeners = (
+            guards.make_callers().guard,
+            guards.make_operators(()),
+            guards.make_internal(),
+            guards.make_probe(),
+            guards.make_metrics(),
+        )
+        limits = {one.limits.max_chunk_overhead_bytes for one in listeners}
+        self.assertEqual({3 * KIB}, limits)
+
 
 class TestCallerGuard(testtools.TestCase):
     def test_limits_of_a_configuration_replace_the_defaults_until_the_next(self):
--- a/tanagerpath/settings/workloads.py
+++ b/tanagerpath/settings/workloads.py
@@ -241,6 +241,13 @@
     3600.0,
     "Time for which a client may leave a reply unread.",
 )
+_CHUNK_OVERHEAD_KIB = Setting(
+    name="chunk_overhead_kib",
+    type=WholeNumberType(1, 65_536),
+    unit="KiB",
+    default=64,
+    description="By how much chunk lines and trailers of a body may exceed its data.",
+)
 _CALLER_HEADER_KIB = Setting(
     name="caller_header_kib",
     type=WholeNumberType(1, 1024),
@@ -308,6 +315,7 @@
     header_timeout_s: float = declare(_HEADER_TIMEOUT_S)
     idle_timeout_s: float = declare(_IDLE_TIMEOUT_S)
     write_timeout_s: float = declare(_WRITE_TIMEOUT_S)
+    chunk_overhead_kib: int = declare(_CHUNK_OVERHEAD_KIB)
     log_level: str = declare(common.LOG_LEVEL)
 
 
@@ -328,6 +336,7 @@
     header_timeout_s: float = declare(_HEADER_TIMEOUT_S)
     idle_timeout_s: float = declare(_IDLE_TIMEOUT_S)
     write_timeout_s: float = declare(_WRITE_TIMEOUT_S)
+    chunk_overhead_kib: int = declare(_CHUNK_OVERHEAD_KIB)
     log_level: str = declare(common.LOG_LEVEL)
 
 
@@ -350,6 +359,7 @@
     header_timeout_s: float = declare(_HEADER_TIMEOUT_S)
     idle_timeout_s: float = declare(_IDLE_TIMEOUT_S)
     write_timeout_s: float = declare(_WRITE_TIMEOUT_S)
+    chunk_overhead_kib: int = declare(_CHUNK_OVERHEAD_KIB)
     caller_header_kib: int = declare(_CALLER_HEADER_KIB)
     caller_body_kib: int = declare(_CALLER_BODY_KIB)
     log_level: str = declare(common.LOG_LEVEL)
