Move the guard of a listener out of the module of its connections

Change: guards.py holds ListenerGuard, RequestHolder, the phases of a connection and what a guard asks of one (GuardedConnection). No change of behaviour; connections.py goes on to export ListenerGuard.

--- a/tanagerpath/runtime/bodies.py
+++ b/tanagerpath/runtime/bodies.py
@@ -3,9 +3,9 @@
 import attrs
 from starlette.types import ASGIApp, Message, Receive, Scope, Send
 
-from tanagerpath.runtime.connections import (
+from tanagerpath.runtime.guards import (
     CONNECTION_KEY,
-    BoundedProtocol,
+    GuardedConnection,
     ListenerGuard,
     RequestHolder,
 )
@@ -87,7 +87,7 @@
             self._guard.bodies.release(holder)
 
     async def _refuse(
-        self, refusal: Refusal, connection: BoundedProtocol | None, send: Send
+        self, refusal: Refusal, connection: GuardedConnection | None, send: Send
     ) -> None:
         """Reply; the rest of the request is not read."""
         self._guard.note(refusal.reason)
--- a/tanagerpath/runtime/connections.py
+++ b/tanagerpath/runtime/connections.py
@@ -1,14 +1,11 @@
-"""Connections of a listener: their number, their timeouts and their unread replies."""
+"""Connections of a listener: their requests, timeouts and unread replies."""
 
 import asyncio
-import enum
 from typing import Any
 
-import attrs
 from uvicorn.protocols.http.flow_control import HIGH_WATER_LIMIT
 from uvicorn.protocols.http.httptools_impl import HttpToolsProtocol
 
-from tanagerpath.runtime.budgets import ByteBudget, ByteHolder
 from tanagerpath.runtime.chunked_body import BodyPart, CostlyChunks
 from tanagerpath.runtime.exchanges import (
     HeldFlowControl,
@@ -16,18 +13,19 @@
     make_scope,
     write_refusal,
 )
+from tanagerpath.runtime.guards import (
+    CONNECTION_KEY,
+    ConnectionPhase,
+    GuardedConnection,
+    ListenerGuard,
+)
 from tanagerpath.runtime.limits import (
-    BODY_TOO_LARGE,
     COSTLY_CHUNKS,
     HEADER_TOO_LARGE,
     MALFORMED,
-    ListenerLimits,
     Refusal,
-    RejectionObserver,
     RejectionReason,
-    SilentObserver,
 )
-from tanagerpath.runtime.parsing_queue import ParsingConnection, ParsingQueue
 from tanagerpath.runtime.request_parser import (
     MalformedRequest,
     RequestHead,
@@ -35,10 +33,8 @@
     TooManyFields,
 )
 
-__all__ = ["CONNECTION_KEY", "BoundedProtocol", "ListenerGuard", "RequestHolder"]
+__all__ = ["BoundedProtocol", "ListenerGuard"]
 
-# Key of the connection in the state of a request.
-CONNECTION_KEY = "tanagerpath.connection"
 # One read of a socket. The library's 256 KiB would be held for each connection before
 # a limit can take effect.
 RECEIVE_BYTES = 64 * 1024
@@ -55,26 +51,12 @@
 REFUSAL_TIMEOUT_S = 1.0
 # A client that reads this much of a large reply within the timeout gets another one.
 MIN_READ_BYTES = 64 * 1024
-DEFAULT_BODIES_BYTES = 256 * 1024 * 1024
-DEFAULT_REPLIES_BYTES = 256 * 1024 * 1024
-
-
-class _Phase(enum.Enum):
-    """What a connection waits for."""
-
-    HEADER = "header"
-    IDLE = "idle"
-    BODY = "body"
-    HANDLER = "handler"
-    READER = "reader"
-    REFUSED = "refused"
-
 
 # The end of an idle connection is not a rejection.
 _TIMEOUT_REASONS = {
-    _Phase.HEADER: RejectionReason.HEADER_TIMEOUT,
-    _Phase.BODY: RejectionReason.BODY_TIMEOUT,
-    _Phase.READER: RejectionReason.REPLY_TIMEOUT,
+    ConnectionPhase.HEADER: RejectionReason.HEADER_TIMEOUT,
+    ConnectionPhase.BODY: RejectionReason.BODY_TIMEOUT,
+    ConnectionPhase.READER: RejectionReason.REPLY_TIMEOUT,
 }
 
 _REFUSALS: dict[type[Exception], Refusal] = {
@@ -84,109 +66,7 @@
 }
 
 
-class RequestHolder(ByteHolder):
-    """The body of one request in the budget of bodies.
-
-    Parameters
-    ----------
-    guard : ListenerGuard
-        Guard of the listener.
-    connection : BoundedProtocol or None
-        Connection of the request.
-    """
-
-    def __init__(
-        self, guard: "ListenerGuard", connection: "BoundedProtocol | None"
-    ) -> None:
-        self._guard = guard
-        self._connection = connection
-
-    def drop(self) -> None:
-        """Close the connection of a body that is still incomplete."""
-        self._guard.note(RejectionReason.BODIES_FULL)
-        if self._connection is not None:
-            self._connection.abort()
-
-
-@attrs.define(eq=False)
-class ListenerGuard:
-    """Limits and open connections of one listener.
-
-    Attributes
-    ----------
-    name : str
-        Name of the listener in metrics and logs.
-    limits : ListenerLimits
-        Current limits; replaced when they change.
-    bodies, replies : ByteBudget
-        Bodies that are read, and replies that clients have not read, of the process.
-    observer : RejectionObserver
-        Is told of each rejection.
-    body_too_large : Refusal
-        Reply to a request whose body exceeds its limit.
-    trusts_length : bool
-        Whether an announced length over the limit is refused before the body is read.
-        Otherwise a client gets its reply although it reads only after it has sent a
-        body that is slightly too large.
-    is_internal : bool
-        Whether only processes of the system connect; their bodies may use the whole
-        budget.
-    parsing : ParsingQueue
-        Connections that have received more than is parsed in one turn of the event
-        loop.
-    """
-
-    name: str = "http"
-    limits: ListenerLimits = attrs.Factory(ListenerLimits)
-    bodies: ByteBudget = attrs.Factory(lambda: ByteBudget(DEFAULT_BODIES_BYTES))
-    replies: ByteBudget = attrs.Factory(lambda: ByteBudget(DEFAULT_REPLIES_BYTES))
-    observer: RejectionObserver = attrs.Factory(SilentObserver)
-    is_internal: bool = False
-    body_too_large: Refusal = BODY_TOO_LARGE
-    trusts_length: bool = True
-    parsing: ParsingQueue = attrs.field(factory=ParsingQueue, init=False)
-    _open: set["BoundedProtocol"] = attrs.field(factory=set, init=False)
-    # Both in the order in which their connections entered the phase.
-    _waiting: dict["BoundedProtocol", None] = attrs.field(factory=dict, init=False)
-    _receiving: dict["BoundedProtocol", None] = attrs.field(factory=dict, init=False)
-
-    def note(self, reason: str) -> None:
-        """Record a rejection."""
-        self.observer.note_rejection(self.name, reason)
-
-    def add(self, connection: "BoundedProtocol") -> None:
-        """Add a connection, and close another one if there are too many.
-
-        A connection without a request is closed first, the oldest one, then one with
-        an incomplete body or an unread reply; if all requests are being handled, it is
-        the new one.
-        """
-        self._open.add(connection)
-        if len(self._open) <= self.limits.max_connections:
-            return
-        self.note(RejectionReason.TOO_MANY_CONNECTIONS)
-        victim = next(iter(self._waiting), None) or next(iter(self._receiving), None)
-        (victim or connection).abort()
-
-    def remove(self, connection: "BoundedProtocol") -> None:
-        """Remove a connection that is closed or about to be."""
-        self._open.discard(connection)
-        self._waiting.pop(connection, None)
-        self._receiving.pop(connection, None)
-        self.parsing.remove(connection)
-        self.replies.release(connection)
-
-    def move(self, connection: "BoundedProtocol", phase: _Phase) -> None:
-        """Record the phase that a connection has entered."""
-        self._waiting.pop(connection, None)
-        self._receiving.pop(connection, None)
-        if phase in (_Phase.HEADER, _Phase.IDLE):
-            self._waiting[connection] = None
-        elif phase is not _Phase.HANDLER:
-            self._receiving[connection] = None
-
-
-class BoundedProtocol(HttpToolsProtocol, ByteHolder, ParsingConnection):
+class BoundedProtocol(HttpToolsProtocol, GuardedConnection):
     """Connection of the HTTP server that keeps the limits of its listener.
 
     One timer for each connection checks its deadline, which each phase sets. Requests
@@ -218,7 +98,7 @@
         )
         self._is_queued = False
         self.app_state = {**app_state, CONNECTION_KEY: self}
-        self._phase = _Phase.HEADER
+        self._phase = ConnectionPhase.HEADER
         self._deadline_s: float | None = None
         self._body_deadline_s = 0.0
         self._timer: asyncio.TimerHandle | None = None
@@ -232,7 +112,7 @@
         transport.max_size = RECEIVE_BYTES
         self.flow = HeldFlowControl(transport)
         self._guard.add(self)
-        self._enter(_Phase.HEADER)
+        self._enter(ConnectionPhase.HEADER)
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Forget the connection."""
@@ -260,31 +140,31 @@
 
     # Phases
 
-    def _enter(self, phase: _Phase) -> None:
+    def _enter(self, phase: ConnectionPhase) -> None:
         if self._is_forgotten:
             return
-        if phase is not self._phase or phase is _Phase.HEADER:
+        if phase is not self._phase or phase is ConnectionPhase.HEADER:
             self._guard.move(self, phase)
         self._phase = phase
         self._deadline_s = self._find_deadline_s(phase)
         if self._deadline_s is not None:
             self._start_timer()
 
-    def _find_deadline_s(self, phase: _Phase) -> float | None:
+    def _find_deadline_s(self, phase: ConnectionPhase) -> float | None:
         limits = self._guard.limits
         match phase:
-            case _Phase.HANDLER:
+            case ConnectionPhase.HANDLER:
                 return None
-            case _Phase.HEADER:
+            case ConnectionPhase.HEADER:
                 timeout_s = limits.header_timeout_s
-            case _Phase.READER:
+            case ConnectionPhase.READER:
                 timeout_s = limits.write_timeout_s
-            case _Phase.REFUSED:
+            case ConnectionPhase.REFUSED:
                 timeout_s = REFUSAL_TIMEOUT_S
             case _:
                 timeout_s = limits.idle_timeout_s
         deadline_s = self.loop.time() + timeout_s * TIMEOUT_MARGIN
-        if phase is _Phase.BODY:
+        if phase is ConnectionPhase.BODY:
             return min(deadline_s, self._body_deadline_s)
         return deadline_s
 
@@ -304,8 +184,8 @@
         if self.loop.time() < self._deadline_s:
             self._start_timer()
             return
-        if self._phase is _Phase.READER and self._has_read_on():
-            self._enter(_Phase.READER)
+        if self._phase is ConnectionPhase.READER and self._has_read_on():
+            self._enter(ConnectionPhase.READER)
             return
         reason = _TIMEOUT_REASONS.get(self._phase)
         if reason is not None:
@@ -322,7 +202,7 @@
 
     def data_received(self, data: bytes) -> None:
         """Parse what has arrived, and note what the connection waits for now."""
-        if self._phase is _Phase.REFUSED or self.transport.is_closing():
+        if self._phase is ConnectionPhase.REFUSED or self.transport.is_closing():
             return
         self._requests.receive(data)
         if not self._is_queued:
@@ -331,10 +211,12 @@
     def parse_further(self) -> None:
         """Parse a part of what has arrived, and queue if more is left."""
         self._is_queued = False
-        if self._phase is _Phase.REFUSED or self.transport.is_closing():
+        if self._phase is ConnectionPhase.REFUSED or self.transport.is_closing():
             return
         self._parse()
-        is_ending = self._phase is _Phase.REFUSED or self.transport.is_closing()
+        is_ending = (
+            self._phase is ConnectionPhase.REFUSED or self.transport.is_closing()
+        )
         if not is_ending and not self.flow.write_paused:
             self._update_phase()
 
@@ -389,16 +271,16 @@
     def _update_phase(self) -> None:
         cycle = self.cycle
         if cycle is None or cycle.response_complete:
-            if self._phase is _Phase.IDLE:
-                self._enter(_Phase.HEADER)
+            if self._phase is ConnectionPhase.IDLE:
+                self._enter(ConnectionPhase.HEADER)
         elif not cycle.more_body:
-            if self._phase is not _Phase.HANDLER:
-                self._enter(_Phase.HANDLER)
+            if self._phase is not ConnectionPhase.HANDLER:
+                self._enter(ConnectionPhase.HANDLER)
         else:
-            if self._phase is not _Phase.BODY:
+            if self._phase is not ConnectionPhase.BODY:
                 body_timeout_s = self._guard.limits.idle_timeout_s * BODY_TIMEOUT_FACTOR
                 self._body_deadline_s = self.loop.time() + body_timeout_s
-            self._enter(_Phase.BODY)
+            self._enter(ConnectionPhase.BODY)
 
     def refuse(self, refusal: Refusal) -> None:
         """Reply to the open request, read no further, and close the connection soon."""
@@ -419,7 +301,7 @@
         self.flow.hold_reading()
         self.transport.write(write_refusal(refusal, method))
         self.transport.write_eof()
-        self._enter(_Phase.REFUSED)
+        self._enter(ConnectionPhase.REFUSED)
 
     # Replies
 
@@ -427,7 +309,7 @@
         """Wait for the next request once the client has read the reply."""
         if self.transport.is_closing():
             # The rest of the reply is still to be sent.
-            self._enter(_Phase.READER)
+            self._enter(ConnectionPhase.READER)
             return
         if self.flow.write_paused:
             # The reply to a pipelined request would wait in memory too.
@@ -437,7 +319,7 @@
             # The rest of the request is not read.
             self.transport.close()
             return
-        self._enter(_Phase.IDLE)
+        self._enter(ConnectionPhase.IDLE)
         previous = self.cycle
         self._requests.start_next_request()
         self._parse()
@@ -447,7 +329,7 @@
     def pause_writing(self) -> None:
         """Count a reply that the client does not read as fast as it is written."""
         super().pause_writing()
-        self._enter(_Phase.READER)
+        self._enter(ConnectionPhase.READER)
         self._unread_bytes = self.transport.get_write_buffer_size()
         if not self._guard.replies.take(self, self._unread_bytes):
             self.drop()
@@ -460,4 +342,4 @@
             self._is_completion_deferred = False
             self.on_response_complete()
         elif not self.transport.is_closing():
-            self._enter(_Phase.HANDLER)
+            self._enter(ConnectionPhase.HANDLER)
--- a/tanagerpath/runtime/server.py
+++ b/tanagerpath/runtime/server.py
@@ -15,7 +15,8 @@
 from starlette.types import ASGIApp, Message, Receive, Scope, Send
 
 from tanagerpath.runtime.bodies import BodyReader
-from tanagerpath.runtime.connections import BoundedProtocol, ListenerGuard
+from tanagerpath.runtime.connections import BoundedProtocol
+from tanagerpath.runtime.guards import ListenerGuard
 from tanagerpath.runtime.tasks import Task
 
 __all__ = ["ErrorHandler", "HttpServer", "HttpServerGroup", "bind_listener"]
--- a/tanagerpath/services/client_limits.py
+++ b/tanagerpath/services/client_limits.py
@@ -8,7 +8,7 @@
 from tanagerpath.core.workloads.configuration import CallerLimits
 from tanagerpath.observability.metrics import MetricsRegistry
 from tanagerpath.runtime.budgets import ByteBudget
-from tanagerpath.runtime.connections import ListenerGuard
+from tanagerpath.runtime.guards import ListenerGuard
 from tanagerpath.runtime.limits import (
     KIB,
     MIB,
--- a/tanagerpath/services/entry.py
+++ b/tanagerpath/services/entry.py
@@ -18,7 +18,7 @@
 from tanagerpath.errors import Failure
 from tanagerpath.observability.logs import get_logger
 from tanagerpath.runtime import Application, Clock, Mailbox, Reply, SystemClock, Task
-from tanagerpath.runtime.connections import ListenerGuard
+from tanagerpath.runtime.guards import ListenerGuard
 from tanagerpath.runtime.limits import (
     BODY_TOO_LARGE,
     MIB,
