Close a refused connection also if the client reads an earlier reply on

Callers saw: nothing yet; found while reading the phases of a connection. Cause: a refusal behind a reply that fills the write buffer is followed by the event that the client reads on, which put the connection back into the phase of a handler. That has no deadline and is never closed for a newer connection. Change: a refused connection enters no other phase. Evidence: the new test waits 20 s in vain without the change.

--- a/tanagerpath/runtime/connections.py
+++ b/tanagerpath/runtime/connections.py
@@ -141,7 +141,7 @@
     # Phases
 
     def _enter(self, phase: ConnectionPhase) -> None:
-        if self._is_forgotten:
+        if self._is_forgotten or self._phase is ConnectionPhase.REFUSED:
             return
         if phase is not self._phase or phase is ConnectionPhase.HEADER:
             self._guard.move(self, phase)
@@ -214,10 +214,7 @@
         if self._phase is ConnectionPhase.REFUSED or self.transport.is_closing():
             return
         self._parse()
-        is_ending = (
-            self._phase is ConnectionPhase.REFUSED or self.transport.is_closing()
-        )
-        if not is_ending and not self.flow.write_paused:
+        if not self.transport.is_closing() and not self.flow.write_paused:
             self._update_phase()
 
     def _parse(self) -> None:
--- a/tanagerpath/runtime/tests/loop_transport.py
+++ b/tanagerpath/runtime/tests/loop_transport.py
@@ -23,11 +23,14 @@
         Whether the protocol takes more data.
     is_closed : bool
         Whether the protocol has closed the connection or its own half of it.
+    is_aborted : bool
+        Whether the protocol has closed the connection at once.
     """
 
     written: bytearray = attrs.Factory(bytearray)
     reads: bool = True
     is_closed: bool = False
+    is_aborted: bool = False
     max_size: int = 0
 
     def get_extra_info(self, name, default=None):
@@ -54,7 +57,8 @@
     def close(self):
         self.is_closed = True
 
-    abort = close
+    def abort(self):
+        self.is_closed = self.is_aborted = True
 
 
 def connect(application, guard=None):
--- a/tanagerpath/runtime/tests/test_parsing_turns.py
+++ b/tanagerpath/runtime/tests/test_parsing_turns.py
@@ -8,6 +8,7 @@
 import attrs
 import testtools
 
+from tanagerpath.runtime import connections
 from tanagerpath.runtime.connections import RECEIVE_BYTES, ListenerGuard
 from tanagerpath.runtime.limits import (
     ListenerLimits,
@@ -25,6 +26,7 @@
 MAX_CHUNKS_PER_TURN = 2_000
 MAX_TURNS = 1_000
 MANY_CONNECTIONS = 100
+TEST_TIMEOUT_S = 20.0
 OK = b"HTTP/1.1 200"
 FIRST_CHUNKS = 3
 PIPELINED_REQUESTS = 100
@@ -177,6 +179,22 @@
         asyncio.run(use())
 
 
+class TestRefusedConnection(testtools.TestCase):
+    def test_it_is_closed_soon_though_an_earlier_reply_is_read_on(self):
+        """Guards against a refused connection that stays open without a deadline."""
+
+        async def use():
+            connection, transport = connect(_Application())
+            connection.data_received(b"GET /\r\n\r\n")
+            connection.pause_writing()
+            connection.resume_writing()
+            while not transport.is_aborted:
+                await asyncio.sleep(0.01)
+
+        self.patch(connections, "REFUSAL_TIMEOUT_S", 0.01)
+        asyncio.run(asyncio.wait_for(use(), TEST_TIMEOUT_S))
+
+
 class TestCostlyChunks(testtools.TestCase):
     """Guards against bodies that consist of little but chunk lines and trailers."""
 
