--- a/tanagerpath/runtime/bodies.py
+++ b/tanagerpath/runtime/bodies.py
@@ -3,9 +3,9 @@
 import attrs
 from starlette.types import ASGIApp, Message, Receive, Scope, Send
 
-from tanagerpath.runtime.connections import (
+from tanagerpath.runtime.guards import (
     CONNECTION_KEY,
-    BoundedProtocol,
+    GuardedConnection,
     ListenerGuard,
     RequestHolder,
 )
@@ -15,8 +15,6 @@
 
 # Separators of a header field: ": " and the end of the line.
 FIELD_OVERHEAD_BYTES = 4
-# Each field takes some 200 bytes besides its text.
-MAX_HEADER_FIELDS = 256
 
 
 @attrs.frozen
@@ -64,9 +62,7 @@
         """Read the body of a request, then handle it."""
         connection = scope.get("state", {}).pop(CONNECTION_KEY, None)
         head = _read_head(scope)
-        max_header_bytes = self._guard.limits.max_header_bytes
-        has_many_fields = len(scope["headers"]) > MAX_HEADER_FIELDS
-        if has_many_fields or head.header_bytes > max_header_bytes:
+        if head.header_bytes > self._guard.limits.max_header_bytes:
             await self._refuse(HEADER_TOO_LARGE, connection, send)
             return
         if head.body_bytes == 0:
@@ -91,7 +87,7 @@
             self._guard.bodies.release(holder)
 
     async def _refuse(
-        self, refusal: Refusal, connection: BoundedProtocol | None, send: Send
+        self, refusal: Refusal, connection: GuardedConnection | None, send: Send
     ) -> None:
         """Reply; the rest of the request is not read."""
         self._guard.note(refusal.reason)
@@ -110,24 +106,24 @@
         self, receive: Receive, holder: RequestHolder, max_bytes: int
     ) -> bytes | Refusal | None:
         """Return the body, a refusal, or None if the client has disconnected."""
-        parts = []
-        size = 0
+        body = bytearray()
         while True:
             message = await receive()
             if message["type"] != "http.request":
                 return None
             part = message["body"]
-            size += len(part)
-            if size > max_bytes:
+            if len(body) + len(part) > max_bytes:
                 return self._guard.body_too_large
             is_internal = self._guard.is_internal
             if not self._guard.bodies.take(
                 holder, len(part), is_privileged=is_internal
             ):
                 return BODIES_FULL
-            parts.append(part)
+            if not message["more_body"] and not body:
+                return part
+            body += part
             if not message["more_body"]:
-                return part if len(parts) == 1 else b"".join(parts)
+                return bytes(body)
 
 
 def _make_replay(body: bytes, receive: Receive) -> Receive:
