Let the pause after a plan follow from the units that it lists

What callers saw: with 1,500 queued workloads and no upstreams a submission took about 100 ms, as each one caused a plan of all waiting units. Cause: the pause after a plan counted pairs of a unit and an upstream only, 0 without upstreams, and each accepted workload asked for a plan even if nothing could start. Change: PlanSchedule decides when a plan is due, PlanPause how long after the last one: by listed units (120 us each, at most 0.3 s) and pairs as before. A change of the fleet need not wait for the part of the units, with one plan ahead at most. Without a usable upstream submissions cause no plan, and the policy is not called. A round of plans over many units goes on after the whole pause, so it takes longer than before.

--- a/tanagerpath/core/workloads/dispatch_context.py
+++ b/tanagerpath/core/workloads/dispatch_context.py
@@ -63,7 +63,7 @@
     plan_cost_s : float
         Processor seconds that a plan takes for each pair of a unit and an upstream. The
         next plan waits for as long, so that planning takes at most half of the time on
-        a large fleet.
+        a large fleet; see `PlanPause` for the units of a plan.
     max_plan_pairs : int
         Pairs of a unit and an upstream in one plan. Other units are left to the next
         plans, as events wait until a plan ends.
@@ -198,6 +198,7 @@
         # Outcomes of the runs that were closed in this term without a listed end, by
         # unfinished workload.
         self.closed_unlisted: dict[str, dict[RunKey, RunOutcome]] = {}
+        # The fleet or the waiting work has changed, except for new submissions.
         self.must_plan = True
         self._touched: dict[UpstreamSession, None] = {}
         self._effects: list[Effect] = []
--- a/tanagerpath/core/workloads/dispatcher.py
+++ b/tanagerpath/core/workloads/dispatcher.py
@@ -35,6 +35,7 @@
     WrongIncarnation,
 )
 from tanagerpath.core.workloads.pacing import PaceController
+from tanagerpath.core.workloads.plan_schedule import PlanSchedule
 from tanagerpath.core.workloads.planner import StartPlanner
 from tanagerpath.core.workloads.policy import (
     WorkloadPolicy,
@@ -75,7 +76,10 @@
         self._preemption = Preemption(context, self._driver)
         self._pace_controller = PaceController(context, self._driver)
         self._advice = TicketCache(context)
-        self._planner = StartPlanner(context, policy, self._preemption, self._advice)
+        self._schedule = PlanSchedule(context)
+        self._planner = StartPlanner(
+            context, self._schedule, policy, self._preemption, self._advice
+        )
         self._supervisor = RunSupervisor(
             context, self._driver, self._planner.view_fleet
         )
@@ -228,7 +232,7 @@
             case commands.AcceptWorkload(spec=spec) if applied.changed:
                 context.backlog.add(spec.workload_id)
                 self.admission.note_changed(spec.workload_id)
-                context.must_plan = True
+                self._schedule.note_accepted()
             case commands.RegisterUpstream(record) if applied.changed:
                 self.registry.note_registered(record)
             case commands.WithdrawUpstream(upstream_id, incarnation):
--- a/tanagerpath/core/workloads/planner.py
+++ b/tanagerpath/core/workloads/planner.py
@@ -7,6 +7,7 @@
 from tanagerpath.core.workloads.containment import PROCESS_ERRORS
 from tanagerpath.core.workloads.dispatch_context import DispatchContext
 from tanagerpath.core.workloads.plan_rounds import PlanRound
+from tanagerpath.core.workloads.plan_schedule import PlanSchedule
 from tanagerpath.core.workloads.policy import (
     FleetView,
     Placement,
@@ -32,6 +33,8 @@
     ----------
     context : DispatchContext
         Shared state of the term.
+    schedule : PlanSchedule
+        Decides when a plan is made.
     policy : WorkloadPolicy
         Chooses upstreams for tasks, and runs to preempt.
     preemption : Preemption
@@ -43,18 +46,18 @@
     def __init__(
         self,
         context: DispatchContext,
+        schedule: PlanSchedule,
         policy: WorkloadPolicy,
         preemption: Preemption,
         advice: TicketCache,
     ) -> None:
         self._context = context
+        self._schedule = schedule
         self._policy = policy
         self._preemption = preemption
         self._advice = advice
         self._wait_reporter = WaitReporter(context)
         self._round = PlanRound(context.terms.max_plan_pairs)
-        self._next_plan_s = 0.0
-        self._planning_paused_until_s = 0.0
         self._set_aside_until_s: dict[StepKey, float] = {}
 
     def plan(self) -> tuple[RunStart, ...]:
@@ -62,37 +65,30 @@
 
         Returns nothing while the next plan is not due.
         """
-        context = self._context
-        if context.now_s < self._planning_paused_until_s:
-            return ()
-        if not context.must_plan and context.now_s < self._next_plan_s:
+        if not self._schedule.is_due():
             return ()
-        context.must_plan = False
-        self._next_plan_s = context.now_s + context.terms.plan_interval_s
+        self._schedule.begin()
+        context = self._context
         for session in context.sessions.values():
             context.find_health(session.upstream_id)
         waiting = self._list_waiting()
         units = self._advice.attach_tickets(self._filter_backoff(waiting))
         self._preemption.close_lapsed(units)
         chosen = self._choose_units(units)
-        if not units:
-            self._report_waits(waiting, units, Plan())
-            return ()
-        pairs = len(chosen) * len(context.sessions)
-        self._planning_paused_until_s = (
-            context.now_s + context.terms.plan_cost_s * pairs
-        )
-        plan = self._make_plan(chosen)
+        self._schedule.end(len(waiting), len(chosen), self._round.is_open)
+        plan = self._make_plan(chosen) if chosen else Plan()
         self._preemption.execute(plan)
         self._report_waits(waiting, units, plan)
         runs: dict[StepKey, int] = {}
         return tuple(self._start(placement, runs) for placement in plan.placements)
 
     def _choose_units(self, units: list[PlanUnit]) -> list[PlanUnit]:
-        """Return the units of this plan; if others are left, the next one is due."""
+        """Return the units of this plan, none if no upstream can take any."""
         context = self._context
+        if not self._schedule.has_usable_upstream():
+            return []
         try:
-            chosen = self._round.choose(
+            return self._round.choose(
                 units,
                 len(context.sessions),
                 self._preemption.history.open_claims,
@@ -103,8 +99,6 @@
         except Exception:
             # The plan finds out which unit the policy can't handle.
             return units
-        context.must_plan = context.must_plan or self._round.is_open
-        return chosen
 
     def _make_plan(self, units: list[PlanUnit]) -> Plan:
         """Return the plan of the policy, without units that it can't handle.
