Promote another learner when the preferred one stores nothing

What callers could see: after a lost disk two of three members vote for as long as a learner's disk refuses writes; one more lost disk then leaves no leader. Cause: the plan chose one learner, and only then was it asked whether that one had stored an entry lately. Change: the plan chooses among the learners that have. If there is none, an entry is written for those that hold the whole log, as before.

--- a/tanagerpath/core/consensus/changes.py
+++ b/tanagerpath/core/consensus/changes.py
@@ -187,25 +187,26 @@
         )
 
     def _promote(self) -> Change | None:
-        replica_id = self._make_plan().choose_promotion()
-        if replica_id is None or not self._check_storage(replica_id):
+        plan = self._make_plan()
+        have_stored = filter(self._replicator.has_stored_recently, plan.candidates)
+        replica_id = plan.choose_promotion_of(have_stored)
+        if replica_id is None:
+            self._probe_storage(plan)
             return None
         changed = self._context.membership.with_role(replica_id, MemberRole.VOTER)
         if not changed.has_quorum(self._list_active()):
             return None
         return Change(changed, ChangeReason.PROMOTED, replica_id)
 
-    def _check_storage(self, replica_id: str) -> bool:
-        """Return whether a learner stored an entry recently, else send it one.
+    def _probe_storage(self, plan: VoterPlan) -> None:
+        """Write an entry if a learner could be promoted once it has stored one.
 
         When nothing was written for a while, a learner with a full disk appears caught
         up, and the next commit would need its vote.
         """
-        if self._replicator.has_stored_recently(replica_id):
-            return True
-        if self._replicator.holds_whole_log(replica_id):
+        hold_log = filter(self._replicator.holds_whole_log, plan.candidates)
+        if plan.choose_promotion_of(hold_log) is not None:
             self._leadership.append_no_operation()
-        return False
 
     def _find_ineligibility(self, replica_id: str) -> PromotionDelay | None:
         """Return why a learner is not eligible to vote, None if it is."""
--- a/tanagerpath/core/consensus/tests/test_tolerance.py
+++ b/tanagerpath/core/consensus/tests/test_tolerance.py
@@ -2,7 +2,7 @@
 
 import testtools
 
-from tanagerpath.core.consensus import LossTolerance
+from tanagerpath.core.consensus import LossTolerance, Role
 from tanagerpath.core.consensus.harness import SimulatedGroup
 from tanagerpath.core.consensus.invariants import InvariantMonitor
 from tanagerpath.core.consensus.tests.scenarios import (
@@ -175,6 +175,39 @@
             group.run_for(REPLACE_AFTER_S + 1.5)
             self.assert_commits(group, monitor, seed)
 
+    def test_a_learner_with_a_full_disk_does_not_keep_others_from_voting(self):
+        """Guards against the choice of one learner that can't store anything."""
+        for seed in SEEDS:
+            group, monitor = self.start_converged_group(
+                seed, vm_count=5, tolerance=LossTolerance(vms=1), domain_count=1
+            )
+            # The first of the learners by name, which are preferred in that order.
+            group.crash("vm-1")
+            group.run_for(2 * REPLACE_AFTER_S + 1.0)
+            group.start("vm-1")
+            group.run_for(1.0)
+            self.assertIs(Role.LEARNER, group.vms["vm-1"].replica.role)
+            group.refuse_writes("vm-1")
+            group.run_for(1.0)
+            lost = next(
+                vm for vm in find_followers(group) if vm.replica.role is Role.FOLLOWER
+            )
+            self.propose_steadily(group)
+            group.empty_disk(lost.vm_id)
+            group.run_for(1.0)
+            group.start(lost.vm_id)
+            group.run_for(CATCH_UP_S)
+            voters = group.find_leader().replica.voters
+            running = {vm.replica.replica_id for vm in group.vms.values()}
+            self.assertEqual(3, len(running.intersection(voters)), f"seed {seed}")
+            self.assert_commits(group, monitor, seed)
+
+    def propose_steadily(self, group):
+        leader = group.find_leader()
+        if leader is not None:
+            group.propose(leader.vm_id, f"command-{group.steps}")
+        group.schedule(0.02, lambda: self.propose_steadily(group))
+
     def test_all_members_vote_if_there_are_too_few(self):
         for vm_count in (3, 4):
             group, monitor = self.start_converged_group(
--- a/tanagerpath/core/consensus/voters.py
+++ b/tanagerpath/core/consensus/voters.py
@@ -1,6 +1,7 @@
 """Number of voters and their spread over fault domains."""
 
 import collections
+from collections.abc import Iterable
 
 import attrs
 
@@ -94,6 +95,10 @@
             return best
         return None
 
+    def choose_promotion_of(self, candidates: Iterable[str]) -> str | None:
+        """Return the learner to promote if only some of the candidates could be."""
+        return attrs.evolve(self, candidates=frozenset(candidates)).choose_promotion()
+
     def choose_demotion(self) -> str | None:
         """Return the voter to demote if there are too many, unreachable ones first."""
         voters = self.membership.voters
