Let a learner that returns hold the log of its return before it votes

What callers could see: commits that stop for seconds after a second lost disk, because a voter lags by minutes of the log. Cause: the part of the log that a learner must hold was fixed when the leader began to track it, so one that came back after a minute counted as caught up at once. Change: the target moves to the end of the log when a member answers again after a silence longer than the election timeout.

--- a/tanagerpath/core/consensus/changes.py
+++ b/tanagerpath/core/consensus/changes.py
@@ -230,7 +230,7 @@
         round of replication takes depends on the load of the leader.
         """
         if self._lacks_voter():
-            return self._replicator.holds_initial_log(replica_id)
+            return self._replicator.has_reached_target(replica_id)
         return self._replicator.has_caught_up(replica_id)
 
     def _lacks_voter(self) -> bool:
--- a/tanagerpath/core/consensus/membership_reports.py
+++ b/tanagerpath/core/consensus/membership_reports.py
@@ -100,7 +100,7 @@
 class LearnerCaughtUp:
     """A learner holds what the log held when this leader began to track it.
 
-    Reported once for each learner and leadership.
+    Reported once for each learner and leadership, and again after a silence.
 
     Attributes
     ----------
--- a/tanagerpath/core/consensus/replication.py
+++ b/tanagerpath/core/consensus/replication.py
@@ -49,8 +49,9 @@
         Time at which the member was last known to store an entry.
     tracked_s : float
         Time since which the leader has tracked the member.
-    initial_end_index : int
-        Last index of the log when the leader began to track the member.
+    target_index : int
+        Last index of the log when the leader began to track the member, or when the
+        member answered again after a silence.
     round_end_index : int
         Last index of the log when the current catch-up round began.
     round_started_s : float
@@ -68,15 +69,15 @@
     transfer: SnapshotTransfer | None = None
     stored_s: float = -math.inf
     tracked_s: float = -math.inf
-    initial_end_index: int = 0
+    target_index: int = 0
     round_end_index: int = 0
     round_started_s: float = -math.inf
     last_round_in_time: bool = False
 
     @property
-    def holds_initial_log(self) -> bool:
-        """Whether the member holds what the log held when it was first tracked."""
-        return self.match_index >= self.initial_end_index
+    def has_reached_target(self) -> bool:
+        """Whether the member holds the log of its admission or return."""
+        return self.match_index >= self.target_index
 
     def record_round(self, last_index: int, now_s: float, max_round_s: float) -> None:
         """Begin the next round if the member holds the log of the current one.
@@ -142,7 +143,7 @@
                 context.config.max_batches_in_flight, MAX_CATCH_UP_BATCHES
             ),
             tracked_s=context.now_s,
-            initial_end_index=last_index,
+            target_index=last_index,
             round_end_index=last_index,
             round_started_s=context.now_s,
         )
@@ -155,10 +156,10 @@
         round_s = self._context.now_s - progress.round_started_s
         return round_s <= self._context.config.election_timeout_min_s
 
-    def holds_initial_log(self, replica_id: str) -> bool:
-        """Return whether a member holds the log of the time it was first tracked."""
+    def has_reached_target(self, replica_id: str) -> bool:
+        """Return whether a member holds the log of its admission or return."""
         progress = self.progress.get(replica_id)
-        return progress is not None and progress.holds_initial_log
+        return progress is not None and progress.has_reached_target
 
     def has_stored_recently(self, replica_id: str) -> bool:
         """Return whether a member stored an entry within an election timeout."""
@@ -321,13 +322,14 @@
         progress = self.progress.get(sender)
         if progress is None:
             return
+        self._note_return(progress, reply)
         progress.acknowledged_s = max(progress.acknowledged_s, reply.sent_s)
-        lagged = not progress.holds_initial_log
+        lagged = not progress.has_reached_target
         if reply.accepted:
             self._record_match(progress, reply)
         else:
             self._decrease_next_index(sender, progress, reply)
-        if lagged and progress.holds_initial_log:
+        if lagged and progress.has_reached_target:
             self._report_caught_up(sender, progress)
         progress.record_round(
             self._context.log.last_index,
@@ -336,6 +338,13 @@
         )
         self._replicate(sender, progress)
 
+    def _note_return(self, progress: Progress, reply: AppendReply) -> None:
+        """Set the target of a member that answers again after a silence."""
+        context = self._context
+        contact_s = max(progress.tracked_s, progress.acknowledged_s)
+        if reply.sent_s - contact_s > context.config.election_timeout_max_s:
+            progress.target_index = context.log.last_index
+
     def _report_caught_up(self, replica_id: str, progress: Progress) -> None:
         context = self._context
         if not context.membership.is_voter(replica_id):
