Drop kept batches that the log has passed

Cause: a batch that overtook another is kept until that one arrives. Change: kept batches from before the end of the log are dropped. Measured: tests of core/consensus pass.

--- a/tanagerpath/core/consensus/follower.py
+++ b/tanagerpath/core/consensus/follower.py
@@ -82,8 +82,19 @@
         if self._keep_if_ahead(request):
             return
         self._handle_next(sender, request)
-        while following := self._ahead.pop(self._context.log.last_index, None):
+        self._handle_kept(sender)
+
+    def _handle_kept(self, sender: str) -> None:
+        """Append the entries that waited for the last ones, and drop repeated ones."""
+        log = self._context.log
+        while following := self._ahead.pop(log.last_index, None):
             self._handle_next(sender, following)
+        if self._ahead:
+            self._ahead = {
+                index: request
+                for index, request in self._ahead.items()
+                if index > log.last_index
+            }
 
     def _keep_if_ahead(self, request: AppendRequest) -> bool:
         """Keep entries whose predecessors are still on the way; return whether kept.
