Send at most four chunks or eight batches ahead

Cause: everything that waits for a peer goes with one exchange of at most a second. Change: half of both windows; chunks are sent again after 1 s.

--- a/tanagerpath/core/consensus/replication.py
+++ b/tanagerpath/core/consensus/replication.py
@@ -18,11 +18,11 @@
 
 __all__ = ["Progress", "Replicator"]
 
-# Heartbeat intervals after which unanswered chunks are sent again; sooner, copies of
-# them would saturate a slow link.
-CHUNK_RESEND_HEARTBEATS = 5
+# Heartbeat intervals after which unanswered chunks are sent again. As long as the
+# timeout of an exchange; sooner, copies of them would saturate a slow link.
+CHUNK_RESEND_HEARTBEATS = 10
 # Append messages on the way to a member that lags by more than one of them.
-MAX_CATCH_UP_BATCHES = 16
+MAX_CATCH_UP_BATCHES = 8
 
 
 @attrs.define
--- a/tanagerpath/core/consensus/snapshot_transfer.py
+++ b/tanagerpath/core/consensus/snapshot_transfer.py
@@ -10,7 +10,7 @@
 
 __all__ = ["SnapshotAssembly", "SnapshotTransfer"]
 
-MAX_CHUNKS_IN_FLIGHT = 8
+MAX_CHUNKS_IN_FLIGHT = 4
 
 
 @attrs.define
