Limit an exchange with a peer to two batches, and let heartbeats pass the rest

Cause: all queued messages went into one exchange with a timeout of 1 s, and heartbeats waited behind it. Change: PeerQueue keeps the messages in order. An exchange takes batches and chunks up to 524,288 characters of payload, at least one; all other messages go with the next exchange. Votes, replies and TimeoutNow don't depend on the log that waits. A heartbeat does: after batches that wait, the follower would reject it with a hint, and the leader would start to probe and send all batches on the way again. Such a heartbeat therefore gets the position before the first batch of the same leader and term that waits. That position is in the leader's log, so the follower checks and commits no more than it holds, and the reply returns the send time, which extends the lease; it does not end a probe, whose position is the leader's next index. Merely leaving heartbeats in order would keep the gaps short, but each would be as old as the queue at its arrival, and the lease counts from the send time.

--- a/tanagerpath/services/peers.py
+++ b/tanagerpath/services/peers.py
@@ -10,6 +10,7 @@
 from tanagerpath.runtime.client import HttpClient
 from tanagerpath.runtime.mailbox import Mailbox
 from tanagerpath.runtime.tasks import Task
+from tanagerpath.services.peer_queue import PeerQueue
 
 __all__ = ["CONSENSUS_PATH", "PeerSet", "PeerTask", "decode_batch"]
 
@@ -22,7 +23,7 @@
 
 
 class PeerTask(Task):
-    """Sends messages to one address, all queued ones in one exchange.
+    """Sends messages to one address, one exchange after the other.
 
     Messages of a failed exchange are not sent again; the consensus protocol retries
     where necessary.
@@ -49,27 +50,21 @@
         self._client = client
         self._owner = owner
         self._timeout_s = timeout_s
-        self._mailbox: Mailbox[SendMessage] = Mailbox(client.address, capacity)
+        self._queue = PeerQueue(capacity)
+        self._posted = anyio.Event()
+        self._is_sending = False
         self.dropped = 0
         self.failed_exchanges = 0
-        self._unsent = 0
 
     @property
     def is_idle(self) -> bool:
         """Whether no message is queued or in flight."""
-        return self._unsent == 0
+        return not self._queue and not self._is_sending
 
     def post(self, message: SendMessage) -> None:
         """Queue a message; drop the older half of the queue if it is full."""
-        self._unsent += 1
-        if self._mailbox.post(message) is None:
-            return
-        waiting = self._mailbox.take_waiting()
-        kept = waiting[len(waiting) // 2 + 1 :]
-        self.dropped += len(waiting) - len(kept)
-        self._unsent -= len(waiting) - len(kept)
-        for newer in (*kept, message):
-            self._mailbox.post(newer)
+        self.dropped += self._queue.add(message)
+        self._posted.set()
 
     async def run(self) -> None:
         """Send until cancelled."""
@@ -81,15 +76,15 @@
                 await self._client.close()
 
     async def _send_waiting(self) -> None:
-        first = await self._mailbox.receive()
-        messages = [first, *self._mailbox.take_waiting()]
+        messages = await self._take_messages()
+        self._is_sending = True
         result = await self._client.exchange(
             "POST",
             CONSENSUS_PATH,
             encode_batch(messages),
             timeout_s=self._timeout_s,
         )
-        self._unsent -= len(messages)
+        self._is_sending = False
         reply = result.value_or(None)
         if reply is None or reply.status not in (OK_STATUS, NO_CONTENT_STATUS):
             self.failed_exchanges += 1
@@ -97,6 +92,13 @@
             for received in decode_batch(reply.body).value_or([]):
                 self._owner.post(received)
 
+    async def _take_messages(self) -> list[SendMessage]:
+        """Wait for messages and return those of the next exchange."""
+        if not self._queue:
+            self._posted = anyio.Event()
+            await self._posted.wait()
+        return self._queue.take_exchange()
+
 
 class PeerSet:
     """Keeps one `PeerTask` for each address in use.
