Name the leader's address in a reply before the log holds its membership

Cause: Replica.find_address looked only in the membership of the log, while replies to the leader also use the address from its messages, and that from the settings. Change: Replica.find_address uses ReplicaContext.find_address, which knows all three; an unknown address is empty, as in NotLeaderReply. Evidence: two of the three new tests fail without the change.

--- a/tanagerpath/core/consensus/context.py
+++ b/tanagerpath/core/consensus/context.py
@@ -243,7 +243,7 @@
 
     def send(self, receiver: str, message: ReplicaMessage, address: str = "") -> None:
         """Send a message once the term, the vote and the identity are synced."""
-        address = address or self._find_address(receiver)
+        address = address or self.find_address(receiver)
         self._queue_message(receiver, message, address, self.group_id)
 
     def send_to_address(self, address: str, message: ReplicaMessage) -> None:
@@ -276,13 +276,17 @@
             self._reported_addresses.clear()
         self._reported_addresses[replica_id] = address
 
-    def _find_address(self, receiver: str) -> str:
-        member = self.membership.find(receiver)
+    def find_address(self, replica_id: str) -> str:
+        """Return the "ip:port" of a replica, empty if it is not known.
+
+        It comes from the log, from the messages of the replica or from the settings.
+        """
+        member = self.membership.find(replica_id)
         if member is not None:
             return member.address
-        if receiver in self._reported_addresses:
-            return self._reported_addresses[receiver]
-        return self.config.vms.get(receiver.rpartition(".")[0], "")
+        if replica_id in self._reported_addresses:
+            return self._reported_addresses[replica_id]
+        return self.config.vms.get(replica_id.rpartition(".")[0], "")
 
     def take_actions(self) -> list[Action]:
         """Return and clear the actions of the current step, with the write first."""
--- a/tanagerpath/core/consensus/replica.py
+++ b/tanagerpath/core/consensus/replica.py
@@ -172,10 +172,9 @@
         """Last index of the log, committed or not."""
         return self._context.log.last_index
 
-    def find_address(self, replica_id: str) -> str | None:
-        """Return the "ip:port" of a member, None if it is not a member."""
-        member = self._context.membership.find(replica_id)
-        return member.address if member else None
+    def find_address(self, replica_id: str) -> str:
+        """Return the "ip:port" of a replica, empty if it is not known."""
+        return self._context.find_address(replica_id)
 
     @property
     def peer_addresses(self) -> frozenset[str]:
--- a/tanagerpath/core/control/replicated.py
+++ b/tanagerpath/core/control/replicated.py
@@ -199,7 +199,7 @@
         leader_id = self._replica.leader_id
         if leader_id is None or leader_id == self._replica.replica_id:
             return NotLeaderReply()
-        address = self._replica.find_address(leader_id) or ""
+        address = self._replica.find_address(leader_id)
         return NotLeaderReply(leader_id.rpartition(".")[0], address)
 
     # Log
