Lock a data directory before reading it

Callers saw: a process that starts beside an earlier one, which is still ending and writes, ended with FileNotFoundError when a segment was removed between its listing and its reading. Found on the way: if it read the files in the middle of a change, it could take them for corrupt and move the files of the running process to corrupt-<n>. Cause: DirectoryOpener read the state first; only LogFiles took the lock. Change: DirectoryLock in a module of its own; the opener takes it, reads, sets corrupt files aside if necessary and passes the lock to LogFiles. While another process holds the lock, an attempt reads no file. LogFiles without a lock takes it as before and compares the state. Errors of a wrong configuration still end the process.

--- a/tanagerpath/runtime/logfiles.py
+++ b/tanagerpath/runtime/logfiles.py
@@ -7,11 +7,8 @@
 
 import contextlib
 import errno
-import fcntl
-import os
 import pathlib
 
-import attrs
 from returns.result import Success
 
 from tanagerpath.codecs.replication import (
@@ -21,7 +18,12 @@
     encode_stored,
 )
 from tanagerpath.core.consensus import PersistState, RestoredState, Snapshot
-from tanagerpath.errors import Failure, FailureError
+from tanagerpath.errors import FailureError
+from tanagerpath.runtime.directory_lock import (
+    LOCK_NAME,
+    DirectoryInUse,
+    DirectoryLock,
+)
 from tanagerpath.runtime.files import FileOperations, SystemFiles
 from tanagerpath.runtime.frames import encode_frame, scan_frames
 from tanagerpath.runtime.stored_state import (
@@ -38,7 +40,6 @@
 __all__ = ["DirectoryInUse", "LogFiles", "set_aside_corrupt"]
 
 CORRUPT_PREFIX = "corrupt-"
-LOCK_NAME = "lock"
 # Damaged files are kept for diagnosis; more of them could fill the disk.
 MAX_CORRUPT_KEPT = 2
 DISK_FULL_ERRORS = (errno.ENOSPC, errno.EDQUOT)
@@ -46,21 +47,6 @@
 SNAPSHOT_RETRY_WRITES = 100
 
 
-@attrs.frozen(kw_only=True)
-class DirectoryInUse(Failure):
-    """Another process uses the data directory, or wrote to it after it was read.
-
-    Two processes in one directory could cast two votes under one identity.
-    """
-
-    directory: str
-
-    @property
-    def message(self) -> str:
-        """One line for people."""
-        return f"{self.directory} is in use by another process"
-
-
 def _list_set_aside(directory: pathlib.Path) -> list[pathlib.Path]:
     """Return the directories of damaged files, oldest first."""
     found = directory.glob(f"{CORRUPT_PREFIX}*")
@@ -127,13 +113,17 @@
         State that `load_state` read from it.
     operations : FileOperations, optional
         File operations; those of the operating system by default.
+    lock : DirectoryLock, optional
+        Lock held since before the state was read; `close` releases it. By default the
+        directory is locked here, and must still hold the state.
 
     Raises
     ------
     FailureError
         With `DirectoryInUse`.
     OSError
-        If a file operation fails; no file is left open.
+        If a file operation fails; no file is left open, and a lock that was passed is
+        still held.
     """
 
     def __init__(
@@ -141,6 +131,7 @@
         directory: pathlib.Path,
         restored: RestoredState,
         operations: FileOperations | None = None,
+        lock: DirectoryLock | None = None,
     ) -> None:
         self._directory = directory
         self._operations = operations or SystemFiles()
@@ -157,11 +148,12 @@
         self._writes_until_snapshot_retry = 0
         self._new_segment_required = False
         self._unsynced_tail_possible = False
-        self._operations.make_directory(directory)
-        self._operations.sync_directory(directory.parent)
         with contextlib.ExitStack() as cleanup:
-            self._lock = self._take_lock(restored)
-            cleanup.callback(os.close, self._lock)
+            if lock is None:
+                lock = DirectoryLock.acquire(directory, self._operations)
+                cleanup.callback(lock.release)
+                self._check_unchanged(restored)
+            self._lock = lock
             self._new_segment_required = self._has_other_entries(restored)
             self._remove_temporary()
             paths = find_segments(directory)
@@ -171,20 +163,10 @@
             self._synced_bytes = self._truncate_torn_tail()
             cleanup.pop_all()
 
-    def _take_lock(self, restored: RestoredState) -> int:
-        lock = os.open(self._directory / LOCK_NAME, os.O_RDWR | os.O_CREAT, 0o644)
-        try:
-            fcntl.flock(lock, fcntl.LOCK_EX | fcntl.LOCK_NB)
-            unchanged = load_state(self._directory) == Success(restored)
-        except BlockingIOError:
-            unchanged = False
-        except OSError:
-            os.close(lock)
-            raise
-        if not unchanged:
-            os.close(lock)
+    def _check_unchanged(self, restored: RestoredState) -> None:
+        """Reject a state that was read before another process last wrote."""
+        if load_state(self._directory) != Success(restored):
             raise FailureError(DirectoryInUse(directory=str(self._directory)))
-        return lock
 
     def _has_other_entries(self, restored: RestoredState) -> bool:
         """Return whether the segments hold other entries than the restored state.
@@ -362,4 +344,4 @@
     def close(self) -> None:
         """Close the segment and release the lock on the directory."""
         self._operations.close(self._file)
-        os.close(self._lock)
+        self._lock.release()
--- a/tanagerpath/runtime/opening.py
+++ b/tanagerpath/runtime/opening.py
@@ -1,5 +1,6 @@
 """Opens a data directory, with retries after transient errors."""
 
+import contextlib
 import errno
 import pathlib
 from typing import Any
@@ -12,6 +13,7 @@
 from tanagerpath.core.consensus import RestoredState
 from tanagerpath.errors import FailureError
 from tanagerpath.runtime.backoff import ExponentialBackoff
+from tanagerpath.runtime.directory_lock import DirectoryLock
 from tanagerpath.runtime.files import FileOperations, SystemFiles
 from tanagerpath.runtime.logfiles import LogFiles, set_aside_corrupt
 from tanagerpath.runtime.stored_state import load_state
@@ -110,12 +112,19 @@
         return reason
 
     def _open_once(self) -> OpenedDirectory:
+        """Lock the directory before reading it, because another process may write."""
+        lock = DirectoryLock.acquire(self._directory, self._operations)
+        with contextlib.ExitStack() as cleanup:
+            cleanup.callback(lock.release)
+            state = self._load_state()
+            files = LogFiles(self._directory, state, self._operations, lock)
+            cleanup.pop_all()
+        return OpenedDirectory(state, files)
+
+    def _load_state(self) -> RestoredState:
         restored = load_state(self._directory)
         if isinstance(restored, ResultFailure):
             self._log.error("data is corrupt", reason=restored.failure().message)
             set_aside_corrupt(self._directory, self._operations)
             restored = load_state(self._directory)
-        state = restored.unwrap()
-        return OpenedDirectory(
-            state, LogFiles(self._directory, state, self._operations)
-        )
+        return restored.unwrap()
