Sync each new level of a data directory

Callers saw: after a loss of power soon after the first start, a data directory with several new levels could be gone, although its replica had acknowledged entries and votes. Cause: mkdir created all missing parents, but only the parent of the data directory was synced. Change: FileOperations.make_durable_directory creates one level after the other and syncs its parent before the next. The lowest level that exists is synced too, because an attempt that failed or was killed may have created it; a parent that the process can't read is passed over there. With an existing data directory its parent is synced, as before. No power was cut.

--- a/tanagerpath/runtime/directory_lock.py
+++ b/tanagerpath/runtime/directory_lock.py
@@ -54,8 +54,7 @@
         OSError
             If a file operation fails.
         """
-        operations.make_directory(directory)
-        operations.sync_directory(directory.parent)
+        operations.make_durable_directory(directory)
         descriptor = os.open(directory / LOCK_NAME, os.O_RDWR | os.O_CREAT, 0o644)
         try:
             fcntl.flock(descriptor, fcntl.LOCK_EX | fcntl.LOCK_NB)
--- a/tanagerpath/runtime/files.py
+++ b/tanagerpath/runtime/files.py
@@ -2,6 +2,7 @@
 
 import abc
 import contextlib
+import itertools
 import os
 import pathlib
 import shutil
@@ -9,6 +10,13 @@
 __all__ = ["FileOperations", "SystemFiles"]
 
 
+def _find_missing_levels(directory: pathlib.Path) -> list[pathlib.Path]:
+    """Return a directory and its parents as far as they don't exist, topmost first."""
+    levels = (directory, *directory.parents)
+    missing = itertools.takewhile(lambda level: not level.exists(), levels)
+    return list(missing)[::-1]
+
+
 class FileOperations(abc.ABC):
     """All changes that the storage makes to files; each may raise `OSError`."""
 
@@ -48,6 +56,24 @@
         """Close a file."""
         os.close(descriptor)
 
+    def make_durable_directory(self, directory: pathlib.Path) -> None:
+        """Create a directory and its parents if missing, and sync their entries.
+
+        An earlier attempt may have ended between the creation of the lowest existing
+        level and its sync, so that level is synced too.
+        """
+        missing = _find_missing_levels(directory)
+        if not missing:
+            self.make_directory(directory)
+            self.sync_directory(directory.parent)
+            return
+        # The process may use a directory below one that it can't read.
+        with contextlib.suppress(PermissionError):
+            self.sync_directory(missing[0].parent.parent)
+        for level in missing:
+            self.make_directory(level)
+            self.sync_directory(level.parent)
+
     def append(self, descriptor: int, data: bytes) -> None:
         """Append all bytes; some of them may be in the file after a failure."""
         view = memoryview(data)
