Keep a late leader while it replaces a missing voter

The other VMs carry the same load. Change: no transfer for lateness while an answering learner catches up in place of a missing voter.

--- a/tanagerpath/core/consensus/changes.py
+++ b/tanagerpath/core/consensus/changes.py
@@ -233,6 +233,11 @@
             return self._replicator.has_reached_target(replica_id)
         return self._replicator.has_caught_up(replica_id)
 
+    def is_replacing_voter(self) -> bool:
+        """Return whether a learner is catching up to replace a missing voter."""
+        learners = self._context.membership.learners
+        return self._lacks_voter() and not self._list_active().isdisjoint(learners)
+
     def _lacks_voter(self) -> bool:
         """Return whether fewer members vote than the tolerated losses require."""
         context = self._context
--- a/tanagerpath/core/consensus/replica.py
+++ b/tanagerpath/core/consensus/replica.py
@@ -188,6 +188,10 @@
         """Return whether this replica holds the leader lease at `now_s`."""
         return self._leadership.has_lease(now_s)
 
+    def is_replacing_voter(self) -> bool:
+        """Return whether this leader brings a learner up to replace a missing voter."""
+        return self.role is Role.LEADER and self._changes.is_replacing_voter()
+
     def find_wake_up_s(self) -> float:
         """Return the time at which the next `Tick` is due."""
         context = self._context
--- a/tanagerpath/core/control/replicated.py
+++ b/tanagerpath/core/control/replicated.py
@@ -160,6 +160,8 @@
         self._lateness.note_tick(self._next_tick_s, now_s)
         if now_s < self._next_late_transfer_s or not self._lateness.is_late(now_s):
             return
+        if self._replica.is_replacing_voter():
+            return  # the next leader would send the log or the snapshot from the start
         self._next_late_transfer_s = now_s + LATE_TRANSFER_INTERVAL_S
         lateness_s = self._lateness.find_lateness_s()
         self._actions.append(LeaderLate(self._led_term, lateness_s))
--- a/tanagerpath/core/control/tests/test_lateness.py
+++ b/tanagerpath/core/control/tests/test_lateness.py
@@ -3,6 +3,7 @@
 import testtools
 
 from tanagerpath.core import consensus
+from tanagerpath.core.consensus.tests.scenarios import find_followers, start_group
 from tanagerpath.core.control import LeaderLate, ReplicatedNode
 from tanagerpath.core.control.lateness import WINDOW_S, LatenessMonitor
 from tanagerpath.core.control.replicated import LATE_TRANSFER_INTERVAL_S
@@ -51,13 +52,17 @@
     replica_id = leader_id = "a"
     term = 1
 
-    def __init__(self, was_transferred=False):
+    def __init__(self, was_transferred=False, replaces_voter=False):
         self.was_transferred = was_transferred
+        self.replaces_voter = replaces_voter
         self.transfers = []
 
     def has_lease(self, now_s):
         return True
 
+    def is_replacing_voter(self):
+        return self.replaces_voter
+
     def find_wake_up_s(self):
         return float("inf")
 
@@ -104,3 +109,23 @@
             replica.transfers[0], 100.0 + LATE_TRANSFER_INTERVAL_S - 0.5
         )
         self.assertEqual(2, len(replica.transfers))
+
+    def test_leadership_stays_while_a_missing_voter_is_replaced(self):
+        """Guards against a snapshot that is sent from the start by the next leader."""
+        replica = _FakeReplica(replaces_voter=True)
+        self.assertEqual([], self.run_late(replica, 4.0))
+        replica.replaces_voter = False
+        self.assertEqual(1, len(self.run_late(replica, 4.0)))
+
+
+class TestReplacedVoter(testtools.TestCase):
+    def test_a_leader_knows_while_a_learner_replaces_a_missing_voter(self):
+        group, _ = start_group(1, tolerated_losses=consensus.LossTolerance(vms=1))
+        lost = find_followers(group)[0]
+        leader = group.find_leader().replica
+        self.assertFalse(leader.is_replacing_voter())
+        group.empty_disk(lost.vm_id)
+        group.start(lost.vm_id)
+        self.assertTrue(group.run_until(leader.is_replacing_voter, 2.0))
+        self.assertTrue(group.run_until(group.has_converged, 2.0))
+        self.assertFalse(leader.is_replacing_voter())
