Plan workloads of many steps in time that grows with their number

What callers saw: one submission of 4,000 steps in calm, within the limits, got 504 after 2 s, and 23 further ones, one after the other, 503 after 2 s each; the leader was busy planning. Cause: each plan searched the longest path of the workload, and each report on a waiting step the largest step, anew for each step. Change: both are found once for a workload.

--- a/tanagerpath/core/workloads/backlog.py
+++ b/tanagerpath/core/workloads/backlog.py
@@ -104,6 +104,10 @@
         if queue is None:
             return
         critical_paths = self._find_critical_paths(record, queue)
+        objective_s = (
+            queue.objective_factor * max(critical_paths, default=0.0)
+            + queue.objective_margin_s
+        )
         for occurrence in record.spec.occurrences:
             due_s = record.spec.find_due_unix_s(occurrence)
             if due_s > now.unix_s:
@@ -117,7 +121,8 @@
                         occurrence,
                         step,
                         indexes,
-                        critical_paths,
+                        critical_paths[step],
+                        objective_s,
                         covered,
                         self._find_arrival_s(record, occurrence, now),
                     )
@@ -158,16 +163,14 @@
         occurrence: int,
         step: int,
         indexes: tuple[int, ...],
-        critical_paths: list[float],
+        critical_path_s: float,
+        objective_s: float,
         covered: frozenset[str],
         arrival_s: float,
     ) -> PlanUnit:
         first = TaskId(record.workload_id, occurrence, step, indexes[0])
         failures = record.count_failures(first)
         spec = record.spec.steps[step]
-        objective_s = (
-            queue.objective_factor * max(critical_paths) + queue.objective_margin_s
-        )
         return PlanUnit(
             record=record,
             queue=queue,
@@ -176,7 +179,7 @@
             indexes=indexes,
             arrival_s=arrival_s,
             objective_s=objective_s,
-            critical_path_s=critical_paths[step],
+            critical_path_s=critical_path_s,
             is_guaranteed=record.workload_id in covered,
             avoided=frozenset(self.failed_on.get(record.workload_id, ())),
             is_last_attempt=not spec.long_running
--- a/tanagerpath/core/workloads/coverage.py
+++ b/tanagerpath/core/workloads/coverage.py
@@ -13,7 +13,7 @@
 
 def count_needed(record: WorkloadRecord) -> int:
     """Return the accelerators of the largest step of a workload."""
-    return max(step.count * step.needs.accelerators for step in record.spec.steps)
+    return record.spec.accelerators_needed
 
 
 @attrs.define
--- a/tanagerpath/core/workloads/specs.py
+++ b/tanagerpath/core/workloads/specs.py
@@ -1,5 +1,7 @@
 """Specifications of workloads, which consist of steps of tasks."""
 
+import functools
+
 import attrs
 
 from tanagerpath.core.workloads.failures import InvalidWorkload
@@ -139,6 +141,11 @@
     first_due_unix_s: float = 0.0
     interval_s: float = 0.0
 
+    @functools.cached_property
+    def accelerators_needed(self) -> int:
+        """Accelerators of the largest step."""
+        return max(step.count * step.needs.accelerators for step in self.steps)
+
     @property
     def occurrences(self) -> range:
         """Numbers of the repetitions."""
