Handle few large requests at once, so that their values fit into the memory

What callers saw: 20 clients with whole bodies of 4,000 steps, within the limits, raised an entry and a control process by up to 61 MB. Cause: handlers ran for all complete requests at once, and the values of a body take up to a hundred times its bytes, of which the budget of bodies counts one. An entry that gives up an exchange sends the request again while the control process handles the first one. Consensus messages never wait.

--- a/tanagerpath/runtime/limits.py
+++ b/tanagerpath/runtime/limits.py
@@ -27,6 +27,7 @@
 
     BODY_TOO_LARGE = "body_too_large"
     BODIES_FULL = "bodies_full"
+    HANDLERS_FULL = "handlers_full"
     HEADER_TOO_LARGE = "header_too_large"
     HEADER_TIMEOUT = "header_timeout"
     BODY_TIMEOUT = "body_timeout"
@@ -81,6 +82,9 @@
 BODIES_FULL = Refusal(
     RejectionReason.BODIES_FULL, UNAVAILABLE_STATUS, b"too many open requests\n"
 )
+HANDLERS_FULL = Refusal(
+    RejectionReason.HANDLERS_FULL, UNAVAILABLE_STATUS, b"too many large requests\n"
+)
 
 
 @attrs.frozen
--- a/tanagerpath/services/client_limits.py
+++ b/tanagerpath/services/client_limits.py
@@ -4,11 +4,13 @@
 from typing import Any
 
 import attrs
+from starlette.routing import BaseRoute
 
 from tanagerpath.core.workloads.configuration import CallerLimits
 from tanagerpath.observability.metrics import MetricsRegistry
 from tanagerpath.runtime.budgets import ByteBudget
 from tanagerpath.runtime.connections import ListenerGuard
+from tanagerpath.runtime.handlers import HandlerQueue, queue_large_requests
 from tanagerpath.runtime.limits import (
     KIB,
     MIB,
@@ -18,6 +20,7 @@
 )
 from tanagerpath.settings.bounds import (
     choose_bodies_mib,
+    choose_handled_kib,
     choose_max_connections,
 )
 
@@ -135,6 +138,14 @@
         self._bodies = ByteBudget(size)
         self._replies = ByteBudget(size // 2)
         self._observer = RejectionLog(logger, metrics)
+        handled_bytes = choose_handled_kib(terms.memory_limit_mb) * KIB
+        self._handlers = HandlerQueue(handled_bytes, self._observer)
+
+    def queue_large_requests(
+        self, routes: list[BaseRoute], listener: str
+    ) -> list[BaseRoute]:
+        """Let the handlers of large requests of a listener wait for each other."""
+        return queue_large_requests(routes, self._handlers, listener)
 
     def make_callers(self) -> CallerGuard:
         """Return the guard of the listener for callers."""
--- a/tanagerpath/services/replica_application.py
+++ b/tanagerpath/services/replica_application.py
@@ -112,7 +112,12 @@
         )
         self._server = HttpServer(
             bind_listener(self._listen),
-            routes.list_routes(),
+            [
+                *routes.list_replica_routes(),
+                *self._guards.queue_large_requests(
+                    routes.list_leader_routes(), "internal"
+                ),
+            ],
             guard=self._guards.make_internal(),
         )
         tasks.start_soon(storage.run)
--- a/tanagerpath/services/replica_routes.py
+++ b/tanagerpath/services/replica_routes.py
@@ -52,11 +52,14 @@
         self._protocol = protocol
         self._metrics = tuple(metrics)
 
-    def list_routes(self) -> list[BaseRoute]:
-        """Return all routes."""
+    def list_leader_routes(self) -> list[BaseRoute]:
+        """Return the routes of requests for the leader."""
+        return [Route(self._protocol.path, self._handle_request, methods=["POST"])]
+
+    def list_replica_routes(self) -> list[BaseRoute]:
+        """Return the routes of consensus messages, which must not wait, and probes."""
         return [
             Route(CONSENSUS_PATH, self._handle_consensus, methods=["POST"]),
-            Route(self._protocol.path, self._handle_request, methods=["POST"]),
             Route("/healthz", self._show_health, methods=["GET"]),
             Route("/metrics", self._show_metrics, methods=["GET"]),
         ]
--- a/tanagerpath/services/workload_control.py
+++ b/tanagerpath/services/workload_control.py
@@ -252,7 +252,9 @@
         leader = LocalLeaderClient(self._mailbox, RemoteLeaderClient(self._link))
         self._public = HttpServer(
             bind_listener(self._settings.public_listen),
-            self._adapter.list_routes(leader),
+            self._guards.queue_large_requests(
+                self._adapter.list_routes(leader), "operators"
+            ),
             guard=self._guards.make_operators(self._adapter.list_body_rules()),
         )
         tasks.start_soon(self._link.run)
--- a/tanagerpath/services/workload_entry.py
+++ b/tanagerpath/services/workload_entry.py
@@ -169,7 +169,9 @@
         settings = self._settings
         routes = {
             settings.public_listen: (
-                self._adapter.list_routes(self._leader),
+                self._guards.queue_large_requests(
+                    self._adapter.list_routes(self._leader), "callers"
+                ),
                 self._callers.guard,
             ),
             settings.readiness_listen: (
--- a/tanagerpath/services/workload_relay.py
+++ b/tanagerpath/services/workload_relay.py
@@ -243,7 +243,9 @@
         listed = {
             settings.listen: (routes.list_routes(), guards.make_internal()),
             settings.public_listen: (
-                self._adapter.list_routes(leader),
+                guards.queue_large_requests(
+                    self._adapter.list_routes(leader), "operators"
+                ),
                 guards.make_operators(self._adapter.list_body_rules()),
             ),
         }
--- a/tanagerpath/settings/bounds.py
+++ b/tanagerpath/settings/bounds.py
@@ -6,6 +6,7 @@
     "choose_bodies_mib",
     "choose_control_drain_s",
     "choose_entry_drain_s",
+    "choose_handled_kib",
     "choose_max_connections",
     "choose_replace_voter_after_s",
 ]
@@ -29,6 +30,8 @@
 BODIES_SHARE = 1 / 32
 MIN_BODIES_MIB = 16
 MAX_BODIES_MIB = 64
+# Handlers take up to a hundred times the bytes of a body.
+HANDLED_KIB_PER_MB = 0.5
 # A connection takes 6 KB when idle, and 22 KB with a part of a header of 16 KB.
 CONNECTIONS_PER_MB = 2
 MIN_CONNECTIONS = 8
@@ -46,6 +49,17 @@
     return min(max(share_mib, MIN_BODIES_MIB), MAX_BODIES_MIB)
 
 
+def choose_handled_kib(memory_limit_mb: int) -> int:
+    """Return the KiB of large bodies that a process may handle at once.
+
+    Parameters
+    ----------
+    memory_limit_mb : int
+        Memory of the process in MB.
+    """
+    return int(HANDLED_KIB_PER_MB * memory_limit_mb)
+
+
 def choose_max_connections(
     max_descriptors: int, memory_limit_mb: int, share: float
 ) -> int:
--- a/tanagerpath/settings/workloads.py
+++ b/tanagerpath/settings/workloads.py
@@ -211,7 +211,7 @@
     type=WholeNumberType(MIN_MEMORY_LIMIT_MB, 10_000_000),
     unit="MB",
     default=512,
-    description="Memory of the process; bodies and connections get a part of it.",
+    description="Memory of the process; bodies, handlers and connections get a part.",
 )
 _MAX_DESCRIPTORS = Setting(
     name="max_descriptors",
