Bound the log in memory by characters as well as by entries

What operators would see: a control process that grows by 1.3 MB with each changed configuration of 600 KB, up to 1,000 of them, so that a VM of 300 MB ends.

--- a/tanagerpath/core/consensus/config.py
+++ b/tanagerpath/core/consensus/config.py
@@ -55,8 +55,12 @@
         Maximum number of unanswered append messages with entries per follower.
     snapshot_after_entries : int
         Applied entries after which a new snapshot is requested.
-    retained_entries : int
-        Entries kept in memory before a snapshot, for followers that lag slightly.
+    snapshot_after_chars : int
+        Characters of applied commands after which a new snapshot is requested, however
+        few they are; not before they are as many as in the last snapshot.
+    retained_entries, retained_chars : int
+        Limits of the entries kept in memory before a snapshot, for followers that lag
+        slightly.
     snapshot_chunk_chars : int
         Maximum number of characters of a snapshot in one message.
     """
@@ -80,7 +84,9 @@
     max_batch_chars: int = 262144
     max_batches_in_flight: int = 2
     snapshot_after_entries: int = 1000
+    snapshot_after_chars: int = 4_194_304
     retained_entries: int = 256
+    retained_chars: int = 1_048_576
     snapshot_chunk_chars: int = 262144
 
     def __attrs_post_init__(self) -> None:
--- a/tanagerpath/core/consensus/context.py
+++ b/tanagerpath/core/consensus/context.py
@@ -76,6 +76,8 @@
         self.proposals: dict[int, int] = {}
         self._reported_addresses: dict[str, str] = {}
         self._requested_snapshot_index = 0
+        # Characters of the commands since the last requested snapshot.
+        self._applied_chars = 0
         self._actions: list[Action] = []
         self._last_role_report: ReportRole | None = None
         self.replica_id = restored.replica_id or self._create_identity()
@@ -198,6 +200,7 @@
                 )
             )
         )
+        self._applied_chars += sum(len(entry.payload) for entry in entries)
         self._request_snapshot()
 
     def _report_committed(self, entries: tuple[LogEntry, ...]) -> None:
@@ -213,10 +216,21 @@
     def _request_snapshot(self) -> None:
         snapshot_index = self.log.snapshot.last_index if self.log.snapshot else 0
         since = max(snapshot_index, self._requested_snapshot_index)
-        if self.commit_index - since >= self.config.snapshot_after_entries:
+        is_long = self.commit_index - since >= self.config.snapshot_after_entries
+        if is_long or self._applied_chars >= self._find_snapshot_chars():
             self._requested_snapshot_index = self.commit_index
+            self._applied_chars = 0
             self.add_action(RequestSnapshot(self.commit_index))
 
+    def _find_snapshot_chars(self) -> int:
+        """Return the characters of commands that are worth a new snapshot.
+
+        A large state is not written again for a small part of its size.
+        """
+        snapshot = self.log.snapshot
+        state_chars = len(snapshot.payload) if snapshot else 0
+        return max(self.config.snapshot_after_chars, state_chars)
+
     def store_own_snapshot(self, last_index: int, payload: str) -> None:
         """Store a snapshot that the local state machine provided."""
         snapshot_index = self.log.snapshot.last_index if self.log.snapshot else 0
@@ -225,7 +239,9 @@
             return
         membership = self.log.find_membership(last_index)
         snapshot = Snapshot(last_index, last_term, membership, payload)
-        self.log.compact(snapshot, self.config.retained_entries)
+        self.log.compact(
+            snapshot, self.config.retained_entries, self.config.retained_chars
+        )
         self.journal.record_snapshot(snapshot)
 
     def install_snapshot(self, snapshot: Snapshot) -> None:
--- a/tanagerpath/core/consensus/log.py
+++ b/tanagerpath/core/consensus/log.py
@@ -104,10 +104,21 @@
         del self._entries[max(index - self.base_index - 1, 0) :]
         self._memberships = [known for known in self._memberships if known[0] < index]
 
-    def compact(self, snapshot: Snapshot, retained: int) -> None:
-        """Record a snapshot and remove all but `retained` entries before it."""
+    def compact(
+        self, snapshot: Snapshot, retained_entries: int, retained_chars: int
+    ) -> None:
+        """Record a snapshot and remove the entries before it but for the last ones.
+
+        Parameters
+        ----------
+        snapshot : Snapshot
+            Snapshot of the state after its last index.
+        retained_entries, retained_chars : int
+            Limits of the entries that are kept before it.
+        """
         self.snapshot = snapshot
-        base = max(self.base_index, snapshot.last_index - retained)
+        first = max(self.base_index, snapshot.last_index - retained_entries)
+        base = self._find_base(first, snapshot.last_index, retained_chars)
         base_term = self.find_term(base)
         if base_term is None or base == self.base_index:
             return
@@ -117,6 +128,15 @@
         self.base_index, self.base_term = base, base_term
         self._memberships = [(base, base_membership), *later]
 
+    def _find_base(self, first: int, last: int, max_chars: int) -> int:
+        """Return the index before the last entries that have at most `max_chars`."""
+        chars = 0
+        for entry in reversed(self.read(first + 1, last)):
+            chars += len(entry.payload)
+            if chars > max_chars:
+                return entry.index
+        return first
+
     def reset(self, snapshot: Snapshot) -> None:
         """Replace the whole log by a snapshot of another replica."""
         self.__init__(snapshot)
