Move the simulated VM out of the harness of the consensus tests

Change: the first three are in `simulated_vm.py`, with the queue of a busy leader's step; all users import them from there. No change of behaviour. Tests of consensus, coordination, control and benchmarks pass.

--- a/tanagerpath/benchmarks/workload_check_calls.py
+++ b/tanagerpath/benchmarks/workload_check_calls.py
@@ -6,7 +6,8 @@
 
 from tanagerpath.benchmarks.workload_check_upstreams import CheckedUpstream, Fleet
 from tanagerpath.core.consensus.events import Event
-from tanagerpath.core.consensus.harness import SimulatedGroup, SimulatedVm
+from tanagerpath.core.consensus.harness import SimulatedGroup
+from tanagerpath.core.consensus.simulated_vm import SimulatedVm
 from tanagerpath.core.coordination import (
     CallUpstream,
     UpstreamCallFailed,
--- a/tanagerpath/benchmarks/workload_check_faults.py
+++ b/tanagerpath/benchmarks/workload_check_faults.py
@@ -11,7 +11,7 @@
 from tanagerpath.benchmarks.workload_check_upstreams import CheckedUpstream
 from tanagerpath.benchmarks.workload_check_world import CheckWorld
 from tanagerpath.core.consensus.disk_losses import ToleratedDiskLosses
-from tanagerpath.core.consensus.harness import SimulatedVm
+from tanagerpath.core.consensus.simulated_vm import SimulatedVm
 
 __all__ = ["FAULTS", "Fault", "FaultSeries"]
 
--- a/tanagerpath/benchmarks/workload_check_world.py
+++ b/tanagerpath/benchmarks/workload_check_world.py
@@ -34,8 +34,8 @@
 from tanagerpath.core.consensus import LossTolerance, ReplicaConfig
 from tanagerpath.core.consensus.config import RestoredState
 from tanagerpath.core.consensus.events import Action, Event
-from tanagerpath.core.consensus.harness import SimulatedVm, StepObserver
 from tanagerpath.core.consensus.simulated import DiskContent
+from tanagerpath.core.consensus.simulated_vm import SimulatedVm, StepObserver
 from tanagerpath.core.control.messages import SendReply
 from tanagerpath.core.coordination import CallUpstream
 from tanagerpath.core.workloads import DispatchTerms
--- a/tanagerpath/core/consensus/disk_losses.py
+++ b/tanagerpath/core/consensus/disk_losses.py
@@ -3,9 +3,10 @@
 import abc
 from collections.abc import Iterator
 
-from tanagerpath.core.consensus.harness import SimulatedGroup, SimulatedVm
+from tanagerpath.core.consensus.harness import SimulatedGroup
 from tanagerpath.core.consensus.membership import Member, Membership
 from tanagerpath.core.consensus.simulated import DiskContent
+from tanagerpath.core.consensus.simulated_vm import SimulatedVm
 from tanagerpath.core.consensus.voters import LossTolerance
 
 __all__ = ["DiskLossPolicy", "SingleDiskLoss", "ToleratedDiskLosses"]
--- a/tanagerpath/core/consensus/harness.py
+++ b/tanagerpath/core/consensus/harness.py
@@ -4,8 +4,6 @@
 from one seeded `random.Random`, so a seed reproduces a run exactly.
 """
 
-import abc
-import hashlib
 import heapq
 import random
 from collections.abc import Callable, Iterable
@@ -19,7 +17,6 @@
     CommandProposed,
     DeliverCommitted,
     Event,
-    LogEntry,
     MessageReceived,
     PersistState,
     ProposalRejected,
@@ -27,7 +24,6 @@
     RestoreSnapshot,
     Role,
     SendMessage,
-    Snapshot,
     SnapshotProvided,
     StorageLost,
     StorageSynced,
@@ -37,14 +33,13 @@
 from tanagerpath.core.consensus.membership import Membership
 from tanagerpath.core.consensus.replica import Replica
 from tanagerpath.core.consensus.simulated import (
-    DiskContent,
     NetworkFaults,
     SimulatedClock,
-    SimulatedDisk,
 )
+from tanagerpath.core.consensus.simulated_vm import SimulatedVm, StepObserver
 from tanagerpath.errors import Failure, FailureError
 
-__all__ = ["ReplicaFactory", "SimulatedGroup", "SimulatedVm", "StepObserver"]
+__all__ = ["ReplicaFactory", "SimulatedGroup"]
 
 ReplicaFactory = Callable[[ReplicaConfig, RestoredState, random.Random], Replica]
 
@@ -54,67 +49,6 @@
 MIN_TICK_INTERVAL_S = 0.0005
 
 
-@attrs.define
-class StateMachine:
-    """State machine whose state is a digest of all applied entries."""
-
-    index: int = 0
-    digest: str = ""
-
-    def apply(self, entry: LogEntry) -> None:
-        """Apply the next entry."""
-        text = f"{self.digest}/{entry.index}/{entry.kind}/{entry.payload}"
-        self.index = entry.index
-        self.digest = hashlib.sha256(text.encode()).hexdigest()
-
-    def restore(self, snapshot: Snapshot) -> None:
-        """Replace the state by a snapshot."""
-        self.index = snapshot.last_index
-        self.digest = snapshot.payload
-
-
-class SimulatedVm:
-    """VM with its disk and the process that runs on it, if any."""
-
-    def __init__(self, config: ReplicaConfig) -> None:
-        self.config = config
-        self.vm_id = config.vm_id
-        self.address = config.address
-        self.disk = SimulatedDisk()
-        self.replica: Replica | None = None
-        self.clock = SimulatedClock(0.0, 1.0)
-        self.state_machine = StateMachine()
-        self.frozen = False
-        # Time in seconds that each step takes while this VM leads: events that arrive
-        # meanwhile are handled in the next step, and no message leaves before the end.
-        self.leader_step_s = 0.0
-        self.step_ends_s = 0.0
-        self.starts = 0
-        self.inbox: list[Event] = []
-        self.scheduled_tick_s: float | None = None
-
-    @property
-    def running(self) -> bool:
-        """Whether a process runs and is not frozen."""
-        return self.replica is not None and not self.frozen
-
-
-class StepObserver(abc.ABC):
-    """Receives every step of every replica."""
-
-    @abc.abstractmethod
-    def record_step(self, vm: SimulatedVm, event: Event, actions: list[Action]) -> None:
-        """Record a step after its writes were queued."""
-
-    @abc.abstractmethod
-    def record_failure(self, vm: SimulatedVm, failure: Failure) -> None:
-        """Record that a replica stopped with a failure."""
-
-    @abc.abstractmethod
-    def record_emptied(self, vm: SimulatedVm, lost: DiskContent) -> None:
-        """Record that a disk was emptied, with its lost content."""
-
-
 class SimulatedGroup:
     """Replicas on simulated VMs.
 
@@ -227,15 +161,10 @@
         vm = self.vms[vm_id]
         if vm.replica is not None:
             return
-        vm.starts += 1
-        vm.frozen = False
-        vm.step_ends_s = 0.0
-        vm.inbox.clear()
-        vm.state_machine = StateMachine()
+        vm.reset_process()
         vm.clock = SimulatedClock.from_random(self.random)
         source = random.Random(self.random.getrandbits(64))
         vm.replica = self._factory(vm.config, vm.disk.durable.restore(), source)
-        vm.scheduled_tick_s = None
         self._deliver(vm, vm.starts, Tick())
 
     def crash(self, vm_id: str) -> None:
@@ -280,7 +209,7 @@
         if not vm.frozen:
             return
         vm.frozen = False
-        waiting, vm.inbox = vm.inbox, []
+        waiting = vm.take_waiting()
         place = self.random.choice((0, len(waiting)))
         for event in [*waiting[:place], Tick(), *waiting[place:]]:
             self._deliver(vm, vm.starts, event)
@@ -373,26 +302,21 @@
             if not isinstance(event, Tick):
                 vm.inbox.append(event)
             return
-        if vm.leader_step_s and vm.replica.role is Role.LEADER:
+        if vm.is_busy_leader:
             self._queue_step(vm, event)
             return
         self._step(vm, vm.replica, event)
 
     def _queue_step(self, vm: SimulatedVm, event: Event) -> None:
         """Handle an event in the next step of a busy leader, with all that wait."""
-        vm.inbox.append(event)
-        if vm.step_ends_s > self.now_s:
-            return
-        vm.step_ends_s = self.now_s + vm.leader_step_s
-        start = vm.starts
-        self.schedule(vm.leader_step_s, lambda: self._end_step(vm, start))
+        if vm.queue_event(event, self.now_s):
+            start = vm.starts
+            self.schedule(vm.leader_step_s, lambda: self._end_step(vm, start))
 
     def _end_step(self, vm: SimulatedVm, start: int) -> None:
         if vm.starts != start or vm.frozen:
             return
-        vm.step_ends_s = 0.0
-        waiting, vm.inbox = vm.inbox, []
-        for event in waiting:
+        for event in vm.end_step():
             if vm.replica is not None:
                 self._step(vm, vm.replica, event)
 
--- a/tanagerpath/core/consensus/invariants.py
+++ b/tanagerpath/core/consensus/invariants.py
@@ -13,15 +13,15 @@
     Role,
     SendMessage,
 )
-from tanagerpath.core.consensus.harness import (
-    SimulatedGroup,
+from tanagerpath.core.consensus.harness import SimulatedGroup
+from tanagerpath.core.consensus.membership import Membership
+from tanagerpath.core.consensus.messages import VoteReply, VoteRequest
+from tanagerpath.core.consensus.simulated import DiskContent
+from tanagerpath.core.consensus.simulated_vm import (
     SimulatedVm,
     StateMachine,
     StepObserver,
 )
-from tanagerpath.core.consensus.membership import Membership
-from tanagerpath.core.consensus.messages import VoteReply, VoteRequest
-from tanagerpath.core.consensus.simulated import DiskContent
 from tanagerpath.errors import Failure
 
 __all__ = ["InvariantMonitor", "Violation"]
--- a/tanagerpath/core/consensus/schedule.py
+++ b/tanagerpath/core/consensus/schedule.py
@@ -3,8 +3,9 @@
 import attrs
 
 from tanagerpath.core.consensus.disk_losses import DiskLossPolicy, SingleDiskLoss
-from tanagerpath.core.consensus.harness import SimulatedGroup, SimulatedVm
+from tanagerpath.core.consensus.harness import SimulatedGroup
 from tanagerpath.core.consensus.simulated import NetworkFaults
+from tanagerpath.core.consensus.simulated_vm import SimulatedVm
 
 __all__ = ["FaultSchedule"]
 
--- a/tanagerpath/core/consensus/tests/test_membership_reports.py
+++ b/tanagerpath/core/consensus/tests/test_membership_reports.py
@@ -11,7 +11,7 @@
     PromotionDelayed,
     VoteChanged,
 )
-from tanagerpath.core.consensus.harness import StepObserver
+from tanagerpath.core.consensus.simulated_vm import StepObserver
 from tanagerpath.core.consensus.tests.scenarios import (
     commit,
     find_followers,
