Move the reconciliation of tasks out of the coordinator

Change: `TaskReconciler` in `reconciliation.py` marks members of earlier incarnations and unlisted members as lost and stops orphaned tasks. It returns the effects in the same order.

--- a/tanagerpath/core/coordination/coordinator.py
+++ b/tanagerpath/core/coordination/coordinator.py
@@ -28,12 +28,10 @@
     UpstreamCallFailed,
     UpstreamReplied,
 )
-from tanagerpath.core.coordination.orphans import (
-    is_report_obsolete,
-    list_orphaned_tasks,
-)
+from tanagerpath.core.coordination.orphans import is_report_obsolete
+from tanagerpath.core.coordination.reconciliation import TaskReconciler
 from tanagerpath.core.coordination.registry import AttemptRegistry
-from tanagerpath.core.coordination.sessions import LeaseConfig, UpstreamSession
+from tanagerpath.core.coordination.sessions import LeaseConfig
 from tanagerpath.core.coordination.submission import JobSubmitter
 from tanagerpath.core.model import AttemptId, ServiceDocument
 from tanagerpath.core.placement import (
@@ -43,7 +41,6 @@
     Scheduler,
 )
 from tanagerpath.core.protocol import upstreams as protocol
-from tanagerpath.core.protocol.upstreams import TaskPhase
 from tanagerpath.core.state import (
     AcceptJob,
     ApplyDocument,
@@ -113,6 +110,9 @@
         self._finalizer = AttemptFinalizer(
             state, scheduler, self._attempts, self._submitter, config.conclusions
         )
+        self._reconciler = TaskReconciler(
+            term, self._attempts, self._driver, self._finalizer
+        )
         self._expire_at_s = now.now_s
         self._effects: list[Effect] = []
         self._update_guarantees()
@@ -331,18 +331,6 @@
         if is_successful(result) and record is not None:
             self._effects += self._submitter.submit(record, now)
 
-    def _mark_replaced_members_lost(
-        self, session: UpstreamSession, now: Instant
-    ) -> None:
-        """Mark members reserved by earlier incarnations of an upstream as lost."""
-        incarnation = session.announcement.incarnation
-        for attempt in self._attempts.list_on_upstream(session.upstream_id):
-            for member in attempt.list_replaced_members(
-                session.upstream_id, incarnation
-            ):
-                self._effects += self._driver.mark_member_lost(attempt, member, now)
-            self._effects += self._finalizer.finalize_if_done(attempt, now)
-
     def _handle_start_recorded(
         self,
         job_id: str,
@@ -390,10 +378,12 @@
             case protocol.RenewReply():
                 requested_at_s = session.renewal_sent_at_s
                 if session.replied_at_s is None:
-                    self._mark_replaced_members_lost(session, now)
+                    self._effects += self._reconciler.mark_replaced_members_lost(
+                        session, now
+                    )
                 self._effects += self._fleet.handle_reply(session, event.reply, now)
-                self._reconcile_tasks(
-                    event.upstream_id, event.reply, requested_at_s, now
+                self._effects += self._reconciler.reconcile(
+                    session, event.reply, requested_at_s, now
                 )
             case protocol.ProbeReply(healthy):
                 self._scheduler.record_probe(event.upstream_id, healthy, now.now_s)
@@ -421,36 +411,6 @@
                 RecordPeriod.from_request(JobPeriod.START, attempt.request, elapsed_s)
             )
 
-    def _reconcile_tasks(
-        self,
-        upstream_id: str,
-        reply: protocol.RenewReply,
-        requested_at_s: float,
-        now: Instant,
-    ) -> None:
-        phases = {(t.job_id, t.attempt, t.rank): t.phase for t in reply.tasks}
-        for attempt in self._attempts.list_on_upstream(upstream_id):
-            for member in attempt.members:
-                if member.run.upstream_id != upstream_id:
-                    continue
-                key = (attempt.job_id, attempt.attempt_id, member.rank)
-                phase = phases.get(key, TaskPhase.ABSENT)
-                self._effects += self._driver.reconcile_task(
-                    attempt, member, phase, requested_at_s, now
-                )
-            self._effects += self._finalizer.finalize_if_done(attempt, now)
-        self._stop_orphaned_tasks(upstream_id, reply)
-
-    def _stop_orphaned_tasks(
-        self, upstream_id: str, reply: protocol.RenewReply
-    ) -> None:
-        session = self._fleet.find(upstream_id)
-        for task in list_orphaned_tasks(reply, self._attempts):
-            stop = protocol.StopRequest(
-                self._term, task.job_id, task.attempt, task.rank
-            )
-            self._effects.append(session.make_call(stop))
-
     def _handle_call_failure(self, event: UpstreamCallFailed) -> None:
         session = self._fleet.find(event.upstream_id, event.incarnation)
         if session is not None and isinstance(event.request, protocol.RenewRequest):
