Split the capacity of a pool from the forecast of starts

Change: pool_capacity.py holds Demand and PoolCapacity, and their tests follow. The larger amount of each resource is a method of Resources. No change of behaviour.

--- a/tanagerpath/core/workloads/admission.py
+++ b/tanagerpath/core/workloads/admission.py
@@ -6,10 +6,10 @@
 
 import attrs
 
+from tanagerpath.core.workloads.pool_capacity import PoolCapacity
 from tanagerpath.core.workloads.refusals import MAX_RETRY_S, RefusalRecord
 from tanagerpath.core.workloads.work_ahead import (
     Forecast,
-    PoolCapacity,
     QueueError,
     WorkItem,
     forecast_start,
--- a/tanagerpath/core/workloads/resources.py
+++ b/tanagerpath/core/workloads/resources.py
@@ -68,6 +68,14 @@
                 count = min(count, free // needed)
         return max(count, 0)
 
+    def find_maximum(self, other: "Resources") -> "Resources":
+        """Return the larger amount of each resource."""
+        return Resources(
+            max(self.cpu_millicores, other.cpu_millicores),
+            max(self.memory_mb, other.memory_mb),
+            max(self.accelerators, other.accelerators),
+        )
+
     def find_dominant_share(self, capacity: "Resources") -> float:
         """Return the largest share of `capacity` of any resource, 0 to 1."""
         shares = [
--- a/tanagerpath/core/workloads/tests/test_admission_policy.py
+++ b/tanagerpath/core/workloads/tests/test_admission_policy.py
@@ -13,6 +13,7 @@
     UsefulWork,
     make_admission_policy,
 )
+from tanagerpath.core.workloads.pool_capacity import PoolCapacity
 from tanagerpath.core.workloads.refusals import (
     MAX_REFUSALS,
     MAX_RETRY_S,
@@ -26,7 +27,6 @@
     NOW_S,
     make_item,
 )
-from tanagerpath.core.workloads.work_ahead import PoolCapacity
 
 UNIX_S = 1e6
 # Latest start of the workload of these tests: 60 s less 4 s on the fastest upstream.
--- a/tanagerpath/core/workloads/work_tracker.py
+++ b/tanagerpath/core/workloads/work_tracker.py
@@ -10,10 +10,10 @@
 from tanagerpath.core.workloads.configuration import Queue
 from tanagerpath.core.workloads.coverage import count_needed
 from tanagerpath.core.workloads.dispatch_context import DispatchContext
+from tanagerpath.core.workloads.pool_capacity import PoolCapacity
 from tanagerpath.core.workloads.records import WorkloadRecord
 from tanagerpath.core.workloads.refusals import MAX_REFUSALS
 from tanagerpath.core.workloads.work_ahead import (
-    PoolCapacity,
     QueueError,
     WorkItem,
     make_item,
