Choose the layout of a soak's seed in one place

Cause: the plans of the fault soak and of the disk series both had the choice of one of some layouts in turn. Change: Layout.from_seed takes the layouts; those of the disk series are DISK_LAYOUTS. No change of behaviour.

--- a/tanagerpath/emulator/soak.py
+++ b/tanagerpath/emulator/soak.py
@@ -20,10 +20,14 @@
 import anyio
 import attrs
 
-from tanagerpath.emulator.soak_disk_plan import DEFAULT_BACKLOG, DiskSeriesPlan
+from tanagerpath.emulator.soak_disk_plan import (
+    DEFAULT_BACKLOG,
+    DISK_LAYOUTS,
+    DiskSeriesPlan,
+)
 from tanagerpath.emulator.soak_disk_run import run_disk_series
 from tanagerpath.emulator.soak_interface import SoakInterface
-from tanagerpath.emulator.soak_plan import Layout, SoakPlan
+from tanagerpath.emulator.soak_plan import LAYOUTS, Layout, SoakPlan
 from tanagerpath.emulator.soak_run import SoakResult, run_seed
 
 __all__ = ["main"]
@@ -90,9 +94,10 @@
 
 def _choose_plan(flags: argparse.Namespace, seed: int) -> SoakPlan | DiskSeriesPlan:
     if flags.disk_series:
-        layout = _choose_layout(flags, DiskSeriesPlan.choose_layout(seed))
+        layout = _choose_layout(flags, Layout.from_seed(seed, DISK_LAYOUTS))
         return DiskSeriesPlan.from_seed(seed, layout, flags.backlog)
-    return SoakPlan.from_seed(seed, _choose_layout(flags, Layout.from_seed(seed)))
+    layout = _choose_layout(flags, Layout.from_seed(seed, LAYOUTS))
+    return SoakPlan.from_seed(seed, layout)
 
 
 def _choose_layout(flags: argparse.Namespace, layout: Layout) -> Layout:
--- a/tanagerpath/emulator/soak_disk_plan.py
+++ b/tanagerpath/emulator/soak_disk_plan.py
@@ -7,10 +7,16 @@
 from tanagerpath.emulator.soak_faults import Fault, Freeze, Kill, Terminate
 from tanagerpath.emulator.soak_plan import Layout
 
-__all__ = ["DEFAULT_BACKLOG", "DiskLoss", "DiskSeriesPlan", "Disturbance"]
+__all__ = [
+    "DEFAULT_BACKLOG",
+    "DISK_LAYOUTS",
+    "DiskLoss",
+    "DiskSeriesPlan",
+    "Disturbance",
+]
 
 # Without workers and with two, which can run only a few workloads at a time.
-LAYOUTS = (Layout(3, 1), Layout(3, 1, workers=2))
+DISK_LAYOUTS = (Layout(3, 1), Layout(3, 1, workers=2))
 DEFAULT_BACKLOG = 1200
 DEFAULT_LOSSES = 5
 DOWN_MIN_S = 0.2
@@ -104,11 +110,6 @@
     losses: tuple[DiskLoss, ...]
     final: DiskLoss
 
-    @staticmethod
-    def choose_layout(seed: int) -> Layout:
-        """Return one of `LAYOUTS` in turn."""
-        return LAYOUTS[seed % len(LAYOUTS)]
-
     @classmethod
     def from_seed(
         cls,
@@ -124,14 +125,14 @@
         seed : int
             The same seed gives the same plan.
         layout : Layout, optional
-            Size of the deployment; one of `LAYOUTS` in turn by default.
+            Size of the deployment; one of `DISK_LAYOUTS` in turn by default.
         backlog : int
             Workloads that are accepted before the first fault.
         losses_count : int
             Disks that are lost before the last fault.
         """
         source = random.Random(seed)
-        layout = layout or cls.choose_layout(seed)
+        layout = layout or Layout.from_seed(seed, DISK_LAYOUTS)
         losses = tuple(_draw_loss(source, layout) for _ in range(losses_count))
         final = attrs.evolve(_draw_loss(source, layout), disturbances=())
         return cls(seed, layout, backlog, losses, final)
--- a/tanagerpath/emulator/soak_plan.py
+++ b/tanagerpath/emulator/soak_plan.py
@@ -43,9 +43,9 @@
     workers: int = 0
 
     @classmethod
-    def from_seed(cls, seed: int) -> "Layout":
-        """Return one of `LAYOUTS` in turn."""
-        return LAYOUTS[seed % len(LAYOUTS)]
+    def from_seed(cls, seed: int, layouts: tuple["Layout", ...]) -> "Layout":
+        """Return one of some layouts in turn."""
+        return layouts[seed % len(layouts)]
 
     @property
     def vm_ids(self) -> tuple[str, ...]:
@@ -126,7 +126,7 @@
             Faults of the process that leads, if there are workers.
         """
         source = random.Random(seed)
-        layout = layout or Layout.from_seed(seed)
+        layout = layout or Layout.from_seed(seed, LAYOUTS)
         series = tuple(
             tuple(_draw_step(source, layout) for _ in range(steps_count))
             for _ in range(series_count)
