Run the seeds of both soaks with the same code

Cause: the fault soak and the disk series each had a function that plays a plan within a bounded time, and the same check of a caller's workloads. Change: SoakSession.run_plan plays a plan of either kind; SoakRun and DiskSeriesRun, now public, say their time limit and the votes. The check of a caller stands in the session. The tests call run_plan in place of run_seed and run_disk_series; what they check is unchanged. No change of behaviour.

--- a/tanagerpath/emulator/soak.py
+++ b/tanagerpath/emulator/soak.py
@@ -25,10 +25,10 @@
     DISK_LAYOUTS,
     DiskSeriesPlan,
 )
-from tanagerpath.emulator.soak_disk_run import run_disk_series
+from tanagerpath.emulator.soak_disk_run import DiskSeriesRun
 from tanagerpath.emulator.soak_interface import SoakInterface
 from tanagerpath.emulator.soak_plan import LAYOUTS, Layout, SoakPlan
-from tanagerpath.emulator.soak_run import SoakResult, run_seed
+from tanagerpath.emulator.soak_run import SoakResult, SoakRun
 
 __all__ = ["main"]
 
@@ -38,8 +38,8 @@
 ) -> SoakResult:
     """Play a plan; the logs of a seed that failed are kept in any case."""
     folder = pathlib.Path(tempfile.mkdtemp(prefix=f"tanagerpath-soak-{plan.seed}-"))
-    run = run_disk_series if isinstance(plan, DiskSeriesPlan) else run_seed
-    result = anyio.run(run, plan, interface, folder)
+    session = DiskSeriesRun if isinstance(plan, DiskSeriesPlan) else SoakRun
+    result = anyio.run(session.run_plan, plan, interface, folder)
     verdict = "FAILED" if result.has_failed else "passed"
     print(
         f"seed {plan.seed}: {verdict} in {result.duration_s} s, "
--- a/tanagerpath/emulator/soak_disk_run.py
+++ b/tanagerpath/emulator/soak_disk_run.py
@@ -6,7 +6,6 @@
 import random
 
 import anyio
-import attrs
 from anyio.abc import TaskGroup
 
 from tanagerpath.emulator.soak_clients import CallerTask
@@ -14,16 +13,14 @@
 from tanagerpath.emulator.soak_disk_plan import DiskSeriesPlan
 from tanagerpath.emulator.soak_interface import SoakInterface
 from tanagerpath.emulator.soak_session import (
-    DEFAULT_TERMS,
     ServiceNotBack,
-    SoakResult,
     SoakSession,
     SoakTerms,
 )
 from tanagerpath.emulator.soak_votes import ControlLog, DiskVote, find_leader
 from tanagerpath.emulator.soak_workloads import draw_large_workload
 
-__all__ = ["run_disk_series"]
+__all__ = ["DiskSeriesRun"]
 
 SEED_LIMIT_S = 300.0
 # Submissions have no stated rate; a full machine takes seconds for a thousand.
@@ -33,8 +30,8 @@
 CALLER_PAUSE_S = 1.0
 
 
-class _DiskSeriesRun(SoakSession):
-    """Plays one plan."""
+class DiskSeriesRun(SoakSession):
+    """Plays the plan of a disk series, and judges what is left."""
 
     def __init__(
         self,
@@ -43,11 +40,15 @@
         folder: pathlib.Path,
         terms: SoakTerms,
     ) -> None:
-        super().__init__(plan.seed, plan.layout, interface, folder, terms)
-        self._plan = plan
+        super().__init__(plan, interface, folder, terms)
         self._callers = [self._make_caller(number) for number in range(CALLERS)]
         self._faults: DiskFaults | None = None
 
+    @property
+    def limit_s(self) -> float:
+        """Time in seconds within which the seed has to be done."""
+        return SEED_LIMIT_S
+
     def list_votes(self) -> tuple[DiskVote, ...]:
         """Return the vote after each loss, as the logs show them."""
         if self._faults is None:
@@ -133,20 +134,3 @@
         async with anyio.create_task_group() as checks:
             for caller in self._callers:
                 checks.start_soon(self._check_caller, caller)
-
-    async def _check_caller(self, caller: CallerTask) -> None:
-        unclear = await caller.check_all()
-        if unclear:
-            self.broken.append(f"no clear reply about {len(unclear)} workloads")
-
-
-async def run_disk_series(
-    plan: DiskSeriesPlan,
-    interface: SoakInterface,
-    folder: pathlib.Path,
-    terms: SoakTerms = DEFAULT_TERMS,
-) -> SoakResult:
-    """Play one plan in an empty folder, within a bounded time."""
-    run = _DiskSeriesRun(plan, interface, folder, terms)
-    result = await run.run(SEED_LIMIT_S)
-    return attrs.evolve(result, votes=run.list_votes())
--- a/tanagerpath/emulator/soak_run.py
+++ b/tanagerpath/emulator/soak_run.py
@@ -19,7 +19,6 @@
 from tanagerpath.emulator.soak_interface import SoakInterface
 from tanagerpath.emulator.soak_plan import SoakPlan
 from tanagerpath.emulator.soak_session import (
-    DEFAULT_TERMS,
     SoakResult,
     SoakSession,
     SoakTerms,
@@ -27,7 +26,7 @@
 from tanagerpath.emulator.soak_workloads import draw_workload, make_plain_workload
 from tanagerpath.runtime import Reply
 
-__all__ = ["SoakResult", "SoakTerms", "run_seed"]
+__all__ = ["SoakResult", "SoakRun", "SoakTerms"]
 
 SEED_LIMIT_S = 180.0
 # A seed with workers has a series more and waits until all workloads are completed.
@@ -35,8 +34,8 @@
 POLL_INTERVAL_S = 0.05
 
 
-class _SoakRun(SoakSession):
-    """Plays one plan."""
+class SoakRun(SoakSession):
+    """Plays the plan of the fault soak, and judges what is left."""
 
     def __init__(
         self,
@@ -45,8 +44,7 @@
         folder: pathlib.Path,
         terms: SoakTerms,
     ) -> None:
-        super().__init__(plan.seed, plan.layout, interface, folder, terms)
-        self._plan = plan
+        super().__init__(plan, interface, folder, terms)
         self._caller = CallerTask(
             interface,
             self.judge.mailbox,
@@ -55,6 +53,11 @@
             self._choose_workloads(),
         )
 
+    @property
+    def limit_s(self) -> float:
+        """Time in seconds within which the seed has to be done."""
+        return SEED_LIMIT_S + (WORKERS_LIMIT_S if self._plan.layout.workers else 0)
+
     def _choose_workloads(self) -> Callable[[str], WorkloadSpec]:
         if self._workers is None:
             return make_plain_workload
@@ -85,9 +88,7 @@
         await self._await_service("the last fault", self._terms.recovery_s)
 
     async def _check_workloads(self) -> None:
-        unclear = await self._caller.check_all()
-        if unclear:
-            self.broken.append(f"no clear reply about {len(unclear)} workloads")
+        await self._check_caller(self._caller)
         if self._workers is not None:
             await self._await_completion()
 
@@ -157,14 +158,3 @@
             for vm_id in vm_ids:
                 starts.start_soon(self.site.start, vm_id)
         self._follow_processes(clients)
-
-
-async def run_seed(
-    plan: SoakPlan,
-    interface: SoakInterface,
-    folder: pathlib.Path,
-    terms: SoakTerms = DEFAULT_TERMS,
-) -> SoakResult:
-    """Play one plan in an empty folder, within a bounded time."""
-    run = _SoakRun(plan, interface, folder, terms)
-    return await run.run(SEED_LIMIT_S + (WORKERS_LIMIT_S if plan.layout.workers else 0))
--- a/tanagerpath/emulator/soak_session.py
+++ b/tanagerpath/emulator/soak_session.py
@@ -12,6 +12,7 @@
 from anyio.abc import TaskGroup
 
 from tanagerpath.emulator.soak_clients import (
+    CallerTask,
     ControlsMoved,
     DiskProbeTask,
     JudgeTask,
@@ -20,10 +21,11 @@
     UnservedQuery,
     WaitForAcknowledgement,
 )
+from tanagerpath.emulator.soak_disk_plan import DiskSeriesPlan
 from tanagerpath.emulator.soak_evacuator import EvacuatorTask, WithdrawEvacuation
 from tanagerpath.emulator.soak_fleet import WorkersHost
 from tanagerpath.emulator.soak_interface import SoakInterface
-from tanagerpath.emulator.soak_plan import Layout
+from tanagerpath.emulator.soak_plan import Layout, SoakPlan
 from tanagerpath.emulator.soak_site import ProcessNotReady, SoakSite
 from tanagerpath.emulator.soak_votes import DiskVote
 from tanagerpath.errors import iterate_leaf_exceptions
@@ -135,10 +137,8 @@
 
     Parameters
     ----------
-    seed : int
-        Draws the requests and addresses.
-    layout : Layout
-        Size of the deployment.
+    plan : SoakPlan or DiskSeriesPlan
+        What is played; its seed draws the requests and addresses.
     interface : SoakInterface
         Form of settings, requests and replies.
     folder : pathlib.Path
@@ -149,14 +149,13 @@
 
     def __init__(
         self,
-        seed: int,
-        layout: Layout,
+        plan: SoakPlan | DiskSeriesPlan,
         interface: SoakInterface,
         folder: pathlib.Path,
         terms: SoakTerms,
     ) -> None:
-        self._seed = seed
-        self._layout = layout
+        seed, layout = plan.seed, plan.layout
+        self._plan = plan
         self._terms = terms
         self._interface = interface
         self.site = SoakSite(layout, interface, folder, random.Random(seed))
@@ -176,13 +175,33 @@
         self.recovered_s: list[float] = []
         self.completed_s: float | None = None
 
-    async def run(self, limit_s: float) -> SoakResult:
+    @classmethod
+    async def run_plan(
+        cls,
+        plan: SoakPlan | DiskSeriesPlan,
+        interface: SoakInterface,
+        folder: pathlib.Path,
+        terms: SoakTerms = DEFAULT_TERMS,
+    ) -> SoakResult:
+        """Play one plan in an empty folder, within a bounded time."""
+        return await cls(plan, interface, folder, terms).run()
+
+    @property
+    @abc.abstractmethod
+    def limit_s(self) -> float:
+        """Time in seconds within which the seed has to be done."""
+
+    def list_votes(self) -> tuple[DiskVote, ...]:
+        """Return the votes of the VMs that lost their disks in a series."""
+        return ()
+
+    async def run(self) -> SoakResult:
         """Play the seed within a bounded time."""
         began_s = anyio.current_time()
-        with anyio.move_on_after(limit_s) as scope:
+        with anyio.move_on_after(self.limit_s) as scope:
             await self.play()
         if scope.cancelled_caught:
-            self.broken.append(f"not done within {limit_s} s")
+            self.broken.append(f"not done within {self.limit_s} s")
         return self.make_result(began_s)
 
     async def play(self) -> None:
@@ -231,6 +250,12 @@
     async def _check_workloads(self) -> None:
         """Check what is left of the workloads, without other requests."""
 
+    async def _check_caller(self, caller: CallerTask) -> None:
+        """Check that the workloads of a caller have clear replies."""
+        unclear = await caller.check_all()
+        if unclear:
+            self.broken.append(f"no clear reply about {len(unclear)} workloads")
+
     async def _await_start(self) -> None:
         """Wait until the first start counts as over."""
         await self._await_service("the start", START_LIMIT_S)
@@ -292,8 +317,8 @@
         promises, rules = self.judge.promises, self.judge.run_rules
         evacuations = self.judge.evacuation_rules
         return SoakResult(
-            seed=self._seed,
-            layout=self._layout,
+            seed=self._plan.seed,
+            layout=self._plan.layout,
             broken=(
                 *promises.broken,
                 *rules.broken,
@@ -313,4 +338,5 @@
             slowest_sync_s=round(self.probe.slowest_s, 2),
             duration_s=round(anyio.current_time() - began_s, 1),
             outages=tuple(self.outages),
+            votes=self.list_votes(),
         )
--- a/tanagerpath/platform/tests/test_soak.py
+++ b/tanagerpath/platform/tests/test_soak.py
@@ -7,7 +7,7 @@
 import testtools
 
 from tanagerpath.emulator.soak_plan import Layout, SoakPlan
-from tanagerpath.emulator.soak_run import SoakTerms, run_seed
+from tanagerpath.emulator.soak_run import SoakRun, SoakTerms
 from tanagerpath.platform.soak_interface import PlatformInterface
 
 
@@ -16,7 +16,11 @@
         folder = tempfile.TemporaryDirectory()
         self.addCleanup(folder.cleanup)
         return anyio.run(
-            run_seed, plan, PlatformInterface(), pathlib.Path(folder.name), terms
+            SoakRun.run_plan,
+            plan,
+            PlatformInterface(),
+            pathlib.Path(folder.name),
+            terms,
         )
 
     def test_nothing_acknowledged_is_lost_with_two_disks_of_five(self):
--- a/tanagerpath/platform/tests/test_soak_disks.py
+++ b/tanagerpath/platform/tests/test_soak_disks.py
@@ -8,7 +8,7 @@
 import testtools
 
 from tanagerpath.emulator.soak_disk_plan import DiskSeriesPlan
-from tanagerpath.emulator.soak_disk_run import run_disk_series
+from tanagerpath.emulator.soak_disk_run import DiskSeriesRun
 from tanagerpath.emulator.soak_plan import Layout
 from tanagerpath.platform.soak_interface import PlatformInterface
 
@@ -26,7 +26,10 @@
         layout = Layout(3, 1, workers=2)
         plan = DiskSeriesPlan.from_seed(1, layout, BACKLOG, losses_count=2)
         result = anyio.run(
-            run_disk_series, plan, PlatformInterface(), pathlib.Path(folder.name)
+            DiskSeriesRun.run_plan,
+            plan,
+            PlatformInterface(),
+            pathlib.Path(folder.name),
         )
         self.assertEqual(((), ()), (result.broken, result.late_votes))
         self.assertEqual(3, len(result.votes))
