--- a/tanagerpath/core/workloads/request_handler.py
+++ b/tanagerpath/core/workloads/request_handler.py
@@ -8,14 +8,12 @@
 from tanagerpath.core.control.proposals import OpenProposal
 from tanagerpath.core.coordination import Instant
 from tanagerpath.core.protocol.callers import ErrorBody
-from tanagerpath.core.protocol.leadership import NotLeaderReply
-from tanagerpath.core.workloads import commands, requests
+from tanagerpath.core.workloads import commands, replies, requests
 from tanagerpath.core.workloads.admission import Refused
 from tanagerpath.core.workloads.configuration import Queue
 from tanagerpath.core.workloads.dispatcher import Dispatcher
 from tanagerpath.core.workloads.failures import (
     CancelledBefore,
-    EvacuationSuperseded,
     NoCapacity,
     NotConfigured,
     TooManyWorkloads,
@@ -23,12 +21,8 @@
     UnknownWorkload,
     UnknownZone,
 )
-from tanagerpath.core.workloads.records import (
-    EvacuationRecord,
-    WaveRecord,
-    WorkloadRecord,
-)
-from tanagerpath.core.workloads.refusals import MAX_REFUSALS, RefusalRecord
+from tanagerpath.core.workloads.records import WorkloadRecord
+from tanagerpath.core.workloads.refusals import MAX_REFUSALS
 from tanagerpath.core.workloads.specs import WorkloadSpec
 from tanagerpath.core.workloads.state import Applied, FleetState
 from tanagerpath.errors import Failure
@@ -63,78 +57,24 @@
     def _make_reply(self, state: FleetState) -> object:
         match self.command:
             case commands.AcceptWorkload(spec=spec, organisation=organisation):
-                return _make_submission_reply(state, organisation, spec.workload_id)
+                return replies.make_submission_reply(
+                    state, organisation, spec.workload_id
+                )
             case commands.RefuseWorkload(
                 workload_id=workload_id, organisation=organisation
             ):
-                return _make_submission_reply(state, organisation, workload_id)
+                return replies.make_submission_reply(state, organisation, workload_id)
             case commands.CancelWorkload(workload_id):
-                return _make_workload_reply(state, workload_id)
+                return replies.make_workload_reply(state, workload_id)
             case commands.PutConfiguration():
                 return requests.ConfigurationStored(state.configuration.version)
             case commands.DeclareWave(wave=wave):
-                return _make_wave_reply(state.waves[wave])
+                return replies.make_wave_reply(state.waves[wave])
             case commands.SetEvacuation(zone=zone) as command:
-                return _confirm_evacuation(state.find_evacuation(zone), command)
+                return replies.confirm_evacuation(state.find_evacuation(zone), command)
         return requests.UpstreamReportReply(self.leader_address)
 
 
-def _make_workload_reply(state: FleetState, workload_id: str) -> object:
-    record = state.workloads.get(workload_id)
-    if record is None:
-        return ErrorBody.from_failure(UnknownWorkload(workload_id=workload_id))
-    return requests.WorkloadReply(workload_id, record.state)
-
-
-def _make_submission_reply(
-    state: FleetState, organisation: str, workload_id: str
-) -> object:
-    """Return what the log has decided on a submission.
-
-    The order of its entries decides between an acceptance and a refusal. Without
-    either, as the memory of refusals is full, the submission has to be decided anew.
-    """
-    if workload_id in state.workloads:
-        return _make_workload_reply(state, workload_id)
-    refused = state.refusals.find(organisation, workload_id)
-    if refused is None:
-        return NotLeaderReply()
-    return ErrorBody.from_failure(_make_refusal(refused))
-
-
-def _make_refusal(refused: RefusalRecord) -> NoCapacity:
-    return NoCapacity(
-        workload_id=refused.workload_id,
-        queue=refused.queue,
-        retry_at_unix_s=refused.retry_at_unix_s,
-    )
-
-
-def _make_wave_reply(wave: WaveRecord) -> requests.WaveReply:
-    return requests.WaveReply(wave.wave, wave.is_completed)
-
-
-def _make_evacuation_reply(record: EvacuationRecord) -> requests.EvacuationReply:
-    return requests.EvacuationReply(record.zone, record.is_evacuated, record.revision)
-
-
-def _confirm_evacuation(
-    current: EvacuationRecord, command: commands.SetEvacuation
-) -> object:
-    """Return the reply to an order, a failure if it is not the last one in effect.
-
-    Two commands with the same revision and content have one effect, as a request that
-    is repeated after a lost reply.
-    """
-    expected = command.expected_revision
-    if current == EvacuationRecord(command.zone, command.is_evacuated, expected + 1):
-        return _make_evacuation_reply(current)
-    failure = EvacuationSuperseded(
-        zone=command.zone, expected_revision=expected, revision=current.revision
-    )
-    return ErrorBody.from_failure(failure)
-
-
 class WorkloadRequestHandler:
     """Answers requests from the state, or returns the proposals that they need.
 
@@ -245,7 +185,7 @@
             return identity
         spec = request.spec
         if spec.workload_id in self._state.workloads:
-            return _make_workload_reply(self._state, spec.workload_id)
+            return replies.make_workload_reply(self._state, spec.workload_id)
         fault = spec.find_fault()
         if fault is not None:
             return fault
@@ -287,7 +227,7 @@
         """
         refused = self._state.refusals.find_valid(organisation, workload_id, now.unix_s)
         if refused is not None:
-            return _make_refusal(refused)
+            return replies.make_refusal(refused)
         proposed = self._proposed_refusals.get((organisation, workload_id))
         if proposed is not None and now.unix_s < proposed.retry_at_unix_s:
             return [proposed]
@@ -440,7 +380,7 @@
     ) -> object | list[commands.WorkloadCommand]:
         existing = self._state.waves.get(request.wave)
         if existing is not None:
-            return _make_wave_reply(existing)
+            return replies.make_wave_reply(existing)
         return [
             commands.DeclareWave(
                 wave=request.wave,
@@ -452,9 +392,9 @@
 
     def _show_wave(self, request: requests.WaveQuery, now: Instant) -> object:
         wave = self._state.waves.get(request.wave)
-        return (
-            UnknownWave(wave=request.wave) if wave is None else _make_wave_reply(wave)
-        )
+        if wave is None:
+            return UnknownWave(wave=request.wave)
+        return replies.make_wave_reply(wave)
 
     def _show_evacuation(
         self, request: requests.EvacuationQuery, now: Instant
@@ -462,7 +402,7 @@
         if not self._is_known_zone(request.zone):
             known = self._dispatcher.context.terms.availability_zones
             return UnknownZone(zone=request.zone, known=known)
-        return _make_evacuation_reply(self._state.find_evacuation(request.zone))
+        return replies.make_evacuation_reply(self._state.find_evacuation(request.zone))
 
     def _is_known_zone(self, zone: str) -> bool:
         """Return whether orders for an availability zone are accepted.
@@ -484,7 +424,7 @@
         current = self._state.find_evacuation(request.zone)
         if current.revision == command.expected_revision:
             return [command]
-        return _confirm_evacuation(current, command)
+        return replies.confirm_evacuation(current, command)
 
     def _show_leader(self, request: requests.LeaderQuery, now: Instant) -> object:
         configuration = self._state.configuration
