Register the endless upstreams of both client tests in one place

Cause: test_costly_clients.py repeated the lines of test_hostile_clients.py that register upstreams and wait until each has replied. Change: HostileCase.await_replies does it for both; what the tests check is unchanged.

--- a/tanagerpath/platform/tests/test_costly_clients.py
+++ b/tanagerpath/platform/tests/test_costly_clients.py
@@ -27,9 +27,8 @@
     make_head,
     read_peak_mb,
 )
-from tanagerpath.platform.tests.processes import exchange, wait_for
+from tanagerpath.platform.tests.processes import exchange
 from tanagerpath.platform.tests.test_hostile_clients import (
-    CLOSING_TIMEOUT_S,
     LIMITS,
     MANY_QUEUES,
     MAX_OPEN_DESCRIPTORS,
@@ -265,13 +264,7 @@
 
     def check_chunks(self, chunk):
         piece = chunk * (PIECE_BYTES // len(chunk))
-        upstreams = [EndlessUpstream(piece) for _ in range(CLIENTS)]
-        for number, one in enumerate(upstreams):
-            self.addCleanup(one.close)
-            url = f"{self.deployment.control}/instances/i-{number}"
-            heartbeat = make_heartbeat(one.port)
-            self.assertEqual(200, exchange("PUT", url, heartbeat)[0])
-        wait_for(lambda: all(one.replies for one in upstreams), CLOSING_TIMEOUT_S)
+        self.await_replies([EndlessUpstream(piece) for _ in range(CLIENTS)])
         self.check_processes()
 
     def test_replies_in_chunks_of_one_byte(self):
--- a/tanagerpath/platform/tests/test_hostile_clients.py
+++ b/tanagerpath/platform/tests/test_hostile_clients.py
@@ -92,6 +92,15 @@
             return self.submit(ID)[0] == 200
         return exchange("GET", f"{self.deployment.control}/config")[0] == 200
 
+    def await_replies(self, upstreams):
+        """Register upstreams, and wait until each has replied to an order."""
+        for number, one in enumerate(upstreams):
+            self.addCleanup(one.close)
+            url = f"{self.deployment.control}/instances/i-{number}"
+            heartbeat = make_heartbeat(one.port)
+            self.assertEqual(200, exchange("PUT", url, heartbeat)[0])
+        wait_for(lambda: all(one.replies for one in upstreams), CLOSING_TIMEOUT_S)
+
     def check_calm(self, process, role, calm_mb):
         """Check the process after a crowd."""
         wait_for(lambda: self.is_answered(role), CLOSING_TIMEOUT_S)
@@ -255,13 +264,7 @@
     def test_replies_of_upstreams_without_end(self):
         process = self.start("control")["control"]
         calm_mb = read_peak_mb(process)
-        upstreams = [EndlessUpstream() for _ in range(CLIENTS)]
-        for number, one in enumerate(upstreams):
-            self.addCleanup(one.close)
-            url = f"{self.deployment.control}/instances/i-{number}"
-            heartbeat = make_heartbeat(one.port)
-            self.assertEqual(200, exchange("PUT", url, heartbeat)[0])
-        wait_for(lambda: all(one.replies for one in upstreams), CLOSING_TIMEOUT_S)
+        self.await_replies([EndlessUpstream() for _ in range(CLIENTS)])
         self.check_calm(process, "control", calm_mb)
 
 
