--- a/tanagerpath/core/workloads/tests/rig.py
+++ b/tanagerpath/core/workloads/tests/rig.py
@@ -76,6 +76,8 @@
         # Share of the calls without any result, as if the mailbox of the task was full.
         self.result_loss_rate = 0.0
         self.late_order_rate = 0.0
+        # Seconds from the proposal of a command until it is committed.
+        self.commit_delay_s = 0.0
         # Additional seconds until the replies of an upstream arrive, by its name.
         self.reply_delays_s: dict[str, float] = {}
         self.has_lease = True
@@ -294,13 +296,17 @@
             batch, queue = queue, []
             for effect in self.dispatcher.handle(batch, self.instant):
                 match effect:
+                    case Propose(command) if self.commit_delay_s:
+                        self._schedule(self.commit_delay_s, ("commit", command, None))
                     case Propose(command):
-                        self.index += 1
-                        applied = self.state.apply(self.index, command)
-                        queue.append(CommandRecorded(command, applied))
+                        queue.append(self._commit(command))
                     case _:
                         self._carry_out(effect)
 
+    def _commit(self, command):
+        self.index += 1
+        return CommandRecorded(command, self.state.apply(self.index, command))
+
     def _carry_out(self, effect):
         match effect:
             case CallUpstream():
@@ -422,6 +428,8 @@
         kind, first, second = delivery
         if kind == "event":
             return first
+        if kind == "commit":
+            return self._commit(first)
         if kind == "late":
             if not second.unreachable:
                 second.handle(first.request)
