Bound how long preferences keep work from free capacity

What callers saw: accepted work stood still while upstreams that would have run it were idle. Cause: probation, upstreams avoided after failures, racks and reservations each keep a unit from free upstreams, each for a time of its own or for good, and nothing compares that wait with the capacity that is free. Probation ends only with the success of a single task, so that a gang beside such upstreams never starts once only gangs wait.

--- a/tanagerpath/core/workloads/free_capacity.py
+++ b/tanagerpath/core/workloads/free_capacity.py
@@ -215,16 +215,20 @@
 
     def is_proven_for(self, unit: PlanUnit, session: UpstreamSession) -> bool:
         """Return whether a unit may use an upstream without a prior test."""
-        if not self._fleet.health[session.upstream_id].is_on_probation:
+        if unit.is_overdue or unit.step_key in self._may_probe:
             return True
-        return unit.step_key in self._may_probe
+        return not self._fleet.health[session.upstream_id].is_on_probation
 
     def _conflicts_with_reservation(
         self, unit: PlanUnit, session: UpstreamSession
     ) -> bool:
         """Return whether a task of the unit would run into a reservation."""
         from_s = self._reserved_from_s.get(session.upstream_id)
-        if from_s is None or (session.upstream_id, unit.step_key) in self._claimed:
+        if (
+            from_s is None
+            or unit.is_overdue
+            or (session.upstream_id, unit.step_key) in self._claimed
+        ):
             return False
         return self._fleet.now_s + self._fleet.predict_run_s(unit, session) > from_s
 
--- a/tanagerpath/core/workloads/plan_rounds.py
+++ b/tanagerpath/core/workloads/plan_rounds.py
@@ -16,7 +16,8 @@
 
     Each plan has the most important units and those with claimed capacity, as less
     important work must not take what they wait for. The other units take turns, so that
-    work that fits is not kept waiting by more important work that does not.
+    work that fits is not kept waiting by more important work that does not. Overdue
+    units have their turns first, each once a round.
 
     Parameters
     ----------
@@ -26,7 +27,8 @@
 
     def __init__(self, max_pairs: int) -> None:
         self._max_pairs = max_pairs
-        self._planned: set[StepKey] = set()
+        # Units that have had their turn, and whether they were overdue then.
+        self._planned: set[tuple[StepKey, bool]] = set()
         self.is_open = False
 
     def choose(
@@ -60,10 +62,16 @@
         others = []
         for unit in ranked[first:]:
             (chosen if unit.step_key in claimed else others).append(unit)
-        left = [unit for unit in others if unit.step_key not in self._planned]
+        left = [unit for unit in others if _find_turn(unit) not in self._planned]
+        left.sort(key=lambda unit: not unit.is_overdue)
         turn, left = left[: limit - first], left[limit - first :]
-        self._planned.update(unit.step_key for unit in turn)
+        self._planned.update(map(_find_turn, turn))
         self.is_open = bool(left)
         if not left:
             self._planned.clear()
         return chosen + turn
+
+
+def _find_turn(unit: PlanUnit) -> tuple[StepKey, bool]:
+    """Return the key of the turn of a unit, which has a further one once overdue."""
+    return unit.step_key, unit.is_overdue
--- a/tanagerpath/core/workloads/planner.py
+++ b/tanagerpath/core/workloads/planner.py
@@ -6,6 +6,7 @@
 from tanagerpath.core.workloads.commands import RunStart
 from tanagerpath.core.workloads.containment import PROCESS_ERRORS
 from tanagerpath.core.workloads.dispatch_context import DispatchContext
+from tanagerpath.core.workloads.idle_waits import IdleWaits
 from tanagerpath.core.workloads.plan_rounds import PlanRound
 from tanagerpath.core.workloads.plan_schedule import PlanSchedule
 from tanagerpath.core.workloads.policy import (
@@ -58,6 +59,7 @@
         self._advice = advice
         self._wait_reporter = WaitReporter(context)
         self._round = PlanRound(context.terms.max_plan_pairs)
+        self._idle_waits = IdleWaits(context)
         self._set_aside_until_s: dict[StepKey, float] = {}
 
     def plan(self) -> tuple[RunStart, ...]:
@@ -73,6 +75,7 @@
             context.find_health(session.upstream_id)
         waiting = self._list_waiting()
         units = self._advice.attach_tickets(self._filter_backoff(waiting))
+        units = self._idle_waits.mark_overdue(units)
         self._preemption.close_lapsed(units)
         chosen = self._choose_units(units)
         self._schedule.end(len(waiting), len(chosen), self._round.is_open)
--- a/tanagerpath/core/workloads/policy.py
+++ b/tanagerpath/core/workloads/policy.py
@@ -69,6 +69,9 @@
         Tickets by upstream; None if no ticket is needed.
     may_claim : bool
         Whether it may preempt other runs.
+    is_overdue : bool
+        Whether it has waited beside free capacity for so long that preferences no
+        longer keep it from any upstream that would run it; see `IdleWaits`.
     """
 
     record: WorkloadRecord
@@ -84,6 +87,7 @@
     is_last_attempt: bool = False
     tickets: dict[str, str] | None = None
     may_claim: bool = True
+    is_overdue: bool = False
 
     @property
     def spec(self) -> StepSpec:
--- a/tanagerpath/core/workloads/tests/test_plan_rounds.py
+++ b/tanagerpath/core/workloads/tests/test_plan_rounds.py
@@ -15,8 +15,9 @@
 class _Unit:
     """A waiting unit; a lower number is more important."""
 
-    def __init__(self, number):
+    def __init__(self, number, is_overdue=False):
         self.number = number
+        self.is_overdue = is_overdue
         self.step_key = StepKey(f"w{number}", 0, 0)
 
 
@@ -59,6 +60,19 @@
         _choose(plan_round, self.units)
         self.assertIn(7, _choose(plan_round, [*self.units, late]))
 
+    def test_overdue_unit_has_another_turn_in_the_next_plan(self):
+        plan_round = PlanRound(10)
+        self.assertIn(7, _choose(plan_round, self.units))
+        self.units[self.units.index(self.find_unit(7))] = _Unit(7, is_overdue=True)
+        self.units[self.units.index(self.find_unit(39))] = _Unit(39, is_overdue=True)
+        turns = _choose(plan_round, self.units)[5:]
+        self.assertEqual([7, 39], turns[:2])
+        # It has no further one before the others.
+        self.assertNotIn(7, _choose(plan_round, self.units))
+
+    def find_unit(self, number):
+        return next(unit for unit in self.units if unit.number == number)
+
     def test_claimed_capacity_is_withheld_in_each_plan(self):
         # Other units would take the capacity that was freed for a unit left out.
         plan_round = PlanRound(10)
--- a/tanagerpath/core/workloads/upstream_choice.py
+++ b/tanagerpath/core/workloads/upstream_choice.py
@@ -86,12 +86,14 @@
     def list_candidates(self, unit: PlanUnit) -> list[UpstreamSession]:
         """Return the upstreams that may run a unit, without regard to their load.
 
-        Upstreams that are avoided are left out, unless the unit, or a whole gang, would
-        not fit on the others even if they were idle.
+        Upstreams that are avoided are left out, unless the unit is overdue, or the unit
+        or a whole gang would not fit on the others even if they were idle.
         """
         suitable = [
             one for one in self.free_capacity.sessions if _is_suitable(unit, one)
         ]
+        if unit.is_overdue:
+            return suitable
         healthy = [
             one
             for one in suitable
@@ -135,7 +137,7 @@
             )
             return (
                 is_remote,
-                self._is_suspect(session),
+                self._is_suspect(session) or session.upstream_id in unit.avoided,
                 not prefers_slow,
                 speed_step if prefers_slow else -speed_step,
                 free.find_dominant_share(session.record.capacity),
@@ -201,6 +203,8 @@
 
     def may_be_remote(self, unit: PlanUnit) -> bool:
         """Return whether a unit may run away from its data or spread over racks."""
+        if unit.is_overdue:
+            return True
         max_wait_s = self._terms.locality_wait_factor * self.fleet.predict_work_s(unit)
         if unit.is_guaranteed:
             max_wait_s = min(max_wait_s, self.find_optional_wait_s())
