Reserve for gangs only the capacity that they take

What callers saw: work waited beside idle upstreams that were reserved for a gang. Cause: a reservation kept a whole upstream although the gang takes part of it, and it included upstreams on probation, on which the gang can't start and which single tasks then could not test. Change: a reservation holds what is spare beside the gang at its predicted start; runs that outlast that time may take the spare capacity. Upstreams that a gang may not use are not reserved for it.

--- a/tanagerpath/core/workloads/free_capacity.py
+++ b/tanagerpath/core/workloads/free_capacity.py
@@ -2,6 +2,8 @@
 
 from collections import Counter, defaultdict
 
+import attrs
+
 from tanagerpath.core.workloads.policy import CapacityClaim, FleetView, PlanUnit
 from tanagerpath.core.workloads.resources import Resources
 from tanagerpath.core.workloads.run_index import IndexedRun
@@ -9,7 +11,39 @@
 from tanagerpath.core.workloads.sessions import UpstreamSession
 from tanagerpath.core.workloads.specs import StepKey
 
-__all__ = ["FreeCapacity"]
+__all__ = ["FreeCapacity", "FreeTime"]
+
+
+@attrs.frozen
+class FreeTime:
+    """When an upstream has some capacity free.
+
+    Attributes
+    ----------
+    at_s : float
+        Time from which it is free, infinity for never.
+    free : Resources
+        All capacity that is free then.
+    """
+
+    at_s: float
+    free: Resources
+
+
+@attrs.define
+class _Reservation:
+    """Capacity of an upstream that is kept from a time on.
+
+    Attributes
+    ----------
+    from_s : float
+        Time from which it is kept.
+    spare : Resources
+        What is free beside it then.
+    """
+
+    from_s: float
+    spare: Resources
 
 
 class FreeCapacity:
@@ -24,9 +58,9 @@
     ----------
     sessions : list of UpstreamSession
         Upstreams that may get new runs.
-    free_times_s : dict of (str, Resources) to float
-        Times from which upstreams have some capacity free, for reservations: runs and
-        their predicted ends do not change while a plan is made.
+    free_times : dict of (str, Resources) to FreeTime
+        When upstreams have some capacity free, for reservations: runs and their
+        predicted ends do not change while a plan is made.
     stopped_runs : dict of str to set of RunView
         Runs that the plan stops, by upstream.
     """
@@ -34,9 +68,9 @@
     def __init__(self, fleet: FleetView) -> None:
         self._fleet = fleet
         self._free: dict[str, Resources] = {}
-        self._reserved_from_s: dict[str, float] = {}
+        self._reservations: dict[str, _Reservation] = {}
         self._run_ends: dict[str, list[tuple[float, RunView]]] = {}
-        self.free_times_s: dict[tuple[str, Resources], float] = {}
+        self.free_times: dict[tuple[str, Resources], FreeTime] = {}
         self.stopped_runs: dict[str, set[RunView]] = {}
         self._ending_soon: dict[str, Resources] = {}
         self._gangs: dict[tuple[StepKey, int], list[IndexedRun]] | None = None
@@ -145,6 +179,7 @@
         for _ in range(count):
             free = free - unit.spec.reserved
         self._free[session.upstream_id] = free
+        self._take_spare(unit, session, count)
         key = (session.upstream_id, unit.step_key)
         self._planned[key] = self._planned.get(key, 0) + count
 
@@ -178,10 +213,35 @@
             for _ in range(count):
                 self._free[upstream_id] += unit.spec.reserved
 
-    def reserve(self, session: UpstreamSession, from_s: float) -> None:
-        """Reserve an upstream from `from_s`; only runs that end before may start."""
-        earlier_s = self._reserved_from_s.get(session.upstream_id, from_s)
-        self._reserved_from_s[session.upstream_id] = min(earlier_s, from_s)
+    def reserve(
+        self, session: UpstreamSession, from_s: float, spare: Resources
+    ) -> None:
+        """Reserve capacity of an upstream.
+
+        Runs that end later may only take what is spare. Of several reservations the
+        earliest and largest counts.
+
+        Parameters
+        ----------
+        session : UpstreamSession
+            The upstream.
+        from_s : float
+            Time from which the capacity is kept.
+        spare : Resources
+            What is free beside it then.
+        """
+        earlier = self._reservations.get(session.upstream_id)
+        if earlier is not None:
+            from_s = min(from_s, earlier.from_s)
+            spare = spare.find_minimum(earlier.spare)
+        self._reservations[session.upstream_id] = _Reservation(from_s, spare)
+
+    def _take_spare(self, unit: PlanUnit, session: UpstreamSession, count: int) -> None:
+        """Note that tasks of a unit use capacity beside a reservation."""
+        reservation = self._find_conflict(unit, session)
+        if reservation is not None:
+            for _ in range(count):
+                reservation.spare = reservation.spare - unit.spec.reserved
 
     def count_fitting(
         self, unit: PlanUnit, session: UpstreamSession, limit: int
@@ -194,8 +254,9 @@
 
     def limit_tasks(self, unit: PlanUnit, session: UpstreamSession, limit: int) -> int:
         """Return how many tasks of a unit may run there, apart from its capacity."""
-        if self._conflicts_with_reservation(unit, session):
-            return 0
+        reservation = self._find_conflict(unit, session)
+        if reservation is not None:
+            limit = unit.spec.reserved.count_in(reservation.spare, limit)
         if session.would_refuse(unit.spec.reserved, self._fleet.now_s):
             return 0
         bound = unit.spec.max_per_upstream
@@ -219,18 +280,17 @@
             return True
         return not self._fleet.health[session.upstream_id].is_on_probation
 
-    def _conflicts_with_reservation(
+    def _find_conflict(
         self, unit: PlanUnit, session: UpstreamSession
-    ) -> bool:
-        """Return whether a task of the unit would run into a reservation."""
-        from_s = self._reserved_from_s.get(session.upstream_id)
-        if (
-            from_s is None
-            or unit.is_overdue
-            or (session.upstream_id, unit.step_key) in self._claimed
-        ):
-            return False
-        return self._fleet.now_s + self._fleet.predict_run_s(unit, session) > from_s
+    ) -> _Reservation | None:
+        """Return the reservation that a task of the unit would outlast."""
+        reservation = self._reservations.get(session.upstream_id)
+        if reservation is None or unit.is_overdue:
+            return None
+        if (session.upstream_id, unit.step_key) in self._claimed:
+            return None
+        end_s = self._fleet.now_s + self._fleet.predict_run_s(unit, session)
+        return reservation if end_s > reservation.from_s else None
 
     def list_run_ends(self, session: UpstreamSession) -> list[tuple[float, RunView]]:
         """Return the runs of an upstream with their predicted remaining seconds."""
--- a/tanagerpath/core/workloads/reservations.py
+++ b/tanagerpath/core/workloads/reservations.py
@@ -5,7 +5,7 @@
 
 import attrs
 
-from tanagerpath.core.workloads.free_capacity import FreeCapacity
+from tanagerpath.core.workloads.free_capacity import FreeCapacity, FreeTime
 from tanagerpath.core.workloads.policy import FleetView, PlanUnit
 from tanagerpath.core.workloads.resources import Resources
 from tanagerpath.core.workloads.runs import RunPhase
@@ -16,11 +16,26 @@
 
 @attrs.frozen(order=True)
 class _Offer:
-    """Time from which an upstream fits some members of a gang."""
+    """Time from which an upstream fits some members of a gang.
+
+    Attributes
+    ----------
+    free_s : float
+        The time.
+    upstream_id : str
+        The upstream.
+    members : int
+        Number of members.
+    spare : Resources
+        What is free beside them then.
+    session : UpstreamSession
+        Session of the upstream.
+    """
 
     free_s: float
     upstream_id: str
     members: int = attrs.field(order=False)
+    spare: Resources = attrs.field(order=False)
     session: UpstreamSession = attrs.field(order=False)
 
 
@@ -64,7 +79,7 @@
         return
     from_s, chosen = min(options, key=lambda option: option[0])
     for offer in chosen:
-        free_capacity.reserve(offer.session, from_s)
+        free_capacity.reserve(offer.session, from_s, offer.spare)
 
 
 def _list_offers(
@@ -82,14 +97,18 @@
     for session in itertools.chain.from_iterable(groups):
         if session.upstream_id in offers:
             continue
+        if not free_capacity.is_proven_for(unit, session):
+            # Single tasks have to test it first.
+            continue
         capacity = session.record.capacity
         if capacity not in shares:
             shares[capacity] = _find_share(unit, capacity)
         members, needed = shares[capacity]
         if members:
-            free_s = _find_free_s(needed, session, free_capacity, fleet)
+            found = _find_free_time(needed, session, free_capacity, fleet)
+            spare = found.free - needed
             offers[session.upstream_id] = _Offer(
-                free_s, session.upstream_id, members, session
+                found.at_s, session.upstream_id, members, spare, session
             )
     return offers
 
@@ -104,31 +123,32 @@
     return members, needed
 
 
-def _find_free_s(
+def _find_free_time(
     needed: Resources,
     session: UpstreamSession,
     free_capacity: FreeCapacity,
     fleet: FleetView,
-) -> float:
-    """Return the time from which an upstream fits its share of a gang.
+) -> FreeTime:
+    """Return when an upstream fits its share of a gang.
 
-    It is infinite where long-running tasks are in the way: they have no predicted end,
+    It never does where long-running tasks are in the way: they have no predicted end,
     and other work must not wait for their capacity.
     """
-    found = free_capacity.free_times_s.get((session.upstream_id, needed))
-    if found is None:
-        found = _predict_free_s(needed, session, free_capacity, fleet)
-        free_capacity.free_times_s[session.upstream_id, needed] = found
-    return found
+    key = session.upstream_id, needed
+    if key not in free_capacity.free_times:
+        free_capacity.free_times[key] = _predict_free_time(
+            needed, session, free_capacity, fleet
+        )
+    return free_capacity.free_times[key]
 
 
-def _predict_free_s(
+def _predict_free_time(
     needed: Resources,
     session: UpstreamSession,
     free_capacity: FreeCapacity,
     fleet: FleetView,
-) -> float:
-    """Return the time from which an upstream has some capacity free."""
+) -> FreeTime:
+    """Return when an upstream has some capacity free."""
     free = session.free
     free_s = fleet.now_s
     for remaining_s, view in free_capacity.list_run_ends(session):
@@ -142,4 +162,4 @@
         free = free + view.spec.reserved
         if not ends_soon:
             free_s = fleet.now_s + remaining_s
-    return free_s if needed.fits(free) else math.inf
+    return FreeTime(free_s if needed.fits(free) else math.inf, free)
--- a/tanagerpath/core/workloads/resources.py
+++ b/tanagerpath/core/workloads/resources.py
@@ -76,6 +76,14 @@
             max(self.accelerators, other.accelerators),
         )
 
+    def find_minimum(self, other: "Resources") -> "Resources":
+        """Return the smaller amount of each resource."""
+        return Resources(
+            min(self.cpu_millicores, other.cpu_millicores),
+            min(self.memory_mb, other.memory_mb),
+            min(self.accelerators, other.accelerators),
+        )
+
     def find_dominant_share(self, capacity: "Resources") -> float:
         """Return the largest share of `capacity` of any resource, 0 to 1."""
         shares = [
