Move the offers of upstreams out of the choice of evictions

Cause: evictions.py held both what one upstream offers and the search over all of them, 459 lines. Change: the offers, their victims and the search of one upstream are in eviction_offers.py; no change of behaviour. Measured: the tests of evictions, preemption and the dispatcher pass.

--- a/tanagerpath/core/workloads/evictions.py
+++ b/tanagerpath/core/workloads/evictions.py
@@ -9,16 +9,20 @@
 import heapq
 import itertools
 from collections import Counter
-from collections.abc import Callable
 
 import attrs
 
+from tanagerpath.core.workloads.eviction_offers import (
+    GangKey,
+    UpstreamOffer,
+    UpstreamSearch,
+    Victim,
+    find_gang_key,
+)
 from tanagerpath.core.workloads.free_capacity import FreeCapacity
 from tanagerpath.core.workloads.policy import Eviction, FleetView, PlanUnit
-from tanagerpath.core.workloads.resources import Resources
 from tanagerpath.core.workloads.runs import COMPLETED_PERCENT, RunPhase, RunView
 from tanagerpath.core.workloads.sessions import UpstreamSession
-from tanagerpath.core.workloads.specs import StepKey
 
 __all__ = ["MAX_STOPS", "EvictionFinder", "EvictionPlan", "EvictionTerms"]
 
@@ -28,8 +32,6 @@
 # Capacity is idle for this long while one run stops and another starts.
 RESTART_S = 0.3
 
-GangKey = tuple[StepKey, int]
-
 
 @attrs.frozen(kw_only=True)
 class EvictionTerms:
@@ -73,7 +75,7 @@
         """Sort key; plans that spare urgent and long-running work come first."""
         return self.has_sensitive, self.lost_cores_s
 
-    def add(self, unit: PlanUnit, offer: "_UpstreamOffer", tasks: int) -> None:
+    def add(self, unit: PlanUnit, offer: UpstreamOffer, tasks: int) -> None:
         """Accept an offer for some tasks of a unit."""
         session = offer.session
         self.allocations[session.upstream_id] += tasks
@@ -85,151 +87,6 @@
         self.lost_cores_s += offer.lost_cores_s
 
 
-@attrs.frozen(eq=False)
-class _Victim:
-    """A run that may be preempted."""
-
-    is_sensitive: bool
-    lost_cores_s: float
-    number: int
-    view: RunView
-
-    @property
-    def rank(self) -> tuple[bool, float, int]:
-        """Sort key in the order of preference."""
-        return self.is_sensitive, self.lost_cores_s, self.number
-
-
-@attrs.frozen(eq=False)
-class _UpstreamOffer:
-    """Further tasks that fit on one upstream once `victims` are preempted.
-
-    Attributes
-    ----------
-    session : UpstreamSession
-        The upstream.
-    count : int
-        Number of tasks.
-    victims : tuple of _Victim
-        The runs to preempt.
-    lost_cores_s : float
-        Core seconds of work that they lose.
-    has_sensitive : bool
-        Whether one of them is urgent or long-running.
-    members : int
-        Number of candidate upstreams with members of the largest gang among them.
-    """
-
-    session: UpstreamSession
-    count: int
-    victims: tuple[_Victim, ...] = ()
-    lost_cores_s: float = 0.0
-    has_sensitive: bool = False
-    members: int = 1
-
-    def rank(self, wanted: int) -> tuple[bool, float]:
-        """Return the sort key of the offer for a number of tasks.
-
-        The loss of a gang counts for all upstreams on which its members free capacity.
-        """
-        tasks = min(self.count * self.members, wanted)
-        return self.has_sensitive, self.lost_cores_s / tasks
-
-
-@attrs.define(eq=False)
-class _UpstreamSearch:
-    """What one upstream offers, as more and more of its runs are preempted.
-
-    Attributes
-    ----------
-    session : UpstreamSession
-        The upstream.
-    needed : Resources
-        What a task takes.
-    limit : int
-        Largest number of tasks.
-    free : Resources
-        Capacity that is free, or will be after the stops that were chosen.
-    victims : list of _Victim
-        Runs that may be preempted, the preferred ones first.
-    offered : int
-        Number of tasks of the accepted offers.
-    revision : int
-        Number of changes; earlier offers are out of date.
-    """
-
-    session: UpstreamSession
-    needed: Resources
-    limit: int
-    free: Resources
-    victims: list[_Victim]
-    offered: int = 0
-    revision: int = 0
-
-    def make_offer(
-        self, stopped: set[GangKey], count_members: Callable[[RunView], int]
-    ) -> _UpstreamOffer | None:
-        """Return the next offer, None if there is no further one.
-
-        Parameters
-        ----------
-        stopped : set of (StepKey, int)
-            Gangs that are preempted anyway, whose members are no victims.
-        count_members : callable
-            Returns the number of candidate upstreams with members of a gang.
-        """
-        if self.offered >= self.limit:
-            return None
-        free = self.free
-        chosen: list[_Victim] = []
-        gangs: set[GangKey] = set()
-        members = 1
-        fitting = self.needed.count_in(free, self.limit)
-        victims = iter(self.victims)
-        while fitting <= self.offered:
-            victim = next(victims, None)
-            if victim is None:
-                return None
-            view = victim.view
-            if view.spec.gang:
-                key = _find_gang_key(view)
-                if key in stopped or key in gangs:
-                    if key in gangs:
-                        free = free + view.spec.reserved
-                        fitting = self.needed.count_in(free, self.limit)
-                    continue
-                gangs.add(key)
-                members = max(members, count_members(view))
-            chosen.append(victim)
-            free = free + view.spec.reserved
-            fitting = self.needed.count_in(free, self.limit)
-        return _UpstreamOffer(
-            self.session,
-            fitting - self.offered,
-            tuple(chosen),
-            sum(victim.lost_cores_s for victim in chosen),
-            any(victim.is_sensitive for victim in chosen),
-            members,
-        )
-
-    def accept(self, offer: _UpstreamOffer, tasks: int) -> None:
-        """Note that an offer is used for some tasks."""
-        chosen = {victim.view for victim in offer.victims}
-        if chosen:
-            self.victims = [one for one in self.victims if one.view not in chosen]
-        self.offered += tasks
-        self.revision += 1
-
-    def add_free(self, freed: Resources) -> None:
-        """Add capacity that the stop of a run frees."""
-        self.free = self.free + freed
-        self.revision += 1
-
-
-def _find_gang_key(view: RunView) -> GangKey:
-    return view.task.step_key, view.run
-
-
 class EvictionFinder:
     """Chooses the runs to preempt for the units of one plan.
 
@@ -244,7 +101,7 @@
     def __init__(self, free_capacity: FreeCapacity, fleet: FleetView) -> None:
         self._free_capacity = free_capacity
         self._fleet = fleet
-        self._victims: dict[tuple[str, bool, int], list[_Victim]] = {}
+        self._victims: dict[tuple[str, bool, int], list[Victim]] = {}
 
     def find(
         self,
@@ -302,7 +159,7 @@
             members = self._free_capacity.list_gang(view)
             return len({one.upstream_id for one, _ in members} & searches.keys())
 
-        def push(search: _UpstreamSearch) -> None:
+        def push(search: UpstreamSearch) -> None:
             offer = search.make_offer(stopped, count_members)
             if offer is not None:
                 rank = offer.rank(left)
@@ -333,11 +190,11 @@
 
     def _stop(
         self,
-        search: _UpstreamSearch,
-        offer: _UpstreamOffer,
-        searches: dict[str, _UpstreamSearch],
+        search: UpstreamSearch,
+        offer: UpstreamOffer,
+        searches: dict[str, UpstreamSearch],
         stopped: set[GangKey],
-    ) -> list[_UpstreamSearch]:
+    ) -> list[UpstreamSearch]:
         """Free the capacity of the victims of an offer, and of their gangs.
 
         Returns the other upstreams on which this frees capacity.
@@ -348,7 +205,7 @@
             if not view.spec.gang:
                 search.add_free(view.spec.reserved)
                 continue
-            stopped.add(_find_gang_key(view))
+            stopped.add(find_gang_key(view))
             for session, _ in self._free_capacity.list_gang(view):
                 other = searches.get(session.upstream_id)
                 if other is not None:
@@ -357,7 +214,7 @@
         unique = {id(one): one for one in changed if one is not search}
         return list(unique.values())
 
-    def _can_fit(self, searches: dict[str, _UpstreamSearch], count: int) -> bool:
+    def _can_fit(self, searches: dict[str, UpstreamSearch], count: int) -> bool:
         """Return whether enough tasks would fit if all victims were stopped."""
         room = 0
         for search in searches.values():
@@ -372,12 +229,12 @@
         count: int,
         session: UpstreamSession,
         terms: EvictionTerms,
-    ) -> _UpstreamSearch | None:
+    ) -> UpstreamSearch | None:
         limit = self._free_capacity.limit_tasks(unit, session, count)
         limit = unit.spec.reserved.count_in(session.record.capacity, limit)
         if not limit:
             return None
-        return _UpstreamSearch(
+        return UpstreamSearch(
             session,
             unit.spec.reserved,
             limit,
@@ -387,7 +244,7 @@
 
     def _list_victims(
         self, unit: PlanUnit, session: UpstreamSession, terms: EvictionTerms
-    ) -> list[_Victim]:
+    ) -> list[Victim]:
         """Return the permitted runs in the order of preference.
 
         The list of an upstream is kept for the plan, apart from runs that the plan
@@ -397,7 +254,7 @@
         found = self._victims.get(key)
         if found is None:
             found = [
-                _Victim(
+                Victim(
                     view.spec.long_running or view.priority <= unit.queue.priority,
                     _estimate_loss(view, session, self._fleet),
                     number,
