Reserve for a gang only where it would start

What callers saw: gangs that wait for room in one rack did not begin for tens of seconds. Cause: while a gang still waited for a rack, the reservation that frees soonest was nearly always one over all racks, on which the gang does not start. Small work then filled the rack that it needs. Change: a reservation is made among the sets of upstreams on which the gang may start now. Measured: the test with three racks fails on the code before; the tests of core/workloads pass.

--- a/tanagerpath/core/workloads/deadline_policy.py
+++ b/tanagerpath/core/workloads/deadline_policy.py
@@ -112,7 +112,7 @@
 
     def _reserve(self, unit: PlanUnit, chooser: UpstreamChooser) -> None:
         sessions = chooser.list_candidates(unit)
-        groups = [group for group, _ in chooser.list_groups(unit, sessions)]
+        groups = chooser.list_allowed_groups(unit, sessions)
         reserve_upstreams(unit, groups, chooser.free_capacity, chooser.fleet)
 
     def _rank(self, unit: PlanUnit, fleet: FleetView) -> tuple:
--- a/tanagerpath/core/workloads/tests/test_reservations.py
+++ b/tanagerpath/core/workloads/tests/test_reservations.py
@@ -60,3 +60,21 @@
         self.rig.run(0.4)
         runs = self.rig.upstreams["u4"].runs
         self.assertEqual(["test"], [task.workload_id for task, _ in runs])
+
+    def test_gang_that_waits_for_a_rack_reserves_no_other_one(self):
+        self.rig = Rig(upstreams=12)
+        # Two of the four upstreams of each rack are busy, and the last rack is free
+        # soonest.
+        ends = [("r0", 60), ("r0", 61), ("r1", 60), ("r1", 61), ("r2", 4), ("r2", 8)]
+        for rack, work_s in ends:
+            step = StepSpec(needs=CAPACITY, preferred_rack=rack, declared_run_s=work_s)
+            self.rig.submit(f"{rack}-{work_s}", step, work_s=work_s)
+        self.rig.run(0.5)
+        gang = StepSpec(
+            count=4, needs=LARGE, gang=True, same_rack=True, declared_run_s=20.0
+        )
+        self.rig.submit("gang", gang, queue="batch", work_s=2.0)
+        for number in range(12):
+            self.submit(f"small{number}", LARGE, LONG_S)
+        self.rig.run(9.0)
+        self.assertEqual("running", self.rig.find_state("gang"))
--- a/tanagerpath/core/workloads/upstream_choice.py
+++ b/tanagerpath/core/workloads/upstream_choice.py
@@ -247,6 +247,19 @@
         groups = [(group, False) for group in by_rack.values()]
         return [*groups, (sessions, unit.spec.same_rack)]
 
+    def list_allowed_groups(
+        self, unit: PlanUnit, sessions: list[UpstreamSession]
+    ) -> list[list[UpstreamSession]]:
+        """Return the sets of upstreams on which a gang would start now if it fitted."""
+        groups = [group for group, _ in self.list_groups(unit, sessions)]
+        if self.may_be_remote(unit):
+            return groups
+        preferred = unit.spec.preferred_rack
+        if preferred:
+            return [[one for one in sessions if one.record.rack == preferred]]
+        # The last set spans all racks.
+        return groups[:-1] if unit.spec.same_rack else groups
+
     def _fit_gang(
         self,
         unit: PlanUnit,
