Log why work of any priority stands still

Only urgent work logged that it waits, with "no capacity" for most reasons, and work that is held back from plans was in no line. Gauges show the standing workloads by reason and the longest time.

--- a/tanagerpath/core/workloads/__init__.py
+++ b/tanagerpath/core/workloads/__init__.py
@@ -26,6 +26,7 @@
             "AdmissionDecided",
             "LogDecision",
             "ReportEvacuation",
+            "ReportStanding",
         ],
         "health": [
             "HealthTerms",
@@ -41,5 +42,8 @@
             "FleetSnapshot",
             "FleetState",
         ],
+        "wait_reasons": [
+            "WaitReason",
+        ],
     },
 )
--- a/tanagerpath/core/workloads/deadline_policy.py
+++ b/tanagerpath/core/workloads/deadline_policy.py
@@ -62,7 +62,7 @@
                     continue
                 if unit.spec.gang and reservations < self._terms.max_reservations:
                     reservations += 1
-                    self._reserve(unit, chooser)
+                    self._reserve(unit, chooser, plan)
         return plan
 
     def rank(self, units: list[PlanUnit], fleet: FleetView) -> list[PlanUnit]:
@@ -110,10 +110,14 @@
         cause = ClaimCause.GUARANTEED if unit.is_guaranteed else ClaimCause.NO_ROOM
         return self._claim(unit, cause, sessions, chooser, plan)
 
-    def _reserve(self, unit: PlanUnit, chooser: UpstreamChooser) -> None:
+    def _reserve(self, unit: PlanUnit, chooser: UpstreamChooser, plan: Plan) -> None:
         sessions = chooser.list_candidates(unit)
         groups = [group for group, _ in chooser.list_groups(unit, sessions)]
-        reserve_upstreams(unit, groups, chooser.free_capacity, chooser.fleet)
+        reservation = reserve_upstreams(
+            unit, groups, chooser.free_capacity, chooser.fleet
+        )
+        if reservation is not None:
+            plan.reservations.append(reservation)
 
     def _rank(self, unit: PlanUnit, fleet: FleetView) -> tuple:
         """Return the sort key: guarantee, then hard deadline, then priority.
--- a/tanagerpath/core/workloads/dispatcher.py
+++ b/tanagerpath/core/workloads/dispatcher.py
@@ -47,6 +47,7 @@
 from tanagerpath.core.workloads.run_supervisor import RunSupervisor
 from tanagerpath.core.workloads.runs import RunPhase, StopCause
 from tanagerpath.core.workloads.sessions import UpstreamSession
+from tanagerpath.core.workloads.standing_reports import StandingReporter
 from tanagerpath.core.workloads.state import Applied, FleetState
 from tanagerpath.core.workloads.upkeep import UpkeepController
 from tanagerpath.core.workloads.vm_watch import VmWatch
@@ -80,6 +81,12 @@
         self._planner = StartPlanner(
             context, self._schedule, policy, self._preemption, self._advice
         )
+        self._standing_reporter = StandingReporter(
+            context,
+            self._preemption.history,
+            self._planner.history,
+            self._planner.view_fleet,
+        )
         self._supervisor = RunSupervisor(
             context, self._driver, self._planner.view_fleet
         )
@@ -256,6 +263,7 @@
         ended, self._pending_ends = self._pending_ends, []
         for queued in ended:
             session = queued.session
+            self._standing_reporter.note_end(queued)
             context.close_run(queued)
             session.recorded_end = max(session.recorded_end, queued.number)
             self._acknowledge_ends(session)
@@ -391,6 +399,7 @@
             # The stops of this plan must not wait for the next event.
             self._drive_upstreams(context.take_touched())
         self.registry.drop_departed()
+        self._run_part(self._standing_reporter.advance)
 
     def _run_part(self, part: Callable[[], None]) -> None:
         """Run a part of the decisions that the others do not need."""
--- a/tanagerpath/core/workloads/events.py
+++ b/tanagerpath/core/workloads/events.py
@@ -6,6 +6,7 @@
 
 from tanagerpath.core.workloads.commands import WorkloadCommand
 from tanagerpath.core.workloads.state import Applied
+from tanagerpath.core.workloads.wait_reasons import WaitReason
 
 __all__ = [
     "AdmissionDecided",
@@ -13,6 +14,7 @@
     "CommandRejected",
     "LogDecision",
     "ReportEvacuation",
+    "ReportStanding",
 ]
 
 
@@ -39,6 +41,22 @@
     is_evacuated: bool
 
 
+@attrs.frozen
+class ReportStanding:
+    """Shows in the metrics how many workloads stand still, and why.
+
+    Attributes
+    ----------
+    counts : dict of WaitReason to int
+        Workloads by reason; other reasons have none.
+    longest_s : float
+        Longest time for which one of them has stood still.
+    """
+
+    counts: dict[WaitReason, int]
+    longest_s: float = 0.0
+
+
 @attrs.frozen
 class AdmissionDecided:
     """Counts a decision on a submitted workload.
--- a/tanagerpath/core/workloads/node.py
+++ b/tanagerpath/core/workloads/node.py
@@ -32,6 +32,7 @@
     CommandRejected,
     LogDecision,
     ReportEvacuation,
+    ReportStanding,
 )
 from tanagerpath.core.workloads.failures import RequestFault
 from tanagerpath.core.workloads.policy import WorkloadPolicy
@@ -265,6 +266,7 @@
     def _end_term(self) -> None:
         self._leader_term = None
         self._actions.append(LogDecision("leadership ended", {"term": self._led_term}))
+        self._actions.append(ReportStanding({}))
 
     def _list_addresses(self) -> tuple[str, ...]:
         members = self._replica.membership.members
--- a/tanagerpath/core/workloads/planner.py
+++ b/tanagerpath/core/workloads/planner.py
@@ -6,6 +6,7 @@
 from tanagerpath.core.workloads.commands import RunStart
 from tanagerpath.core.workloads.containment import PROCESS_ERRORS
 from tanagerpath.core.workloads.dispatch_context import DispatchContext
+from tanagerpath.core.workloads.plan_history import PlanHistory, PlanOutcome
 from tanagerpath.core.workloads.plan_rounds import PlanRound
 from tanagerpath.core.workloads.plan_schedule import PlanSchedule
 from tanagerpath.core.workloads.policy import (
@@ -18,6 +19,7 @@
 from tanagerpath.core.workloads.preemption import Preemption
 from tanagerpath.core.workloads.runs import RunPhase, RunView
 from tanagerpath.core.workloads.specs import StepKey, TaskId
+from tanagerpath.core.workloads.wait_reasons import WaitReason
 from tanagerpath.core.workloads.wait_reports import WaitReporter
 
 __all__ = ["StartPlanner"]
@@ -57,6 +59,7 @@
         self._preemption = preemption
         self._advice = advice
         self._wait_reporter = WaitReporter(context)
+        self.history = PlanHistory()
         self._round = PlanRound(context.terms.max_plan_pairs)
         self._set_aside_until_s: dict[StepKey, float] = {}
 
@@ -79,6 +82,16 @@
         plan = self._make_plan(chosen) if chosen else Plan()
         self._preemption.execute(plan)
         self._report_waits(waiting, units, plan)
+        self.history.note(
+            PlanOutcome(
+                at_s=context.now_s,
+                waiting=waiting,
+                ready=units,
+                chosen=chosen,
+                plan=plan,
+                set_aside_until_s=self._set_aside_until_s,
+            )
+        )
         runs: dict[StepKey, int] = {}
         return tuple(self._start(placement, runs) for placement in plan.placements)
 
@@ -201,13 +214,15 @@
     def _explain_wait(self, unit: PlanUnit, ready_keys: set[StepKey]) -> str:
         """Return the reason for the log why a unit waits after a plan."""
         if unit.step_key in self._preemption.history.open_claims:
-            return "claimed capacity is not free yet"
+            return WaitReason.CLAIMED_CAPACITY
         if self._is_backing_off(unit):
-            return "backoff after refused starts"
+            return WaitReason.BACKOFF
         if unit.step_key not in ready_keys:
-            return "no tickets"
+            return WaitReason.NO_TICKETS
         zones = self._list_evacuated_zones(unit)
-        return f"no capacity, evacuated: {', '.join(zones)}" if zones else "no capacity"
+        if not zones:
+            return WaitReason.NO_CAPACITY
+        return f"{WaitReason.NO_CAPACITY}, evacuated: {', '.join(zones)}"
 
     def _list_evacuated_zones(self, unit: PlanUnit) -> list[str]:
         """Return the evacuated availability zones with upstreams of a unit's pool."""
--- a/tanagerpath/core/workloads/policy.py
+++ b/tanagerpath/core/workloads/policy.py
@@ -31,6 +31,7 @@
     "Plan",
     "PlanUnit",
     "PreemptionHistory",
+    "Reservation",
     "WorkloadPolicy",
 ]
 
@@ -282,6 +283,15 @@
     lost_cores_s: float = 0.0
 
 
+@attrs.frozen
+class Reservation:
+    """Upstreams on which other work must end before a gang can start at `from_s`."""
+
+    step_key: StepKey
+    from_s: float
+    upstream_ids: tuple[str, ...]
+
+
 @attrs.define(eq=False)
 class Plan:
     """Decisions of a policy; a unit in `blocked` has tasks that were not placed."""
@@ -290,6 +300,7 @@
     evictions: list[Eviction] = attrs.Factory(list)
     claims: list[CapacityClaim] = attrs.Factory(list)
     blocked: list[PlanUnit] = attrs.Factory(list)
+    reservations: list[Reservation] = attrs.Factory(list)
 
 
 class WorkloadPolicy(abc.ABC):
--- a/tanagerpath/core/workloads/reservations.py
+++ b/tanagerpath/core/workloads/reservations.py
@@ -6,7 +6,7 @@
 import attrs
 
 from tanagerpath.core.workloads.free_capacity import FreeCapacity
-from tanagerpath.core.workloads.policy import FleetView, PlanUnit
+from tanagerpath.core.workloads.policy import FleetView, PlanUnit, Reservation
 from tanagerpath.core.workloads.resources import Resources
 from tanagerpath.core.workloads.runs import RunPhase
 from tanagerpath.core.workloads.sessions import UpstreamSession
@@ -29,7 +29,7 @@
     groups: list[list[UpstreamSession]],
     free_capacity: FreeCapacity,
     fleet: FleetView,
-) -> None:
+) -> Reservation | None:
     """Reserve the upstreams that are free soonest for a gang.
 
     Parameters
@@ -42,6 +42,11 @@
         Takes the reservations.
     fleet : FleetView
         State of the upstreams.
+
+    Returns
+    -------
+    Reservation or None
+        None if the gang will not fit on any set of upstreams.
     """
     offers = _list_offers(unit, groups, free_capacity, fleet)
     options = []
@@ -61,10 +66,12 @@
         if members >= len(unit.indexes) and chosen[-1].free_s < math.inf:
             options.append((chosen[-1].free_s, chosen))
     if not options:
-        return
+        return None
     from_s, chosen = min(options, key=lambda option: option[0])
     for offer in chosen:
         free_capacity.reserve(offer.session, from_s)
+    upstream_ids = tuple(offer.upstream_id for offer in chosen)
+    return Reservation(unit.step_key, from_s, upstream_ids)
 
 
 def _list_offers(
--- /dev/null
+++ b/tanagerpath/core/workloads/standing_workloads.py
@@ -0,0 +1,389 @@
+"""Workloads of which nothing runs although a step has its turn, and why."""
+
+import attrs
+
+from tanagerpath.core.workloads.commands import RunOutcome
+from tanagerpath.core.workloads.dispatch_context import DispatchContext, QueuedEnd
+from tanagerpath.core.workloads.plan_history import PlanHistory, PlanOutcome
+from tanagerpath.core.workloads.policy import PlanUnit, PreemptionHistory
+from tanagerpath.core.workloads.records import WorkloadRecord
+from tanagerpath.core.workloads.run_index import IndexedRun
+from tanagerpath.core.workloads.runs import RunPhase, RunView
+from tanagerpath.core.workloads.sessions import UpstreamSession
+from tanagerpath.core.workloads.specs import StepKey, StepSpec, TaskId
+from tanagerpath.core.workloads.wait_reasons import OpenRunState, WaitReason
+
+__all__ = ["OpenRunWait", "StandingFinder", "StandingWorkload"]
+
+# A unit that no plan has tried to place for longer has not had its turn.
+MAX_TRY_AGE_S = 1.0
+
+_PHASE_STATES = {
+    RunPhase.PROPOSED: OpenRunState.PROPOSED,
+    RunPhase.ORDERED: OpenRunState.UNCONFIRMED,
+    RunPhase.STOPPING: OpenRunState.STOPPING,
+    RunPhase.INHERITED: OpenRunState.INHERITED,
+}
+
+
+@attrs.frozen(kw_only=True)
+class OpenRunWait:
+    """A run whose end is not recorded, so that its task does not start again.
+
+    Attributes
+    ----------
+    upstream_id : str
+        Where it was started.
+    state : OpenRunState
+        Why it does not count as running.
+    phase : str
+        Phase of the run, empty if it is unknown.
+    lease_s : float
+        Seconds until the lease of the upstream has expired.
+    """
+
+    upstream_id: str
+    state: OpenRunState
+    phase: str = ""
+    lease_s: float = 0.0
+
+
+@attrs.frozen(kw_only=True, eq=False)
+class StandingWorkload:
+    """A workload of which nothing runs although a step has its turn.
+
+    Attributes
+    ----------
+    record : WorkloadRecord
+        The workload.
+    step_key : StepKey
+        The first step that waits.
+    tasks : int
+        Tasks of the step that are not done.
+    arrival_s : float
+        Time of the acceptance, or at which the occurrence became due.
+    since_s : float
+        Time since which nothing has run, as far as the leader knows.
+    reason : WaitReason
+        Why nothing starts; NOT_PLACED if the upstreams have to be examined.
+    unit : PlanUnit or None
+        The unit that the last plan had for the step, if any.
+    last_try : PlanOutcome or None
+        Last plan that has tried to place the unit.
+    open_run : OpenRunWait or None
+        The run that is waited for, with the reason OPEN_RUN.
+    """
+
+    record: WorkloadRecord
+    step_key: StepKey
+    tasks: int
+    arrival_s: float
+    since_s: float
+    reason: WaitReason
+    unit: PlanUnit | None = None
+    last_try: PlanOutcome | None = None
+    open_run: OpenRunWait | None = None
+
+    @property
+    def workload_id(self) -> str:
+        """Identity of the workload."""
+        return self.record.workload_id
+
+    @property
+    def spec(self) -> StepSpec:
+        """The step."""
+        return self.record.spec.steps[self.step_key.step]
+
+
+class StandingFinder:
+    """Finds the workloads that stand still.
+
+    Parameters
+    ----------
+    context : DispatchContext
+        Shared state of the term.
+    preemption : PreemptionHistory
+        Open claims.
+    plans : PlanHistory
+        Last plans.
+    """
+
+    def __init__(
+        self,
+        context: DispatchContext,
+        preemption: PreemptionHistory,
+        plans: PlanHistory,
+    ) -> None:
+        self._context = context
+        self._preemption = preemption
+        self._plans = plans
+        self._term_began_s = context.now_s
+        # Time at which the last run of a workload ended in this term.
+        self._ended_s: dict[str, float] = {}
+
+    def note_end(self, queued: QueuedEnd) -> None:
+        """Note the recorded end of a run, before the run is forgotten."""
+        view = queued.session.runs.get((queued.end.task, queued.end.run))
+        if view is None or not view.may_have_begun:
+            return
+        if queued.end.outcome is not RunOutcome.NOT_STARTED:
+            self._ended_s[view.task.workload_id] = self._context.now_s
+
+    def list_standing(self, min_standing_s: float) -> list[StandingWorkload]:
+        """Return the workloads that have stood still for some seconds."""
+        survey = _PlanSurvey.from_history(self._plans)
+        usable_pools = self._list_usable_pools()
+        latest_s = self._context.now_s - min_standing_s
+        records = tuple(self._context.backlog.list_records())
+        self._forget_others(records)
+        return [
+            standing
+            for record in records
+            if (standing := self._find(record, survey, usable_pools))
+            and standing.since_s <= latest_s
+        ]
+
+    def _forget_others(self, records: tuple[WorkloadRecord, ...]) -> None:
+        """Forget the workloads that have ended."""
+        self._ended_s = {
+            one.workload_id: self._ended_s[one.workload_id]
+            for one in records
+            if one.workload_id in self._ended_s
+        }
+
+    def _list_usable_pools(self) -> set[str]:
+        """Return the pools with an upstream that may get new runs."""
+        context = self._context
+        return {
+            session.record.pool
+            for session in context.sessions.values()
+            if session.is_usable
+            and not context.find_health(session.upstream_id).is_quarantined(
+                context.now_s
+            )
+        }
+
+    def _find(
+        self, record: WorkloadRecord, survey: "_PlanSurvey", usable_pools: set[str]
+    ) -> StandingWorkload | None:
+        """Return a workload if it stands still, else None."""
+        runs = self._context.run_index.list_runs(record.workload_id)
+        if any(_is_running(session, view) for session, view in runs):
+            return None
+        unit = survey.units.get(record.workload_id)
+        if unit is not None:
+            return self._describe_unit(unit, runs, survey, usable_pools)
+        step_key = self._find_turn(record)
+        if step_key is None:
+            return None
+        return self._describe_unlisted(record, step_key, runs)
+
+    def _describe_unit(
+        self,
+        unit: PlanUnit,
+        runs: list[IndexedRun],
+        survey: "_PlanSurvey",
+        usable_pools: set[str],
+    ) -> StandingWorkload:
+        """Return a workload with a unit that the last plan has listed."""
+        unit = survey.ready.get(unit.step_key, unit)
+        return StandingWorkload(
+            record=unit.record,
+            step_key=unit.step_key,
+            tasks=len(unit.indexes),
+            arrival_s=unit.arrival_s,
+            since_s=self._find_since_s(unit.record, unit.arrival_s, runs),
+            reason=self._explain_unit(unit, survey, usable_pools),
+            unit=unit,
+            last_try=self._plans.find_last_try(unit.step_key),
+        )
+
+    def _explain_unit(
+        self, unit: PlanUnit, survey: "_PlanSurvey", usable_pools: set[str]
+    ) -> WaitReason:
+        """Return why a unit that the last plan has listed was not placed."""
+        now_s = self._context.now_s
+        if unit.step_key in self._preemption.open_claims:
+            return WaitReason.CLAIMED_CAPACITY
+        if self._context.start_backoff.must_wait(unit.step_key, now_s):
+            return WaitReason.BACKOFF
+        if unit.step_key not in survey.ready:
+            return WaitReason.NO_TICKETS
+        if unit.queue.pool not in usable_pools:
+            return WaitReason.NO_USABLE_UPSTREAM
+        last_try = self._plans.find_last_try(unit.step_key)
+        if last_try is None or now_s - last_try.at_s > MAX_TRY_AGE_S:
+            return WaitReason.NOT_IN_PLAN
+        return WaitReason.NOT_PLACED
+
+    # Work that is in no plan
+
+    def _find_turn(self, record: WorkloadRecord) -> StepKey | None:
+        """Return the first step that is due and whose earlier steps are done."""
+        now_unix_s = self._context.now.unix_s
+        for occurrence in record.spec.occurrences:
+            if record.spec.find_due_unix_s(occurrence) > now_unix_s:
+                return None
+            for step in range(len(record.spec.steps)):
+                is_done = record.is_step_done(occurrence, step)
+                if not is_done and record.may_begin(occurrence, step):
+                    return StepKey(record.workload_id, occurrence, step)
+        return None
+
+    def _describe_unlisted(
+        self, record: WorkloadRecord, step_key: StepKey, runs: list[IndexedRun]
+    ) -> StandingWorkload:
+        """Return a workload with a step that the last plan has not listed."""
+        arrival_s = self._context.backlog.find_arrival_s(
+            record, step_key.occurrence, self._context.now
+        )
+        held = self._find_held_task(record, step_key)
+        reason = self._explain_unlisted(record, step_key, held)
+        open_run = None
+        if reason is WaitReason.OPEN_RUN:
+            open_run = self._describe_open_run(record, held, runs)
+        done = record.done_by_step.get((step_key.occurrence, step_key.step), 0)
+        return StandingWorkload(
+            record=record,
+            step_key=step_key,
+            tasks=record.spec.steps[step_key.step].count - done,
+            arrival_s=arrival_s,
+            since_s=self._find_since_s(record, arrival_s, runs),
+            reason=reason,
+            open_run=open_run,
+        )
+
+    def _find_held_task(
+        self, record: WorkloadRecord, step_key: StepKey
+    ) -> TaskId | None:
+        """Return the first task of a step that the backlog holds back."""
+        backlog = self._context.backlog
+        for index in range(record.spec.steps[step_key.step].count):
+            task = TaskId(
+                step_key.workload_id, step_key.occurrence, step_key.step, index
+            )
+            task_record = record.find_task(task)
+            if task_record.done:
+                continue
+            if task_record.open_runs or task in backlog.planned:
+                return task
+            if task in backlog.barred:
+                return task
+            if backlog.holds_repeats and task_record.last_run:
+                return task
+        return None
+
+    def _explain_unlisted(
+        self, record: WorkloadRecord, step_key: StepKey, held: TaskId | None
+    ) -> WaitReason:
+        """Return why the last plan has not listed a step."""
+        set_aside_until_s = self._plans.last.set_aside_until_s.get(step_key, 0.0)
+        if self._context.now_s < set_aside_until_s:
+            return WaitReason.SET_ASIDE
+        if self._context.state.find_queue(record.queue) is None:
+            return WaitReason.NO_QUEUE
+        if held is None:
+            return WaitReason.NOT_IN_PLAN
+        backlog = self._context.backlog
+        if record.find_task(held).open_runs or held in backlog.planned:
+            return WaitReason.OPEN_RUN
+        return WaitReason.BARRED if held in backlog.barred else WaitReason.LIST_ROUND
+
+    def _describe_open_run(
+        self, record: WorkloadRecord, task: TaskId, runs: list[IndexedRun]
+    ) -> OpenRunWait:
+        """Return the run that keeps a task from another start."""
+        for session, view in runs:
+            if view.task == task:
+                expiry_s = session.find_lease_expiry_s(self._context.terms.leases)
+                return OpenRunWait(
+                    upstream_id=session.upstream_id,
+                    state=_find_state(session, view),
+                    phase=str(view.phase),
+                    lease_s=max(expiry_s - self._context.now_s, 0.0),
+                )
+        open_runs = record.find_task(task).open_runs
+        upstream_id = open_runs[0].upstream_id if open_runs else ""
+        return OpenRunWait(upstream_id=upstream_id, state=OpenRunState.UNKNOWN)
+
+    # Time
+
+    def _find_since_s(
+        self, record: WorkloadRecord, arrival_s: float, runs: list[IndexedRun]
+    ) -> float:
+        """Return the time since which nothing has run, as far as the leader knows.
+
+        The replicated state has no times of ends, so that the time of a workload with
+        runs in earlier terms counts from the begin of this one.
+        """
+        since_s = arrival_s
+        if record.tasks:
+            ended_s = self._ended_s.get(record.workload_id, self._term_began_s)
+            since_s = max(since_s, ended_s)
+        for session, view in runs:
+            if view.may_have_begun:
+                since_s = max(since_s, self._find_last_running_s(session, view))
+        return min(since_s, self._context.now_s)
+
+    def _find_last_running_s(self, session: UpstreamSession, view: RunView) -> float:
+        """Return the last time at which an open run is known to have run."""
+        if _is_silent(session):
+            return session.last_reply_s
+        if view.phase is RunPhase.STOPPING:
+            return view.entered_s
+        return self._context.now_s
+
+
+@attrs.frozen(eq=False)
+class _PlanSurvey:
+    """Units of the last plan.
+
+    Attributes
+    ----------
+    units : dict of str to PlanUnit
+        By workload, the first unit that waited before the plan and waits after it.
+    ready : dict of StepKey to PlanUnit
+        Units that might start, with their tickets.
+    """
+
+    units: dict[str, PlanUnit]
+    ready: dict[StepKey, PlanUnit]
+
+    @classmethod
+    def from_history(cls, plans: PlanHistory) -> "_PlanSurvey":
+        """Read the last plan, and let `plans` forget the units that have started."""
+        last = plans.last
+        started = {placement.unit.step_key for placement in last.plan.placements}
+        started -= {unit.step_key for unit in last.plan.blocked}
+        units: dict[str, PlanUnit] = {}
+        waiting = set()
+        for unit in last.waiting:
+            if unit.step_key not in started:
+                units.setdefault(unit.record.workload_id, unit)
+                waiting.add(unit.step_key)
+        plans.forget_others(waiting)
+        return cls(units, {unit.step_key: unit for unit in last.ready})
+
+
+def _is_silent(session: UpstreamSession) -> bool:
+    """Return whether the leader can't know what runs on an upstream."""
+    return not (session.synced and session.reachable) or session.is_faulted
+
+
+def _is_running(session: UpstreamSession, view: RunView) -> bool:
+    if view.phase is not RunPhase.RUNNING or session.departed_at_s is not None:
+        return False
+    return not _is_silent(session)
+
+
+def _find_state(session: UpstreamSession, view: RunView) -> OpenRunState:
+    """Return why an open run does not count as running."""
+    if view.phase is RunPhase.PROPOSED:
+        return OpenRunState.PROPOSED
+    if session.is_faulted:
+        return OpenRunState.FAULTED
+    if session.departed_at_s is not None:
+        return OpenRunState.DEPARTED
+    if _is_silent(session):
+        return OpenRunState.SILENT
+    return _PHASE_STATES.get(view.phase, OpenRunState.UNKNOWN)
--- /dev/null
+++ b/tanagerpath/core/workloads/wait_figures.py
@@ -0,0 +1,248 @@
+"""Figures on the upstreams that a waiting unit could use, by obstacle."""
+
+import math
+from collections import Counter
+from collections.abc import Iterable
+
+import attrs
+
+from tanagerpath.core.workloads.dispatch_context import DispatchContext
+from tanagerpath.core.workloads.policy import CapacityClaim, FleetView, Plan, PlanUnit
+from tanagerpath.core.workloads.resources import Resources
+from tanagerpath.core.workloads.sessions import UpstreamSession
+from tanagerpath.core.workloads.specs import StepKey
+from tanagerpath.core.workloads.wait_reasons import Obstacle, WaitReason
+
+__all__ = ["FleetExaminer", "WaitFigures"]
+
+# What keeps a unit waiting if an obstacle keeps it from the most free upstreams.
+_REASONS = {
+    Obstacle.WITHOUT_TICKET: WaitReason.NO_TICKETS,
+    Obstacle.QUARANTINED: WaitReason.QUARANTINED,
+    Obstacle.REFUSING: WaitReason.REFUSING,
+    Obstacle.CLAIMED: WaitReason.CLAIMED_BY_OTHERS,
+    Obstacle.ON_PROBATION: WaitReason.ON_PROBATION,
+    Obstacle.AVOIDED: WaitReason.AVOIDED,
+    Obstacle.TASK_LIMIT: WaitReason.TASK_LIMIT,
+    Obstacle.OTHER_RACK: WaitReason.OTHER_RACK,
+    Obstacle.RESERVED: WaitReason.RESERVED,
+}
+_NOT_SUITABLE = (Obstacle.EVACUATED, Obstacle.UNUSABLE, Obstacle.WITHOUT_LABEL)
+
+
+@attrs.define(eq=False)
+class WaitFigures:
+    """What the upstreams of its pool offer to a unit.
+
+    Attributes
+    ----------
+    wanted : int
+        Tasks that must fit at the same time: all members of a gang, or one task.
+    upstreams : Counter of Obstacle
+        Upstreams by their first obstacle.
+    members : Counter of Obstacle
+        Tasks that fit into the free capacity, by what keeps them from it; at most
+        `wanted` on each upstream.
+    open_by_rack : Counter of str
+        Tasks that fit without an obstacle, by rack.
+    """
+
+    wanted: int
+    upstreams: Counter[Obstacle] = attrs.Factory(Counter)
+    members: Counter[Obstacle] = attrs.Factory(Counter)
+    open_by_rack: Counter[str] = attrs.Factory(Counter)
+
+    def find_reason(self, needs_one_rack: bool) -> WaitReason:
+        """Return why no task, or no gang, is placed.
+
+        Parameters
+        ----------
+        needs_one_rack : bool
+            Whether the tasks should all run in one rack.
+        """
+        if not any(one not in _NOT_SUITABLE for one in self.upstreams):
+            return WaitReason.NO_USABLE_UPSTREAM
+        if self.members.total() < self.wanted:
+            return WaitReason.NO_CAPACITY
+        if self.members[Obstacle.NONE] < self.wanted:
+            return _REASONS[self._find_main_obstacle()]
+        if needs_one_rack and max(self.open_by_rack.values()) < self.wanted:
+            return WaitReason.OTHER_RACK
+        return WaitReason.NO_OBSTACLE
+
+    def _find_main_obstacle(self) -> Obstacle:
+        """Return the obstacle that keeps the most tasks from free capacity."""
+        return max(_REASONS, key=lambda obstacle: self.members[obstacle])
+
+    def list_fields(self) -> dict[str, int]:
+        """Return the fields of a log line."""
+        fields = {
+            f"upstreams_{obstacle}": self.upstreams[obstacle]
+            for obstacle in Obstacle
+            if self.upstreams[obstacle]
+        }
+        if self.wanted > 1:
+            fields["members_fitting"] = self.members.total()
+            fields["members_open"] = self.members[Obstacle.NONE]
+        return fields
+
+
+class FleetExaminer:
+    """Finds the first obstacle between a unit and each upstream of its pool.
+
+    It repeats the checks of the placement on a unit that a plan has not placed, so that
+    plans need not keep their results for all units.
+
+    Parameters
+    ----------
+    context : DispatchContext
+        Shared state of the term.
+    claims : iterable of CapacityClaim
+        Open claims of all units.
+    fleet : FleetView
+        Input of the policy.
+    """
+
+    def __init__(
+        self,
+        context: DispatchContext,
+        claims: Iterable[CapacityClaim],
+        fleet: FleetView,
+    ) -> None:
+        self._context = context
+        self._claims = tuple(claims)
+        self._fleet = fleet
+        self._pools: dict[str, list[UpstreamSession]] = {}
+        for session in context.sessions.values():
+            self._pools.setdefault(session.record.pool, []).append(session)
+
+    def examine(self, unit: PlanUnit, plan: Plan) -> WaitFigures:
+        """Return the figures of a unit.
+
+        Parameters
+        ----------
+        unit : PlanUnit
+            A waiting unit.
+        plan : Plan
+            The last plan that has tried to place it.
+        """
+        wanted = len(unit.indexes) if unit.spec.gang else 1
+        figures = WaitFigures(wanted)
+        reserved_from_s = _find_reserved_from_s(unit, plan)
+        held = self._find_held(unit)
+        for session in self._pools.get(unit.queue.pool, ()):
+            obstacle = self._find_shortage(unit, session)
+            if obstacle is not None:
+                figures.upstreams[obstacle] += 1
+                continue
+            obstacle = self._find_obstacle(unit, session, held, reserved_from_s)
+            self._add(figures, unit, session, obstacle)
+        return figures
+
+    def _add(
+        self,
+        figures: WaitFigures,
+        unit: PlanUnit,
+        session: UpstreamSession,
+        obstacle: Obstacle,
+    ) -> None:
+        """Add an upstream into whose free capacity a task fits."""
+        figures.upstreams[obstacle] += 1
+        fitting = unit.spec.reserved.count_in(session.free, figures.wanted)
+        allowed = min(fitting, unit.spec.max_per_upstream or fitting)
+        if obstacle is Obstacle.NONE:
+            figures.members[Obstacle.TASK_LIMIT] += fitting - allowed
+            figures.members[Obstacle.NONE] += allowed
+            figures.open_by_rack[session.record.rack] += allowed
+        else:
+            figures.members[obstacle] += fitting
+
+    def _find_shortage(
+        self, unit: PlanUnit, session: UpstreamSession
+    ) -> Obstacle | None:
+        """Return why a task does not fit on an upstream, None if it does."""
+        spec = unit.spec
+        if session.evacuated_at_s is not None:
+            return Obstacle.EVACUATED
+        if not session.is_usable:
+            return Obstacle.UNUSABLE
+        if spec.required_label and spec.required_label not in session.record.labels:
+            return Obstacle.WITHOUT_LABEL
+        if not spec.reserved.fits(session.record.capacity):
+            return Obstacle.TOO_SMALL
+        if not spec.reserved.fits(session.free):
+            return Obstacle.FULL
+        return None
+
+    def _find_obstacle(
+        self,
+        unit: PlanUnit,
+        session: UpstreamSession,
+        held: dict[str, Resources],
+        reserved_from_s: dict[str, float],
+    ) -> Obstacle:
+        """Return what keeps a task from an upstream on which it fits."""
+        spec, now_s = unit.spec, self._context.now_s
+        upstream_id = session.upstream_id
+        health = self._context.find_health(upstream_id)
+        if unit.tickets is not None and upstream_id not in unit.tickets:
+            return Obstacle.WITHOUT_TICKET
+        if health.is_quarantined(now_s):
+            return Obstacle.QUARANTINED
+        if session.would_refuse(spec.reserved, now_s):
+            return Obstacle.REFUSING
+        if upstream_id in held and not spec.reserved.fits(
+            session.free - held[upstream_id]
+        ):
+            return Obstacle.CLAIMED
+        if health.is_on_probation and self._needs_proof(unit, session):
+            return Obstacle.ON_PROBATION
+        if upstream_id in unit.avoided or (unit.is_last_attempt and health.is_suspect):
+            return Obstacle.AVOIDED
+        if spec.max_per_upstream:
+            taken = session.count_step_runs(unit.make_task_id(0))
+            if taken >= spec.max_per_upstream:
+                return Obstacle.TASK_LIMIT
+        if spec.preferred_rack and spec.preferred_rack != session.record.rack:
+            return Obstacle.OTHER_RACK
+        from_s = reserved_from_s.get(upstream_id, math.inf)
+        if now_s + self._fleet.predict_run_s(unit, session) > from_s:
+            return Obstacle.RESERVED
+        return Obstacle.NONE
+
+    def _needs_proof(self, unit: PlanUnit, session: UpstreamSession) -> bool:
+        """Return whether a unit waits until another run has tested an upstream.
+
+        A single task is such a test if nothing else runs there, and guaranteed work
+        does not wait for one.
+        """
+        if unit.is_guaranteed:
+            return False
+        return unit.spec.gang or bool(session.runs)
+
+    def _find_held(self, unit: PlanUnit) -> dict[str, Resources]:
+        """Return by upstream what is withheld from a unit for claims of others."""
+        held: dict[str, Resources] = {}
+        for claim in self._claims:
+            if claim.unit.step_key == unit.step_key:
+                continue
+            if unit.is_guaranteed and not claim.unit.is_guaranteed:
+                continue
+            for upstream_id, tasks in claim.tasks.items():
+                for _ in range(tasks):
+                    taken = held.get(upstream_id, Resources())
+                    held[upstream_id] = taken + claim.unit.spec.reserved
+        return held
+
+
+def _find_reserved_from_s(unit: PlanUnit, plan: Plan) -> dict[str, float]:
+    """Return from when a plan has reserved upstreams for other units."""
+    own: StepKey = unit.step_key
+    reserved: dict[str, float] = {}
+    for reservation in plan.reservations:
+        if reservation.step_key == own:
+            continue
+        for upstream_id in reservation.upstream_ids:
+            earlier_s = reserved.get(upstream_id, reservation.from_s)
+            reserved[upstream_id] = min(earlier_s, reservation.from_s)
+    return reserved
--- a/tanagerpath/services/workload_control.py
+++ b/tanagerpath/services/workload_control.py
@@ -24,6 +24,8 @@
     LeaseTerms,
     LogDecision,
     ReportEvacuation,
+    ReportStanding,
+    WaitReason,
     WorkloadNode,
     WorkloadNodeConfig,
 )
@@ -157,6 +159,8 @@
                 self._metrics.set_gauge(
                     "zone_evacuated", int(is_evacuated), availability_zone=zone
                 )
+            case ReportStanding(counts, longest_s):
+                self._report_standing(counts, longest_s)
             case AdmissionDecided(queue, organisation, outcome):
                 self._metrics.count(
                     "admissions",
@@ -167,6 +171,14 @@
             case RecordPeriod(period, organisation, queue, elapsed_s):
                 self._metrics.observe(str(period), elapsed_s, organisation, str(queue))
 
+    def _report_standing(self, counts: dict[WaitReason, int], longest_s: float) -> None:
+        """Set the gauges of all reasons, so that none keeps an earlier value."""
+        for reason in WaitReason:
+            self._metrics.set_gauge(
+                "standing_workloads", counts.get(reason, 0), reason=str(reason)
+            )
+        self._metrics.set_gauge("longest_standing_seconds", longest_s)
+
 
 class WorkloadControlApplication(ReplicaApplication):
     """All tasks of a control process of workloads.
