--- a/tanagerpath/core/workloads/backlog.py
+++ b/tanagerpath/core/workloads/backlog.py
@@ -124,7 +124,7 @@
                         critical_paths[step],
                         objective_s,
                         covered,
-                        self.find_arrival_s(record, occurrence, now),
+                        self._find_arrival_s(record, occurrence, now),
                     )
 
     def _list_waiting(
@@ -187,7 +187,7 @@
             and failures >= queue.max_attempts - 1,
         )
 
-    def find_arrival_s(
+    def _find_arrival_s(
         self, record: WorkloadRecord, occurrence: int, now: Instant
     ) -> float:
         """Return the monotonic time at which an occurrence was accepted or became due.
--- a/tanagerpath/core/workloads/plan_history.py
+++ b/tanagerpath/core/workloads/plan_history.py
@@ -4,10 +4,10 @@
 
 import attrs
 
-from tanagerpath.core.workloads.policy import Plan, PlanUnit
+from tanagerpath.core.workloads.policy import Plan, PlanUnit, Reservation
 from tanagerpath.core.workloads.specs import StepKey
 
-__all__ = ["PlanHistory", "PlanOutcome"]
+__all__ = ["PlanHistory", "PlanOutcome", "PlanTry"]
 
 
 @attrs.frozen(kw_only=True, eq=False)
@@ -38,27 +38,44 @@
     set_aside_until_s: dict[StepKey, float] = attrs.Factory(dict)
 
 
+@attrs.frozen(kw_only=True, eq=False)
+class PlanTry:
+    """A plan that tried to place a unit.
+
+    Attributes
+    ----------
+    at_s : float
+        Time of the plan.
+    reservations : list of Reservation
+        What it reserved for gangs.
+    """
+
+    at_s: float
+    reservations: list[Reservation]
+
+
 class PlanHistory:
     """Keeps the last plan, and for each unit the last plan that tried to place it."""
 
     def __init__(self) -> None:
         self.last = PlanOutcome()
-        self._tried_in: dict[StepKey, PlanOutcome] = {}
+        self._tries: dict[StepKey, PlanTry] = {}
 
     def note(self, outcome: PlanOutcome) -> None:
         """Note a plan; this looks at no unit but those that it tried to place."""
         self.last = outcome
+        plan_try = PlanTry(at_s=outcome.at_s, reservations=outcome.plan.reservations)
         for unit in outcome.chosen:
-            self._tried_in[unit.step_key] = outcome
+            self._tries[unit.step_key] = plan_try
 
-    def find_last_try(self, step_key: StepKey) -> PlanOutcome | None:
+    def find_last_try(self, step_key: StepKey) -> PlanTry | None:
         """Return the last plan that tried to place a unit, None if none did."""
-        return self._tried_in.get(step_key)
+        return self._tries.get(step_key)
 
     def forget_others(self, waiting: set[StepKey]) -> None:
         """Forget the units that no longer wait."""
-        self._tried_in = {
-            step_key: outcome
-            for step_key, outcome in self._tried_in.items()
+        self._tries = {
+            step_key: plan_try
+            for step_key, plan_try in self._tries.items()
             if step_key in waiting
         }
--- a/tanagerpath/core/workloads/standing_reports.py
+++ b/tanagerpath/core/workloads/standing_reports.py
@@ -9,7 +9,7 @@
 from tanagerpath.core.workloads.dispatch_context import DispatchContext, QueuedEnd
 from tanagerpath.core.workloads.events import ReportStanding
 from tanagerpath.core.workloads.plan_history import PlanHistory
-from tanagerpath.core.workloads.policy import FleetView, Plan, PreemptionHistory
+from tanagerpath.core.workloads.policy import FleetView, PreemptionHistory
 from tanagerpath.core.workloads.standing_workloads import (
     StandingFinder,
     StandingWorkload,
@@ -93,8 +93,7 @@
         standing = self._finder.list_standing(MIN_STANDING_S)
         self._forget_others(standing)
         due = [one for one in standing if self._is_due(one)]
-        due.sort(key=self._rank)
-        chosen = due[:MAX_LINES_PER_SEARCH]
+        chosen = self._choose(due)
         if chosen:
             self._report(chosen, len(due) - len(chosen))
         self._set_metrics(standing)
@@ -112,6 +111,19 @@
             return True
         return self._context.now_s >= last.next_s
 
+    def _choose(self, due: list[StandingWorkload]) -> list[StandingWorkload]:
+        """Return the workloads that get a line.
+
+        Reasons take turns, so that one that many have does not hide the others.
+        """
+        turns: Counter[WaitReason] = Counter()
+        ranked = []
+        for standing in sorted(due, key=self._rank):
+            ranked.append((turns[standing.reason], standing))
+            turns[standing.reason] += 1
+        ranked.sort(key=lambda entry: entry[0])
+        return [standing for _, standing in ranked[:MAX_LINES_PER_SEARCH]]
+
     def _rank(self, standing: StandingWorkload) -> tuple[float, float]:
         """Return the sort key of a due workload: the longest without a line first."""
         last = self._reports.get(standing.workload_id)
@@ -193,8 +205,8 @@
     """Return the reason and the figures for a line."""
     if standing.unit is None:
         return standing.reason, {}
-    plan = standing.last_try.plan if standing.last_try else Plan()
-    figures = examiner.examine(standing.unit, plan)
+    reservations = standing.last_try.reservations if standing.last_try else []
+    figures = examiner.examine(standing.unit, reservations)
     reason = standing.reason
     if reason is WaitReason.NOT_PLACED:
         reason = figures.find_reason(standing.spec.same_rack)
--- a/tanagerpath/core/workloads/standing_workloads.py
+++ b/tanagerpath/core/workloads/standing_workloads.py
@@ -3,8 +3,12 @@
 import attrs
 
 from tanagerpath.core.workloads.commands import RunOutcome
-from tanagerpath.core.workloads.dispatch_context import DispatchContext, QueuedEnd
-from tanagerpath.core.workloads.plan_history import PlanHistory, PlanOutcome
+from tanagerpath.core.workloads.dispatch_context import (
+    REPLY_MARGIN_S,
+    DispatchContext,
+    QueuedEnd,
+)
+from tanagerpath.core.workloads.plan_history import PlanHistory, PlanTry
 from tanagerpath.core.workloads.policy import PlanUnit, PreemptionHistory
 from tanagerpath.core.workloads.records import WorkloadRecord
 from tanagerpath.core.workloads.run_index import IndexedRun
@@ -68,7 +72,7 @@
         Why nothing starts; NOT_PLACED if the upstreams have to be examined.
     unit : PlanUnit or None
         The unit that the last plan had for the step, if any.
-    last_try : PlanOutcome or None
+    last_try : PlanTry or None
         Last plan that has tried to place the unit.
     open_run : OpenRunWait or None
         The run that is waited for, with the reason OPEN_RUN.
@@ -81,7 +85,7 @@
     since_s: float
     reason: WaitReason
     unit: PlanUnit | None = None
-    last_try: PlanOutcome | None = None
+    last_try: PlanTry | None = None
     open_run: OpenRunWait | None = None
 
     @property
@@ -118,6 +122,10 @@
         self._preemption = preemption
         self._plans = plans
         self._term_began_s = context.now_s
+        terms = context.terms
+        self._max_reply_age_s = (
+            terms.hold_wait_s + terms.hold_timeout_s + REPLY_MARGIN_S
+        )
         # Time at which the last run of a workload ended in this term.
         self._ended_s: dict[str, float] = {}
 
@@ -168,7 +176,7 @@
     ) -> StandingWorkload | None:
         """Return a workload if it stands still, else None."""
         runs = self._context.run_index.list_runs(record.workload_id)
-        if any(_is_running(session, view) for session, view in runs):
+        if any(self._is_running(session, view) for session, view in runs):
             return None
         unit = survey.units.get(record.workload_id)
         if unit is not None:
@@ -208,7 +216,9 @@
         if self._context.start_backoff.must_wait(unit.step_key, now_s):
             return WaitReason.BACKOFF
         if unit.step_key not in survey.ready:
-            return WaitReason.NO_TICKETS
+            # Without need for tickets, its backoff has ended since the plan.
+            needs_tickets = unit.queue.advice is not None
+            return WaitReason.NO_TICKETS if needs_tickets else WaitReason.BACKOFF
         if unit.queue.pool not in usable_pools:
             return WaitReason.NO_USABLE_UPSTREAM
         last_try = self._plans.find_last_try(unit.step_key)
@@ -234,9 +244,7 @@
         self, record: WorkloadRecord, step_key: StepKey, runs: list[IndexedRun]
     ) -> StandingWorkload:
         """Return a workload with a step that the last plan has not listed."""
-        arrival_s = self._context.backlog.find_arrival_s(
-            record, step_key.occurrence, self._context.now
-        )
+        arrival_s = self._find_arrival_s(record, step_key.occurrence)
         held = self._find_held_task(record, step_key)
         reason = self._explain_unlisted(record, step_key, held)
         open_run = None
@@ -280,8 +288,6 @@
         set_aside_until_s = self._plans.last.set_aside_until_s.get(step_key, 0.0)
         if self._context.now_s < set_aside_until_s:
             return WaitReason.SET_ASIDE
-        if self._context.state.find_queue(record.queue) is None:
-            return WaitReason.NO_QUEUE
         if held is None:
             return WaitReason.NOT_IN_PLAN
         backlog = self._context.backlog
@@ -298,7 +304,7 @@
                 expiry_s = session.find_lease_expiry_s(self._context.terms.leases)
                 return OpenRunWait(
                     upstream_id=session.upstream_id,
-                    state=_find_state(session, view),
+                    state=self._find_state(session, view),
                     phase=str(view.phase),
                     lease_s=max(expiry_s - self._context.now_s, 0.0),
                 )
@@ -306,8 +312,38 @@
         upstream_id = open_runs[0].upstream_id if open_runs else ""
         return OpenRunWait(upstream_id=upstream_id, state=OpenRunState.UNKNOWN)
 
+    def _find_state(self, session: UpstreamSession, view: RunView) -> OpenRunState:
+        """Return why an open run does not count as running."""
+        if view.phase is RunPhase.PROPOSED:
+            return OpenRunState.PROPOSED
+        if session.is_faulted:
+            return OpenRunState.FAULTED
+        if session.departed_at_s is not None:
+            return OpenRunState.DEPARTED
+        if self._is_silent(session):
+            return OpenRunState.SILENT
+        return _PHASE_STATES.get(view.phase, OpenRunState.UNKNOWN)
+
+    def _is_running(self, session: UpstreamSession, view: RunView) -> bool:
+        if view.phase is not RunPhase.RUNNING or session.departed_at_s is not None:
+            return False
+        return not (session.is_faulted or self._is_silent(session))
+
+    def _is_silent(self, session: UpstreamSession) -> bool:
+        """Return whether the leader has no recent list of what runs on an upstream."""
+        if not (session.synced and session.reachable):
+            return True
+        return self._context.now_s - session.last_reply_s > self._max_reply_age_s
+
     # Time
 
+    def _find_arrival_s(self, record: WorkloadRecord, occurrence: int) -> float:
+        """Return the time at which an occurrence was accepted or became due."""
+        due_unix_s = record.spec.find_due_unix_s(occurrence)
+        now = self._context.now
+        age_s = now.unix_s - max(record.accepted_at_unix_s, due_unix_s)
+        return now.now_s - max(age_s, 0.0)
+
     def _find_since_s(
         self, record: WorkloadRecord, arrival_s: float, runs: list[IndexedRun]
     ) -> float:
@@ -327,10 +363,12 @@
 
     def _find_last_running_s(self, session: UpstreamSession, view: RunView) -> float:
         """Return the last time at which an open run is known to have run."""
-        if _is_silent(session):
+        if session.departed_at_s is not None:
+            return session.departed_at_s
+        if session.is_faulted or self._is_silent(session):
             return session.last_reply_s
-        if view.phase is RunPhase.STOPPING:
-            return view.entered_s
+        if view.phase is not RunPhase.RUNNING:
+            return max(view.began_s, view.entered_s)
         return self._context.now_s
 
 
@@ -363,27 +401,3 @@
                 waiting.add(unit.step_key)
         plans.forget_others(waiting)
         return cls(units, {unit.step_key: unit for unit in last.ready})
-
-
-def _is_silent(session: UpstreamSession) -> bool:
-    """Return whether the leader can't know what runs on an upstream."""
-    return not (session.synced and session.reachable) or session.is_faulted
-
-
-def _is_running(session: UpstreamSession, view: RunView) -> bool:
-    if view.phase is not RunPhase.RUNNING or session.departed_at_s is not None:
-        return False
-    return not _is_silent(session)
-
-
-def _find_state(session: UpstreamSession, view: RunView) -> OpenRunState:
-    """Return why an open run does not count as running."""
-    if view.phase is RunPhase.PROPOSED:
-        return OpenRunState.PROPOSED
-    if session.is_faulted:
-        return OpenRunState.FAULTED
-    if session.departed_at_s is not None:
-        return OpenRunState.DEPARTED
-    if _is_silent(session):
-        return OpenRunState.SILENT
-    return _PHASE_STATES.get(view.phase, OpenRunState.UNKNOWN)
--- a/tanagerpath/core/workloads/wait_figures.py
+++ b/tanagerpath/core/workloads/wait_figures.py
@@ -7,10 +7,15 @@
 import attrs
 
 from tanagerpath.core.workloads.dispatch_context import DispatchContext
-from tanagerpath.core.workloads.policy import CapacityClaim, FleetView, Plan, PlanUnit
+from tanagerpath.core.workloads.health import UpstreamHealth
+from tanagerpath.core.workloads.policy import (
+    CapacityClaim,
+    FleetView,
+    PlanUnit,
+    Reservation,
+)
 from tanagerpath.core.workloads.resources import Resources
 from tanagerpath.core.workloads.sessions import UpstreamSession
-from tanagerpath.core.workloads.specs import StepKey
 from tanagerpath.core.workloads.wait_reasons import Obstacle, WaitReason
 
 __all__ = ["FleetExaminer", "WaitFigures"]
@@ -87,6 +92,23 @@
         return fields
 
 
+@attrs.frozen(eq=False)
+class _Offer:
+    """A usable upstream, its free capacity and its health."""
+
+    session: UpstreamSession
+    free: Resources
+    health: UpstreamHealth
+
+
+@attrs.define(eq=False)
+class _PoolOffers:
+    """The usable upstreams of a pool, and the number of others by obstacle."""
+
+    usable: list[_Offer] = attrs.Factory(list)
+    others: Counter[Obstacle] = attrs.Factory(Counter)
+
+
 class FleetExaminer:
     """Finds the first obstacle between a unit and each upstream of its pool.
 
@@ -112,79 +134,58 @@
         self._context = context
         self._claims = tuple(claims)
         self._fleet = fleet
-        self._pools: dict[str, list[UpstreamSession]] = {}
+        self._pools: dict[str, _PoolOffers] = {}
         for session in context.sessions.values():
-            self._pools.setdefault(session.record.pool, []).append(session)
+            self._add_session(session)
 
-    def examine(self, unit: PlanUnit, plan: Plan) -> WaitFigures:
+    def _add_session(self, session: UpstreamSession) -> None:
+        pool = self._pools.setdefault(session.record.pool, _PoolOffers())
+        if session.evacuated_at_s is not None:
+            pool.others[Obstacle.EVACUATED] += 1
+        elif not session.is_usable:
+            pool.others[Obstacle.UNUSABLE] += 1
+        else:
+            health = self._context.find_health(session.upstream_id)
+            pool.usable.append(_Offer(session, session.free, health))
+
+    def examine(
+        self, unit: PlanUnit, reservations: Iterable[Reservation]
+    ) -> WaitFigures:
         """Return the figures of a unit.
 
         Parameters
         ----------
         unit : PlanUnit
             A waiting unit.
-        plan : Plan
-            The last plan that has tried to place it.
+        reservations : iterable of Reservation
+            Those of the last plan that has tried to place it.
         """
         wanted = len(unit.indexes) if unit.spec.gang else 1
         figures = WaitFigures(wanted)
-        reserved_from_s = _find_reserved_from_s(unit, plan)
+        reserved_from_s = _find_reserved_from_s(unit, reservations)
         held = self._find_held(unit)
-        for session in self._pools.get(unit.queue.pool, ()):
-            obstacle = self._find_shortage(unit, session)
+        pool = self._pools.get(unit.queue.pool, _PoolOffers())
+        figures.upstreams.update(pool.others)
+        for offer in pool.usable:
+            obstacle = _find_shortage(unit, offer)
             if obstacle is not None:
                 figures.upstreams[obstacle] += 1
                 continue
-            obstacle = self._find_obstacle(unit, session, held, reserved_from_s)
-            self._add(figures, unit, session, obstacle)
+            obstacle = self._find_obstacle(unit, offer, held, reserved_from_s)
+            _add_fitting(figures, unit, offer, obstacle)
         return figures
 
-    def _add(
-        self,
-        figures: WaitFigures,
-        unit: PlanUnit,
-        session: UpstreamSession,
-        obstacle: Obstacle,
-    ) -> None:
-        """Add an upstream into whose free capacity a task fits."""
-        figures.upstreams[obstacle] += 1
-        fitting = unit.spec.reserved.count_in(session.free, figures.wanted)
-        allowed = min(fitting, unit.spec.max_per_upstream or fitting)
-        if obstacle is Obstacle.NONE:
-            figures.members[Obstacle.TASK_LIMIT] += fitting - allowed
-            figures.members[Obstacle.NONE] += allowed
-            figures.open_by_rack[session.record.rack] += allowed
-        else:
-            figures.members[obstacle] += fitting
-
-    def _find_shortage(
-        self, unit: PlanUnit, session: UpstreamSession
-    ) -> Obstacle | None:
-        """Return why a task does not fit on an upstream, None if it does."""
-        spec = unit.spec
-        if session.evacuated_at_s is not None:
-            return Obstacle.EVACUATED
-        if not session.is_usable:
-            return Obstacle.UNUSABLE
-        if spec.required_label and spec.required_label not in session.record.labels:
-            return Obstacle.WITHOUT_LABEL
-        if not spec.reserved.fits(session.record.capacity):
-            return Obstacle.TOO_SMALL
-        if not spec.reserved.fits(session.free):
-            return Obstacle.FULL
-        return None
-
     def _find_obstacle(
         self,
         unit: PlanUnit,
-        session: UpstreamSession,
+        offer: _Offer,
         held: dict[str, Resources],
         reserved_from_s: dict[str, float],
     ) -> Obstacle:
         """Return what keeps a task from an upstream on which it fits."""
         spec, now_s = unit.spec, self._context.now_s
+        session, health = offer.session, offer.health
         upstream_id = session.upstream_id
-        health = self._context.find_health(upstream_id)
         if unit.tickets is not None and upstream_id not in unit.tickets:
             return Obstacle.WITHOUT_TICKET
         if health.is_quarantined(now_s):
@@ -192,10 +193,10 @@
         if session.would_refuse(spec.reserved, now_s):
             return Obstacle.REFUSING
         if upstream_id in held and not spec.reserved.fits(
-            session.free - held[upstream_id]
+            offer.free - held[upstream_id]
         ):
             return Obstacle.CLAIMED
-        if health.is_on_probation and self._needs_proof(unit, session):
+        if health.is_on_probation and _needs_proof(unit, session):
             return Obstacle.ON_PROBATION
         if upstream_id in unit.avoided or (unit.is_last_attempt and health.is_suspect):
             return Obstacle.AVOIDED
@@ -210,16 +211,6 @@
             return Obstacle.RESERVED
         return Obstacle.NONE
 
-    def _needs_proof(self, unit: PlanUnit, session: UpstreamSession) -> bool:
-        """Return whether a unit waits until another run has tested an upstream.
-
-        A single task is such a test if nothing else runs there, and guaranteed work
-        does not wait for one.
-        """
-        if unit.is_guaranteed:
-            return False
-        return unit.spec.gang or bool(session.runs)
-
     def _find_held(self, unit: PlanUnit) -> dict[str, Resources]:
         """Return by upstream what is withheld from a unit for claims of others."""
         held: dict[str, Resources] = {}
@@ -235,14 +226,53 @@
         return held
 
 
-def _find_reserved_from_s(unit: PlanUnit, plan: Plan) -> dict[str, float]:
-    """Return from when a plan has reserved upstreams for other units."""
-    own: StepKey = unit.step_key
+def _find_reserved_from_s(
+    unit: PlanUnit, reservations: Iterable[Reservation]
+) -> dict[str, float]:
+    """Return by upstream from when it is reserved for other units."""
     reserved: dict[str, float] = {}
-    for reservation in plan.reservations:
-        if reservation.step_key == own:
+    for reservation in reservations:
+        if reservation.step_key == unit.step_key:
             continue
         for upstream_id in reservation.upstream_ids:
             earlier_s = reserved.get(upstream_id, reservation.from_s)
             reserved[upstream_id] = min(earlier_s, reservation.from_s)
     return reserved
+
+
+def _find_shortage(unit: PlanUnit, offer: _Offer) -> Obstacle | None:
+    """Return why a task does not fit on a usable upstream, None if it does."""
+    spec, record = unit.spec, offer.session.record
+    if spec.required_label and spec.required_label not in record.labels:
+        return Obstacle.WITHOUT_LABEL
+    if spec.reserved.fits(offer.free):
+        return None
+    if spec.reserved.fits(record.capacity):
+        return Obstacle.FULL
+    return Obstacle.TOO_SMALL
+
+
+def _needs_proof(unit: PlanUnit, session: UpstreamSession) -> bool:
+    """Return whether a unit waits until another run has tested an upstream.
+
+    A single task is such a test if nothing else runs there, and guaranteed work does
+    not wait for one.
+    """
+    if unit.is_guaranteed:
+        return False
+    return unit.spec.gang or bool(session.runs)
+
+
+def _add_fitting(
+    figures: WaitFigures, unit: PlanUnit, offer: _Offer, obstacle: Obstacle
+) -> None:
+    """Add an upstream into whose free capacity a task fits."""
+    figures.upstreams[obstacle] += 1
+    fitting = unit.spec.reserved.count_in(offer.free, figures.wanted)
+    if obstacle is not Obstacle.NONE:
+        figures.members[obstacle] += fitting
+        return
+    allowed = min(fitting, unit.spec.max_per_upstream or fitting)
+    figures.members[Obstacle.TASK_LIMIT] += fitting - allowed
+    figures.members[Obstacle.NONE] += allowed
+    figures.open_by_rack[offer.session.record.rack] += allowed
--- a/tanagerpath/core/workloads/wait_reasons.py
+++ b/tanagerpath/core/workloads/wait_reasons.py
@@ -8,19 +8,17 @@
 class WaitReason(enum.StrEnum):
     """Why no task of a workload starts, as in log lines and metrics.
 
-    Without a turn (NOT_DUE), work does not wait: it is due later, or depends on steps
-    that are not done. From OPEN_RUN to NO_QUEUE, its tasks are not offered to plans.
-    From BACKOFF to NOT_IN_PLAN, they are offered and not tried. NOT_PLACED is the
-    reason of work that plans have tried and whose upstreams were not examined; the
-    later ones tell what was found there.
+    Work that is due later, or depends on steps that are not done, does not wait. From
+    OPEN_RUN to SET_ASIDE, tasks are not offered to plans. From BACKOFF to NOT_IN_PLAN,
+    they are offered and not tried. NOT_PLACED is the reason of work that plans have
+    tried and whose upstreams were not examined; the later ones tell what was found
+    there.
     """
 
-    NOT_DUE = "not due or earlier steps are open"
     OPEN_RUN = "an earlier run has not ended"
     LIST_ROUND = "upstreams may still list an end"
     BARRED = "an upstream runs it or has listed its end"
     SET_ASIDE = "set aside after an error"
-    NO_QUEUE = "its queue is not configured"
     BACKOFF = "backoff after refused starts"
     NO_TICKETS = "no tickets"
     CLAIMED_CAPACITY = "claimed capacity is not free yet"
