--- a/tanagerpath/cli/tests/test_story.py
+++ b/tanagerpath/cli/tests/test_story.py
@@ -26,6 +26,15 @@
         self.assertEqual("a-1 ", found[0].origin)
         self.assertNotIn("reason", found[0].text)
 
+    def test_reason_and_figures_of_a_wait_are_shown(self):
+        line = (
+            '{"message": "control: work waits", "workload": "5c0e7a21d94b36f8", '
+            '"reason": "no capacity", "gang": true, "members_open": 0}'
+        )
+        (found,) = find_request_lines([line], "5c0e7a21d94b36f8")
+        expected = "work waits workload=5c0e7a21d94b36f8 reason=no capacity gang=True"
+        self.assertIn(f"{expected} members_open=0", found.text)
+
     def test_lines_of_all_files_are_printed_in_order_of_time(self):
         with tempfile.TemporaryDirectory() as folder:
             paths = [pathlib.Path(folder) / name for name in ("a", "b")]
--- a/tanagerpath/core/workloads/tests/test_standing_reports.py
+++ b/tanagerpath/core/workloads/tests/test_standing_reports.py
@@ -13,6 +13,7 @@
 )
 from tanagerpath.core.workloads.events import ReportStanding
 from tanagerpath.core.workloads.orders import Refusal
+from tanagerpath.core.workloads.policy import Plan
 from tanagerpath.core.workloads.resources import Resources
 from tanagerpath.core.workloads.runs import RunFence
 from tanagerpath.core.workloads.specs import StepSpec, TaskId
@@ -247,6 +248,15 @@
     return rig
 
 
+def _place_nothing():
+    rig = Rig(upstreams=2)
+    policy = rig.dispatcher._planner._policy
+    policy.plan = lambda units, fleet: Plan(blocked=list(units))
+    rig.submit("w", _step())
+    rig.run(1.0)
+    return rig
+
+
 # By set-up: the reason, and other fields of one of its lines.
 REASONS = (
     (_lose_upstream, WaitReason.OPEN_RUN, {"run_state": "silent"}),
@@ -273,6 +283,7 @@
     (_fill_preferred_rack, WaitReason.OTHER_RACK, {"upstreams_other_rack": 4}),
     (_split_room_for_gang, WaitReason.OTHER_RACK, {"members_open": 6}),
     (_reserve_for_gang, WaitReason.RESERVED, {"upstreams_reserved": 3}),
+    (_place_nothing, WaitReason.NO_OBSTACLE, {"upstreams_open": 2}),
 )
 
 
@@ -291,10 +302,9 @@
             self.assertIn(expected, shown, f"{set_up.__name__}: {lines[-3:]}")
 
     def test_set_ups_cover_all_reasons_that_keep_work_waiting(self):
-        # NOT_PLACED is replaced by what was found, and a plan answers NO_OBSTACLE.
-        others = {WaitReason.NOT_PLACED, WaitReason.NO_OBSTACLE}
+        # NOT_PLACED is replaced in each line by what was found on the upstreams.
         covered = {reason for _, reason, _ in REASONS}
-        self.assertEqual(set(WaitReason) - others, covered)
+        self.assertEqual(set(WaitReason) - {WaitReason.NOT_PLACED}, covered)
 
     def test_work_without_a_turn_and_work_that_runs_get_no_line(self):
         rig = Rig(upstreams=1)
