--- a/tanagerpath/core/workloads/standing_workloads.py
+++ b/tanagerpath/core/workloads/standing_workloads.py
@@ -178,9 +178,9 @@
         runs = self._context.run_index.list_runs(record.workload_id)
         if any(self._is_running(session, view) for session, view in runs):
             return None
-        unit = survey.units.get(record.workload_id)
-        if unit is not None:
-            return self._describe_unit(unit, runs, survey, usable_pools)
+        waiting = survey.units.get(record.workload_id)
+        if waiting is not None:
+            return self._describe_unit(waiting, runs, usable_pools)
         step_key = self._find_turn(record)
         if step_key is None:
             return None
@@ -188,40 +188,40 @@
 
     def _describe_unit(
         self,
-        unit: PlanUnit,
+        waiting: "_WaitingUnit",
         runs: list[IndexedRun],
-        survey: "_PlanSurvey",
         usable_pools: set[str],
     ) -> StandingWorkload:
         """Return a workload with a unit that the last plan has listed."""
-        unit = survey.ready.get(unit.step_key, unit)
+        unit = waiting.unit
+        last_try = self._plans.find_last_try(waiting.step_key)
         return StandingWorkload(
             record=unit.record,
-            step_key=unit.step_key,
+            step_key=waiting.step_key,
             tasks=len(unit.indexes),
             arrival_s=unit.arrival_s,
             since_s=self._find_since_s(unit.record, unit.arrival_s, runs),
-            reason=self._explain_unit(unit, survey, usable_pools),
+            reason=self._explain_unit(waiting, last_try, usable_pools),
             unit=unit,
-            last_try=self._plans.find_last_try(unit.step_key),
+            last_try=last_try,
         )
 
     def _explain_unit(
-        self, unit: PlanUnit, survey: "_PlanSurvey", usable_pools: set[str]
+        self, waiting: "_WaitingUnit", last_try: PlanTry | None, usable_pools: set[str]
     ) -> WaitReason:
         """Return why a unit that the last plan has listed was not placed."""
         now_s = self._context.now_s
-        if unit.step_key in self._preemption.open_claims:
+        unit = waiting.unit
+        if waiting.step_key in self._preemption.open_claims:
             return WaitReason.CLAIMED_CAPACITY
-        if self._context.start_backoff.must_wait(unit.step_key, now_s):
+        if self._context.start_backoff.must_wait(waiting.step_key, now_s):
             return WaitReason.BACKOFF
-        if unit.step_key not in survey.ready:
+        if not waiting.is_ready:
             # Without need for tickets, its backoff has ended since the plan.
             needs_tickets = unit.queue.advice is not None
             return WaitReason.NO_TICKETS if needs_tickets else WaitReason.BACKOFF
         if unit.queue.pool not in usable_pools:
             return WaitReason.NO_USABLE_UPSTREAM
-        last_try = self._plans.find_last_try(unit.step_key)
         if last_try is None or now_s - last_try.at_s > MAX_TRY_AGE_S:
             return WaitReason.NOT_IN_PLAN
         return WaitReason.NOT_PLACED
@@ -373,19 +373,19 @@
 
 
 @attrs.frozen(eq=False)
-class _PlanSurvey:
-    """Units of the last plan.
+class _WaitingUnit:
+    """A unit that waits after a plan, with its tickets if it was ready to start."""
 
-    Attributes
-    ----------
-    units : dict of str to PlanUnit
-        By workload, the first unit that waited before the plan and waits after it.
-    ready : dict of StepKey to PlanUnit
-        Units that might start, with their tickets.
-    """
+    step_key: StepKey
+    unit: PlanUnit
+    is_ready: bool
 
-    units: dict[str, PlanUnit]
-    ready: dict[StepKey, PlanUnit]
+
+@attrs.frozen(eq=False)
+class _PlanSurvey:
+    """The first unit of each workload that waited before the last plan and after it."""
+
+    units: dict[str, _WaitingUnit]
 
     @classmethod
     def from_history(cls, plans: PlanHistory) -> "_PlanSurvey":
@@ -393,11 +393,18 @@
         last = plans.last
         started = {placement.unit.step_key for placement in last.plan.placements}
         started -= {unit.step_key for unit in last.plan.blocked}
-        units: dict[str, PlanUnit] = {}
+        ready = {unit.step_key: unit for unit in last.ready}
+        units: dict[str, _WaitingUnit] = {}
         waiting = set()
         for unit in last.waiting:
-            if unit.step_key not in started:
-                units.setdefault(unit.record.workload_id, unit)
-                waiting.add(unit.step_key)
+            # Each access to the key of a unit builds it, and there may be many units.
+            step_key = unit.step_key
+            if step_key in started:
+                continue
+            waiting.add(step_key)
+            if step_key.workload_id not in units:
+                units[step_key.workload_id] = _WaitingUnit(
+                    step_key, ready.get(step_key, unit), step_key in ready
+                )
         plans.forget_others(waiting)
-        return cls(units, {unit.step_key: unit for unit in last.ready})
+        return cls(units)
--- a/tanagerpath/core/workloads/wait_figures.py
+++ b/tanagerpath/core/workloads/wait_figures.py
@@ -20,7 +20,7 @@
 
 __all__ = ["FleetExaminer", "WaitFigures"]
 
-# What keeps a unit waiting if an obstacle keeps it from the most free upstreams.
+# Reason of a wait, by the obstacle that keeps a unit from most of the free capacity.
 _REASONS = {
     Obstacle.WITHOUT_TICKET: WaitReason.NO_TICKETS,
     Obstacle.QUARANTINED: WaitReason.QUARANTINED,
@@ -65,7 +65,7 @@
         needs_one_rack : bool
             Whether the tasks should all run in one rack.
         """
-        if not any(one not in _NOT_SUITABLE for one in self.upstreams):
+        if all(one in _NOT_SUITABLE for one in self.upstreams):
             return WaitReason.NO_USABLE_UPSTREAM
         if self.members.total() < self.wanted:
             return WaitReason.NO_CAPACITY
--- a/tanagerpath/core/workloads/wait_reasons.py
+++ b/tanagerpath/core/workloads/wait_reasons.py
@@ -58,7 +58,8 @@
 class Obstacle(enum.StrEnum):
     """First obstacle that keeps a task from an upstream, in the order of the checks.
 
-    From QUARANTINED on, the task fits and the upstream would probably take it.
+    From WITHOUT_TICKET on, the task fits into the free capacity. NONE: nothing keeps
+    it from there.
     """
 
     EVACUATED = "evacuated"
