Name a preference before a limit as the reason of a wait

Work that a reservation or an avoided upstream kept waiting was shown as waiting for a quarantine or for tickets if more upstreams had these. The state of open runs has a module of its own.

--- a/tanagerpath/core/workloads/standing_workloads.py
+++ b/tanagerpath/core/workloads/standing_workloads.py
@@ -3,54 +3,20 @@
 import attrs
 
 from tanagerpath.core.workloads.commands import RunOutcome
-from tanagerpath.core.workloads.dispatch_context import (
-    REPLY_MARGIN_S,
-    DispatchContext,
-    QueuedEnd,
-)
+from tanagerpath.core.workloads.dispatch_context import DispatchContext, QueuedEnd
+from tanagerpath.core.workloads.open_runs import OpenRunReader, OpenRunWait
 from tanagerpath.core.workloads.plan_history import PlanHistory, PlanTry
 from tanagerpath.core.workloads.policy import PlanUnit, PreemptionHistory
 from tanagerpath.core.workloads.records import WorkloadRecord
 from tanagerpath.core.workloads.run_index import IndexedRun
-from tanagerpath.core.workloads.runs import RunPhase, RunView
-from tanagerpath.core.workloads.sessions import UpstreamSession
 from tanagerpath.core.workloads.specs import StepKey, StepSpec, TaskId
-from tanagerpath.core.workloads.wait_reasons import OpenRunState, WaitReason
+from tanagerpath.core.workloads.wait_reasons import WaitReason
 
-__all__ = ["OpenRunWait", "StandingFinder", "StandingWorkload"]
+__all__ = ["StandingFinder", "StandingWorkload"]
 
 # A unit that no plan has tried to place for longer has not had its turn.
 MAX_TRY_AGE_S = 1.0
 
-_PHASE_STATES = {
-    RunPhase.PROPOSED: OpenRunState.PROPOSED,
-    RunPhase.ORDERED: OpenRunState.UNCONFIRMED,
-    RunPhase.STOPPING: OpenRunState.STOPPING,
-    RunPhase.INHERITED: OpenRunState.INHERITED,
-}
-
-
-@attrs.frozen(kw_only=True)
-class OpenRunWait:
-    """A run whose end is not recorded, so that its task does not start again.
-
-    Attributes
-    ----------
-    upstream_id : str
-        Where it was started.
-    state : OpenRunState
-        Why it does not count as running.
-    phase : str
-        Phase of the run, empty if it is unknown.
-    lease_s : float
-        Seconds until the lease of the upstream has expired.
-    """
-
-    upstream_id: str
-    state: OpenRunState
-    phase: str = ""
-    lease_s: float = 0.0
-
 
 @attrs.frozen(kw_only=True, eq=False)
 class StandingWorkload:
@@ -122,10 +88,7 @@
         self._preemption = preemption
         self._plans = plans
         self._term_began_s = context.now_s
-        terms = context.terms
-        self._max_reply_age_s = (
-            terms.hold_wait_s + terms.hold_timeout_s + REPLY_MARGIN_S
-        )
+        self._open_runs = OpenRunReader(context)
         # Time at which the last run of a workload ended in this term.
         self._ended_s: dict[str, float] = {}
 
@@ -176,7 +139,7 @@
     ) -> StandingWorkload | None:
         """Return a workload if it stands still, else None."""
         runs = self._context.run_index.list_runs(record.workload_id)
-        if any(self._is_running(session, view) for session, view in runs):
+        if any(self._open_runs.is_running(session, view) for session, view in runs):
             return None
         waiting = survey.units.get(record.workload_id)
         if waiting is not None:
@@ -249,7 +212,7 @@
         reason = self._explain_unlisted(record, step_key, held)
         open_run = None
         if reason is WaitReason.OPEN_RUN:
-            open_run = self._describe_open_run(record, held, runs)
+            open_run = self._open_runs.describe(record, held, runs)
         done = record.done_by_step.get((step_key.occurrence, step_key.step), 0)
         return StandingWorkload(
             record=record,
@@ -295,46 +258,6 @@
             return WaitReason.OPEN_RUN
         return WaitReason.BARRED if held in backlog.barred else WaitReason.LIST_ROUND
 
-    def _describe_open_run(
-        self, record: WorkloadRecord, task: TaskId, runs: list[IndexedRun]
-    ) -> OpenRunWait:
-        """Return the run that keeps a task from another start."""
-        for session, view in runs:
-            if view.task == task:
-                expiry_s = session.find_lease_expiry_s(self._context.terms.leases)
-                return OpenRunWait(
-                    upstream_id=session.upstream_id,
-                    state=self._find_state(session, view),
-                    phase=str(view.phase),
-                    lease_s=max(expiry_s - self._context.now_s, 0.0),
-                )
-        open_runs = record.find_task(task).open_runs
-        upstream_id = open_runs[0].upstream_id if open_runs else ""
-        return OpenRunWait(upstream_id=upstream_id, state=OpenRunState.UNKNOWN)
-
-    def _find_state(self, session: UpstreamSession, view: RunView) -> OpenRunState:
-        """Return why an open run does not count as running."""
-        if view.phase is RunPhase.PROPOSED:
-            return OpenRunState.PROPOSED
-        if session.is_faulted:
-            return OpenRunState.FAULTED
-        if session.departed_at_s is not None:
-            return OpenRunState.DEPARTED
-        if self._is_silent(session):
-            return OpenRunState.SILENT
-        return _PHASE_STATES.get(view.phase, OpenRunState.UNKNOWN)
-
-    def _is_running(self, session: UpstreamSession, view: RunView) -> bool:
-        if view.phase is not RunPhase.RUNNING or session.departed_at_s is not None:
-            return False
-        return not (session.is_faulted or self._is_silent(session))
-
-    def _is_silent(self, session: UpstreamSession) -> bool:
-        """Return whether the leader has no recent list of what runs on an upstream."""
-        if not (session.synced and session.reachable):
-            return True
-        return self._context.now_s - session.last_reply_s > self._max_reply_age_s
-
     # Time
 
     def _find_arrival_s(self, record: WorkloadRecord, occurrence: int) -> float:
@@ -358,19 +281,11 @@
             since_s = max(since_s, ended_s)
         for session, view in runs:
             if view.may_have_begun:
-                since_s = max(since_s, self._find_last_running_s(session, view))
+                since_s = max(
+                    since_s, self._open_runs.find_last_running_s(session, view)
+                )
         return min(since_s, self._context.now_s)
 
-    def _find_last_running_s(self, session: UpstreamSession, view: RunView) -> float:
-        """Return the last time at which an open run is known to have run."""
-        if session.departed_at_s is not None:
-            return session.departed_at_s
-        if session.is_faulted or self._is_silent(session):
-            return session.last_reply_s
-        if view.phase is not RunPhase.RUNNING:
-            return max(view.began_s, view.entered_s)
-        return self._context.now_s
-
 
 @attrs.frozen(eq=False)
 class _WaitingUnit:
--- a/tanagerpath/core/workloads/tests/test_standing_reports.py
+++ b/tanagerpath/core/workloads/tests/test_standing_reports.py
@@ -211,6 +211,19 @@
     return rig
 
 
+def _avoid_one_of_few_healthy_upstreams():
+    # Upstreams that can't be used anyway must not hide the preference.
+    rig = Rig(upstreams=5)
+    _fill(rig)
+    free = [name for name, one in rig.upstreams.items() if not one.runs]
+    for name in free[:3]:
+        _set_quarantine(rig, name, rig.now_s + 60.0)
+    rig.dispatcher.context.backlog.failed_on["w"] = {free[3]}
+    rig.submit("w", _step())
+    rig.run(1.0)
+    return rig
+
+
 def _limit_tasks():
     rig = Rig(upstreams=2)
     rig.run(0.5)
@@ -279,6 +292,11 @@
     ),
     (_let_free_upstreams_refuse, WaitReason.REFUSING, {"upstreams_refusing": 2}),
     (_avoid_free_upstreams, WaitReason.AVOIDED, {"upstreams_avoided": 2}),
+    (
+        _avoid_one_of_few_healthy_upstreams,
+        WaitReason.AVOIDED,
+        {"upstreams_quarantined": 3, "upstreams_avoided": 1},
+    ),
     (_limit_tasks, WaitReason.TASK_LIMIT, {"members_fitting": 6, "members_open": 2}),
     (_fill_preferred_rack, WaitReason.OTHER_RACK, {"upstreams_other_rack": 4}),
     (_split_room_for_gang, WaitReason.OTHER_RACK, {"members_open": 6}),
--- a/tanagerpath/core/workloads/wait_figures.py
+++ b/tanagerpath/core/workloads/wait_figures.py
@@ -20,17 +20,20 @@
 
 __all__ = ["FleetExaminer", "WaitFigures"]
 
-# Reason of a wait, by the obstacle that keeps a unit from most of the free capacity.
-_REASONS = {
+# Reasons by the obstacle on upstreams that would probably refuse or fail a task.
+_LIMITS = {
     Obstacle.WITHOUT_TICKET: WaitReason.NO_TICKETS,
     Obstacle.QUARANTINED: WaitReason.QUARANTINED,
     Obstacle.REFUSING: WaitReason.REFUSING,
+    Obstacle.TASK_LIMIT: WaitReason.TASK_LIMIT,
+}
+# Reasons by the obstacle on upstreams that would take a task.
+_PREFERENCES = {
     Obstacle.CLAIMED: WaitReason.CLAIMED_BY_OTHERS,
     Obstacle.ON_PROBATION: WaitReason.ON_PROBATION,
     Obstacle.AVOIDED: WaitReason.AVOIDED,
-    Obstacle.TASK_LIMIT: WaitReason.TASK_LIMIT,
-    Obstacle.OTHER_RACK: WaitReason.OTHER_RACK,
     Obstacle.RESERVED: WaitReason.RESERVED,
+    Obstacle.OTHER_RACK: WaitReason.OTHER_RACK,
 }
 _NOT_SUITABLE = (Obstacle.EVACUATED, Obstacle.UNUSABLE, Obstacle.WITHOUT_LABEL)
 
@@ -70,14 +73,20 @@
         if self.members.total() < self.wanted:
             return WaitReason.NO_CAPACITY
         if self.members[Obstacle.NONE] < self.wanted:
-            return _REASONS[self._find_main_obstacle()]
+            return self._find_main_reason()
         if needs_one_rack and max(self.open_by_rack.values()) < self.wanted:
             return WaitReason.OTHER_RACK
         return WaitReason.NO_OBSTACLE
 
-    def _find_main_obstacle(self) -> Obstacle:
-        """Return the obstacle that keeps the most tasks from free capacity."""
-        return max(_REASONS, key=lambda obstacle: self.members[obstacle])
+    def _find_main_reason(self) -> WaitReason:
+        """Return the reason of the obstacle that keeps most tasks from free capacity.
+
+        A preference is named before a limit if the work would fit without preferences.
+        """
+        limited = sum(self.members[obstacle] for obstacle in _LIMITS)
+        would_fit = self.members.total() - limited >= self.wanted
+        reasons = _PREFERENCES if would_fit else _LIMITS
+        return reasons[max(reasons, key=lambda obstacle: self.members[obstacle])]
 
     def list_fields(self) -> dict[str, int]:
         """Return the fields of a log line."""
@@ -204,11 +213,11 @@
             taken = session.count_step_runs(unit.make_task_id(0))
             if taken >= spec.max_per_upstream:
                 return Obstacle.TASK_LIMIT
-        if spec.preferred_rack and spec.preferred_rack != session.record.rack:
-            return Obstacle.OTHER_RACK
         from_s = reserved_from_s.get(upstream_id, math.inf)
         if now_s + self._fleet.predict_run_s(unit, session) > from_s:
             return Obstacle.RESERVED
+        if spec.preferred_rack and spec.preferred_rack != session.record.rack:
+            return Obstacle.OTHER_RACK
         return Obstacle.NONE
 
     def _find_held(self, unit: PlanUnit) -> dict[str, Resources]:
--- a/tanagerpath/core/workloads/wait_reasons.py
+++ b/tanagerpath/core/workloads/wait_reasons.py
@@ -74,6 +74,6 @@
     ON_PROBATION = "on_probation"
     AVOIDED = "avoided"
     TASK_LIMIT = "task_limit"
-    OTHER_RACK = "other_rack"
     RESERVED = "reserved"
+    OTHER_RACK = "other_rack"
     NONE = "open"
