--- a/tanagerpath/core/workloads/policy.py
+++ b/tanagerpath/core/workloads/policy.py
@@ -13,6 +13,7 @@
 from tanagerpath.core.workloads.estimates import RunEstimates
 from tanagerpath.core.workloads.health import UpstreamHealth
 from tanagerpath.core.workloads.records import WorkloadRecord
+from tanagerpath.core.workloads.resources import Resources
 from tanagerpath.core.workloads.runs import (
     COMPLETED_PERCENT,
     ProgressSample,
@@ -31,6 +32,7 @@
     "Plan",
     "PlanUnit",
     "PreemptionHistory",
+    "Reservation",
     "WorkloadPolicy",
 ]
 
@@ -286,6 +288,25 @@
     lost_cores_s: float = 0.0
 
 
+@attrs.frozen
+class Reservation:
+    """Capacity that a plan keeps for a gang that does not fit yet.
+
+    Attributes
+    ----------
+    step_key : StepKey
+        The gang.
+    from_s : float
+        Time from which the capacity is kept.
+    spare : dict of str to Resources
+        What other work may use then, by upstream.
+    """
+
+    step_key: StepKey
+    from_s: float
+    spare: dict[str, Resources]
+
+
 @attrs.define(eq=False)
 class Plan:
     """Decisions of a policy; a unit in `blocked` has tasks that were not placed."""
@@ -294,6 +315,7 @@
     evictions: list[Eviction] = attrs.Factory(list)
     claims: list[CapacityClaim] = attrs.Factory(list)
     blocked: list[PlanUnit] = attrs.Factory(list)
+    reservations: list[Reservation] = attrs.Factory(list)
 
 
 class WorkloadPolicy(abc.ABC):
--- a/tanagerpath/core/workloads/reservations.py
+++ b/tanagerpath/core/workloads/reservations.py
@@ -6,7 +6,7 @@
 import attrs
 
 from tanagerpath.core.workloads.free_capacity import FreeCapacity, FreeTime
-from tanagerpath.core.workloads.policy import FleetView, PlanUnit
+from tanagerpath.core.workloads.policy import FleetView, PlanUnit, Reservation
 from tanagerpath.core.workloads.resources import Resources
 from tanagerpath.core.workloads.runs import RunPhase
 from tanagerpath.core.workloads.sessions import UpstreamSession
@@ -44,7 +44,7 @@
     groups: list[list[UpstreamSession]],
     free_capacity: FreeCapacity,
     fleet: FleetView,
-) -> None:
+) -> Reservation | None:
     """Reserve the upstreams that are free soonest for a gang.
 
     Parameters
@@ -57,6 +57,11 @@
         Takes the reservations.
     fleet : FleetView
         State of the upstreams.
+
+    Returns
+    -------
+    Reservation or None
+        None if the gang will not fit on any set of upstreams.
     """
     offers = _list_offers(unit, groups, free_capacity, fleet)
     options = []
@@ -76,10 +81,12 @@
         if members >= len(unit.indexes) and chosen[-1].free_s < math.inf:
             options.append((chosen[-1].free_s, chosen))
     if not options:
-        return
+        return None
     from_s, chosen = min(options, key=lambda option: option[0])
     for offer in chosen:
         free_capacity.reserve(offer.session, from_s, offer.spare)
+    spare = {offer.upstream_id: offer.spare for offer in chosen}
+    return Reservation(unit.step_key, from_s, spare)
 
 
 def _list_offers(
