Show a gang that stands on idle workers beside jobs that fail

`sh review/9/run.sh` failed four times of five on x86-64, beside other plays: 14 s and 3 s after the last job no member of the gang had begun, with 3.2 to 4.4 of 128 cores in use; the fifth time it began 14.5 s after it was handed in. With TROUBLE=0 it passed twice, where the gang began at once.

--- a/review/stand_ins_2.py
+++ b/review/stand_ins_2.py
@@ -186,9 +186,16 @@
         self.task, self.number, self.spec, self.began_s = task, number, spec, began_s
         given = json.loads(spec) if spec.startswith("{") else {}
         self.work_s: float | None = given.get("work_s")
+        # Runs with this fail after some time between these seconds.
+        fails_within_s = given.get("fails_within_s")
+        self.fails_after_s = random.uniform(*fails_within_s) if fails_within_s else None
         self.ends_at_s: float | None = None
         self.stops = False
 
+    def has_passed(self, after_s: float | None, now_s: float) -> bool:
+        """Return whether a time after the start has come; None never comes."""
+        return after_s is not None and now_s >= self.began_s + after_s
+
     def find_percent(self, now_s: float) -> int:
         """Return the progress; a task that lasts is at work after half a second."""
         worked_s = now_s - self.began_s
@@ -282,7 +289,9 @@
                     self._end_run(run, "lapsed")
                 elif run.ends_at_s is not None and now_s >= run.ends_at_s:
                     self._end_run(run, "stopped")
-                elif run.work_s is not None and now_s >= run.began_s + run.work_s:
+                elif run.has_passed(run.fails_after_s, now_s):
+                    self._end_run(run, "failed")
+                elif run.has_passed(run.work_s, now_s):
                     self._end_run(run, "done")
 
     def _end_run(self, run: Run, how: str) -> None:
