--- a/review/stand_ins_2.py
+++ b/review/stand_ins_2.py
@@ -301,9 +301,7 @@
         self._numbers += 1
         del self.runs[run.task, run.number]
         self.ended.append([self._numbers, run.task, run.number, how, ""])
-        self.fleet.record.note(
-            f"run {run.task} #{run.number} ends {how} on {self.machine}"
-        )
+        self.fleet.note_end(self, run, how)
         self._changed.set()
 
     async def _handle(
@@ -399,6 +397,7 @@
         self.controls: list[str] = []
         self.workers: dict[str, Worker] = {}
         self.starts: list[tuple[float, str, int, str]] = []
+        self.ends: list[tuple[float, str, int, str, str]] = []
         # Asked for each order: None carries it out at once, a number leaves it without
         # an answer and carries it out that much later.
         self.late_by_s: Callable[[str, dict], float | None] = lambda path, order: None
@@ -424,6 +423,13 @@
         self.starts.append((self.record.now_s(), run.task, run.number, worker.machine))
         self.record.note(f"run {run.task} #{run.number} starts on {worker.machine}")
 
+    def note_end(self, worker: Worker, run: Run, how: str) -> None:
+        """Record an end."""
+        self.ends.append(
+            (self.record.now_s(), run.task, run.number, worker.machine, how)
+        )
+        self.record.note(f"run {run.task} #{run.number} ends {how} on {worker.machine}")
+
     async def add(self, machine: str, host: str, port: int) -> Worker:
         """Start a worker on a machine."""
         worker = self.workers[machine] = Worker(self, machine, host, port)
@@ -459,6 +465,8 @@
         self.done: set[tuple[int, str]] = set()
         self.begun: list[tuple[float, int, str, list[str]]] = []
         self.late_by_s: Callable[[str, str], float | None] = lambda machine, who: None
+        # Whether a machine counts as down while its worker has crashed.
+        self.notices_crashes = True
 
     async def start(self) -> None:
         """Listen."""
@@ -489,7 +497,8 @@
         return reply
 
     def _show(self, machine: str) -> dict[str, Any]:
-        is_down = machine in self.down or not self.fleet.workers[machine].is_up
+        has_crashed = self.notices_crashes and not self.fleet.workers[machine].is_up
+        is_down = machine in self.down or has_crashed
         state = "upkeep" if machine in self.down else "down" if is_down else "up"
         return {
             "machine": machine,
