Number the cases by their gravity

The task that runs twice becomes case 7, the cancelled job case 8 and the standing gang case 9, with no change but the numbers in their run.sh.

--- a/review/8/run.sh
+++ b/review/8/run.sh
@@ -1,3 +1,3 @@
 #!/bin/sh
-# Shows case 8; TROUBLE=0 does the same without the jobs that fail.
-exec python3 "$(dirname "$0")/standing.py"
+# Shows case 8; TROUBLE=0 does the same without the freeze and the stop.
+exec python3 "$(dirname "$0")/cancelled.py"
