--- a/review/stand_ins_2.py
+++ b/review/stand_ins_2.py
@@ -27,6 +27,7 @@
 STOP_S = 0.1
 MAINTENANCE_S = 2.0
 HOLD_MAX_MS = 10_000
+MAX_WAITING_ADVICE = 32
 BOUNDS = {
     "seed_lag_s": 3,
     "addr_reuse_s": 2,
@@ -355,6 +356,9 @@
             return 200, self._stamp()
         if number <= self._last_run.get(task, 0):
             return self._refuse("old")
+        advice = self.fleet.advice
+        if advice is not None and not advice.is_valid(order, self.id):
+            return self._refuse("ticket")
         self._last_run[task] = number
         run = Run(task, number, order["spec"], time.monotonic())
         self.runs[task, number] = run
@@ -401,6 +405,8 @@
         # Asked for each order: None carries it out at once, a number leaves it without
         # an answer and carries it out that much later.
         self.late_by_s: Callable[[str, dict], float | None] = lambda path, order: None
+        # Set where all starts need a ticket.
+        self.advice: Advice | None = None
         self._tasks: set[asyncio.Task] = set()
 
     def carry_out_later(
@@ -444,6 +450,71 @@
         return worker
 
 
+# The advice service
+
+
+class Advice:
+    """Says which workers may run a step: those of some machines, whatever the step.
+
+    It handles one call at a time, after `decision_ms` and `per_worker_ms` for each
+    worker named. A ticket is valid for a step, a life of a worker and `validity_ms`.
+    """
+
+    def __init__(
+        self, fleet: "Fleet", host: str, port: int, machines: set[str], terms: dict
+    ) -> None:
+        self._fleet, self._machines, self._terms = fleet, machines, terms
+        self.address = f"{host}:{port}"
+        self._server = HttpServer(host, port, self._handle)
+        self._turn = asyncio.Lock()
+        self._waiting = 0
+        self._issued: dict[str, tuple[str, str, float]] = {}
+        self.calls: Counter[str] = Counter()
+
+    async def start(self) -> None:
+        """Listen."""
+        await self._server.start()
+
+    def stop(self) -> None:
+        """Close the listener."""
+        self._server.stop()
+
+    async def _handle(
+        self, method: str, path: str, headers: dict[str, str], body: bytes
+    ) -> Reply | None:
+        if path != "/advise":
+            return 400, {}
+        if self._waiting >= MAX_WAITING_ADVICE:
+            return 429, {}
+        order = json.loads(body)
+        step, named = order["step"], order["workers"]
+        self.calls[step] += 1
+        self._waiting += 1
+        async with self._turn:
+            work_ms = self._terms["per_worker_ms"] * len(named)
+            await asyncio.sleep((self._terms["decision_ms"] + work_ms) / 1000)
+        self._waiting -= 1
+        allowed = {
+            worker.id
+            for worker in self._fleet.workers.values()
+            if worker.machine in self._machines
+        }
+        rows = [[one, self._issue(step, one)] for one in named if one in allowed]
+        return 200, {"allowed": rows, "validity_ms": self._terms["validity_ms"]}
+
+    def _issue(self, step: str, worker_id: str) -> str:
+        text = make_id()
+        valid_s = self._terms["validity_ms"] / 1000
+        self._issued[text] = step, worker_id, time.monotonic() + valid_s
+        return text
+
+    def is_valid(self, order: dict[str, Any], worker_id: str) -> bool:
+        """Return whether a start carries a valid ticket for its worker."""
+        step, named, until_s = self._issued.get(order.get("ticket", ""), ("", "", 0.0))
+        is_step = order["task"].rpartition(".")[0] == step
+        return is_step and named == worker_id and time.monotonic() < until_s
+
+
 # The platform
 
 
@@ -606,7 +677,7 @@
         """Addresses for clients."""
         return [f"{one.host}:{self.ports[0]}" for one in self.entries]
 
-    def write_settings(self, platform: str) -> None:
+    def write_settings(self, platform: str, advice: str = "") -> None:
         """Write the settings file of each machine."""
         for machine in self.machines:
             front, ready, control = (
@@ -645,6 +716,8 @@
                 "orders": "push",
                 "cloud_api": {"address": platform, "rate_per_s": 60.0, "duties": []},
             }
+            if advice:
+                machine.settings["advice"] = advice
             (self.folder / machine.name).mkdir()
             self._write(machine)
 
