--- a/tanagerpath/core/workloads/tests/test_refusal_truth.py
+++ b/tanagerpath/core/workloads/tests/test_refusal_truth.py
@@ -9,80 +9,21 @@
 import testtools
 
 from tanagerpath.codecs.state import JsonFleetCodec
-from tanagerpath.core.control import RequestArrived
-from tanagerpath.core.protocol.callers import ErrorBody
 from tanagerpath.core.protocol.leadership import NotLeaderReply
-from tanagerpath.core.workloads import DispatchTerms, FleetState, requests
+from tanagerpath.core.workloads import FleetState, requests
 from tanagerpath.core.workloads import request_handler as handlers
-from tanagerpath.core.workloads.admission import AdmissionPolicy, Admitted, Refused
 from tanagerpath.core.workloads.commands import AcceptWorkload, RefuseWorkload
 from tanagerpath.core.workloads.refusals import MAX_REFUSALS, RefusalRecord
-from tanagerpath.core.workloads.request_handler import WorkloadRequestHandler
-from tanagerpath.core.workloads.resources import Resources
-from tanagerpath.core.workloads.specs import StepSpec, WorkloadSpec
-from tanagerpath.core.workloads.tests.rig import Rig
+from tanagerpath.core.workloads.tests.leaders import (
+    CALL,
+    RETRY_S,
+    STEP,
+    LeadersTestCase,
+)
 
-STEP = StepSpec(needs=Resources(8_000, 16_000, 1), declared_run_s=1.0)
-CALL = requests.Call("h", "/scan/w", "k")
-RETRY_S = 5.0
 
-
-@attrs.define
-class _Script(AdmissionPolicy):
-    """Refuses while told to."""
-
-    refuses: bool = True
-    asked: int = 0
-
-    def decide(self, request):
-        self.asked += 1
-        if not self.refuses:
-            return Admitted()
-        return Refused(retry_at_unix_s=request.now_unix_s + RETRY_S, reason="test")
-
-
-class _Leaders(testtools.TestCase):
-    """Leaders that follow each other, and a log whose entries a test commits."""
-
-    def setUp(self):
-        super().setUp()
-        self.begin()
-
-    def begin(self):
-        """Begin with an empty log."""
-        self.policy = _Script()
-        self.rig = Rig(upstreams=1, terms=DispatchTerms(admission="useful"))
-        self.lead()
-
-    def lead(self):
-        """Begin the term of the next leader, on the state of the log."""
-        self.rig.start_term(self.rig.term + 1)
-        self.rig.dispatcher.admission._policy = self.policy
-        self.handler = WorkloadRequestHandler(
-            self.rig.state, self.rig.dispatcher, "c:1", tuple
-        )
-
-    def submit(self, call=CALL, name="w"):
-        """Return the reply without a commit, and the proposals."""
-        spec = WorkloadSpec(workload_id=name, steps=(STEP,))
-        arrived = RequestArrived(1, requests.SubmitWorkload(call, spec))
-        return self.handler.handle(arrived, self.rig.instant)
-
-    def commit(self, *proposals):
-        """Apply proposals in the order of the log, and return the last reply."""
-        reply = None
-        for proposal in proposals:
-            applied = self.rig.apply(proposal.command)
-            for sent in proposal.answer(applied, self.rig.state):
-                reply = sent.reply
-        return reply
-
-    def ask(self, **fields):
-        reply, proposals = self.submit(**fields)
-        return self.commit(*proposals) or reply
-
-    def is_refusal(self, reply):
-        return isinstance(reply, ErrorBody) and reply.type == "NoCapacity"
+class _Refusals(LeadersTestCase):
+    """Leaders whose admission policy refuses while told to."""
 
     def assert_refused(self, reply, retry_at_unix_s=None):
         self.assertTrue(self.is_refusal(reply), reply)
@@ -91,12 +32,8 @@
             self.assertEqual(retry_at_unix_s, reply.retry_at_unix_s)
         self.assertNotIn("w", self.rig.state.workloads)
 
-    def assert_accepted(self, reply):
-        self.assertIsInstance(reply, requests.WorkloadReply)
-        self.assertIn("w", self.rig.state.workloads)
-
 
-class TestOrderOfTheLog(_Leaders):
+class TestOrderOfTheLog(_Refusals):
     """Guards against refusals of workloads that are stored, proposed or in the log."""
 
     def test_refusal_is_answered_only_once_it_is_committed(self):
@@ -168,7 +105,7 @@
         self.assertTrue(sent.reply.may_commit)
 
 
-class TestDelayedCopies(_Leaders):
+class TestDelayedCopies(_Refusals):
     """Guards against copies of an attempt that get in after its refusal."""
 
     def test_copy_before_the_returned_time(self):
@@ -177,8 +114,8 @@
         cases = {
             "at the same leader": lambda: None,
             "at the next leader": self.lead,
-            "after a snapshot": self._restore,
-            "just before the returned time": lambda: self._pass_s(RETRY_S - 0.01),
+            "after a snapshot": self.restore,
+            "just before the returned time": lambda: self.pass_s(RETRY_S - 0.01),
         }
         for name, pass_on in cases.items():
             self.begin()
@@ -202,13 +139,13 @@
     def test_identity_is_open_again_from_the_returned_time(self):
         self.ask()
         self.policy.refuses = False
-        self._pass_s(RETRY_S)
+        self.pass_s(RETRY_S)
         self.assert_accepted(self.ask())
         self.assertEqual(0, len(self.rig.state.refusals))
 
     def test_second_refusal_is_remembered_with_the_first(self):
         self.ask()
-        self._pass_s(RETRY_S)
+        self.pass_s(RETRY_S)
         self.assert_refused(self.ask(), self.rig.now_s + RETRY_S)
         record = self.rig.state.refusals.find("couriers", "w")
         self.assertEqual(2, record.count)
@@ -218,29 +155,20 @@
         # During a transfer of the leadership that fails, the log rejects proposals.
         self.submit()
         self.policy.refuses = False
-        self._pass_s(RETRY_S)
+        self.pass_s(RETRY_S)
         self.assert_accepted(self.ask())
 
     def test_cancelled_workload_stays_cancelled(self):
         self.ask()
         cancel = requests.CancelWorkloadRequest(CALL, "w")
-        reply, _ = self.handler.handle(RequestArrived(2, cancel), self.rig.instant)
+        reply, _ = self.handle(cancel)
         self.assertEqual("UnknownWorkload", reply.type)
         self.policy.refuses = False
-        self._pass_s(RETRY_S)
+        self.pass_s(RETRY_S)
         self.assertEqual("CancelledBefore", self.ask().type)
 
-    def _pass_s(self, duration_s):
-        self.rig.now_s += duration_s
-
-    def _restore(self):
-        codec = JsonFleetCodec()
-        text = codec.encode_snapshot(self.rig.state.make_snapshot())
-        self.rig.state = FleetState.from_snapshot(codec.decode_snapshot(text))
-        self.lead()
-
 
-class TestBounds(_Leaders):
+class TestBounds(_Refusals):
     """Guards against promises that could not be kept."""
 
     def test_no_refusal_without_room_to_remember_it(self):
