Decide anew on submissions whose queue the log removes first

Cause: the leader decides on a submission by the configuration in effect when it arrives. A later configuration may stand in the log before the acceptance; FleetState dropped its queue, as no workload needed it yet, and stored the workload without a look at the queue. Nothing lists the tasks of a workload without a queue. Change: the acceptance carries the version of the configuration that decided, and is applied only if the configuration in effect at its place in the log has the queue. Otherwise the caller's entry asks again and gets the answer of the configuration in effect, 404. Entries without a version, which earlier builds wrote, are applied as those builds did, so that replicas agree. The leader logs "acceptance without effect" and forgets the proposal. Why it works: the log's order decides, and its state makes the check, for a batch, for a repeated submission and for a removal that an earlier leader has proposed alike.

--- a/tanagerpath/benchmarks/tests/workload_check_faults.py
+++ b/tanagerpath/benchmarks/tests/workload_check_faults.py
@@ -174,6 +174,14 @@
         replacement=False,
         settle_limit_s=5.0,
     ),
+    BrokenMechanism(
+        name="a workload is accepted after its queue was removed",
+        rule="accepted workload unfinished",
+        target=FleetState,
+        attribute="_lacks_queue",
+        replacement=lambda self, command: False,
+        settle_limit_s=30.0,
+    ),
     BrokenMechanism(
         name="leaders do not know that a zone is evacuated",
         rule="start in an evacuated zone",
--- a/tanagerpath/benchmarks/workload_check_callers.py
+++ b/tanagerpath/benchmarks/workload_check_callers.py
@@ -15,6 +15,7 @@
 from tanagerpath.core.protocol.callers import ErrorBody
 from tanagerpath.core.protocol.leadership import NotLeaderReply
 from tanagerpath.core.workloads import requests
+from tanagerpath.core.workloads.failures import UnknownQueue
 from tanagerpath.core.workloads.records import WorkloadState
 from tanagerpath.core.workloads.specs import WorkloadSpec
 
@@ -113,6 +114,8 @@
         The workload.
     queue : str
         Queue that it goes to.
+    polled_queue : str
+        Queue by which its state is asked for, the one that it goes to if empty.
     is_accepted : bool
         Whether its acceptance was acknowledged.
     state : str
@@ -123,6 +126,7 @@
     history: History
     spec: WorkloadSpec
     queue: str
+    polled_queue: str = ""
     is_accepted: bool = False
     state: str = ""
 
@@ -131,9 +135,12 @@
         """Whether it was told a final state."""
         return self.state in FINAL_STATES
 
+    def _make_call(self, queue: str) -> requests.Call:
+        return requests.Call(HOST, f"/{queue}/{self.spec.workload_id}", API_KEY)
+
     @property
-    def _call(self) -> requests.Call:
-        return requests.Call(HOST, f"/{self.queue}/{self.spec.workload_id}", API_KEY)
+    def _polling_call(self) -> requests.Call:
+        return self._make_call(self.polled_queue or self.queue)
 
     def begin(self) -> None:
         """Submit the workload, and plan to cancel it or not."""
@@ -143,12 +150,13 @@
             self.client.group.schedule(source.uniform(0.1, 6.0), self._cancel)
 
     def _submit(self) -> None:
-        request = requests.SubmitWorkload(self._call, self.spec)
+        request = requests.SubmitWorkload(self._make_call(self.queue), self.spec)
         self.client.request(request, self._note_submitted)
 
     def _note_submitted(self, reply: object) -> None:
         if isinstance(reply, ErrorBody):
-            self.client.group.schedule(RETRY_S, self._submit)
+            if reply.type != UnknownQueue.__name__:
+                self.client.group.schedule(RETRY_S, self._submit)
             return
         self.is_accepted = True
         self._note_state(reply)
@@ -156,11 +164,13 @@
     def _cancel(self) -> None:
         if not self.is_accepted or self.is_settled:
             return
-        request = requests.CancelWorkloadRequest(self._call, self.spec.workload_id)
+        request = requests.CancelWorkloadRequest(
+            self._polling_call, self.spec.workload_id
+        )
         self.client.request(request, lambda reply: None)
 
     def _poll(self) -> None:
-        request = requests.WorkloadQuery(self._call, self.spec.workload_id)
+        request = requests.WorkloadQuery(self._polling_call, self.spec.workload_id)
         self.client.request(request, self._note_state)
 
     def _note_state(self, reply: object) -> None:
--- a/tanagerpath/benchmarks/workload_check_workloads.py
+++ b/tanagerpath/benchmarks/workload_check_workloads.py
@@ -25,11 +25,24 @@
 POOL = "sort"
 # Name, priority and objective factor.
 QUEUES = (("urgent", 0, 1.5), ("batch", 1, 3.0), ("scan", 2, 3.0))
+# Priority and objective factor of queues that are removed again.
+EXTRA_QUEUE_TERMS = (2, 3.0)
 MAX_ATTEMPTS = 3
 
 
-def make_configuration() -> Configuration:
-    """Return the configuration of the check."""
+def make_configuration(
+    version: int = 1, extra_queues: tuple[str, ...] = ()
+) -> Configuration:
+    """Return a configuration of the check.
+
+    Parameters
+    ----------
+    version : int
+        Version of the configuration.
+    extra_queues : tuple of str
+        Names of queues beside `QUEUES`.
+    """
+    extra = tuple((name, *EXTRA_QUEUE_TERMS) for name in extra_queues)
     queues = tuple(
         Queue(
             name=name,
@@ -41,13 +54,13 @@
             objective_factor=factor,
             objective_margin_s=0.25,
         )
-        for name, priority, factor in QUEUES
+        for name, priority, factor in (*QUEUES, *extra)
     )
     organisation = Organisation(
         name="couriers", api_keys=(API_KEY,), guaranteed=Resources(accelerators=16)
     )
     return Configuration(
-        version=1,
+        version=version,
         queues=queues,
         pools=(Pool(name=POOL),),
         organisations=(organisation,),
--- a/tanagerpath/benchmarks/workload_check_world.py
+++ b/tanagerpath/benchmarks/workload_check_world.py
@@ -20,6 +20,7 @@
     NodeProcess,
 )
 from tanagerpath.benchmarks.workload_check_operators import EvacuationOperator
+from tanagerpath.benchmarks.workload_check_queues import QueueOperator
 from tanagerpath.benchmarks.workload_check_rules import Rulebook
 from tanagerpath.benchmarks.workload_check_upstreams import (
     UNIX_OFFSET_S,
@@ -59,6 +60,9 @@
 OPERATOR_TOKENS = 1_000_000_000
 # Share of the seeds in which an operator evacuates zones.
 EVACUATING_SHARE = 0.3
+QUEUE_OPERATOR_TOKENS = 2_000_000_000
+# Share of the seeds in which an operator removes queues.
+REMOVING_SHARE = 0.3
 STOP_TIMEOUTS_S = (0.2, 1.0)
 RESTART_S = 1.0
 FIRST_LEADER_LIMIT_S = 30.0
@@ -141,6 +145,11 @@
                 self.network,
                 self.history,
             )
+        self._queue_operator: QueueOperator | None = None
+        queue_source = random.Random(f"workload-check-queues-{seed}")
+        if queue_source.random() < REMOVING_SHARE:
+            client = ControlClient(self.group, queue_source, QUEUE_OPERATOR_TOKENS)
+            self._queue_operator = QueueOperator(client, self._submit_to_removed)
         self.callers: list[Caller] = []
         self.is_faulty = True
         self.next_empty_disk_s = 0.0
@@ -172,8 +181,9 @@
     def _receive(self, sent: SendReply) -> None:
         """Hand over a reply to the client that has its token."""
         self.client.receive(sent)
-        if self._operator is not None:
-            self._operator.client.receive(sent)
+        for operator in (self._operator, self._queue_operator):
+            if operator is not None:
+                operator.client.receive(sent)
 
     def _call(self, vm_id: str, call: CallUpstream) -> None:
         self.network.call(self.group.vms[vm_id], call)
@@ -199,8 +209,9 @@
         request = ConfigurationRequest(make_configuration())
         self.client.request(request, lambda reply: self._submit())
         HeartbeatSender(self.client, self.fleet, self.network).begin()
-        if self._operator is not None:
-            self._operator.begin()
+        for operator in (self._operator, self._queue_operator):
+            if operator is not None:
+                operator.begin()
 
     def _advance(self) -> None:
         self.fleet.advance()
@@ -210,17 +221,32 @@
         if not self.is_faulty:
             return
         source = self.random
+        spec = self._draw_workload(source)
+        queue, _, _ = source.choice(QUEUES)
+        self._begin_caller(Caller(self.client, self.history, spec, queue))
+        work_s = self.fleet.work[spec.workload_id]
+        self.group.schedule(self._draw_pause_s(spec, work_s), self._submit)
+
+    def _submit_to_removed(self, queue: str) -> None:
+        """Submit a workload to a queue that is being removed."""
+        client = self._queue_operator.client
+        spec = self._draw_workload(client.random)
+        polled_queue, _, _ = QUEUES[-1]
+        self._begin_caller(Caller(client, self.history, spec, queue, polled_queue))
+
+    def _draw_workload(self, source: random.Random) -> WorkloadSpec:
+        """Draw a workload, its work and the number of its first runs that fail."""
         workload_id = f"w{len(self.callers)}"
         spec = draw_workload(source, workload_id, self.upstream_count)
         self.fleet.specs[workload_id] = spec
-        self.fleet.work[workload_id] = work_s = source.uniform(*WORK_S)
+        self.fleet.work[workload_id] = source.uniform(*WORK_S)
         if source.random() < FAILING_SHARE:
             self.fleet.failures_left[workload_id] = source.randint(1, 4)
-        queue, _, _ = source.choice(QUEUES)
-        caller = Caller(self.client, self.history, spec, queue)
+        return spec
+
+    def _begin_caller(self, caller: Caller) -> None:
         self.callers.append(caller)
         caller.begin()
-        self.group.schedule(self._draw_pause_s(spec, work_s), self._submit)
 
     def _draw_pause_s(self, spec: WorkloadSpec, work_s: float) -> float:
         """Draw the time to the next workload, so that the fleet can bear the load."""
@@ -234,8 +260,9 @@
         self.is_faulty = False
         self.network.heal()
         self.group.heal()
-        if self._operator is not None:
-            self._operator.end()
+        for operator in (self._operator, self._queue_operator):
+            if operator is not None:
+                operator.end()
         for upstream in self.fleet.upstreams.values():
             upstream.heal()
 
--- a/tanagerpath/core/workloads/commands.py
+++ b/tanagerpath/core/workloads/commands.py
@@ -102,12 +102,27 @@
 
 @attrs.frozen(kw_only=True)
 class AcceptWorkload:
-    """Stores a submitted workload."""
+    """Stores a submitted workload, unless its queue was removed meanwhile.
+
+    Attributes
+    ----------
+    spec : WorkloadSpec
+        What was submitted.
+    queue, organisation : str
+        Where it was submitted, and by whom.
+    accepted_at_unix_s : float
+        Time of the decision in UTC seconds.
+    configuration_version : int or None
+        Version of the configuration that the queue was found in. Entries of earlier
+        builds have none: they store the workload without a look at the queue, so that
+        all replicas hold what the build that first applied them held.
+    """
 
     spec: WorkloadSpec
     queue: str
     organisation: str
     accepted_at_unix_s: float
+    configuration_version: int | None = None
 
 
 @attrs.frozen(kw_only=True)
--- a/tanagerpath/core/workloads/configuration.py
+++ b/tanagerpath/core/workloads/configuration.py
@@ -202,6 +202,10 @@
                     )
         return None
 
+    def has_queue(self, name: str) -> bool:
+        """Return whether there is a queue of this name."""
+        return any(queue.name == name for queue in self.queues)
+
     def find_queue(self, host: str, path: str) -> Queue | UnknownQueue:
         """Return the queue of a host with the longest matching path prefix."""
         wanted = host.lower()
--- a/tanagerpath/core/workloads/node.py
+++ b/tanagerpath/core/workloads/node.py
@@ -198,6 +198,7 @@
             return
         if self._leader_term is not None:
             self._leader_term.events.append(CommandRecorded(command, applied))
+            self._leader_term.request_handler.note_decided(command)
         if isinstance(command, SetEvacuation) and applied.changed:
             self._report_evacuation(command.zone)
         if proposal is not None:
@@ -229,6 +230,7 @@
     def _handle_rejected(self, proposal: OpenProposal) -> None:
         if self._leader_term is not None:
             self._leader_term.rejections.append(CommandRejected(proposal.command))
+            self._leader_term.request_handler.note_decided(proposal.command)
 
     def _log_error(self, part: str, error: Exception, **fields: object) -> None:
         line = describe_error(part, error, term=self._led_term, **fields)
--- a/tanagerpath/core/workloads/replies.py
+++ b/tanagerpath/core/workloads/replies.py
@@ -36,7 +36,8 @@
     """Return what the log has decided on a submission.
 
     The order of its entries decides between an acceptance and a refusal. Without
-    either, as the memory of refusals is full, the submission has to be decided anew.
+    either, the submission has to be decided anew: its queue was removed before the
+    acceptance, or the memory of refusals is full.
     """
     if workload_id in state.workloads:
         return make_workload_reply(state, workload_id)
--- a/tanagerpath/core/workloads/request_handler.py
+++ b/tanagerpath/core/workloads/request_handler.py
@@ -214,6 +214,7 @@
                 queue=queue.name,
                 organisation=organisation,
                 accepted_at_unix_s=now.unix_s,
+                configuration_version=self._state.configuration.version,
             )
         ]
 
@@ -273,6 +274,21 @@
                 break
             del self._proposed_refusals[key]
 
+    def note_decided(self, command: commands.WorkloadCommand) -> None:
+        """Forget a proposed submission that the log has decided on or rejected."""
+        if not isinstance(command, commands.AcceptWorkload):
+            return
+        workload_id = command.spec.workload_id
+        self._proposed_ids.pop(workload_id, None)
+        if workload_id not in self._state.workloads:
+            self._dispatcher.context.log_decision(
+                "acceptance without effect",
+                workload=workload_id,
+                queue=command.queue,
+                decided_by=command.configuration_version,
+                configuration=self._state.configuration.version,
+            )
+
     def _note_proposed(self, workload_id: str) -> None:
         """Remember a submission until it is in the state."""
         while self._proposed_ids:
--- a/tanagerpath/core/workloads/state.py
+++ b/tanagerpath/core/workloads/state.py
@@ -188,7 +188,7 @@
 
     def _accept(self, command: commands.AcceptWorkload) -> Applied:
         workload_id = command.spec.workload_id
-        if workload_id in self.workloads:
+        if workload_id in self.workloads or self._lacks_queue(command):
             return Applied(changed=False)
         owner = command.organisation
         accepted_at_s = command.accepted_at_unix_s
@@ -203,6 +203,12 @@
         )
         return Applied()
 
+    def _lacks_queue(self, command: commands.AcceptWorkload) -> bool:
+        """Return whether an earlier entry has removed the queue of a workload."""
+        if command.configuration_version is None:
+            return False
+        return not self.configuration.has_queue(command.queue)
+
     def _refuse(self, command: commands.RefuseWorkload) -> Applied:
         """Remember a refusal, unless an earlier entry has accepted the workload."""
         if command.workload_id in self.workloads:
