Keep cancellations of unknown workloads in the log

Cause: the answer promises that the job never runs, and only the memory of the leader that gave it held the promise. The 10,001st promise also dropped the first one in silence. Change: a cancellation of a workload that is not stored is a command of the log, answered once it is committed. Refusals and cancellations share how they expire. Why it works: the promise and the acceptance are ordered by the log, and each state that follows the promise holds it.

--- a/tanagerpath/benchmarks/tests/workload_check_faults.py
+++ b/tanagerpath/benchmarks/tests/workload_check_faults.py
@@ -6,6 +6,7 @@
 import attrs
 
 from tanagerpath.benchmarks.workload_check import CheckPlan
+from tanagerpath.core.workloads.cancellations import CancellationMemory
 from tanagerpath.core.workloads.commands import RunOutcome, SetEvacuation
 from tanagerpath.core.workloads.records import WorkloadRecord
 from tanagerpath.core.workloads.registry import UpstreamRegistry
@@ -182,6 +183,13 @@
         replacement=lambda self, command: False,
         settle_limit_s=30.0,
     ),
+    BrokenMechanism(
+        name="a cancellation of an unknown workload is forgotten",
+        rule="start after cancellation",
+        target=CancellationMemory,
+        attribute="find_valid",
+        replacement=lambda self, organisation, workload_id, now_unix_s: None,
+    ),
     BrokenMechanism(
         name="leaders do not know that a zone is evacuated",
         rule="start in an evacuated zone",
--- a/tanagerpath/benchmarks/workload_check_callers.py
+++ b/tanagerpath/benchmarks/workload_check_callers.py
@@ -1,13 +1,19 @@
 """Callers and heartbeats of the workload check."""
 
+import abc
 import itertools
+import math
 import random
 from collections.abc import Callable
 
 import attrs
 
 from tanagerpath.benchmarks.workload_check_calls import CallNetwork, NodeGroup
-from tanagerpath.benchmarks.workload_check_events import WorkloadLost, WorkloadShown
+from tanagerpath.benchmarks.workload_check_events import (
+    CancellationAcknowledged,
+    WorkloadLost,
+    WorkloadShown,
+)
 from tanagerpath.benchmarks.workload_check_history import History
 from tanagerpath.benchmarks.workload_check_upstreams import CheckedUpstream, Fleet
 from tanagerpath.benchmarks.workload_check_workloads import API_KEY, HOST
@@ -15,7 +21,7 @@
 from tanagerpath.core.protocol.callers import ErrorBody
 from tanagerpath.core.protocol.leadership import NotLeaderReply
 from tanagerpath.core.workloads import requests
-from tanagerpath.core.workloads.failures import UnknownQueue
+from tanagerpath.core.workloads.failures import UnknownQueue, UnknownWorkload
 from tanagerpath.core.workloads.records import WorkloadState
 from tanagerpath.core.workloads.specs import WorkloadSpec
 
@@ -23,6 +29,7 @@
     "Caller",
     "ControlClient",
     "HeartbeatSender",
+    "Scenario",
 ]
 
 REQUEST_TIMEOUT_S = 1.0
@@ -60,8 +67,23 @@
         self._tokens = itertools.count(first_token)
         self._leader_id = ""
 
-    def request(self, request: object, on_reply: Callable[[object], None]) -> None:
-        """Send a request, again after each failure, and hand over its reply."""
+    def request(
+        self,
+        request: object,
+        on_reply: Callable[[object], None],
+        until_s: float = math.inf,
+    ) -> None:
+        """Send a request, again after each failure, and hand over its reply.
+
+        Parameters
+        ----------
+        request : object
+            The request.
+        on_reply : callable
+            Receives the reply.
+        until_s : float
+            Virtual instant after which it is not sent again.
+        """
         vm_ids = list(self.group.vms)
         vm_id = self._leader_id or self.random.choice(vm_ids)
         token = next(self._tokens)
@@ -69,7 +91,7 @@
         def receive(reply: object) -> None:
             if isinstance(reply, NotLeaderReply):
                 self._leader_id = reply.leader_vm_id
-                self._retry(request, on_reply)
+                self._retry(request, on_reply, until_s)
             else:
                 self._leader_id = vm_id
                 on_reply(reply)
@@ -77,7 +99,7 @@
         def give_up() -> None:
             if self._waiting.pop(token, None) is not None:
                 self._leader_id = ""
-                self._retry(request, on_reply)
+                self._retry(request, on_reply, until_s)
 
         self._waiting[token] = receive
         vm = self.group.vms[vm_id]
@@ -88,9 +110,14 @@
         )
         self.group.schedule(REQUEST_TIMEOUT_S, give_up)
 
-    def _retry(self, request: object, on_reply: Callable[[object], None]) -> None:
+    def _retry(
+        self, request: object, on_reply: Callable[[object], None], until_s: float
+    ) -> None:
         delay_s = self.random.uniform(0.2, 1.0) * RETRY_S
-        self.group.schedule(delay_s, lambda: self.request(request, on_reply))
+        if self.group.now_s + delay_s < until_s:
+            self.group.schedule(
+                delay_s, lambda: self.request(request, on_reply, until_s)
+            )
 
     def receive(self, sent: SendReply) -> None:
         """Hand over a reply, unless its request was given up."""
@@ -100,6 +127,27 @@
             self.group.schedule(delay_s, lambda: receive(sent.reply))
 
 
+@attrs.define(eq=False)
+class Scenario(abc.ABC):
+    """Requests beside those of the callers, in a share of the seeds.
+
+    Attributes
+    ----------
+    client : ControlClient
+        Sends the requests, with draws of its own.
+    """
+
+    client: ControlClient
+
+    @abc.abstractmethod
+    def begin(self) -> None:
+        """Plan the next requests."""
+
+    @abc.abstractmethod
+    def end(self) -> None:
+        """Begin with nothing more."""
+
+
 @attrs.define(eq=False)
 class Caller:
     """Submits a workload, asks for its state and may cancel it.
@@ -147,7 +195,25 @@
         source = self.client.random
         self._submit()
         if source.random() < CANCELLED_SHARE:
-            self.client.group.schedule(source.uniform(0.1, 6.0), self._cancel)
+            self.client.group.schedule(source.uniform(0.1, 6.0), self._cancel_accepted)
+
+    def submit_once(self, until_s: float) -> None:
+        """Submit the workload, and do not ask for its state.
+
+        Parameters
+        ----------
+        until_s : float
+            Virtual instant after which the submission is not sent again.
+        """
+        request = requests.SubmitWorkload(self._make_call(self.queue), self.spec)
+        self.client.request(request, lambda reply: None, until_s)
+
+    def cancel(self) -> None:
+        """Cancel the workload."""
+        request = requests.CancelWorkloadRequest(
+            self._polling_call, self.spec.workload_id
+        )
+        self.client.request(request, self._note_cancelled)
 
     def _submit(self) -> None:
         request = requests.SubmitWorkload(self._make_call(self.queue), self.spec)
@@ -161,13 +227,15 @@
         self.is_accepted = True
         self._note_state(reply)
 
-    def _cancel(self) -> None:
-        if not self.is_accepted or self.is_settled:
+    def _cancel_accepted(self) -> None:
+        if self.is_accepted and not self.is_settled:
+            self.cancel()
+
+    def _note_cancelled(self, reply: object) -> None:
+        if isinstance(reply, ErrorBody) and reply.type != UnknownWorkload.__name__:
             return
-        request = requests.CancelWorkloadRequest(
-            self._polling_call, self.spec.workload_id
-        )
-        self.client.request(request, lambda reply: None)
+        workload_id = self.spec.workload_id
+        self.history.add(CancellationAcknowledged, workload_id=workload_id)
 
     def _poll(self) -> None:
         request = requests.WorkloadQuery(self._polling_call, self.spec.workload_id)
--- a/tanagerpath/benchmarks/workload_check_events.py
+++ b/tanagerpath/benchmarks/workload_check_events.py
@@ -221,6 +221,17 @@
         return f"{self.workload_id} has no final state"
 
 
+@attrs.frozen(kw_only=True)
+class CancellationAcknowledged(CheckEvent):
+    """A caller was told that its workload does not run any more, or never will."""
+
+    workload_id: str
+
+    def describe(self) -> str:
+        """Return one line; see the base class."""
+        return f"cancellation of {self.workload_id} acknowledged"
+
+
 @attrs.frozen(kw_only=True)
 class Decided(CheckEvent):
     """A control node logged a decision."""
--- a/tanagerpath/benchmarks/workload_check_operators.py
+++ b/tanagerpath/benchmarks/workload_check_operators.py
@@ -2,7 +2,7 @@
 
 import attrs
 
-from tanagerpath.benchmarks.workload_check_callers import ControlClient
+from tanagerpath.benchmarks.workload_check_callers import Scenario
 from tanagerpath.benchmarks.workload_check_calls import CallNetwork
 from tanagerpath.benchmarks.workload_check_events import (
     EvacuationAcknowledged,
@@ -30,20 +30,17 @@
 
 
 @attrs.define(eq=False)
-class EvacuationOperator:
+class EvacuationOperator(Scenario):
     """Begins and ends evacuations, one order at a time.
 
     Attributes
     ----------
-    client : ControlClient
-        Sends the requests of control processes.
     network : CallNetwork
         Knows how many messages are late.
     history : History
         Receives the orders and their acknowledgements.
     """
 
-    client: ControlClient
     network: CallNetwork
     history: History
     _zones: list[str] = attrs.field(init=False)
--- a/tanagerpath/benchmarks/workload_check_queues.py
+++ b/tanagerpath/benchmarks/workload_check_queues.py
@@ -5,7 +5,7 @@
 
 import attrs
 
-from tanagerpath.benchmarks.workload_check_callers import ControlClient
+from tanagerpath.benchmarks.workload_check_callers import ControlClient, Scenario
 from tanagerpath.benchmarks.workload_check_workloads import make_configuration
 from tanagerpath.core.workloads.requests import ConfigurationRequest
 
@@ -17,19 +17,16 @@
 
 
 @attrs.define(eq=False)
-class QueueOperator:
+class QueueOperator(Scenario):
     """Adds a queue and removes it again, over and over.
 
     Attributes
     ----------
-    client : ControlClient
-        Sends the configurations.
     submit : callable
-        Submits a workload to the queue of the given name.
+        Submits a workload to the queue of the given name through the client.
     """
 
-    client: ControlClient
-    submit: Callable[[str], None]
+    submit: Callable[[ControlClient, str], None]
     _versions: "itertools.count[int]" = attrs.field(
         factory=lambda: itertools.count(2), init=False
     )
@@ -54,6 +51,6 @@
 
     def _remove(self, queue: str) -> None:
         delay_s = self.client.random.uniform(0.0, MAX_SUBMISSION_DELAY_S)
-        self.client.group.schedule(delay_s, lambda: self.submit(queue))
+        self.client.group.schedule(delay_s, lambda: self.submit(self.client, queue))
         request = ConfigurationRequest(make_configuration(next(self._versions)))
         self.client.request(request, lambda reply: self.begin())
--- a/tanagerpath/benchmarks/workload_check_rules.py
+++ b/tanagerpath/benchmarks/workload_check_rules.py
@@ -2,6 +2,9 @@
 
 from collections.abc import Iterator
 
+from tanagerpath.benchmarks.workload_check_cancellations import (
+    StartAfterCancellation,
+)
 from tanagerpath.benchmarks.workload_check_evacuations import (
     OrderUndone,
     StartInEvacuatedZone,
@@ -120,6 +123,7 @@
     StepEnds,
     StartInEvacuatedZone,
     OrderUndone,
+    StartAfterCancellation,
 )
 
 
--- a/tanagerpath/benchmarks/workload_check_world.py
+++ b/tanagerpath/benchmarks/workload_check_world.py
@@ -1,5 +1,6 @@
 """Control nodes, upstreams and callers of the workload check, in virtual time."""
 
+import itertools
 import random
 from collections.abc import Callable
 
@@ -9,8 +10,10 @@
     Caller,
     ControlClient,
     HeartbeatSender,
+    Scenario,
 )
 from tanagerpath.benchmarks.workload_check_calls import CallNetwork, NodeGroup
+from tanagerpath.benchmarks.workload_check_cancellations import OvertakingCallers
 from tanagerpath.benchmarks.workload_check_evacuations import EVACUATION_S
 from tanagerpath.benchmarks.workload_check_events import WorkloadLeftOpen
 from tanagerpath.benchmarks.workload_check_history import History
@@ -56,13 +59,12 @@
 WORK_S = (0.2, 2.0)
 # Share of the workloads whose first runs fail.
 FAILING_SHARE = 0.08
-# First token of the requests for operators, above those for callers.
-OPERATOR_TOKENS = 1_000_000_000
-# Share of the seeds in which an operator evacuates zones.
-EVACUATING_SHARE = 0.3
-QUEUE_OPERATOR_TOKENS = 2_000_000_000
-# Share of the seeds in which an operator removes queues.
-REMOVING_SHARE = 0.3
+# Share of the seeds that have a scenario.
+SCENARIO_SHARE = 0.3
+# First tokens of the requests of each scenario, above those of the callers.
+EVACUATION_TOKENS = 1_000_000_000
+QUEUE_TOKENS = 2_000_000_000
+CANCELLATION_TOKENS = 3_000_000_000
 STOP_TIMEOUTS_S = (0.2, 1.0)
 RESTART_S = 1.0
 FIRST_LEADER_LIMIT_S = 30.0
@@ -122,9 +124,9 @@
         self._recorder = LogRecorder(self.history)
         stop_timeout_s = source.choice(STOP_TIMEOUTS_S)
         self._terms = DispatchTerms(stop_timeout_s=stop_timeout_s)
-        # The orders have draws of their own.
+        # Scenarios have draws of their own.
         operator_source = random.Random(f"workload-check-operator-{seed}")
-        has_operator = operator_source.random() < EVACUATING_SHARE
+        has_operator = operator_source.random() < SCENARIO_SHARE
         if has_operator:
             self._terms = attrs.evolve(self._terms, evacuation_s=EVACUATION_S)
         self.group: NodeGroup = NodeGroup.from_seed(
@@ -138,18 +140,14 @@
         self.group.observers.append(Restarter(self.group))
         self.network = CallNetwork(self.group, self.fleet, source)
         self.client = ControlClient(self.group, source)
-        self._operator: EvacuationOperator | None = None
+        self._scenarios: list[Scenario] = []
         if has_operator:
-            self._operator = EvacuationOperator(
-                ControlClient(self.group, operator_source, OPERATOR_TOKENS),
-                self.network,
-                self.history,
+            client = ControlClient(self.group, operator_source, EVACUATION_TOKENS)
+            self._scenarios.append(
+                EvacuationOperator(client, self.network, self.history)
             )
-        self._queue_operator: QueueOperator | None = None
-        queue_source = random.Random(f"workload-check-queues-{seed}")
-        if queue_source.random() < REMOVING_SHARE:
-            client = ControlClient(self.group, queue_source, QUEUE_OPERATOR_TOKENS)
-            self._queue_operator = QueueOperator(client, self._submit_to_removed)
+        self._draw_scenarios(seed)
+        self._workload_numbers = itertools.count()
         self.callers: list[Caller] = []
         self.is_faulty = True
         self.next_empty_disk_s = 0.0
@@ -157,6 +155,19 @@
         for number in range(self.upstream_count):
             self.fleet.add(UpstreamTraits.draw(source, number, stop_timeout_s))
 
+    def _draw_scenarios(self, seed: int) -> None:
+        """Draw whether queues are removed, and whether cancellations overtake."""
+        source = random.Random(f"workload-check-queues-{seed}")
+        if source.random() < SCENARIO_SHARE:
+            client = ControlClient(self.group, source, QUEUE_TOKENS)
+            self._scenarios.append(QueueOperator(client, self._submit_to_removed))
+        source = random.Random(f"workload-check-cancellations-{seed}")
+        if source.random() < SCENARIO_SHARE:
+            client = ControlClient(self.group, source, CANCELLATION_TOKENS)
+            self._scenarios.append(
+                OvertakingCallers(client, self._make_overtaking_caller)
+            )
+
     def _read_clock(self) -> float:
         return self.group.now_s
 
@@ -181,9 +192,8 @@
     def _receive(self, sent: SendReply) -> None:
         """Hand over a reply to the client that has its token."""
         self.client.receive(sent)
-        for operator in (self._operator, self._queue_operator):
-            if operator is not None:
-                operator.client.receive(sent)
+        for scenario in self._scenarios:
+            scenario.client.receive(sent)
 
     def _call(self, vm_id: str, call: CallUpstream) -> None:
         self.network.call(self.group.vms[vm_id], call)
@@ -209,9 +219,8 @@
         request = ConfigurationRequest(make_configuration())
         self.client.request(request, lambda reply: self._submit())
         HeartbeatSender(self.client, self.fleet, self.network).begin()
-        for operator in (self._operator, self._queue_operator):
-            if operator is not None:
-                operator.begin()
+        for scenario in self._scenarios:
+            scenario.begin()
 
     def _advance(self) -> None:
         self.fleet.advance()
@@ -227,16 +236,20 @@
         work_s = self.fleet.work[spec.workload_id]
         self.group.schedule(self._draw_pause_s(spec, work_s), self._submit)
 
-    def _submit_to_removed(self, queue: str) -> None:
+    def _submit_to_removed(self, client: ControlClient, queue: str) -> None:
         """Submit a workload to a queue that is being removed."""
-        client = self._queue_operator.client
         spec = self._draw_workload(client.random)
         polled_queue, _, _ = QUEUES[-1]
         self._begin_caller(Caller(client, self.history, spec, queue, polled_queue))
 
+    def _make_overtaking_caller(self, client: ControlClient) -> Caller:
+        spec = self._draw_workload(client.random)
+        queue, _, _ = QUEUES[-1]
+        return Caller(client, self.history, spec, queue)
+
     def _draw_workload(self, source: random.Random) -> WorkloadSpec:
         """Draw a workload, its work and the number of its first runs that fail."""
-        workload_id = f"w{len(self.callers)}"
+        workload_id = f"w{next(self._workload_numbers)}"
         spec = draw_workload(source, workload_id, self.upstream_count)
         self.fleet.specs[workload_id] = spec
         self.fleet.work[workload_id] = source.uniform(*WORK_S)
@@ -260,9 +273,8 @@
         self.is_faulty = False
         self.network.heal()
         self.group.heal()
-        for operator in (self._operator, self._queue_operator):
-            if operator is not None:
-                operator.end()
+        for scenario in self._scenarios:
+            scenario.end()
         for upstream in self.fleet.upstreams.values():
             upstream.heal()
 
--- a/tanagerpath/core/workloads/commands.py
+++ b/tanagerpath/core/workloads/commands.py
@@ -4,6 +4,7 @@
 
 import attrs
 
+from tanagerpath.core.workloads.cancellations import CancellationRecord
 from tanagerpath.core.workloads.configuration import Configuration
 from tanagerpath.core.workloads.learned import LearnedFleet
 from tanagerpath.core.workloads.resources import Resources
@@ -152,10 +153,22 @@
 
 @attrs.frozen
 class CancelWorkload:
-    """Cancels a workload; none of its tasks start afterwards."""
+    """Cancels a workload; none of its tasks start afterwards.
+
+    Attributes
+    ----------
+    workload_id : str
+        The workload.
+    ended_at_unix_s : float
+        Time of the cancellation in UTC seconds.
+    if_unknown : CancellationRecord or None
+        What is remembered if the workload is not stored. Entries of earlier builds
+        have none.
+    """
 
     workload_id: str
     ended_at_unix_s: float
+    if_unknown: CancellationRecord | None = None
 
 
 @attrs.frozen
--- a/tanagerpath/core/workloads/failures.py
+++ b/tanagerpath/core/workloads/failures.py
@@ -13,6 +13,7 @@
     "NoCapacity",
     "NotConfigured",
     "RequestFault",
+    "TooManyCancellations",
     "TooManyWorkloads",
     "UnknownKey",
     "UnknownQueue",
@@ -148,6 +149,21 @@
         return f"workload {self.workload_id!r} was cancelled before it was submitted"
 
 
+@attrs.frozen(kw_only=True)
+class TooManyCancellations(Failure):
+    """A cancellation of an unknown workload can't be remembered, and has no effect."""
+
+    workload_id: str
+
+    @property
+    def message(self) -> str:
+        """One-line description for users."""
+        return (
+            f"workload {self.workload_id!r} is not known, and too many unknown"
+            " workloads were cancelled before it"
+        )
+
+
 @attrs.frozen(kw_only=True)
 class TooManyWorkloads(Failure):
     """The limit of unfinished workloads is reached."""
--- a/tanagerpath/core/workloads/refusals.py
+++ b/tanagerpath/core/workloads/refusals.py
@@ -2,6 +2,8 @@
 
 import attrs
 
+from tanagerpath.core.workloads.expiring_records import ExpiringRecords, RecordKey
+
 __all__ = ["MAX_REFUSALS", "MAX_RETRY_S", "RefusalMemory", "RefusalRecord"]
 
 MAX_REFUSALS = 4096
@@ -12,8 +14,6 @@
 # to have waited.
 RETURN_GRACE_S = 30.0
 
-RefusalKey = tuple[str, str]
-
 
 @attrs.frozen(kw_only=True)
 class RefusalRecord:
@@ -46,36 +46,13 @@
     count: int = 1
 
     @property
-    def key(self) -> RefusalKey:
+    def key(self) -> RecordKey:
         """Organisation and identity."""
         return self.organisation, self.workload_id
 
 
-class RefusalMemory:
-    """Refusals by organisation and identity, the least recent first.
-
-    Times come with the commands of the replicated log, so that all replicas hold the
-    same refusals.
-
-    Parameters
-    ----------
-    records : iterable of RefusalRecord
-        Refusals of a snapshot, in their order.
-    """
-
-    def __init__(self, records: tuple[RefusalRecord, ...] = ()) -> None:
-        self._records = {record.key: record for record in records}
-
-    def __len__(self) -> int:
-        return len(self._records)
-
-    def list_records(self) -> tuple[RefusalRecord, ...]:
-        """Return all refusals, the least recent first."""
-        return tuple(self._records.values())
-
-    def find(self, organisation: str, workload_id: str) -> RefusalRecord | None:
-        """Return the last refusal of a workload, None if none is remembered."""
-        return self._records.get((organisation, workload_id))
+class RefusalMemory(ExpiringRecords[RefusalRecord]):
+    """Refusals by organisation and identity, the least recent first."""
 
     def find_valid(
         self, organisation: str, workload_id: str, now_unix_s: float
@@ -86,10 +63,6 @@
             return None
         return record
 
-    def count_at(self, now_unix_s: float) -> int:
-        """Return the number of refusals that are kept at a time."""
-        return len(self._records) - len(self._list_expired(now_unix_s))
-
     def add(self, refused: RefusalRecord) -> bool:
         """Remember a refusal; return False if nothing changes.
 
@@ -98,8 +71,7 @@
         now_unix_s = refused.refused_unix_s
         if self.find_valid(*refused.key, now_unix_s) is not None:
             return False
-        for key in self._list_expired(now_unix_s):
-            del self._records[key]
+        self._drop_expired(now_unix_s)
         earlier = self._records.pop(refused.key, None)
         if earlier is not None:
             refused = attrs.evolve(
@@ -112,15 +84,5 @@
         self._records[refused.key] = refused
         return True
 
-    def forget(self, organisation: str, workload_id: str) -> None:
-        """Forget the refusals of a workload that is accepted."""
-        self._records.pop((organisation, workload_id), None)
-
-    def _list_expired(self, now_unix_s: float) -> list[RefusalKey]:
-        """Return the oldest refusals that are no longer needed."""
-        expired = []
-        for key, record in self._records.items():
-            if now_unix_s < record.refused_unix_s + MAX_RETRY_S + RETURN_GRACE_S:
-                break
-            expired.append(key)
-        return expired
+    def _is_expired(self, record: RefusalRecord, now_unix_s: float) -> bool:
+        return now_unix_s >= record.refused_unix_s + MAX_RETRY_S + RETURN_GRACE_S
--- a/tanagerpath/core/workloads/replies.py
+++ b/tanagerpath/core/workloads/replies.py
@@ -3,9 +3,12 @@
 from tanagerpath.core.protocol.callers import ErrorBody
 from tanagerpath.core.protocol.leadership import NotLeaderReply
 from tanagerpath.core.workloads import commands, requests
+from tanagerpath.core.workloads.cancellations import CancellationRecord
 from tanagerpath.core.workloads.failures import (
+    CancelledBefore,
     EvacuationSuperseded,
     NoCapacity,
+    TooManyCancellations,
     UnknownWorkload,
 )
 from tanagerpath.core.workloads.records import EvacuationRecord, WaveRecord
@@ -14,6 +17,8 @@
 
 __all__ = [
     "confirm_evacuation",
+    "find_overload",
+    "make_cancellation_reply",
     "make_evacuation_reply",
     "make_refusal",
     "make_submission_reply",
@@ -41,12 +46,52 @@
     """
     if workload_id in state.workloads:
         return make_workload_reply(state, workload_id)
+    if state.cancellations.find(organisation, workload_id) is not None:
+        return ErrorBody.from_failure(CancelledBefore(workload_id=workload_id))
     refused = state.refusals.find(organisation, workload_id)
     if refused is None:
         return NotLeaderReply()
     return ErrorBody.from_failure(make_refusal(refused))
 
 
+def make_cancellation_reply(
+    state: FleetState, command: commands.CancelWorkload
+) -> object:
+    """Return the effect of a cancellation.
+
+    That a workload is not known is a promise that it never runs, which is given only if
+    the log holds it.
+    """
+    unknown = command.if_unknown
+    is_stored = command.workload_id in state.workloads
+    if is_stored or unknown is None or state.cancellations.find(*unknown.key):
+        return make_workload_reply(state, command.workload_id)
+    overload = find_overload(state, unknown, command.ended_at_unix_s)
+    return ErrorBody.from_failure(overload) if overload else NotLeaderReply()
+
+
+def find_overload(
+    state: FleetState, unknown: CancellationRecord, now_unix_s: float
+) -> TooManyCancellations | None:
+    """Return why a cancellation can't be remembered, None if it can.
+
+    Parameters
+    ----------
+    state : FleetState
+        Replicated state.
+    unknown : CancellationRecord
+        The cancellation.
+    now_unix_s : float
+        Time in UTC seconds.
+    """
+    room_unix_s = state.cancellations.find_room_unix_s(unknown.organisation, now_unix_s)
+    if room_unix_s <= now_unix_s:
+        return None
+    return TooManyCancellations(
+        workload_id=unknown.workload_id, retry_at_unix_s=room_unix_s
+    )
+
+
 def make_refusal(refused: RefusalRecord) -> NoCapacity:
     """Return the failure that tells a caller of a refusal."""
     return NoCapacity(
--- a/tanagerpath/core/workloads/request_handler.py
+++ b/tanagerpath/core/workloads/request_handler.py
@@ -10,6 +10,10 @@
 from tanagerpath.core.protocol.callers import ErrorBody
 from tanagerpath.core.workloads import commands, replies, requests
 from tanagerpath.core.workloads.admission import Refused
+from tanagerpath.core.workloads.cancellations import (
+    LATE_SUBMISSION_S,
+    CancellationRecord,
+)
 from tanagerpath.core.workloads.configuration import Queue
 from tanagerpath.core.workloads.dispatcher import Dispatcher
 from tanagerpath.core.workloads.failures import (
@@ -30,9 +34,6 @@
 __all__ = ["WorkloadProposal", "WorkloadRequestHandler"]
 
 RETRY_AFTER_S = 1.0
-# Longest time for which a submission may be under way, as through a frozen process.
-LATE_SUBMISSION_S = 30.0
-MAX_CANCELLED_UNKNOWN = 10_000
 MAX_PROPOSED = 10_000
 # Bound of names where the settings list no availability zones.
 MAX_ZONE_CHARS = 63
@@ -64,8 +65,8 @@
                 workload_id=workload_id, organisation=organisation
             ):
                 return replies.make_submission_reply(state, organisation, workload_id)
-            case commands.CancelWorkload(workload_id):
-                return replies.make_workload_reply(state, workload_id)
+            case commands.CancelWorkload() as command:
+                return replies.make_cancellation_reply(state, command)
             case commands.PutConfiguration():
                 return requests.ConfigurationStored(state.configuration.version)
             case commands.DeclareWave(wave=wave):
@@ -108,9 +109,6 @@
         # Refusals that are proposed and not in the state yet, by organisation and
         # identity, oldest first.
         self._proposed_refusals: dict[tuple[str, str], commands.RefuseWorkload] = {}
-        # Cancelled workloads that were not known, by organisation and identity, and
-        # the time until which a late submission of them is refused.
-        self._cancelled_unknown: dict[tuple[str, str], float] = {}
         self._handlers = {
             requests.SubmitWorkload: self._submit,
             requests.WorkloadQuery: self._show_workload,
@@ -190,8 +188,10 @@
         if fault is not None:
             return fault
         queue, organisation = identity
-        refused_until_s = self._cancelled_unknown.get((organisation, spec.workload_id))
-        if refused_until_s is not None and now.now_s < refused_until_s:
+        cancelled = self._state.cancellations.find_valid(
+            organisation, spec.workload_id, now.unix_s
+        )
+        if cancelled is not None:
             return CancelledBefore(workload_id=spec.workload_id)
         if spec.workload_id not in self._proposed_ids:
             refusal = self._find_refusal(spec.workload_id, organisation, now)
@@ -317,28 +317,36 @@
     def _cancel(
         self, request: requests.CancelWorkloadRequest, now: Instant
     ) -> object | list[commands.WorkloadCommand]:
+        identity = self._identify(request.call)
+        if isinstance(identity, Failure):
+            return identity
+        _, organisation = identity
         workload_id = request.workload_id
-        record = self._find_record(request.call, workload_id)
-        if isinstance(record, UnknownWorkload):
-            if workload_id in self._proposed_ids:
-                # Its submission precedes the cancellation in the log.
-                return [commands.CancelWorkload(workload_id, now.unix_s)]
-            self._remember_cancelled(request.call, workload_id, now)
-        if isinstance(record, Failure):
-            return record
-        if record.final_state is not None:
-            return requests.WorkloadReply(record.workload_id, record.state)
-        return [commands.CancelWorkload(record.workload_id, now.unix_s)]
+        record = self._state.workloads.get(workload_id)
+        if record is not None and record.final_state is not None:
+            return requests.WorkloadReply(workload_id, record.state)
+        unknown = CancellationRecord(
+            workload_id=workload_id,
+            organisation=organisation,
+            refused_until_unix_s=now.unix_s + LATE_SUBMISSION_S,
+        )
+        failure = self._find_cancelled(unknown, now) if record is None else None
+        return failure or [commands.CancelWorkload(workload_id, now.unix_s, unknown)]
 
-    def _remember_cancelled(
-        self, call: requests.Call, workload_id: str, now: Instant
-    ) -> None:
-        """Let a submission that arrives late be refused."""
-        _, organisation = self._identify(call)
-        if len(self._cancelled_unknown) >= MAX_CANCELLED_UNKNOWN:
-            del self._cancelled_unknown[next(iter(self._cancelled_unknown))]
-        refused_until_s = now.now_s + LATE_SUBMISSION_S
-        self._cancelled_unknown[(organisation, workload_id)] = refused_until_s
+    def _find_cancelled(
+        self, unknown: CancellationRecord, now: Instant
+    ) -> Failure | None:
+        """Return the answer to the cancellation of an unknown workload.
+
+        It is None where the log has to decide: a submission may precede the
+        cancellation there, or it has to be remembered.
+        """
+        cancellations = self._state.cancellations
+        if cancellations.covers_repeat(*unknown.key, now.unix_s):
+            return UnknownWorkload(workload_id=unknown.workload_id)
+        if unknown.workload_id in self._proposed_ids:
+            return None
+        return replies.find_overload(self._state, unknown, now.unix_s)
 
     def _show_pending(self, request: requests.PendingQuery, now: Instant) -> object:
         identity = self._identify(request.call)
--- a/tanagerpath/core/workloads/state.py
+++ b/tanagerpath/core/workloads/state.py
@@ -6,6 +6,10 @@
 import attrs
 
 from tanagerpath.core.workloads import commands
+from tanagerpath.core.workloads.cancellations import (
+    CancellationMemory,
+    CancellationRecord,
+)
 from tanagerpath.core.workloads.commands import UpstreamRecord
 from tanagerpath.core.workloads.configuration import Configuration, Queue
 from tanagerpath.core.workloads.learned import (
@@ -57,6 +61,7 @@
     learned: LearnedFleet = LearnedFleet()
     evacuations: tuple[EvacuationRecord, ...] = ()
     refusals: tuple[RefusalRecord, ...] = ()
+    cancellations: tuple[CancellationRecord, ...] = ()
 
 
 class FleetState:
@@ -72,6 +77,7 @@
         # Removed queues are kept until their accepted workloads have run to the end.
         self.known_queues: dict[str, Queue] = {}
         self.refusals = RefusalMemory()
+        self.cancellations = CancellationMemory()
         self._speeds: dict[str, LearnedSpeed] = {}
         self._histories: dict[str, LearnedQueue] = {}
         self._apply_by_type: dict[type, Any] = {
@@ -103,6 +109,7 @@
         state.evacuations = {one.zone: one for one in snapshot.evacuations}
         state._store_learned(snapshot.learned)
         state.refusals = RefusalMemory(snapshot.refusals)
+        state.cancellations = CancellationMemory(snapshot.cancellations)
         return state
 
     def make_snapshot(self) -> FleetSnapshot:
@@ -117,6 +124,7 @@
             learned=self.learned,
             evacuations=tuple(self.evacuations.values()),
             refusals=self.refusals.list_records(),
+            cancellations=self.cancellations.list_records(),
         )
 
     @property
@@ -192,9 +200,11 @@
             return Applied(changed=False)
         owner = command.organisation
         accepted_at_s = command.accepted_at_unix_s
-        if self.refusals.find_valid(owner, workload_id, accepted_at_s) is not None:
-            return Applied(changed=False)
+        for memory in (self.refusals, self.cancellations):
+            if memory.find_valid(owner, workload_id, accepted_at_s) is not None:
+                return Applied(changed=False)
         self.refusals.forget(owner, workload_id)
+        self.cancellations.forget(owner, workload_id)
         self.workloads[workload_id] = WorkloadRecord(
             command.spec,
             command.queue,
@@ -227,11 +237,19 @@
 
     def _cancel(self, command: commands.CancelWorkload) -> Applied:
         record = self.workloads.get(command.workload_id)
-        if record is None or record.final_state is not None:
+        if record is None:
+            return Applied(changed=self._remember_cancellation(command))
+        if record.final_state is not None:
             return Applied(changed=False)
         record.end(WorkloadState.CANCELLED, command.ended_at_unix_s)
         return Applied(ended_ids=(command.workload_id,))
 
+    def _remember_cancellation(self, command: commands.CancelWorkload) -> bool:
+        """Keep a submission that is under way from being accepted later."""
+        if command.if_unknown is None:
+            return False
+        return self.cancellations.add(command.if_unknown, command.ended_at_unix_s)
+
     def _record_runs(self, command: commands.RecordRuns) -> Applied:
         touched = [self._record_end(end, command.at_unix_s) for end in command.ends]
         ended_ids = tuple(dict.fromkeys(filter(None, touched)))
--- a/tanagerpath/core/workloads/tests/test_refusal_truth.py
+++ b/tanagerpath/core/workloads/tests/test_refusal_truth.py
@@ -161,8 +161,8 @@
     def test_cancelled_workload_stays_cancelled(self):
         self.ask()
         cancel = requests.CancelWorkloadRequest(CALL, "w")
-        reply, _ = self.handle(cancel)
-        self.assertEqual("UnknownWorkload", reply.type)
+        _, cancelled = self.handle(cancel)
+        self.assertEqual("UnknownWorkload", self.commit(*cancelled).type)
         self.policy.refuses = False
         self.pass_s(RETRY_S)
         self.assertEqual("CancelledBefore", self.ask().type)
--- a/tanagerpath/platform/statuses.py
+++ b/tanagerpath/platform/statuses.py
@@ -25,6 +25,7 @@
     "NoLeader": 503,
     "NotConfigured": 503,
     "OutcomeUncertain": 504,
+    "TooManyCancellations": 429,
     "TooManyWorkloads": 429,
     "UnknownKey": 401,
     "UnknownQueue": 404,
