Tell work that fails everywhere from upstreams that fail all work

Cause: failures of two workloads without a success between quarantine an upstream, and each further failure begins the quarantine anew. Two long-running workloads that fail everywhere keep all upstreams of a pool in quarantine most of the time; a task that lasts never ends as done, so nothing clears them. Single tasks, the failing ones among them, find a gap between two quarantines. A gang needs all its upstreams in one moment, and IdleWaits called it overdue without effect, as FreeCapacity left quarantined upstreams out for overdue work too. Change: work that has failed on four upstreams within a minute, and on more than it works on, is in a crash loop and counts against no upstream; what it counted before is discounted. Work that is done elsewhere after a failure proves that the upstream fails sound work. Without such a proof overdue work may use an upstream in quarantine as a last resort; with it nothing runs there, and IdleWaits no longer counts it as capacity. The log has "work fails on all upstreams" and `fails_sound_work`.

--- a/tanagerpath/core/workloads/dispatch_context.py
+++ b/tanagerpath/core/workloads/dispatch_context.py
@@ -10,6 +10,7 @@
 from tanagerpath.core.workloads.commands import RunEnd, RunOutcome
 from tanagerpath.core.workloads.containment import describe_error
 from tanagerpath.core.workloads.coverage import GuaranteeCoverage
+from tanagerpath.core.workloads.crash_loops import CrashLoops
 from tanagerpath.core.workloads.estimates import RunEstimates
 from tanagerpath.core.workloads.events import LogDecision
 from tanagerpath.core.workloads.health import HealthTerms, UpstreamHealth
@@ -193,6 +194,7 @@
         self.sessions: dict[str | DepartedKey, UpstreamSession] = {}
         self.run_index = RunIndex()
         self.health: dict[str, UpstreamHealth] = {}
+        self.crash_loops = CrashLoops()
         self.ends: list[QueuedEnd] = []
         self._ending: set[RunKey] = set()
         # Outcomes of the runs that were closed in this term without a listed end, by
--- a/tanagerpath/core/workloads/free_capacity.py
+++ b/tanagerpath/core/workloads/free_capacity.py
@@ -58,6 +58,8 @@
     ----------
     sessions : list of UpstreamSession
         Upstreams that may get new runs.
+    last_resort : list of UpstreamSession
+        Upstreams in quarantine that only overdue units may use.
     free_times : dict of (str, Resources) to FreeTime
         When upstreams have some capacity free, for reservations: runs and their
         predicted ends do not change while a plan is made.
@@ -75,11 +77,14 @@
         self._ending_soon: dict[str, Resources] = {}
         self._gangs: dict[tuple[StepKey, int], list[IndexedRun]] | None = None
         self.sessions: list[UpstreamSession] = []
+        self.last_resort: list[UpstreamSession] = []
         for session in fleet.sessions:
             health = fleet.health[session.upstream_id]
-            if session.is_usable and not health.is_quarantined(fleet.now_s):
-                self._free[session.upstream_id] = session.free
-                self.sessions.append(session)
+            if not session.is_usable or health.is_excluded(fleet.now_s):
+                continue
+            self._free[session.upstream_id] = session.free
+            is_quarantined = health.is_quarantined(fleet.now_s)
+            (self.last_resort if is_quarantined else self.sessions).append(session)
         self._planned: dict[tuple[str, StepKey], int] = {}
         self._full_for: set[Resources] = set()
         self._held: dict[StepKey, dict[str, int]] = {}
--- a/tanagerpath/core/workloads/idle_waits.py
+++ b/tanagerpath/core/workloads/idle_waits.py
@@ -1,7 +1,7 @@
 """Bounds on how long preferences keep waiting work from free capacity."""
 
 import math
-from collections.abc import Iterable
+from collections.abc import Iterable, Iterator
 
 import attrs
 
@@ -99,7 +99,7 @@
     def _check(self, units: list[PlanUnit]) -> None:
         """Update since when each unit has waited beside free capacity."""
         now_s = self._context.now_s
-        capacity = _FreeCapacityCount(self._context.sessions.values())
+        capacity = _FreeCapacityCount(self._list_sessions())
         earlier, self._standing = self._standing, {}
         for unit in units:
             if unit.record.open_count and not unit.spec.long_running:
@@ -108,6 +108,14 @@
             self._standing[unit.step_key] = standing
             self._update(standing, unit, capacity)
 
+    def _list_sessions(self) -> Iterator[UpstreamSession]:
+        """Return the upstreams that an overdue unit may use."""
+        context = self._context
+        for session in context.sessions.values():
+            health = context.find_health(session.upstream_id)
+            if session.is_usable and not health.is_excluded(context.now_s):
+                yield session
+
     def _update(
         self, standing: _Standing, unit: PlanUnit, capacity: "_FreeCapacityCount"
     ) -> None:
@@ -131,14 +139,13 @@
     Parameters
     ----------
     sessions : iterable of UpstreamSession
-        All upstreams.
+        The usable upstreams.
     """
 
     def __init__(self, sessions: Iterable[UpstreamSession]) -> None:
         self._pools: dict[str, list[UpstreamSession]] = {}
         for session in sessions:
-            if session.is_usable:
-                self._pools.setdefault(session.record.pool, []).append(session)
+            self._pools.setdefault(session.record.pool, []).append(session)
         self._is_idle: dict[str, bool] = {}
         self._counts: dict[_Demand, int] = {}
 
--- a/tanagerpath/core/workloads/plan_schedule.py
+++ b/tanagerpath/core/workloads/plan_schedule.py
@@ -34,9 +34,7 @@
         context = self._context
         return any(
             session.is_usable
-            and not context.find_health(session.upstream_id).is_quarantined(
-                context.now_s
-            )
+            and not context.find_health(session.upstream_id).is_excluded(context.now_s)
             for session in context.sessions.values()
         )
 
--- a/tanagerpath/core/workloads/run_lists.py
+++ b/tanagerpath/core/workloads/run_lists.py
@@ -8,6 +8,7 @@
     DispatchContext,
     describe_task,
 )
+from tanagerpath.core.workloads.health_monitor import HealthMonitor
 from tanagerpath.core.workloads.orders import (
     EndedRun,
     HoldReply,
@@ -77,6 +78,7 @@
         self._context = context
         self._stopper = stopper
         self._observer = RunObserver(context)
+        self._health_monitor = HealthMonitor(context)
 
     def handle(
         self, session: UpstreamSession, reply: HoldReply, requested_s: float
@@ -250,25 +252,14 @@
     ) -> None:
         """Update the health of the upstream and the estimates from the end of a run."""
         context = self._context
-        health = context.find_health(session.upstream_id)
         if end.outcome is RunOutcome.DONE:
-            health.note_success()
+            self._health_monitor.note_done(session, view)
             self._observer.observe(session, view, COMPLETED_PERCENT)
         elif end.outcome is RunOutcome.FAILED:
             workload_id = view.task.workload_id
             failed_on = context.backlog.failed_on.setdefault(workload_id, set())
             failed_on.add(session.upstream_id)
-            if health.note_failure(workload_id, context.now_s):
-                self._log_quarantine(session, health.failed_workloads)
-
-    def _log_quarantine(
-        self, session: UpstreamSession, failed_workloads: dict[str, int]
-    ) -> None:
-        self._context.log_decision(
-            "upstream quarantined",
-            upstream=session.upstream_id,
-            failed_workloads=sorted(failed_workloads),
-        )
+            self._health_monitor.note_failure(session, view)
 
     def _handle_unlisted(
         self, session: UpstreamSession, view: RunView, requested_s: float
--- a/tanagerpath/core/workloads/run_supervisor.py
+++ b/tanagerpath/core/workloads/run_supervisor.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 
 from tanagerpath.core.workloads.dispatch_context import DispatchContext
+from tanagerpath.core.workloads.health_monitor import HealthMonitor
 from tanagerpath.core.workloads.policy import FleetView
 from tanagerpath.core.workloads.run_lists import RunStopper
 from tanagerpath.core.workloads.runs import RunPhase, RunView, StopCause
@@ -55,6 +56,7 @@
         self._context = context
         self._driver = driver
         self._view_fleet = view_fleet
+        self._health_monitor = HealthMonitor(context)
         self._save_s = max(
             DRAIN_CHECKPOINT_S, context.terms.stop_timeout_s + STOP_ORDER_DELAY_S
         )
@@ -113,9 +115,7 @@
                 session.upstream_id
             )
         if not view.spec.gang:
-            context.find_health(session.upstream_id).note_failure(
-                workload_id, context.now_s
-            )
+            self._health_monitor.note_failure(session, view)
         self._driver.stop(session, view, "no progress", StopCause.NO_PROGRESS)
 
     def _waits_for_member(self, view: RunView) -> bool:
--- a/tanagerpath/core/workloads/upstream_choice.py
+++ b/tanagerpath/core/workloads/upstream_choice.py
@@ -89,9 +89,10 @@
         Upstreams that are avoided are left out, unless the unit is overdue, or the unit
         or a whole gang would not fit on the others even if they were idle.
         """
-        suitable = [
-            one for one in self.free_capacity.sessions if _is_suitable(unit, one)
-        ]
+        sessions = self.free_capacity.sessions
+        if unit.is_overdue:
+            sessions = [*sessions, *self.free_capacity.last_resort]
+        suitable = [one for one in sessions if _is_suitable(unit, one)]
         if unit.is_overdue:
             return suitable
         healthy = [
@@ -135,7 +136,9 @@
                 unit.spec.preferred_rack
                 and unit.spec.preferred_rack != session.record.rack
             )
+            health = self.fleet.health[session.upstream_id]
             return (
+                health.is_quarantined(self.fleet.now_s),
                 is_remote,
                 self._is_suspect(session) or session.upstream_id in unit.avoided,
                 not prefers_slow,
--- a/tanagerpath/core/workloads/wait_figures.py
+++ b/tanagerpath/core/workloads/wait_figures.py
@@ -196,7 +196,9 @@
         upstream_id = session.upstream_id
         if unit.tickets is not None and upstream_id not in unit.tickets:
             return Obstacle.WITHOUT_TICKET
-        if health.is_quarantined(now_s):
+        if health.is_quarantined(now_s) and (
+            not unit.is_overdue or health.is_excluded(now_s)
+        ):
             return Obstacle.QUARANTINED
         if session.would_refuse(spec.reserved, now_s):
             return Obstacle.REFUSING
