Keep withdrawals of upstreams in the log for late heartbeats

Operators of similar systems reported a server that had left and was in use again after a restart. Cause: an upstream that has withdrawn is refused again by the set of withdrawn incarnations of the leader that took the withdrawal. A heartbeat that a frozen process passed on later registered it again under the next leader, until it had been silent for long enough. One that was withdrawn for its silence may still come back, and entries of earlier builds remember nothing. Check that changed: test_late_heartbeat_brings_no_upstream_that_has_left_back_into_use asserted as its premise that a later leader registers it; it asserts now that none does, and all else as before. Not played on processes.

--- a/tanagerpath/core/workloads/cancellations.py
+++ b/tanagerpath/core/workloads/cancellations.py
@@ -88,14 +88,15 @@
         self._counts[record.organisation] += 1
         return True
 
-    def forget(self, organisation: str, workload_id: str) -> None:
-        """Delete the record of a workload; see the base class."""
-        if self.find(organisation, workload_id) is None:
+    def forget(self, *key: str) -> None:
+        """Delete the record of a key, if any is kept; see the base class."""
+        record = self.find(*key)
+        if record is None:
             return
-        super().forget(organisation, workload_id)
-        self._counts[organisation] -= 1
-        if not self._counts[organisation]:
-            del self._counts[organisation]
+        super().forget(*key)
+        self._counts[record.organisation] -= 1
+        if not self._counts[record.organisation]:
+            del self._counts[record.organisation]
 
     def find_room_unix_s(self, organisation: str, now_unix_s: float) -> float:
         """Return the time from which an organisation can cancel an unknown workload.
--- a/tanagerpath/core/workloads/commands.py
+++ b/tanagerpath/core/workloads/commands.py
@@ -210,10 +210,20 @@
 
 @attrs.frozen
 class WithdrawUpstream:
-    """Removes an upstream that has left or was replaced."""
+    """Removes an upstream that has left or was replaced.
+
+    Attributes
+    ----------
+    upstream_id, incarnation : str
+        The upstream.
+    withdrawn_at_unix_s : float or None
+        Time in UTC seconds at which it announced that it leaves. None for one that may
+        come back, such as a silent one, and in entries of earlier builds.
+    """
 
     upstream_id: str
     incarnation: str
+    withdrawn_at_unix_s: float | None = None
 
 
 @attrs.frozen
--- a/tanagerpath/core/workloads/expiring_records.py
+++ b/tanagerpath/core/workloads/expiring_records.py
@@ -5,7 +5,8 @@
 
 __all__ = ["ExpiringRecords", "RecordKey"]
 
-# Organisation and identity of a workload.
+# A workload as its organisation and identity, or an incarnation of an upstream as the
+# identity of both.
 RecordKey = tuple[str, str]
 
 
@@ -18,7 +19,7 @@
 
 
 class ExpiringRecords(abc.ABC, Generic[R]):
-    """Records by organisation and identity, the least recent first.
+    """Records by their keys, the least recent first.
 
     Times come with the commands of the replicated log, so that all replicas hold the
     same records.
@@ -39,17 +40,17 @@
         """Return all records, the least recent first."""
         return tuple(self._records.values())
 
-    def find(self, organisation: str, workload_id: str) -> R | None:
-        """Return the record of a workload, None if none is kept."""
-        return self._records.get((organisation, workload_id))
+    def find(self, *key: str) -> R | None:
+        """Return the record of a key, None if none is kept."""
+        return self._records.get(key)
 
     def count_at(self, now_unix_s: float) -> int:
         """Return the number of records that are kept at a time."""
         return len(self._records) - len(self._list_expired(now_unix_s))
 
-    def forget(self, organisation: str, workload_id: str) -> None:
-        """Delete the record of a workload."""
-        self._records.pop((organisation, workload_id), None)
+    def forget(self, *key: str) -> None:
+        """Delete the record of a key, if any is kept."""
+        self._records.pop(key, None)
 
     def _drop_expired(self, now_unix_s: float) -> None:
         for key in self._list_expired(now_unix_s):
--- a/tanagerpath/core/workloads/registry.py
+++ b/tanagerpath/core/workloads/registry.py
@@ -33,7 +33,8 @@
 
     def __init__(self, context: DispatchContext) -> None:
         self._context = context
-        # Withdrawn incarnations; a delayed heartbeat must not register one again.
+        # Incarnations whose withdrawal this leader has proposed; a delayed heartbeat
+        # must not register one again. Those in the log are in the state.
         self._withdrawn: set[str] = set()
         # Unanswered starts of departed upstreams, which a successor may still receive.
         self._unanswered: dict[str, dict[RunKey, float]] = {}
@@ -185,7 +186,7 @@
                 context.touch(session)
 
     def _is_outdated(self, record: UpstreamRecord) -> bool:
-        if record.incarnation in self._withdrawn or self._is_born_later(record):
+        if self._has_left(record) or self._is_born_later(record):
             return True
         for other in self._context.state.upstreams.values():
             is_same = other.upstream_id == record.upstream_id
@@ -197,6 +198,14 @@
                 return True
         return False
 
+    def _has_left(self, record: UpstreamRecord) -> bool:
+        """Return whether an incarnation has withdrawn."""
+        if record.incarnation in self._withdrawn:
+            return True
+        return self._context.state.withdrawals.contains(
+            record.upstream_id, record.incarnation, self._context.now.unix_s
+        )
+
     def _is_born_later(self, record: UpstreamRecord) -> bool:
         """Return whether a birth is so far ahead that no clock error explains it.
 
@@ -236,7 +245,13 @@
             )
             return []
         self._withdrawn.add(record.incarnation)
-        return [WithdrawUpstream(record.upstream_id, record.incarnation)]
+        return [
+            WithdrawUpstream(
+                record.upstream_id,
+                record.incarnation,
+                withdrawn_at_unix_s=context.now.unix_s,
+            )
+        ]
 
     # Committed commands
 
--- a/tanagerpath/core/workloads/state.py
+++ b/tanagerpath/core/workloads/state.py
@@ -25,6 +25,11 @@
     WorkloadState,
 )
 from tanagerpath.core.workloads.refusals import RefusalMemory, RefusalRecord
+from tanagerpath.core.workloads.withdrawals import (
+    LATE_HEARTBEAT_S,
+    WithdrawalMemory,
+    WithdrawalRecord,
+)
 
 __all__ = ["Applied", "FleetSnapshot", "FleetState"]
 
@@ -62,6 +67,7 @@
     evacuations: tuple[EvacuationRecord, ...] = ()
     refusals: tuple[RefusalRecord, ...] = ()
     cancellations: tuple[CancellationRecord, ...] = ()
+    withdrawals: tuple[WithdrawalRecord, ...] = ()
 
 
 class FleetState:
@@ -78,6 +84,7 @@
         self.known_queues: dict[str, Queue] = {}
         self.refusals = RefusalMemory()
         self.cancellations = CancellationMemory()
+        self.withdrawals = WithdrawalMemory()
         self._speeds: dict[str, LearnedSpeed] = {}
         self._histories: dict[str, LearnedQueue] = {}
         self._apply_by_type: dict[type, Any] = {
@@ -110,6 +117,7 @@
         state._store_learned(snapshot.learned)
         state.refusals = RefusalMemory(snapshot.refusals)
         state.cancellations = CancellationMemory(snapshot.cancellations)
+        state.withdrawals = WithdrawalMemory(snapshot.withdrawals)
         return state
 
     def make_snapshot(self) -> FleetSnapshot:
@@ -125,6 +133,7 @@
             evacuations=tuple(self.evacuations.values()),
             refusals=self.refusals.list_records(),
             cancellations=self.cancellations.list_records(),
+            withdrawals=self.withdrawals.list_records(),
         )
 
     @property
@@ -301,8 +310,21 @@
             return Applied(changed=False)
         del self.upstreams[command.upstream_id]
         self._speeds.pop(command.upstream_id, None)
+        if command.withdrawn_at_unix_s is not None:
+            self._remember_withdrawal(command, command.withdrawn_at_unix_s)
         return Applied()
 
+    def _remember_withdrawal(
+        self, command: commands.WithdrawUpstream, at_unix_s: float
+    ) -> None:
+        """Keep a late heartbeat from registering an incarnation that has left."""
+        record = WithdrawalRecord(
+            upstream_id=command.upstream_id,
+            incarnation=command.incarnation,
+            refused_until_unix_s=at_unix_s + LATE_HEARTBEAT_S,
+        )
+        self.withdrawals.add(record, at_unix_s)
+
     def _expire(self, command: commands.ExpireWorkloads) -> Applied:
         expired = [
             workload_id
--- a/tanagerpath/core/workloads/tests/test_withdrawals.py
+++ b/tanagerpath/core/workloads/tests/test_withdrawals.py
@@ -8,10 +8,14 @@
 import attrs
 import testtools
 
+from tanagerpath.codecs.state import JsonFleetCodec
+from tanagerpath.core.workloads import FleetState
+from tanagerpath.core.workloads.commands import WithdrawUpstream
 from tanagerpath.core.workloads.requests import WithdrawalReport
 from tanagerpath.core.workloads.resources import Resources
 from tanagerpath.core.workloads.specs import StepSpec
 from tanagerpath.core.workloads.tests.rig import Rig
+from tanagerpath.core.workloads.withdrawals import LATE_HEARTBEAT_S
 
 SMALL = Resources(8_000, 16_000, 1)
 STEP = StepSpec(count=3, needs=SMALL, declared_run_s=6.0)
@@ -135,7 +139,7 @@
         self.assertEqual([], rig.starts)
 
     def test_late_heartbeat_brings_no_upstream_that_has_left_back_into_use(self):
-        """A new leader does not know which incarnations were withdrawn."""
+        """A new leader used to register it again, as it knew of no withdrawal."""
         rig = Rig(upstreams=1)
         rig.run(0.5)
         _drain(rig, "u0")
@@ -144,7 +148,7 @@
         rig.run(1.0)
         rig.start_term(2)
         rig.report(rig.upstreams["u0"].record, sequence=3)
-        self.assertIn("u0", rig.state.upstreams)
+        self.assertNotIn("u0", rig.state.upstreams)
         rig.submit("w", STEP, work_s=1.0)
         rig.run(2.0)
         self.assertEqual([], rig.starts)
@@ -203,3 +207,63 @@
         rig.run(8.0)
         self.assertEqual("completed", rig.find_state("w"))
         self.assertEqual(3, len(rig.starts))
+
+
+class TestLateHeartbeats(testtools.TestCase):
+    """Guards against upstreams that have left and are used again by a later leader."""
+
+    def _withdraw(self):
+        """Return a rig without the upstream u1, and the last record of u1."""
+        rig = Rig(upstreams=2)
+        rig.run(0.5)
+        record = rig.upstreams["u1"].record
+        _drain(rig, "u1")
+        rig.run(1.0)
+        _withdraw(rig, "u1")
+        _end(rig, "u1")
+        rig.run(0.5)
+        self.assertNotIn("u1", rig.state.upstreams)
+        return rig, record
+
+    def _restore(self, rig):
+        codec = JsonFleetCodec()
+        text = codec.encode_snapshot(rig.state.make_snapshot())
+        rig.state = FleetState.from_snapshot(codec.decode_snapshot(text))
+        rig.start_term(rig.term + 1)
+
+    def test_late_heartbeat_of_an_upstream_that_has_left(self):
+        cases = {
+            "same leader": lambda rig: None,
+            "next leader": lambda rig: rig.start_term(rig.term + 1),
+            "snapshot": self._restore,
+            "longest freeze": lambda rig: (rig.start_term(rig.term + 1), rig.run(8.0)),
+        }
+        for name, pass_on in cases.items():
+            rig, record = self._withdraw()
+            pass_on(rig)
+            self.assertEqual([], rig.report(record, sequence=5), name)
+            self.assertNotIn("u1", rig.state.upstreams, name)
+
+    def test_next_incarnation_is_registered(self):
+        rig, _ = self._withdraw()
+        rig.start_term(rig.term + 1)
+        rig.restart_upstream("u1")
+        self.assertIn("u1", rig.state.upstreams)
+
+    def test_memory_of_withdrawals_is_bounded_in_time(self):
+        rig, _ = self._withdraw()
+        self.assertEqual(1, len(rig.state.withdrawals))
+        rig.now_s += LATE_HEARTBEAT_S
+        _drain(rig, "u0", sequence=2_000)
+        _withdraw(rig, "u0")
+        self.assertEqual(1, len(rig.state.withdrawals))
+
+    def test_entry_of_an_earlier_build_remembers_nothing(self):
+        codec = JsonFleetCodec()
+        text = codec.encode_command(WithdrawUpstream("u0", "u0@1"))
+        earlier = text.replace(',"withdrawn_at_unix_s":null', "")
+        self.assertNotEqual(text, earlier)
+        rig = Rig(upstreams=1)
+        rig.apply(codec.decode_command(earlier))
+        self.assertEqual({}, rig.state.upstreams)
+        self.assertEqual(0, len(rig.state.withdrawals))
