Keep a late report from replacing a later incarnation in the log

Cause: the registry compares a report with the registered incarnation. While the registration of a new incarnation is on its way to the log, a late report of the earlier one passes the comparison, and its registration follows in the log and replaces the new one until that reports again. Change: a registration carries whether it checks the birth, and changes nothing if the record at its place in the log was born later. It does not check where the registered birth is in the far future, as before. Entries of earlier builds are applied as those builds did. Check that changed: test_heartbeat_of_an_earlier_incarnation_is_ignored expects the new field. Not played on processes.

--- a/tanagerpath/core/workloads/commands.py
+++ b/tanagerpath/core/workloads/commands.py
@@ -203,9 +203,19 @@
 
 @attrs.frozen
 class RegisterUpstream:
-    """Stores the record of an upstream."""
+    """Stores the record of an upstream.
+
+    Attributes
+    ----------
+    record : UpstreamRecord
+        The record.
+    checks_birth : bool
+        Whether it changes nothing if a later incarnation is registered. Entries of
+        earlier builds apply in any case.
+    """
 
     record: UpstreamRecord
+    checks_birth: bool = False
 
 
 @attrs.frozen
--- a/tanagerpath/core/workloads/registry.py
+++ b/tanagerpath/core/workloads/registry.py
@@ -153,7 +153,9 @@
             if session.record == record:
                 return []
         self._verify_others(record)
-        return [RegisterUpstream(record)]
+        current = context.state.upstreams.get(record.upstream_id)
+        is_trusted = current is None or not self._is_born_later(current)
+        return [RegisterUpstream(record, checks_birth=is_trusted)]
 
     def _contradicts(self, record: UpstreamRecord) -> bool:
         """Return whether a heartbeat can't follow those of the same incarnation.
--- a/tanagerpath/core/workloads/state.py
+++ b/tanagerpath/core/workloads/state.py
@@ -301,6 +301,9 @@
         current = self.upstreams.get(record.upstream_id)
         if current == record:
             return Applied(changed=False)
+        is_later = current is not None and current.born_unix_ms > record.born_unix_ms
+        if command.checks_birth and record.born_unix_ms and is_later:
+            return Applied(changed=False)
         self.upstreams[record.upstream_id] = record
         return Applied()
 
--- a/tanagerpath/core/workloads/tests/test_dispatcher.py
+++ b/tanagerpath/core/workloads/tests/test_dispatcher.py
@@ -153,7 +153,8 @@
         rig = Rig(upstreams=1)
         old = rig.upstreams["u0"].record
         new = attrs.evolve(old, upstream_id="u9", incarnation="u9@2", born_unix_ms=2)
-        self.assertEqual([commands.RegisterUpstream(new)], rig.report(new))
+        expected = commands.RegisterUpstream(new, checks_birth=True)
+        self.assertEqual([expected], rig.report(new))
         self.assertEqual([], rig.report(old, sequence=9))
 
     def test_runs_of_a_replaced_incarnation_are_restarted(self):
--- a/tanagerpath/core/workloads/tests/test_withdrawals.py
+++ b/tanagerpath/core/workloads/tests/test_withdrawals.py
@@ -11,7 +11,7 @@
 from tanagerpath.codecs.state import JsonFleetCodec
 from tanagerpath.core.workloads import FleetState
 from tanagerpath.core.workloads.commands import WithdrawUpstream
-from tanagerpath.core.workloads.requests import WithdrawalReport
+from tanagerpath.core.workloads.requests import UpstreamReport, WithdrawalReport
 from tanagerpath.core.workloads.resources import Resources
 from tanagerpath.core.workloads.specs import StepSpec
 from tanagerpath.core.workloads.tests.rig import Rig
@@ -267,3 +267,39 @@
         rig.apply(codec.decode_command(earlier))
         self.assertEqual({}, rig.state.upstreams)
         self.assertEqual(0, len(rig.state.withdrawals))
+
+
+class TestOrderOfReports(testtools.TestCase):
+    """Guards against a late report that replaces a later incarnation in the log."""
+
+    def _propose_both(self):
+        """Return a rig, and the commands for a new incarnation and a late report."""
+        rig = Rig(upstreams=1)
+        rig.run(0.5)
+        earlier = rig.upstreams["u0"].record
+        rig.restart_upstream("u0", reports=False)
+        registry = rig.dispatcher.registry
+        later = UpstreamReport(rig.upstreams["u0"].record, sequence=1)
+        late = UpstreamReport(attrs.evolve(earlier, draining=True), sequence=50)
+        commands = [*registry.handle_report(later), *registry.handle_report(late)]
+        self.assertEqual(2, len(commands))
+        return rig, commands
+
+    def test_late_report_that_is_proposed_after_a_new_incarnation(self):
+        rig, commands = self._propose_both()
+        for command in commands:
+            rig.apply(command)
+        self.assertEqual("u0@2", rig.state.upstreams["u0"].incarnation)
+        rig.submit("w", STEP, work_s=1.0)
+        rig.run(3.0)
+        self.assertEqual("completed", rig.find_state("w"))
+
+    def test_entries_of_an_earlier_build_are_applied_as_that_build_did(self):
+        rig, commands = self._propose_both()
+        codec = JsonFleetCodec()
+        for command in commands:
+            text = codec.encode_command(command)
+            earlier = text.replace(',"checks_birth":true', "")
+            self.assertNotEqual(text, earlier)
+            rig.apply(codec.decode_command(earlier))
+        self.assertEqual("u0@1", rig.state.upstreams["u0"].incarnation)
