Try free capacity during the backoff of refused starts

Cause: the backoff keeps guaranteed work from preempting runs on one upstream after the other, and kept all other work from every start. Change: other work may start on free capacity 1 s after its last refusal, and preempts nothing until the backoff has ended.

--- a/tanagerpath/core/workloads/planner.py
+++ b/tanagerpath/core/workloads/planner.py
@@ -179,14 +179,15 @@
     def _filter_backoff(self, units: list[PlanUnit]) -> list[PlanUnit]:
         """Return the units that may start now.
 
-        During its backoff guaranteed work may use free capacity but preempts nothing;
-        other work waits.
+        During its backoff work preempts nothing. Guaranteed work may use free capacity
+        at once, other work after a short time.
         """
+        backoff, now_s = self._context.start_backoff, self._context.now_s
         ready = []
         for unit in units:
             if not self._is_backing_off(unit):
                 ready.append(unit)
-            elif unit.is_guaranteed:
+            elif unit.is_guaranteed or backoff.may_use_free(unit.step_key, now_s):
                 ready.append(attrs.evolve(unit, may_claim=False))
         return ready
 
--- a/tanagerpath/core/workloads/start_backoff.py
+++ b/tanagerpath/core/workloads/start_backoff.py
@@ -11,17 +11,31 @@
 IMMEDIATE_RETRIES = 3
 INITIAL_BACKOFF_S = 1.0
 MAX_BACKOFF_S = 8.0
+# Work must not stand still for 3 s while capacity is idle. A start on free capacity
+# takes nothing from other work.
+FREE_CAPACITY_BACKOFF_S = 1.0
 # Keeps the power of two within the range of a float.
 MAX_DOUBLINGS = 16
 
 
 @attrs.define
 class _StepBackoff:
-    """Consecutive refused starts, and the instant until which the step waits."""
+    """Consecutive refused starts, and the instants until which the step waits.
+
+    Attributes
+    ----------
+    count, last_run : int
+        Number of refused starts, and the run of the last one.
+    until_s : float
+        Time before which it preempts nothing.
+    free_from_s : float
+        Time from which it may start on free capacity.
+    """
 
     count: int = 0
     last_run: int = 0
     until_s: float = 0.0
+    free_from_s: float = 0.0
 
 
 class StartBackoff:
@@ -44,7 +58,10 @@
             return
         backoff.last_run = view.run
         backoff.count += 1
-        if backoff.count > IMMEDIATE_RETRIES and now_s >= backoff.until_s:
+        if backoff.count <= IMMEDIATE_RETRIES:
+            return
+        backoff.free_from_s = now_s + FREE_CAPACITY_BACKOFF_S
+        if now_s >= backoff.until_s:
             doublings = min(backoff.count - IMMEDIATE_RETRIES - 1, MAX_DOUBLINGS)
             delay_s = min(INITIAL_BACKOFF_S * 2.0**doublings, MAX_BACKOFF_S)
             backoff.until_s = now_s + delay_s
@@ -58,6 +75,11 @@
         backoff = self._backoffs.get(step_key)
         return backoff is not None and now_s < backoff.until_s
 
+    def may_use_free(self, step_key: StepKey, now_s: float) -> bool:
+        """Return whether a step may start on free capacity."""
+        backoff = self._backoffs.get(step_key)
+        return backoff is None or now_s >= backoff.free_from_s
+
     def forget(self, workload_id: str) -> None:
         """Drop the backoff of all steps of an ended workload."""
         for key in [one for one in self._backoffs if one.workload_id == workload_id]:
--- a/tanagerpath/core/workloads/tests/test_refused_orders.py
+++ b/tanagerpath/core/workloads/tests/test_refused_orders.py
@@ -159,6 +159,19 @@
         self.assertLess(session.refused_until_s, 2_000 * 10.0)
         self.assertFalse(backoff.must_wait(view.task.step_key, 2_000 * 10.0))
 
+    def test_free_capacity_is_tried_during_the_backoff_of_preemption(self):
+        """A step waited up to 8 s beside idle upstreams."""
+        view = RunView(
+            TaskId("w", 0, 0, 0), 1, _step(), "batch", 1, RunPhase.ORDERED, 0.0
+        )
+        key = view.task.step_key
+        backoff = StartBackoff()
+        for number in range(8):
+            backoff.note_refusal(view, 10.0 + number)
+        self.assertFalse(backoff.may_use_free(key, 17.0))
+        self.assertTrue(backoff.must_wait(key, 18.0))
+        self.assertTrue(backoff.may_use_free(key, 18.0))
+
     def test_guaranteed_gang_starts_once_refused_starts_are_accepted(self):
         for refused_s in (0.5, 1.0, 2.0, 3.0, 5.0, 9.0):
             rig = Rig(upstreams=8)
