Let cancellations that have expired not answer refusals

Callers saw: nothing yet; found while reading the change. Cause: the reply to a submission looked for any kept cancellation of the job, also one whose time was over and which no entry had removed yet: a refusal for lack of capacity was answered as a cancellation, 503 in place of 429. A withdrawal left the end of its memory to a constant of the replica that applies it, so that replicas of builds with other constants would not agree. Change: the reply takes the time of the decision. Evidence: test_refusal_after_the_longest_delay_is_answered_as_such fails without the first part and passes with it; tanagerpath/core/workloads: 436 passed.

--- a/tanagerpath/core/workloads/commands.py
+++ b/tanagerpath/core/workloads/commands.py
@@ -9,6 +9,7 @@
 from tanagerpath.core.workloads.learned import LearnedFleet
 from tanagerpath.core.workloads.resources import Resources
 from tanagerpath.core.workloads.specs import TaskId, WorkloadSpec
+from tanagerpath.core.workloads.withdrawals import WithdrawalRecord
 
 __all__ = [
     "AcceptWorkload",
@@ -226,14 +227,14 @@
     ----------
     upstream_id, incarnation : str
         The upstream.
-    withdrawn_at_unix_s : float or None
-        Time in UTC seconds at which it announced that it leaves. None for one that may
-        come back, such as a silent one, and in entries of earlier builds.
+    if_final : WithdrawalRecord or None
+        What is remembered of an incarnation that has announced its end. None for one
+        that may come back, such as a silent one, and in entries of earlier builds.
     """
 
     upstream_id: str
     incarnation: str
-    withdrawn_at_unix_s: float | None = None
+    if_final: WithdrawalRecord | None = None
 
 
 @attrs.frozen
--- a/tanagerpath/core/workloads/registry.py
+++ b/tanagerpath/core/workloads/registry.py
@@ -14,6 +14,7 @@
 from tanagerpath.core.workloads.runs import RunFence, RunKey, RunPhase, RunView
 from tanagerpath.core.workloads.sessions import MAX_ORDER_DELAY_S, UpstreamSession
 from tanagerpath.core.workloads.specs import TaskId
+from tanagerpath.core.workloads.withdrawals import LATE_HEARTBEAT_S, WithdrawalRecord
 
 __all__ = ["UpstreamRegistry"]
 
@@ -247,13 +248,14 @@
             )
             return []
         self._withdrawn.add(record.incarnation)
-        return [
-            WithdrawUpstream(
-                record.upstream_id,
-                record.incarnation,
-                withdrawn_at_unix_s=context.now.unix_s,
-            )
-        ]
+        now_unix_s = context.now.unix_s
+        withdrawn = WithdrawalRecord(
+            upstream_id=record.upstream_id,
+            incarnation=record.incarnation,
+            withdrawn_at_unix_s=now_unix_s,
+            refused_until_unix_s=now_unix_s + LATE_HEARTBEAT_S,
+        )
+        return [WithdrawUpstream(record.upstream_id, record.incarnation, withdrawn)]
 
     # Committed commands
 
--- a/tanagerpath/core/workloads/replies.py
+++ b/tanagerpath/core/workloads/replies.py
@@ -36,7 +36,7 @@
 
 
 def make_submission_reply(
-    state: FleetState, organisation: str, workload_id: str
+    state: FleetState, organisation: str, workload_id: str, decided_at_unix_s: float
 ) -> object:
     """Return what the log has decided on a submission.
 
@@ -46,7 +46,10 @@
     """
     if workload_id in state.workloads:
         return make_workload_reply(state, workload_id)
-    if state.cancellations.find(organisation, workload_id) is not None:
+    cancelled = state.cancellations.find_valid(
+        organisation, workload_id, decided_at_unix_s
+    )
+    if cancelled is not None:
         return ErrorBody.from_failure(CancelledBefore(workload_id=workload_id))
     refused = state.refusals.find(organisation, workload_id)
     if refused is None:
--- a/tanagerpath/core/workloads/request_handler.py
+++ b/tanagerpath/core/workloads/request_handler.py
@@ -57,14 +57,20 @@
 
     def _make_reply(self, state: FleetState) -> object:
         match self.command:
-            case commands.AcceptWorkload(spec=spec, organisation=organisation):
+            case commands.AcceptWorkload() as command:
                 return replies.make_submission_reply(
-                    state, organisation, spec.workload_id
+                    state,
+                    command.organisation,
+                    command.spec.workload_id,
+                    command.accepted_at_unix_s,
+                )
+            case commands.RefuseWorkload() as command:
+                return replies.make_submission_reply(
+                    state,
+                    command.organisation,
+                    command.workload_id,
+                    command.refused_at_unix_s,
                 )
-            case commands.RefuseWorkload(
-                workload_id=workload_id, organisation=organisation
-            ):
-                return replies.make_submission_reply(state, organisation, workload_id)
             case commands.CancelWorkload() as command:
                 return replies.make_cancellation_reply(state, command)
             case commands.PutConfiguration():
--- a/tanagerpath/core/workloads/state.py
+++ b/tanagerpath/core/workloads/state.py
@@ -25,11 +25,7 @@
     WorkloadState,
 )
 from tanagerpath.core.workloads.refusals import RefusalMemory, RefusalRecord
-from tanagerpath.core.workloads.withdrawals import (
-    LATE_HEARTBEAT_S,
-    WithdrawalMemory,
-    WithdrawalRecord,
-)
+from tanagerpath.core.workloads.withdrawals import WithdrawalMemory, WithdrawalRecord
 
 __all__ = ["Applied", "FleetSnapshot", "FleetState"]
 
@@ -313,21 +309,10 @@
             return Applied(changed=False)
         del self.upstreams[command.upstream_id]
         self._speeds.pop(command.upstream_id, None)
-        if command.withdrawn_at_unix_s is not None:
-            self._remember_withdrawal(command, command.withdrawn_at_unix_s)
+        if command.if_final is not None:
+            self.withdrawals.add(command.if_final)
         return Applied()
 
-    def _remember_withdrawal(
-        self, command: commands.WithdrawUpstream, at_unix_s: float
-    ) -> None:
-        """Keep a late heartbeat from registering an incarnation that has left."""
-        record = WithdrawalRecord(
-            upstream_id=command.upstream_id,
-            incarnation=command.incarnation,
-            refused_until_unix_s=at_unix_s + LATE_HEARTBEAT_S,
-        )
-        self.withdrawals.add(record, at_unix_s)
-
     def _expire(self, command: commands.ExpireWorkloads) -> Applied:
         expired = [
             workload_id
--- a/tanagerpath/core/workloads/tests/test_cancellations.py
+++ b/tanagerpath/core/workloads/tests/test_cancellations.py
@@ -130,6 +130,12 @@
         self.assert_accepted(self.ask())
         self.assertEqual(0, len(self.rig.state.cancellations))
 
+    def test_refusal_after_the_longest_delay_is_answered_as_such(self):
+        self.cancel()
+        self.pass_s(LATE_SUBMISSION_S + 1.0)
+        self.policy.refuses = True
+        self.assertTrue(self.is_refusal(self.ask()))
+
     def test_repeated_cancellation_is_answered_without_a_log_entry(self):
         self.cancel()
         self.lead()
--- a/tanagerpath/core/workloads/tests/test_withdrawals.py
+++ b/tanagerpath/core/workloads/tests/test_withdrawals.py
@@ -261,7 +261,7 @@
     def test_entry_of_an_earlier_build_remembers_nothing(self):
         codec = JsonFleetCodec()
         text = codec.encode_command(WithdrawUpstream("u0", "u0@1"))
-        earlier = text.replace(',"withdrawn_at_unix_s":null', "")
+        earlier = text.replace(',"if_final":null', "")
         self.assertNotEqual(text, earlier)
         rig = Rig(upstreams=1)
         rig.apply(codec.decode_command(earlier))
--- a/tanagerpath/core/workloads/withdrawals.py
+++ b/tanagerpath/core/workloads/withdrawals.py
@@ -19,12 +19,15 @@
     ----------
     upstream_id, incarnation : str
         The incarnation.
+    withdrawn_at_unix_s : float
+        Time of the withdrawal in UTC seconds.
     refused_until_unix_s : float
         Time in UTC seconds before which its heartbeats do not register it again.
     """
 
     upstream_id: str
     incarnation: str
+    withdrawn_at_unix_s: float
     refused_until_unix_s: float
 
     @property
@@ -36,9 +39,9 @@
 class WithdrawalMemory(ExpiringRecords[WithdrawalRecord]):
     """Incarnations that have left, the least recent first."""
 
-    def add(self, record: WithdrawalRecord, now_unix_s: float) -> None:
+    def add(self, record: WithdrawalRecord) -> None:
         """Remember that an incarnation has left."""
-        self._drop_expired(now_unix_s)
+        self._drop_expired(record.withdrawn_at_unix_s)
         self._records[record.key] = record
 
     def contains(self, upstream_id: str, incarnation: str, now_unix_s: float) -> bool:
