--- a/tanagerpath/settings/reference.py
+++ b/tanagerpath/settings/reference.py
@@ -1,5 +1,10 @@
 """Reference page of all settings, generated from their declarations."""
 
+from tanagerpath.core.workloads.cancellations import (
+    LATE_SUBMISSION_S,
+    MAX_CANCELLATIONS,
+    MAX_PER_ORGANISATION,
+)
 from tanagerpath.settings.client import ClientSettings
 from tanagerpath.settings.control import ControlSettings
 from tanagerpath.settings.declaration import Setting, list_settings
@@ -32,11 +37,20 @@
     ("Control process for workloads without a disk", WorkloadRelaySettings),
 )
 
+_FIXED_LIMITS = f"""\
+## Fixed limits
+
+Cancellations of unknown workloads are remembered for {LATE_SUBMISSION_S:g} s, at most
+{MAX_PER_ORGANISATION:,} of an organisation and {MAX_CANCELLATIONS:,} in all. Others
+have no effect and are answered with `TooManyCancellations` (429 on the users' platform)
+and the time at which there is room.
+"""
+
 
 def render_reference() -> str:
     """Return the Markdown text of docs/settings.md."""
     sections = [_render_section(title, kind) for title, kind in _SECTIONS]
-    return "\n".join([_HEAD, *sections])
+    return "\n".join([_HEAD, *sections, _FIXED_LIMITS])
 
 
 def _render_section(title: str, kind: type) -> str:
