Give each step its turn with the advice service

Cause: a step whose tickets do not hold all its tasks began its round of questions anew every half second although a decision does not change, two calls may be under way, and the older steps always took them. Change: a denied upstream is not asked about again in its incarnation, nor one where the step has as many tasks as it may have; of the steps that lack tickets the one whose last call is the longest ago is next, and one without any call comes first. A step that is allowed nowhere asks again, as before.

--- a/tanagerpath/core/workloads/advice.py
+++ b/tanagerpath/core/workloads/advice.py
@@ -1,5 +1,7 @@
 """Tickets of the external service that decides which upstreams may run a step."""
 
+import math
+
 import attrs
 
 from tanagerpath.core.coordination import CallUpstream
@@ -10,6 +12,7 @@
     OrderRefused,
 )
 from tanagerpath.core.workloads.policy import PlanUnit
+from tanagerpath.core.workloads.sessions import UpstreamSession
 
 __all__ = ["TicketCache"]
 
@@ -42,15 +45,20 @@
     ----------
     by_upstream : dict of str to _HeldTicket
         The tickets.
-    asked : dict of str to str
-        Incarnations, by upstream, that the calls of this round named. The decision on
-        an upstream does not change, so each round asks about every one once.
+    denied : dict of str to str
+        Incarnations, by upstream, that may not run the step, which does not change.
+    called : dict of str to str
+        Incarnations, by upstream, that the last call named.
+    called_s : float
+        Time of the last call, minus infinity for none.
     call_expires_s, next_call_s : float
         Time until which a reply is awaited, and earliest time of the next call.
     """
 
     by_upstream: dict[str, _HeldTicket] = attrs.Factory(dict)
-    asked: dict[str, str] = attrs.Factory(dict)
+    denied: dict[str, str] = attrs.Factory(dict)
+    called: dict[str, str] = attrs.Factory(dict)
+    called_s: float = -math.inf
     call_expires_s: float = 0.0
     next_call_s: float = 0.0
 
@@ -70,7 +78,7 @@
 
     def attach_tickets(self, units: list[PlanUnit]) -> list[PlanUnit]:
         """Return the units that need no ticket or have valid ones."""
-        ready = []
+        ready, lacking = [], []
         for unit in sorted(units, key=lambda one: one.queue.priority):
             if unit.queue.advice is None:
                 ready.append(unit)
@@ -79,9 +87,18 @@
             if tickets:
                 ready.append(attrs.evolve(unit, tickets=tickets))
             if not self._is_enough(unit, tickets):
-                self._request_tickets(unit, tickets)
+                lacking.append((unit, tickets))
+        # A step that never gets enough tickets must not take the calls of the others.
+        lacking.sort(key=lambda one: self._find_called_s(one[0]))
+        for unit, tickets in lacking:
+            self._request_tickets(unit, tickets)
         return ready
 
+    def _find_called_s(self, unit: PlanUnit) -> float:
+        """Return the time of the last call for a step, minus infinity for none."""
+        held = self._steps.get(self._find_key(unit))
+        return held.called_s if held else -math.inf
+
     def _find_key(self, unit: PlanUnit) -> _TicketKey:
         return unit.record.workload_id, unit.occurrence, unit.step
 
@@ -118,13 +135,16 @@
             return
         chosen = self._choose_upstreams(unit, held, tickets)
         if not chosen:
-            # The round has asked about all upstreams.
-            held.asked.clear()
+            if not held.by_upstream:
+                # Without any upstream the step can only ask again.
+                held.denied.clear()
             held.next_call_s = now_s + RETRY_INTERVAL_S
             return
-        for upstream_id in chosen:
-            record = context.sessions[upstream_id].record
-            held.asked[upstream_id] = record.incarnation
+        held.called_s = now_s
+        held.called = {
+            upstream_id: context.sessions[upstream_id].record.incarnation
+            for upstream_id in chosen
+        }
         workload_id, occurrence, step = self._find_key(unit)
         request = AdviceRequest(
             workload_id=workload_id,
@@ -142,10 +162,10 @@
     def _choose_upstreams(
         self, unit: PlanUnit, held: _Tickets, tickets: dict[str, str]
     ) -> tuple[str, ...]:
-        """Return suitable upstreams without a ticket that this round has not named.
+        """Return suitable upstreams without a ticket that were not denied.
 
         Those that were allowed before come first, then those near the data and with
-        capacity.
+        capacity. One that may not take a further task of the step is of no use.
         """
         spec = unit.spec
         suitable = [
@@ -153,7 +173,8 @@
             for session in self._context.sessions.values()
             if session.is_usable
             and session.upstream_id not in tickets
-            and held.asked.get(session.upstream_id) != session.record.incarnation
+            and held.denied.get(session.upstream_id) != session.record.incarnation
+            and not self._is_at_limit(unit, session)
             and session.record.pool == unit.queue.pool
             and spec.reserved.fits(session.record.capacity)
             and (
@@ -171,6 +192,11 @@
         )
         return tuple(one.upstream_id for one in suitable[:MAX_UPSTREAMS_PER_CALL])
 
+    def _is_at_limit(self, unit: PlanUnit, session: UpstreamSession) -> bool:
+        """Return whether an upstream has as many tasks of a step as it may have."""
+        limit = unit.spec.max_per_upstream
+        return bool(limit) and session.count_step_runs(unit.make_task_id(0)) >= limit
+
     def handle_reply(
         self, request: AdviceRequest, reply: AdviceReply | OrderRefused
     ) -> None:
@@ -187,12 +213,12 @@
         valid_until_s = context.now_s + queue.advice.validity_s * VALIDITY_SHARE
         for ticket in reply.tickets:
             held.by_upstream[ticket.upstream_id] = _HeldTicket(
-                ticket.text, held.asked.get(ticket.upstream_id, ""), valid_until_s
+                ticket.text, held.called.get(ticket.upstream_id, ""), valid_until_s
             )
-        # Once their tickets have expired, these are named again in the same round.
+        allowed = {ticket.upstream_id for ticket in reply.tickets}
         for upstream_id in request.upstream_ids:
-            if upstream_id in held.by_upstream:
-                held.asked.pop(upstream_id, None)
+            if upstream_id not in allowed:
+                held.denied[upstream_id] = held.called.get(upstream_id, "")
         context.must_plan = True
         context.log_decision(
             "advice taken",
@@ -206,8 +232,6 @@
         """Schedule a retry for a step."""
         held = self._finish_call(request)
         if held is not None:
-            for upstream_id in request.upstream_ids:
-                held.asked.pop(upstream_id, None)
             held.next_call_s = self._context.now_s + RETRY_INTERVAL_S
         self._context.log_decision(
             "advice failed", workload=request.workload_id, reason=reason
