--- a/tanagerpath/core/workloads/free_capacity.py
+++ b/tanagerpath/core/workloads/free_capacity.py
@@ -83,8 +83,10 @@
             if not session.is_usable or health.is_excluded(fleet.now_s):
                 continue
             self._free[session.upstream_id] = session.free
-            is_quarantined = health.is_quarantined(fleet.now_s)
-            (self.last_resort if is_quarantined else self.sessions).append(session)
+            if health.is_quarantined(fleet.now_s):
+                self.last_resort.append(session)
+            else:
+                self.sessions.append(session)
         self._planned: dict[tuple[str, StepKey], int] = {}
         self._full_for: set[Resources] = set()
         self._held: dict[StepKey, dict[str, int]] = {}
